--- /dev/null
+++ b/crates/ploverwick/src/commands/timeline.rs
@@ -0,0 +1,34 @@
+//! `ploverwick timeline`.
+
+use anyhow::Context;
+use ploverwick_timeline::view::{Filter, merge, text};
+
+use crate::flags::Timeline;
+use crate::{Answer, output, place};
+
+/// Merges the time lines of all processes. Exits with 1 if one did not answer.
+pub(crate) async fn run(flags: Timeline) -> Answer {
+    let fleet = place::fleet(flags.roster, flags.settings.as_ref()).await?;
+    let reading = fleet.timelines(&flags.from).await;
+    for unread in &reading.unread {
+        eprintln!("silent: {}: {}", unread.name, unread.fault);
+    }
+    let filter = Filter {
+        request: flags.request,
+        adapter: flags.adapter,
+        endpoint: flags.endpoint,
+    };
+    let events = merge(reading.answers, &filter);
+    if let Some(file) = &flags.html {
+        std::fs::write(file, ploverwick_timeline::page(&events))
+            .with_context(|| format!("write {}", file.display()))?;
+        output::print(&format!("{} events in {}\n", events.len(), file.display()));
+    } else if flags.json {
+        for event in &events {
+            output::print(&format!("{}\n", serde_json::to_string(event)?));
+        }
+    } else {
+        output::print(&text(&events));
+    }
+    Ok(reading.unread.is_empty())
+}
--- /dev/null
+++ b/crates/ploverwick/src/main.rs
@@ -0,0 +1,93 @@
+//! The command line: parses arguments and calls the libraries.
+//!
+//! Exit status: 0, 1 if the answer is no, 2 if the command could not run.
+
+mod commands;
+mod flags;
+mod output;
+mod place;
+
+use std::process::ExitCode;
+
+use std::ffi::OsString;
+
+use flags::settings::{Settings, SettingsCmd};
+use flags::table::{Table, TableCmd};
+use flags::{Ploverwick, PloverwickCmd};
+
+/// How a command ended.
+type Answer = anyhow::Result<bool>;
+
+fn main() -> ExitCode {
+    let command = match parse(std::env::args_os().skip(1).collect()) {
+        Ok(command) => command,
+        Err(error) => error.exit(),
+    };
+    let runtime = match tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+    {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("ploverwick: cannot start: {error}");
+            return ExitCode::from(2);
+        }
+    };
+    match runtime.block_on(run(command)) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(1),
+        Err(error) => {
+            eprintln!("ploverwick: {error:#}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+/// A command with its arguments.
+enum Command {
+    Top(PloverwickCmd),
+    Settings(SettingsCmd),
+    Table(TableCmd),
+}
+
+fn parse(mut arguments: Vec<OsString>) -> xflags::Result<Command> {
+    match arguments.first().and_then(|first| first.to_str()) {
+        Some("settings") => {
+            let settings = Settings::from_vec(arguments.split_off(1))?;
+            Ok(Command::Settings(settings.subcommand))
+        }
+        Some("table") => {
+            let table = Table::from_vec(arguments.split_off(1))?;
+            Ok(Command::Table(table.subcommand))
+        }
+        _ => Ok(Command::Top(Ploverwick::from_vec(arguments)?.subcommand)),
+    }
+}
+
+async fn run(command: Command) -> Answer {
+    match command {
+        Command::Top(command) => run_top(command).await,
+        Command::Settings(command) => match command {
+            SettingsCmd::Check(check) => commands::settings::check(&check.file),
+            SettingsCmd::Example(_) => commands::settings::example(),
+        },
+        Command::Table(command) => match command {
+            TableCmd::Check(check) => commands::table::check(&check.file),
+            TableCmd::Diff(diff) => commands::table::diff(&diff.before, &diff.after),
+            TableCmd::Publish(publish) => commands::publish::run(publish).await,
+            TableCmd::Show(show) => commands::show::run(show).await,
+            TableCmd::History(history) => commands::history::run(history).await,
+        },
+    }
+}
+
+async fn run_top(command: PloverwickCmd) -> Answer {
+    match command {
+        PloverwickCmd::Serve(serve) => commands::serve::run(&serve.settings).await,
+        PloverwickCmd::Status(status) => commands::status::run(status).await,
+        PloverwickCmd::Timeline(timeline) => commands::timeline::run(timeline).await,
+        PloverwickCmd::Demo(demo) => commands::demo::run(demo).await,
+        // Both are parsed above; they stand in the grammar for its help.
+        PloverwickCmd::Settings(_) | PloverwickCmd::Table(_) => Ok(true),
+    }
+}
--- /dev/null
+++ b/crates/ploverwick_daemon/src/admin.rs
@@ -0,0 +1,89 @@
+//! The operators' side of a daemon: status, time line, metrics.
+
+use std::io;
+use std::sync::{Arc, OnceLock};
+
+use http::{Method, Request, StatusCode};
+use hyper::body::Incoming;
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use ploverwick_codes::Code;
+use ploverwick_serve::{Handler, Reply, json, text};
+use ploverwick_timeline::clock::Stamp;
+
+use crate::chain::refuse;
+use crate::node::Node;
+use crate::{entry, status};
+
+/// The exporter of this process's metrics. All daemons in a process share it.
+static EXPORTER: OnceLock<Option<PrometheusHandle>> = OnceLock::new();
+
+/// Installs the exporter, unless this or another recorder is installed.
+pub(crate) fn install_metrics() {
+    EXPORTER.get_or_init(|| PrometheusBuilder::new().install_recorder().ok());
+}
+
+/// Shows the metrics.
+pub(crate) fn metrics() -> Reply {
+    match EXPORTER.get() {
+        Some(Some(exporter)) => text(StatusCode::OK, exporter.render()),
+        _ => text(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "another recorder is installed\n",
+        ),
+    }
+}
+
+/// The operators' side of a daemon.
+pub(crate) struct Admin {
+    pub(crate) node: Arc<Node>,
+}
+
+impl Handler for Admin {
+    async fn handle(&self, request: Request<Incoming>) -> io::Result<Reply> {
+        if request.method() != Method::GET {
+            let verdict = refuse(Code::MethodNotAllowed, "only GET is taken here");
+            return Ok(entry::error(&verdict, None));
+        }
+        Ok(match request.uri().path() {
+            "/healthz" => text(StatusCode::OK, "ok\n"),
+            "/readyz" => entry::ready(&self.node),
+            "/metrics" => metrics(),
+            "/status" => json(StatusCode::OK, &status::status(&self.node)),
+            "/table" => self.table(),
+            "/timeline" => {
+                let after = after(request.uri().query());
+                json(StatusCode::OK, &self.node.recorder.since(after))
+            }
+            path => {
+                let verdict = refuse(Code::PathUnknown, format!("no handler for {path}"));
+                entry::error(&verdict, None)
+            }
+        })
+    }
+}
+
+impl Admin {
+    /// Shows the table in force as CSV.
+    fn table(&self) -> Reply {
+        let in_force = self.node.in_force.borrow().clone();
+        let csv = ploverwick_table::parse::write(&in_force.table);
+        let mut reply = ploverwick_serve::bytes(StatusCode::OK, "text/csv; charset=utf-8", csv);
+        reply
+            .headers_mut()
+            .insert("ploverwick-table", in_force.version.0.into());
+        reply
+    }
+}
+
+/// Reads the stamp after which events are wanted, such as `after=12`.
+fn after(query: Option<&str>) -> Stamp {
+    let pairs = query.unwrap_or_default().split('&');
+    let value = pairs
+        .filter_map(|pair| pair.split_once('='))
+        .find(|(key, _)| *key == "after");
+    Stamp(
+        value
+            .and_then(|(_, value)| value.parse().ok())
+            .unwrap_or_default(),
+    )
+}
--- /dev/null
+++ b/crates/ploverwick_daemon/src/chain.rs
@@ -0,0 +1,102 @@
+//! The chain of filters that a request passes before it is relayed.
+//!
+//! [`read`] makes an [`Exchange`] of what arrived; then each of [`FILTERS`] looks at it in order
+//! and may refuse it. Nothing here has been sent anywhere, so every refusal means "not run".
+
+mod identify;
+mod limit;
+mod read;
+mod ready;
+mod resolve;
+
+use bytes::Bytes;
+use ploverwick_claims::Key;
+use ploverwick_codes::Code;
+use ploverwick_codes::attempt::{Attempt, Verdict};
+use ploverwick_names::{Caller, Hall, Model, Moment, Request, Variant};
+use ploverwick_table::terms::Terms;
+
+use crate::node::Node;
+
+pub(crate) use identify::identify;
+pub(crate) use read::{deadline, keyed, read, read_body, remaining};
+
+/// A key and when it was made.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Keyed {
+    /// The digest of caller and key.
+    pub(crate) key: Key,
+    /// When the caller made the key, in milliseconds since the Unix epoch.
+    pub(crate) made_ms: u64,
+}
+
+/// A request to a model on its way through the chain.
+#[derive(Debug, Clone)]
+pub(crate) struct Exchange {
+    pub(crate) request: Request,
+    pub(crate) caller: Caller,
+    pub(crate) path: String,
+    pub(crate) model: Model,
+    pub(crate) body: Bytes,
+    pub(crate) stream: bool,
+    pub(crate) hall: Hall,
+    pub(crate) priority: Option<u8>,
+    pub(crate) deadline: Moment,
+    pub(crate) idempotent: bool,
+    pub(crate) keyed: Option<Keyed>,
+    pub(crate) resume_after: u64,
+    pub(crate) terms: Option<Terms>,
+}
+
+impl Exchange {
+    /// Returns what the request runs on; `None` before the model's version is resolved.
+    pub(crate) fn variant(&self) -> Option<Variant> {
+        let version = self.model.version.clone()?;
+        Some(Variant {
+            adapter: self.model.adapter.clone(),
+            version,
+        })
+    }
+}
+
+/// A filter of the chain.
+struct Filter {
+    name: &'static str,
+    apply: fn(&Node, &mut Exchange) -> Result<(), Verdict>,
+}
+
+/// The filters, in the order in which a request passes them.
+const FILTERS: &[Filter] = &[
+    Filter {
+        name: "ready",
+        apply: ready::apply,
+    },
+    Filter {
+        name: "resolve",
+        apply: resolve::apply,
+    },
+    Filter {
+        name: "limit",
+        apply: limit::apply,
+    },
+];
+
+/// Passes a request through every filter.
+///
+/// # Errors
+/// Returns the verdict of the first filter that refuses it.
+pub(crate) fn pass(node: &Node, exchange: &mut Exchange) -> Result<(), Verdict> {
+    for filter in FILTERS {
+        (filter.apply)(node, exchange).inspect_err(|verdict| {
+            let code = verdict.code().name();
+            metrics::counter!("ploverwick_filter_refusals", "filter" => filter.name, "code" => code)
+                .increment(1);
+        })?;
+    }
+    Ok(())
+}
+
+/// Makes the verdict on a request that was sent nowhere.
+pub(crate) fn refuse(code: Code, message: impl Into<String>) -> Verdict {
+    Attempt::new().refuse(code, message)
+}
--- /dev/null
+++ b/crates/ploverwick_daemon/src/chain/ready.rs
@@ -0,0 +1,24 @@
+//! Refuses requests while this daemon cannot serve them.
+
+use std::time::Duration;
+
+use ploverwick_codes::Code;
+use ploverwick_codes::attempt::Verdict;
+use ploverwick_table::history;
+
+use super::{Exchange, refuse};
+use crate::node::Node;
+
+const HINT: Duration = Duration::from_secs(1);
+
+/// Refuses a request while the daemon drains, and before a first table is in force.
+pub(super) fn apply(node: &Node, _: &mut Exchange) -> Result<(), Verdict> {
+    if node.is_draining() {
+        let verdict = refuse(Code::Draining, "this instance is leaving");
+        return Err(verdict.retry_after(Duration::ZERO));
+    }
+    if node.in_force.borrow().version == history::NONE {
+        return Err(refuse(Code::NoTable, "no table is in force").retry_after(HINT));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/ploverwick_daemon/src/controllers/owners.rs
@@ -0,0 +1,179 @@
+//! Keeps ownership: reads the stream of claims, claims what this daemon should own, releases what
+//! it should not.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ploverwick_names::Offset;
+use ploverwick_owner::holds::{Change, Standing};
+use ploverwick_owner::record::Record;
+use ploverwick_ports::client::Fault;
+use ploverwick_ports::log::Batch;
+use ploverwick_timeline::{Event, Kind};
+use tokio::sync::oneshot;
+use tokio::time::MissedTickBehavior;
+
+use crate::listing;
+use crate::node::{Node, lock};
+use crate::owner::Command;
+
+/// The name of the stream.
+const STREAM: &str = "owners";
+/// The pause after a failed read or append.
+const PAUSE: Duration = Duration::from_millis(200);
+/// How often ownership is compared with what it should be.
+const PLAN: Duration = Duration::from_millis(200);
+
+/// Appends records to the stream.
+///
+/// # Errors
+/// Fails as the log does.
+pub(crate) async fn append(node: &Node, records: Vec<Record>) -> Result<Offset, Fault> {
+    let texts = records
+        .iter()
+        .map(|record| serde_json::to_string(record).unwrap_or_default());
+    node.log.append(STREAM, texts.collect()).await
+}
+
+/// Appends a record, again and again until the log confirms it. Twice does no harm.
+pub(crate) async fn append_surely(node: &Node, record: Record) {
+    while append(node, vec![record.clone()]).await.is_err() {
+        tokio::time::sleep(PAUSE).await;
+    }
+}
+
+/// Follows the stream for as long as it is polled.
+pub(crate) async fn follow(node: Arc<Node>) {
+    let wait = node.settings.table.poll();
+    let mut next = Offset(1);
+    loop {
+        let started = node.now();
+        match node.log.read(STREAM, next, wait).await {
+            Ok(batch) => {
+                let ends = batch.reaches_end();
+                next = take(&node, &batch, next).await;
+                if ends {
+                    lock(&node.holds).caught_up(started);
+                }
+            }
+            Err(_) => tokio::time::sleep(PAUSE).await,
+        }
+    }
+}
+
+async fn take(node: &Arc<Node>, batch: &Batch, next: Offset) -> Offset {
+    let mut changes = Vec::new();
+    if batch.start > next && next > Offset(1) {
+        spdlog::warn!("records of ownership were lost to retention");
+        changes.extend(lock(&node.holds).lost_records());
+    }
+    let mut next = next.max(batch.start);
+    for record in &batch.records {
+        next = Offset(record.offset.0 + 1);
+        let Ok(parsed) = serde_json::from_str::<Record>(&record.text) else {
+            spdlog::error!("owners record {} cannot be read", record.offset);
+            continue;
+        };
+        let now = node.now();
+        changes.extend(lock(&node.holds).apply(record.offset, &parsed, now));
+    }
+    for change in changes {
+        tell(node, change).await;
+    }
+    next
+}
+
+async fn tell(node: &Arc<Node>, change: Change) {
+    match change {
+        Change::Gained(endpoint, token) => {
+            let event = Event::new(Kind::Ownership, format!("owned here, token {token}"));
+            node.record(event.endpoint(&endpoint));
+            let listing = node.listing.borrow().clone();
+            if let Some(entry) = listing.endpoint(&endpoint) {
+                node.owners.ensure(node, entry);
+                node.owners.tell(&endpoint, Command::Gained).await;
+            }
+        }
+        Change::Lost(endpoint) => {
+            let event = Event::new(Kind::Ownership, "owned elsewhere");
+            node.record(event.endpoint(&endpoint));
+            node.owners.tell(&endpoint, Command::Lost).await;
+        }
+        Change::Announced(endpoint, variant) => {
+            let command = Command::Announced(variant, true);
+            node.owners.tell(&endpoint, command).await;
+        }
+        Change::Overtaken(endpoint, variant) => {
+            let command = Command::Announced(variant, false);
+            node.owners.tell(&endpoint, command).await;
+        }
+    }
+}
+
+/// Compares ownership with what it should be, again and again.
+pub(crate) async fn plan(node: Arc<Node>) {
+    let mut ticks = tokio::time::interval(PLAN);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        let records = planned(&node);
+        if records.is_empty() {
+            continue;
+        }
+        let mut ready = Vec::new();
+        for record in records {
+            match record {
+                // A release may wait for an order under way, and others must not wait for it.
+                Record::Release { .. } => {
+                    tokio::spawn(release(Arc::clone(&node), record));
+                }
+                record => ready.push(record),
+            }
+        }
+        if ready.is_empty() {
+            continue;
+        }
+        if let Err(fault) = append(&node, ready).await {
+            spdlog::warn!("cannot claim endpoints: {}", fault);
+        }
+    }
+}
+
+fn planned(node: &Node) -> Vec<Record> {
+    let listing = node.listing.borrow().clone();
+    if listing.instances.is_empty() {
+        // Before the first list nothing is known of the others.
+        return Vec::new();
+    }
+    let able = lock(&node.members).able();
+    let desired = listing::desired_owners(&listing, &able);
+    node.owners
+        .retain(|endpoint| listing.endpoint(endpoint).is_some());
+    let members = lock(&node.members);
+    let standing = |life: &_| {
+        if members.is_present(life) {
+            Standing::Present
+        } else {
+            Standing::Gone
+        }
+    };
+    lock(&node.holds).plan(&desired, standing, node.now())
+}
+
+/// Closes an endpoint's task and releases the endpoint once no unload can strike any more.
+async fn release(node: Arc<Node>, record: Record) {
+    let (sender, closed) = oneshot::channel();
+    let told = node
+        .owners
+        .tell(record.endpoint(), Command::Close(sender))
+        .await;
+    if told {
+        // The task may end first; then nothing of it is under way.
+        let _ = closed.await;
+    }
+    let event = Event::new(Kind::Ownership, "releases");
+    node.record(event.endpoint(record.endpoint()));
+    if let Err(fault) = append(&node, vec![record]).await {
+        spdlog::warn!("cannot release an endpoint: {}", fault);
+    }
+}
--- /dev/null
+++ b/crates/ploverwick_daemon/src/listing.rs
@@ -0,0 +1,66 @@
+//! Questions to the platform's list.
+
+use std::collections::BTreeMap;
+
+use ploverwick_members::Listed;
+use ploverwick_names::{Endpoint, Instance};
+use ploverwick_placement::{Candidate, choose};
+use ploverwick_ports::roster::{EndpointEntry, Listing, Serves, State};
+
+/// Lists the endpoints of a base model that take new work.
+pub(crate) fn serving<'a>(
+    listing: &'a Listing,
+    base: &'a str,
+) -> impl Iterator<Item = &'a EndpointEntry> {
+    let wanted = move |serves: &Serves| matches!(serves, Serves::Model(model) if model == base);
+    live(listing).filter(move |entry| wanted(&entry.serves))
+}
+
+/// Lists the endpoints of a plain service that take new work.
+pub(crate) fn service<'a>(
+    listing: &'a Listing,
+    name: &'a str,
+) -> impl Iterator<Item = &'a EndpointEntry> {
+    let wanted = move |serves: &Serves| matches!(serves, Serves::Service(known) if known == name);
+    live(listing).filter(move |entry| wanted(&entry.serves))
+}
+
+fn live(listing: &Listing) -> impl Iterator<Item = &EndpointEntry> {
+    let endpoints = listing.endpoints.iter();
+    endpoints.filter(|entry| entry.state == State::Live)
+}
+
+/// Returns the instances as membership takes them.
+pub(crate) fn instances(listing: &Listing) -> BTreeMap<Instance, Listed> {
+    let entries = listing.instances.iter();
+    let listed = entries.map(|entry| {
+        let listed = Listed {
+            address: entry.peers,
+            leaving: entry.state == State::Leaving,
+        };
+        (entry.name.clone(), listed)
+    });
+    listed.collect()
+}
+
+/// Decides which instance should own each model endpoint, one that leaves included: what runs on
+/// it still needs an owner.
+pub(crate) fn desired_owners(listing: &Listing, able: &[Instance]) -> BTreeMap<Endpoint, Instance> {
+    let candidates: Vec<Candidate<'_>> = able
+        .iter()
+        .map(|instance| Candidate {
+            name: instance.as_str(),
+            weight: 1.0,
+        })
+        .collect();
+    let models = listing
+        .endpoints
+        .iter()
+        .filter(|entry| matches!(entry.serves, Serves::Model(_)));
+    models
+        .filter_map(|entry| {
+            let index = choose(entry.name.as_str(), &candidates)?;
+            Some((entry.name.clone(), able[index].clone()))
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/ploverwick_daemon/src/peer.rs
@@ -0,0 +1,147 @@
+//! Answers calls from other daemons.
+
+use std::pin::Pin;
+use std::sync::Arc;
+
+use futures_util::Stream;
+use futures_util::stream::unfold;
+use ploverwick_claims::Key;
+use ploverwick_claims::partition::Holder;
+use ploverwick_codes::Code;
+use ploverwick_names::Request as RequestName;
+use ploverwick_timeline::clock::Stamp;
+use ploverwick_wire::{
+    Ack, Chunk, ClaimAnswer, ClaimAsk, FetchAsk, Frame, Head, JoinAsk, Order, Peer, Probe,
+    TableCopy, frame,
+};
+use tokio::sync::mpsc;
+use tonic::{Request, Response, Status};
+
+use crate::answer::{PARTS_AHEAD, Part};
+use crate::chain::Keyed;
+use crate::controllers::{claims, members, table};
+use crate::joining;
+use crate::node::Node;
+use crate::owner::ending;
+
+/// The peers' side of a daemon.
+pub(crate) struct Service {
+    pub(crate) node: Arc<Node>,
+}
+
+type Frames = Pin<Box<dyn Stream<Item = Result<Frame, Status>> + Send>>;
+
+fn frames(receiver: mpsc::Receiver<Frame>) -> Response<Frames> {
+    let stream = unfold(receiver, |mut receiver| async move {
+        let frame = receiver.recv().await?;
+        Some((Ok(frame), receiver))
+    });
+    Response::new(Box::pin(stream))
+}
+
+#[tonic::async_trait]
+impl Peer for Service {
+    type RunStream = Frames;
+    type JoinStream = Frames;
+
+    async fn run(&self, request: Request<Order>) -> Result<Response<Frames>, Status> {
+        let order = request.into_inner();
+        self.node.recorder.clock().observe(Stamp(order.stamp));
+        Ok(frames(self.node.owners.submit(order).await))
+    }
+
+    async fn claim(&self, request: Request<ClaimAsk>) -> Result<Response<ClaimAnswer>, Status> {
+        let ask = request.into_inner();
+        if ask.partition >= self.node.settings.claims.partitions {
+            return Err(Status::invalid_argument("no such partition"));
+        }
+        let outcome = claims::decide(&self.node, &ask).await;
+        Ok(Response::new(claims::to_wire(outcome)))
+    }
+
+    async fn join(&self, request: Request<JoinAsk>) -> Result<Response<Frames>, Status> {
+        let ask = request.into_inner();
+        let key = Key::from_bytes(&ask.key)
+            .map_err(|error| Status::invalid_argument(error.to_string()))?;
+        let holder = RequestName::new(&ask.request)
+            .map_err(|error| Status::invalid_argument(error.to_string()))?;
+        let (sender, receiver) = mpsc::channel(PARTS_AHEAD);
+        tokio::spawn(join(
+            Arc::clone(&self.node),
+            key,
+            holder,
+            ask.resume_after,
+            sender,
+        ));
+        Ok(frames(receiver))
+    }
+
+    async fn beat(&self, request: Request<Probe>) -> Result<Response<Ack>, Status> {
+        let answered = members::answer(&self.node, request.into_inner()).await;
+        let unknown = || Status::failed_precondition("the probe's protocol is not understood");
+        answered.map(Response::new).ok_or_else(unknown)
+    }
+
+    async fn fetch(&self, request: Request<FetchAsk>) -> Result<Response<TableCopy>, Status> {
+        let have = request.into_inner().have;
+        Ok(Response::new(table::copy(&self.node, have)))
+    }
+}
+
+/// Copies the answer of a keyed request to a peer.
+async fn join(
+    node: Arc<Node>,
+    key: Key,
+    request: RequestName,
+    after: u64,
+    sender: mpsc::Sender<Frame>,
+) {
+    let answer = node
+        .answers
+        .get(&key)
+        .filter(|answer| answer.request == request);
+    let Some(answer) = answer else {
+        let (code, message) = not_held(&node, key, request);
+        let _ = sender.send(ending(code, &message, None)).await;
+        return;
+    };
+    let (parts, mut receiver) = mpsc::channel(PARTS_AHEAD);
+    let reading = tokio::spawn(async move { answer.read(after, parts).await });
+    while let Some(part) = receiver.recv().await {
+        if sender.send(to_frame(part)).await.is_err() {
+            break;
+        }
+    }
+    reading.abort();
+}
+
+fn not_held(node: &Arc<Node>, key: Key, request: RequestName) -> (Code, String) {
+    if !request.as_str().starts_with(&node.request_prefix()) {
+        let message = "the request belongs to an earlier life of this instance";
+        return (Code::OutcomeUnknown, message.to_owned());
+    }
+    let holder = Holder {
+        request,
+        life: node.life.clone(),
+    };
+    // The time matters for claims, not for giving one back.
+    let keyed = Keyed { key, made_ms: 0 };
+    let verdict = joining::gone_here(node, &holder, keyed);
+    (verdict.code(), verdict.message().to_owned())
+}
+
+fn to_frame(part: Part) -> Frame {
+    let part = match part {
+        Part::Head(head) => frame::Part::Head(Head {
+            status: u32::from(head.status),
+            content_type: head.content_type,
+            model: head.model.unwrap_or_default(),
+            incarnation: 0,
+        }),
+        Part::Data(data, last_event) => frame::Part::Chunk(Chunk { data, last_event }),
+        Part::End(verdict) => {
+            return ending(verdict.code(), verdict.message(), verdict.hint());
+        }
+    };
+    Frame { part: Some(part) }
+}
--- /dev/null
+++ b/crates/ploverwick_owner/src/endpoint/slots.rs
@@ -0,0 +1,275 @@
+//! The adapter slots of an engine, as its owner knows them.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use ploverwick_names::{Incarnation, Moment, Variant};
+
+use super::{Outcome, Report};
+
+/// A slot that a report shows in use.
+#[derive(Debug, Clone)]
+pub struct Found {
+    /// What it holds.
+    pub variant: Variant,
+    /// Whether requests can run on it.
+    pub ready: bool,
+    /// The number of requests running on it.
+    pub running: u32,
+}
+
+/// What is known of a slot.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum State {
+    /// A load was ordered.
+    Loading,
+    /// Requests can run.
+    Loaded,
+    /// An unload is being announced in the log.
+    Announced,
+    /// An unload was ordered.
+    Unloading,
+    /// The answer to an order is missing.
+    Unknown,
+}
+
+/// How late news may be.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Lags {
+    /// How old a report may be when it comes.
+    pub(super) report: Duration,
+    /// How long an order may still arrive.
+    pub(super) order: Duration,
+}
+
+#[derive(Debug, Clone)]
+struct Slot {
+    state: State,
+    running: u32,
+    /// When the state or the use changed last.
+    touched: Moment,
+    /// Whether an earlier owner's requests may be running on it.
+    inherited: bool,
+    /// Whether it takes no new requests, so that it becomes idle.
+    retiring: bool,
+}
+
+impl Slot {
+    fn new(state: State, now: Moment) -> Self {
+        Self {
+            state,
+            running: 0,
+            touched: now,
+            inherited: false,
+            retiring: false,
+        }
+    }
+}
+
+/// All slots of an engine.
+#[derive(Debug, Default)]
+pub(super) struct Slots {
+    used: BTreeMap<Variant, Slot>,
+    total: u32,
+    batch: u32,
+    incarnation: Incarnation,
+}
+
+impl Slots {
+    pub(super) fn batch(&self) -> u32 {
+        self.batch
+    }
+
+    pub(super) fn list(&self) -> impl Iterator<Item = (&Variant, State, u32)> {
+        let used = self.used.iter();
+        used.map(|(variant, slot)| (variant, slot.state, slot.running))
+    }
+
+    pub(super) fn holds(&self, variant: &Variant) -> bool {
+        self.used.contains_key(variant)
+    }
+
+    pub(super) fn is_ready(&self, variant: &Variant) -> bool {
+        let slot = self.used.get(variant);
+        slot.is_some_and(|slot| slot.state == State::Loaded && !slot.retiring)
+    }
+
+    pub(super) fn is_announced(&self, variant: &Variant) -> bool {
+        let slot = self.used.get(variant);
+        slot.is_some_and(|slot| slot.state == State::Announced)
+    }
+
+    pub(super) fn has_free(&self) -> bool {
+        self.used.len() < self.total as usize
+    }
+
+    /// Says whether a slot will become free without another order.
+    pub(super) fn is_making_room(&self) -> bool {
+        self.used.values().any(|slot| {
+            matches!(slot.state, State::Announced | State::Unloading)
+                || slot.retiring && slot.running > 0
+        })
+    }
+
+    /// Says whether an order is under way or its outcome unknown.
+    pub(super) fn has_orders(&self) -> bool {
+        self.used.values().any(|slot| slot.state != State::Loaded)
+    }
+
+    /// Says whether an unload may still strike.
+    pub(super) fn has_unloads(&self) -> bool {
+        let strikes = |state| matches!(state, State::Announced | State::Unloading | State::Unknown);
+        self.used.values().any(|slot| strikes(slot.state))
+    }
+
+    pub(super) fn occupy(&mut self, variant: &Variant, now: Moment) {
+        if let Some(slot) = self.used.get_mut(variant) {
+            slot.running += 1;
+            slot.touched = now;
+        }
+    }
+
+    pub(super) fn release(&mut self, variant: &Variant, now: Moment) {
+        if let Some(slot) = self.used.get_mut(variant) {
+            slot.running = slot.running.saturating_sub(1);
+            slot.touched = now;
+        }
+    }
+
+    /// Finds the idle slot that was used least recently, sparing those that jobs wait for.
+    pub(super) fn idle(&self, wanted: impl Fn(&Variant) -> bool) -> Option<Variant> {
+        self.used
+            .iter()
+            .filter(|(variant, slot)| {
+                slot.state == State::Loaded
+                    && slot.running == 0
+                    && !slot.inherited
+                    && (slot.retiring || !wanted(variant))
+            })
+            .min_by_key(|(_, slot)| (!slot.retiring, slot.touched))
+            .map(|(variant, _)| variant.clone())
+    }
+
+    /// Makes the loaded slot with the least work take no new requests.
+    pub(super) fn retire_one(&mut self, waiting: impl Fn(&Variant) -> usize) {
+        let least = self
+            .used
+            .iter_mut()
+            .filter(|(_, slot)| slot.state == State::Loaded && !slot.inherited)
+            .min_by_key(|(variant, slot)| slot.running as usize + waiting(variant));
+        if let Some((_, slot)) = least {
+            slot.retiring = true;
+        }
+    }
+
+    pub(super) fn loading(&mut self, variant: &Variant, now: Moment) {
+        self.used
+            .insert(variant.clone(), Slot::new(State::Loading, now));
+    }
+
+    pub(super) fn loaded(&mut self, variant: &Variant, outcome: Outcome, now: Moment) {
+        match outcome {
+            Outcome::Done => {
+                self.used
+                    .insert(variant.clone(), Slot::new(State::Loaded, now));
+            }
+            Outcome::Refused => {
+                self.used.remove(variant);
+            }
+            Outcome::Unknown => self.set(variant, State::Unknown, now),
+        }
+    }
+
+    pub(super) fn announce(&mut self, variant: &Variant) {
+        if let Some(slot) = self.used.get_mut(variant) {
+            slot.state = State::Announced;
+        }
+    }
+
+    pub(super) fn unloading(&mut self, variant: &Variant) {
+        if let Some(slot) = self.used.get_mut(variant) {
+            slot.state = State::Unloading;
+        }
+    }
+
+    pub(super) fn restore(&mut self, variant: &Variant, now: Moment) {
+        self.set(variant, State::Loaded, now);
+    }
+
+    pub(super) fn unloaded(&mut self, variant: &Variant, outcome: Outcome, now: Moment) {
+        match outcome {
+            Outcome::Done => {
+                self.used.remove(variant);
+            }
+            Outcome::Refused => self.set(variant, State::Loaded, now),
+            Outcome::Unknown => self.set(variant, State::Unknown, now),
+        }
+    }
+
+    fn set(&mut self, variant: &Variant, state: State, now: Moment) {
+        if let Some(slot) = self.used.get_mut(variant) {
+            slot.state = state;
+            slot.touched = now;
+            slot.retiring = false;
+        }
+    }
+
+    /// Takes a report into account; returns whether the engine has restarted.
+    pub(super) fn report(
+        &mut self,
+        report: &Report,
+        settled: bool,
+        lags: Lags,
+        now: Moment,
+    ) -> bool {
+        self.total = report.slots;
+        self.batch = report.batch;
+        let restarted = report.incarnation != self.incarnation;
+        if restarted {
+            // A restarted engine has nothing loaded; orders to its earlier life are void.
+            self.used.clear();
+            self.incarnation = report.incarnation;
+        }
+        for found in &report.used {
+            self.merge(found, settled, lags, now);
+        }
+        self.used.retain(|variant, slot| {
+            let shown = report.used.iter().any(|found| found.variant == *variant);
+            shown || !is_gone(slot, lags, now)
+        });
+        restarted
+    }
+
+    fn merge(&mut self, found: &Found, settled: bool, lags: Lags, now: Moment) {
+        let Some(slot) = self.used.get_mut(&found.variant) else {
+            let state = if found.ready {
+                State::Loaded
+            } else {
+                State::Unknown
+            };
+            let mut slot = Slot::new(state, now);
+            slot.inherited = true;
+            self.used.insert(found.variant.clone(), slot);
+            return;
+        };
+        let current = now >= slot.touched + lags.report;
+        if slot.inherited && settled && current && slot.running == 0 && found.running == 0 {
+            slot.inherited = false;
+        }
+        if slot.state == State::Unknown && found.ready && now >= slot.touched + lags.order {
+            slot.state = State::Loaded;
+            slot.touched = now;
+        }
+    }
+}
+
+/// Says whether a slot that a report does not show has become free.
+fn is_gone(slot: &Slot, lags: Lags, now: Moment) -> bool {
+    let lag = match slot.state {
+        // The answer to the order will say.
+        State::Loading | State::Unloading => return false,
+        State::Unknown => lags.order + lags.report,
+        State::Loaded | State::Announced => lags.report,
+    };
+    slot.running == 0 && now >= slot.touched + lag
+}
--- /dev/null
+++ b/crates/ploverwick_standin/src/engine/core.rs
@@ -0,0 +1,342 @@
+//! The engine's state: slots, runs and steps.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use bytes::Bytes;
+use ploverwick_names::{Incarnation, Token, Variant};
+use ploverwick_ports::engine::{Report, Slot, SlotState};
+use ploverwick_timeline::clock::now_millis;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use super::Config;
+use super::records::{Outcome, Records, Run};
+
+/// How many reports are kept to show a late one.
+const REPORTS: usize = 256;
+
+/// What a run has made so far. Readers follow it.
+#[derive(Debug, Default)]
+pub(super) struct Output {
+    /// The tokens' texts.
+    pub(super) tokens: Vec<Bytes>,
+    /// How the run stands.
+    pub(super) outcome: Option<Outcome>,
+}
+
+#[derive(Debug)]
+struct Active {
+    index: usize,
+    variant: Variant,
+    priority: u32,
+    arrival: u64,
+    wanted: usize,
+    output: watch::Sender<Output>,
+    /// When the last reader went away.
+    unread_since: Option<Instant>,
+}
+
+/// A request to start a run.
+#[derive(Debug)]
+pub(super) struct Start {
+    pub(super) request: String,
+    pub(super) tag: String,
+    pub(super) asked: String,
+    pub(super) variant: Variant,
+    pub(super) priority: u32,
+    pub(super) tokens: usize,
+    /// Whether the caller has a part of the answer already.
+    pub(super) resumes: bool,
+}
+
+/// Why an order or a run is refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Refusal {
+    StaleToken,
+    NoSlot,
+    NotLoaded,
+    NothingToResume,
+}
+
+impl Refusal {
+    pub(super) fn name(self) -> &'static str {
+        match self {
+            Self::StaleToken => "stale_token",
+            Self::NoSlot => "no_slot",
+            Self::NotLoaded => "adapter_not_loaded",
+            Self::NothingToResume => "nothing_to_resume",
+        }
+    }
+}
+
+#[derive(Debug)]
+pub(super) struct Core {
+    slots: u32,
+    batch: u32,
+    checks_tokens: bool,
+    report_lag: Duration,
+    resume_window: Duration,
+    incarnation: Incarnation,
+    newest_token: Token,
+    used: BTreeMap<Variant, SlotState>,
+    active: BTreeMap<String, Active>,
+    /// Outputs of finished runs, kept for a resumption.
+    finished: BTreeMap<String, (Instant, watch::Sender<Output>)>,
+    arrivals: u64,
+    reports: VecDeque<(Instant, Report)>,
+    pub(super) records: Records,
+}
+
+impl Core {
+    pub(super) fn new(config: &Config) -> Self {
+        Self {
+            slots: config.slots,
+            batch: config.batch,
+            checks_tokens: config.checks_tokens,
+            report_lag: config.report_lag,
+            resume_window: config.resume_window,
+            incarnation: Incarnation(now_millis()),
+            newest_token: Token(0),
+            used: BTreeMap::new(),
+            active: BTreeMap::new(),
+            finished: BTreeMap::new(),
+            arrivals: 0,
+            reports: VecDeque::new(),
+            records: Records::default(),
+        }
+    }
+
+    pub(super) fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
+    /// Forgets slots and runs, as a restart does. The records stay.
+    pub(super) fn restart(&mut self) {
+        let life = now_millis().max(self.incarnation.0 + 1);
+        self.incarnation = Incarnation(life);
+        self.used.clear();
+        let runs: Vec<String> = self.active.keys().cloned().collect();
+        for request in runs {
+            self.end(&request, Outcome::Cancelled);
+        }
+        self.finished.clear();
+        self.reports.clear();
+        self.newest_token = Token(0);
+    }
+
+    pub(super) fn check_token(&mut self, token: Token) -> Result<(), Refusal> {
+        if !self.checks_tokens {
+            return Ok(());
+        }
+        if token < self.newest_token {
+            self.records.stale_orders += 1;
+            return Err(Refusal::StaleToken);
+        }
+        self.newest_token = token;
+        Ok(())
+    }
+
+    /// Starts a load; returns whether there is something to load.
+    pub(super) fn begin_load(&mut self, variant: &Variant) -> Result<bool, Refusal> {
+        if self.used.contains_key(variant) {
+            return Ok(false);
+        }
+        if self.used.len() >= self.slots as usize {
+            return Err(Refusal::NoSlot);
+        }
+        self.used.insert(variant.clone(), SlotState::Loading);
+        Ok(true)
+    }
+
+    /// Ends a load, unless the engine restarted since it began.
+    pub(super) fn end_load(&mut self, variant: &Variant, begun: Incarnation, ok: bool) {
+        if begun != self.incarnation {
+            return;
+        }
+        if !ok {
+            self.used.remove(variant);
+            return;
+        }
+        if let Some(state) = self.used.get_mut(variant) {
+            *state = SlotState::Loaded;
+            *self.records.loads.entry(variant.to_string()).or_default() += 1;
+        }
+    }
+
+    pub(super) fn is_loaded(&self, variant: &Variant) -> bool {
+        self.used.get(variant) == Some(&SlotState::Loaded)
+    }
+
+    /// Unloads an adapter; runs that use it are lost, which is on record.
+    pub(super) fn unload(&mut self, variant: &Variant) {
+        self.used.remove(variant);
+        let users: Vec<String> = self
+            .active
+            .iter()
+            .filter(|(_, run)| run.variant == *variant)
+            .map(|(request, _)| request.clone())
+            .collect();
+        if !users.is_empty() {
+            self.records.unloaded_in_use += 1;
+        }
+        for request in users {
+            self.end(&request, Outcome::Aborted);
+        }
+    }
+
+    /// Starts a run, or finds the one that is there to be resumed.
+    pub(super) fn start(&mut self, start: Start) -> Result<watch::Receiver<Output>, Refusal> {
+        if let Some(run) = self.active.get_mut(&start.request) {
+            run.unread_since = None;
+            return Ok(run.output.subscribe());
+        }
+        if let Some((_, output)) = self.finished.get(&start.request) {
+            return Ok(output.subscribe());
+        }
+        if start.resumes {
+            return Err(Refusal::NothingToResume);
+        }
+        if !self.is_loaded(&start.variant) {
+            return Err(Refusal::NotLoaded);
+        }
+        self.arrivals += 1;
+        self.records.runs.push(Run {
+            request: start.request.clone(),
+            tag: start.tag,
+            asked: start.asked,
+            variant: start.variant.clone(),
+            outcome: Outcome::Running,
+        });
+        let (output, reader) = watch::channel(Output::default());
+        let run = Active {
+            index: self.records.runs.len() - 1,
+            variant: start.variant,
+            priority: start.priority,
+            arrival: self.arrivals,
+            wanted: start.tokens,
+            output,
+            unread_since: None,
+        };
+        self.active.insert(start.request, run);
+        Ok(reader)
+    }
+
+    pub(super) fn cancel(&mut self, request: &str) {
+        self.end(request, Outcome::Cancelled);
+    }
+
+    fn end(&mut self, request: &str, outcome: Outcome) {
+        if let Some(run) = self.active.remove(request) {
+            self.records.runs[run.index].outcome = outcome;
+            run.output
+                .send_modify(|output| output.outcome = Some(outcome));
+            if outcome == Outcome::Finished {
+                let kept = (Instant::now(), run.output);
+                self.finished.insert(request.to_owned(), kept);
+            }
+        }
+    }
+
+    /// Computes a step: one token for each of the most urgent runs.
+    pub(super) fn step(&mut self) {
+        self.note_report();
+        self.drop_unread();
+        let mut order: Vec<(std::cmp::Reverse<u32>, u64, String)> = self
+            .active
+            .iter()
+            .map(|(request, run)| {
+                (
+                    std::cmp::Reverse(run.priority),
+                    run.arrival,
+                    request.clone(),
+                )
+            })
+            .collect();
+        if order.is_empty() {
+            return;
+        }
+        order.sort();
+        order.truncate(self.batch as usize);
+        self.records.steps.busy += 1;
+        self.records.steps.computed += order.len() as u64;
+        self.records.steps.room += u64::from(self.batch);
+        for (_, _, request) in order {
+            self.advance(&request);
+        }
+    }
+
+    fn advance(&mut self, request: &str) {
+        let Some(run) = self.active.get(request) else {
+            return;
+        };
+        let made = run.output.borrow().tokens.len();
+        let token = Bytes::from(format!("{}:{made} ", run.variant.adapter));
+        run.output.send_modify(|output| output.tokens.push(token));
+        if made + 1 >= run.wanted {
+            self.end(request, Outcome::Finished);
+        }
+    }
+
+    /// Cancels runs whose readers have stayed away too long.
+    fn drop_unread(&mut self) {
+        let now = Instant::now();
+        let window = self.resume_window;
+        self.finished
+            .retain(|_, (at, _)| now.duration_since(*at) < window);
+        let mut left = Vec::new();
+        for (request, run) in &mut self.active {
+            if run.output.receiver_count() > 0 {
+                run.unread_since = None;
+                continue;
+            }
+            let since = *run.unread_since.get_or_insert(now);
+            if now.duration_since(since) >= self.resume_window {
+                left.push(request.clone());
+            }
+        }
+        for request in left {
+            self.cancel(&request);
+        }
+    }
+
+    fn note_report(&mut self) {
+        if self.reports.len() == REPORTS {
+            self.reports.pop_front();
+        }
+        let report = self.report_now();
+        self.reports.push_back((Instant::now(), report));
+    }
+
+    /// Returns a report as old as the lag, or the oldest there is.
+    pub(super) fn report(&self) -> Report {
+        let now = Instant::now();
+        let late = self
+            .reports
+            .iter()
+            .rev()
+            .find(|(at, _)| now.duration_since(*at) >= self.report_lag)
+            .or_else(|| self.reports.front());
+        late.map_or_else(|| self.report_now(), |(_, report)| report.clone())
+    }
+
+    fn report_now(&self) -> Report {
+        let running = |variant: &Variant| {
+            let users = self.active.values().filter(|run| run.variant == *variant);
+            u32::try_from(users.count()).unwrap_or(u32::MAX)
+        };
+        let used = self.used.iter().map(|(variant, state)| Slot {
+            variant: variant.clone(),
+            state: *state,
+            running: running(variant),
+        });
+        Report {
+            incarnation: self.incarnation,
+            slots: self.slots,
+            batch: self.batch,
+            running: u32::try_from(self.active.len()).unwrap_or(u32::MAX),
+            used: used.collect(),
+            leaving: false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/ploverwick_standin/src/log.rs
@@ -0,0 +1,227 @@
+//! A stand-in for the platform's append-only log.
+
+use std::collections::{HashMap, VecDeque};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use http::{Request, StatusCode};
+use hyper::body::Incoming;
+use ploverwick_names::Offset;
+use ploverwick_ports::log::{Append, Appended, Batch, Record};
+use ploverwick_serve::{Handler, Reply, json, text};
+use ploverwick_timeline::Recorder;
+use ploverwick_timeline::clock::now_millis;
+use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
+
+use crate::host::{self, Bucket, Running, lock};
+
+const MAX_WAIT: Duration = Duration::from_secs(30);
+const READ_MAX: usize = 4096;
+
+/// How the log behaves.
+#[derive(Debug, Clone)]
+pub struct Config {
+    /// Its name on the time line.
+    pub name: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The most appends a second.
+    pub appends_per_s: f64,
+    /// How long an append takes.
+    pub append_time: Duration,
+    /// How long records are kept.
+    pub retention: Duration,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            name: "log".to_owned(),
+            address: SocketAddr::from(([127, 0, 0, 1], 0)),
+            appends_per_s: 400.0,
+            append_time: Duration::from_millis(2),
+            retention: Duration::from_hours(1),
+        }
+    }
+}
+
+/// Faults that can be switched on.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// Every call is refused.
+    pub outage: bool,
+    /// This many appends take effect, and their answers are lost.
+    pub lose_answers: u32,
+    /// Every call takes this much longer, in milliseconds.
+    pub slow_ms: u64,
+}
+
+#[derive(Debug, Default)]
+struct Stream {
+    first: u64,
+    records: VecDeque<Record>,
+}
+
+impl Stream {
+    fn next(&self) -> Offset {
+        Offset(self.first + self.records.len() as u64 + 1)
+    }
+
+    fn expire(&mut self, before_ms: u64) {
+        while self
+            .records
+            .front()
+            .is_some_and(|record| record.at_ms < before_ms)
+        {
+            self.records.pop_front();
+            self.first += 1;
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Log {
+    config: Config,
+    recorder: Recorder,
+    faults: Mutex<Faults>,
+    streams: Mutex<HashMap<String, Stream>>,
+    bucket: Mutex<Bucket>,
+    /// Counts appends; its changes wake readers that wait.
+    appends: watch::Sender<u64>,
+}
+
+/// Counts of what the log has done.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Stats {
+    /// The appends that took effect.
+    pub appends: u64,
+}
+
+/// Starts the log.
+///
+/// # Errors
+/// Fails if the address cannot be listened on.
+pub async fn start(config: Config) -> io::Result<Running> {
+    let address = config.address;
+    host::run(address, |_| {
+        let rate = config.appends_per_s;
+        Arc::new(Log {
+            recorder: host::recorder(&config.name),
+            config,
+            faults: Mutex::default(),
+            streams: Mutex::default(),
+            bucket: Mutex::new(Bucket::new(rate, rate)),
+            appends: watch::Sender::new(0),
+        })
+    })
+    .await
+}
+
+impl Handler for Log {
+    async fn handle(&self, request: Request<Incoming>) -> io::Result<Reply> {
+        let mut request = Some(request);
+        if let Some(reply) = host::common(&mut request, &self.recorder, &self.faults).await? {
+            return Ok(reply);
+        }
+        let Some(request) = request else {
+            return Ok(host::unknown_path());
+        };
+        let faults = lock(&self.faults).clone();
+        if faults.outage {
+            return Ok(text(StatusCode::SERVICE_UNAVAILABLE, "outage\n"));
+        }
+        tokio::time::sleep(Duration::from_millis(faults.slow_ms)).await;
+        let path = request.uri().path().to_owned();
+        let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
+        match parts.as_slice() {
+            ["streams", stream, "append"] => self.append(stream, request).await,
+            ["streams", stream, "read"] => Ok(self.read(stream, &request).await),
+            ["stats"] => {
+                let appends = *self.appends.borrow();
+                Ok(json(StatusCode::OK, &Stats { appends }))
+            }
+            _ => Ok(host::unknown_path()),
+        }
+    }
+}
+
+impl Log {
+    async fn append(&self, stream: &str, request: Request<Incoming>) -> io::Result<Reply> {
+        let append: Append = host::argument(request).await?;
+        if !lock(&self.bucket).take() {
+            return Ok(text(StatusCode::TOO_MANY_REQUESTS, "too many appends\n"));
+        }
+        tokio::time::sleep(self.config.append_time).await;
+        let first = self.store(stream, append.records);
+        if self.loses_answer() {
+            return Err(io::Error::other("the answer is lost"));
+        }
+        Ok(json(StatusCode::OK, &Appended { first }))
+    }
+
+    fn store(&self, stream: &str, texts: Vec<String>) -> Offset {
+        let mut streams = lock(&self.streams);
+        let stream = streams.entry(stream.to_owned()).or_default();
+        let first = stream.next();
+        let at_ms = now_millis();
+        for text in texts {
+            let offset = stream.next();
+            stream.records.push_back(Record {
+                offset,
+                at_ms,
+                text,
+            });
+        }
+        self.appends.send_modify(|count| *count += 1);
+        first
+    }
+
+    fn loses_answer(&self) -> bool {
+        let mut faults = lock(&self.faults);
+        let loses = faults.lose_answers > 0;
+        faults.lose_answers = faults.lose_answers.saturating_sub(1);
+        loses
+    }
+
+    async fn read(&self, stream: &str, request: &Request<Incoming>) -> Reply {
+        let from = Offset(host::parameter(request, "from").unwrap_or(1));
+        let wait = host::parameter(request, "wait_ms").unwrap_or_default();
+        let wait = Duration::from_millis(wait).min(MAX_WAIT);
+        let deadline = tokio::time::Instant::now() + wait;
+        let mut appends = self.appends.subscribe();
+        loop {
+            appends.borrow_and_update();
+            let batch = self.batch(stream, from);
+            if !batch.records.is_empty() {
+                return json(StatusCode::OK, &batch);
+            }
+            let changed = tokio::time::timeout_at(deadline, appends.changed()).await;
+            if changed.is_err() || lock(&self.faults).outage {
+                return json(StatusCode::OK, &batch);
+            }
+        }
+    }
+
+    fn batch(&self, stream: &str, from: Offset) -> Batch {
+        let mut streams = lock(&self.streams);
+        let stream = streams.entry(stream.to_owned()).or_default();
+        let retention = u64::try_from(self.config.retention.as_millis()).unwrap_or(u64::MAX);
+        stream.expire(now_millis().saturating_sub(retention));
+        let skip = usize::try_from(from.0.saturating_sub(stream.first + 1)).unwrap_or(usize::MAX);
+        Batch {
+            start: Offset(stream.first + 1),
+            next: stream.next(),
+            records: stream
+                .records
+                .iter()
+                .skip(skip)
+                .take(READ_MAX)
+                .cloned()
+                .collect(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/ploverwick_table/src/cell.rs
@@ -0,0 +1,216 @@
+//! The parts of a table: subjects of rows, columns and cell values.
+
+use std::fmt;
+use std::str::FromStr;
+
+use ploverwick_codes::diagnostic::Rule;
+use ploverwick_names::{Adapter, Group, Version};
+use serde::{Deserialize, Serialize};
+
+use crate::Selector;
+
+const GROUP_PREFIX: &str = "group:";
+const ALL: &str = "*";
+const MAX_WEIGHT: f64 = 1000.0;
+const MAX_PRIORITY: u8 = 9;
+const MAX_LIMIT: f64 = 1_000_000.0;
+
+/// What a row is about.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub enum Subject {
+    /// Every adapter.
+    All,
+    /// A group of adapters.
+    Group(Group),
+    /// One adapter.
+    Adapter(Adapter),
+}
+
+/// What a column sets.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Field {
+    /// The version that a request without one runs on.
+    Version,
+    /// The group that an adapter belongs to.
+    Group,
+    /// The adapter's share when requests compete, above 0 and up to 1000.
+    Weight,
+    /// The priority, 0 to 9; 9 runs first.
+    Priority,
+    /// The most requests admitted a second over the whole fleet.
+    Limit,
+}
+
+/// A column: what it sets, and for which requests.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct Column {
+    /// What the column sets.
+    pub field: Field,
+    /// The requests that the column is for.
+    pub selector: Selector,
+}
+
+/// The value of a cell.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Value {
+    /// A version.
+    Version(Version),
+    /// A group.
+    Group(Group),
+    /// A weight.
+    Weight(f64),
+    /// A priority.
+    Priority(u8),
+    /// A limit in requests a second.
+    Limit(f64),
+}
+
+impl Field {
+    /// Lists every field with its header.
+    pub const ALL: &'static [(Self, &'static str)] = &[
+        (Self::Version, "version"),
+        (Self::Group, "group"),
+        (Self::Weight, "weight"),
+        (Self::Priority, "priority"),
+        (Self::Limit, "limit"),
+    ];
+
+    /// Returns the header of the field's plain column.
+    pub fn header(self) -> &'static str {
+        match self {
+            Self::Version => "version",
+            Self::Group => "group",
+            Self::Weight => "weight",
+            Self::Priority => "priority",
+            Self::Limit => "limit",
+        }
+    }
+
+    /// Says whether the field may have a selector, and stand in any kind of row.
+    pub fn is_policy(self) -> bool {
+        matches!(self, Self::Weight | Self::Priority | Self::Limit)
+    }
+}
+
+impl FromStr for Subject {
+    type Err = Rule;
+
+    fn from_str(text: &str) -> Result<Self, Rule> {
+        if text == ALL {
+            return Ok(Self::All);
+        }
+        let malformed = |_| Rule::SubjectMalformed;
+        match text.strip_prefix(GROUP_PREFIX) {
+            Some(group) => Group::new(group).map(Self::Group).map_err(malformed),
+            None => Adapter::new(text).map(Self::Adapter).map_err(malformed),
+        }
+    }
+}
+
+impl fmt::Display for Subject {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::All => f.write_str(ALL),
+            Self::Group(group) => write!(f, "{GROUP_PREFIX}{group}"),
+            Self::Adapter(adapter) => adapter.fmt(f),
+        }
+    }
+}
+
+impl FromStr for Column {
+    type Err = Rule;
+
+    fn from_str(text: &str) -> Result<Self, Rule> {
+        let (header, selector) = match text.split_once('[') {
+            Some((header, rest)) => {
+                let inner = rest.strip_suffix(']').ok_or(Rule::SelectorMalformed)?;
+                (header.trim(), Selector::parse(inner)?)
+            }
+            None => (text, Selector::default()),
+        };
+        let (field, _) = Field::ALL
+            .iter()
+            .find(|(_, known)| *known == header)
+            .ok_or(Rule::ColumnUnknown)?;
+        let plain = selector == Selector::default();
+        if !plain && !field.is_policy() {
+            return Err(Rule::SelectorMalformed);
+        }
+        Ok(Self {
+            field: *field,
+            selector,
+        })
+    }
+}
+
+impl fmt::Display for Column {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}{}", self.field.header(), self.selector)
+    }
+}
+
+impl Value {
+    /// Reads a cell of the given field.
+    ///
+    /// # Errors
+    /// Returns the rule that the text breaks.
+    pub fn parse(field: Field, text: &str) -> Result<Self, Rule> {
+        match field {
+            Field::Version => Version::new(text)
+                .map(Self::Version)
+                .map_err(|_| Rule::VersionMalformed),
+            Field::Group => Group::new(text)
+                .map(Self::Group)
+                .map_err(|_| Rule::SubjectMalformed),
+            Field::Weight => parse_number(text, f64::MIN_POSITIVE, MAX_WEIGHT)
+                .map(Self::Weight)
+                .ok_or(Rule::WeightMalformed),
+            Field::Priority => text
+                .parse::<u8>()
+                .ok()
+                .filter(|priority| *priority <= MAX_PRIORITY)
+                .map(Self::Priority)
+                .ok_or(Rule::PriorityMalformed),
+            Field::Limit => parse_number(text, 0.0, MAX_LIMIT)
+                .map(Self::Limit)
+                .ok_or(Rule::LimitMalformed),
+        }
+    }
+}
+
+fn parse_number(text: &str, least: f64, most: f64) -> Option<f64> {
+    let number = text.parse::<f64>().ok()?;
+    (least..=most).contains(&number).then_some(number)
+}
+
+impl fmt::Display for Value {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Version(version) => version.fmt(f),
+            Self::Group(group) => group.fmt(f),
+            Self::Weight(number) | Self::Limit(number) => number.fmt(f),
+            Self::Priority(priority) => priority.fmt(f),
+        }
+    }
+}
+
+macro_rules! text_form {
+    ($($name:ident)*) => {$(
+        impl TryFrom<String> for $name {
+            type Error = &'static str;
+            fn try_from(text: String) -> Result<Self, Self::Error> {
+                text.parse().map_err(Rule::summary)
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(value: $name) -> Self {
+                value.to_string()
+            }
+        }
+    )*};
+}
+
+text_form! { Subject Column }
