Drop the clock from ownership and settle ghosts in slots

Daemons that start together each claimed every endpoint, since they counted only peers that had answered; a late report showed an unloaded adapter as loaded again, so runs were sent to it and refused; an earlier owner's load counted as an unload under way and held a release back for two seconds. Change: members that are listed and not heard of yet count as able; adapters just unloaded are ignored in late reports; lost loads and lost unloads are told apart. Weighing the wait after a take-over (freshness and margin) showed that fencing on engines that check tokens, announcements on those that do not, and settling of earlier lives already cover what it was for, so it is gone, and with it every rule on clock rates.

--- a/crates/ploverwick_daemon/src/controllers/members.rs
+++ b/crates/ploverwick_daemon/src/controllers/members.rs
@@ -43,6 +43,18 @@
             changed
         });
         take(&node, actions);
+        find_ended(&node);
+    }
+}
+
+/// Tells ownership which of its earlier lives have ended.
+fn find_ended(node: &Node) {
+    let lives = lock(&node.holds).unsettled();
+    let now = node.now();
+    let ended = lock(&node.members).find_ended(&lives, now);
+    for life in ended {
+        node.record(Event::new(Kind::Member, format!("{life} has ended")));
+        lock(&node.holds).ended(&life, now);
     }
 }
 
--- a/crates/ploverwick_daemon/src/controllers/owners.rs
+++ b/crates/ploverwick_daemon/src/controllers/owners.rs
@@ -47,15 +47,8 @@
     let wait = node.settings.table.poll();
     let mut next = Offset(1);
     loop {
-        let started = node.now();
         match node.log.read(STREAM, next, wait).await {
-            Ok(batch) => {
-                let ends = batch.reaches_end();
-                next = take(&node, &batch, next).await;
-                if ends {
-                    lock(&node.holds).caught_up(started);
-                }
-            }
+            Ok(batch) => next = take(&node, &batch, next).await,
             Err(_) => tokio::time::sleep(PAUSE).await,
         }
     }
--- a/crates/ploverwick_daemon/src/daemon.rs
+++ b/crates/ploverwick_daemon/src/daemon.rs
@@ -223,13 +223,12 @@
     let log = Log::new(client.clone(), platform.log, platform.timeout());
     let ownership = &settings.ownership;
     let holds = ploverwick_owner::holds::Config {
-        freshness: ownership.freshness(),
-        margin: ownership.margin(),
         order_lag: ownership.order_lag(),
         refresh: ownership.refresh(),
     };
     let membership = ploverwick_members::Config {
         suspect: settings.membership.suspect(),
+        list_lag: settings.membership.list_lag(),
     };
     let start = Moment::default();
     Node {
--- a/crates/ploverwick_daemon/src/owner.rs
+++ b/crates/ploverwick_daemon/src/owner.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use ploverwick_codes::Code;
-use ploverwick_names::{Endpoint, Request, Token, Variant};
+use ploverwick_names::{Endpoint, Incarnation, Request, Token, Variant};
 use ploverwick_owner::endpoint::{Outcome, Report};
 use ploverwick_ports::roster::EndpointEntry;
 use ploverwick_wire::{End, Frame, Order, frame};
@@ -35,8 +35,8 @@
     Settle(Request),
     /// The engine reported, or could not be asked.
     Reported(Option<Report>, bool),
-    /// The engine has seen the token.
-    Fenced(Token),
+    /// The engine, in its given life, has seen the token, or could not be asked.
+    Fenced(Option<(Token, Incarnation)>),
     /// A load order ended.
     Loaded(Variant, Outcome),
     /// An unload order ended.
--- a/crates/ploverwick_daemon/src/owner/task.rs
+++ b/crates/ploverwick_daemon/src/owner/task.rs
@@ -5,9 +5,10 @@
 use std::time::Duration;
 
 use ploverwick_codes::Code;
-use ploverwick_names::{Model, Moment, Request, Token, Variant};
+use ploverwick_names::{Model, Moment, Request, Variant};
 use ploverwick_owner::endpoint::{Action, Config, Job, Machine, Outcome, Report, Rights};
 use ploverwick_owner::record::Record;
+use ploverwick_owner::tenure::{Standing, Tenure};
 use ploverwick_ports::engine::{Engine, Order as EngineOrder};
 use ploverwick_ports::roster::{EndpointEntry, Fencing, State};
 use ploverwick_timeline::{Event, Kind};
@@ -46,17 +47,6 @@
     report: bool,
 }
 
-/// What this daemon is to the endpoint.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Standing {
-    /// It owns the endpoint.
-    Owner,
-    /// It owned the endpoint, and something of it may still run there.
-    Former,
-    /// Nothing of it runs there.
-    Settled,
-}
-
 struct Task {
     node: Arc<Node>,
     entry: EndpointEntry,
@@ -64,12 +54,11 @@
     machine: Machine,
     pending: HashMap<Request, Pending>,
     own: mpsc::WeakSender<Command>,
-    fenced: Option<Token>,
+    tenure: Tenure,
     calls: Calls,
     reported_at: Option<Moment>,
     next_report: Moment,
     leaving: bool,
-    standing: Standing,
     closing: Vec<oneshot::Sender<()>>,
     attempts: u64,
 }
@@ -114,6 +103,7 @@
         let timeout = settings.platform.timeout();
         let engine = Engine::new(node.client.clone(), entry.address, timeout);
         let now = node.now();
+        let checks_tokens = entry.fencing == Fencing::Checked;
         Self {
             node,
             entry,
@@ -121,12 +111,11 @@
             machine: Machine::new(config),
             pending: HashMap::new(),
             own,
-            fenced: None,
+            tenure: Tenure::new(checks_tokens),
             calls: Calls::default(),
             reported_at: None,
             next_report: now,
             leaving: false,
-            standing: Standing::Settled,
             closing: Vec::new(),
             attempts: 0,
         }
@@ -148,9 +137,11 @@
             }
             Command::Settle(attempt) => self.settle_attempt(attempt),
             Command::Reported(report, leaving) => self.reported(report.as_ref(), leaving, now),
-            Command::Fenced(token) => {
+            Command::Fenced(shown) => {
                 self.calls.fence = false;
-                self.fenced = self.fenced.max(Some(token));
+                if let Some((token, incarnation)) = shown {
+                    self.tenure.shown(token, incarnation);
+                }
             }
             Command::Loaded(variant, outcome) => {
                 lock(&self.node.loads).end();
@@ -171,7 +162,7 @@
                 self.act_all(action);
             }
             Command::Gained => {
-                self.standing = Standing::Owner;
+                self.tenure.gained();
                 self.machine.open();
             }
             Command::Lost => self.close(),
@@ -183,14 +174,12 @@
     }
 
     fn close(&mut self) {
-        if self.standing == Standing::Owner {
-            self.standing = Standing::Former;
-        }
+        self.tenure.closed();
         self.machine.close();
     }
 
     fn is_owner(&self) -> bool {
-        self.standing == Standing::Owner
+        self.tenure.standing() == Standing::Owner
     }
 
     fn submit(&mut self, order: Order, frames: mpsc::Sender<Frame>, now: Moment) {
@@ -288,7 +277,7 @@
     }
 
     fn ask_report(&mut self, now: Moment) {
-        let settled = self.standing == Standing::Settled;
+        let settled = self.tenure.standing() == Standing::Settled;
         if self.calls.report || settled || now < self.next_report {
             return;
         }
@@ -309,48 +298,32 @@
             self.node.record(event.endpoint(&self.entry.name));
         }
         self.leaving = leaving;
+        self.tenure.engine_is(report.incarnation);
         let settled = self.rights(now).unload;
         self.machine.report(report, settled, now);
     }
 
     /// Shows a new token to an engine that checks tokens, before anything is sent under it.
     fn fence(&mut self, now: Moment) {
-        if self.calls.fence || self.entry.fencing == Fencing::Ignored || !self.is_owner() {
+        if self.calls.fence {
             return;
         }
         let permit = lock(&self.node.holds).permit(&self.entry.name, now);
-        let Some(token) = permit.map(|permit| permit.token) else {
+        let Some(token) = self.tenure.token_to_show(permit.as_ref()) else {
             return;
         };
-        if self.fenced >= Some(token) {
-            return;
-        }
         self.calls.fence = true;
-        let fenced = self.fenced.unwrap_or_default();
         self.spawn(move |engine, _| async move {
             let shown = engine.fence(token).await;
             // After a failure the next tick tries again.
-            Command::Fenced(if shown.is_ok() { token } else { fenced })
+            Command::Fenced(shown.ok().map(|followed| (token, followed.incarnation)))
         });
     }
 
     fn rights(&self, now: Moment) -> Rights {
-        if !self.is_owner() {
-            return Rights::default();
-        }
         let permit = lock(&self.node.holds).permit(&self.entry.name, now);
-        let Some(permit) = permit else {
-            return Rights::default();
-        };
-        let checked = self.entry.fencing == Fencing::Checked;
-        let shown = self.fenced.unwrap_or_default();
-        Rights {
-            send: permit.send && (!checked || shown > Token(0)),
-            unload: permit.unload && (!checked || shown >= permit.token),
-            announce: !checked,
-            doubtful: permit.doubtful,
-            loads: orders::loads_available(&self.node, now),
-        }
+        let loads = orders::loads_available(&self.node, now);
+        self.tenure.rights(permit, loads)
     }
 
     fn step(&mut self) {
@@ -431,7 +404,7 @@
         self.spawn(|engine, node| async move {
             // The last look before the order goes out: the task may have been paused since.
             let permit = lock(&node.holds).permit(&endpoint, node.now());
-            if !permit.is_some_and(|permit| permit.unload) {
+            if !permit.is_some_and(|permit| permit.settled) {
                 return Command::Unloaded(variant, Outcome::Refused);
             }
             let outcome = orders::unload(&engine, &order).await;
@@ -491,15 +464,11 @@
 
     /// Tells successors, once nothing of this life runs on the endpoint or is on its way to it.
     fn quit(&mut self) {
-        if self.standing != Standing::Former || !self.machine.is_quiet() {
-            return;
-        }
         let owner = lock(&self.node.holds).owner(&self.entry.name).cloned();
-        if owner.is_some_and(|owner| owner == self.node.life) {
-            // The release is not in the log yet.
+        let released = owner.is_none_or(|owner| owner != self.node.life);
+        if !self.tenure.quits(self.machine.is_quiet(), released) {
             return;
         }
-        self.standing = Standing::Settled;
         let record = Record::Quit {
             endpoint: self.entry.name.clone(),
             life: self.node.life.clone(),
--- a/crates/ploverwick_daemon/src/status.rs
+++ b/crates/ploverwick_daemon/src/status.rs
@@ -90,7 +90,8 @@
             State::Loaded => "loaded",
             State::Announced => "announced",
             State::Unloading => "unloading",
-            State::Unknown => "unknown",
+            State::LoadLost => "load lost",
+            State::UnloadLost => "unload lost",
         };
         Self {
             variant: variant.clone(),
--- a/crates/ploverwick_members/src/controller.rs
+++ b/crates/ploverwick_members/src/controller.rs
@@ -21,6 +21,8 @@
 pub struct Config {
     /// How long a silent member is suspected before it counts as gone.
     pub suspect: Duration,
+    /// How late the platform's list may be.
+    pub list_lag: Duration,
 }
 
 /// What is to be done.
@@ -50,6 +52,10 @@
     round: VecDeque<Instance>,
     rounds: u64,
     outbox: VecDeque<(Instance, u32)>,
+    /// The newest life of each instance that is known to have ended.
+    ended: BTreeMap<Instance, Incarnation>,
+    /// Since when lives that others speak of are neither listed nor heard of.
+    absent: BTreeMap<Life, Moment>,
 }
 
 impl Controller {
@@ -67,6 +73,8 @@
             round: VecDeque::new(),
             rounds: 0,
             outbox: VecDeque::new(),
+            ended: BTreeMap::new(),
+            absent: BTreeMap::new(),
         }
     }
 
@@ -108,13 +116,16 @@
         self.members.get(instance).map(|member| member.news.address)
     }
 
-    /// Lists the instances that can take work: this one unless it leaves, and all that are live
-    /// or merely suspected.
+    /// Lists the instances that can take work: this one unless it leaves, and all that are live,
+    /// merely suspected, or listed and not heard of yet. The last are counted so that daemons that
+    /// start together agree from the start; one that never answers is soon suspected, then gone.
     pub fn able(&self) -> Vec<Instance> {
-        let others = self
-            .members
-            .values()
-            .filter(|member| matches!(member.news.state, State::Live | State::Suspect));
+        let others = self.members.values().filter(|member| {
+            matches!(
+                member.news.state,
+                State::Joining | State::Live | State::Suspect
+            )
+        });
         let mut able: Vec<Instance> = others
             .map(|member| member.news.life.instance.clone())
             .collect();
@@ -148,13 +159,46 @@
             .collect();
         for instance in dropped {
             if let Some(member) = self.members.remove(&instance) {
-                actions.push(Action::Changed(member.news.life.clone(), State::Gone));
-                actions.push(Action::Ended(member.news.life));
+                let life = member.news.life;
+                self.ended.insert(instance, life.incarnation);
+                actions.push(Action::Changed(life.clone(), State::Gone));
+                actions.push(Action::Ended(life));
             }
         }
         actions
     }
 
+    /// Finds out which of the lives that records speak of have ended. A life has ended if its
+    /// instance runs a newer one, or has been neither listed nor heard of for the list's lag.
+    pub fn find_ended(&mut self, lives: &[Life], now: Moment) -> Vec<Life> {
+        self.absent.retain(|life, _| lives.contains(life));
+        let mut found = Vec::new();
+        for life in lives {
+            let newest = self.newest_life(&life.instance);
+            if newest.is_some_and(|newest| newest > life.incarnation) {
+                found.push(life.clone());
+                continue;
+            }
+            if newest.is_some() {
+                self.absent.remove(life);
+                continue;
+            }
+            let since = *self.absent.entry(life.clone()).or_insert(now);
+            if now >= since + self.config.list_lag {
+                found.push(life.clone());
+            }
+        }
+        found
+    }
+
+    fn newest_life(&self, instance: &Instance) -> Option<Incarnation> {
+        if *instance == self.me.life.instance {
+            return Some(self.me.life.incarnation);
+        }
+        let member = self.members.get(instance);
+        member.map(|member| member.news.life.incarnation)
+    }
+
     fn list_one(
         &mut self,
         instance: &Instance,
@@ -277,6 +321,10 @@
             self.refute(news);
             return Vec::new();
         }
+        let ended = self.ended.get(&news.life.instance);
+        if ended.is_some_and(|ended| news.life.incarnation <= *ended) {
+            return Vec::new();
+        }
         let Some(member) = self.members.get(&news.life.instance) else {
             return self.meet(news, first_hand, now);
         };
--- a/crates/ploverwick_owner/src/endpoint/slots.rs
+++ b/crates/ploverwick_owner/src/endpoint/slots.rs
@@ -29,8 +29,10 @@
     Announced,
     /// An unload was ordered.
     Unloading,
-    /// The answer to an order is missing.
-    Unknown,
+    /// A load is under way of which no answer will come: it was lost, or another owner's.
+    LoadLost,
+    /// The answer to an unload is missing; it may still strike.
+    UnloadLost,
 }
 
 /// How late news may be.
@@ -70,6 +72,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Slots {
     used: BTreeMap<Variant, Slot>,
+    /// When adapters were unloaded, for as long as a late report may still show them.
+    unloaded: BTreeMap<Variant, Moment>,
     total: u32,
     batch: u32,
     incarnation: Incarnation,
@@ -118,7 +122,12 @@
 
     /// Says whether an unload may still strike.
     pub(super) fn has_unloads(&self) -> bool {
-        let strikes = |state| matches!(state, State::Announced | State::Unloading | State::Unknown);
+        let strikes = |state| {
+            matches!(
+                state,
+                State::Announced | State::Unloading | State::UnloadLost
+            )
+        };
         self.used.values().any(|slot| strikes(slot.state))
     }
 
@@ -176,7 +185,7 @@
             Outcome::Refused => {
                 self.used.remove(variant);
             }
-            Outcome::Unknown => self.set(variant, State::Unknown, now),
+            Outcome::Unknown => self.set(variant, State::LoadLost, now),
         }
     }
 
@@ -200,9 +209,10 @@
         match outcome {
             Outcome::Done => {
                 self.used.remove(variant);
+                self.unloaded.insert(variant.clone(), now);
             }
             Outcome::Refused => self.set(variant, State::Loaded, now),
-            Outcome::Unknown => self.set(variant, State::Unknown, now),
+            Outcome::Unknown => self.set(variant, State::UnloadLost, now),
         }
     }
 
@@ -228,8 +238,10 @@
         if restarted {
             // A restarted engine has nothing loaded; orders to its earlier life are void.
             self.used.clear();
+            self.unloaded.clear();
             self.incarnation = report.incarnation;
         }
+        self.unloaded.retain(|_, at| now < *at + lags.report);
         for found in &report.used {
             self.merge(found, settled, lags, now);
         }
@@ -241,11 +253,14 @@
     }
 
     fn merge(&mut self, found: &Found, settled: bool, lags: Lags, now: Moment) {
+        if self.unloaded.contains_key(&found.variant) && !self.holds(&found.variant) {
+            return;
+        }
         let Some(slot) = self.used.get_mut(&found.variant) else {
             let state = if found.ready {
                 State::Loaded
             } else {
-                State::Unknown
+                State::LoadLost
             };
             let mut slot = Slot::new(state, now);
             slot.inherited = true;
@@ -256,7 +271,10 @@
         if slot.inherited && settled && current && slot.running == 0 && found.running == 0 {
             slot.inherited = false;
         }
-        if slot.state == State::Unknown && found.ready && now >= slot.touched + lags.order {
+        let arrived = slot.state == State::LoadLost && found.ready;
+        let spared =
+            slot.state == State::UnloadLost && now >= slot.touched + lags.order + lags.report;
+        if arrived || spared && found.ready {
             slot.state = State::Loaded;
             slot.touched = now;
         }
@@ -268,7 +286,7 @@
     let lag = match slot.state {
         // The answer to the order will say.
         State::Loading | State::Unloading => return false,
-        State::Unknown => lags.order + lags.report,
+        State::LoadLost | State::UnloadLost => lags.order + lags.report,
         State::Loaded | State::Announced => lags.report,
     };
     slot.running == 0 && now >= slot.touched + lag
--- a/crates/ploverwick_owner/src/holds.rs
+++ b/crates/ploverwick_owner/src/holds.rs
@@ -1,18 +1,19 @@
 //! Who owns which endpoint, and what the owner may do.
 //!
 //! Ownership goes to the newest claim in the log. A claim that was overtaken does not stop its
-//! author at once: the author may be paused, or cut off from the log. Three rules keep that safe.
+//! author at once: the author may be paused, or cut off from the log. No rule here rests on how
+//! long that takes, except for the lag of orders whose sender has ended.
 //!
-//! 1. An owner unloads only while its last reading of the log's end is younger than the
-//!    freshness. A successor sends nothing until freshness and margin have passed since it saw its
-//!    own claim, unless the earlier owner released the endpoint or has ended.
-//! 2. A successor unloads nothing while an earlier owner might still send: until that life wrote
-//!    [`Record::Quit`], or ended and the order lag has passed.
-//! 3. On an engine that checks no token, an unload is announced in the log first. A successor
-//!    keeps requests away from what an earlier life announced until rule 2 has settled that life.
+//! 1. On an engine that checks tokens, an owner shows its token before it sends anything, so that
+//!    an earlier owner's orders are refused from then on ([`crate::tenure`]).
+//! 2. On an engine that checks no token, an unload is announced in the log first, and only an
+//!    announcement that comes before the next claim may be followed. A successor has read them
+//!    all, and keeps requests away from what they name until the earlier life is settled.
+//! 3. A successor unloads nothing until every earlier life is settled: it wrote [`Record::Quit`],
+//!    or it ended and the order lag has passed. Until then one of its requests may still arrive.
 //!
-//! Sending requests and loading into free slots need no fresh reading: by rule 2 nobody unloads
-//! under them. That is what goes on while the log is out.
+//! Sending requests and loading into free slots needs no reading of the log at all: by rule 3
+//! nobody unloads under them. That is what goes on while the log is out.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -29,10 +30,6 @@
 /// The spans that the rules use.
 #[derive(Debug, Clone, Copy)]
 pub struct Config {
-    /// How old the last reading of the log's end may be when an owner unloads.
-    pub freshness: Duration,
-    /// What a successor waits beyond the freshness.
-    pub margin: Duration,
     /// How long an order may still arrive after its sender ended.
     pub order_lag: Duration,
     /// How often a claim is appended again, so that it outlives the log's retention.
@@ -53,10 +50,8 @@
 pub struct Permit {
     /// The fencing token to show.
     pub token: Token,
-    /// Whether requests and loads may be sent.
-    pub send: bool,
-    /// Whether adapters may be unloaded.
-    pub unload: bool,
+    /// Whether every earlier owner is settled, so that adapters may be unloaded.
+    pub settled: bool,
     /// Adapters on which an earlier owner's unload may still strike.
     pub doubtful: BTreeSet<Variant>,
 }
@@ -69,7 +64,6 @@
     claimed_at: Moment,
     released: bool,
     quit: bool,
-    clear_at: Moment,
     earlier: BTreeSet<Life>,
     intents: Vec<Intent>,
 }
@@ -100,7 +94,6 @@
     config: Config,
     holds: BTreeMap<Endpoint, Hold>,
     ended: BTreeMap<Life, Moment>,
-    tail_read: Option<Moment>,
     planned: BTreeMap<Endpoint, Moment>,
 }
 
@@ -112,7 +105,6 @@
             config,
             holds: BTreeMap::new(),
             ended: BTreeMap::new(),
-            tail_read: None,
             planned: BTreeMap::new(),
         }
     }
@@ -133,18 +125,16 @@
         self.holds.get(endpoint).map(|hold| hold.token)
     }
 
-    /// Says that a read started at `started` reached the log's end and was applied whole.
-    pub fn caught_up(&mut self, started: Moment) {
-        self.tail_read = self.tail_read.max(Some(started));
-    }
-
-    /// Forgets all claims after records were lost to retention. Live owners claim again.
+    /// Takes into account that records were lost to retention. Nobody is known to own anything
+    /// then; live owners claim again, and those that were known count as earlier ones.
     pub fn lost_records(&mut self) -> Vec<Change> {
-        let mine = self.holds.iter().filter(|(_, hold)| hold.owner == self.me);
-        let lost = mine
-            .map(|(endpoint, _)| Change::Lost(endpoint.clone()))
-            .collect();
-        self.holds.clear();
+        let mut lost = Vec::new();
+        for (endpoint, hold) in &mut self.holds {
+            if hold.owner == self.me && !hold.released {
+                lost.push(Change::Lost(endpoint.clone()));
+            }
+            hold.released = true;
+        }
         lost
     }
 
@@ -154,14 +144,13 @@
     }
 
     /// Lists the lives that are not settled, for which an end would be news.
-    pub fn unsettled(&self) -> BTreeSet<&Life> {
-        let lives = self
-            .holds
-            .values()
-            .flat_map(|hold| hold.earlier.iter().chain(std::iter::once(&hold.owner)));
-        lives
-            .filter(|life| !self.ended.contains_key(life))
-            .collect()
+    pub fn unsettled(&self) -> Vec<Life> {
+        let holds = self.holds.values();
+        let lives: BTreeSet<&Life> = holds
+            .flat_map(|hold| hold.earlier.iter().chain(std::iter::once(&hold.owner)))
+            .filter(|life| **life != self.me && !self.ended.contains_key(life))
+            .collect();
+        lives.into_iter().cloned().collect()
     }
 
     /// Takes the next record of the stream into account.
@@ -210,7 +199,6 @@
     ) -> Option<Change> {
         self.planned.remove(endpoint);
         let me = self.me.clone();
-        let wait = self.config.freshness + self.config.margin;
         let mut was_mine = false;
         match self.holds.get_mut(endpoint) {
             Some(hold) if hold.owner == *life => {
@@ -221,10 +209,6 @@
             }
             Some(hold) => {
                 was_mine = hold.owner == me;
-                let harmless = hold.released || self.ended.contains_key(&hold.owner);
-                if !harmless {
-                    hold.clear_at = hold.clear_at.max(now + wait);
-                }
                 let before = std::mem::replace(&mut hold.owner, life.clone());
                 if !hold.quit {
                     hold.earlier.insert(before);
@@ -275,10 +259,6 @@
         if hold.owner != self.me || hold.released {
             return None;
         }
-        let fresh = self
-            .tail_read
-            .is_some_and(|read| now < read + self.config.freshness);
-        let clear = now >= hold.clear_at;
         let settled = hold.earlier.iter().all(|life| self.settled(life, now));
         let doubtful = hold
             .intents
@@ -288,8 +268,7 @@
             .collect();
         Some(Permit {
             token: hold.token,
-            send: clear,
-            unload: clear && fresh && settled,
+            settled,
             doubtful,
         })
     }
@@ -369,7 +348,6 @@
             claimed_at: now,
             released: false,
             quit: false,
-            clear_at: Moment::default(),
             earlier: BTreeSet::new(),
             intents: Vec::new(),
         }
--- a/crates/ploverwick_settings/src/check.rs
+++ b/crates/ploverwick_settings/src/check.rs
@@ -176,12 +176,6 @@
         requests.deadline_max_ms.to_string(),
         "at least requests.deadline_ms",
     );
-    need(
-        ownership.freshness_ms > settings.table.poll_ms,
-        "ownership.freshness_ms",
-        ownership.freshness_ms.to_string(),
-        "above table.poll_ms, or no reading is ever fresh",
-    );
     need(
         membership.probe_timeout_ms < membership.beat_ms && membership.probe_timeout_ms > 0,
         "membership.probe_timeout_ms",
--- a/crates/ploverwick_settings/src/settings.rs
+++ b/crates/ploverwick_settings/src/settings.rs
@@ -227,10 +227,6 @@
 #[derive(Debug, Clone, Deserialize)]
 #[serde(default)]
 pub struct Ownership {
-    /// How old an owner's last reading of the log may be when it unloads, in milliseconds.
-    pub freshness_ms: u64,
-    /// What a successor waits beyond that, in milliseconds.
-    pub margin_ms: u64,
     /// How long an order may still arrive after its sender ended, in milliseconds.
     pub order_lag_ms: u64,
     /// How often a claim is appended again, in milliseconds.
@@ -243,10 +239,6 @@
 
 impl Ownership {
     millis! {
-        /// Returns how old an owner's last reading of the log may be when it unloads.
-        freshness freshness_ms;
-        /// Returns what a successor waits beyond the freshness.
-        margin margin_ms;
         /// Returns how long an order may still arrive after its sender ended.
         order_lag order_lag_ms;
         /// Returns how often a claim is appended again.
@@ -261,8 +253,6 @@
 impl Default for Ownership {
     fn default() -> Self {
         Self {
-            freshness_ms: 3000,
-            margin_ms: 500,
             order_lag_ms: 2000,
             refresh_ms: 600_000,
             report_ms: 500,
@@ -317,6 +307,8 @@
     pub probe_timeout_ms: u64,
     /// How long a silent peer is suspected before it counts as gone, in milliseconds.
     pub suspect_ms: u64,
+    /// How late the platform's list may be, in milliseconds.
+    pub list_lag_ms: u64,
 }
 
 impl Membership {
@@ -327,6 +319,8 @@
         probe_timeout probe_timeout_ms;
         /// Returns how long a silent peer is suspected.
         suspect suspect_ms;
+        /// Returns how late the platform's list may be.
+        list_lag list_lag_ms;
     }
 }
 
@@ -336,6 +330,7 @@
             beat_ms: 500,
             probe_timeout_ms: 250,
             suspect_ms: 2000,
+            list_lag_ms: 30_000,
         }
     }
 }
