--- a/crates/ploverwick_owner/src/endpoint.rs
+++ b/crates/ploverwick_owner/src/endpoint.rs
@@ -180,6 +180,11 @@
         self.running.len()
     }
 
+    /// Returns what a sent request runs on, unless its engine has restarted since.
+    pub fn variant_of(&self, request: &Request) -> Option<Variant> {
+        self.running.get(request)?.clone()
+    }
+
     /// Lists the slots in use with their states and running requests.
     pub fn slots(&self) -> impl Iterator<Item = (&Variant, State, u32)> {
         self.slots.list()
--- a/crates/ploverwick_owner/src/endpoint/slots.rs
+++ b/crates/ploverwick_owner/src/endpoint/slots.rs
@@ -35,6 +35,13 @@
     UnloadLost,
 }
 
+impl State {
+    /// Says whether an unload is announced, under way, or of unknown outcome.
+    fn may_strike(self) -> bool {
+        matches!(self, Self::Announced | Self::Unloading | Self::UnloadLost)
+    }
+}
+
 /// How late news may be.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Lags {
@@ -122,13 +129,7 @@
 
     /// Says whether an unload may still strike.
     pub(super) fn has_unloads(&self) -> bool {
-        let strikes = |state| {
-            matches!(
-                state,
-                State::Announced | State::Unloading | State::UnloadLost
-            )
-        };
-        self.used.values().any(|slot| strikes(slot.state))
+        self.used.values().any(|slot| slot.state.may_strike())
     }
 
     pub(super) fn occupy(&mut self, variant: &Variant, now: Moment) {
@@ -236,8 +237,9 @@
         self.batch = report.batch;
         let restarted = report.incarnation != self.incarnation;
         if restarted {
-            // A restarted engine has nothing loaded; orders to its earlier life are void.
-            self.used.clear();
+            // A restarted engine has nothing loaded, but an unload that is still on its way may
+            // strike in its new life.
+            self.used.retain(|_, slot| slot.state.may_strike());
             self.unloaded.clear();
             self.incarnation = report.incarnation;
         }
--- /dev/null
+++ b/crates/ploverwick_scenario/tests/owners_scripts.rs
@@ -0,0 +1,8 @@
+//! Scripted scenarios in `tests/owners`.
+
+mod common;
+
+#[test]
+fn owners_scripts() {
+    common::run_scripts("tests/owners", ploverwick_scenario::script::owners);
+}
--- a/crates/ploverwick_table/src/history.rs
+++ b/crates/ploverwick_table/src/history.rs
@@ -159,9 +159,10 @@
         }
     }
 
-    /// Moves on to a record, noting a gap if others are missing before it.
+    /// Moves on to a record, noting a gap if others are missing before it. A second gap replaces
+    /// the first: what waits from between them can no longer be judged.
     fn advance(&mut self, offset: Offset) {
-        if offset != self.next() && self.gap.is_none() {
+        if offset != self.next() {
             self.gap = Some(Gap {
                 first: offset,
                 waiting: Vec::new(),
