--- a/crates/ploverwick_daemon/src/controllers/owners.rs
+++ b/crates/ploverwick_daemon/src/controllers/owners.rs
@@ -24,6 +24,9 @@
 /// How often ownership is compared with what it should be.
 const PLAN: Duration = Duration::from_millis(200);
 
+/// How long after its last answer, beyond the wait of a read, the log counts as out.
+const LOG_SILENCE: Duration = Duration::from_millis(500);
+
 /// Appends records to the stream.
 ///
 /// # Errors
@@ -48,7 +51,10 @@
     let mut next = Offset(1);
     loop {
         match node.log.read(STREAM, next, wait).await {
-            Ok(batch) => next = take(&node, &batch, next).await,
+            Ok(batch) => {
+                *lock(&node.log_read_at) = node.now();
+                next = take(&node, &batch, next).await;
+            }
             Err(_) => tokio::time::sleep(PAUSE).await,
         }
     }
@@ -150,7 +156,10 @@
             Standing::Gone
         }
     };
-    lock(&node.holds).plan(&desired, standing, node.now())
+    let now = node.now();
+    let log_answers =
+        now.since(*lock(&node.log_read_at)) < LOG_SILENCE + node.settings.table.poll();
+    lock(&node.holds).plan(&desired, standing, log_answers, now)
 }
 
 /// Closes an endpoint's task and releases the endpoint once no unload can strike any more.
@@ -166,7 +175,12 @@
     }
     let event = Event::new(Kind::Ownership, "releases");
     node.record(event.endpoint(record.endpoint()));
+    let endpoint = record.endpoint().clone();
     if let Err(fault) = append(&node, vec![record]).await {
         spdlog::warn!("cannot release an endpoint: {}", fault);
+        if fault.had_no_effect() && !node.is_draining() {
+            // Nobody else can own the endpoint yet, so this daemon goes on.
+            node.owners.tell(&endpoint, Command::Gained).await;
+        }
     }
 }
--- a/crates/ploverwick_daemon/src/daemon.rs
+++ b/crates/ploverwick_daemon/src/daemon.rs
@@ -239,6 +239,7 @@
         in_force: watch::Sender::new(InForce::default()),
         history: Mutex::new(History::default()),
         listing: watch::Sender::default(),
+        log_read_at: Mutex::new(start),
         owners: Owners::default(),
         scribes: Scribes::default(),
         links: Links::default(),
--- a/crates/ploverwick_daemon/src/node.rs
+++ b/crates/ploverwick_daemon/src/node.rs
@@ -44,6 +44,8 @@
     pub(crate) listing: watch::Sender<Arc<Listing>>,
     pub(crate) members: Mutex<Members>,
     pub(crate) holds: Mutex<Holds>,
+    /// When the log last answered a read.
+    pub(crate) log_read_at: Mutex<Moment>,
     pub(crate) owners: Owners,
     pub(crate) scribes: Scribes,
     pub(crate) answers: Answers,
--- a/crates/ploverwick_owner/src/endpoint.rs
+++ b/crates/ploverwick_owner/src/endpoint.rs
@@ -104,6 +104,8 @@
     running: BTreeMap<Request, Option<Variant>>,
     failures: BTreeMap<Variant, Failure>,
     closed: bool,
+    /// An unload that was refused is not tried again before this.
+    unloads_from: Moment,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -122,6 +124,7 @@
             running: BTreeMap::new(),
             failures: BTreeMap::new(),
             closed: false,
+            unloads_from: Moment::default(),
         }
     }
 
@@ -248,6 +251,10 @@
     /// Says how an unload order ended.
     pub fn unloaded(&mut self, variant: &Variant, outcome: Outcome, now: Moment) {
         self.slots.unloaded(variant, outcome, now);
+        if outcome == Outcome::Refused {
+            // The engine has seen a newer token, or the right to unload has just passed.
+            self.unloads_from = now + self.config.load_pause;
+        }
     }
 
     /// Decides what to do now.
@@ -350,7 +357,7 @@
         now: Moment,
         actions: &mut Vec<Action>,
     ) {
-        if self.slots.is_making_room() {
+        if self.slots.is_making_room() || now < self.unloads_from {
             return;
         }
         let queue = &self.queue;
--- a/crates/ploverwick_owner/src/holds.rs
+++ b/crates/ploverwick_owner/src/holds.rs
@@ -273,20 +273,27 @@
         })
     }
 
+    /// Says whether nothing of a life can arrive any more. That holds for an earlier life of this
+    /// very instance no sooner than for any other.
     fn settled(&self, life: &Life, now: Moment) -> bool {
-        let later_life = life.instance == self.me.instance && *life != self.me;
         let ended = self.ended.get(life);
-        later_life || ended.is_some_and(|at| now >= *at + self.config.order_lag)
+        ended.is_some_and(|at| now >= *at + self.config.order_lag)
     }
 
-    /// Plans appends so that endpoints come to the instances that should own them.
+    /// Plans appends so that endpoints come to the instances that should own them. Nothing is
+    /// planned while the log is out: an owner that closed an endpoint and could not release it
+    /// would leave it without any.
     pub fn plan(
         &mut self,
         desired: &BTreeMap<Endpoint, Instance>,
         standing: impl Fn(&Life) -> Standing,
+        log_answers: bool,
         now: Moment,
     ) -> Vec<Record> {
         let mut records = Vec::new();
+        if !log_answers {
+            return records;
+        }
         for (endpoint, instance) in desired {
             let waiting = self.planned.get(endpoint);
             if waiting.is_some_and(|since| now < *since + PLAN_PATIENCE) {
@@ -326,8 +333,9 @@
             let due = hold.released || now >= hold.claimed_at + self.config.refresh;
             return due.then(claim);
         }
+        let ended = self.ended.contains_key(&hold.owner);
         let gone = standing(&hold.owner) == Standing::Gone && now >= hold.claimed_at + CLAIM_GRACE;
-        let free = hold.released || gone;
+        let free = hold.released || ended || gone;
         (for_me && free).then(claim)
     }
 
--- a/crates/ploverwick_scenario/src/owners.rs
+++ b/crates/ploverwick_scenario/src/owners.rs
@@ -328,20 +328,20 @@
     fn plan_owner(&mut self, index: usize) {
         let instance = self.daemons[self.wanted].life().instance.clone();
         let desired = BTreeMap::from([(endpoint(), instance)]);
-        let silent: Vec<Instance> = self
-            .silent
-            .iter()
-            .map(|index| self.daemons[*index].life().instance.clone())
-            .collect();
+        let heard = self.daemons.iter().enumerate();
+        let heard = heard.filter(|(index, _)| !self.silent.contains(index));
+        let present: Vec<Life> = heard.map(|(_, daemon)| daemon.life().clone()).collect();
         let standing = |life: &Life| {
-            if silent.contains(&life.instance) {
-                Standing::Gone
-            } else {
+            if present.contains(life) {
                 Standing::Present
+            } else {
+                Standing::Gone
             }
         };
         let now = self.now;
-        let records = self.daemons[index].holds.plan(&desired, standing, now);
+        let log_answers = !self.log_out && !self.daemons[index].troubles.cut;
+        let holds = &mut self.daemons[index].holds;
+        let records = holds.plan(&desired, standing, log_answers, now);
         for record in records {
             if matches!(record, Record::Release { .. }) && !self.daemons[index].may_release() {
                 continue;
--- a/crates/ploverwick_scenario/src/script.rs
+++ b/crates/ploverwick_scenario/src/script.rs
@@ -147,8 +147,5 @@
 }
 
 fn lines(events: Vec<String>) -> String {
-    if events.is_empty() {
-        return "nothing\n".to_owned();
-    }
     events.into_iter().map(|event| event + "\n").collect()
 }
