--- a/crates/ploverwick_daemon/src/controllers/members.rs
+++ b/crates/ploverwick_daemon/src/controllers/members.rs
@@ -12,6 +12,7 @@
 
 use crate::controllers::table;
 use crate::listing;
+use crate::logging::Outage;
 use crate::node::{Node, lock};
 
 /// Reads the platform's list again and again.
@@ -23,15 +24,17 @@
     );
     let mut ticks = tokio::time::interval(node.settings.platform.roster_poll());
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut outage = Outage::of("the list of instances");
     loop {
         ticks.tick().await;
         let read = match roster.read().await {
             Ok(read) => read,
             Err(fault) => {
-                spdlog::warn!("cannot read the list of instances: {}", fault);
+                outage.failed(&fault);
                 continue;
             }
         };
+        outage.answered();
         let now = node.now();
         let instances = listing::instances(&read);
         let actions = lock(&node.members).listed(&instances, now);
--- a/crates/ploverwick_daemon/src/controllers/table.rs
+++ b/crates/ploverwick_daemon/src/controllers/table.rs
@@ -11,6 +11,7 @@
 use ploverwick_timeline::{Event, Kind};
 use ploverwick_wire::{FetchAsk, TableCopy};
 
+use crate::logging::Outage;
 use crate::node::{InForce, Node, lock};
 
 /// The name of the stream.
@@ -21,12 +22,16 @@
 /// Follows the stream for as long as it is polled.
 pub(crate) async fn follow(node: Arc<Node>) {
     let wait = node.settings.table.poll();
+    let mut outage = Outage::of("the log's table stream");
     loop {
         let from = lock(&node.history).next();
         match node.log.read(STREAM, from, wait).await {
-            Ok(batch) => take(&node, &batch),
+            Ok(batch) => {
+                outage.answered();
+                take(&node, &batch);
+            }
             Err(fault) => {
-                spdlog::warn!("cannot read the table's stream: {}", fault);
+                outage.failed(&fault);
                 tokio::time::sleep(PAUSE).await;
             }
         }
--- a/crates/ploverwick_daemon/src/logging.rs
+++ b/crates/ploverwick_daemon/src/logging.rs
@@ -44,3 +44,34 @@
     };
     LevelFilter::MoreSevereEqual(level)
 }
+
+/// Logs the start and the end of a time in which something does not answer, not every try.
+#[derive(Debug)]
+pub(crate) struct Outage {
+    what: &'static str,
+    lasting: bool,
+}
+
+impl Outage {
+    /// Starts with an answer expected of `what`.
+    pub(crate) fn of(what: &'static str) -> Self {
+        Self {
+            what,
+            lasting: false,
+        }
+    }
+
+    /// Says that there was an answer.
+    pub(crate) fn answered(&mut self) {
+        if std::mem::take(&mut self.lasting) {
+            spdlog::info!("{} answers again", self.what);
+        }
+    }
+
+    /// Says that there was none.
+    pub(crate) fn failed(&mut self, cause: &dyn std::fmt::Display) {
+        if !std::mem::replace(&mut self.lasting, true) {
+            spdlog::warn!("{} does not answer: {}", self.what, cause);
+        }
+    }
+}
--- a/crates/ploverwick_demo/src/fleet.rs
+++ b/crates/ploverwick_demo/src/fleet.rs
@@ -230,6 +230,43 @@
         self.list().await
     }
 
+    /// Restarts a model engine: nothing is loaded and nothing runs.
+    ///
+    /// # Errors
+    /// Fails if the engine does not answer.
+    pub async fn restart_engine(&self, index: usize) -> Result<()> {
+        let address = self.engines()[index];
+        let call = self.client.call::<(), serde_json::Value>(
+            Method::POST,
+            address,
+            "/standin/restart",
+            None,
+            TIMEOUT,
+        );
+        call.await.map(drop).context("restart an engine")
+    }
+
+    /// Has the platform list a daemon that runs elsewhere, such as in a process of its own.
+    ///
+    /// # Errors
+    /// Fails if the list does not answer.
+    pub async fn adopt(&mut self, entry: InstanceEntry, callers: SocketAddr) -> Result<()> {
+        self.fronts.retain(|front| front.entry.name != entry.name);
+        self.fronts.push(Front {
+            daemon: None,
+            callers,
+            entry,
+        });
+        self.list().await
+    }
+
+    /// Returns where the plain service listens.
+    pub fn service(&self) -> Option<SocketAddr> {
+        let mut backs = self.backs.iter();
+        let service = backs.find(|back| matches!(back.entry.serves, Serves::Service(_)));
+        service.map(|back| back.entry.address)
+    }
+
     /// Returns where callers reach the daemons.
     pub fn callers(&self) -> Vec<SocketAddr> {
         self.fronts.iter().map(|front| front.callers).collect()
