--- a/crates/ploverwick_daemon/src/answer.rs
+++ b/crates/ploverwick_daemon/src/answer.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use ploverwick_claims::Key;
+use ploverwick_codes::Code;
 use ploverwick_codes::attempt::Verdict;
 use ploverwick_names::Request;
 use ploverwick_ports::sse;
@@ -108,8 +109,22 @@
         sizes.sum()
     }
 
-    /// Copies the answer to `sender` as it comes, without the events up to `after`.
+    /// Returns how the answer ended, if it ended without being whole.
+    fn failure(&self) -> Option<Verdict> {
+        match self.parts.borrow().last() {
+            Some(Part::End(verdict)) if verdict.code() != Code::Done => Some(verdict.clone()),
+            _ => None,
+        }
+    }
+
+    /// Copies the answer to `sender` as it comes, without the events up to `after`. Of one that
+    /// has failed already only the end is of use.
     pub(crate) async fn read(&self, after: u64, sender: mpsc::Sender<Part>) {
+        if let Some(verdict) = self.failure() {
+            // The reader may have left.
+            let _ = sender.send(Part::End(verdict)).await;
+            return;
+        }
         let mut parts = self.parts.subscribe();
         let mut sent = 0;
         loop {
--- a/crates/ploverwick_demo/src/caller.rs
+++ b/crates/ploverwick_demo/src/caller.rs
@@ -4,9 +4,10 @@
 use std::time::Duration;
 
 use anyhow::{Context, Result};
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
 use ploverwick_names::Request as RequestName;
 use ploverwick_ports::client::Client;
 use ploverwick_ports::header;
@@ -164,15 +165,16 @@
     tried.request = named(header::REQUEST).and_then(|name| RequestName::new(&name).ok());
     let model = named(header::MODEL).unwrap_or_default();
     let status = response.status();
-    let body = response
-        .into_body()
-        .collect()
-        .await
-        .context("the answer broke off")?
-        .to_bytes();
+    let (body, broken) = read_body(response).await;
     if !status.is_success() {
         return failure(work, &body, tried);
     }
+    if let Some(error) = broken {
+        return match last_error(&body) {
+            Some(told) => failure(work, &told, tried),
+            None => Err(error),
+        };
+    }
     let answered = if work.stream {
         streamed(&body)?
     } else {
@@ -191,6 +193,33 @@
     }))
 }
 
+/// Reads a body as far as it comes, and says why it broke off, if it did.
+async fn read_body(response: Response<Incoming>) -> (Bytes, Option<anyhow::Error>) {
+    let mut body = response.into_body();
+    let mut read = BytesMut::new();
+    loop {
+        match body.frame().await {
+            Some(Ok(frame)) => read.extend_from_slice(&frame.into_data().unwrap_or_default()),
+            Some(Err(error)) => {
+                let error = anyhow::Error::new(error).context("the answer broke off");
+                return (read.freeze(), Some(error));
+            }
+            None => return (read.freeze(), None),
+        }
+    }
+}
+
+/// Finds the event in which a stream that broke off tells why.
+fn last_error(body: &Bytes) -> Option<Bytes> {
+    let text = std::str::from_utf8(body).ok()?;
+    let event = text
+        .rsplit("event: error\n")
+        .next()
+        .filter(|event| event.len() < text.len())?;
+    let data = event.lines().find_map(|line| line.strip_prefix("data: "))?;
+    Some(Bytes::copy_from_slice(data.as_bytes()))
+}
+
 fn text<'a, B>(response: &'a Response<B>, name: &str) -> Option<&'a str> {
     response.headers().get(name)?.to_str().ok()
 }
