--- a/crates/ploverwick/src/main.rs
+++ b/crates/ploverwick/src/main.rs
@@ -21,7 +21,11 @@
 fn main() -> ExitCode {
     let command = match parse(std::env::args_os().skip(1).collect()) {
         Ok(command) => command,
-        Err(error) => error.exit(),
+        Err(error) if error.is_help() => error.exit(),
+        Err(error) => {
+            eprintln!("ploverwick: {error}; `ploverwick --help` lists commands and flags");
+            return ExitCode::from(2);
+        }
     };
     let runtime = match tokio::runtime::Builder::new_multi_thread()
         .enable_all()
