Send daemons' answers without waiting for acknowledgements

Cause: the first relay measurement took 43.9 ms at p50 through two daemons: the peers' server got its listener from outside, where the builder's nodelay switch does not reach, so Nagle's algorithm met delayed acknowledgements. Change: the listener is wrapped so that accepted sockets have nodelay.

--- a/crates/ploverwick_daemon/src/daemon.rs
+++ b/crates/ploverwick_daemon/src/daemon.rs
@@ -21,7 +21,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
-use tokio_stream::wrappers::TcpListenerStream;
+use tonic::transport::server::TcpIncoming;
 
 use crate::admin::{self, Admin};
 use crate::answer::Answers;
@@ -218,10 +218,12 @@
     })
     .max_decoding_message_size(MAX_MESSAGE)
     .max_encoding_message_size(MAX_MESSAGE);
+    // The server's own switch does not reach a listener that is handed to it, and without it each
+    // answer waits 40 ms for an acknowledgement.
+    let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
     let server = tonic::transport::Server::builder()
-        .tcp_nodelay(true)
         .add_service(service)
-        .serve_with_incoming(TcpListenerStream::new(listener));
+        .serve_with_incoming(incoming);
     tasks.spawn(async move {
         if let Err(error) = server.await {
             spdlog::error!("the peers' server ended: {}", error);
