Read frames to their end and keep the engine stand-in cheap

Cause: under a few thousand requests a second the link between two daemons was closed with ENHANCE_YOUR_CALM: the entry dropped each stream after its last frame, which resets it, and a thousand resets close an HTTP/2 connection. The engine stand-in also walked all finished runs every millisecond. Change: a stream of frames ends with the last frame on the sending side and is read to its end on the receiving side; finished runs are kept in a queue.

--- a/crates/ploverwick_bench/src/relay.rs
+++ b/crates/ploverwick_bench/src/relay.rs
@@ -44,6 +44,7 @@
         daemons: 2,
         engines: 1,
         engine,
+        settings: "[limits]\nqueue_per_endpoint = 4096\n".to_owned(),
         ..Plan::default()
     })
     .await?;
--- a/crates/ploverwick_bench/src/streams.rs
+++ b/crates/ploverwick_bench/src/streams.rs
@@ -14,7 +14,7 @@
 use ploverwick_ports::header;
 use ploverwick_standin::engine;
 use serde::Serialize;
-use tokio::sync::Barrier;
+use tokio::sync::Semaphore;
 use tokio::task::JoinSet;
 
 use crate::{relay, system};
@@ -23,6 +23,7 @@
 /// The time between two tokens at the engine: what the users allow at the most.
 const STEP: Duration = Duration::from_millis(50);
 const MODEL: &str = "base:school-000@v1";
+const PATIENCE: Duration = Duration::from_secs(20);
 const MAX_MICROS: u64 = 60_000_000;
 
 /// A row of the measurement.
@@ -84,7 +85,7 @@
     streams: usize,
     tokens: usize,
 ) -> Result<(Histogram<u64>, u64)> {
-    let begun = Arc::new(Barrier::new(streams + 1));
+    let begun = Arc::new(Semaphore::new(0));
     let mut tasks = JoinSet::new();
     let client = Client::new();
     for _ in 0..streams {
@@ -92,7 +93,9 @@
         let begun = Arc::clone(&begun);
         tasks.spawn(async move { stream(&client, address, tokens, &begun).await });
     }
-    begun.wait().await;
+    // If a stream fails before it begins, its error shows below.
+    let all_begun = begun.acquire_many(u32::try_from(streams)?);
+    let _ = tokio::time::timeout(PATIENCE, all_begun).await;
     let peak = system::resident()?;
     let mut all = Histogram::<u64>::new_with_max(MAX_MICROS, 3)?;
     while let Some(gaps) = tasks.join_next().await {
@@ -105,7 +108,7 @@
     client: &Client,
     address: SocketAddr,
     tokens: usize,
-    begun: &Barrier,
+    begun: &Semaphore,
 ) -> Result<Histogram<u64>> {
     static NUMBER: std::sync::atomic::AtomicUsize = std::sync::atomic::AtomicUsize::new(0);
     let number = NUMBER.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
@@ -129,9 +132,7 @@
             Some(last) => {
                 gaps.record(u64::try_from((now - last).as_micros())?.clamp(1, MAX_MICROS))?;
             }
-            None => {
-                begun.wait().await;
-            }
+            None => begun.add_permits(1),
         }
         let data = frame?.into_data().unwrap_or_default();
         whole |= data.ends_with(b"[DONE]\n\n");
--- a/crates/ploverwick_daemon/src/peer.rs
+++ b/crates/ploverwick_daemon/src/peer.rs
@@ -31,10 +31,14 @@
 
 type Frames = Pin<Box<dyn Stream<Item = Result<Frame, Status>> + Send>>;
 
+/// Makes a response of frames, over after the frame that ends the answer, whoever still holds the
+/// sender.
 fn frames(receiver: mpsc::Receiver<Frame>) -> Response<Frames> {
-    let stream = unfold(receiver, |mut receiver| async move {
+    let stream = unfold(Some(receiver), |receiver| async move {
+        let mut receiver = receiver?;
         let frame = receiver.recv().await?;
-        Some((Ok(frame), receiver))
+        let ends = matches!(frame.part, Some(frame::Part::End(_)));
+        Some((Ok(frame), (!ends).then_some(receiver)))
     });
     Response::new(Box::pin(stream))
 }
--- a/crates/ploverwick_daemon/src/relay/frames.rs
+++ b/crates/ploverwick_daemon/src/relay/frames.rs
@@ -84,8 +84,21 @@
             },
             Self::Failed(cause) => return Err(cause.clone()),
         };
-        frame
+        let part = frame
             .and_then(|frame| frame.part)
-            .ok_or_else(|| "the frames ended too early".to_owned())
+            .ok_or_else(|| "the frames ended too early".to_owned())?;
+        if matches!(part, frame::Part::End(_)) {
+            self.finish().await;
+        }
+        Ok(part)
+    }
+
+    /// Reads the end of the stream itself. A stream that is dropped before it is reset, and a
+    /// thousand resets close the whole connection.
+    async fn finish(&mut self) {
+        if let Self::Remote(frames, ..) = self {
+            // The answer is whole; what the stream says after it changes nothing.
+            let _ = frames.message().await;
+        }
     }
 }
--- a/crates/ploverwick_standin/src/engine/core.rs
+++ b/crates/ploverwick_standin/src/engine/core.rs
@@ -13,6 +13,8 @@
 use super::Config;
 use super::records::{Outcome, Records, Run};
 
+/// How often the state is noted for a later report.
+const REPORT_EVERY: Duration = Duration::from_millis(20);
 /// How many reports are kept to show a late one.
 const REPORTS: usize = 256;
 
@@ -83,7 +85,9 @@
     used: BTreeMap<Variant, SlotState>,
     active: BTreeMap<String, Active>,
     /// Outputs of finished runs, kept for a resumption.
-    finished: BTreeMap<String, (Instant, watch::Sender<Output>)>,
+    finished: BTreeMap<String, watch::Sender<Output>>,
+    /// When they finished, oldest first.
+    finish_times: VecDeque<(Instant, String)>,
     arrivals: u64,
     reports: VecDeque<(Instant, Report)>,
     pub(super) records: Records,
@@ -103,6 +107,7 @@
             used: BTreeMap::new(),
             active: BTreeMap::new(),
             finished: BTreeMap::new(),
+            finish_times: VecDeque::new(),
             arrivals: 0,
             reports: VecDeque::new(),
             records: Records::default(),
@@ -123,6 +128,7 @@
             self.end(&request, Outcome::Cancelled);
         }
         self.finished.clear();
+        self.finish_times.clear();
         self.reports.clear();
         self.newest_token = Token(0);
     }
@@ -193,7 +199,7 @@
             run.unread_since = None;
             return Ok(run.output.subscribe());
         }
-        if let Some((_, output)) = self.finished.get(&start.request) {
+        if let Some(output) = self.finished.get(&start.request) {
             return Ok(output.subscribe());
         }
         if start.resumes {
@@ -238,8 +244,9 @@
             run.output
                 .send_modify(|output| output.outcome = Some(outcome));
             if outcome == Outcome::Finished {
-                let kept = (Instant::now(), run.output);
-                self.finished.insert(request.to_owned(), kept);
+                let now = Instant::now();
+                self.finish_times.push_back((now, request.to_owned()));
+                self.finished.insert(request.to_owned(), run.output);
             }
         }
     }
@@ -288,8 +295,13 @@
     fn drop_unread(&mut self) {
         let now = Instant::now();
         let window = self.resume_window;
-        self.finished
-            .retain(|_, (at, _)| now.duration_since(*at) < window);
+        while let Some((at, _)) = self.finish_times.front()
+            && now.duration_since(*at) >= window
+        {
+            if let Some((_, request)) = self.finish_times.pop_front() {
+                self.finished.remove(&request);
+            }
+        }
         let mut left = Vec::new();
         for (request, run) in &mut self.active {
             if run.output.receiver_count() > 0 {
@@ -307,6 +319,11 @@
     }
 
     fn note_report(&mut self) {
+        let now = Instant::now();
+        let newest = self.reports.back();
+        if newest.is_some_and(|(at, _)| now.duration_since(*at) < REPORT_EVERY) {
+            return;
+        }
         if self.reports.len() == REPORTS {
             self.reports.pop_front();
         }
