--- a/crates/ploverwick_bench/src/streams.rs
+++ b/crates/ploverwick_bench/src/streams.rs
@@ -23,6 +23,8 @@
 /// The time between two tokens at the engine: what the users allow at the most.
 const STEP: Duration = Duration::from_millis(50);
 const MODEL: &str = "base:school-000@v1";
+/// The time between the starts of two streams.
+const STAGGER: Duration = Duration::from_millis(1);
 const PATIENCE: Duration = Duration::from_secs(20);
 const MAX_MICROS: u64 = 60_000_000;
 
@@ -91,6 +93,8 @@
     for _ in 0..streams {
         let client = client.clone();
         let begun = Arc::clone(&begun);
+        // All at once would overflow the listener's backlog.
+        tokio::time::sleep(STAGGER).await;
         tasks.spawn(async move { stream(&client, address, tokens, &begun).await });
     }
     // If a stream fails before it begins, its error shows below.
