--- a/crates/ploverwick_bench/src/recovery.rs
+++ b/crates/ploverwick_bench/src/recovery.rs
@@ -28,6 +28,7 @@
 const PATIENCE: Duration = Duration::from_secs(20);
 const MAX_MS: u64 = 60_000;
 const DEATHS: usize = 3;
+const LIST_LAG: Duration = Duration::from_secs(1);
 
 /// The phases from an owner's death to its successor's first request, in milliseconds.
 #[derive(Debug, Clone, Serialize)]
@@ -54,15 +55,15 @@
     fleet.wait_ready(PATIENCE).await?;
     let all = tables(&fleet, &mut version, times).await?;
     show("table in force, all daemons live", &all, json);
-    let mut deaths = Vec::new();
     for victim in victims {
-        deaths.push(death(&mut fleet, victim).await?);
+        let death = death(&mut fleet, victim).await?;
+        println!("{}", serde_json::to_string(&death)?);
     }
+    // The platform's list catches up with the deaths.
+    fleet.list().await?;
+    tokio::time::sleep(LIST_LAG).await;
     let fewer = tables(&fleet, &mut version, times).await?;
     show("table in force, three daemons lost", &fewer, json);
-    for death in &deaths {
-        println!("{}", serde_json::to_string(death)?);
-    }
     Ok(())
 }
 
--- a/crates/ploverwick_daemon/src/controllers/claims.rs
+++ b/crates/ploverwick_daemon/src/controllers/claims.rs
@@ -9,7 +9,6 @@
 use ploverwick_claims::partition::{Holder, Record};
 use ploverwick_claims::scribe::{Answer, Ask, Config, Outcome, Scribe};
 use ploverwick_names::{Incarnation, Instance, Life, Request};
-use ploverwick_placement::{Candidate, choose};
 use ploverwick_ports::client::Fault;
 use ploverwick_ports::log::Batch;
 use ploverwick_timeline::clock::now_millis;
@@ -19,6 +18,7 @@
 use tokio::time::MissedTickBehavior;
 
 use crate::chain::Keyed;
+use crate::listing;
 use crate::node::{Node, lock};
 
 const ASKS: usize = 1024;
@@ -168,15 +168,7 @@
 /// only saves appends.
 fn scribe_of(node: &Node, partition: u32) -> Option<Instance> {
     let able = lock(&node.members).able();
-    let candidates: Vec<Candidate<'_>> = able
-        .iter()
-        .map(|instance| Candidate {
-            name: instance.as_str(),
-            weight: 1.0,
-        })
-        .collect();
-    let index = choose(&stream(partition), &candidates)?;
-    able.get(index).cloned()
+    listing::chosen(&stream(partition), &able)
 }
 
 /// Decides a claim as the scribe of its partition.
--- a/crates/ploverwick_daemon/src/controllers/table.rs
+++ b/crates/ploverwick_daemon/src/controllers/table.rs
@@ -5,12 +5,12 @@
 use std::time::Duration;
 
 use ploverwick_names::Offset;
-use ploverwick_placement::{Candidate, choose};
 use ploverwick_ports::log::Batch;
 use ploverwick_table::history::{Record, Snapshot, Verdict};
 use ploverwick_timeline::{Event, Kind};
 use ploverwick_wire::{FetchAsk, TableCopy};
 
+use crate::listing;
 use crate::logging::Outage;
 use crate::node::{InForce, Node, lock};
 
@@ -146,13 +146,5 @@
 
 fn is_chosen(node: &Node) -> bool {
     let able = lock(&node.members).able();
-    let candidates: Vec<Candidate<'_>> = able
-        .iter()
-        .map(|instance| Candidate {
-            name: instance.as_str(),
-            weight: 1.0,
-        })
-        .collect();
-    let chosen = choose(STREAM, &candidates);
-    chosen.is_some_and(|index| able[index] == node.life.instance)
+    listing::chosen(STREAM, &able).is_some_and(|chosen| chosen == node.life.instance)
 }
--- a/crates/ploverwick_daemon/src/listing.rs
+++ b/crates/ploverwick_daemon/src/listing.rs
@@ -4,7 +4,7 @@
 
 use ploverwick_members::Listed;
 use ploverwick_names::{Endpoint, Instance};
-use ploverwick_placement::{Candidate, choose};
+use ploverwick_placement::{choose, even};
 use ploverwick_ports::roster::{EndpointEntry, Listing, Serves, State};
 
 /// Lists the endpoints of a base model that take new work.
@@ -46,13 +46,7 @@
 /// Decides which instance should own each model endpoint, one that leaves included: what runs on
 /// it still needs an owner.
 pub(crate) fn desired_owners(listing: &Listing, able: &[Instance]) -> BTreeMap<Endpoint, Instance> {
-    let candidates: Vec<Candidate<'_>> = able
-        .iter()
-        .map(|instance| Candidate {
-            name: instance.as_str(),
-            weight: 1.0,
-        })
-        .collect();
+    let candidates = even(able.iter().map(Instance::as_str));
     let models = listing
         .endpoints
         .iter()
@@ -64,3 +58,10 @@
         })
         .collect()
 }
+
+/// Chooses one of the instances for a piece of work that any of them can do.
+pub(crate) fn chosen(key: &str, able: &[Instance]) -> Option<Instance> {
+    let candidates = even(able.iter().map(Instance::as_str));
+    let index = choose(key, &candidates)?;
+    able.get(index).cloned()
+}
--- a/crates/ploverwick_daemon/src/service.rs
+++ b/crates/ploverwick_daemon/src/service.rs
@@ -14,7 +14,7 @@
 use ploverwick_codes::attempt::{Attempt, Verdict};
 use ploverwick_codes::{Class, Code};
 use ploverwick_names::{Moment, Request as RequestName};
-use ploverwick_placement::{Candidate, rank};
+use ploverwick_placement::{even, rank};
 use ploverwick_ports::client::Fault;
 use ploverwick_ports::header;
 use ploverwick_ports::roster::EndpointEntry;
@@ -190,13 +190,7 @@
 async fn relay(node: &Arc<Node>, call: &Call, sink: &Sink) -> Verdict {
     let listing = node.listing.borrow().clone();
     let entries: Vec<&EndpointEntry> = listing::service(&listing, &call.serves).collect();
-    let candidates: Vec<Candidate<'_>> = entries
-        .iter()
-        .map(|entry| Candidate {
-            name: entry.name.as_str(),
-            weight: 1.0,
-        })
-        .collect();
+    let candidates = even(entries.iter().map(|entry| entry.name.as_str()));
     let attempts = node.settings.requests.attempts as usize;
     let order = rank(call.request.as_str(), &candidates, attempts);
     let mut last = refuse(
--- a/crates/ploverwick_dev/src/main.rs
+++ b/crates/ploverwick_dev/src/main.rs
@@ -4,6 +4,7 @@
 
 mod pages;
 mod protocol;
+mod scenarios;
 
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -55,6 +56,7 @@
         protocol::code(&root())?,
         pages::results(),
         pages::diagnostics(),
+        scenarios::page(&root())?,
     ])
 }
 
--- a/crates/ploverwick_placement/src/lib.rs
+++ b/crates/ploverwick_placement/src/lib.rs
@@ -22,6 +22,12 @@
     pub weight: f64,
 }
 
+/// Makes candidates with equal shares.
+pub fn even<'a>(names: impl IntoIterator<Item = &'a str>) -> Vec<Candidate<'a>> {
+    let names = names.into_iter();
+    names.map(|name| Candidate { name, weight: 1.0 }).collect()
+}
+
 /// Scores a candidate for a key; the highest score is chosen first.
 pub fn score(key: &str, candidate: &Candidate<'_>) -> f64 {
     let key_hash = xxh3_64_with_seed(key.as_bytes(), SEED);
--- a/crates/ploverwick_scenario/src/owners.rs
+++ b/crates/ploverwick_scenario/src/owners.rs
@@ -1,6 +1,7 @@
 //! Daemons that compete for one engine.
 
 mod daemon;
+mod describe;
 mod engine;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -14,6 +15,7 @@
 use ploverwick_owner::record::Record;
 
 use daemon::{Daemon, News};
+use describe::{message as describe_message, record as describe};
 use engine::Engine;
 
 /// How long an order may still arrive after its sender ended, in every world.
@@ -483,26 +485,3 @@
         format!("owners [{}]; {}", owners.join(" "), self.engine.describe())
     }
 }
-
-fn describe(record: &Record) -> String {
-    match record {
-        Record::Claim { life, .. } => format!("claim by {life}"),
-        Record::Release { life, .. } => format!("release by {life}"),
-        Record::Quit { life, .. } => format!("quit by {life}"),
-        Record::Intent { life, variant, .. } => {
-            format!("intent by {life} to unload {}", variant.adapter)
-        }
-        Record::Outcome { life, variant, .. } => {
-            format!("outcome by {life} for {}", variant.adapter)
-        }
-    }
-}
-
-fn describe_message(message: &Message) -> String {
-    match message {
-        Message::Run(request, variant) => format!("run {request} on {}", variant.adapter),
-        Message::Load(variant, token) => format!("load {} token {token}", variant.adapter),
-        Message::Unload(variant, token) => format!("unload {} token {token}", variant.adapter),
-        Message::Fence(token) => format!("token {token}"),
-    }
-}
--- a/crates/ploverwick_standin/src/engine/http.rs
+++ b/crates/ploverwick_standin/src/engine/http.rs
@@ -17,7 +17,7 @@
 
 use super::core::{Output, Refusal, Start};
 use super::{Engine, Outcome};
-use crate::host::{self, lock};
+use crate::host::{self, Asked, lock};
 
 const DEFAULT_TOKENS: usize = 16;
 const MAX_TOKENS: usize = 100_000;
@@ -39,12 +39,9 @@
 
 impl Handler for Engine {
     async fn handle(&self, request: Request<Incoming>) -> io::Result<Reply> {
-        let mut request = Some(request);
-        if let Some(reply) = host::common(&mut request, &self.recorder, &self.faults).await? {
-            return Ok(reply);
-        }
-        let Some(request) = request else {
-            return Ok(host::unknown_path());
+        let request = match host::common(request, &self.recorder, &self.faults).await? {
+            Asked::Answered(reply) => return Ok(reply),
+            Asked::Own(request) => request,
         };
         match (request.method().clone(), request.uri().path()) {
             (Method::GET, "/report") => Ok(self.report()),
--- a/crates/ploverwick_standin/src/host.rs
+++ b/crates/ploverwick_standin/src/host.rs
@@ -61,32 +61,30 @@
     Recorder::new(name, EVENTS)
 }
 
-/// Answers the paths that every stand-in has; `None` for another path.
-pub(crate) async fn common<F: DeserializeOwned + Serialize + Clone>(
-    request: &mut Option<Request<Incoming>>,
+/// What is left of a request after the paths that every stand-in has.
+pub(crate) enum Asked {
+    /// It was for such a path, and this is the answer.
+    Answered(Reply),
+    /// It is for the stand-in itself.
+    Own(Request<Incoming>),
+}
+
+/// Answers the paths that every stand-in has.
+pub(crate) async fn common<F: DeserializeOwned + Serialize>(
+    request: Request<Incoming>,
     recorder: &Recorder,
     faults: &Mutex<F>,
-) -> io::Result<Option<Reply>> {
-    let Some(asked) = request else {
-        return Ok(None);
-    };
-    let method = asked.method().clone();
-    match (method.as_str(), asked.uri().path()) {
+) -> io::Result<Asked> {
+    let reply = match (request.method().as_str(), request.uri().path()) {
         ("GET", "/timeline") => {
-            let after = parameter(asked, "after").unwrap_or_default();
-            let events = recorder.since(Stamp(after));
-            Ok(Some(json(StatusCode::OK, &events)))
+            let after = parameter(&request, "after").unwrap_or_default();
+            json(StatusCode::OK, &recorder.since(Stamp(after)))
         }
-        ("GET", "/faults") => Ok(Some(json(StatusCode::OK, &*lock(faults)))),
-        ("PUT", "/faults") => {
-            let Some(asked) = request.take() else {
-                return Ok(None);
-            };
-            let body = body(asked).await?;
-            Ok(Some(set_faults(&body, recorder, faults)))
-        }
-        _ => Ok(None),
-    }
+        ("GET", "/faults") => json(StatusCode::OK, &*lock(faults)),
+        ("PUT", "/faults") => set_faults(&body(request).await?, recorder, faults),
+        _ => return Ok(Asked::Own(request)),
+    };
+    Ok(Asked::Answered(reply))
 }
 
 fn set_faults<F: DeserializeOwned>(body: &Bytes, recorder: &Recorder, faults: &Mutex<F>) -> Reply {
--- a/crates/ploverwick_standin/src/log.rs
+++ b/crates/ploverwick_standin/src/log.rs
@@ -16,7 +16,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 
-use crate::host::{self, Bucket, Running, lock};
+use crate::host::{self, Asked, Bucket, Running, lock};
 
 const MAX_WAIT: Duration = Duration::from_secs(30);
 const READ_MAX: usize = 4096;
@@ -123,12 +123,9 @@
 
 impl Handler for Log {
     async fn handle(&self, request: Request<Incoming>) -> io::Result<Reply> {
-        let mut request = Some(request);
-        if let Some(reply) = host::common(&mut request, &self.recorder, &self.faults).await? {
-            return Ok(reply);
-        }
-        let Some(request) = request else {
-            return Ok(host::unknown_path());
+        let request = match host::common(request, &self.recorder, &self.faults).await? {
+            Asked::Answered(reply) => return Ok(reply),
+            Asked::Own(request) => request,
         };
         let faults = lock(&self.faults).clone();
         if faults.outage {
--- a/crates/ploverwick_standin/src/roster.rs
+++ b/crates/ploverwick_standin/src/roster.rs
@@ -19,7 +19,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
-use crate::host::{self, Running, lock};
+use crate::host::{self, Asked, Running, lock};
 
 /// How the list behaves.
 #[derive(Debug, Clone)]
@@ -68,12 +68,9 @@
 
 impl Handler for Roster {
     async fn handle(&self, request: Request<Incoming>) -> io::Result<Reply> {
-        let mut request = Some(request);
-        if let Some(reply) = host::common(&mut request, &self.recorder, &self.faults).await? {
-            return Ok(reply);
-        }
-        let Some(request) = request else {
-            return Ok(host::unknown_path());
+        let request = match host::common(request, &self.recorder, &self.faults).await? {
+            Asked::Answered(reply) => return Ok(reply),
+            Asked::Own(request) => request,
         };
         if lock(&self.faults).outage {
             return Ok(text(StatusCode::SERVICE_UNAVAILABLE, "outage\n"));
--- a/crates/ploverwick_standin/src/service.rs
+++ b/crates/ploverwick_standin/src/service.rs
@@ -13,7 +13,7 @@
 use ploverwick_timeline::{Event, Kind, Recorder};
 use serde::{Deserialize, Serialize};
 
-use crate::host::{self, Running, lock};
+use crate::host::{self, Asked, Running, lock};
 
 /// The header by which a test names the work of a call.
 pub const TAG: &str = "standin-tag";
@@ -83,12 +83,9 @@
 
 impl Handler for Service {
     async fn handle(&self, request: Request<Incoming>) -> io::Result<Reply> {
-        let mut request = Some(request);
-        if let Some(reply) = host::common(&mut request, &self.recorder, &self.faults).await? {
-            return Ok(reply);
-        }
-        let Some(request) = request else {
-            return Ok(host::unknown_path());
+        let request = match host::common(request, &self.recorder, &self.faults).await? {
+            Asked::Answered(reply) => return Ok(reply),
+            Asked::Own(request) => request,
         };
         if request.uri().path() == "/standin/calls" {
             return Ok(json(StatusCode::OK, &*lock(&self.calls)));
--- a/crates/ploverwick_standin/src/store.rs
+++ b/crates/ploverwick_standin/src/store.rs
@@ -16,7 +16,7 @@
 use ploverwick_timeline::{Event, Kind, Recorder};
 use serde::{Deserialize, Serialize};
 
-use crate::host::{self, Bucket, Running, lock};
+use crate::host::{self, Asked, Bucket, Running, lock};
 
 /// How the store behaves.
 #[derive(Debug, Clone)]
@@ -85,12 +85,11 @@
 
 impl Handler for Store {
     async fn handle(&self, request: Request<Incoming>) -> io::Result<Reply> {
-        let mut request = Some(request);
-        if let Some(reply) = host::common(&mut request, &self.recorder, &self.faults).await? {
-            return Ok(reply);
-        }
-        let path = request.map(|request| request.uri().path().to_owned());
-        let path = path.unwrap_or_default();
+        let request = match host::common(request, &self.recorder, &self.faults).await? {
+            Asked::Answered(reply) => return Ok(reply),
+            Asked::Own(request) => request,
+        };
+        let path = request.uri().path().to_owned();
         let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
         match parts.as_slice() {
             ["weights", _, version] if version.starts_with("missing") => {
