--- a/crates/ploverwick/src/main.rs
+++ b/crates/ploverwick/src/main.rs
@@ -19,11 +19,13 @@
 type Answer = anyhow::Result<bool>;
 
 fn main() -> ExitCode {
-    let command = match parse(std::env::args_os().skip(1).collect()) {
+    let arguments: Vec<OsString> = std::env::args_os().skip(1).collect();
+    let command = match parse(arguments.clone()) {
         Ok(command) => command,
         Err(error) if error.is_help() => error.exit(),
         Err(error) => {
-            eprintln!("ploverwick: {error}; `ploverwick --help` lists commands and flags");
+            let help = help_for(&arguments);
+            eprintln!("ploverwick: {error}; `{help}` lists commands and flags");
             return ExitCode::from(2);
         }
     };
@@ -68,6 +70,15 @@
     }
 }
 
+/// Returns the command that shows the help which fits the arguments.
+fn help_for(arguments: &[OsString]) -> &'static str {
+    match arguments.first().and_then(|first| first.to_str()) {
+        Some("settings") => "ploverwick settings --help",
+        Some("table") => "ploverwick table --help",
+        _ => "ploverwick --help",
+    }
+}
+
 async fn run(command: Command) -> Answer {
     match command {
         Command::Top(command) => run_top(command).await,
--- a/crates/ploverwick_demo/tests/table_change.rs
+++ b/crates/ploverwick_demo/tests/table_change.rs
@@ -108,3 +108,19 @@
     })
     .await;
 }
+
+#[tokio::test]
+async fn unlisted_adapter() {
+    let fleet = ready(plan(1, 1)).await;
+    let listed = parse("name,weight\nschool-000,1\n").expect("the table is good");
+    let replaced = publish_table(&fleet, Offset(1), &listed).await;
+    let version = replaced.expect("it is accepted");
+    let reader = Reader::read(fleet.roster_address())
+        .await
+        .expect("the list answers");
+    reader.wait_in_force(version, Duration::from_secs(10)).await;
+    let body = completion("base:unlisted@v1", "unlisted");
+    let entry = fleet.callers()[0];
+    let reply = send(entry, Method::POST, "/v1/completions", &[], &body).await;
+    assert_that!(reply.code, eq(Code::ModelUnknown.number()));
+}
--- a/crates/ploverwick_operator/src/stream.rs
+++ b/crates/ploverwick_operator/src/stream.rs
@@ -16,7 +16,7 @@
 #[derive(Debug, thiserror::Error)]
 pub enum StreamError {
     /// The log did not answer.
-    #[error("cannot read the table's stream: {0}")]
+    #[error("cannot read the table's stream")]
     Log(#[from] Fault),
     /// A record is not one that this version knows.
     #[error("record {0} of the table's stream cannot be read: {1}; use a newer ploverwick")]
--- a/crates/ploverwick_standin/src/engine.rs
+++ b/crates/ploverwick_standin/src/engine.rs
@@ -4,6 +4,7 @@
 //! It keeps its own records of what ran and of every broken promise that it can see, and tests
 //! count from those.
 
+mod cache;
 mod core;
 mod http;
 mod records;
@@ -17,6 +18,7 @@
 use ploverwick_timeline::Recorder;
 use serde::{Deserialize, Serialize};
 
+pub use cache::{CacheEvent, Change};
 pub use records::{Outcome, Records, Run, Steps};
 
 use crate::host::{self, Running, lock};
--- a/crates/ploverwick_standin/src/engine/core.rs
+++ b/crates/ploverwick_standin/src/engine/core.rs
@@ -11,6 +11,7 @@
 use tokio::time::Instant;
 
 use super::Config;
+use super::cache::Cache;
 use super::records::{Outcome, Records, Run};
 
 /// How often the state is noted for a later report.
@@ -48,6 +49,7 @@
     pub(super) variant: Variant,
     pub(super) priority: u32,
     pub(super) tokens: usize,
+    pub(super) prompt: String,
     /// Whether the caller has a part of the answer already.
     pub(super) resumes: bool,
 }
@@ -91,6 +93,7 @@
     arrivals: u64,
     reports: VecDeque<(Instant, Report)>,
     pub(super) records: Records,
+    pub(super) cache: Cache,
 }
 
 impl Core {
@@ -111,6 +114,7 @@
             arrivals: 0,
             reports: VecDeque::new(),
             records: Records::default(),
+            cache: Cache::default(),
         }
     }
 
@@ -131,6 +135,7 @@
         self.finish_times.clear();
         self.reports.clear();
         self.newest_token = Token(0);
+        self.cache.clear();
     }
 
     pub(super) fn check_token(&mut self, token: Token) -> Result<(), Refusal> {
@@ -209,6 +214,7 @@
             return Err(Refusal::NotLoaded);
         }
         self.arrivals += 1;
+        self.cache.used(&start.prompt);
         self.records.runs.push(Run {
             request: start.request.clone(),
             tag: start.tag,
--- a/crates/ploverwick_standin/src/engine/http.rs
+++ b/crates/ploverwick_standin/src/engine/http.rs
@@ -35,6 +35,8 @@
     stream: bool,
     #[serde(default)]
     user: String,
+    #[serde(default)]
+    prompt: String,
 }
 
 impl Handler for Engine {
@@ -45,6 +47,14 @@
         };
         match (request.method().clone(), request.uri().path()) {
             (Method::GET, "/report") => Ok(self.report()),
+            (Method::GET, "/cache/events") => {
+                let after = host::parameter(&request, "after").unwrap_or_default();
+                let lag = self.config.report_lag;
+                Ok(json(
+                    StatusCode::OK,
+                    &lock(&self.core).cache.events(after, lag),
+                ))
+            }
             (Method::GET, "/standin/records") => {
                 Ok(json(StatusCode::OK, &lock(&self.core).records))
             }
@@ -190,6 +200,7 @@
         let start = Start {
             request: id.clone(),
             tag: ask.user,
+            prompt: ask.prompt,
             asked: ask.model,
             variant: Variant {
                 adapter: model.adapter.clone(),
--- /dev/null
+++ b/crates/ploverwick_standin/tests/engine_model.rs
@@ -0,0 +1,120 @@
+//! The engine stand-in models what the brief says of engines.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use http::Method;
+use ploverwick_names::{Adapter, Token, Variant, Version};
+use ploverwick_ports::client::{Client, Fault};
+use ploverwick_ports::engine::{Engine, Order, Run};
+use ploverwick_standin::engine::{CacheEvent, Config, start};
+
+const PATIENCE: Duration = Duration::from_secs(5);
+
+fn order(adapter: &str, token: u64) -> Order {
+    Order {
+        variant: Some(Variant {
+            adapter: Adapter::new(adapter).expect("it is a name"),
+            version: Version::new("v1").expect("it is a name"),
+        }),
+        token: Token(token),
+    }
+}
+
+fn run(request: &str, adapter: &str, prompt: &str) -> Run {
+    let model = format!("base:{adapter}@v1");
+    let body = serde_json::json!({"model": model, "prompt": prompt, "max_tokens": 2});
+    Run {
+        path: "/v1/completions".to_owned(),
+        request: request.to_owned(),
+        model,
+        body: body.to_string().into(),
+        priority: 5,
+        resume_after: 0,
+        token: Token(1),
+        stamp: 0,
+    }
+}
+
+async fn engine(config: Config) -> (ploverwick_standin::Running, Engine) {
+    let running = start(config).await.expect("it starts");
+    let engine = Engine::new(Client::new(), running.address(), PATIENCE);
+    (running, engine)
+}
+
+#[tokio::test]
+async fn old_token_refused() {
+    let (_running, engine) = engine(Config::default()).await;
+    engine.fence(Token(7)).await.expect("it follows");
+    let refused = engine.load(&order("a", 6), PATIENCE).await;
+    assert_that!(
+        matches!(refused, Err(Fault::Refused { status: 409, .. })),
+        eq(true)
+    );
+    engine
+        .load(&order("a", 8), PATIENCE)
+        .await
+        .expect("it follows");
+}
+
+#[tokio::test]
+async fn slots_are_few() {
+    let (_running, engine) = engine(Config {
+        slots: 1,
+        ..Config::default()
+    })
+    .await;
+    engine
+        .load(&order("a", 1), PATIENCE)
+        .await
+        .expect("it follows");
+    let full = engine.load(&order("b", 1), PATIENCE).await;
+    assert_that!(matches!(full, Err(Fault::Refused { .. })), eq(true));
+    engine.unload(&order("a", 1)).await.expect("it follows");
+    engine
+        .load(&order("b", 1), PATIENCE)
+        .await
+        .expect("it follows");
+}
+
+#[tokio::test]
+async fn not_loaded_not_run() {
+    let (_running, engine) = engine(Config::default()).await;
+    let response = engine.run(&run("r1", "a", "p")).await.expect("it answers");
+    assert_that!(response.status().as_u16(), eq(409));
+    assert_that!(
+        response.headers()["ploverwick-not-run"].as_bytes(),
+        eq(b"true")
+    );
+}
+
+#[tokio::test]
+async fn gapped_cache_events() {
+    let (running, engine) = engine(Config {
+        report_lag: Duration::ZERO,
+        ..Config::default()
+    })
+    .await;
+    engine
+        .load(&order("a", 1), PATIENCE)
+        .await
+        .expect("it follows");
+    for number in 0..10 {
+        let prompt = format!("prompt {number}");
+        let response = engine.run(&run(&format!("r{number}"), "a", &prompt)).await;
+        assert_that!(response.expect("it answers").status().as_u16(), eq(200));
+    }
+    let events: Vec<CacheEvent> = Client::new()
+        .call::<(), _>(
+            Method::GET,
+            running.address(),
+            "/cache/events?after=2",
+            None,
+            PATIENCE,
+        )
+        .await
+        .expect("it answers");
+    let numbers: Vec<u64> = events.iter().map(|event| event.number).collect();
+    // The seventh is missing.
+    assert_that!(numbers, eq(&vec![3, 4, 5, 6, 8, 9, 10]));
+}
