Share an endpoint's turns by the table's weight

Cause: the table's weight was resolved, shown and without effect: requests went by priority, deadline and arrival alone. Change: among requests of one priority, adapters take turns by start-time fair queueing with the table's weight; within an adapter the earliest deadline comes first; loads follow the same order. Figures: two adapters with weights 3 and 1 and one request at a time: 12 of 16 turns to the first (before: 8, by arrival); one that comes late gets 4 of 8.

--- a/crates/ploverwick_bench/src/capacity/decisions.rs
+++ b/crates/ploverwick_bench/src/capacity/decisions.rs
@@ -232,6 +232,7 @@
             request: Request::new(&format!("r{index}")).expect("the text is a name"),
             variant: variant(index % 64),
             priority: 5,
+            weight: 1.0,
             deadline: Moment(1_000_000),
             arrived: Moment(0),
         });
--- a/crates/ploverwick_daemon/src/owner/task.rs
+++ b/crates/ploverwick_daemon/src/owner/task.rs
@@ -12,6 +12,7 @@
 use ploverwick_owner::tenure::{Standing, Tenure};
 use ploverwick_ports::engine::Engine;
 use ploverwick_ports::roster::{EndpointEntry, Fencing, State};
+use ploverwick_table::terms::DEFAULT_WEIGHT;
 use ploverwick_timeline::{Event, Kind};
 use ploverwick_wire::{Frame, Order, understands};
 use tokio::sync::{mpsc, oneshot};
@@ -362,6 +363,11 @@
             version: model.version?,
         },
         priority: u8::try_from(order.priority).unwrap_or_default(),
+        weight: if order.weight > 0.0 {
+            order.weight
+        } else {
+            DEFAULT_WEIGHT
+        },
         deadline: now + Duration::from_millis(order.deadline_ms),
         arrived: now,
     })
--- a/crates/ploverwick_daemon/src/relay.rs
+++ b/crates/ploverwick_daemon/src/relay.rs
@@ -11,6 +11,7 @@
 
 use ploverwick_codes::attempt::{Attempt, Refusal, Sent, Verdict};
 use ploverwick_codes::{Class, Code};
+use ploverwick_table::terms::DEFAULT_WEIGHT;
 use ploverwick_timeline::{Event, Kind};
 use ploverwick_wire::{End, Head as WireHead, Order, PROTOCOL, frame};
 
@@ -252,6 +253,10 @@
         stream: exchange.stream,
         stamp: node.recorder.clock().tick().0,
         protocol: PROTOCOL,
+        weight: exchange
+            .terms
+            .as_ref()
+            .map_or(DEFAULT_WEIGHT, |terms| terms.weight),
     }
 }
 
--- a/crates/ploverwick_owner/src/endpoint.rs
+++ b/crates/ploverwick_owner/src/endpoint.rs
@@ -289,18 +289,16 @@
         );
     }
 
-    /// Sends waiting requests, most urgent first, whose adapter is loaded.
+    /// Sends waiting requests whose adapter is loaded, as far as the engine's batch has room.
     fn dispatch(&mut self, rights: &Rights, now: Moment, actions: &mut Vec<Action>) {
         let batch = self.slots.batch() as usize;
-        let mut room = batch.saturating_sub(self.running.len());
-        let slots = &self.slots;
-        let sent = self.queue.extract(|job| {
+        while self.running.len() < batch {
+            let slots = &self.slots;
             let ready =
-                room > 0 && slots.is_ready(&job.variant) && !rights.doubtful.contains(&job.variant);
-            room -= usize::from(ready);
-            ready
-        });
-        for job in sent {
+                |variant: &Variant| slots.is_ready(variant) && !rights.doubtful.contains(variant);
+            let Some(job) = self.queue.pop(ready) else {
+                return;
+            };
             self.slots.occupy(&job.variant, now);
             self.running.insert(job.request.clone(), Some(job.variant));
             actions.push(Action::Send(job.request));
--- a/crates/ploverwick_owner/tests/slot_use.rs
+++ b/crates/ploverwick_owner/tests/slot_use.rs
@@ -36,6 +36,7 @@
         request: request(name),
         variant: variant(adapter),
         priority,
+        weight: 1.0,
         deadline: Moment(deadline),
         arrived: Moment(0),
     }
@@ -196,3 +197,48 @@
     };
     expect_that!(machine.step(&none, Moment(1)), len(eq(0)));
 }
+
+#[gtest]
+fn weighted_share() {
+    let mut machine = machine(99);
+    machine.report(&report(1, &[("a", 0), ("b", 0)]), true, Moment(0));
+    for index in 0..20 {
+        for (adapter, weight) in [("a", 3.0), ("b", 1.0)] {
+            machine.submit(Job {
+                weight,
+                ..job(&format!("{adapter}{index}"), adapter, 5, 90_000)
+            });
+        }
+    }
+    let order = one_by_one(&mut machine, 16);
+    let heavy = order.iter().filter(|name| name.starts_with('a'));
+    expect_that!(heavy.count(), eq(12), "{order:?}");
+}
+
+#[gtest]
+fn idle_saves_nothing() {
+    let mut machine = machine(99);
+    machine.report(&report(1, &[("a", 0), ("b", 0)]), true, Moment(0));
+    for index in 0..20 {
+        machine.submit(job(&format!("a{index}"), "a", 5, 90_000));
+    }
+    one_by_one(&mut machine, 10);
+    // It comes late, and gets its share from here on, not what it might have had.
+    for index in 0..10 {
+        machine.submit(job(&format!("b{index}"), "b", 5, 90_000));
+    }
+    let order = one_by_one(&mut machine, 8);
+    let late = order.iter().filter(|name| name.starts_with('b'));
+    expect_that!(late.count(), eq(4), "{order:?}");
+}
+
+/// Sends requests one at a time and returns their order.
+fn one_by_one(machine: &mut Machine, count: usize) -> Vec<String> {
+    let mut order = Vec::new();
+    for _ in 0..count {
+        let name = sent(&machine.step(&rights(), Moment(1))).remove(0);
+        machine.finished(&request(&name), Moment(1));
+        order.push(name);
+    }
+    order
+}
--- a/crates/ploverwick_scenario/src/owners/daemon.rs
+++ b/crates/ploverwick_scenario/src/owners/daemon.rs
@@ -117,6 +117,7 @@
             request,
             variant,
             priority: 5,
+            weight: 1.0,
             deadline: now + DEADLINE,
             arrived: now,
         };
