Let plain services earn and spend retries rightly

Change: calls earn; only a call that is repeated takes; the first endpoint is tried once more after a break.

--- a/crates/ploverwick_daemon/src/service.rs
+++ b/crates/ploverwick_daemon/src/service.rs
@@ -188,6 +188,7 @@
 
 /// Tries the service's endpoints in turn, as far as the call may be repeated.
 async fn relay(node: &Arc<Node>, call: &Call, sink: &Sink) -> Verdict {
+    lock(&node.retries).earn(node.settings.requests.retries_per_100);
     let listing = node.listing.borrow().clone();
     let entries: Vec<&EndpointEntry> = listing::service(&listing, &call.serves).collect();
     let candidates = even(entries.iter().map(|entry| entry.name.as_str()));
@@ -197,15 +198,22 @@
         Code::NoEndpoint,
         format!("no endpoint serves {}", call.serves),
     );
-    for index in order {
-        let entry = entries[index];
+    // The first endpoint gets a second chance after a break, for it may be the only one.
+    for (tried, index) in order.iter().chain(order.first()).enumerate() {
+        if tried == order.len() && last.code().class() == Class::NotRun {
+            break;
+        }
+        let entry = entries[*index];
         let (verdict, head) = attempt(node, call, entry, sink).await;
         let code = verdict.code();
         let event = Event::new(Kind::Attempt, format!("service call: {code}"));
         node.record(event.request(&call.request).endpoint(&entry.name));
+        if head || matches!(code, Code::Done | Code::DeadlineWhileRunning) {
+            return verdict;
+        }
+        // Only a call that is really repeated takes from the budget.
         let safe = code.class() == Class::NotRun || call.repeatable && lock(&node.retries).take();
-        let again = code != Code::Done && code != Code::DeadlineWhileRunning && !head && safe;
-        if !again {
+        if !safe {
             return verdict;
         }
         last = verdict;
--- a/crates/ploverwick_demo/tests/common/mod.rs
+++ b/crates/ploverwick_demo/tests/common/mod.rs
@@ -7,13 +7,14 @@
 
 use http::{Method, Request};
 use http_body_util::{BodyExt, Full};
-use ploverwick_demo::caller::{Outcome, perform};
+use ploverwick_demo::caller::{Got, Outcome, perform};
 use ploverwick_demo::fleet::{Fleet, Plan};
 use ploverwick_demo::run::{publish_table, table};
 use ploverwick_demo::work::Work;
 use ploverwick_names::Offset;
 use ploverwick_ports::client::Client;
 use ploverwick_standin::engine;
+use tokio::task::JoinHandle;
 
 /// How long anything may take before a test fails.
 pub const PATIENCE: Duration = Duration::from_secs(20);
@@ -165,3 +166,19 @@
     let waited = tokio::time::timeout(PATIENCE, waiting).await;
     assert!(waited.is_ok(), "it did not come about: {what}");
 }
+
+/// Starts a long stream at one entry.
+pub fn stream(entry: SocketAddr, tag: &str, adapter: &str, tokens: usize) -> JoinHandle<Outcome> {
+    let work = Work {
+        stream: true,
+        ..work(tag, adapter, tokens)
+    };
+    tokio::spawn(async move { perform(&Client::new(), &[entry], 0, &work, None).await })
+}
+
+/// Asserts that a stream's caller got the whole answer in its first try.
+pub async fn uninterrupted(stream: JoinHandle<Outcome>) {
+    let outcome = stream.await.expect("the caller ends");
+    assert!(matches!(outcome.got, Got::Whole(_)), "{:?}", outcome.got);
+    assert_eq!(outcome.tries.len(), 1);
+}
--- a/crates/ploverwick_demo/tests/leaving.rs
+++ b/crates/ploverwick_demo/tests/leaving.rs
@@ -4,12 +4,11 @@
 
 use std::time::Duration;
 
-use common::{act, plan, ready, runs, send, slow_engine, until, work};
+use common::{act, plan, ready, runs, send, slow_engine, stream, uninterrupted, until, work};
 use googletest::prelude::*;
 use http::Method;
 use ploverwick_demo::caller::Got;
 use ploverwick_demo::fleet::{Fleet, Plan};
-use ploverwick_demo::work::Work;
 use ploverwick_names::Offset;
 use ploverwick_operator::Fleet as Reader;
 use ploverwick_owner::record::Record;
@@ -96,19 +95,9 @@
     let entries = fleet.callers();
     let streams: Vec<_> = (0..12)
         .map(|index| {
-            let work = Work {
-                stream: true,
-                ..work(
-                    &format!("long-{index}"),
-                    &format!("school-{:03}", index % 4),
-                    60,
-                )
-            };
-            let entries = entries.clone();
-            tokio::spawn(async move {
-                let client = ploverwick_ports::client::Client::new();
-                ploverwick_demo::caller::perform(&client, &entries, index, &work, None).await
-            })
+            let entry = entries[index % entries.len()];
+            let adapter = format!("school-{:03}", index % 4);
+            stream(entry, &format!("long-{index}"), &adapter, 60)
         })
         .collect();
     until("the streams have begun", || async {
@@ -121,15 +110,8 @@
     .await;
     fleet.drain(0).await.expect("the daemon leaves");
     for stream in streams {
-        let outcome = stream.await.expect("the caller ends");
-        assert_that!(
-            matches!(outcome.got, Got::Whole(_)),
-            eq(true),
-            "{:?}",
-            outcome.got
-        );
         // Nobody's stream was interrupted, so nobody had to try twice.
-        assert_that!(outcome.tries.len(), eq(1));
+        uninterrupted(stream).await;
     }
     fleet
         .wait_ready(Duration::from_secs(10))
--- a/crates/ploverwick_demo/tests/mass_leave.rs
+++ b/crates/ploverwick_demo/tests/mass_leave.rs
@@ -4,14 +4,13 @@
 
 use std::net::SocketAddr;
 
-use common::{act, plan, ready, work};
+use common::{act, plan, ready, stream, uninterrupted, work};
 use futures_util::future::join_all;
 use googletest::prelude::*;
 use http::Request;
 use http_body_util::{BodyExt, Full};
-use ploverwick_demo::caller::{Got, perform};
+use ploverwick_demo::caller::Got;
 use ploverwick_demo::fleet::Plan;
-use ploverwick_demo::work::Work;
 use ploverwick_ports::client::Client;
 use ploverwick_standin::engine;
 
@@ -56,15 +55,11 @@
     let warm = act(&fleet, 0, &work("warm", "school-000", 2), None).await;
     assert_that!(matches!(warm.got, Got::Whole(_)), eq(true));
     let entries = fleet.callers();
-    let long = |entry: SocketAddr, name: &'static str| {
-        let work = Work {
-            stream: true,
-            ..work(name, "school-000", 1500)
-        };
-        tokio::spawn(async move { perform(&Client::new(), &[entry], 0, &work, None).await })
-    };
     // One of the two comes through the link between the daemons.
-    let staying = [long(entries[0], "stays-1"), long(entries[1], "stays-2")];
+    let staying = [
+        stream(entries[0], "stays-1", "school-000", 1500),
+        stream(entries[1], "stays-2", "school-000", 1500),
+    ];
     for round in 0..ROUNDS {
         let leaving = (0..LEAVING).map(|index| {
             let entry = entries[index % entries.len()];
@@ -73,13 +68,6 @@
         join_all(leaving).await;
     }
     for stream in staying {
-        let outcome = stream.await.expect("the caller ends");
-        assert_that!(
-            matches!(outcome.got, Got::Whole(_)),
-            eq(true),
-            "{:?}",
-            outcome.got
-        );
-        assert_that!(outcome.tries.len(), eq(1));
+        uninterrupted(stream).await;
     }
 }
--- a/crates/ploverwick_demo/tests/plain_service.rs
+++ b/crates/ploverwick_demo/tests/plain_service.rs
@@ -66,3 +66,19 @@
     assert_that!([a.status, b.status], each(eq(200)));
     assert_that!(calls(&fleet).await["swap"], eq(1));
 }
+
+#[tokio::test]
+async fn repeated_reads() {
+    /// More than the retry budget holds at its start, so that calls have to earn the rest.
+    const LOSSES: usize = 30;
+    const CALLS_BETWEEN: usize = 6;
+    let fleet = ready(plan(1, 1)).await;
+    let entry = fleet.callers()[0];
+    for loss in 0..LOSSES {
+        lose(&fleet, 1).await;
+        for _ in 0..CALLS_BETWEEN {
+            let reply = send(entry, Method::GET, "/apps/transcripts/list", &[], "").await;
+            assert_that!(reply.status, eq(200), "after {loss} losses: {}", reply.body);
+        }
+    }
+}
