Count a request against its adapter until it is over, across restarts

Change: users are counted by adapter, not by slot, and a request counts until it is over; the found case is a script that breaks before the change.

--- a/crates/ploverwick_owner/src/endpoint.rs
+++ b/crates/ploverwick_owner/src/endpoint.rs
@@ -100,8 +100,7 @@
     config: Config,
     queue: Queue,
     slots: Slots,
-    /// What each sent request runs on; `None` once the engine that ran it has restarted.
-    running: BTreeMap<Request, Option<Variant>>,
+    running: BTreeMap<Request, Variant>,
     failures: BTreeMap<Variant, Failure>,
     closed: bool,
     /// An unload that was refused is not tried again before this.
@@ -148,7 +147,7 @@
 
     /// Says that a sent request is over.
     pub fn finished(&mut self, request: &Request, now: Moment) {
-        if let Some(Some(variant)) = self.running.remove(request) {
+        if let Some(variant) = self.running.remove(request) {
             self.slots.release(&variant, now);
         }
     }
@@ -183,9 +182,9 @@
         self.running.len()
     }
 
-    /// Returns what a sent request runs on, unless its engine has restarted since.
+    /// Returns what a sent request runs on.
     pub fn variant_of(&self, request: &Request) -> Option<Variant> {
-        self.running.get(request)?.clone()
+        self.running.get(request).cloned()
     }
 
     /// Lists the slots in use with their states and running requests.
@@ -205,13 +204,7 @@
             report: self.config.report_lag,
             order: self.config.order_lag,
         };
-        let restarted = self.slots.report(report, settled, lags, now);
-        if restarted {
-            // Their slots are gone; a later end must not count against a new load.
-            self.running
-                .values_mut()
-                .for_each(|variant| *variant = None);
-        }
+        self.slots.report(report, settled, lags, now);
     }
 
     /// Says how a load order ended.
@@ -300,7 +293,7 @@
                 return;
             };
             self.slots.occupy(&job.variant, now);
-            self.running.insert(job.request.clone(), Some(job.variant));
+            self.running.insert(job.request.clone(), job.variant);
             actions.push(Action::Send(job.request));
         }
     }
--- a/crates/ploverwick_owner/src/endpoint/slots.rs
+++ b/crates/ploverwick_owner/src/endpoint/slots.rs
@@ -54,7 +54,6 @@
 #[derive(Debug, Clone)]
 struct Slot {
     state: State,
-    running: u32,
     /// When the state or the use changed last.
     touched: Moment,
     /// Whether an earlier owner's requests may be running on it.
@@ -67,7 +66,6 @@
     fn new(state: State, now: Moment) -> Self {
         Self {
             state,
-            running: 0,
             touched: now,
             inherited: false,
             retiring: false,
@@ -79,6 +77,9 @@
 #[derive(Debug, Default)]
 pub(super) struct Slots {
     used: BTreeMap<Variant, Slot>,
+    /// The requests that run on each adapter or are on their way to it. A request counts until it
+    /// is over, also if the engine restarts meanwhile: it may arrive in the engine's new life.
+    users: BTreeMap<Variant, u32>,
     /// When adapters were unloaded, for as long as a late report may still show them.
     unloaded: BTreeMap<Variant, Moment>,
     total: u32,
@@ -93,7 +94,7 @@
 
     pub(super) fn list(&self) -> impl Iterator<Item = (&Variant, State, u32)> {
         let used = self.used.iter();
-        used.map(|(variant, slot)| (variant, slot.state, slot.running))
+        used.map(|(variant, slot)| (variant, slot.state, self.users(variant)))
     }
 
     pub(super) fn holds(&self, variant: &Variant) -> bool {
@@ -116,12 +117,16 @@
 
     /// Says whether a slot will become free without another order.
     pub(super) fn is_making_room(&self) -> bool {
-        self.used.values().any(|slot| {
-            matches!(slot.state, State::Announced | State::Unloading)
-                || slot.retiring && slot.running > 0
+        self.used.iter().any(|(variant, slot)| {
+            let unloading = matches!(slot.state, State::Announced | State::Unloading);
+            unloading || slot.retiring && self.users(variant) > 0
         })
     }
 
+    fn users(&self, variant: &Variant) -> u32 {
+        self.users.get(variant).copied().unwrap_or_default()
+    }
+
     /// Says whether an order is under way or its outcome unknown.
     pub(super) fn has_orders(&self) -> bool {
         self.used.values().any(|slot| slot.state != State::Loaded)
@@ -133,15 +138,22 @@
     }
 
     pub(super) fn occupy(&mut self, variant: &Variant, now: Moment) {
-        if let Some(slot) = self.used.get_mut(variant) {
-            slot.running += 1;
-            slot.touched = now;
-        }
+        *self.users.entry(variant.clone()).or_default() += 1;
+        self.touch(variant, now);
     }
 
     pub(super) fn release(&mut self, variant: &Variant, now: Moment) {
+        if let Some(users) = self.users.get_mut(variant) {
+            *users -= 1;
+            if *users == 0 {
+                self.users.remove(variant);
+            }
+        }
+        self.touch(variant, now);
+    }
+
+    fn touch(&mut self, variant: &Variant, now: Moment) {
         if let Some(slot) = self.used.get_mut(variant) {
-            slot.running = slot.running.saturating_sub(1);
             slot.touched = now;
         }
     }
@@ -152,7 +164,7 @@
             .iter()
             .filter(|(variant, slot)| {
                 slot.state == State::Loaded
-                    && slot.running == 0
+                    && self.users(variant) == 0
                     && !slot.inherited
                     && (slot.retiring || !wanted(variant))
             })
@@ -162,11 +174,14 @@
 
     /// Makes the loaded slot with the least work take no new requests.
     pub(super) fn retire_one(&mut self, waiting: impl Fn(&Variant) -> usize) {
+        let users = &self.users;
         let least = self
             .used
             .iter_mut()
             .filter(|(_, slot)| slot.state == State::Loaded && !slot.inherited)
-            .min_by_key(|(variant, slot)| slot.running as usize + waiting(variant));
+            .min_by_key(|(variant, _)| {
+                users.get(variant).copied().unwrap_or_default() as usize + waiting(variant)
+            });
         if let Some((_, slot)) = least {
             slot.retiring = true;
         }
@@ -225,18 +240,10 @@
         }
     }
 
-    /// Takes a report into account; returns whether the engine has restarted.
-    pub(super) fn report(
-        &mut self,
-        report: &Report,
-        settled: bool,
-        lags: Lags,
-        now: Moment,
-    ) -> bool {
+    pub(super) fn report(&mut self, report: &Report, settled: bool, lags: Lags, now: Moment) {
         self.total = report.slots;
         self.batch = report.batch;
-        let restarted = report.incarnation != self.incarnation;
-        if restarted {
+        if report.incarnation != self.incarnation {
             // A restarted engine has nothing loaded, but an unload that is still on its way may
             // strike in its new life.
             self.used.retain(|_, slot| slot.state.may_strike());
@@ -247,17 +254,18 @@
         for found in &report.used {
             self.merge(found, settled, lags, now);
         }
+        let users = &self.users;
         self.used.retain(|variant, slot| {
             let shown = report.used.iter().any(|found| found.variant == *variant);
-            shown || !is_gone(slot, lags, now)
+            shown || users.contains_key(variant) || !is_gone(slot, lags, now)
         });
-        restarted
     }
 
     fn merge(&mut self, found: &Found, settled: bool, lags: Lags, now: Moment) {
         if self.unloaded.contains_key(&found.variant) && !self.holds(&found.variant) {
             return;
         }
+        let idle = self.users(&found.variant) == 0;
         let Some(slot) = self.used.get_mut(&found.variant) else {
             let state = if found.ready {
                 State::Loaded
@@ -270,7 +278,7 @@
             return;
         };
         let current = now >= slot.touched + lags.report;
-        if slot.inherited && settled && current && slot.running == 0 && found.running == 0 {
+        if slot.inherited && settled && current && idle && found.running == 0 {
             slot.inherited = false;
         }
         let arrived = slot.state == State::LoadLost && found.ready;
@@ -283,7 +291,7 @@
     }
 }
 
-/// Says whether a slot that a report does not show has become free.
+/// Says whether an idle slot that a report does not show has become free.
 fn is_gone(slot: &Slot, lags: Lags, now: Moment) -> bool {
     let lag = match slot.state {
         // The answer to the order will say.
@@ -291,5 +299,5 @@
         State::LoadLost | State::UnloadLost => lags.order + lags.report,
         State::Loaded | State::Announced => lags.report,
     };
-    slot.running == 0 && now >= slot.touched + lag
+    now >= slot.touched + lag
 }
