--- /dev/null
+++ b/crates/ploverwick_adapters/src/directory.rs
@@ -0,0 +1,154 @@
+//! What endpoints hold, as far as one instance has heard.
+
+use std::collections::{HashMap, HashSet, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use ploverwick_names::Moment;
+
+use crate::{Copy, Key};
+
+/// How long a placer's word goes before the platform's list, which lags behind.
+const WORD_AGE: Duration = Duration::from_secs(4);
+/// Adapters whose last endpoint is remembered after they were unloaded.
+const PAST: usize = 8_192;
+
+#[derive(Debug, Default)]
+struct Holding {
+    copies: HashSet<Copy>,
+    heard: Option<Moment>,
+}
+
+/// Which endpoint holds which adapter.
+#[derive(Debug, Default)]
+pub struct Directory {
+    endpoints: HashMap<Arc<str>, Holding>,
+    holders: HashMap<Key, Vec<(u64, Arc<str>)>>,
+    past: HashMap<Key, Arc<str>>,
+    past_order: VecDeque<Key>,
+    newest: HashMap<Key, (u64, Moment)>,
+}
+
+impl Directory {
+    /// Takes in the platform's list, unless a placer said something lately.
+    pub fn listed(&mut self, endpoint: &Arc<str>, copies: Vec<Copy>, now: Moment) {
+        let heard = self.endpoints.get(endpoint).and_then(|h| h.heard);
+        if heard.is_some_and(|at| now.since(at) < WORD_AGE) {
+            return;
+        }
+        self.replace(endpoint, copies, heard);
+    }
+
+    /// Takes in a placer's whole list of an endpoint.
+    pub fn reported(&mut self, endpoint: &Arc<str>, copies: Vec<Copy>, now: Moment) {
+        self.replace(endpoint, copies, Some(now));
+    }
+
+    /// Takes in that an endpoint holds an adapter from now on.
+    pub fn loaded(&mut self, endpoint: &Arc<str>, copy: Copy, now: Moment) {
+        let holding = self.endpoints.entry(Arc::clone(endpoint)).or_default();
+        holding.heard = Some(now);
+        if holding.copies.insert(copy.clone()) {
+            let list = self.holders.entry(copy.key).or_default();
+            list.push((copy.version, Arc::clone(endpoint)));
+        }
+    }
+
+    /// Takes in that an endpoint does not hold an adapter in this version.
+    pub fn unloaded(&mut self, endpoint: &Arc<str>, copy: &Copy) {
+        if let Some(holding) = self.endpoints.get_mut(endpoint) {
+            holding.copies.remove(copy);
+        }
+        self.forget(endpoint, copy);
+    }
+
+    /// Takes in that an endpoint is gone.
+    pub fn remove(&mut self, endpoint: &Arc<str>) {
+        if let Some(holding) = self.endpoints.remove(endpoint) {
+            for copy in holding.copies {
+                self.forget(endpoint, &copy);
+            }
+        }
+    }
+
+    /// Lists the endpoints that hold an adapter in this version.
+    pub fn holders(&self, key: &Key, version: u64) -> Vec<Arc<str>> {
+        let list = self.holders.get(key).map_or(&[][..], Vec::as_slice);
+        let matching = list.iter().filter(|(v, _)| *v == version);
+        matching.map(|(_, endpoint)| Arc::clone(endpoint)).collect()
+    }
+
+    /// Returns whether an endpoint holds an adapter in any version.
+    pub fn holds_any(&self, endpoint: &str, key: &Key) -> bool {
+        let list = self.holders.get(key).map_or(&[][..], Vec::as_slice);
+        list.iter().any(|(_, holder)| &**holder == endpoint)
+    }
+
+    /// Returns the newest version below `version` that some endpoint holds.
+    pub fn older(&self, key: &Key, version: u64) -> Option<u64> {
+        let list = self.holders.get(key)?;
+        let below = list.iter().map(|(v, _)| *v).filter(|v| *v < version);
+        below.max()
+    }
+
+    /// Returns the endpoint that last unloaded an adapter; it loads it fast.
+    pub fn past(&self, key: &Key) -> Option<&Arc<str>> {
+        self.past.get(key)
+    }
+
+    /// Takes in that a version was declared; older ones count no longer.
+    pub fn declare(&mut self, key: Key, version: u64, now: Moment) -> bool {
+        let is_new = self.newest.get(&key).is_none_or(|(v, _)| *v < version);
+        if is_new {
+            self.newest.insert(key, (version, now));
+        }
+        is_new
+    }
+
+    /// Returns the newest version of an adapter and since when it is known.
+    ///
+    /// An adapter of which nothing was declared is in its first version.
+    pub fn newest(&self, key: &Key) -> (u64, Option<Moment>) {
+        match self.newest.get(key) {
+            Some((version, since)) => (*version, Some(*since)),
+            None => (1, None),
+        }
+    }
+
+    fn replace(&mut self, endpoint: &Arc<str>, copies: Vec<Copy>, heard: Option<Moment>) {
+        let copies: HashSet<Copy> = copies.into_iter().collect();
+        let holding = self.endpoints.entry(Arc::clone(endpoint)).or_default();
+        holding.heard = heard;
+        if holding.copies == copies {
+            return;
+        }
+        let before = std::mem::replace(&mut holding.copies, copies.clone());
+        for copy in before.difference(&copies) {
+            self.forget(endpoint, copy);
+        }
+        for copy in copies.difference(&before) {
+            let list = self.holders.entry(copy.key.clone()).or_default();
+            list.push((copy.version, Arc::clone(endpoint)));
+        }
+    }
+
+    fn forget(&mut self, endpoint: &Arc<str>, copy: &Copy) {
+        let Some(list) = self.holders.get_mut(&copy.key) else {
+            return;
+        };
+        list.retain(|(version, id)| *version != copy.version || id != endpoint);
+        if !list.is_empty() {
+            return;
+        }
+        self.holders.remove(&copy.key);
+        let known = self.past.insert(copy.key.clone(), Arc::clone(endpoint));
+        if known.is_none() {
+            self.past_order.push_back(copy.key.clone());
+        }
+        if self.past_order.len() > PAST
+            && let Some(oldest) = self.past_order.pop_front()
+        {
+            self.past.remove(&oldest);
+        }
+    }
+}
--- /dev/null
+++ b/crates/ploverwick_adapters/src/lib.rs
@@ -0,0 +1,19 @@
+//! Where adapters are held, and which endpoint loads one next.
+//!
+//! Every instance keeps a [`Directory`] of what endpoints hold. In each failure domain one
+//! instance at a time, the placer, gives orders to the endpoints of its domain: it keeps a
+//! [`Shelf`] for each and holds the [`Tenure`] that entitles it to do so.
+
+mod directory;
+mod key;
+mod order;
+mod placer;
+mod shelf;
+mod tenure;
+
+pub use directory::Directory;
+pub use key::{Copy, Key};
+pub use order::{Answer, Op, Order, Report};
+pub use placer::{Placer, Site};
+pub use shelf::{Event, Shelf, Step};
+pub use tenure::{Grant, Tenure, Terms};
--- /dev/null
+++ b/crates/ploverwick_adapters/src/placer.rs
@@ -0,0 +1,140 @@
+//! Which endpoint of a failure domain loads an adapter.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use ploverwick_names::Moment;
+use ploverwick_placement::{Candidate, score};
+
+use crate::{Copy, Shelf};
+
+/// The adapters that may be on their way to the endpoints of one failure domain at once. The
+/// weight store slows all loads down when more are fetched than it serves at full speed.
+const MOST_COMING: usize = 12;
+/// What a load or wish under way counts, against the spread of the hash (about 0 to 3).
+const BACKLOG: f64 = 0.25;
+/// What a full batch counts.
+const FILL: f64 = 2.0;
+/// What an endpoint without room counts: it is taken only if there is no other.
+const NO_ROOM: f64 = 20.0;
+/// What the endpoint that held the adapter before earns: it loads it ten times as fast.
+const PAST: f64 = 4.0;
+
+/// An endpoint as the placer sees it.
+#[derive(Debug, Clone)]
+pub struct Site {
+    /// The endpoint.
+    pub endpoint: Arc<str>,
+    /// How full it is; 1 is as many requests as it works on at once.
+    pub fill: f64,
+}
+
+/// The shelves of the endpoints of one failure domain.
+#[derive(Debug, Default)]
+pub struct Placer {
+    shelves: HashMap<Arc<str>, Shelf>,
+}
+
+impl Placer {
+    /// Adds an endpoint; nothing changes if it is there.
+    pub fn add(&mut self, endpoint: &Arc<str>, capacity: usize, now: Moment) {
+        self.shelves
+            .entry(Arc::clone(endpoint))
+            .or_insert_with(|| Shelf::new(capacity, now));
+    }
+
+    /// Takes an endpoint away.
+    pub fn remove(&mut self, endpoint: &str) {
+        self.shelves.remove(endpoint);
+    }
+
+    /// Forgets all endpoints.
+    pub fn clear(&mut self) {
+        self.shelves.clear();
+    }
+
+    /// Returns an endpoint's shelf.
+    pub fn shelf(&mut self, endpoint: &str) -> Option<&mut Shelf> {
+        self.shelves.get_mut(endpoint)
+    }
+
+    /// Iterates over endpoints and shelves, in no order.
+    pub fn shelves(&self) -> impl Iterator<Item = (&Arc<str>, &Shelf)> {
+        self.shelves.iter()
+    }
+
+    /// Returns whether another load may begin.
+    pub fn may_load(&self) -> bool {
+        self.shelves.values().map(Shelf::coming).sum::<usize>() < MOST_COMING
+    }
+
+    /// Takes in a demand for an adapter and returns the endpoint that is to load it.
+    ///
+    /// `sites` are the endpoints that may serve it; `more` says that those which hold it are full.
+    /// Returns `None` if one holds it or expects it already, or if there is none.
+    pub fn demand(
+        &mut self,
+        copy: &Copy,
+        sites: &[Site],
+        more: bool,
+        past: Option<&Arc<str>>,
+        now: Moment,
+    ) -> Option<Arc<str>> {
+        let known = |site: &&Site| self.shelves.contains_key(&site.endpoint);
+        let of = |site: &Site| &self.shelves[&site.endpoint];
+        let expecting = sites
+            .iter()
+            .filter(known)
+            .find(|site| of(site).expects(copy));
+        if let Some(site) = expecting {
+            let endpoint = Arc::clone(&site.endpoint);
+            // The wish stays young as long as it is asked for.
+            self.shelf(&endpoint)?.wish(copy.clone(), now);
+            return None;
+        }
+        if !more && sites.iter().filter(known).any(|site| of(site).holds(copy)) {
+            return None;
+        }
+        let key = copy.key.to_string();
+        let best = sites
+            .iter()
+            .filter(known)
+            .filter(|site| of(site).has_base(&copy.key.model) && !of(site).holds(copy))
+            .max_by(|a, b| {
+                let a = rate(a, of(a), copy, &key, past, now);
+                let b = rate(b, of(b), copy, &key, past, now);
+                a.total_cmp(&b)
+            })?;
+        let endpoint = Arc::clone(&best.endpoint);
+        self.shelf(&endpoint)?.wish(copy.clone(), now);
+        Some(endpoint)
+    }
+}
+
+fn rate(
+    site: &Site,
+    shelf: &Shelf,
+    copy: &Copy,
+    key: &str,
+    past: Option<&Arc<str>>,
+    now: Moment,
+) -> f64 {
+    let candidate = Candidate {
+        name: &site.endpoint,
+        weight: 1.0,
+    };
+    let mut rate = score(key, &candidate).min(3.0);
+    rate -= BACKLOG * shelf.backlog() as f64;
+    rate -= FILL * site.fill;
+    if !shelf.has_room(now) {
+        rate -= NO_ROOM;
+    }
+    // A replacement would wait for the runs on the older version.
+    if shelf.has_any(&copy.key) {
+        rate -= NO_ROOM / 2.0;
+    }
+    if past.is_some_and(|past| *past == site.endpoint) {
+        rate += PAST;
+    }
+    rate
+}
--- /dev/null
+++ b/crates/ploverwick_adapters/src/shelf.rs
@@ -0,0 +1,490 @@
+//! The places for adapters at one endpoint, and the next order to it.
+//!
+//! The shelf never lets more adapters be held or on their way than there are places, whatever
+//! becomes of an order that got no answer: each order names the number of accepted orders at
+//! which it holds, so that of all those unanswered at one number at most one can still strike, and
+//! none once a later order was accepted. Until then a place is kept free for it.
+
+use std::collections::{HashMap, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use ploverwick_names::Moment;
+
+use crate::{Answer, Copy, Op, Order, Report};
+
+/// The adapters that may be on their way to an endpoint at once, as the platform allows.
+const MOST_COMING: usize = 4;
+/// How long an endpoint's report may lag behind, with some room.
+const REPORT_LAG: Duration = Duration::from_millis(260);
+/// How soon after an order the first look whether a load is complete is worth it: an adapter that
+/// the endpoint held before takes about 25 ms.
+const FIRST_LOOK: Duration = Duration::from_millis(22);
+/// The pause between looks; a look costs little more than the message.
+const LOOK: Duration = Duration::from_millis(24);
+/// The pause between looks at the load of a base model, which takes hundreds of milliseconds.
+const BASE_LOOK: Duration = Duration::from_millis(80);
+/// An adapter used within this time is not unloaded: a request for it may be on its way.
+const FRESH: Duration = Duration::from_millis(400);
+/// How long a wish for an adapter counts; whoever still wants it asks again.
+const WISH_AGE: Duration = Duration::from_millis(1_500);
+
+/// What to do next.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Step {
+    /// Send this order and pass its answer to [`Shelf::answered`].
+    Send(Order),
+    /// Ask the endpoint for its report and pass it to [`Shelf::report`].
+    Report,
+    /// Nothing before this moment.
+    Wait(Moment),
+    /// Nothing until something changes.
+    Idle,
+}
+
+/// What changed at the endpoint.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Event {
+    /// It holds this adapter from now on.
+    Loaded(Copy),
+    /// It does not hold this adapter any more.
+    Unloaded(Copy),
+    /// What it holds was learned anew.
+    Learned(Vec<Copy>),
+    /// It holds a base model from now on.
+    BaseLoaded(Arc<str>),
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum State {
+    Held,
+    Coming { look_at: Moment },
+    Leaving { look_at: Moment },
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Place {
+    state: State,
+    used: Moment,
+    in_use: u32,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum Base {
+    Held,
+    Coming { look_at: Moment },
+    Missing,
+}
+
+/// The places for adapters at one endpoint.
+#[derive(Debug)]
+pub struct Shelf {
+    capacity: usize,
+    /// The number of accepted orders; `None` until a report tells.
+    orders: Option<u64>,
+    report_at: Moment,
+    models: HashMap<Arc<str>, Base>,
+    places: HashMap<Copy, Place>,
+    wishes: VecDeque<(Copy, Moment)>,
+    /// An order without an answer, or of an earlier placer, may still strike.
+    may_strike: bool,
+    last_accepted: Option<Moment>,
+}
+
+impl Shelf {
+    /// Makes a shelf of which nothing is known yet.
+    pub fn new(capacity: usize, now: Moment) -> Self {
+        Self {
+            capacity,
+            orders: None,
+            report_at: now,
+            models: HashMap::new(),
+            places: HashMap::new(),
+            wishes: VecDeque::new(),
+            may_strike: true,
+            last_accepted: None,
+        }
+    }
+
+    /// Returns whether a report has told what the endpoint holds.
+    pub fn is_known(&self) -> bool {
+        self.orders.is_some()
+    }
+
+    /// Returns whether the endpoint holds an adapter.
+    pub fn holds(&self, copy: &Copy) -> bool {
+        self.places
+            .get(copy)
+            .is_some_and(|place| place.state == State::Held)
+    }
+
+    /// Returns whether an adapter is on its way, or wished for.
+    pub fn expects(&self, copy: &Copy) -> bool {
+        let is_coming = self
+            .places
+            .get(copy)
+            .is_some_and(|place| matches!(place.state, State::Coming { .. }));
+        is_coming || self.wishes.iter().any(|(wish, _)| wish == copy)
+    }
+
+    /// Returns whether the endpoint has any version of an adapter.
+    pub fn has_any(&self, key: &crate::Key) -> bool {
+        self.places.keys().any(|copy| copy.key == *key)
+    }
+
+    /// Returns whether the endpoint holds a base model.
+    pub fn has_base(&self, model: &str) -> bool {
+        self.models.get(model) == Some(&Base::Held)
+    }
+
+    /// Returns whether the endpoint holds no base model and none is on its way.
+    pub fn is_empty(&self) -> bool {
+        self.is_known() && self.models.values().all(|base| *base == Base::Missing)
+    }
+
+    /// Counts the adapters on their way.
+    pub fn coming(&self) -> usize {
+        self.places
+            .values()
+            .filter(|place| matches!(place.state, State::Coming { .. }))
+            .count()
+    }
+
+    /// Returns whether a wish could be met soon: a place is free or held by an unused adapter.
+    pub fn has_room(&self, now: Moment) -> bool {
+        self.is_known() && (self.taken() < self.capacity || self.victim(now).is_some())
+    }
+
+    /// Counts the wishes and the adapters on their way.
+    pub fn backlog(&self) -> usize {
+        self.wishes.len() + self.coming()
+    }
+
+    /// Lists the adapters that the endpoint holds.
+    pub fn held(&self) -> Vec<Copy> {
+        let held = self.places.iter().filter(|(_, p)| p.state == State::Held);
+        held.map(|(copy, _)| copy.clone()).collect()
+    }
+
+    /// Wishes for an adapter.
+    pub fn wish(&mut self, copy: Copy, now: Moment) {
+        if let Some(place) = self.places.get_mut(&copy) {
+            place.used = now;
+            return;
+        }
+        match self.wishes.iter_mut().find(|(wish, _)| *wish == copy) {
+            Some((_, at)) => *at = now,
+            None => self.wishes.push_back((copy, now)),
+        }
+    }
+
+    /// Wishes for a base model.
+    pub fn wish_base(&mut self, model: Arc<str>) {
+        self.models.entry(model).or_insert(Base::Missing);
+    }
+
+    /// Takes in which adapters requests use, as one instance reports it.
+    pub fn used(&mut self, copy: &Copy, in_use: u32, now: Moment) {
+        if let Some(place) = self.places.get_mut(copy) {
+            place.used = now;
+            place.in_use = in_use;
+        }
+    }
+
+    /// Decides what to do next; `may_load` says whether another load may begin.
+    pub fn next(&mut self, now: Moment, may_load: bool) -> Step {
+        let Some(orders) = self.orders else {
+            if now < self.report_at {
+                return Step::Wait(self.report_at);
+            }
+            return Step::Report;
+        };
+        if let Some(step) = self.next_base(orders, now) {
+            return step;
+        }
+        if let Some(order) = self.next_look(orders, now) {
+            return Step::Send(order);
+        }
+        if may_load && let Some(order) = self.next_load(orders, now) {
+            return Step::Send(order);
+        }
+        match self.next_look_at() {
+            Some(at) => Step::Wait(at),
+            None if self.wishes.is_empty() => Step::Idle,
+            None => Step::Wait(now + LOOK),
+        }
+    }
+
+    /// Takes in how the endpoint answered an order.
+    pub fn answered(&mut self, order: &Order, answer: Answer, now: Moment) -> Option<Event> {
+        match answer {
+            Answer::Accepted => self.accepted(order, now),
+            Answer::Done => self.done(order, now),
+            Answer::Conflict => {
+                self.conflict(order, now);
+                None
+            }
+            Answer::Invalid => {
+                self.invalid(order);
+                None
+            }
+            Answer::Unknown => {
+                self.may_strike = true;
+                self.learn_again(now + REPORT_LAG);
+                None
+            }
+            Answer::Fenced | Answer::Gone => {
+                self.learn_again(now + REPORT_LAG);
+                None
+            }
+        }
+    }
+
+    /// Takes in the endpoint's own report.
+    pub fn report(&mut self, report: &Report, now: Moment) -> Event {
+        self.orders = Some(report.orders);
+        for base in self.models.values_mut() {
+            *base = Base::Missing;
+        }
+        for model in &report.models {
+            self.models.insert(Arc::clone(model), Base::Held);
+        }
+        let before = std::mem::take(&mut self.places);
+        let place = |copy: &Copy, state| {
+            let known = before.get(copy);
+            let place = Place {
+                state,
+                used: known.map_or(now, |place| place.used),
+                in_use: known.map_or(0, |place| place.in_use),
+            };
+            (copy.clone(), place)
+        };
+        let coming = State::Coming { look_at: now };
+        let held = report.held.iter().map(|copy| place(copy, State::Held));
+        let all = held.chain(report.coming.iter().map(|copy| place(copy, coming)));
+        self.places = all.collect();
+        Event::Learned(self.held())
+    }
+
+    /// Takes in that no report came.
+    pub fn no_report(&mut self, now: Moment) {
+        self.learn_again(now + REPORT_LAG);
+    }
+
+    /// Forgets what is known; an order of somebody else may have changed it.
+    pub fn doubt(&mut self, now: Moment) {
+        self.learn_again(now);
+        self.may_strike = true;
+    }
+
+    fn next_base(&self, orders: u64, now: Moment) -> Option<Step> {
+        let is_coming = |base: &Base| matches!(base, Base::Coming { .. });
+        if let Some((model, Base::Coming { look_at })) =
+            self.models.iter().find(|(_, base)| is_coming(base))
+        {
+            // The endpoint takes no other order meanwhile.
+            return Some(if *look_at <= now {
+                Step::Send(base_order(model, orders))
+            } else {
+                Step::Wait(*look_at)
+            });
+        }
+        if self.models.values().any(|base| *base == Base::Held) {
+            return None;
+        }
+        match self.models.keys().next() {
+            Some(model) => Some(Step::Send(base_order(model, orders))),
+            None => Some(Step::Idle),
+        }
+    }
+
+    fn next_look(&self, orders: u64, now: Moment) -> Option<Order> {
+        self.places
+            .iter()
+            .find_map(|(copy, place)| match place.state {
+                State::Coming { look_at } if look_at <= now => Some(load(copy, orders)),
+                State::Leaving { look_at } if look_at <= now => Some(unload(copy, orders)),
+                _ => None,
+            })
+    }
+
+    fn next_look_at(&self) -> Option<Moment> {
+        let looks = self.places.values().filter_map(|place| match place.state {
+            State::Coming { look_at } | State::Leaving { look_at } => Some(look_at),
+            State::Held => None,
+        });
+        looks.min()
+    }
+
+    fn next_load(&mut self, orders: u64, now: Moment) -> Option<Order> {
+        let places = &self.places;
+        self.wishes
+            .retain(|(wish, at)| now.since(*at) < WISH_AGE && !places.contains_key(wish));
+        let (wish, _) = self.wishes.front()?.clone();
+        if self.coming() >= MOST_COMING || !self.has_base(&wish.key.model) {
+            return None;
+        }
+        // An older version goes first, so that the two never need a place each.
+        let older = self.places.iter().find(|(copy, place)| {
+            copy.key == wish.key && copy.version < wish.version && place.state == State::Held
+        });
+        if let Some((older, _)) = older {
+            return Some(unload(older, orders));
+        }
+        if self.taken() < self.capacity {
+            return Some(load(&wish, orders));
+        }
+        self.victim(now).map(|victim| unload(&victim, orders))
+    }
+
+    /// Counts the places that are taken or may be.
+    fn taken(&self) -> usize {
+        self.places.len() + usize::from(self.may_strike)
+    }
+
+    fn victim(&self, now: Moment) -> Option<Copy> {
+        let unused = self.places.iter().filter(|(_, place)| {
+            place.state == State::Held && place.in_use == 0 && now.since(place.used) >= FRESH
+        });
+        let oldest = unused.min_by_key(|(copy, place)| (place.used, (*copy).clone()));
+        oldest.map(|(copy, _)| copy.clone())
+    }
+
+    fn accepted(&mut self, order: &Order, now: Moment) -> Option<Event> {
+        let Some((adapter, version)) = order.adapter.clone() else {
+            let is_look = matches!(self.models.get(&order.model), Some(Base::Coming { .. }));
+            if !is_look {
+                self.advance();
+            }
+            let look_at = now + BASE_LOOK;
+            self.models
+                .insert(Arc::clone(&order.model), Base::Coming { look_at });
+            return None;
+        };
+        let copy = copy_of(&order.model, adapter, version);
+        match (order.op, self.places.get_mut(&copy)) {
+            (Op::Load, Some(place)) => {
+                place.state = State::Coming { look_at: now + LOOK };
+                None
+            }
+            (Op::Load, None) => {
+                self.advance();
+                self.last_accepted = Some(now);
+                self.wishes.retain(|(wish, _)| *wish != copy);
+                let place = Place {
+                    state: State::Coming {
+                        look_at: now + FIRST_LOOK,
+                    },
+                    used: now,
+                    in_use: 0,
+                };
+                self.places.insert(copy, place);
+                None
+            }
+            (Op::Unload, Some(place)) => {
+                let was_held = place.state == State::Held;
+                place.state = State::Leaving { look_at: now + LOOK };
+                if was_held {
+                    self.advance();
+                }
+                was_held.then_some(Event::Unloaded(copy))
+            }
+            (Op::Unload, None) => None,
+        }
+    }
+
+    fn done(&mut self, order: &Order, now: Moment) -> Option<Event> {
+        let Some((adapter, version)) = order.adapter.clone() else {
+            self.models.insert(Arc::clone(&order.model), Base::Held);
+            return Some(Event::BaseLoaded(Arc::clone(&order.model)));
+        };
+        let copy = copy_of(&order.model, adapter, version);
+        match order.op {
+            Op::Load => {
+                self.wishes.retain(|(wish, _)| *wish != copy);
+                let place = Place {
+                    state: State::Held,
+                    used: now,
+                    in_use: 0,
+                };
+                self.places.insert(copy.clone(), place);
+                Some(Event::Loaded(copy))
+            }
+            Op::Unload => {
+                let place = self.places.remove(&copy)?;
+                let was_held = place.state == State::Held;
+                if was_held {
+                    // A waiting unload advanced the count when it was accepted.
+                    self.advance();
+                }
+                was_held.then_some(Event::Unloaded(copy))
+            }
+        }
+    }
+
+    fn conflict(&mut self, order: &Order, now: Moment) {
+        if order.adapter.is_none()
+            && let Some(Base::Coming { look_at }) = self.models.get_mut(&order.model)
+        {
+            *look_at = now + BASE_LOOK;
+            return;
+        }
+        let since = self.last_accepted.unwrap_or(now);
+        self.learn_again((since + REPORT_LAG).max(now));
+    }
+
+    fn invalid(&mut self, order: &Order) {
+        let Some((adapter, version)) = order.adapter.clone() else {
+            self.models.remove(&order.model);
+            return;
+        };
+        let copy = copy_of(&order.model, adapter, version);
+        self.wishes.retain(|(wish, _)| *wish != copy);
+        self.places.remove(&copy);
+    }
+
+    /// An order was accepted: the count rises, and what waited for the old count is void.
+    fn advance(&mut self) {
+        self.orders = self.orders.map(|orders| orders + 1);
+        self.may_strike = false;
+    }
+
+    fn learn_again(&mut self, at: Moment) {
+        self.orders = None;
+        self.report_at = at;
+    }
+}
+
+fn copy_of(model: &Arc<str>, adapter: Arc<str>, version: u64) -> Copy {
+    let key = crate::Key {
+        model: Arc::clone(model),
+        adapter,
+    };
+    Copy { key, version }
+}
+
+fn order(op: Op, copy: &Copy, orders: u64) -> Order {
+    Order {
+        op,
+        model: Arc::clone(&copy.key.model),
+        adapter: Some((Arc::clone(&copy.key.adapter), copy.version)),
+        after: Some(orders),
+    }
+}
+
+fn load(copy: &Copy, orders: u64) -> Order {
+    order(Op::Load, copy, orders)
+}
+
+fn unload(copy: &Copy, orders: u64) -> Order {
+    order(Op::Unload, copy, orders)
+}
+
+fn base_order(model: &Arc<str>, orders: u64) -> Order {
+    Order {
+        op: Op::Load,
+        model: Arc::clone(model),
+        adapter: None,
+        after: Some(orders),
+    }
+}
--- /dev/null
+++ b/crates/ploverwick_adapters/src/tenure.rs
@@ -0,0 +1,117 @@
+//! The right to give orders.
+//!
+//! The platform grants it to one instance at a time with a fencing token that rises with each
+//! change of holder. The holder counts its lease from when it asked, on its own steady clock, and
+//! checks it just before each order. An instance that gets the right back waits until the orders
+//! of its predecessor can no longer be followed by its own within the lease.
+
+use std::time::Duration;
+
+use ploverwick_names::Moment;
+
+/// How tenures pass from one holder to the next.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Terms {
+    /// How long a grant lasts, counted from when it was asked for.
+    pub lease: Duration,
+    /// The time within which two holders must not take turns.
+    pub turn: Duration,
+    /// Endpoints refuse orders with a lower token than one that they have seen.
+    pub fenced: bool,
+}
+
+/// What the platform answered to a request for the right.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Grant {
+    /// This instance has the right, with this fencing token.
+    Held(u64),
+    /// Another instance has it, or none.
+    Elsewhere,
+}
+
+/// The right as one instance sees it.
+#[derive(Debug, Clone)]
+pub struct Tenure {
+    terms: Terms,
+    held: Option<Holding>,
+    /// The last moment at which this instance may have given an order.
+    last_held: Option<Moment>,
+    refused: Option<u64>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Holding {
+    token: u64,
+    until: Moment,
+    from: Moment,
+}
+
+impl Tenure {
+    /// Starts without the right.
+    ///
+    /// A process that is not part of the first start of the system cannot know when an earlier
+    /// life of its instance gave an order; `earlier_life` says that there may have been one.
+    pub fn new(terms: Terms, earlier_life: bool, now: Moment) -> Self {
+        Self {
+            terms,
+            held: None,
+            last_held: earlier_life.then_some(now),
+            refused: None,
+        }
+    }
+
+    /// Takes in an answer of the platform to a request sent at `asked`.
+    pub fn granted(&mut self, grant: Grant, asked: Moment, now: Moment) {
+        let Grant::Held(token) = grant else {
+            self.lose(now);
+            return;
+        };
+        if self.refused.is_some_and(|refused| token <= refused) {
+            return;
+        }
+        let until = asked + self.terms.lease;
+        let from = match self.held {
+            // A lapse in between may have let another one in.
+            Some(held) if held.until >= asked => held.from,
+            _ => self.wait(now),
+        };
+        // The token of a holding only rises; an answer that was overtaken by a later one is old.
+        let token = self.held.map_or(token, |held| held.token.max(token));
+        self.held = Some(Holding { token, until, from });
+    }
+
+    /// Gives the right up.
+    pub fn lose(&mut self, now: Moment) {
+        if let Some(held) = self.held.take() {
+            self.last_held = Some(now.min(held.until));
+        }
+    }
+
+    /// Takes in that an endpoint has seen a higher token than `token`.
+    pub fn fenced(&mut self, token: u64, now: Moment) {
+        if self.held.is_some_and(|held| held.token <= token) {
+            self.refused = Some(token);
+            self.lose(now);
+        }
+    }
+
+    /// Returns the fencing token if this instance may give an order now.
+    pub fn token(&self, now: Moment) -> Option<u64> {
+        let held = self.held?;
+        (now >= held.from && now < held.until).then_some(held.token)
+    }
+
+    /// Returns whether this instance has the right, though it may have to wait yet.
+    pub fn is_held(&self, now: Moment) -> bool {
+        self.held.is_some_and(|held| now < held.until)
+    }
+
+    fn wait(&self, now: Moment) -> Moment {
+        let own = self.last_held.map_or(now, |last| last + self.terms.turn);
+        if self.terms.fenced {
+            return own.max(now);
+        }
+        // Endpoints that do not check tokens would obey the predecessor until its lease is over.
+        own.max(now + self.terms.lease.max(self.terms.turn))
+    }
+}
--- a/crates/ploverwick_codes/src/code.rs
+++ b/crates/ploverwick_codes/src/code.rs
@@ -111,6 +111,7 @@
     3009 NotOwner NotRun 503 14 Yes "The instance asked does not own the endpoint." "Repeat; the entry looks for the owner again.";
     3010 PeerUnreachable NotRun 503 14 Yes "The owner of the endpoint could not be reached, and nothing was sent." "Repeat after the hint.";
     3011 Cancelled NotRun 499 1 NotNeeded "The caller left before the request was sent to an endpoint." "Nothing to do.";
+    3012 NoConfiguration NotRun 503 14 Yes "This instance knows no configuration yet." "Repeat after the hint; see the platform's store if it lasts.";
     4000 Interrupted MayHaveRun 502 14 IfIdempotent "The answer broke off and cannot be resumed." "Repeat the request if it is idempotent.";
     4001 DeadlineWhileRunning MayHaveRun 504 4 IfIdempotent "The deadline passed while the request was with an endpoint." "Allow more time.";
     4002 OutcomeUnknown MayHaveRun 409 9 IfIdempotent "The request with this key was started by an instance that is gone; its outcome is not known." "Do not repeat it under a new key before checking its effect.";
--- /dev/null
+++ b/crates/ploverwick_endpoints/src/entry.rs
@@ -0,0 +1,41 @@
+//! What the platform's list says of one endpoint.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Whether an endpoint takes new requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum State {
+    /// It takes requests.
+    Ready,
+    /// It is leaving and must get no new ones.
+    Draining,
+}
+
+/// A base model that an endpoint holds, with its adapters.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Held {
+    /// The base model.
+    pub model: Arc<str>,
+    /// The adapters, each with its version.
+    pub adapters: Vec<(Arc<str>, u64)>,
+}
+
+/// One line of the list of endpoints.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Entry {
+    /// The identifier of this life of the endpoint; a restart has another one.
+    pub id: Arc<str>,
+    /// The service that it belongs to.
+    pub service: Arc<str>,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its failure domain.
+    pub domain: Arc<str>,
+    /// The requests that it works on at once, 1 or more.
+    pub slots: u32,
+    /// Whether it takes new requests.
+    pub state: State,
+    /// What it held when it reported, if it serves models.
+    pub held: Vec<Held>,
+}
--- /dev/null
+++ b/crates/ploverwick_endpoints/src/fleet.rs
@@ -0,0 +1,234 @@
+//! The endpoints as one instance sees them.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ploverwick_names::Moment;
+use ploverwick_placement::{Candidate, score};
+
+use crate::{Entry, Health, Outcome, State};
+
+/// How long a peer's report of its requests counts.
+const REPORT_AGE: Duration = Duration::from_millis(2_500);
+
+/// The cost of a choice, comparable to milliseconds of waiting.
+#[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
+pub struct Cost(pub f64);
+
+/// Cost of a full batch against an empty one: a step grows little with the batch.
+const FILL: f64 = 30.0;
+/// Above this fill an endpoint is nearly full and the cost rises steeply.
+const NEARLY_FULL: f64 = 0.8;
+/// Cost of each batch's worth of requests above that.
+const CROWDED: f64 = 400.0;
+/// Cost of a refusal for want of room a moment ago.
+const REFUSED: f64 = 300.0;
+/// Cost of leaving the failure domain, without the bytes.
+const AWAY: f64 = 6.0;
+/// Cost of each kilobyte that leaves the failure domain.
+const AWAY_KB: f64 = 4.0;
+/// How many times the median latency an endpoint may take before it costs.
+const SLOW: f64 = 1.6;
+/// The most that slowness costs.
+const SLOWEST: f64 = 400.0;
+/// Cost that spreads equal choices over requests, by a hash of key and endpoint.
+const SPREAD: f64 = 2.0;
+
+/// What a request wants of an endpoint.
+#[derive(Debug, Clone, Copy)]
+pub struct Query<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// The failure domain that the request is in.
+    pub domain: &'a str,
+    /// What requests that profit from the same endpoint share.
+    pub key: &'a str,
+    /// The bytes that would leave the failure domain.
+    pub bytes: usize,
+    /// The endpoints that it must not go to.
+    pub except: &'a [Arc<str>],
+}
+
+#[derive(Debug)]
+struct Member {
+    entry: Entry,
+    in_flight: u32,
+    health: Health,
+}
+
+/// What a peer has under way, as of a moment.
+#[derive(Debug)]
+struct Loads {
+    at: Moment,
+    requests: HashMap<Arc<str>, u32>,
+}
+
+/// The endpoints that are listed, with load and health.
+#[derive(Debug, Default)]
+pub struct Fleet {
+    members: HashMap<Arc<str>, Member>,
+    reports: HashMap<Arc<str>, Loads>,
+}
+
+impl Fleet {
+    /// Adds an endpoint or takes in its new line of the list.
+    pub fn put(&mut self, entry: Entry) {
+        match self.members.get_mut(&entry.id) {
+            Some(member) => member.entry = entry,
+            None => {
+                let member = Member {
+                    entry,
+                    in_flight: 0,
+                    health: Health::default(),
+                };
+                self.members.insert(Arc::clone(&member.entry.id), member);
+            }
+        }
+    }
+
+    /// Takes an endpoint off the list; `false` if it was not on it.
+    pub fn remove(&mut self, id: &str) -> bool {
+        self.members.remove(id).is_some()
+    }
+
+    /// Keeps only the endpoints that `keep` names.
+    pub fn retain(&mut self, mut keep: impl FnMut(&str) -> bool) {
+        self.members.retain(|id, _| keep(id));
+    }
+
+    /// Returns an endpoint's line of the list.
+    pub fn entry(&self, id: &str) -> Option<&Entry> {
+        self.members.get(id).map(|member| &member.entry)
+    }
+
+    /// Iterates over the lines of the list, in no order.
+    pub fn entries(&self) -> impl Iterator<Item = &Entry> {
+        self.members.values().map(|member| &member.entry)
+    }
+
+    /// Returns whether an endpoint may get new requests.
+    pub fn is_ready(&self, id: &str) -> bool {
+        self.entry(id).is_some_and(|e| e.state == State::Ready)
+    }
+
+    /// Counts a request that is sent to an endpoint.
+    pub fn sent(&mut self, id: &str) {
+        if let Some(member) = self.members.get_mut(id) {
+            member.in_flight += 1;
+            member.health.sent();
+        }
+    }
+
+    /// Counts a request that ended at an endpoint.
+    pub fn ended(&mut self, id: &str, outcome: Outcome, now: Moment) {
+        if let Some(member) = self.members.get_mut(id) {
+            member.in_flight = member.in_flight.saturating_sub(1);
+            member.health.record(outcome, now);
+        }
+    }
+
+    /// Counts a failure that is not the end of a request, such as a refused connection.
+    pub fn failed(&mut self, id: &str, now: Moment) {
+        if let Some(member) = self.members.get_mut(id) {
+            member.health.record(Outcome::Broken, now);
+        }
+    }
+
+    /// Takes in how long the first byte of an answer took.
+    pub fn latency(&mut self, id: &str, taken: Duration) {
+        if let Some(member) = self.members.get_mut(id) {
+            member.health.latency(taken);
+        }
+    }
+
+    /// Takes in what a peer has under way.
+    pub fn report(&mut self, peer: Arc<str>, requests: HashMap<Arc<str>, u32>, now: Moment) {
+        self.reports.insert(peer, Loads { at: now, requests });
+    }
+
+    /// Lists what this instance itself has under way.
+    pub fn own_loads(&self) -> Vec<(Arc<str>, u32)> {
+        let busy = self.members.values().filter(|m| m.in_flight > 0);
+        busy.map(|m| (Arc::clone(&m.entry.id), m.in_flight)).collect()
+    }
+
+    /// Returns the requests under way at an endpoint, as far as known.
+    pub fn load(&self, id: &str, now: Moment) -> u32 {
+        let own = self.members.get(id).map_or(0, |m| m.in_flight);
+        let reports = self.reports.values();
+        let fresh = reports.filter(|loads| now.since(loads.at) <= REPORT_AGE);
+        let others: u32 = fresh.filter_map(|loads| loads.requests.get(id)).sum();
+        own + others
+    }
+
+    /// Returns how full an endpoint is; 1 is as many requests as it works on at once.
+    pub fn fill(&self, id: &str, now: Moment) -> Option<f64> {
+        let slots = self.members.get(id)?.entry.slots;
+        Some(f64::from(self.load(id, now)) / f64::from(slots.max(1)))
+    }
+
+    /// Ranks the endpoints that may take a request, cheapest first.
+    ///
+    /// Endpoints that are left out for their failures come only if there are no others.
+    pub fn rank(&self, query: &Query<'_>, now: Moment) -> Vec<(Cost, Arc<str>)> {
+        let ranked = self.rank_if(query, now, |health| !health.is_out(now));
+        if ranked.is_empty() {
+            return self.rank_if(query, now, |_| true);
+        }
+        ranked
+    }
+
+    fn rank_if(
+        &self,
+        query: &Query<'_>,
+        now: Moment,
+        allows: impl Fn(&Health) -> bool,
+    ) -> Vec<(Cost, Arc<str>)> {
+        let median = self.median_latency(query.service);
+        let mut ranked: Vec<(Cost, Arc<str>)> = self
+            .members
+            .values()
+            .filter(|m| &*m.entry.service == query.service)
+            .filter(|m| m.entry.state == State::Ready && !query.except.contains(&m.entry.id))
+            .filter(|m| allows(&m.health))
+            .map(|m| (self.cost(m, query, median, now), Arc::clone(&m.entry.id)))
+            .collect();
+        ranked.sort_by(|a, b| a.0.0.total_cmp(&b.0.0).then_with(|| a.1.cmp(&b.1)));
+        ranked
+    }
+
+    fn cost(&self, member: &Member, query: &Query<'_>, median: Option<f64>, now: Moment) -> Cost {
+        let entry = &member.entry;
+        let next = f64::from(self.load(&entry.id, now) + 1);
+        let fill = next / f64::from(entry.slots.max(1));
+        let mut cost = FILL * fill + CROWDED * (fill - NEARLY_FULL).max(0.0);
+        if &*entry.domain != query.domain {
+            cost += AWAY + AWAY_KB * query.bytes as f64 / 1_024.0;
+        }
+        if member.health.is_full(now) {
+            cost += REFUSED;
+        }
+        if let (Some(median), Some(latency)) = (median, member.health.latency_ms()) {
+            cost += (latency - SLOW * median).clamp(0.0, SLOWEST);
+        }
+        let candidate = Candidate {
+            name: &entry.id,
+            weight: 1.0,
+        };
+        // The score lies above 0 and is mostly below 3; its inverse spreads equal costs.
+        cost += SPREAD / (1.0 + score(query.key, &candidate));
+        Cost(cost)
+    }
+
+    fn median_latency(&self, service: &str) -> Option<f64> {
+        let of_service = self.members.values();
+        let of_service = of_service.filter(|m| &*m.entry.service == service);
+        let mut known: Vec<f64> = of_service.filter_map(|m| m.health.latency_ms()).collect();
+        if known.len() < 3 {
+            return None;
+        }
+        known.sort_by(f64::total_cmp);
+        Some(known[known.len() / 2])
+    }
+}
--- /dev/null
+++ b/crates/ploverwick_endpoints/src/lib.rs
@@ -0,0 +1,14 @@
+//! What one instance knows of the endpoints, and which one it sends a request to.
+//!
+//! Pure state: callers pass the time in and carry the messages. An instance knows its own requests
+//! exactly and those of its peers as of their last report.
+
+mod budget;
+mod entry;
+mod fleet;
+mod health;
+
+pub use budget::{Budget, Rate};
+pub use entry::{Entry, Held, State};
+pub use fleet::{Cost, Fleet, Query};
+pub use health::{Health, Outcome};
--- /dev/null
+++ b/crates/ploverwick_endpoints/tests/endpoint_choice.rs
@@ -0,0 +1,112 @@
+//! The choice of an endpoint by load, domain and health.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use googletest::prelude::*;
+use ploverwick_endpoints::{Entry, Fleet, Outcome, Query, State};
+use ploverwick_names::Moment;
+
+fn entry(id: &str, domain: &str) -> Entry {
+    Entry {
+        id: Arc::from(id),
+        service: Arc::from("app"),
+        address: "127.0.0.1:80".parse().expect("an address"),
+        domain: Arc::from(domain),
+        slots: 4,
+        state: State::Ready,
+        held: Vec::new(),
+    }
+}
+
+fn fleet() -> Fleet {
+    let mut fleet = Fleet::default();
+    fleet.put(entry("a", "d1"));
+    fleet.put(entry("b", "d2"));
+    fleet.put(entry("c", "d3"));
+    fleet
+}
+
+const QUERY: Query<'static> = Query {
+    service: "app",
+    domain: "d1",
+    key: "k",
+    bytes: 500,
+    except: &[],
+};
+
+fn first(fleet: &Fleet, now: Moment) -> Option<Arc<str>> {
+    fleet.rank(&QUERY, now).into_iter().next().map(|(_, id)| id)
+}
+
+#[googletest::test]
+fn own_domain_first() {
+    expect_that!(first(&fleet(), Moment(0)).as_deref(), some(eq("a")));
+}
+
+#[googletest::test]
+fn full_endpoint_yields() {
+    let mut fleet = fleet();
+    for _ in 0..4 {
+        fleet.sent("a");
+    }
+    expect_that!(first(&fleet, Moment(0)).as_deref(), some(not(eq("a"))));
+}
+
+#[googletest::test]
+fn peers_requests_count() {
+    let mut fleet = fleet();
+    let loads = HashMap::from([(Arc::from("a"), 6)]);
+    fleet.report(Arc::from("peer"), loads, Moment(0));
+    expect_that!(first(&fleet, Moment(10)).as_deref(), some(not(eq("a"))));
+    // An old report counts no longer.
+    expect_that!(first(&fleet, Moment(9_000)).as_deref(), some(eq("a")));
+}
+
+#[googletest::test]
+fn draining_gets_none() {
+    let mut fleet = fleet();
+    let mut leaving = entry("a", "d1");
+    leaving.state = State::Draining;
+    fleet.put(leaving);
+    let ids: Vec<_> = fleet.rank(&QUERY, Moment(0)).into_iter().map(|r| r.1).collect();
+    expect_that!(ids, not(contains(eq(&Arc::from("a")))));
+}
+
+#[googletest::test]
+fn failures_eject() {
+    let mut fleet = fleet();
+    for _ in 0..3 {
+        fleet.sent("a");
+        fleet.ended("a", Outcome::Broken, Moment(0));
+    }
+    expect_that!(first(&fleet, Moment(1)).as_deref(), some(not(eq("a"))));
+    // One trial at a time after the ejection, and its success readmits.
+    expect_that!(first(&fleet, Moment(2_000)).as_deref(), some(eq("a")));
+    fleet.sent("a");
+    expect_that!(first(&fleet, Moment(2_000)).as_deref(), some(not(eq("a"))));
+    fleet.ended("a", Outcome::Success, Moment(2_001));
+    expect_that!(first(&fleet, Moment(2_002)).as_deref(), some(eq("a")));
+}
+
+#[googletest::test]
+fn all_ejected_still_serve() {
+    let mut fleet = fleet();
+    for id in ["a", "b", "c"] {
+        for _ in 0..3 {
+            fleet.sent(id);
+            fleet.ended(id, Outcome::Broken, Moment(0));
+        }
+    }
+    expect_that!(first(&fleet, Moment(1)), some(anything()));
+}
+
+#[googletest::test]
+fn slow_endpoint_yields() {
+    let mut fleet = fleet();
+    for (id, ms) in [("a", 400), ("b", 30), ("c", 30)] {
+        fleet.latency(id, Duration::from_millis(ms));
+    }
+    expect_that!(first(&fleet, Moment(0)).as_deref(), some(not(eq("a"))));
+}
--- /dev/null
+++ b/crates/ploverwick_gateway/src/controllers.rs
@@ -0,0 +1,34 @@
+//! Controllers: each keeps one part of the shared state in step with what it follows.
+
+pub(crate) mod demand;
+pub(crate) mod instances;
+pub(crate) mod operator;
+pub(crate) mod orders;
+pub(crate) mod roster;
+pub(crate) mod tenure;
+
+use std::time::Duration;
+
+/// The pause after a call to the store that failed.
+const RETRY: Duration = Duration::from_millis(150);
+/// The longest such pause; calls are priced, also those that fail.
+const LONGEST_RETRY: Duration = Duration::from_millis(600);
+
+/// Pauses between calls that fail, longer each time.
+#[derive(Debug)]
+struct Backoff(Duration);
+
+impl Backoff {
+    fn new() -> Self {
+        Self(RETRY)
+    }
+
+    fn reset(&mut self) {
+        self.0 = RETRY;
+    }
+
+    async fn pause(&mut self) {
+        tokio::time::sleep(self.0).await;
+        self.0 = (self.0 * 2).min(LONGEST_RETRY);
+    }
+}
--- /dev/null
+++ b/crates/ploverwick_gateway/src/controllers/demand.rs
@@ -0,0 +1,76 @@
+//! Takes in demands for adapters and has them loaded where this instance places them.
+
+use std::sync::Arc;
+
+use ploverwick_adapters::{Copy, Site};
+use ploverwick_endpoints::State as EndpointState;
+
+use crate::peers;
+use crate::shared::Shared;
+
+/// Asks for an adapter at the endpoints of a failure domain; `more` says that those which hold it
+/// are full. Returns whether there was anybody to ask.
+pub(crate) fn ask(shared: &Arc<Shared>, domain: &str, copy: &Copy, more: bool) -> bool {
+    let now = shared.now();
+    let state = shared.state();
+    let is_own = *domain == *shared.settings.domain && state.tenure.is_held(now);
+    let placer = state.placer_of(domain, now);
+    drop(state);
+    if is_own {
+        take(shared, copy, more);
+        return true;
+    }
+    if let Some(ip) = placer {
+        peers::ask(shared, ip, copy, more);
+    }
+    placer.is_some()
+}
+
+/// Takes in a demand, if this instance places adapters.
+pub(crate) fn take(shared: &Arc<Shared>, copy: &Copy, more: bool) {
+    let now = shared.now();
+    let mut state = shared.state();
+    if !state.tenure.is_held(now) {
+        return;
+    }
+    let domain = &shared.settings.domain;
+    let fleet = &state.fleet;
+    let sites: Vec<Site> = fleet
+        .entries()
+        .filter(|entry| entry.domain == *domain && entry.state == EndpointState::Ready)
+        .map(|entry| Site {
+            endpoint: Arc::clone(&entry.id),
+            fill: fleet.fill(&entry.id, now).unwrap_or(0.0),
+        })
+        .collect();
+    let past = state.directory.past(&copy.key).cloned();
+    let chosen = state.placer.demand(copy, &sites, more, past.as_ref(), now);
+    drop(state);
+    if let Some(endpoint) = chosen {
+        spdlog::info!(
+            "adapter_placed adapter={} version={} endpoint={} more={} past={:?}",
+            copy.key,
+            copy.version,
+            endpoint,
+            more,
+            past
+        );
+        shared.orders.notify_waiters();
+    }
+}
+
+/// Has a newly declared version loaded if an older one is held in this failure domain.
+pub(crate) fn renew(shared: &Arc<Shared>, copy: &Copy) {
+    let now = shared.now();
+    let state = shared.state();
+    if !state.tenure.is_held(now) {
+        return;
+    }
+    let mut shelves = state.placer.shelves();
+    let is_held_here = shelves.any(|(_, shelf)| shelf.has_any(&copy.key));
+    drop(shelves);
+    drop(state);
+    if is_held_here {
+        take(shared, copy, false);
+    }
+}
--- /dev/null
+++ b/crates/ploverwick_gateway/src/controllers/instances.rs
@@ -0,0 +1,124 @@
+//! Lists this instance for the others and follows their list.
+
+use std::collections::HashSet;
+use std::net::IpAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ploverwick_platform::INSTANCES;
+use ploverwick_platform::store::{Error, Record};
+use serde::{Deserialize, Serialize};
+
+use super::Backoff;
+use crate::journal::Outage;
+use crate::shared::{Peer, Shared};
+
+/// How long a read waits for a record; instances come and go rarely, and peers that are not listed
+/// yet make themselves known by their messages.
+const WAIT: Duration = Duration::from_secs(20);
+
+#[derive(Debug, Serialize, Deserialize)]
+struct Line {
+    ip: IpAddr,
+    domain: Arc<str>,
+}
+
+/// Lists this instance, again if the store is away.
+pub(crate) async fn enlist(shared: Arc<Shared>) {
+    let settings = &shared.settings;
+    let line = Line {
+        ip: settings.ip.into(),
+        domain: Arc::clone(&settings.domain),
+    };
+    let line = serde_json::to_vec(&line).expect("a line is plain data");
+    let mut backoff = Backoff::new();
+    // A repeat of a write that was done all the same changes nothing.
+    while let Err(error) = shared
+        .store
+        .put(INSTANCES, &settings.instance, Some(&line))
+        .await
+    {
+        spdlog::warn!("not_listed cause=\"{}\"", error);
+        backoff.pause().await;
+    }
+}
+
+/// Takes this instance off the list, if the store answers.
+pub(crate) async fn retire(shared: &Shared) {
+    let name = &shared.settings.instance;
+    if let Err(error) = shared.store.put(INSTANCES, name, None).await {
+        spdlog::warn!("still_listed cause=\"{}\"", error);
+    }
+}
+
+/// Follows the list for as long as the process runs.
+pub(crate) async fn follow(shared: Arc<Shared>) {
+    let mut outage = Outage::of("instance list");
+    let mut backoff = Backoff::new();
+    let mut next: Option<u64> = None;
+    loop {
+        let result = match next {
+            None => shared.store.newest(INSTANCES).await.map(|snapshot| {
+                replace(&shared, &snapshot.records);
+                snapshot.end
+            }),
+            Some(from) => {
+                let read = shared.store.read(INSTANCES, from, WAIT).await;
+                read.map(|batch| {
+                    take(&shared, &batch.records);
+                    from + batch.records.len() as u64
+                })
+            }
+        };
+        match result {
+            Ok(end) => {
+                next = Some(end);
+                outage.works();
+                backoff.reset();
+            }
+            Err(Error::Expired) => next = None,
+            Err(error) => {
+                outage.fails(&error);
+                backoff.pause().await;
+            }
+        }
+    }
+}
+
+fn replace(shared: &Shared, records: &[Record]) {
+    take(shared, records);
+    let listed: HashSet<&str> = records.iter().map(|record| &*record.key).collect();
+    let mut state = shared.state();
+    state.peers.retain(|name, _| listed.contains(&**name));
+}
+
+fn take(shared: &Shared, records: &[Record]) {
+    for record in records {
+        if record.key == *shared.settings.instance {
+            continue;
+        }
+        let Some(value) = &record.value else {
+            shared.state().peers.remove(&*record.key);
+            spdlog::info!("instance_left instance={}", record.key);
+            continue;
+        };
+        match serde_json::from_slice::<Line>(value) {
+            Ok(line) => {
+                let mut state = shared.state();
+                let peer = state.peers.entry(Arc::from(&*record.key));
+                let peer = peer.or_insert_with(|| Peer {
+                    ip: line.ip,
+                    domain: Arc::clone(&line.domain),
+                    heard: None,
+                    places: None,
+                });
+                peer.ip = line.ip;
+                peer.domain = line.domain;
+                spdlog::info!("instance_listed instance={} ip={}", record.key, line.ip);
+            }
+            Err(error) => {
+                spdlog::warn!("instance_malformed key={} cause=\"{}\"", record.key, error);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/ploverwick_gateway/src/controllers/operator.rs
@@ -0,0 +1,113 @@
+//! Follows what the operator writes: the configuration and declared adapter versions.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ploverwick_platform::store::{Error, Record};
+use ploverwick_platform::{CONFIG_KEY, OPERATOR, config, version};
+
+use super::Backoff;
+use crate::journal::Outage;
+use crate::shared::Shared;
+
+/// How long a read waits for a record. A cut may swallow a waiting read without a trace, and the
+/// configuration must be in force two seconds after the operator's write, so it is short.
+const WAIT: Duration = Duration::from_millis(1_800);
+
+/// Follows the operator's topic for as long as the process runs.
+pub(crate) async fn follow(shared: Arc<Shared>) {
+    let mut outage = Outage::of("operator topic");
+    let mut backoff = Backoff::new();
+    let mut next: Option<u64> = None;
+    loop {
+        let result = match next {
+            None => shared.store.newest(OPERATOR).await.map(|snapshot| {
+                take(&shared, &snapshot.records);
+                snapshot.end
+            }),
+            Some(from) => {
+                let read = shared.store.read(OPERATOR, from, WAIT).await;
+                read.map(|batch| {
+                    take(&shared, &batch.records);
+                    from + batch.records.len() as u64
+                })
+            }
+        };
+        match result {
+            Ok(end) => {
+                next = Some(end);
+                outage.works();
+                backoff.reset();
+            }
+            Err(Error::Expired) => {
+                spdlog::info!("history_lost topic={}", OPERATOR);
+                next = None;
+            }
+            Err(error) => {
+                outage.fails(&error);
+                backoff.pause().await;
+            }
+        }
+    }
+}
+
+fn take(shared: &Arc<Shared>, records: &[Record]) {
+    for record in records {
+        let Some(value) = &record.value else {
+            continue;
+        };
+        if record.key == CONFIG_KEY {
+            take_config(shared, value);
+        } else {
+            take_version(shared, &record.key, value);
+        }
+    }
+}
+
+fn take_config(shared: &Shared, value: &[u8]) {
+    let config = match config::decode(value) {
+        Ok(config) => Arc::new(config),
+        Err(error) => {
+            spdlog::error!("config_malformed cause=\"{}\"", error);
+            return;
+        }
+    };
+    let mut state = shared.state();
+    let known = state.config.as_ref().map(|config| config.version);
+    // A configuration never goes back while the process runs.
+    if known.is_some_and(|known| known >= config.version) {
+        return;
+    }
+    spdlog::info!("config_in_force version={} before={:?}", config.version, known);
+    state.config = Some(config);
+    drop(state);
+    shared.orders.notify_waiters();
+}
+
+fn take_version(shared: &Arc<Shared>, key: &str, value: &[u8]) {
+    let copy = match version::decode(key, value) {
+        Ok(Some(copy)) => copy,
+        Ok(None) => return,
+        Err(error) => {
+            spdlog::error!("version_malformed key={} cause=\"{}\"", key, error);
+            return;
+        }
+    };
+    let now = shared.now();
+    let mut state = shared.state();
+    if !state.directory.declare(copy.key.clone(), copy.version, now) {
+        return;
+    }
+    let held_older = state.directory.older(&copy.key, copy.version);
+    drop(state);
+    spdlog::info!(
+        "version_declared adapter={} version={} older_held={:?}",
+        copy.key,
+        copy.version,
+        held_older
+    );
+    // What is in use is loaded before the next request asks for it.
+    if held_older.is_some() {
+        super::demand::renew(shared, &copy);
+    }
+}
--- /dev/null
+++ b/crates/ploverwick_gateway/src/controllers/orders.rs
@@ -0,0 +1,262 @@
+//! Gives orders to the endpoints of this failure domain while the right to do so lasts.
+//!
+//! One task for each endpoint: it gives one order at a time and waits for the answer.
+
+use std::collections::HashSet;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use ploverwick_adapters::{Answer, Event, Order, Report, Step};
+use ploverwick_endpoints::{Entry, State as EndpointState};
+use ploverwick_names::Moment;
+use ploverwick_platform::{order, roster};
+
+use crate::peers;
+use crate::pool::{Connection, connect};
+use crate::shared::Shared;
+
+/// The time for an answer; endpoints take about 3 ms, a loaded machine some more.
+const ANSWER: Duration = Duration::from_millis(450);
+/// The pause of a task that may give no order.
+const PAUSE: Duration = Duration::from_millis(120);
+
+/// Keeps a task for each endpoint of this failure domain that takes orders.
+pub(crate) async fn keep(shared: Arc<Shared>) {
+    let tended: Arc<Mutex<HashSet<Arc<str>>>> = Arc::default();
+    loop {
+        let woken = shared.orders.notified();
+        for endpoint in untended(&shared, &tended) {
+            let shared = Arc::clone(&shared);
+            let tended = Arc::clone(&tended);
+            tokio::spawn(async move {
+                tend(&shared, &endpoint).await;
+                tended
+                    .lock()
+                    .expect("no holder of the lock panics")
+                    .remove(&endpoint);
+            });
+        }
+        tokio::select! {
+            () = woken => {}
+            () = tokio::time::sleep(PAUSE) => {}
+        }
+    }
+}
+
+/// Adds the shelves that are missing and returns the endpoints that no task tends yet.
+fn untended(shared: &Shared, tended: &Mutex<HashSet<Arc<str>>>) -> Vec<Arc<str>> {
+    let now = shared.now();
+    let mut state = shared.state();
+    if state.tenure.token(now).is_none() {
+        return Vec::new();
+    }
+    let Some(config) = state.config.clone() else {
+        return Vec::new();
+    };
+    let mut new = Vec::new();
+    let state = &mut *state;
+    for entry in state.fleet.entries() {
+        let service = config.service(&entry.service);
+        let Some(engine) = service.and_then(|service| service.engine.as_ref()) else {
+            continue;
+        };
+        let is_ready = entry.state == EndpointState::Ready;
+        if entry.domain != shared.settings.domain || !is_ready {
+            continue;
+        }
+        state.placer.add(&entry.id, engine.adapter_slots, now);
+        // An endpoint without a base model gets the first; which one it should be is decided by
+        // the order of the configuration until several are in demand.
+        if let Some(shelf) = state.placer.shelf(&entry.id)
+            && shelf.is_empty()
+            && let Some(model) = engine.models.first()
+        {
+            shelf.wish_base(Arc::clone(model));
+        }
+        let mut tended = tended.lock().expect("no holder of the lock panics");
+        if tended.insert(Arc::clone(&entry.id)) {
+            new.push(Arc::clone(&entry.id));
+        }
+    }
+    new
+}
+
+/// Gives orders to one endpoint until it is gone or the right ends.
+async fn tend(shared: &Arc<Shared>, endpoint: &Arc<str>) {
+    loop {
+        let woken = shared.orders.notified();
+        let Some((step, entry, token)) = decide(shared, endpoint) else {
+            return;
+        };
+        match step {
+            // The token is the one under which the order was decided, whatever comes meanwhile.
+            Step::Send(order) => give(shared, &entry, &order, token).await,
+            Step::Report => learn(shared, &entry).await,
+            Step::Wait(at) => wait(shared, at, woken).await,
+            Step::Idle => wait(shared, shared.now() + PAUSE * 8, woken).await,
+        }
+    }
+}
+
+/// Decides the next step; `None` if the endpoint is gone or the right ended.
+fn decide(shared: &Shared, endpoint: &Arc<str>) -> Option<(Step, Entry, u64)> {
+    let now = shared.now();
+    let mut state = shared.state();
+    let token = state.tenure.token(now)?;
+    let entry = state.fleet.entry(endpoint).cloned()?;
+    let may_load = state.placer.may_load();
+    let shelf = state.placer.shelf(endpoint)?;
+    Some((shelf.next(now, may_load), entry, token))
+}
+
+async fn wait(shared: &Shared, until: Moment, woken: tokio::sync::futures::Notified<'_>) {
+    tokio::select! {
+        () = tokio::time::sleep_until(shared.clock.instant(until)) => {}
+        () = woken => {}
+    }
+}
+
+async fn give(shared: &Arc<Shared>, entry: &Entry, order: &Order, token: u64) {
+    let request = order::encode(order, &entry.id, &shared.settings.instance, token);
+    let connection = match shared.pool.take(&entry.id) {
+        Some(connection) => Ok(connection),
+        None => connect(entry.address).await,
+    };
+    // Connecting takes time in which the right may have ended.
+    let is_held = shared.state().tenure.token(shared.now()) == Some(token);
+    let answer = match connection {
+        Ok(_) if !is_held => return,
+        Ok(connection) => match exchange(shared, entry, connection, request).await {
+            Some(response) => order::answer(response.status()),
+            None => Answer::Unknown,
+        },
+        Err(cause) => {
+            spdlog::debug!("order_unsent endpoint={} cause=\"{}\"", entry.id, cause);
+            Answer::Gone
+        }
+    };
+    let event = answered(shared, &entry.id, order, token, answer);
+    if !matches!(answer, Answer::Accepted | Answer::Done) {
+        spdlog::info!(
+            "order_failed endpoint={} order={:?} token={} answer={:?}",
+            entry.id,
+            order,
+            token,
+            answer
+        );
+    }
+    if let Some(event) = event {
+        apply(shared, &entry.id, &event);
+    }
+    if answer == Answer::Gone {
+        tokio::time::sleep(PAUSE).await;
+    }
+}
+
+fn answered(
+    shared: &Shared,
+    endpoint: &Arc<str>,
+    order: &Order,
+    token: u64,
+    answer: Answer,
+) -> Option<Event> {
+    let now = shared.now();
+    let mut state = shared.state();
+    if answer == Answer::Fenced {
+        spdlog::warn!("order_fenced endpoint={} token={}", endpoint, token);
+        state.tenure.fenced(token, now);
+    }
+    let shelf = state.placer.shelf(endpoint)?;
+    shelf.answered(order, answer, now)
+}
+
+async fn learn(shared: &Arc<Shared>, entry: &Entry) {
+    let connection = match shared.pool.take(&entry.id) {
+        Some(connection) => Some(connection),
+        None => connect(entry.address).await.ok(),
+    };
+    let report = match connection {
+        Some(connection) => {
+            let request = order::ask_report(&entry.id);
+            let response = exchange(shared, entry, connection, request).await;
+            response.and_then(|response| roster::report(response.body()).ok())
+        }
+        None => None,
+    };
+    if let Some(event) = reported(shared, &entry.id, report) {
+        apply(shared, &entry.id, &event);
+    }
+}
+
+fn reported(shared: &Shared, endpoint: &Arc<str>, report: Option<Report>) -> Option<Event> {
+    let now = shared.now();
+    let mut state = shared.state();
+    let shelf = state.placer.shelf(endpoint)?;
+    let Some(report) = report else {
+        shelf.no_report(now);
+        return None;
+    };
+    spdlog::info!(
+        "endpoint_report endpoint={} orders={} held={} coming={}",
+        endpoint,
+        report.orders,
+        report.held.len(),
+        report.coming.len()
+    );
+    Some(shelf.report(&report, now))
+}
+
+fn apply(shared: &Arc<Shared>, endpoint: &Arc<str>, event: &Event) {
+    let now = shared.now();
+    let mut state = shared.state();
+    match event {
+        Event::Loaded(copy) => state.directory.loaded(endpoint, copy.clone(), now),
+        Event::Unloaded(copy) => state.directory.unloaded(endpoint, copy),
+        Event::Learned(copies) => state.directory.reported(endpoint, copies.clone(), now),
+        Event::BaseLoaded(model) => {
+            spdlog::info!("base_loaded endpoint={} model={}", endpoint, model);
+        }
+    }
+    drop(state);
+    if let Event::Loaded(copy) = event {
+        spdlog::info!(
+            "adapter_loaded adapter={} version={} endpoint={}",
+            copy.key,
+            copy.version,
+            endpoint
+        );
+    }
+    shared.placed.notify_waiters();
+    peers::announce(shared, endpoint, event);
+}
+
+/// Sends a request and reads the whole answer; `None` if there was none in time.
+async fn exchange(
+    shared: &Shared,
+    entry: &Entry,
+    mut connection: Connection,
+    request: Request<Full<Bytes>>,
+) -> Option<Response<Bytes>> {
+    let exchange = async {
+        let response = connection.sender.send_request(request).await?;
+        let (head, body) = response.into_parts();
+        let body = Incoming::collect(body).await?.to_bytes();
+        Ok::<_, hyper::Error>(Response::from_parts(head, body))
+    };
+    let response = tokio::time::timeout(ANSWER, exchange).await;
+    match response {
+        Ok(Ok(response)) => {
+            shared.pool.keep(&entry.id, connection);
+            Some(response)
+        }
+        Ok(Err(error)) => {
+            spdlog::debug!("call_failed endpoint={} cause=\"{}\"", entry.id, error);
+            None
+        }
+        Err(_) => None,
+    }
+}
--- /dev/null
+++ b/crates/ploverwick_gateway/src/controllers/roster.rs
@@ -0,0 +1,161 @@
+//! Follows the list of endpoints.
+
+use std::collections::{HashMap, HashSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use ploverwick_endpoints::State as EndpointState;
+use ploverwick_names::Moment;
+use ploverwick_platform::store::{Error, Record};
+use ploverwick_platform::{ROSTER, roster};
+
+use super::Backoff;
+use crate::journal::Outage;
+use crate::shared::Shared;
+
+/// The pause between reads. Each heartbeat of an endpoint is a record, so that a read that waits
+/// for the next one would return at once; a leave must be seen well within the drain time.
+const PAUSE: Duration = Duration::from_millis(550);
+/// How long an endpoint may be missing after the store came back before it counts as gone.
+const BACK: Duration = Duration::from_millis(2_300);
+
+#[derive(Debug)]
+struct Follower {
+    shared: Arc<Shared>,
+    /// When endpoints that are missing after an outage count as gone.
+    missing: HashMap<Arc<str>, Moment>,
+    /// Until when a missing endpoint may still come back.
+    lenient_until: Moment,
+}
+
+/// Follows the list for as long as the process runs.
+pub(crate) async fn follow(shared: Arc<Shared>) {
+    let mut outage = Outage::of("endpoint list");
+    let mut backoff = Backoff::new();
+    let mut next: Option<u64> = None;
+    let mut follower = Follower {
+        lenient_until: shared.now(),
+        shared,
+        missing: HashMap::new(),
+    };
+    loop {
+        let store = &follower.shared.store;
+        let result = match next {
+            None => store.newest(ROSTER).await.map(|snapshot| {
+                follower.replace(&snapshot.records);
+                snapshot.end
+            }),
+            Some(from) => store.read(ROSTER, from, Duration::ZERO).await.map(|batch| {
+                follower.take(&batch.records);
+                from + batch.records.len() as u64
+            }),
+        };
+        match result {
+            Ok(end) => {
+                next = Some(end);
+                if outage.works() {
+                    follower.lenient_until = follower.shared.now() + BACK;
+                }
+                backoff.reset();
+                follower.settle();
+                tokio::time::sleep(PAUSE).await;
+            }
+            Err(Error::Expired) => {
+                spdlog::info!("history_lost topic={}", ROSTER);
+                next = None;
+            }
+            Err(error) => {
+                outage.fails(&error);
+                backoff.pause().await;
+            }
+        }
+    }
+}
+
+impl Follower {
+    fn replace(&mut self, records: &[Record]) {
+        self.take(records);
+        let listed: HashSet<&str> = records.iter().map(|record| &*record.key).collect();
+        let state = self.shared.state();
+        let known = state.fleet.entries().map(|entry| Arc::clone(&entry.id));
+        let absent: Vec<Arc<str>> = known.filter(|id| !listed.contains(&**id)).collect();
+        drop(state);
+        for id in absent {
+            self.miss(&id);
+        }
+        self.shared.state().has_roster = true;
+    }
+
+    fn take(&mut self, records: &[Record]) {
+        for record in records {
+            match &record.value {
+                Some(value) => self.put(&record.key, value),
+                None => self.miss(&Arc::from(&*record.key)),
+            }
+        }
+        self.shared.orders.notify_waiters();
+        self.shared.placed.notify_waiters();
+    }
+
+    fn put(&mut self, id: &str, value: &[u8]) {
+        let entry = match roster::entry(id, value) {
+            Ok(entry) => entry,
+            Err(error) => {
+                spdlog::warn!("endpoint_malformed endpoint={} cause=\"{}\"", id, error);
+                return;
+            }
+        };
+        self.missing.remove(&entry.id);
+        let now = self.shared.now();
+        let mut state = self.shared.state();
+        let before = state.fleet.entry(id).map(|entry| entry.state);
+        if before != Some(entry.state) {
+            spdlog::info!(
+                "endpoint_listed endpoint={} service={} address={} domain={} state={:?}",
+                id,
+                entry.service,
+                entry.address,
+                entry.domain,
+                entry.state
+            );
+        }
+        let copies = roster::copies(&entry.held);
+        state.directory.listed(&entry.id, copies, now);
+        if entry.state == EndpointState::Draining {
+            state.placer.remove(id);
+        }
+        state.fleet.put(entry);
+    }
+
+    /// An endpoint is missing: it is gone, or the store has forgotten it in an outage.
+    fn miss(&mut self, id: &Arc<str>) {
+        let now = self.shared.now();
+        if now < self.lenient_until {
+            self.missing.entry(Arc::clone(id)).or_insert(now + BACK);
+        } else {
+            self.remove(id);
+        }
+    }
+
+    fn settle(&mut self) {
+        let now = self.shared.now();
+        let due = self.missing.iter().filter(|(_, at)| **at <= now);
+        let due: Vec<Arc<str>> = due.map(|(id, _)| Arc::clone(id)).collect();
+        for id in due {
+            self.missing.remove(&id);
+            self.remove(&id);
+        }
+    }
+
+    fn remove(&self, id: &Arc<str>) {
+        let mut state = self.shared.state();
+        if !state.fleet.remove(id) {
+            return;
+        }
+        state.directory.remove(id);
+        state.placer.remove(id);
+        drop(state);
+        self.shared.pool.remove(id);
+        spdlog::info!("endpoint_gone endpoint={}", id);
+    }
+}
--- /dev/null
+++ b/crates/ploverwick_gateway/src/filters.rs
@@ -0,0 +1,53 @@
+//! The chain of filters that takes a request from a client to an endpoint and back.
+//!
+//! `admit` reads it and finds its route, `place` finds an endpoint, `send` hands it over, `relay`
+//! passes the answer on, and `attempt` repeats the last three where that is safe.
+
+mod admit;
+mod attempt;
+mod flight;
+mod place;
+mod relay;
+mod reply;
+mod send;
+mod task;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::{HeaderValue, Request, Response, header};
+use hyper::body::Incoming;
+
+use crate::connection::Activity;
+use crate::shared::Shared;
+use reply::Body;
+
+/// How long bytes that went to other failure domains for want of an adapter count.
+const AWAY_WINDOW: Duration = Duration::from_secs(12);
+
+/// Serves one request.
+pub(crate) async fn run(
+    shared: Arc<Shared>,
+    activity: Activity,
+    request: Request<Incoming>,
+) -> Response<Body> {
+    activity.begin();
+    let mut response = match admit::run(&shared, request).await {
+        Ok(task) => attempt::run(&shared, task).await,
+        Err(refusal) => refusal.into_response(),
+    };
+    if shared.is_stopping() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    let ended = relay::Ended::new(activity, shared.clock);
+    response.map(|body| relay::watched(body, ended))
+}
+
+/// Forgets what no longer matters, for as long as the process runs.
+pub(crate) async fn watch(shared: Arc<Shared>) {
+    loop {
+        tokio::time::sleep(AWAY_WINDOW).await;
+        shared.state().away.clear();
+    }
+}
--- /dev/null
+++ b/crates/ploverwick_gateway/src/filters/admit.rs
@@ -0,0 +1,71 @@
+//! Reads a request, checks it, and finds its route.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::{Request, header};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use ploverwick_codes::Code;
+use ploverwick_platform::request;
+use tokio::time::Instant;
+
+use super::reply::Reply;
+use super::task::Task;
+use crate::shared::Shared;
+
+/// When to come back to an instance that knows no configuration yet.
+const NO_CONFIG: Duration = Duration::from_millis(300);
+/// The longest time for a body to arrive.
+const BODY: Duration = Duration::from_secs(10);
+
+/// Admits a request or says why not.
+pub(crate) async fn run(shared: &Shared, request: Request<Incoming>) -> Result<Task, Reply> {
+    let received = Instant::now();
+    let Some(config) = shared.state().config.clone() else {
+        return Err(Reply::new(Code::NoConfiguration, "").retry_after(NO_CONFIG));
+    };
+    let (head, body) = request.into_parts();
+    let host = head.headers.get(header::HOST);
+    let host = host.and_then(|host| host.to_str().ok());
+    let host = host.or_else(|| head.uri.host()).unwrap_or_default();
+    let Some(route) = config.route(host, head.uri.path()) else {
+        let detail = format!("host {host:?}, path {:?}", head.uri.path());
+        return Err(Reply::new(Code::PathUnknown, detail));
+    };
+    let call = request::read(&head.headers);
+    let route = Arc::clone(route);
+    let patience = call.patience.unwrap_or(route.timeout).min(route.timeout);
+    let body = Limited::new(body, config.limits.body_bytes).collect();
+    let body = match tokio::time::timeout(BODY, body).await {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+            let detail = format!("The limit is {} bytes.", config.limits.body_bytes);
+            return Err(Reply::new(Code::BodyTooLarge, detail));
+        }
+        Ok(Err(error)) => return Err(Reply::new(Code::BodyMalformed, error.to_string())),
+        Err(_) => return Err(Reply::new(Code::BodySlow, "")),
+    };
+    let service = route.service(rand::random::<f64>());
+    let service = Arc::clone(service.expect("a route has a service"));
+    let now = shared.now();
+    let mut state = shared.state();
+    let budget = state.budgets.entry(Arc::clone(&service)).or_default();
+    budget.request(now);
+    drop(state);
+    // The chosen part is all that goes on; a path in absolute form loses its host.
+    let target = head.uri.path_and_query().map(http::uri::PathAndQuery::as_str);
+    let target = target.and_then(|target| target.parse().ok());
+    Ok(Task {
+        method: head.method,
+        target: target.unwrap_or(head.uri),
+        headers: head.headers,
+        body,
+        call,
+        route,
+        service,
+        received,
+        deadline: received + patience,
+        config: config.version,
+    })
+}
--- /dev/null
+++ b/crates/ploverwick_gateway/src/filters/attempt.rs
@@ -0,0 +1,246 @@
+//! Sends a request until it is answered, as often as is safe and allowed.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::{Response, StatusCode};
+use ploverwick_codes::Code;
+use ploverwick_endpoints::Outcome;
+use tokio::time::Instant;
+
+use super::place::{self, Target};
+use super::relay;
+use super::reply::{Body, Reply};
+use super::send::{self, Answered, Sent};
+use super::task::Task;
+use crate::shared::Shared;
+
+/// Endpoints that may refuse or be out of reach before a request is given up.
+const MOST_REFUSALS: u32 = 4;
+/// The pause after a refusal for want of room, for each one so far.
+const PAUSE: Duration = Duration::from_millis(12);
+/// When to come back after refusals.
+const REFUSED: Duration = Duration::from_millis(200);
+/// The least time for which an endpoint's answer is awaited before another one is tried.
+const PATIENCE: Duration = Duration::from_millis(120);
+
+/// What became of a request so far.
+#[derive(Debug, Default)]
+struct History {
+    /// Sends that reached an endpoint.
+    sent: u32,
+    /// Sends that may have run.
+    runs: u32,
+    /// Sends that certainly have not run, or never left.
+    refusals: u32,
+    /// Endpoints that are not tried again.
+    except: Vec<Arc<str>>,
+    /// A failure that an endpoint answered, to pass on if there is nothing better.
+    answer: Option<Response<Body>>,
+}
+
+/// Serves an admitted request.
+pub(crate) async fn run(shared: &Arc<Shared>, task: Task) -> Response<Body> {
+    let task = Arc::new(task);
+    let mut history = History::default();
+    loop {
+        let target = match place::run(shared, &task, &history.except).await {
+            Ok(target) => target,
+            Err(reply) => return give_up(shared, &task, history, reply),
+        };
+        if history.sent > 0 && !may_repeat(shared, &task) {
+            let reply = Reply::new(Code::EndpointRefused, "No repeat is left in the budget.");
+            return give_up(shared, &task, history, reply.retry_after(REFUSED));
+        }
+        let limit = limit(&task, &history);
+        let sent = send::run(shared, &task, &target, limit, None).await;
+        match settle(shared, &task, &target, &mut history, sent).await {
+            Next::Answer(response) => return response,
+            Next::Again(pause) => tokio::time::sleep(pause).await,
+            Next::GiveUp(reply) => return give_up(shared, &task, history, reply),
+        }
+    }
+}
+
+enum Next {
+    Answer(Response<Body>),
+    Again(Duration),
+    GiveUp(Reply),
+}
+
+/// Decides what follows from how a send ended.
+async fn settle(
+    shared: &Arc<Shared>,
+    task: &Arc<Task>,
+    target: &Target,
+    history: &mut History,
+    sent: Sent,
+) -> Next {
+    match sent {
+        Sent::Unsent(cause) => {
+            history.refusals += 1;
+            history.except.push(Arc::clone(&target.entry.id));
+            refused(history, &cause, Duration::ZERO)
+        }
+        Sent::NotRun { misdirected } => {
+            history.sent += 1;
+            history.refusals += 1;
+            if misdirected {
+                mislaid(shared, target);
+                return refused(history, "misdirected", Duration::ZERO);
+            }
+            refused(history, "no room", PAUSE * history.refusals)
+        }
+        Sent::Lost(cause) => lost(task, target, history, &cause),
+        Sent::Silent => {
+            if task.left().is_zero() {
+                return Next::GiveUp(Reply::new(Code::DeadlineWhileRunning, ""));
+            }
+            lost(task, target, history, "no answer in time")
+        }
+        Sent::Answered(answered) => answer(shared, task, target, history, *answered).await,
+    }
+}
+
+async fn answer(
+    shared: &Arc<Shared>,
+    task: &Arc<Task>,
+    target: &Target,
+    history: &mut History,
+    mut answered: Answered,
+) -> Next {
+    let status = answered.parts.status;
+    if status.is_success() && !answered.head.signed {
+        answered.flight.end(Outcome::Broken);
+        return lost(task, target, history, "an answer without a signature");
+    }
+    answered.flight.latency(task.received.elapsed());
+    if status.is_success() && task.route.kind.is_stream() {
+        log(shared, task, target, history, status);
+        let response = relay::stream(shared, task, target, answered, history.sent + 1);
+        return Next::Answer(response);
+    }
+    let response = match relay::whole(shared, task, answered).await {
+        Ok(response) => response,
+        Err(cause) => return lost(task, target, history, &cause),
+    };
+    let is_failure = status.is_server_error();
+    if is_failure && may_run_again(task, history.runs + 1) {
+        history.sent += 1;
+        history.runs += 1;
+        history.except.push(Arc::clone(&target.entry.id));
+        history.answer = Some(response);
+        return Next::Again(Duration::ZERO);
+    }
+    log(shared, task, target, history, status);
+    Next::Answer(response)
+}
+
+fn refused(history: &History, cause: &str, pause: Duration) -> Next {
+    if history.refusals < MOST_REFUSALS {
+        return Next::Again(pause);
+    }
+    let reply = Reply::new(Code::EndpointRefused, cause);
+    Next::GiveUp(reply.retry_after(REFUSED))
+}
+
+fn lost(task: &Task, target: &Target, history: &mut History, cause: &str) -> Next {
+    history.sent += 1;
+    history.runs += 1;
+    history.except.push(Arc::clone(&target.entry.id));
+    if may_run_again(task, history.runs) {
+        return Next::Again(Duration::ZERO);
+    }
+    Next::GiveUp(Reply::new(Code::Interrupted, cause))
+}
+
+fn may_run_again(task: &Task, runs: u32) -> bool {
+    task.route.kind.may_repeat() && runs < task.route.max_attempts
+}
+
+/// Takes a repeat out of the budget.
+fn may_repeat(shared: &Shared, task: &Task) -> bool {
+    let rate = shared.repeat_rate();
+    let now = shared.now();
+    shared.state().may_repeat(&task.service, rate, now)
+}
+
+/// An endpoint does not hold what the directory says.
+fn mislaid(shared: &Shared, target: &Target) {
+    if let Some(copy) = &target.copy {
+        let mut state = shared.state();
+        state.directory.unloaded(&target.entry.id, copy);
+    }
+}
+
+/// Returns until when the head of an answer is awaited: to the end, unless another try may follow.
+fn limit(task: &Task, history: &History) -> Instant {
+    if !may_run_again(task, history.runs + 1) {
+        return task.deadline;
+    }
+    let patience = task.route.objective.max(PATIENCE);
+    (Instant::now() + patience).min(task.deadline)
+}
+
+fn give_up(
+    shared: &Shared,
+    task: &Task,
+    history: History,
+    reply: Reply,
+) -> Response<Body> {
+    // Once a send may have run, only an answer that promises nothing is true.
+    let reply = if history.runs == 0 || reply.code.class() != ploverwick_codes::Class::NotRun {
+        reply
+    } else {
+        Reply::new(Code::Interrupted, reply.detail)
+    };
+    if shared.lines.allow(shared.now()) {
+        spdlog::info!(
+            "request_failed id={} route={} service={} config={} adapter={} sent={} runs={} refusals={} except={:?} code={} detail=\"{}\" left_ms={} ms={}",
+            task.call.id,
+            task.route.name,
+            task.service,
+            task.config,
+            adapter(task),
+            history.sent,
+            history.runs,
+            history.refusals,
+            history.except,
+            reply.code,
+            reply.detail,
+            task.left().as_millis(),
+            task.received.elapsed().as_millis()
+        );
+    }
+    history.answer.unwrap_or_else(|| reply.into_response())
+}
+
+fn adapter(task: &Task) -> String {
+    let adapter = task.call.adapter.as_ref();
+    adapter.map_or_else(|| "-".to_owned(), ToString::to_string)
+}
+
+fn log(
+    shared: &Shared,
+    task: &Task,
+    target: &Target,
+    history: &History,
+    status: StatusCode,
+) {
+    if shared.lines.allow(shared.now()) {
+        spdlog::info!(
+            "request_answered id={} route={} config={} adapter={} version={:?} endpoint={} domain={} cost={:.1} sent={} status={} ms={}",
+            task.call.id,
+            task.route.name,
+            task.config,
+            adapter(task),
+            target.copy.as_ref().map(|copy| copy.version),
+            target.entry.id,
+            target.entry.domain,
+            target.cost.0,
+            history.sent + 1,
+            status.as_u16(),
+            task.received.elapsed().as_millis()
+        );
+    }
+}
--- /dev/null
+++ b/crates/ploverwick_gateway/src/filters/flight.rs
@@ -0,0 +1,57 @@
+//! A request under way at an endpoint.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ploverwick_adapters::Copy;
+use ploverwick_endpoints::Outcome;
+
+use crate::peers::count_use;
+use crate::shared::Shared;
+
+/// Counts a request at an endpoint for as long as it lives.
+#[derive(Debug)]
+pub(crate) struct Flight {
+    shared: Arc<Shared>,
+    pub(crate) endpoint: Arc<str>,
+    copy: Option<Copy>,
+    outcome: Outcome,
+}
+
+impl Flight {
+    pub(crate) fn begin(shared: &Arc<Shared>, endpoint: &Arc<str>, copy: Option<Copy>) -> Self {
+        let mut state = shared.state();
+        state.fleet.sent(endpoint);
+        if let Some(copy) = &copy {
+            count_use(&mut state, endpoint, copy, true);
+        }
+        drop(state);
+        Self {
+            shared: Arc::clone(shared),
+            endpoint: Arc::clone(endpoint),
+            copy,
+            outcome: Outcome::Abandoned,
+        }
+    }
+
+    /// Says how the request ended; without it the caller left.
+    pub(crate) fn end(&mut self, outcome: Outcome) {
+        self.outcome = outcome;
+    }
+
+    /// Takes in how long the head of the answer took.
+    pub(crate) fn latency(&self, taken: Duration) {
+        self.shared.state().fleet.latency(&self.endpoint, taken);
+    }
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        let now = self.shared.now();
+        let mut state = self.shared.state();
+        state.fleet.ended(&self.endpoint, self.outcome, now);
+        if let Some(copy) = &self.copy {
+            count_use(&mut state, &self.endpoint, copy, false);
+        }
+    }
+}
--- /dev/null
+++ b/crates/ploverwick_gateway/src/filters/place.rs
@@ -0,0 +1,214 @@
+//! Finds the endpoint for a request.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ploverwick_adapters::{Copy, Key};
+use ploverwick_codes::Code;
+use ploverwick_endpoints::{Cost, Entry, Query};
+use ploverwick_names::Moment;
+use tokio::time::Instant;
+
+use super::reply::Reply;
+use super::task::Task;
+use crate::controllers::demand;
+use crate::shared::{Shared, State};
+
+/// When to come back if no endpoint is there.
+const NO_ENDPOINT: Duration = Duration::from_millis(400);
+/// When to come back if all are full.
+const FULL: Duration = Duration::from_millis(250);
+/// When to come back if the adapter could not be loaded in time.
+const NOT_LOADED: Duration = Duration::from_millis(200);
+/// Requests at an endpoint, against those that it works on at once, above which others are
+/// refused: they would wait longer than their objective.
+const MOST_FILL: f64 = 2.5;
+/// The fill of its holders above which an adapter is loaded at another endpoint too.
+const CROWDED: f64 = 0.6;
+/// Bytes to other failure domains that cost about as much as loading the adapter here: a load
+/// costs what 28 KB between failure domains do, by the users' prices.
+const AWAY_MOST: usize = 28 * 1_024;
+/// How long a wait for an adapter lasts before it is asked for again; a message may be lost.
+const ASK_AGAIN: Duration = Duration::from_millis(70);
+/// Questions to the own failure domain before others are asked.
+const OWN_ASKS: u32 = 2;
+/// The part of the time left for which a request waits for its adapter.
+const WAIT_SHARE: f64 = 0.5;
+/// How long before the bound on versions an older one is no longer used.
+const VERSION_MARGIN: Duration = Duration::from_millis(1_500);
+
+/// Where a request goes.
+#[derive(Debug, Clone)]
+pub(crate) struct Target {
+    pub(crate) entry: Entry,
+    /// The adapter in the version that the endpoint holds.
+    pub(crate) copy: Option<Copy>,
+    pub(crate) cost: Cost,
+}
+
+/// Finds an endpoint; waits if the adapter has to be loaded first.
+pub(crate) async fn run(
+    shared: &Arc<Shared>,
+    task: &Task,
+    except: &[Arc<str>],
+) -> Result<Target, Reply> {
+    let Some(key) = &task.call.adapter else {
+        return direct(shared, task, except);
+    };
+    let until = Instant::now() + task.left().mul_f64(WAIT_SHARE);
+    let mut asks = 0;
+    loop {
+        let placed = shared.placed.notified();
+        let (choice, wanted) = look(shared, task, key, except);
+        match choice {
+            Choice::Go(target) => return Ok(target),
+            Choice::Full => return Err(Reply::new(Code::Overloaded, "").retry_after(FULL)),
+            Choice::Wait => {}
+        }
+        if Instant::now() >= until {
+            let detail = format!("adapter {key}, asked {asks} times");
+            return Err(Reply::new(Code::LoadFailed, detail).retry_after(NOT_LOADED));
+        }
+        ask(shared, &wanted, asks);
+        asks += 1;
+        tokio::select! {
+            () = placed => {}
+            () = tokio::time::sleep(ASK_AGAIN) => {}
+        }
+    }
+}
+
+enum Choice {
+    Go(Target),
+    Full,
+    Wait,
+}
+
+/// Finds an endpoint for a request without an adapter.
+fn direct(shared: &Shared, task: &Task, except: &[Arc<str>]) -> Result<Target, Reply> {
+    let now = shared.now();
+    let state = shared.state();
+    let ranked = state.fleet.rank(&query(shared, task, except), now);
+    let holds = |id: &str| match &task.call.model {
+        None => true,
+        Some(model) => {
+            let entry = state.fleet.entry(id);
+            // A plain service lists no models and takes the request as it is.
+            entry.is_some_and(|e| e.held.is_empty() || e.held.iter().any(|h| h.model == *model))
+        }
+    };
+    let best = ranked.into_iter().find(|(_, id)| holds(id));
+    let Some((cost, id)) = best else {
+        return Err(Reply::new(Code::NoEndpoint, "").retry_after(NO_ENDPOINT));
+    };
+    if state.fleet.fill(&id, now).is_some_and(|fill| fill >= MOST_FILL) {
+        return Err(Reply::new(Code::Overloaded, "").retry_after(FULL));
+    }
+    let entry = state.fleet.entry(&id).expect("it was ranked").clone();
+    Ok(Target {
+        entry,
+        copy: None,
+        cost,
+    })
+}
+
+fn query<'a>(shared: &'a Shared, task: &'a Task, except: &'a [Arc<str>]) -> Query<'a> {
+    Query {
+        service: &task.service,
+        domain: &shared.settings.domain,
+        key: task.call.adapter.as_ref().map_or(&*task.call.id, |k| &k.adapter),
+        bytes: task.bytes(),
+        except,
+    }
+}
+
+/// Looks at what is known now, and asks for copies that are worth it whatever the choice.
+fn look(shared: &Arc<Shared>, task: &Task, key: &Key, except: &[Arc<str>]) -> (Choice, Copy) {
+    let now = shared.now();
+    let mut state = shared.state();
+    let (version, since) = state.directory.newest(key);
+    let wanted = Copy {
+        key: key.clone(),
+        version,
+    };
+    let ranked = state.fleet.rank(&query(shared, task, except), now);
+    let mut held = wanted.clone();
+    let mut best = best(&state, &ranked, &held);
+    if best.is_none()
+        && let Some(older) = usable_older(shared, &state, key, version, since, now)
+    {
+        held.version = older;
+        best = self::best(&state, &ranked, &held);
+    }
+    let Some((cost, id)) = best else {
+        return (Choice::Wait, wanted);
+    };
+    let entry = state.fleet.entry(&id).expect("it was ranked").clone();
+    let fill = state.fleet.fill(&id, now).unwrap_or(0.0);
+    let is_away = entry.domain != shared.settings.domain;
+    let is_older = held.version != wanted.version;
+    let worth_loading = is_away && count_away(&mut state, &wanted, task.bytes());
+    drop(state);
+    if worth_loading || is_older || fill > CROWDED {
+        demand::ask(shared, &shared.settings.domain, &wanted, fill > CROWDED);
+    }
+    if fill >= MOST_FILL {
+        return (Choice::Full, wanted);
+    }
+    let target = Target {
+        entry,
+        copy: Some(held),
+        cost,
+    };
+    (Choice::Go(target), wanted)
+}
+
+fn best(state: &State, ranked: &[(Cost, Arc<str>)], copy: &Copy) -> Option<(Cost, Arc<str>)> {
+    let holders = state.directory.holders(&copy.key, copy.version);
+    let mut ranked = ranked.iter();
+    ranked.find(|(_, id)| holders.contains(id)).cloned()
+}
+
+/// Returns an older version that may still be used while the newest is being loaded.
+fn usable_older(
+    shared: &Shared,
+    state: &State,
+    key: &Key,
+    version: u64,
+    since: Option<Moment>,
+    now: Moment,
+) -> Option<u64> {
+    let limit = shared.settings.version.saturating_sub(VERSION_MARGIN);
+    let is_recent = since.is_some_and(|since| now.since(since) < limit);
+    is_recent.then(|| state.directory.older(key, version))?
+}
+
+/// Counts bytes that go elsewhere; returns whether loading the adapter here pays by now.
+fn count_away(state: &mut State, copy: &Copy, bytes: usize) -> bool {
+    let sum = state.away.entry(copy.clone()).or_default();
+    *sum += bytes;
+    *sum >= AWAY_MOST
+}
+
+/// Asks for an adapter: in the failure domain that loads it fast, else here, else anywhere.
+fn ask(shared: &Arc<Shared>, copy: &Copy, asks: u32) {
+    let own = &shared.settings.domain;
+    let others: Vec<&Arc<str>> = {
+        let domains = shared.settings.domains.iter();
+        domains.filter(|domain| *domain != own).collect()
+    };
+    if asks >= OWN_ASKS && !others.is_empty() {
+        let turn = (asks - OWN_ASKS) as usize % (others.len() + 1);
+        if let Some(domain) = others.get(turn) {
+            demand::ask(shared, domain, copy, false);
+            return;
+        }
+    }
+    if !demand::ask(shared, own, copy, false) {
+        for domain in others {
+            if demand::ask(shared, domain, copy, false) {
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/ploverwick_gateway/src/filters/relay.rs
@@ -0,0 +1,377 @@
+//! Passes answers of endpoints on to clients.
+
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use futures_util::stream;
+use http::response::Parts;
+use http::{Response, StatusCode};
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Frame, Incoming, SizeHint};
+use ploverwick_endpoints::Outcome;
+use ploverwick_platform::answer::{self, Head};
+
+use super::flight::Flight;
+use super::place::{self, Target};
+use super::reply::{Body, Broken, whole as whole_body};
+use super::send::{self, Answered, Sent};
+use super::task::Task;
+use crate::clock::Clock;
+use crate::connection::Activity;
+use crate::pool::Connection;
+use crate::shared::Shared;
+
+/// The time for the rest of a refusal, so that its connection can be used again.
+const DRAIN: Duration = Duration::from_millis(200);
+
+/// Reads an answer to its end and makes a response of it.
+///
+/// # Errors
+/// Fails with the cause if it breaks off; nothing went to the client then.
+pub(crate) async fn whole(
+    shared: &Shared,
+    task: &Task,
+    answered: Answered,
+) -> Result<Response<Body>, String> {
+    let Answered {
+        parts,
+        head,
+        body,
+        mut flight,
+        connection,
+    } = answered;
+    let body = match tokio::time::timeout_at(task.deadline, body.collect()).await {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(error)) => {
+            flight.end(Outcome::Broken);
+            return Err(error.to_string());
+        }
+        Err(_) => {
+            flight.end(Outcome::Broken);
+            return Err("the answer was not complete in time".to_owned());
+        }
+    };
+    flight.end(if parts.status.is_server_error() {
+        Outcome::Error
+    } else {
+        Outcome::Success
+    });
+    keep(shared, &flight.endpoint, connection, &head);
+    Ok(respond(&parts, &head, whole_body(body)))
+}
+
+/// Passes a stream of events on as it comes.
+pub(crate) fn stream(
+    shared: &Arc<Shared>,
+    task: &Arc<Task>,
+    target: &Target,
+    answered: Answered,
+    sent: u32,
+) -> Response<Body> {
+    let Answered {
+        parts,
+        head,
+        body,
+        flight,
+        connection,
+    } = answered;
+    let relay = Relay {
+        shared: Arc::clone(shared),
+        task: Arc::clone(task),
+        source: Some(Source {
+            body,
+            flight,
+            connection,
+            head: head.clone(),
+        }),
+        events: task.route.kind.may_repeat().then(Events::default),
+        sent,
+        tried: vec![Arc::clone(&target.entry.id)],
+    };
+    let frames = stream::try_unfold(relay, |mut relay| async move {
+        let bytes = relay.next().await?;
+        Ok::<_, Broken>(bytes.map(|bytes| (Frame::data(bytes), relay)))
+    });
+    respond(&parts, &head, UnsyncBoxBody::new(StreamBody::new(frames)))
+}
+
+/// Reads the rest of a refusal aside.
+pub(crate) fn drain(
+    shared: &Arc<Shared>,
+    endpoint: &Arc<str>,
+    connection: Connection,
+    head: Head,
+    body: Incoming,
+) {
+    let shared = Arc::clone(shared);
+    let endpoint = Arc::clone(endpoint);
+    tokio::spawn(async move {
+        if let Ok(Ok(_)) = tokio::time::timeout(DRAIN, body.collect()).await {
+            keep(&shared, &endpoint, connection, &head);
+        }
+    });
+}
+
+fn keep(shared: &Shared, endpoint: &Arc<str>, mut connection: Connection, head: &Head) {
+    if head.closes {
+        return;
+    }
+    connection.limit = head.keep_alive.or(connection.limit);
+    shared.pool.keep(endpoint, connection);
+}
+
+fn respond(parts: &Parts, head: &Head, body: Body) -> Response<Body> {
+    let mut response = Response::new(body);
+    *response.status_mut() = promise(parts.status, head);
+    *response.headers_mut() = answer::back(&parts.headers);
+    response
+}
+
+/// A status that promises "not run" goes on only with the endpoint's own statement.
+fn promise(status: StatusCode, head: &Head) -> StatusCode {
+    let promises = matches!(status.as_u16(), 408 | 421 | 429 | 503);
+    if promises && !head.not_run {
+        return StatusCode::BAD_GATEWAY;
+    }
+    status
+}
+
+#[derive(Debug)]
+struct Source {
+    body: Incoming,
+    flight: Flight,
+    connection: Connection,
+    head: Head,
+}
+
+/// A stream on its way to a client.
+#[derive(Debug)]
+struct Relay {
+    shared: Arc<Shared>,
+    task: Arc<Task>,
+    source: Option<Source>,
+    /// Cuts the bytes into events, if the stream may go on at another endpoint.
+    events: Option<Events>,
+    sent: u32,
+    tried: Vec<Arc<str>>,
+}
+
+impl Relay {
+    /// Returns the next bytes; `None` at the end.
+    async fn next(&mut self) -> Result<Option<Bytes>, Broken> {
+        loop {
+            let Some(source) = &mut self.source else {
+                return Ok(None);
+            };
+            let frame = tokio::time::timeout_at(self.task.deadline, source.body.frame()).await;
+            match frame {
+                Ok(Some(Ok(frame))) => {
+                    let Ok(data) = frame.into_data() else {
+                        continue;
+                    };
+                    if let Some(bytes) = self.pass(data) {
+                        return Ok(Some(bytes));
+                    }
+                }
+                Ok(None) => return Ok(self.finish()),
+                Ok(Some(Err(error))) => self.resume(&error.to_string()).await?,
+                Err(_) => {
+                    self.lose(Outcome::Abandoned);
+                    return Err(self.broken("the deadline passed"));
+                }
+            }
+        }
+    }
+
+    /// Holds back what is not a whole event, if the stream may go on elsewhere.
+    fn pass(&mut self, data: Bytes) -> Option<Bytes> {
+        match &mut self.events {
+            None => Some(data),
+            Some(events) => events.push(&data),
+        }
+    }
+
+    fn finish(&mut self) -> Option<Bytes> {
+        if let Some(mut source) = self.source.take() {
+            source.flight.end(Outcome::Success);
+            let endpoint = Arc::clone(&source.flight.endpoint);
+            keep(&self.shared, &endpoint, source.connection, &source.head);
+        }
+        let rest = self.events.as_mut().map(Events::rest);
+        rest.filter(|rest| !rest.is_empty())
+    }
+
+    fn lose(&mut self, outcome: Outcome) {
+        if let Some(mut source) = self.source.take() {
+            source.flight.end(outcome);
+        }
+    }
+
+    fn broken(&self, cause: &str) -> Broken {
+        if self.shared.lines.allow(self.shared.now()) {
+            spdlog::info!(
+                "stream_broken id={} route={} sent={} endpoints={:?} cause=\"{}\" left_ms={} ms={}",
+                self.task.call.id,
+                self.task.route.name,
+                self.sent,
+                self.tried,
+                cause,
+                self.task.left().as_millis(),
+                self.task.received.elapsed().as_millis()
+            );
+        }
+        Broken(cause.to_owned())
+    }
+
+    /// Goes on at another endpoint after the last whole event.
+    async fn resume(&mut self, cause: &str) -> Result<(), Broken> {
+        self.lose(Outcome::Broken);
+        let after = match &mut self.events {
+            Some(events) => events.cut(),
+            None => return Err(self.broken(cause)),
+        };
+        while self.sent < self.task.route.max_attempts && self.may_repeat() {
+            let target = match place::run(&self.shared, &self.task, &self.tried).await {
+                Ok(target) => target,
+                Err(reply) => return Err(self.broken(&reply.detail)),
+            };
+            self.sent += 1;
+            self.tried.push(Arc::clone(&target.entry.id));
+            let limit = self.task.deadline;
+            let sent = send::run(&self.shared, &self.task, &target, limit, after).await;
+            if let Sent::Answered(answered) = sent
+                && answered.parts.status.is_success()
+                && answered.head.signed
+            {
+                let Answered {
+                    head,
+                    body,
+                    flight,
+                    connection,
+                    ..
+                } = *answered;
+                self.source = Some(Source {
+                    body,
+                    flight,
+                    connection,
+                    head,
+                });
+                return Ok(());
+            }
+        }
+        Err(self.broken(cause))
+    }
+
+    fn may_repeat(&self) -> bool {
+        let rate = self.shared.repeat_rate();
+        let now = self.shared.now();
+        let mut state = self.shared.state();
+        state.may_repeat(&self.task.service, rate, now)
+    }
+}
+
+/// Cuts a stream into whole events and remembers the last one's identifier.
+#[derive(Debug, Default)]
+pub(crate) struct Events {
+    pending: BytesMut,
+    last: Option<u64>,
+}
+
+impl Events {
+    /// Takes bytes in and returns the whole events so far, if any.
+    pub(crate) fn push(&mut self, data: &[u8]) -> Option<Bytes> {
+        let from = self.pending.len().saturating_sub(3);
+        self.pending.extend_from_slice(data);
+        let end = event_end(&self.pending, from)?;
+        let events = self.pending.split_to(end).freeze();
+        self.last = last_id(&events).or(self.last);
+        Some(events)
+    }
+
+    /// Drops a part of an event and returns the last whole one's identifier.
+    pub(crate) fn cut(&mut self) -> Option<u64> {
+        self.pending.clear();
+        self.last
+    }
+
+    /// Returns what is left at the end of the stream.
+    pub(crate) fn rest(&mut self) -> Bytes {
+        self.pending.split().freeze()
+    }
+}
+
+/// Finds the end of the last whole event; an empty line ends one.
+fn event_end(bytes: &[u8], from: usize) -> Option<usize> {
+    let mut end = None;
+    for at in from..bytes.len() {
+        let rest = &bytes[at..];
+        if rest.starts_with(b"\n\n") {
+            end = Some(at + 2);
+        } else if rest.starts_with(b"\n\r\n") {
+            end = Some(at + 3);
+        }
+    }
+    end
+}
+
+fn last_id(events: &[u8]) -> Option<u64> {
+    let mut lines = events.rsplit(|byte| *byte == b'\n');
+    let id = lines.find_map(|line| line.strip_prefix(b"id:"))?;
+    std::str::from_utf8(id).ok()?.trim().parse().ok()
+}
+
+/// Says when an answer is over, so that the connection counts as idle from then on.
+#[derive(Debug)]
+pub(crate) struct Ended {
+    activity: Activity,
+    clock: Clock,
+}
+
+impl Ended {
+    pub(crate) fn new(activity: Activity, clock: Clock) -> Self {
+        Self { activity, clock }
+    }
+}
+
+impl Drop for Ended {
+    fn drop(&mut self) {
+        self.activity.end(self.clock.now());
+    }
+}
+
+/// Ties the end of a body to a watcher.
+pub(crate) fn watched(body: Body, ended: Ended) -> Body {
+    UnsyncBoxBody::new(Watched {
+        body,
+        _ended: ended,
+    })
+}
+
+struct Watched {
+    body: Body,
+    _ended: Ended,
+}
+
+impl hyper::body::Body for Watched {
+    type Data = Bytes;
+    type Error = Broken;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
+        Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- /dev/null
+++ b/crates/ploverwick_gateway/src/filters/send.rs
@@ -0,0 +1,165 @@
+//! Hands a request to an endpoint and reads the head of its answer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::response::Parts;
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use ploverwick_endpoints::Outcome;
+use ploverwick_platform::answer::{self, Head};
+use ploverwick_platform::request::{self, Addition};
+use tokio::time::Instant;
+
+use super::flight::Flight;
+use super::place::Target;
+use super::task::Task;
+use crate::pool::{Connection, connect};
+use crate::shared::Shared;
+
+/// Less time than this is not worth an endpoint's work.
+const LEAST_LEFT: Duration = Duration::from_millis(20);
+
+/// How handing a request over ended.
+#[derive(Debug)]
+pub(crate) enum Sent {
+    /// The endpoint answers.
+    Answered(Box<Answered>),
+    /// The endpoint states that it has not run the request.
+    NotRun {
+        /// It does not hold what the request names, or is another endpoint.
+        misdirected: bool,
+    },
+    /// No byte of it went anywhere.
+    Unsent(String),
+    /// It may have run.
+    Lost(String),
+    /// There was no answer in time; it may have run.
+    Silent,
+}
+
+/// An answer whose head was read.
+#[derive(Debug)]
+pub(crate) struct Answered {
+    pub(crate) parts: Parts,
+    pub(crate) head: Head,
+    pub(crate) body: Incoming,
+    pub(crate) flight: Flight,
+    pub(crate) connection: Connection,
+}
+
+/// Sends a request to its target.
+///
+/// `limit` bounds the wait for the head; `after_event` is the event after which a stream goes on.
+pub(crate) async fn run(
+    shared: &Arc<Shared>,
+    task: &Task,
+    target: &Target,
+    limit: Instant,
+    after_event: Option<u64>,
+) -> Sent {
+    if task.left() < LEAST_LEFT {
+        return Sent::Unsent("no time is left".to_owned());
+    }
+    let endpoint = &target.entry.id;
+    let mut flight = Flight::begin(shared, endpoint, target.copy.clone());
+    let (connection, result) = match exchange(shared, task, target, limit, after_event).await {
+        Exchange::Unsent(cause) => {
+            flight.end(Outcome::Broken);
+            return Sent::Unsent(cause);
+        }
+        Exchange::Silent => {
+            flight.end(Outcome::Broken);
+            return Sent::Silent;
+        }
+        Exchange::Done(connection, result) => (connection, result),
+    };
+    let (parts, body) = match result {
+        Ok(response) => response.into_parts(),
+        Err(error) => {
+            flight.end(Outcome::Broken);
+            return Sent::Lost(error.to_string());
+        }
+    };
+    let head = answer::read(parts.status, &parts.headers, &task.call.id);
+    if head.foreign {
+        // An answer to an earlier request: where this one's begins cannot be told any more.
+        flight.end(Outcome::Error);
+        return Sent::Lost("the answer is another request's".to_owned());
+    }
+    if head.not_run {
+        let misdirected = head.misdirected;
+        flight.end(if misdirected {
+            Outcome::Abandoned
+        } else {
+            Outcome::Refused
+        });
+        super::relay::drain(shared, endpoint, connection, head, body);
+        return Sent::NotRun { misdirected };
+    }
+    Sent::Answered(Box::new(Answered {
+        parts,
+        head,
+        body,
+        flight,
+        connection,
+    }))
+}
+
+enum Exchange {
+    Unsent(String),
+    Silent,
+    Done(Connection, Result<Response<Incoming>, hyper::Error>),
+}
+
+async fn exchange(
+    shared: &Shared,
+    task: &Task,
+    target: &Target,
+    limit: Instant,
+    after_event: Option<u64>,
+) -> Exchange {
+    let mut message = write(task, target, after_event);
+    // A kept connection may have closed unnoticed; then the request comes back unsent.
+    while let Some(mut connection) = shared.pool.take(&target.entry.id) {
+        let send = connection.sender.try_send_request(message);
+        match tokio::time::timeout_at(limit, send).await {
+            Err(_) => return Exchange::Silent,
+            Ok(Ok(response)) => return Exchange::Done(connection, Ok(response)),
+            Ok(Err(mut failed)) => match failed.take_message() {
+                Some(unsent) => message = unsent,
+                None => return Exchange::Done(connection, Err(failed.into_error())),
+            },
+        }
+    }
+    let mut connection = match connect(target.entry.address).await {
+        Ok(connection) => connection,
+        Err(cause) => return Exchange::Unsent(cause),
+    };
+    let send = connection.sender.send_request(message);
+    match tokio::time::timeout_at(limit, send).await {
+        Err(_) => Exchange::Silent,
+        Ok(result) => Exchange::Done(connection, result),
+    }
+}
+
+fn write(task: &Task, target: &Target, after_event: Option<u64>) -> Request<Full<Bytes>> {
+    let addition = Addition {
+        endpoint: &target.entry.id,
+        left: task.left(),
+        version: target.copy.as_ref().map(|copy| copy.version),
+        priority: task
+            .call
+            .model
+            .is_some()
+            .then(|| task.route.priority.min(9)),
+        after_event,
+    };
+    let mut message = Request::new(Full::new(task.body.clone()));
+    *message.method_mut() = task.method.clone();
+    *message.uri_mut() = task.target.clone();
+    *message.headers_mut() = request::forward(&task.headers, &addition);
+    message
+}
--- /dev/null
+++ b/crates/ploverwick_gateway/src/filters/task.rs
@@ -0,0 +1,46 @@
+//! A request that was admitted.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Uri};
+use ploverwick_platform::request::Call;
+use ploverwick_routes::Route;
+use tokio::time::Instant;
+
+/// A request with all that decides how it is handled.
+#[derive(Debug)]
+pub(crate) struct Task {
+    pub(crate) method: Method,
+    pub(crate) target: Uri,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    pub(crate) call: Call,
+    pub(crate) route: Arc<Route>,
+    pub(crate) service: Arc<str>,
+    pub(crate) received: Instant,
+    /// When the client or the operator will not wait any longer.
+    pub(crate) deadline: Instant,
+    /// The version of the configuration that chose the route.
+    pub(crate) config: u64,
+}
+
+impl Task {
+    /// Returns the time that is left.
+    pub(crate) fn left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
+    /// Returns about how many bytes an endpoint in another failure domain would cost.
+    pub(crate) fn bytes(&self) -> usize {
+        /// Headers of request and answer.
+        const HEADERS: usize = 900;
+        /// One event of an answer, with its share of headers and chunks.
+        const EVENT: usize = 80;
+        /// Tokens in an event.
+        const TOKENS: usize = 5;
+        let events = self.call.answer_tokens as usize / TOKENS;
+        HEADERS + self.body.len() + events * EVENT
+    }
+}
--- /dev/null
+++ b/crates/ploverwick_gateway/src/front.rs
@@ -0,0 +1,130 @@
+//! Takes the connections of clients.
+
+use std::convert::Infallible;
+use std::pin::pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::connection::Activity;
+use crate::filters;
+use crate::shared::Shared;
+
+/// Descriptors that are left for files, the store, endpoints and peers.
+const OTHER_DESCRIPTORS: usize = 1_200;
+/// How long after the signal to stop new connections are still taken: the platform sends them
+/// until it has asked twice, once a second, and has missed the answer.
+const STILL_ACCEPT: Duration = Duration::from_millis(2_600);
+/// How often an idle connection is looked at.
+const LOOK: Duration = Duration::from_secs(1);
+
+/// The connections that are open.
+#[derive(Debug, Default)]
+pub(crate) struct Open(AtomicUsize);
+
+impl Open {
+    pub(crate) fn count(&self) -> usize {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+/// Takes connections until the process stops.
+pub(crate) async fn serve(shared: Arc<Shared>, listener: TcpListener, open: Arc<Open>) {
+    let most = shared
+        .settings
+        .descriptors
+        .saturating_sub(OTHER_DESCRIPTORS)
+        .max(OTHER_DESCRIPTORS);
+    let mut stopping = shared.stopping.subscribe();
+    let stopped = async {
+        // An error means that the sender is gone, and with it the process.
+        drop(stopping.wait_for(|stopping| *stopping).await);
+        tokio::time::sleep(STILL_ACCEPT).await;
+    };
+    let mut stopped = pin!(stopped);
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = &mut stopped => return,
+        };
+        match accepted {
+            Ok((stream, _)) if open.count() < most => {
+                let shared = Arc::clone(&shared);
+                let open = Arc::clone(&open);
+                open.0.fetch_add(1, Ordering::Relaxed);
+                tokio::spawn(async move {
+                    attend(shared, stream).await;
+                    open.0.fetch_sub(1, Ordering::Relaxed);
+                });
+            }
+            // Closing unread is the one refusal that any client may repeat.
+            Ok((stream, from)) => {
+                drop(stream);
+                spdlog::warn!("connection_refused from={} open={}", from, open.count());
+            }
+            Err(error) => {
+                spdlog::warn!("accept_failed on=front cause=\"{}\"", error);
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        }
+    }
+}
+
+/// Serves one connection until it closes.
+async fn attend(shared: Arc<Shared>, stream: TcpStream) {
+    if let Err(error) = stream.set_nodelay(true) {
+        spdlog::debug!("option_missing option=nodelay cause=\"{}\"", error);
+    }
+    let limits = {
+        let state = shared.state();
+        state.config.as_ref().map_or_else(Default::default, |config| config.limits)
+    };
+    let activity = Activity::new(shared.now());
+    let service = service_fn(|request| {
+        let shared = Arc::clone(&shared);
+        let activity = activity.clone();
+        async move { Ok::<_, Infallible>(filters::run(shared, activity, request).await) }
+    });
+    let connection = http1::Builder::new()
+        .auto_date_header(false)
+        .timer(TokioTimer::new())
+        // The library's limit runs while a connection is idle too, so it cannot be shorter.
+        .header_read_timeout(limits.idle_timeout + limits.header_timeout)
+        .max_buf_size((limits.header_bytes * 4).max(64 * 1024))
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = pin!(connection);
+    let mut stopping = shared.stopping.subscribe();
+    let stopped = async {
+        drop(stopping.wait_for(|stopping| *stopping).await);
+        // Clients may use an idle connection until then; each answer closes its own.
+        tokio::time::sleep(STILL_ACCEPT).await;
+    };
+    let mut stopped = pin!(stopped);
+    let mut is_closing = false;
+    loop {
+        tokio::select! {
+            result = &mut connection => {
+                if let Err(error) = result {
+                    spdlog::debug!("client_connection_broke cause=\"{}\"", error);
+                }
+                return;
+            }
+            () = &mut stopped, if !is_closing => {
+                is_closing = true;
+                connection.as_mut().graceful_shutdown();
+            }
+            () = tokio::time::sleep(LOOK) => {
+                let idle = activity.idle_since().map(|since| shared.now().since(since));
+                if !is_closing && idle.is_some_and(|idle| idle > limits.idle_timeout) {
+                    is_closing = true;
+                    connection.as_mut().graceful_shutdown();
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/ploverwick_gateway/src/lib.rs
@@ -0,0 +1,19 @@
+//! The daemon in front of the users' platform.
+//!
+//! Thin tasks around the decision crates: controllers follow the platform's store and keep the
+//! shared state, a chain of filters takes each request from a client to an endpoint and back.
+
+mod clock;
+mod connection;
+mod controllers;
+mod daemon;
+mod filters;
+mod front;
+mod journal;
+mod peers;
+mod pool;
+mod ready;
+mod shared;
+
+pub use daemon::run;
+pub use journal::set_up as set_up_logs;
--- /dev/null
+++ b/crates/ploverwick_gateway/src/pool.rs
@@ -0,0 +1,115 @@
+//! Connections to endpoints, kept for later requests.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+
+/// The time for a new connection; an endpoint in reach answers within milliseconds.
+const CONNECT: Duration = Duration::from_millis(300);
+/// How long data may stay unacknowledged before the connection counts as broken.
+const UNACKNOWLEDGED: Duration = Duration::from_millis(1_500);
+/// How long a connection is kept idle if the endpoint does not say.
+const IDLE: Duration = Duration::from_secs(4);
+/// Room before the end of an endpoint's own limit, so that a request does not cross its close.
+const IDLE_MARGIN: Duration = Duration::from_millis(900);
+
+/// A connection to an endpoint, ready for one request at a time.
+#[derive(Debug)]
+pub(crate) struct Connection {
+    pub(crate) sender: SendRequest<Full<Bytes>>,
+    /// The endpoint's own limit on idle connections, if it said.
+    pub(crate) limit: Option<Duration>,
+}
+
+#[derive(Debug)]
+struct Idle {
+    connection: Connection,
+    since: Instant,
+}
+
+impl Idle {
+    fn is_good(&self) -> bool {
+        let limit = self.connection.limit.unwrap_or(IDLE + IDLE_MARGIN);
+        let limit = limit.saturating_sub(IDLE_MARGIN).min(IDLE);
+        self.since.elapsed() < limit && self.connection.sender.is_ready()
+    }
+}
+
+/// Idle connections by endpoint.
+#[derive(Debug, Default)]
+pub(crate) struct Pool {
+    idle: Mutex<HashMap<Arc<str>, Vec<Idle>>>,
+}
+
+impl Pool {
+    /// Takes the connection that was used last, which is the least likely to be closed.
+    pub(crate) fn take(&self, endpoint: &str) -> Option<Connection> {
+        let mut idle = self.idle.lock().expect("no holder of the lock panics");
+        let list = idle.get_mut(endpoint)?;
+        while let Some(last) = list.pop() {
+            if last.is_good() {
+                return Some(last.connection);
+            }
+        }
+        None
+    }
+
+    /// Keeps a connection whose answer is complete.
+    pub(crate) fn keep(&self, endpoint: &Arc<str>, connection: Connection) {
+        if connection.sender.is_closed() {
+            return;
+        }
+        let mut idle = self.idle.lock().expect("no holder of the lock panics");
+        idle.entry(Arc::clone(endpoint)).or_default().push(Idle {
+            connection,
+            since: Instant::now(),
+        });
+    }
+
+    /// Closes the connections to an endpoint that is gone.
+    pub(crate) fn remove(&self, endpoint: &str) {
+        let mut idle = self.idle.lock().expect("no holder of the lock panics");
+        idle.remove(endpoint);
+    }
+
+    /// Closes connections that were idle for too long.
+    pub(crate) fn sweep(&self) {
+        let mut idle = self.idle.lock().expect("no holder of the lock panics");
+        for list in idle.values_mut() {
+            list.retain(|connection| {
+                connection.since.elapsed() < IDLE && !connection.connection.sender.is_closed()
+            });
+        }
+        idle.retain(|_, list| !list.is_empty());
+    }
+}
+
+/// Opens a connection.
+pub(crate) async fn connect(address: SocketAddr) -> Result<Connection, String> {
+    let stream = match tokio::time::timeout(CONNECT, TcpStream::connect(address)).await {
+        Ok(stream) => stream.map_err(|error| error.to_string())?,
+        Err(_) => return Err(format!("no connection within {CONNECT:?}")),
+    };
+    stream.set_nodelay(true).map_err(|error| error.to_string())?;
+    let socket = socket2::SockRef::from(&stream);
+    // Without it a connection across a cut would hang; some systems lack the option.
+    if let Err(error) = socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED)) {
+        spdlog::debug!("option_missing option=TCP_USER_TIMEOUT cause=\"{}\"", error);
+    }
+    let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        .await
+        .map_err(|error| error.to_string())?;
+    // The task ends with the connection; whoever waits for an answer sees the error itself.
+    tokio::spawn(async move { drop(connection.await) });
+    Ok(Connection {
+        sender,
+        limit: None,
+    })
+}
--- /dev/null
+++ b/crates/ploverwick_gateway/src/shared.rs
@@ -0,0 +1,166 @@
+//! The state that tasks share.
+//!
+//! One lock guards it. It is held for single steps and never across a wait.
+
+use std::collections::HashMap;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::{Arc, Mutex, MutexGuard};
+
+use ploverwick_adapters::{Copy, Directory, Placer, Tenure, Terms};
+use ploverwick_endpoints::{Budget, Fleet, Rate};
+use ploverwick_names::Moment;
+use ploverwick_platform::settings::Settings;
+use ploverwick_platform::store::Store;
+use ploverwick_routes::Config;
+use tokio::sync::{Notify, watch};
+
+use crate::clock::Clock;
+use crate::journal::Lines;
+use crate::peers::Mail;
+use crate::pool::Pool;
+
+/// How long a grant of the right to place adapters lasts. A shorter one is taken over sooner, a
+/// longer one survives more lost calls.
+pub(crate) const TENURE: std::time::Duration = std::time::Duration::from_millis(2_500);
+/// A peer that is silent for longer is not asked for anything.
+pub(crate) const PEER_AGE: std::time::Duration = std::time::Duration::from_millis(2_500);
+
+/// Another instance.
+#[derive(Debug, Clone)]
+pub(crate) struct Peer {
+    pub(crate) ip: IpAddr,
+    pub(crate) domain: Arc<str>,
+    /// When it last sent a message.
+    pub(crate) heard: Option<Moment>,
+    /// Its fencing token, if it places the adapters of its failure domain.
+    pub(crate) places: Option<u64>,
+}
+
+/// How an adapter at an endpoint is used by this instance's requests.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Use {
+    pub(crate) in_use: u32,
+    pub(crate) is_new: bool,
+}
+
+/// What changes while the process runs.
+#[derive(Debug)]
+pub(crate) struct State {
+    pub(crate) config: Option<Arc<Config>>,
+    pub(crate) has_roster: bool,
+    pub(crate) fleet: Fleet,
+    pub(crate) directory: Directory,
+    pub(crate) placer: Placer,
+    pub(crate) tenure: Tenure,
+    pub(crate) budgets: HashMap<Arc<str>, Budget>,
+    pub(crate) peers: HashMap<Arc<str>, Peer>,
+    pub(crate) uses: HashMap<(Arc<str>, Copy), Use>,
+    /// Bytes sent to other failure domains for want of an adapter in this one.
+    pub(crate) away: HashMap<Copy, usize>,
+}
+
+/// What all tasks share.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    pub(crate) settings: Settings,
+    pub(crate) clock: Clock,
+    pub(crate) store: Store,
+    pub(crate) pool: Pool,
+    pub(crate) mail: Mail,
+    pub(crate) lines: Lines,
+    /// Wakes requests that wait for an adapter.
+    pub(crate) placed: Notify,
+    /// Wakes the tasks that give orders.
+    pub(crate) orders: Notify,
+    /// Says that the process is asked to stop.
+    pub(crate) stopping: watch::Sender<bool>,
+    state: Mutex<State>,
+}
+
+impl Shared {
+    pub(crate) fn new(settings: Settings, mail: Mail) -> Self {
+        let clock = Clock::start();
+        let terms = Terms {
+            lease: TENURE.max(settings.shortest_ttl),
+            turn: settings.lease,
+            fenced: settings.fenced,
+        };
+        let state = State {
+            config: None,
+            has_roster: false,
+            fleet: Fleet::default(),
+            directory: Directory::default(),
+            placer: Placer::default(),
+            tenure: Tenure::new(terms, !settings.first_start, clock.now()),
+            budgets: HashMap::new(),
+            peers: HashMap::new(),
+            uses: HashMap::new(),
+            away: HashMap::new(),
+        };
+        Self {
+            store: Store::new(settings.store),
+            settings,
+            clock,
+            pool: Pool::default(),
+            mail,
+            lines: Lines::default(),
+            placed: Notify::new(),
+            orders: Notify::new(),
+            stopping: watch::Sender::new(false),
+            state: Mutex::new(state),
+        }
+    }
+
+    pub(crate) fn now(&self) -> Moment {
+        self.clock.now()
+    }
+
+    /// Locks the state for one step.
+    pub(crate) fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no holder of the lock panics")
+    }
+
+    /// Returns whether the process is asked to stop.
+    pub(crate) fn is_stopping(&self) -> bool {
+        *self.stopping.borrow()
+    }
+
+    /// Returns whether the process can serve.
+    pub(crate) fn is_ready(&self) -> bool {
+        let state = self.state();
+        state.config.is_some() && state.has_roster && !self.is_stopping()
+    }
+
+    /// Returns the bound on repeats.
+    pub(crate) fn repeat_rate(&self) -> Rate {
+        Rate {
+            ratio: self.settings.repeat_ratio,
+            allowance: self.settings.repeat_allowance,
+            window: self.settings.repeat_window,
+        }
+    }
+
+    /// Returns the address of a peer's mail.
+    pub(crate) fn mail_address(&self, ip: IpAddr) -> SocketAddr {
+        SocketAddr::new(ip, self.settings.peer_port)
+    }
+}
+
+impl State {
+    /// Returns who places the adapters of a failure domain, unless it is this instance.
+    pub(crate) fn placer_of(&self, domain: &str, now: Moment) -> Option<IpAddr> {
+        let peers = self.peers.values().filter(|peer| {
+            let heard = peer.heard.is_some_and(|at| now.since(at) <= PEER_AGE);
+            heard && &*peer.domain == domain
+        });
+        let placers = peers.filter_map(|peer| Some((peer.places?, peer.ip)));
+        placers.max().map(|(_, ip)| ip)
+    }
+
+    /// Takes a repeat of a request to a service out of the budget.
+    pub(crate) fn may_repeat(&mut self, service: &Arc<str>, rate: Rate, now: Moment) -> bool {
+        let instances = self.peers.len() + 1;
+        let budget = self.budgets.entry(Arc::clone(service)).or_default();
+        budget.repeat(rate, instances, now)
+    }
+}
