Load an adapter that nobody holds in one failure domain only

Ruled out: eviction of adapters still in use (no 421 in the log beside restarts). Change: loads on their way are announced and waited for; a cold adapter belongs to one domain, by hash or by where it was held last; looks at a load begin when it can be complete.

--- a/crates/ploverwick_adapters/src/directory.rs
+++ b/crates/ploverwick_adapters/src/directory.rs
@@ -10,6 +10,8 @@
 
 /// How long a placer's word goes before the platform's list, which lags behind.
 const WORD_AGE: Duration = Duration::from_secs(4);
+/// How long an adapter that is on its way is waited for before it is asked for again.
+const COMING_AGE: Duration = Duration::from_millis(1_200);
 /// Adapters whose last endpoint is remembered after they were unloaded.
 const PAST: usize = 8_192;
 
@@ -27,6 +29,7 @@
     past: HashMap<Key, Arc<str>>,
     past_order: VecDeque<Key>,
     newest: HashMap<Key, (u64, Moment)>,
+    coming: HashMap<Copy, (Arc<str>, Moment)>,
 }
 
 impl Directory {
@@ -44,10 +47,23 @@
         self.replace(endpoint, copies, Some(now));
     }
 
+    /// Takes in that an adapter is on its way to an endpoint.
+    pub fn expect(&mut self, endpoint: &Arc<str>, copy: Copy, now: Moment) {
+        self.coming.retain(|_, (_, at)| now.since(*at) < COMING_AGE);
+        self.coming.insert(copy, (Arc::clone(endpoint), now));
+    }
+
+    /// Returns the endpoint to which an adapter is on its way.
+    pub fn coming(&self, copy: &Copy, now: Moment) -> Option<&Arc<str>> {
+        let (endpoint, at) = self.coming.get(copy)?;
+        (now.since(*at) < COMING_AGE).then_some(endpoint)
+    }
+
     /// Takes in that an endpoint holds an adapter from now on.
     pub fn loaded(&mut self, endpoint: &Arc<str>, copy: Copy, now: Moment) {
         let holding = self.endpoints.entry(Arc::clone(endpoint)).or_default();
         holding.heard = Some(now);
+        self.coming.remove(&copy);
         if holding.copies.insert(copy.clone()) {
             let list = self.holders.entry(copy.key).or_default();
             list.push((copy.version, Arc::clone(endpoint)));
--- a/crates/ploverwick_adapters/src/placer.rs
+++ b/crates/ploverwick_adapters/src/placer.rs
@@ -10,7 +10,7 @@
 
 /// The adapters that may be on their way to the endpoints of one failure domain at once. The
 /// weight store slows all loads down when more are fetched than it serves at full speed.
-const MOST_COMING: usize = 12;
+const MOST_COMING: usize = 11;
 /// What a load or wish under way counts, against the spread of the hash (about 0 to 3).
 const BACKLOG: f64 = 0.25;
 /// What a full batch counts.
--- a/crates/ploverwick_adapters/src/shelf.rs
+++ b/crates/ploverwick_adapters/src/shelf.rs
@@ -17,11 +17,15 @@
 const MOST_COMING: usize = 4;
 /// How long an endpoint's report may lag behind, with some room.
 const REPORT_LAG: Duration = Duration::from_millis(260);
-/// How soon after an order the first look whether a load is complete is worth it: an adapter that
-/// the endpoint held before takes about 25 ms.
-const FIRST_LOOK: Duration = Duration::from_millis(22);
+/// How soon after an order the first look is worth it whether the load of an adapter that the
+/// endpoint held before is complete: it takes about 25 ms.
+const FIRST_LOOK_BEFORE: Duration = Duration::from_millis(22);
+/// The same for an adapter that comes from the weight store: about 250 ms.
+const FIRST_LOOK: Duration = Duration::from_millis(236);
 /// The pause between looks; a look costs little more than the message.
-const LOOK: Duration = Duration::from_millis(24);
+const LOOK: Duration = Duration::from_millis(18);
+/// Adapters that an endpoint keeps at hand after it unloaded them, at a careful guess.
+const AT_HAND: usize = 64;
 /// The pause between looks at the load of a base model, which takes hundreds of milliseconds.
 const BASE_LOOK: Duration = Duration::from_millis(80);
 /// An adapter used within this time is not unloaded: a request for it may be on its way.
@@ -45,6 +49,8 @@
 /// What changed at the endpoint.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Event {
+    /// This adapter is on its way to it.
+    Coming(Copy),
     /// It holds this adapter from now on.
     Loaded(Copy),
     /// It does not hold this adapter any more.
@@ -89,6 +95,8 @@
     /// An order without an answer, or of an earlier placer, may still strike.
     may_strike: bool,
     last_accepted: Option<Moment>,
+    /// What was unloaded, oldest first; the endpoint loads it fast.
+    at_hand: VecDeque<Copy>,
 }
 
 impl Shelf {
@@ -103,6 +111,7 @@
             wishes: VecDeque::new(),
             may_strike: true,
             last_accepted: None,
+            at_hand: VecDeque::new(),
         }
     }
 
@@ -371,15 +380,20 @@
                 self.advance();
                 self.last_accepted = Some(now);
                 self.wishes.retain(|(wish, _)| *wish != copy);
+                let first_look = if self.at_hand.contains(&copy) {
+                    FIRST_LOOK_BEFORE
+                } else {
+                    FIRST_LOOK
+                };
                 let place = Place {
                     state: State::Coming {
-                        look_at: now + FIRST_LOOK,
+                        look_at: now + first_look,
                     },
                     used: now,
                     in_use: 0,
                 };
-                self.places.insert(copy, place);
-                None
+                self.places.insert(copy.clone(), place);
+                Some(Event::Coming(copy))
             }
             (Op::Unload, Some(place)) => {
                 let was_held = place.state == State::Held;
@@ -412,6 +426,7 @@
             }
             Op::Unload => {
                 let place = self.places.remove(&copy)?;
+                self.put_at_hand(copy.clone());
                 let was_held = place.state == State::Held;
                 if was_held {
                     // A waiting unload advanced the count when it was accepted.
@@ -449,6 +464,14 @@
         self.may_strike = false;
     }
 
+    fn put_at_hand(&mut self, copy: Copy) {
+        self.at_hand.retain(|other| *other != copy);
+        self.at_hand.push_back(copy);
+        if self.at_hand.len() > AT_HAND {
+            self.at_hand.pop_front();
+        }
+    }
+
     fn learn_again(&mut self, at: Moment) {
         self.orders = None;
         self.report_at = at;
--- a/crates/ploverwick_gateway/src/controllers/orders.rs
+++ b/crates/ploverwick_gateway/src/controllers/orders.rs
@@ -214,6 +214,7 @@
     let now = shared.now();
     let mut state = shared.state();
     match event {
+        Event::Coming(copy) => state.directory.expect(endpoint, copy.clone(), now),
         Event::Loaded(copy) => state.directory.loaded(endpoint, copy.clone(), now),
         Event::Unloaded(copy) => state.directory.unloaded(endpoint, copy),
         Event::Learned(copies) => state.directory.reported(endpoint, copies.clone(), now),
--- a/crates/ploverwick_gateway/src/filters/place.rs
+++ b/crates/ploverwick_gateway/src/filters/place.rs
@@ -7,6 +7,7 @@
 use ploverwick_codes::Code;
 use ploverwick_endpoints::{Cost, Entry, Query};
 use ploverwick_names::Moment;
+use ploverwick_placement::{even, rank};
 use tokio::time::Instant;
 
 use super::reply::Reply;
@@ -30,8 +31,8 @@
 const AWAY_MOST: usize = 28 * 1_024;
 /// How long a wait for an adapter lasts before it is asked for again; a message may be lost.
 const ASK_AGAIN: Duration = Duration::from_millis(70);
-/// Questions to the own failure domain before others are asked.
-const OWN_ASKS: u32 = 2;
+/// Questions to the failure domain where an adapter belongs before others are asked.
+const HOME_ASKS: u32 = 5;
 /// The part of the time left for which a request waits for its adapter.
 const WAIT_SHARE: f64 = 0.5;
 /// How long before the bound on versions an older one is no longer used.
@@ -190,25 +191,46 @@
     *sum >= AWAY_MOST
 }
 
-/// Asks for an adapter: in the failure domain that loads it fast, else here, else anywhere.
+/// Asks for an adapter where it belongs, and elsewhere if that does not help.
 fn ask(shared: &Arc<Shared>, copy: &Copy, asks: u32) {
-    let own = &shared.settings.domain;
-    let others: Vec<&Arc<str>> = {
-        let domains = shared.settings.domains.iter();
-        domains.filter(|domain| *domain != own).collect()
+    let domains = homes(shared, copy);
+    let Some(first) = domains.first() else {
+        return;
     };
-    if asks >= OWN_ASKS && !others.is_empty() {
-        let turn = (asks - OWN_ASKS) as usize % (others.len() + 1);
-        if let Some(domain) = others.get(turn) {
-            demand::ask(shared, domain, copy, false);
-            return;
-        }
+    if asks < HOME_ASKS {
+        demand::ask(shared, first, copy, false);
+        return;
     }
-    if !demand::ask(shared, own, copy, false) {
-        for domain in others {
-            if demand::ask(shared, domain, copy, false) {
-                return;
-            }
-        }
+    let turn = (asks - HOME_ASKS) as usize % domains.len();
+    demand::ask(shared, &domains[turn], copy, false);
+}
+
+/// Lists the failure domains in which adapters can be placed, the one where this adapter belongs
+/// first.
+///
+/// All instances agree on it without a message: where it was held last, as it loads fast there,
+/// else by hash. So an adapter that nobody holds is loaded once and not in each failure domain.
+fn homes(shared: &Shared, copy: &Copy) -> Vec<Arc<str>> {
+    let now = shared.now();
+    let state = shared.state();
+    if state.directory.coming(copy, now).is_some() {
+        return Vec::new();
+    }
+    let own = &shared.settings.domain;
+    let can_place = |domain: &&Arc<str>| {
+        let is_own = *domain == own && state.tenure.is_held(now);
+        is_own || state.placer_of(domain, now).is_some()
+    };
+    let domains: Vec<&Arc<str>> = shared.settings.domains.iter().filter(can_place).collect();
+    let names = domains.iter().map(|domain| &***domain);
+    let ranked = rank(&copy.key.to_string(), &even(names), domains.len());
+    let mut homes: Vec<Arc<str>> = ranked.into_iter().map(|i| Arc::clone(domains[i])).collect();
+    let past = state.directory.past(&copy.key);
+    let past = past.and_then(|endpoint| state.fleet.entry(endpoint));
+    if let Some(past) = past
+        && let Some(at) = homes.iter().position(|domain| *domain == past.domain)
+    {
+        homes[..=at].rotate_right(1);
     }
+    homes
 }
--- a/crates/ploverwick_gateway/src/peers.rs
+++ b/crates/ploverwick_gateway/src/peers.rs
@@ -60,6 +60,8 @@
         endpoint: Arc<str>,
         holdings: Vec<Holding>,
     },
+    /// An adapter is on its way to an endpoint.
+    Coming { endpoint: Arc<str>, copy: Copy },
     /// An endpoint holds an adapter from now on.
     Loaded { endpoint: Arc<str>, copy: Copy },
     /// An endpoint does not hold an adapter any more.
@@ -109,6 +111,10 @@
 /// Tells all peers what changed at an endpoint.
 pub(crate) fn announce(shared: &Shared, endpoint: &Arc<str>, event: &Event) {
     let message = match event {
+        Event::Coming(copy) => Message::Coming {
+            endpoint: Arc::clone(endpoint),
+            copy: copy.clone(),
+        },
         Event::Loaded(copy) => Message::Loaded {
             endpoint: Arc::clone(endpoint),
             copy: copy.clone(),
@@ -296,6 +302,7 @@
             drop(state);
             shared.placed.notify_waiters();
         }
+        Message::Coming { endpoint, copy } => state.directory.expect(&endpoint, copy, now),
         Message::Loaded { endpoint, copy } => {
             state.directory.loaded(&endpoint, copy, now);
             drop(state);
