Remember every endpoint that held an adapter

Change: the directory remembers up to six endpoints that unloaded an adapter, and the placer prefers them.

--- a/crates/ploverwick_adapters/src/directory.rs
+++ b/crates/ploverwick_adapters/src/directory.rs
@@ -12,8 +12,10 @@
 const WORD_AGE: Duration = Duration::from_secs(4);
 /// How long an adapter that is on its way is waited for before it is asked for again.
 const COMING_AGE: Duration = Duration::from_millis(1_200);
-/// Adapters whose last endpoint is remembered after they were unloaded.
+/// Adapters whose earlier endpoints are remembered.
 const PAST: usize = 8_192;
+/// Earlier endpoints of one adapter that are remembered.
+const PAST_ENDPOINTS: usize = 6;
 
 #[derive(Debug, Default)]
 struct Holding {
@@ -26,8 +28,9 @@
 pub struct Directory {
     endpoints: HashMap<Arc<str>, Holding>,
     holders: HashMap<Key, Vec<(u64, Arc<str>)>>,
-    past: HashMap<Key, Arc<str>>,
-    past_order: VecDeque<Key>,
+    /// The endpoints that unloaded an adapter, the last one first.
+    past: HashMap<Copy, Vec<Arc<str>>>,
+    past_order: VecDeque<Copy>,
     newest: HashMap<Key, (u64, Moment)>,
     coming: HashMap<Copy, (Arc<str>, Moment)>,
 }
@@ -107,9 +110,9 @@
         below.max()
     }
 
-    /// Returns the endpoint that last unloaded an adapter; it loads it fast.
-    pub fn past(&self, key: &Key) -> Option<&Arc<str>> {
-        self.past.get(key)
+    /// Lists the endpoints that unloaded an adapter, the last one first; they load it fast.
+    pub fn past(&self, copy: &Copy) -> &[Arc<str>] {
+        self.past.get(copy).map_or(&[], Vec::as_slice)
     }
 
     /// Takes in that a version was declared; older ones count no longer.
@@ -153,14 +156,20 @@
             return;
         };
         list.retain(|(version, id)| *version != copy.version || id != endpoint);
-        if !list.is_empty() {
-            return;
+        if list.is_empty() {
+            self.holders.remove(&copy.key);
         }
-        self.holders.remove(&copy.key);
-        let known = self.past.insert(copy.key.clone(), Arc::clone(endpoint));
-        if known.is_none() {
-            self.past_order.push_back(copy.key.clone());
+        self.remember(endpoint, copy);
+    }
+
+    fn remember(&mut self, endpoint: &Arc<str>, copy: &Copy) {
+        if !self.past.contains_key(copy) {
+            self.past_order.push_back(copy.clone());
         }
+        let past = self.past.entry(copy.clone()).or_default();
+        past.retain(|id| id != endpoint);
+        past.insert(0, Arc::clone(endpoint));
+        past.truncate(PAST_ENDPOINTS);
         if self.past_order.len() > PAST
             && let Some(oldest) = self.past_order.pop_front()
         {
--- a/crates/ploverwick_adapters/src/placer.rs
+++ b/crates/ploverwick_adapters/src/placer.rs
@@ -77,7 +77,7 @@
         copy: &Copy,
         sites: &[Site],
         more: bool,
-        past: Option<&Arc<str>>,
+        past: &[Arc<str>],
         now: Moment,
     ) -> Option<Arc<str>> {
         let known = |site: &&Site| self.shelves.contains_key(&site.endpoint);
@@ -89,7 +89,7 @@
         if let Some(site) = expecting {
             let endpoint = Arc::clone(&site.endpoint);
             // The wish stays young as long as it is asked for.
-            self.shelf(&endpoint)?.wish(copy.clone(), now);
+            self.shelf(&endpoint)?.wish(copy.clone(), false, now);
             return None;
         }
         if !more && sites.iter().filter(known).any(|site| of(site).holds(copy)) {
@@ -106,7 +106,8 @@
                 a.total_cmp(&b)
             })?;
         let endpoint = Arc::clone(&best.endpoint);
-        self.shelf(&endpoint)?.wish(copy.clone(), now);
+        let is_past = past.contains(&endpoint);
+        self.shelf(&endpoint)?.wish(copy.clone(), is_past, now);
         Some(endpoint)
     }
 }
@@ -116,7 +117,7 @@
     shelf: &Shelf,
     copy: &Copy,
     key: &str,
-    past: Option<&Arc<str>>,
+    past: &[Arc<str>],
     now: Moment,
 ) -> f64 {
     let candidate = Candidate {
@@ -133,7 +134,7 @@
     if shelf.has_any(&copy.key) {
         rate -= NO_ROOM / 2.0;
     }
-    if past.is_some_and(|past| *past == site.endpoint) {
+    if past.contains(&site.endpoint) {
         rate += PAST;
     }
     rate
--- a/crates/ploverwick_adapters/src/shelf.rs
+++ b/crates/ploverwick_adapters/src/shelf.rs
@@ -24,8 +24,6 @@
 const FIRST_LOOK: Duration = Duration::from_millis(236);
 /// The pause between looks; a look costs little more than the message.
 const LOOK: Duration = Duration::from_millis(18);
-/// Adapters that an endpoint keeps at hand after it unloaded them, at a careful guess.
-const AT_HAND: usize = 64;
 /// The pause between looks at the load of a base model, which takes hundreds of milliseconds.
 const BASE_LOOK: Duration = Duration::from_millis(80);
 /// An adapter used within this time is not unloaded: a request for it may be on its way.
@@ -75,6 +73,14 @@
     in_use: u32,
 }
 
+#[derive(Debug, Clone)]
+struct Wish {
+    copy: Copy,
+    at: Moment,
+    /// The endpoint held it before and loads it fast.
+    is_past: bool,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq)]
 enum Base {
     Held,
@@ -91,12 +97,10 @@
     report_at: Moment,
     models: HashMap<Arc<str>, Base>,
     places: HashMap<Copy, Place>,
-    wishes: VecDeque<(Copy, Moment)>,
+    wishes: VecDeque<Wish>,
     /// An order without an answer, or of an earlier placer, may still strike.
     may_strike: bool,
     last_accepted: Option<Moment>,
-    /// What was unloaded, oldest first; the endpoint loads it fast.
-    at_hand: VecDeque<Copy>,
 }
 
 impl Shelf {
@@ -111,7 +115,6 @@
             wishes: VecDeque::new(),
             may_strike: true,
             last_accepted: None,
-            at_hand: VecDeque::new(),
         }
     }
 
@@ -133,7 +136,7 @@
             .places
             .get(copy)
             .is_some_and(|place| matches!(place.state, State::Coming { .. }));
-        is_coming || self.wishes.iter().any(|(wish, _)| wish == copy)
+        is_coming || self.wishes.iter().any(|wish| wish.copy == *copy)
     }
 
     /// Returns whether the endpoint has any version of an adapter.
@@ -175,15 +178,19 @@
         held.map(|(copy, _)| copy.clone()).collect()
     }
 
-    /// Wishes for an adapter.
-    pub fn wish(&mut self, copy: Copy, now: Moment) {
+    /// Wishes for an adapter; `is_past` says that the endpoint held it before.
+    pub fn wish(&mut self, copy: Copy, is_past: bool, now: Moment) {
         if let Some(place) = self.places.get_mut(&copy) {
             place.used = now;
             return;
         }
-        match self.wishes.iter_mut().find(|(wish, _)| *wish == copy) {
-            Some((_, at)) => *at = now,
-            None => self.wishes.push_back((copy, now)),
+        match self.wishes.iter_mut().find(|wish| wish.copy == copy) {
+            Some(wish) => wish.at = now,
+            None => self.wishes.push_back(Wish {
+                copy,
+                at: now,
+                is_past,
+            }),
         }
     }
 
@@ -328,8 +335,8 @@
     fn next_load(&mut self, orders: u64, now: Moment) -> Option<Order> {
         let places = &self.places;
         self.wishes
-            .retain(|(wish, at)| now.since(*at) < WISH_AGE && !places.contains_key(wish));
-        let (wish, _) = self.wishes.front()?.clone();
+            .retain(|wish| now.since(wish.at) < WISH_AGE && !places.contains_key(&wish.copy));
+        let wish = self.wishes.front()?.copy.clone();
         if self.coming() >= MOST_COMING || !self.has_base(&wish.key.model) {
             return None;
         }
@@ -379,8 +386,9 @@
             (Op::Load, None) => {
                 self.advance();
                 self.last_accepted = Some(now);
-                self.wishes.retain(|(wish, _)| *wish != copy);
-                let first_look = if self.at_hand.contains(&copy) {
+                let is_past = self.wishes.iter().any(|w| w.copy == copy && w.is_past);
+                self.wishes.retain(|wish| wish.copy != copy);
+                let first_look = if is_past {
                     FIRST_LOOK_BEFORE
                 } else {
                     FIRST_LOOK
@@ -415,7 +423,7 @@
         let copy = copy_of(&order.model, adapter, version);
         match order.op {
             Op::Load => {
-                self.wishes.retain(|(wish, _)| *wish != copy);
+                self.wishes.retain(|wish| wish.copy != copy);
                 let place = Place {
                     state: State::Held,
                     used: now,
@@ -426,7 +434,6 @@
             }
             Op::Unload => {
                 let place = self.places.remove(&copy)?;
-                self.put_at_hand(copy.clone());
                 let was_held = place.state == State::Held;
                 if was_held {
                     // A waiting unload advanced the count when it was accepted.
@@ -454,7 +461,7 @@
             return;
         };
         let copy = copy_of(&order.model, adapter, version);
-        self.wishes.retain(|(wish, _)| *wish != copy);
+        self.wishes.retain(|wish| wish.copy != copy);
         self.places.remove(&copy);
     }
 
@@ -464,14 +471,6 @@
         self.may_strike = false;
     }
 
-    fn put_at_hand(&mut self, copy: Copy) {
-        self.at_hand.retain(|other| *other != copy);
-        self.at_hand.push_back(copy);
-        if self.at_hand.len() > AT_HAND {
-            self.at_hand.pop_front();
-        }
-    }
-
     fn learn_again(&mut self, at: Moment) {
         self.orders = None;
         self.report_at = at;
--- a/crates/ploverwick_gateway/src/controllers/demand.rs
+++ b/crates/ploverwick_gateway/src/controllers/demand.rs
@@ -43,17 +43,17 @@
             fill: fleet.fill(&entry.id, now).unwrap_or(0.0),
         })
         .collect();
-    let past = state.directory.past(&copy.key).cloned();
-    let chosen = state.placer.demand(copy, &sites, more, past.as_ref(), now);
+    let past = state.directory.past(copy).to_vec();
+    let chosen = state.placer.demand(copy, &sites, more, &past, now);
     drop(state);
     if let Some(endpoint) = chosen {
         spdlog::info!(
-            "adapter_placed adapter={} version={} endpoint={} more={} past={:?}",
+            "adapter_placed adapter={} version={} endpoint={} more={} past={}",
             copy.key,
             copy.version,
             endpoint,
             more,
-            past
+            past.contains(&endpoint)
         );
         shared.orders.notify_waiters();
     }
--- a/crates/ploverwick_gateway/src/filters/place.rs
+++ b/crates/ploverwick_gateway/src/filters/place.rs
@@ -225,10 +225,15 @@
     let names = domains.iter().map(|domain| &***domain);
     let ranked = rank(&copy.key.to_string(), &even(names), domains.len());
     let mut homes: Vec<Arc<str>> = ranked.into_iter().map(|i| Arc::clone(domains[i])).collect();
-    let past = state.directory.past(&copy.key);
-    let past = past.and_then(|endpoint| state.fleet.entry(endpoint));
+    let past = state.directory.past(copy).iter();
+    let past: Vec<&Arc<str>> = past
+        .filter_map(|endpoint| state.fleet.entry(endpoint))
+        .map(|entry| &entry.domain)
+        .collect();
+    // The own failure domain first, if it is among several.
+    let past = past.iter().find(|domain| **domain == own).or(past.first());
     if let Some(past) = past
-        && let Some(at) = homes.iter().position(|domain| *domain == past.domain)
+        && let Some(at) = homes.iter().position(|domain| domain == *past)
     {
         homes[..=at].rotate_right(1);
     }
