Pace questions for adapters by time and not by wake-ups

Cause: every adapter loaded anywhere woke all waiting requests; each asked again at once and, by its count of questions, soon asked the other domains too: one cold adapter was loaded in three. Change: one question each 70 ms, and other domains only after 900 ms.

--- a/crates/ploverwick_gateway/src/filters/place.rs
+++ b/crates/ploverwick_gateway/src/filters/place.rs
@@ -31,8 +31,9 @@
 const AWAY_MOST: usize = 28 * 1_024;
 /// How long a wait for an adapter lasts before it is asked for again; a message may be lost.
 const ASK_AGAIN: Duration = Duration::from_millis(70);
-/// Questions to the failure domain where an adapter belongs before others are asked.
-const HOME_ASKS: u32 = 5;
+/// How long the failure domain where an adapter belongs is asked before others are. It is longer
+/// than a usual queue of loads: asking others then would only multiply the loads.
+const HOME: Duration = Duration::from_millis(900);
 /// The part of the time left for which a request waits for its adapter.
 const WAIT_SHARE: f64 = 0.5;
 /// How long before the bound on versions an older one is no longer used.
@@ -56,7 +57,8 @@
     let Some(key) = &task.call.adapter else {
         return direct(shared, task, except);
     };
-    let until = Instant::now() + task.left().mul_f64(WAIT_SHARE);
+    let started = Instant::now();
+    let until = started + task.left().mul_f64(WAIT_SHARE);
     let mut asks = 0;
     loop {
         let placed = shared.placed.notified();
@@ -66,15 +68,20 @@
             Choice::Full => return Err(Reply::new(Code::Overloaded, "").retry_after(FULL)),
             Choice::Wait => {}
         }
-        if Instant::now() >= until {
+        let now = Instant::now();
+        if now >= until {
             let detail = format!("adapter {key}, asked {asks} times");
             return Err(Reply::new(Code::LoadFailed, detail).retry_after(NOT_LOADED));
         }
-        ask(shared, &wanted, asks);
-        asks += 1;
+        // Each adapter that is loaded anywhere wakes this; questions keep their own pace.
+        let ask_at = started + ASK_AGAIN * asks;
+        if now >= ask_at {
+            ask(shared, &wanted, now - started);
+            asks += 1;
+        }
         tokio::select! {
             () = placed => {}
-            () = tokio::time::sleep(ASK_AGAIN) => {}
+            () = tokio::time::sleep_until(started + ASK_AGAIN * asks) => {}
         }
     }
 }
@@ -192,17 +199,17 @@
 }
 
 /// Asks for an adapter where it belongs, and elsewhere if that does not help.
-fn ask(shared: &Arc<Shared>, copy: &Copy, asks: u32) {
+fn ask(shared: &Arc<Shared>, copy: &Copy, waited: Duration) {
     let domains = homes(shared, copy);
     let Some(first) = domains.first() else {
         return;
     };
-    if asks < HOME_ASKS {
-        demand::ask(shared, first, copy, false);
-        return;
-    }
-    let turn = (asks - HOME_ASKS) as usize % domains.len();
-    demand::ask(shared, &domains[turn], copy, false);
+    let domain = if waited < HOME {
+        first
+    } else {
+        domains.get(1).unwrap_or(first)
+    };
+    demand::ask(shared, domain, copy, false);
 }
 
 /// Lists the failure domains in which adapters can be placed, the one where this adapter belongs
