Send adapters back to the endpoint that has them at hand, and copy less

Cause: the placer avoided full endpoints, so adapters wandered and came from the store each time; and an endpoint that was 60 % full for other reasons asked for second copies of all it held. Change: room weighs 3 and the past 6; second copies from a fill of 0.85; copies in another domain after 56 KB.

--- a/crates/ploverwick_adapters/src/placer.rs
+++ b/crates/ploverwick_adapters/src/placer.rs
@@ -12,13 +12,13 @@
 /// weight store slows all loads down when more are fetched than it serves at full speed.
 const MOST_COMING: usize = 11;
 /// What a load or wish under way counts, against the spread of the hash (about 0 to 3).
-const BACKLOG: f64 = 0.25;
+const BACKLOG: f64 = 0.15;
 /// What a full batch counts.
-const FILL: f64 = 2.0;
-/// What an endpoint without room counts: it is taken only if there is no other.
-const NO_ROOM: f64 = 20.0;
+const FILL: f64 = 1.0;
+/// What an endpoint without room counts: a place becomes free soon, as runs take half a second.
+const NO_ROOM: f64 = 3.0;
 /// What the endpoint that held the adapter before earns: it loads it ten times as fast.
-const PAST: f64 = 4.0;
+const PAST: f64 = 6.0;
 
 /// An endpoint as the placer sees it.
 #[derive(Debug, Clone)]
--- a/crates/ploverwick_adapters/src/shelf.rs
+++ b/crates/ploverwick_adapters/src/shelf.rs
@@ -27,7 +27,7 @@
 /// The pause between looks at the load of a base model, which takes hundreds of milliseconds.
 const BASE_LOOK: Duration = Duration::from_millis(80);
 /// An adapter used within this time is not unloaded: a request for it may be on its way.
-const FRESH: Duration = Duration::from_millis(400);
+const FRESH: Duration = Duration::from_millis(250);
 /// How long a wish for an adapter counts; whoever still wants it asks again.
 const WISH_AGE: Duration = Duration::from_millis(1_500);
 
--- a/crates/ploverwick_gateway/src/filters/place.rs
+++ b/crates/ploverwick_gateway/src/filters/place.rs
@@ -25,10 +25,10 @@
 /// refused: they would wait longer than their objective.
 const MOST_FILL: f64 = 2.5;
 /// The fill of its holders above which an adapter is loaded at another endpoint too.
-const CROWDED: f64 = 0.6;
+const CROWDED: f64 = 0.85;
 /// Bytes to other failure domains that cost about as much as loading the adapter here: a load
 /// costs what 28 KB between failure domains do, by the users' prices.
-const AWAY_MOST: usize = 28 * 1_024;
+const AWAY_MOST: usize = 56 * 1_024;
 /// How long a wait for an adapter lasts before it is asked for again; a message may be lost.
 const ASK_AGAIN: Duration = Duration::from_millis(70);
 /// How long the failure domain where an adapter belongs is asked before others are. It is longer
