Repeat unanswered orders at once, and place adapters among two endpoints by hash

Change: an unanswered order is repeated as it was after 110 ms: it names the number of accepted orders, so that only one of the two is carried out; a refused repeat means that the first was accepted.

--- a/crates/ploverwick_adapters/src/placer.rs
+++ b/crates/ploverwick_adapters/src/placer.rs
@@ -4,13 +4,16 @@
 use std::sync::Arc;
 
 use ploverwick_names::Moment;
-use ploverwick_placement::{Candidate, score};
+use ploverwick_placement::{Candidate, even, rank, score};
 
 use crate::{Copy, Shelf};
 
 /// The adapters that may be on their way to the endpoints of one failure domain at once. The
 /// weight store slows all loads down when more are fetched than it serves at full speed.
 const MOST_COMING: usize = 11;
+/// The endpoints of a failure domain, by hash, among which an adapter is placed. Few, so that it
+/// comes back to one that has it at hand, also after all instances were restarted.
+const HOMES: usize = 2;
 /// What a load or wish under way counts, against the spread of the hash (about 0 to 3).
 const BACKLOG: f64 = 0.15;
 /// What a full batch counts.
@@ -96,10 +99,15 @@
             return None;
         }
         let key = copy.key.to_string();
+        let can_load = |site: &&Site| of(site).has_base(&copy.key.model) && !of(site).holds(copy);
+        let sites: Vec<&Site> = sites.iter().filter(known).filter(can_load).collect();
+        let names = sites.iter().map(|site| &*site.endpoint);
+        let homes = rank(&key, &even(names), HOMES);
         let best = sites
             .iter()
-            .filter(known)
-            .filter(|site| of(site).has_base(&copy.key.model) && !of(site).holds(copy))
+            .enumerate()
+            .filter(|(index, site)| homes.contains(index) || past.contains(&site.endpoint))
+            .map(|(_, site)| *site)
             .max_by(|a, b| {
                 let a = rate(a, of(a), copy, &key, past, now);
                 let b = rate(b, of(b), copy, &key, past, now);
--- a/crates/ploverwick_adapters/src/shelf.rs
+++ b/crates/ploverwick_adapters/src/shelf.rs
@@ -101,6 +101,11 @@
     /// An order without an answer, or of an earlier placer, may still strike.
     may_strike: bool,
     last_accepted: Option<Moment>,
+    /// An order without an answer. It is sent again as it was: as it names the number of accepted
+    /// orders, only one of the two can be carried out.
+    unanswered: Option<Order>,
+    /// The last order was taken for accepted because its repeat was refused.
+    is_assumed: bool,
 }
 
 impl Shelf {
@@ -115,6 +120,8 @@
             wishes: VecDeque::new(),
             may_strike: true,
             last_accepted: None,
+            unanswered: None,
+            is_assumed: false,
         }
     }
 
@@ -215,6 +222,9 @@
             }
             return Step::Report;
         };
+        if let Some(order) = &self.unanswered {
+            return Step::Send(order.clone());
+        }
         if let Some(step) = self.next_base(orders, now) {
             return step;
         }
@@ -233,9 +243,19 @@
 
     /// Takes in how the endpoint answered an order.
     pub fn answered(&mut self, order: &Order, answer: Answer, now: Moment) -> Option<Event> {
+        let is_repeat = self.unanswered.take().is_some();
         match answer {
-            Answer::Accepted => self.accepted(order, now),
-            Answer::Done => self.done(order, now),
+            Answer::Accepted => {
+                self.is_assumed = false;
+                self.accepted(order, now)
+            }
+            Answer::Done => {
+                self.is_assumed = false;
+                self.done(order, now)
+            }
+            Answer::Conflict if is_repeat && order.adapter.is_some() && !self.is_assumed => {
+                self.assume(order, now)
+            }
             Answer::Conflict => {
                 self.conflict(order, now);
                 None
@@ -245,8 +265,7 @@
                 None
             }
             Answer::Unknown => {
-                self.may_strike = true;
-                self.learn_again(now + REPORT_LAG);
+                self.unknown(order, now);
                 None
             }
             Answer::Fenced | Answer::Gone => {
@@ -444,6 +463,35 @@
         }
     }
 
+    /// The repeat of an unanswered order was refused: the number of accepted orders is another, so
+    /// the first one was accepted. The next order tells whether that is so.
+    fn assume(&mut self, order: &Order, now: Moment) -> Option<Event> {
+        self.is_assumed = true;
+        match order.op {
+            Op::Load => self.accepted(order, now),
+            Op::Unload => self.done(order, now),
+        }
+    }
+
+    /// An order got no answer. A look is made again; anything else is repeated as it was.
+    fn unknown(&mut self, order: &Order, now: Moment) {
+        let look_at = now + LOOK;
+        let Some((adapter, version)) = order.adapter.clone() else {
+            self.may_strike = true;
+            self.learn_again(now + REPORT_LAG);
+            return;
+        };
+        let copy = copy_of(&order.model, adapter, version);
+        match (order.op, self.places.get_mut(&copy).map(|place| &mut place.state)) {
+            (Op::Load, Some(State::Coming { look_at: at }))
+            | (Op::Unload, Some(State::Leaving { look_at: at })) => *at = look_at,
+            _ => {
+                self.may_strike = true;
+                self.unanswered = Some(order.clone());
+            }
+        }
+    }
+
     fn conflict(&mut self, order: &Order, now: Moment) {
         if order.adapter.is_none()
             && let Some(Base::Coming { look_at }) = self.models.get_mut(&order.model)
@@ -472,6 +520,8 @@
     }
 
     fn learn_again(&mut self, at: Moment) {
+        self.unanswered = None;
+        self.is_assumed = false;
         self.orders = None;
         self.report_at = at;
     }
--- a/crates/ploverwick_gateway/src/controllers/orders.rs
+++ b/crates/ploverwick_gateway/src/controllers/orders.rs
@@ -19,8 +19,11 @@
 use crate::pool::{Connection, connect};
 use crate::shared::Shared;
 
-/// The time for an answer; endpoints take about 3 ms, a loaded machine some more.
-const ANSWER: Duration = Duration::from_millis(450);
+/// The time for an answer to an order; endpoints take about 3 ms, a loaded machine some more. An
+/// order that got no answer is repeated, which is safe, so that the time may be short.
+const ANSWER: Duration = Duration::from_millis(110);
+/// The time for a report.
+const REPORT: Duration = Duration::from_millis(450);
 /// The pause of a task that may give no order.
 const PAUSE: Duration = Duration::from_millis(120);
 
@@ -130,7 +133,7 @@
     let is_held = shared.state().tenure.token(shared.now()) == Some(token);
     let answer = match connection {
         Ok(_) if !is_held => return,
-        Ok(connection) => match exchange(shared, entry, connection, request).await {
+        Ok(connection) => match exchange(shared, entry, connection, request, ANSWER).await {
             Some(response) => order::answer(response.status()),
             None => Answer::Unknown,
         },
@@ -182,7 +185,7 @@
     let report = match connection {
         Some(connection) => {
             let request = order::ask_report(&entry.id);
-            let response = exchange(shared, entry, connection, request).await;
+            let response = exchange(shared, entry, connection, request, REPORT).await;
             response.and_then(|response| roster::report(response.body()).ok())
         }
         None => None,
@@ -241,6 +244,7 @@
     entry: &Entry,
     mut connection: Connection,
     request: Request<Full<Bytes>>,
+    limit: Duration,
 ) -> Option<Response<Bytes>> {
     let exchange = async {
         let response = connection.sender.send_request(request).await?;
@@ -248,7 +252,7 @@
         let body = Incoming::collect(body).await?.to_bytes();
         Ok::<_, hyper::Error>(Response::from_parts(head, body))
     };
-    let response = tokio::time::timeout(ANSWER, exchange).await;
+    let response = tokio::time::timeout(limit, exchange).await;
     match response {
         Ok(Ok(response)) => {
             shared.pool.keep(&entry.id, connection);
