Load what most requests wait for first, and look early for adapters at hand

Cause: after crashes and restarts loads queue for 2 s. Each took its place of the 33 on the way for 236 ms before the first look, also where the adapter was at hand and came in 25 ms; first come was first served; copies of held adapters competed with cold ones. Change: a look at 24 ms, then from 236 ms on; the adapter that was asked for most often goes first; copies wait while the domain is behind.

--- a/crates/ploverwick_adapters/src/placer.rs
+++ b/crates/ploverwick_adapters/src/placer.rs
@@ -71,6 +71,11 @@
         self.shelves.values().map(Shelf::coming).sum::<usize>() < MOST_COMING
     }
 
+    /// Returns whether so many adapters are waited for that further copies of held ones must wait.
+    pub fn is_behind(&self) -> bool {
+        self.shelves.values().map(Shelf::backlog).sum::<usize>() > MOST_COMING
+    }
+
     /// Takes in a demand for an adapter and returns the endpoint that is to load it.
     ///
     /// `sites` are the endpoints that may serve it; `more` says that those which hold it are full.
@@ -92,7 +97,7 @@
         if let Some(site) = expecting {
             let endpoint = Arc::clone(&site.endpoint);
             // The wish stays young as long as it is asked for.
-            self.shelf(&endpoint)?.wish(copy.clone(), false, now);
+            self.shelf(&endpoint)?.wish(copy.clone(), now);
             return None;
         }
         if !more && sites.iter().filter(known).any(|site| of(site).holds(copy)) {
@@ -114,8 +119,7 @@
                 a.total_cmp(&b)
             })?;
         let endpoint = Arc::clone(&best.endpoint);
-        let is_past = past.contains(&endpoint);
-        self.shelf(&endpoint)?.wish(copy.clone(), is_past, now);
+        self.shelf(&endpoint)?.wish(copy.clone(), now);
         Some(endpoint)
     }
 }
--- a/crates/ploverwick_adapters/src/shelf.rs
+++ b/crates/ploverwick_adapters/src/shelf.rs
@@ -17,11 +17,11 @@
 const MOST_COMING: usize = 4;
 /// How long an endpoint's report may lag behind, with some room.
 const REPORT_LAG: Duration = Duration::from_millis(260);
-/// How soon after an order the first look is worth it whether the load of an adapter that the
-/// endpoint held before is complete: it takes about 25 ms.
-const FIRST_LOOK_BEFORE: Duration = Duration::from_millis(22);
-/// The same for an adapter that comes from the weight store: about 250 ms.
-const FIRST_LOOK: Duration = Duration::from_millis(236);
+/// How soon after an order the first look is worth it whether the load is complete: an adapter that
+/// the endpoint has at hand takes about 25 ms.
+const FIRST_LOOK: Duration = Duration::from_millis(24);
+/// How soon after the order the looks go on: one from the weight store takes about 250 ms.
+const SECOND_LOOK: Duration = Duration::from_millis(236);
 /// The pause between looks; a look costs little more than the message.
 const LOOK: Duration = Duration::from_millis(18);
 /// The pause between looks at the load of a base model, which takes hundreds of milliseconds.
@@ -62,7 +62,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum State {
     Held,
-    Coming { look_at: Moment },
+    Coming { look_at: Moment, ordered: Moment },
     Leaving { look_at: Moment },
 }
 
@@ -77,8 +77,8 @@
 struct Wish {
     copy: Copy,
     at: Moment,
-    /// The endpoint held it before and loads it fast.
-    is_past: bool,
+    /// How often it was asked for: the more requests wait for it, the more often.
+    asks: u32,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -185,18 +185,21 @@
         held.map(|(copy, _)| copy.clone()).collect()
     }
 
-    /// Wishes for an adapter; `is_past` says that the endpoint held it before.
-    pub fn wish(&mut self, copy: Copy, is_past: bool, now: Moment) {
+    /// Wishes for an adapter; those wished for most often come first.
+    pub fn wish(&mut self, copy: Copy, now: Moment) {
         if let Some(place) = self.places.get_mut(&copy) {
             place.used = now;
             return;
         }
         match self.wishes.iter_mut().find(|wish| wish.copy == copy) {
-            Some(wish) => wish.at = now,
+            Some(wish) => {
+                wish.at = now;
+                wish.asks += 1;
+            }
             None => self.wishes.push_back(Wish {
                 copy,
                 at: now,
-                is_past,
+                asks: 1,
             }),
         }
     }
@@ -294,7 +297,10 @@
             };
             (copy.clone(), place)
         };
-        let coming = State::Coming { look_at: now };
+        let coming = State::Coming {
+            look_at: now,
+            ordered: now,
+        };
         let held = report.held.iter().map(|copy| place(copy, State::Held));
         let all = held.chain(report.coming.iter().map(|copy| place(copy, coming)));
         self.places = all.collect();
@@ -337,7 +343,7 @@
         self.places
             .iter()
             .find_map(|(copy, place)| match place.state {
-                State::Coming { look_at } if look_at <= now => Some(load(copy, orders)),
+                State::Coming { look_at, .. } if look_at <= now => Some(load(copy, orders)),
                 State::Leaving { look_at } if look_at <= now => Some(unload(copy, orders)),
                 _ => None,
             })
@@ -345,7 +351,7 @@
 
     fn next_look_at(&self) -> Option<Moment> {
         let looks = self.places.values().filter_map(|place| match place.state {
-            State::Coming { look_at } | State::Leaving { look_at } => Some(look_at),
+            State::Coming { look_at, .. } | State::Leaving { look_at } => Some(look_at),
             State::Held => None,
         });
         looks.min()
@@ -355,7 +361,9 @@
         let places = &self.places;
         self.wishes
             .retain(|wish| now.since(wish.at) < WISH_AGE && !places.contains_key(&wish.copy));
-        let wish = self.wishes.front()?.copy.clone();
+        // Of equal ones the oldest comes first.
+        let wish = self.wishes.iter().rev().max_by_key(|wish| wish.asks)?;
+        let wish = wish.copy.clone();
         if self.coming() >= MOST_COMING || !self.has_base(&wish.key.model) {
             return None;
         }
@@ -399,22 +407,19 @@
         let copy = copy_of(&order.model, adapter, version);
         match (order.op, self.places.get_mut(&copy)) {
             (Op::Load, Some(place)) => {
-                place.state = State::Coming { look_at: now + LOOK };
+                if let State::Coming { look_at, ordered } = &mut place.state {
+                    *look_at = (now + LOOK).max(*ordered + SECOND_LOOK);
+                }
                 None
             }
             (Op::Load, None) => {
                 self.advance();
                 self.last_accepted = Some(now);
-                let is_past = self.wishes.iter().any(|w| w.copy == copy && w.is_past);
                 self.wishes.retain(|wish| wish.copy != copy);
-                let first_look = if is_past {
-                    FIRST_LOOK_BEFORE
-                } else {
-                    FIRST_LOOK
-                };
                 let place = Place {
                     state: State::Coming {
-                        look_at: now + first_look,
+                        look_at: now + FIRST_LOOK,
+                        ordered: now,
                     },
                     used: now,
                     in_use: 0,
@@ -483,7 +488,7 @@
         };
         let copy = copy_of(&order.model, adapter, version);
         match (order.op, self.places.get_mut(&copy).map(|place| &mut place.state)) {
-            (Op::Load, Some(State::Coming { look_at: at }))
+            (Op::Load, Some(State::Coming { look_at: at, .. }))
             | (Op::Unload, Some(State::Leaving { look_at: at })) => *at = look_at,
             _ => {
                 self.may_strike = true;
--- a/crates/ploverwick_gateway/src/controllers/demand.rs
+++ b/crates/ploverwick_gateway/src/controllers/demand.rs
@@ -8,8 +8,8 @@
 use crate::peers;
 use crate::shared::Shared;
 
-/// Asks for an adapter at the endpoints of a failure domain; `more` says that those which hold it
-/// are full. Returns whether there was anybody to ask.
+/// Asks for an adapter at the endpoints of a failure domain; `more` says that it is held somewhere
+/// and another copy would help. Returns whether there was anybody to ask.
 pub(crate) fn ask(shared: &Arc<Shared>, domain: &str, copy: &Copy, more: bool) -> bool {
     let now = shared.now();
     let state = shared.state();
@@ -30,7 +30,7 @@
 pub(crate) fn take(shared: &Arc<Shared>, copy: &Copy, more: bool) {
     let now = shared.now();
     let mut state = shared.state();
-    if !state.tenure.is_held(now) {
+    if !state.tenure.is_held(now) || (more && state.placer.is_behind()) {
         return;
     }
     let domain = &shared.settings.domain;
--- a/crates/ploverwick_gateway/src/filters/place.rs
+++ b/crates/ploverwick_gateway/src/filters/place.rs
@@ -158,7 +158,7 @@
     let worth_loading = is_away && count_away(&mut state, &wanted, task.bytes());
     drop(state);
     if worth_loading || is_older || fill > CROWDED {
-        demand::ask(shared, &shared.settings.domain, &wanted, fill > CROWDED);
+        demand::ask(shared, &shared.settings.domain, &wanted, !is_older);
     }
     if fill >= MOST_FILL {
         return (Choice::Full, wanted);
