Keep the places at an endpoint exact whatever becomes of orders

Change: after an assumption a place is kept free until a report on quiet tells; reports wait out the lag; a refused unload goes on with another victim, and its repeat assumes nothing.

--- a/crates/ploverwick_adapters/src/shelf.rs
+++ b/crates/ploverwick_adapters/src/shelf.rs
@@ -26,6 +26,8 @@
 const LOOK: Duration = Duration::from_millis(18);
 /// The pause between looks at the load of a base model, which takes hundreds of milliseconds.
 const BASE_LOOK: Duration = Duration::from_millis(80);
+/// Refused unloads after which the number of accepted orders is doubted: it is the other reason.
+const MOST_REFUSED_UNLOADS: u32 = 3;
 /// An adapter used within this time is not unloaded: a request for it may be on its way.
 const FRESH: Duration = Duration::from_millis(250);
 /// How long a wish for an adapter counts; whoever still wants it asks again.
@@ -100,12 +102,15 @@
     wishes: VecDeque<Wish>,
     /// An order without an answer, or of an earlier placer, may still strike.
     may_strike: bool,
-    last_accepted: Option<Moment>,
+    last_order: Option<Moment>,
     /// An order without an answer. It is sent again as it was: as it names the number of accepted
     /// orders, only one of the two can be carried out.
     unanswered: Option<Order>,
-    /// The last order was taken for accepted because its repeat was refused.
-    is_assumed: bool,
+    /// An order was taken for accepted because its repeat was refused. Until a report tells, an
+    /// earlier one may have been accepted instead, so that an adapter may be there unknown.
+    may_hold_more: bool,
+    /// Unloads that were refused since an order was last obeyed.
+    refused_unloads: u32,
 }
 
 impl Shelf {
@@ -119,9 +124,10 @@
             places: HashMap::new(),
             wishes: VecDeque::new(),
             may_strike: true,
-            last_accepted: None,
+            last_order: None,
             unanswered: None,
-            is_assumed: false,
+            may_hold_more: false,
+            refused_unloads: 0,
         }
     }
 
@@ -231,6 +237,9 @@
         if let Some(step) = self.next_base(orders, now) {
             return step;
         }
+        if self.should_verify(now) {
+            return Step::Report;
+        }
         if let Some(order) = self.next_look(orders, now) {
             return Step::Send(order);
         }
@@ -247,16 +256,16 @@
     /// Takes in how the endpoint answered an order.
     pub fn answered(&mut self, order: &Order, answer: Answer, now: Moment) -> Option<Event> {
         let is_repeat = self.unanswered.take().is_some();
+        self.last_order = Some(now);
         match answer {
-            Answer::Accepted => {
-                self.is_assumed = false;
-                self.accepted(order, now)
-            }
-            Answer::Done => {
-                self.is_assumed = false;
-                self.done(order, now)
+            Answer::Accepted => self.accepted(order, now),
+            Answer::Done => self.done(order, now),
+            // A refused unload may also mean that the adapter is in use: nothing can be assumed.
+            Answer::Conflict if is_repeat && order.op == Op::Unload => {
+                self.learn_again(now + REPORT_LAG);
+                None
             }
-            Answer::Conflict if is_repeat && order.adapter.is_some() && !self.is_assumed => {
+            Answer::Conflict if is_repeat && order.adapter.is_some() && !self.may_hold_more => {
                 self.assume(order, now)
             }
             Answer::Conflict => {
@@ -281,6 +290,7 @@
     /// Takes in the endpoint's own report.
     pub fn report(&mut self, report: &Report, now: Moment) -> Event {
         self.orders = Some(report.orders);
+        self.may_hold_more = false;
         for base in self.models.values_mut() {
             *base = Base::Missing;
         }
@@ -382,7 +392,16 @@
 
     /// Counts the places that are taken or may be.
     fn taken(&self) -> usize {
-        self.places.len() + usize::from(self.may_strike)
+        self.places.len() + usize::from(self.may_strike) + usize::from(self.may_hold_more)
+    }
+
+    /// Returns whether a report would tell what an assumption left open: reports lag behind, so
+    /// that nothing may have changed for a while.
+    fn should_verify(&self, now: Moment) -> bool {
+        let is_quiet = self
+            .last_order
+            .is_none_or(|at| now.since(at) >= REPORT_LAG);
+        self.may_hold_more && is_quiet && self.coming() == 0
     }
 
     fn victim(&self, now: Moment) -> Option<Copy> {
@@ -414,7 +433,6 @@
             }
             (Op::Load, None) => {
                 self.advance();
-                self.last_accepted = Some(now);
                 self.wishes.retain(|wish| wish.copy != copy);
                 let place = Place {
                     state: State::Coming {
@@ -471,11 +489,8 @@
     /// The repeat of an unanswered order was refused: the number of accepted orders is another, so
     /// the first one was accepted. The next order tells whether that is so.
     fn assume(&mut self, order: &Order, now: Moment) -> Option<Event> {
-        self.is_assumed = true;
-        match order.op {
-            Op::Load => self.accepted(order, now),
-            Op::Unload => self.done(order, now),
-        }
+        self.may_hold_more = true;
+        self.accepted(order, now)
     }
 
     /// An order got no answer. A look is made again; anything else is repeated as it was.
@@ -504,8 +519,24 @@
             *look_at = now + BASE_LOOK;
             return;
         }
-        let since = self.last_accepted.unwrap_or(now);
-        self.learn_again((since + REPORT_LAG).max(now));
+        // An adapter that requests use is not unloaded; the next victim is another one.
+        if order.op == Op::Unload
+            && self.refused_unloads < MOST_REFUSED_UNLOADS
+            && let Some(place) = self.victim_of(order)
+        {
+            place.used = now;
+            self.refused_unloads += 1;
+            return;
+        }
+        self.refused_unloads = 0;
+        // Whatever changed the number may have happened just now.
+        self.learn_again(now + REPORT_LAG);
+    }
+
+    fn victim_of(&mut self, order: &Order) -> Option<&mut Place> {
+        let (adapter, version) = order.adapter.clone()?;
+        let copy = copy_of(&order.model, adapter, version);
+        self.places.get_mut(&copy)
     }
 
     fn invalid(&mut self, order: &Order) {
@@ -520,13 +551,13 @@
 
     /// An order was accepted: the count rises, and what waited for the old count is void.
     fn advance(&mut self) {
+        self.refused_unloads = 0;
         self.orders = self.orders.map(|orders| orders + 1);
         self.may_strike = false;
     }
 
     fn learn_again(&mut self, at: Moment) {
         self.unanswered = None;
-        self.is_assumed = false;
         self.orders = None;
         self.report_at = at;
     }
--- /dev/null
+++ b/crates/ploverwick_adapters/tests/order_right.rs
@@ -0,0 +1,74 @@
+//! The right to give orders: leases, tokens, and turns.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use ploverwick_adapters::{Grant, Tenure, Terms};
+use ploverwick_names::Moment;
+
+const TERMS: Terms = Terms {
+    lease: Duration::from_millis(2_500),
+    turn: Duration::from_millis(3_000),
+    fenced: true,
+};
+
+#[googletest::test]
+fn lease_counts_from_asking() {
+    let mut tenure = Tenure::new(TERMS, false, Moment(0));
+    tenure.granted(Grant::Held(4), Moment(1_000), Moment(2_000));
+    expect_that!(tenure.token(Moment(3_499)), some(eq(4)));
+    expect_that!(tenure.token(Moment(3_500)), none());
+}
+
+#[googletest::test]
+fn paused_holder_stops() {
+    let mut tenure = Tenure::new(TERMS, false, Moment(0));
+    tenure.granted(Grant::Held(4), Moment(0), Moment(3));
+    // The process stood still; nothing but the clock tells it.
+    expect_that!(tenure.token(Moment(60_000)), none());
+}
+
+#[googletest::test]
+fn return_waits_a_turn() {
+    let mut tenure = Tenure::new(TERMS, false, Moment(0));
+    tenure.granted(Grant::Held(4), Moment(0), Moment(3));
+    tenure.granted(Grant::Elsewhere, Moment(700), Moment(703));
+    tenure.granted(Grant::Held(6), Moment(1_400), Moment(1_403));
+    tenure.granted(Grant::Held(6), Moment(2_100), Moment(2_103));
+    expect_that!(tenure.token(Moment(2_200)), none());
+    tenure.granted(Grant::Held(6), Moment(2_800), Moment(2_803));
+    tenure.granted(Grant::Held(6), Moment(3_500), Moment(3_503));
+    expect_that!(tenure.token(Moment(3_703)), some(eq(6)));
+}
+
+#[googletest::test]
+fn fenced_token_is_dead() {
+    let mut tenure = Tenure::new(TERMS, false, Moment(0));
+    tenure.granted(Grant::Held(4), Moment(0), Moment(3));
+    tenure.fenced(4, Moment(10));
+    tenure.granted(Grant::Held(4), Moment(700), Moment(703));
+    expect_that!(tenure.token(Moment(704)), none());
+    expect_that!(tenure.is_held(Moment(704)), eq(false));
+}
+
+#[googletest::test]
+fn successor_waits_unfenced() {
+    let terms = Terms {
+        fenced: false,
+        ..TERMS
+    };
+    let mut tenure = Tenure::new(terms, false, Moment(0));
+    tenure.granted(Grant::Held(4), Moment(0), Moment(3));
+    expect_that!(tenure.token(Moment(2_000)), none());
+    for at in (700..3_500).step_by(700) {
+        tenure.granted(Grant::Held(4), Moment(at), Moment(at + 3));
+    }
+    expect_that!(tenure.token(Moment(3_003)), some(eq(4)));
+}
+
+#[googletest::test]
+fn restart_waits_a_turn() {
+    let mut tenure = Tenure::new(TERMS, true, Moment(0));
+    tenure.granted(Grant::Held(9), Moment(0), Moment(3));
+    expect_that!(tenure.token(Moment(100)), none());
+}
--- a/crates/ploverwick_endpoints/src/lib.rs
+++ b/crates/ploverwick_endpoints/src/lib.rs
@@ -3,11 +3,13 @@
 //! Pure state: callers pass the time in and carry the messages. An instance knows its own requests
 //! exactly and those of its peers as of their last report.
 
+mod absence;
 mod budget;
 mod entry;
 mod fleet;
 mod health;
 
+pub use absence::Absence;
 pub use budget::{Budget, Rate};
 pub use entry::{Entry, Held, State};
 pub use fleet::{Cost, Fleet, Query};
--- a/crates/ploverwick_gateway/src/controllers/roster.rs
+++ b/crates/ploverwick_gateway/src/controllers/roster.rs
@@ -1,11 +1,10 @@
 //! Follows the list of endpoints.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
-use ploverwick_endpoints::State as EndpointState;
-use ploverwick_names::Moment;
+use ploverwick_endpoints::{Absence, State as EndpointState};
 use ploverwick_platform::store::{Error, Record};
 use ploverwick_platform::{ROSTER, roster};
 
@@ -16,16 +15,11 @@
 /// The pause between reads. Each heartbeat of an endpoint is a record, so that a read that waits
 /// for the next one would return at once; a leave must be seen well within the drain time.
 const PAUSE: Duration = Duration::from_millis(550);
-/// How long an endpoint may be missing after the store came back before it counts as gone.
-const BACK: Duration = Duration::from_millis(2_300);
 
 #[derive(Debug)]
 struct Follower {
     shared: Arc<Shared>,
-    /// When endpoints that are missing after an outage count as gone.
-    missing: HashMap<Arc<str>, Moment>,
-    /// Until when a missing endpoint may still come back.
-    lenient_until: Moment,
+    absence: Absence,
 }
 
 /// Follows the list for as long as the process runs.
@@ -34,18 +28,19 @@
     let mut backoff = Backoff::new();
     let mut next: Option<u64> = None;
     let mut follower = Follower {
-        lenient_until: shared.now(),
         shared,
-        missing: HashMap::new(),
+        absence: Absence::default(),
     };
     loop {
         let store = &follower.shared.store;
         let result = match next {
             None => store.newest(ROSTER).await.map(|snapshot| {
+                follower.absence.store_read(follower.shared.now());
                 follower.replace(&snapshot.records);
                 snapshot.end
             }),
             Some(from) => store.read(ROSTER, from, Duration::ZERO).await.map(|batch| {
+                follower.absence.store_read(follower.shared.now());
                 follower.take(&batch.records);
                 from + batch.records.len() as u64
             }),
@@ -53,9 +48,7 @@
         match result {
             Ok(end) => {
                 next = Some(end);
-                if outage.works() {
-                    follower.lenient_until = follower.shared.now() + BACK;
-                }
+                outage.works();
                 backoff.reset();
                 follower.settle();
                 tokio::time::sleep(PAUSE).await;
@@ -66,6 +59,7 @@
             }
             Err(error) => {
                 outage.fails(&error);
+                follower.absence.store_away();
                 backoff.pause().await;
             }
         }
@@ -105,7 +99,7 @@
                 return;
             }
         };
-        self.missing.remove(&entry.id);
+        self.absence.seen(&entry.id);
         let now = self.shared.now();
         let mut state = self.shared.state();
         let before = state.fleet.entry(id).map(|entry| entry.state);
@@ -130,19 +124,14 @@
     /// An endpoint is missing: it is gone, or the store has forgotten it in an outage.
     fn miss(&mut self, id: &Arc<str>) {
         let now = self.shared.now();
-        if now < self.lenient_until {
-            self.missing.entry(Arc::clone(id)).or_insert(now + BACK);
-        } else {
+        if self.absence.miss(id, now) {
             self.remove(id);
         }
     }
 
     fn settle(&mut self) {
         let now = self.shared.now();
-        let due = self.missing.iter().filter(|(_, at)| **at <= now);
-        let due: Vec<Arc<str>> = due.map(|(id, _)| Arc::clone(id)).collect();
-        for id in due {
-            self.missing.remove(&id);
+        for id in self.absence.due(now) {
             self.remove(&id);
         }
     }
--- a/crates/ploverwick_gateway/src/filters/attempt.rs
+++ b/crates/ploverwick_gateway/src/filters/attempt.rs
@@ -86,7 +86,7 @@
             history.sent += 1;
             history.refusals += 1;
             if misdirected {
-                mislaid(shared, target);
+                mislaid(shared, target, history);
                 return refused(history, "misdirected", Duration::ZERO);
             }
             refused(history, "no room", PAUSE * history.refusals)
@@ -165,11 +165,14 @@
     shared.state().may_repeat(&task.service, rate, now)
 }
 
-/// An endpoint does not hold what the directory says.
-fn mislaid(shared: &Shared, target: &Target) {
-    if let Some(copy) = &target.copy {
-        let mut state = shared.state();
-        state.directory.unloaded(&target.entry.id, copy);
+/// An endpoint does not hold what the directory says, or nothing is known of what it holds.
+fn mislaid(shared: &Shared, target: &Target, history: &mut History) {
+    match &target.copy {
+        Some(copy) => {
+            let mut state = shared.state();
+            state.directory.unloaded(&target.entry.id, copy);
+        }
+        None => history.except.push(Arc::clone(&target.entry.id)),
     }
 }
 
