--- a/crates/ploverwick_adapters/src/lib.rs
+++ b/crates/ploverwick_adapters/src/lib.rs
@@ -14,6 +14,6 @@
 pub use directory::Directory;
 pub use key::{Copy, Key};
 pub use order::{Answer, Op, Order, Report};
-pub use placer::{Placer, Site};
+pub use placer::{Need, Placer, Site};
 pub use shelf::{Event, Shelf, Step};
 pub use tenure::{Grant, Tenure, Terms};
--- a/crates/ploverwick_adapters/src/placer.rs
+++ b/crates/ploverwick_adapters/src/placer.rs
@@ -5,6 +5,7 @@
 
 use ploverwick_names::Moment;
 use ploverwick_placement::{Candidate, even, rank, score};
+use serde::{Deserialize, Serialize};
 
 use crate::{Copy, Shelf};
 
@@ -23,6 +24,17 @@
 /// What the endpoint that held the adapter before earns: it loads it ten times as fast.
 const PAST: f64 = 6.0;
 
+/// Why an adapter is asked for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Need {
+    /// A request has no endpoint that holds it.
+    Any,
+    /// A request cannot use those that hold it.
+    Another,
+    /// It is held and served, and another copy would help.
+    Extra,
+}
+
 /// An endpoint as the placer sees it.
 #[derive(Debug, Clone)]
 pub struct Site {
@@ -78,13 +90,13 @@
 
     /// Takes in a demand for an adapter and returns the endpoint that is to load it.
     ///
-    /// `sites` are the endpoints that may serve it; `more` says that those which hold it are full.
+    /// `sites` are the endpoints that may serve it.
     /// Returns `None` if one holds it or expects it already, or if there is none.
     pub fn demand(
         &mut self,
         copy: &Copy,
         sites: &[Site],
-        more: bool,
+        need: Need,
         past: &[Arc<str>],
         now: Moment,
     ) -> Option<Arc<str>> {
@@ -100,7 +112,7 @@
             self.shelf(&endpoint)?.wish(copy.clone(), now);
             return None;
         }
-        if !more && sites.iter().filter(known).any(|site| of(site).holds(copy)) {
+        if need == Need::Any && sites.iter().filter(known).any(|site| of(site).holds(copy)) {
             return None;
         }
         let key = copy.key.to_string();
--- a/crates/ploverwick_gateway/src/controllers/demand.rs
+++ b/crates/ploverwick_gateway/src/controllers/demand.rs
@@ -2,35 +2,34 @@
 
 use std::sync::Arc;
 
-use ploverwick_adapters::{Copy, Site};
+use ploverwick_adapters::{Copy, Need, Site};
 use ploverwick_endpoints::State as EndpointState;
 
 use crate::peers;
 use crate::shared::Shared;
 
-/// Asks for an adapter at the endpoints of a failure domain; `more` says that it is held somewhere
-/// and another copy would help. Returns whether there was anybody to ask.
-pub(crate) fn ask(shared: &Arc<Shared>, domain: &str, copy: &Copy, more: bool) -> bool {
+/// Asks for an adapter at the endpoints of a failure domain. Returns whether there was anybody to ask.
+pub(crate) fn ask(shared: &Arc<Shared>, domain: &str, copy: &Copy, need: Need) -> bool {
     let now = shared.now();
     let state = shared.state();
     let is_own = *domain == *shared.settings.domain && state.tenure.is_held(now);
     let placer = state.placer_of(domain, now);
     drop(state);
     if is_own {
-        take(shared, copy, more);
+        take(shared, copy, need);
         return true;
     }
     if let Some(ip) = placer {
-        peers::ask(shared, ip, copy, more);
+        peers::ask(shared, ip, copy, need);
     }
     placer.is_some()
 }
 
 /// Takes in a demand, if this instance places adapters.
-pub(crate) fn take(shared: &Arc<Shared>, copy: &Copy, more: bool) {
+pub(crate) fn take(shared: &Arc<Shared>, copy: &Copy, need: Need) {
     let now = shared.now();
     let mut state = shared.state();
-    if !state.tenure.is_held(now) || (more && state.placer.is_behind()) {
+    if !state.tenure.is_held(now) || (need == Need::Extra && state.placer.is_behind()) {
         return;
     }
     let domain = &shared.settings.domain;
@@ -44,15 +43,15 @@
         })
         .collect();
     let past = state.directory.past(copy).to_vec();
-    let chosen = state.placer.demand(copy, &sites, more, &past, now);
+    let chosen = state.placer.demand(copy, &sites, need, &past, now);
     drop(state);
     if let Some(endpoint) = chosen {
         spdlog::info!(
-            "adapter_placed adapter={} version={} endpoint={} more={} past={}",
+            "adapter_placed adapter={} version={} endpoint={} need={:?} past={}",
             copy.key,
             copy.version,
             endpoint,
-            more,
+            need,
             past.contains(&endpoint)
         );
         shared.orders.notify_waiters();
@@ -71,6 +70,6 @@
     drop(shelves);
     drop(state);
     if is_held_here {
-        take(shared, copy, false);
+        take(shared, copy, Need::Any);
     }
 }
--- a/crates/ploverwick_gateway/src/daemon.rs
+++ b/crates/ploverwick_gateway/src/daemon.rs
@@ -1,12 +1,14 @@
 //! The process: opens its sockets, starts its tasks, and stops without cutting anybody off.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use anyhow::{Context, Result};
 use ploverwick_platform::settings::{self, Settings};
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::task::JoinSet;
 
 use crate::controllers::{instances, operator, orders, roster, tenure};
 use crate::front::{self, Open};
@@ -24,58 +26,104 @@
 /// How often idle connections to endpoints are swept.
 const SWEEP: Duration = Duration::from_secs(1);
 
-/// Runs the daemon until it is asked to stop.
+/// A daemon with its sockets open.
+#[derive(Debug)]
+pub struct Daemon {
+    shared: Arc<Shared>,
+    front: TcpListener,
+    ready: TcpListener,
+}
+
+impl Daemon {
+    /// Opens the sockets; a port of 0 lets the system choose.
+    ///
+    /// # Errors
+    /// Fails if a socket cannot be opened.
+    pub async fn open(settings: Settings) -> Result<Self> {
+        let front = listen(settings.front, "front").await?;
+        let ready = listen(settings.ready, "ready").await?;
+        let mail = (settings.ip, settings.peer_port).into();
+        let mail = Mail::open(mail).await.context("open the peers' socket")?;
+        spdlog::info!(
+            "start instance={} domain={} front={} first_start={}",
+            settings.instance,
+            settings.domain,
+            settings.front,
+            settings.first_start
+        );
+        Ok(Self {
+            shared: Arc::new(Shared::new(settings, mail)),
+            front,
+            ready,
+        })
+    }
+
+    /// Returns where clients connect.
+    ///
+    /// # Errors
+    /// Fails if the socket does not tell.
+    pub fn front(&self) -> std::io::Result<SocketAddr> {
+        self.front.local_addr()
+    }
+
+    /// Returns where the platform asks for readiness.
+    ///
+    /// # Errors
+    /// Fails if the socket does not tell.
+    pub fn ready(&self) -> std::io::Result<SocketAddr> {
+        self.ready.local_addr()
+    }
+
+    /// Serves until `stop` is done, then stops without cutting anybody off.
+    pub async fn serve(self, stop: impl Future<Output = ()>) {
+        let shared = self.shared;
+        let open = Arc::new(Open::default());
+        let mut tasks = JoinSet::new();
+        tasks.spawn(operator::follow(Arc::clone(&shared)));
+        tasks.spawn(roster::follow(Arc::clone(&shared)));
+        tasks.spawn(instances::enlist(Arc::clone(&shared)));
+        tasks.spawn(instances::follow(Arc::clone(&shared)));
+        tasks.spawn(tenure::keep(Arc::clone(&shared)));
+        tasks.spawn(orders::keep(Arc::clone(&shared)));
+        tasks.spawn(peers::tell(Arc::clone(&shared)));
+        tasks.spawn(peers::listen(Arc::clone(&shared)));
+        tasks.spawn(filters::watch(Arc::clone(&shared)));
+        tasks.spawn(ready::serve(Arc::clone(&shared), self.ready));
+        tasks.spawn(sweep(Arc::clone(&shared)));
+        let front = front::serve(Arc::clone(&shared), self.front, Arc::clone(&open));
+        tasks.spawn(front);
+        stop.await;
+        leave(&shared, &open).await;
+    }
+}
+
+/// Runs the daemon until it gets a signal to stop.
 ///
 /// # Errors
-/// Fails if a socket cannot be opened.
+/// Fails if a socket cannot be opened or signals cannot be had.
 pub async fn run(settings: Settings) -> Result<()> {
-    let front = listen(settings.front, "front").await?;
-    let ready = listen(settings.ready, "ready").await?;
-    let mail = (settings.ip, settings.peer_port).into();
-    let mail = Mail::open(mail).await.context("open the peers' socket")?;
-    spdlog::info!(
-        "start instance={} domain={} front={} first_start={}",
-        settings.instance,
-        settings.domain,
-        settings.front,
-        settings.first_start
-    );
-    let shared = Arc::new(Shared::new(settings, mail));
-    let open = Arc::new(Open::default());
-    tokio::spawn(operator::follow(Arc::clone(&shared)));
-    tokio::spawn(roster::follow(Arc::clone(&shared)));
-    tokio::spawn(instances::enlist(Arc::clone(&shared)));
-    tokio::spawn(instances::follow(Arc::clone(&shared)));
-    let tenure = tokio::spawn(tenure::keep(Arc::clone(&shared)));
-    tokio::spawn(orders::keep(Arc::clone(&shared)));
-    tokio::spawn(peers::tell(Arc::clone(&shared)));
-    tokio::spawn(peers::listen(Arc::clone(&shared)));
-    tokio::spawn(filters::watch(Arc::clone(&shared)));
-    tokio::spawn(ready::serve(Arc::clone(&shared), ready));
-    let serving = front::serve(Arc::clone(&shared), front, Arc::clone(&open));
-    let serving = tokio::spawn(serving);
-    tokio::spawn(sweep(Arc::clone(&shared)));
-    tokio::spawn(reload(Arc::clone(&shared)));
-
     let mut terminate = signal(SignalKind::terminate()).context("listen for SIGTERM")?;
     let mut interrupt = signal(SignalKind::interrupt()).context("listen for SIGINT")?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
-    stop(&shared, &open).await;
-    serving.abort();
-    tenure.abort();
+    let hangup = signal(SignalKind::hangup()).context("listen for SIGHUP")?;
+    tokio::spawn(reload(hangup, settings.clone()));
+    let daemon = Daemon::open(settings).await?;
+    let stop = async {
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+    };
+    daemon.serve(stop).await;
     Ok(())
 }
 
-async fn listen(address: std::net::SocketAddr, what: &str) -> Result<TcpListener> {
+async fn listen(address: SocketAddr, what: &str) -> Result<TcpListener> {
     let listener = TcpListener::bind(address).await;
     listener.with_context(|| format!("listen for {what} on {address}"))
 }
 
 /// Stops: takes no new work once the platform knows, and waits for what is under way.
-async fn stop(shared: &Arc<Shared>, open: &Open) {
+async fn leave(shared: &Arc<Shared>, open: &Open) {
     let asked = shared.now();
     spdlog::info!("stop_asked open={}", open.count());
     shared.stopping.send_replace(true);
@@ -101,20 +149,10 @@
 
 /// Reads the settings again when the platform says that they changed. What is in use stays: the
 /// sockets are open, and a changed bound takes effect with the next start.
-async fn reload(shared: Arc<Shared>) {
-    let mut hangup = match signal(SignalKind::hangup()) {
-        Ok(hangup) => hangup,
-        Err(error) => {
-            spdlog::error!("no_reload cause=\"{}\"", error);
-            return;
-        }
-    };
+async fn reload(mut hangup: Signal, in_use: Settings) {
     while hangup.recv().await.is_some() {
         match settings::read() {
-            Ok(settings) => {
-                let is_same = settings == shared.settings;
-                spdlog::info!("reload same={}", is_same);
-            }
+            Ok(settings) => spdlog::info!("reload same={}", settings == in_use),
             Err(error) => spdlog::error!("reload_failed cause=\"{}\"", error),
         }
     }
--- a/crates/ploverwick_gateway/src/filters/place.rs
+++ b/crates/ploverwick_gateway/src/filters/place.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ploverwick_adapters::{Copy, Key};
+use ploverwick_adapters::{Copy, Key, Need};
 use ploverwick_codes::Code;
 use ploverwick_endpoints::{Cost, Entry, Query};
 use ploverwick_names::Moment;
@@ -158,7 +158,8 @@
     let worth_loading = is_away && count_away(&mut state, &wanted, task.bytes());
     drop(state);
     if worth_loading || is_older || fill > CROWDED {
-        demand::ask(shared, &shared.settings.domain, &wanted, !is_older);
+        let need = if is_older { Need::Any } else { Need::Extra };
+        demand::ask(shared, &shared.settings.domain, &wanted, need);
     }
     if fill >= MOST_FILL {
         return (Choice::Full, wanted);
@@ -209,7 +210,14 @@
     } else {
         domains.get(1).unwrap_or(first)
     };
-    demand::ask(shared, domain, copy, false);
+    // Whoever holds it cannot be used: it is left out for its failures or was tried already.
+    let holders = shared.state().directory.holders(&copy.key, copy.version);
+    let need = if holders.is_empty() {
+        Need::Any
+    } else {
+        Need::Another
+    };
+    demand::ask(shared, domain, copy, need);
 }
 
 /// Lists the failure domains in which adapters can be placed, the one where this adapter belongs
--- a/crates/ploverwick_gateway/src/lib.rs
+++ b/crates/ploverwick_gateway/src/lib.rs
@@ -15,5 +15,5 @@
 mod ready;
 mod shared;
 
-pub use daemon::run;
+pub use daemon::{Daemon, run};
 pub use journal::set_up as set_up_logs;
--- a/crates/ploverwick_gateway/src/peers.rs
+++ b/crates/ploverwick_gateway/src/peers.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ploverwick_adapters::{Copy, Event, Key};
+use ploverwick_adapters::{Copy, Event, Key, Need};
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 
@@ -53,8 +53,8 @@
     },
     /// Its requests use these adapters.
     Used(Vec<Used>),
-    /// A request needs an adapter; `more` says that the endpoints which hold it are full.
-    Need { copy: Copy, more: bool },
+    /// A request needs an adapter.
+    Need { copy: Copy, need: Need },
     /// An endpoint holds these adapters and no others.
     Holds {
         endpoint: Arc<str>,
@@ -100,10 +100,10 @@
 }
 
 /// Asks the instance at `ip` for an adapter.
-pub(crate) fn ask(shared: &Shared, ip: IpAddr, copy: &Copy, more: bool) {
+pub(crate) fn ask(shared: &Shared, ip: IpAddr, copy: &Copy, need: Need) {
     let message = Message::Need {
         copy: copy.clone(),
-        more,
+        need,
     };
     shared.mail.send(&message, shared.mail_address(ip));
 }
@@ -283,9 +283,9 @@
                 }
             }
         }
-        Message::Need { copy, more } => {
+        Message::Need { copy, need } => {
             drop(state);
-            demand::take(shared, &copy, more);
+            demand::take(shared, &copy, need);
         }
         Message::Holds { endpoint, holdings } => {
             let copies = holdings.into_iter().flat_map(|holding| {
--- /dev/null
+++ b/crates/ploverwick_gateway/tests/common/mod.rs
@@ -0,0 +1,107 @@
+//! A gateway in this process, before a stand-in store and stand-in endpoints.
+
+#![expect(dead_code, reason = "each test file uses a part of it")]
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use anyhow::Result;
+use ploverwick_gateway::Daemon;
+use ploverwick_platform_standin::client::{self, Ask, Got};
+use ploverwick_platform_standin::endpoint::Endpoint;
+use ploverwick_platform_standin::settings;
+use ploverwick_platform_standin::store::Store;
+use tokio::sync::oneshot;
+use tokio::task::JoinHandle;
+
+/// The host of all routes.
+pub const HOST: &str = "a.example";
+
+pub struct World {
+    pub store: Store,
+    pub front: SocketAddr,
+    pub ready: SocketAddr,
+    stop: Option<oneshot::Sender<()>>,
+    pub served: JoinHandle<()>,
+}
+
+impl World {
+    /// Starts a gateway that knows nothing yet.
+    pub async fn bare() -> Result<Self> {
+        let store = Store::start().await?;
+        let settings = settings::of("one", Ipv4Addr::LOCALHOST, 0, store.address());
+        let daemon = Daemon::open(settings).await?;
+        let (front, ready) = (daemon.front()?, daemon.ready()?);
+        let (stop, stopped) = oneshot::channel::<()>();
+        let served = tokio::spawn(async move {
+            let stop = async move { drop(stopped.await) };
+            daemon.serve(stop).await;
+        });
+        Ok(Self {
+            store,
+            front,
+            ready,
+            stop: Some(stop),
+            served,
+        })
+    }
+
+    /// Starts a gateway with a configuration and endpoints, and waits until it is ready.
+    pub async fn with(endpoints: &[&Endpoint]) -> Result<Self> {
+        let world = Self::bare().await?;
+        for endpoint in endpoints {
+            world.store.list(endpoint.id(), &endpoint.entry("ready"));
+        }
+        world.store.configure(&settings::config(1));
+        world.until_ready(true).await?;
+        // The list of endpoints is read at a pace of its own.
+        world.until_listed(endpoints).await;
+        Ok(world)
+    }
+
+    async fn until_listed(&self, endpoints: &[&Endpoint]) {
+        let plain: Vec<_> = endpoints.iter().filter(|e| e.service() == "app").collect();
+        let mut number = 0;
+        while plain.iter().any(|endpoint| endpoint.asked() == 0) {
+            number += 1;
+            let ask = Ask::new(&format!("warm-{number}"), HOST, "/safe/warm");
+            drop(client::send(self.front, &ask).await);
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+
+    pub async fn until_ready(&self, wanted: bool) -> Result<()> {
+        while client::is_ready(self.ready).await? != wanted {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        Ok(())
+    }
+
+    pub async fn ask(&self, id: &str, path: &str) -> Result<Got> {
+        client::send(self.front, &Ask::new(id, HOST, path)).await
+    }
+
+    pub async fn stream(&self, id: &str, path: &str, adapter: &str) -> Result<Got> {
+        let ask = Ask::new(id, HOST, path).model(&format!("base/{adapter}"));
+        client::send(self.front, &ask).await
+    }
+
+    pub fn stop(&mut self) {
+        if let Some(stop) = self.stop.take() {
+            stop.send(()).expect("the gateway runs");
+        }
+    }
+}
+
+/// Starts two endpoints of the plain service.
+pub async fn two_plain() -> Result<(Endpoint, Endpoint)> {
+    let a = Endpoint::start("i-a", "app", None, "d1").await?;
+    let b = Endpoint::start("i-b", "app", None, "d1").await?;
+    Ok((a, b))
+}
+
+/// Counts the runs of a request at some endpoints.
+pub fn runs(endpoints: &[&Endpoint], id: &str) -> usize {
+    let all = endpoints.iter().flat_map(|endpoint| endpoint.runs());
+    all.filter(|run| run.id == id).count()
+}
--- /dev/null
+++ b/crates/ploverwick_gateway/tests/leaving.rs
@@ -0,0 +1,84 @@
+//! Endpoints that leave, instances that stop, and a store that is away.
+
+mod common;
+
+use std::time::Duration;
+
+use anyhow::Result;
+use common::{HOST, World, two_plain};
+use googletest::prelude::*;
+use http::StatusCode;
+use ploverwick_platform_standin::client::{self, Ask};
+
+#[tokio::test]
+async fn draining_gets_none() -> Result<()> {
+    let (a, b) = two_plain().await?;
+    let world = World::with(&[&a, &b]).await?;
+    world.store.list(a.id(), &a.entry("draining"));
+    // The list is read within the drain time.
+    tokio::time::sleep(Duration::from_millis(1_200)).await;
+    let before = a.asked();
+    for number in 0..20 {
+        world.ask(&format!("r{number}"), "/safe/").await?;
+    }
+    assert_that!(a.asked(), eq(before));
+    Ok(())
+}
+
+#[tokio::test]
+async fn unlisted_gets_none() -> Result<()> {
+    let (a, b) = two_plain().await?;
+    let world = World::with(&[&a, &b]).await?;
+    world.store.unlist(a.id());
+    tokio::time::sleep(Duration::from_millis(1_200)).await;
+    let before = a.asked();
+    for number in 0..20 {
+        world.ask(&format!("r{number}"), "/safe/").await?;
+    }
+    assert_that!(a.asked(), eq(before));
+    Ok(())
+}
+
+#[tokio::test]
+async fn serves_without_store() -> Result<()> {
+    let (a, b) = two_plain().await?;
+    let world = World::with(&[&a, &b]).await?;
+    world.store.away(true);
+    for number in 0..20 {
+        let got = world.ask(&format!("r{number}"), "/once/").await?;
+        assert_that!(got.status, eq(StatusCode::OK));
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    assert_that!(client::is_ready(world.ready).await?, eq(true));
+    Ok(())
+}
+
+#[tokio::test]
+async fn starts_without_store() -> Result<()> {
+    let world = World::bare().await?;
+    world.store.away(true);
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    assert_that!(client::is_ready(world.ready).await?, eq(false));
+    world.store.away(false);
+    world.store.configure(&ploverwick_platform_standin::settings::config(1));
+    world.until_ready(true).await
+}
+
+#[tokio::test]
+async fn stop_cuts_nobody() -> Result<()> {
+    let (a, b) = two_plain().await?;
+    let mut world = World::with(&[&a, &b]).await?;
+    let mut kept = client::Connection::open(world.front).await?;
+    let ask = |id: &str| Ask::new(id, HOST, "/once/");
+    kept.send(&ask("before")).await?;
+    world.stop();
+    world.until_ready(false).await?;
+    // A kept connection serves once more and says that it closes; new ones are served, too.
+    let got = kept.send(&ask("kept")).await?;
+    assert_that!(got.status, eq(StatusCode::OK));
+    assert_that!(got.closes, eq(true));
+    let got = client::send(world.front, &ask("new")).await?;
+    assert_that!(got.status, eq(StatusCode::OK));
+    (&mut world.served).await?;
+    Ok(())
+}
