--- a/crates/ploverwick_adapters/src/placer.rs
+++ b/crates/ploverwick_adapters/src/placer.rs
@@ -136,14 +136,7 @@
     }
 }
 
-fn rate(
-    site: &Site,
-    shelf: &Shelf,
-    copy: &Copy,
-    key: &str,
-    past: &[Arc<str>],
-    now: Moment,
-) -> f64 {
+fn rate(site: &Site, shelf: &Shelf, copy: &Copy, key: &str, past: &[Arc<str>], now: Moment) -> f64 {
     let candidate = Candidate {
         name: &site.endpoint,
         weight: 1.0,
--- a/crates/ploverwick_adapters/src/shelf.rs
+++ b/crates/ploverwick_adapters/src/shelf.rs
@@ -398,9 +398,7 @@
     /// Returns whether a report would tell what an assumption left open: reports lag behind, so
     /// that nothing may have changed for a while.
     fn should_verify(&self, now: Moment) -> bool {
-        let is_quiet = self
-            .last_order
-            .is_none_or(|at| now.since(at) >= REPORT_LAG);
+        let is_quiet = self.last_order.is_none_or(|at| now.since(at) >= REPORT_LAG);
         self.may_hold_more && is_quiet && self.coming() == 0
     }
 
@@ -447,7 +445,9 @@
             }
             (Op::Unload, Some(place)) => {
                 let was_held = place.state == State::Held;
-                place.state = State::Leaving { look_at: now + LOOK };
+                place.state = State::Leaving {
+                    look_at: now + LOOK,
+                };
                 if was_held {
                     self.advance();
                 }
@@ -502,7 +502,10 @@
             return;
         };
         let copy = copy_of(&order.model, adapter, version);
-        match (order.op, self.places.get_mut(&copy).map(|place| &mut place.state)) {
+        match (
+            order.op,
+            self.places.get_mut(&copy).map(|place| &mut place.state),
+        ) {
             (Op::Load, Some(State::Coming { look_at: at, .. }))
             | (Op::Unload, Some(State::Leaving { look_at: at })) => *at = look_at,
             _ => {
--- a/crates/ploverwick_adapters/tests/order_right.rs
+++ b/crates/ploverwick_adapters/tests/order_right.rs
@@ -8,7 +8,7 @@
 
 const TERMS: Terms = Terms {
     lease: Duration::from_millis(2_500),
-    turn: Duration::from_millis(3_000),
+    turn: Duration::from_secs(3),
     fenced: true,
 };
 
--- a/crates/ploverwick_endpoints/src/fleet.rs
+++ b/crates/ploverwick_endpoints/src/fleet.rs
@@ -150,7 +150,8 @@
     /// Lists what this instance itself has under way.
     pub fn own_loads(&self) -> Vec<(Arc<str>, u32)> {
         let busy = self.members.values().filter(|m| m.in_flight > 0);
-        busy.map(|m| (Arc::clone(&m.entry.id), m.in_flight)).collect()
+        busy.map(|m| (Arc::clone(&m.entry.id), m.in_flight))
+            .collect()
     }
 
     /// Returns the requests under way at an endpoint, as far as known.
--- a/crates/ploverwick_endpoints/tests/endpoint_choice.rs
+++ b/crates/ploverwick_endpoints/tests/endpoint_choice.rs
@@ -70,7 +70,11 @@
     let mut leaving = entry("a", "d1");
     leaving.state = State::Draining;
     fleet.put(leaving);
-    let ids: Vec<_> = fleet.rank(&QUERY, Moment(0)).into_iter().map(|r| r.1).collect();
+    let ids: Vec<_> = fleet
+        .rank(&QUERY, Moment(0))
+        .into_iter()
+        .map(|r| r.1)
+        .collect();
     expect_that!(ids, not(contains(eq(&Arc::from("a")))));
 }
 
--- a/crates/ploverwick_endpoints/tests/retry_budget.rs
+++ b/crates/ploverwick_endpoints/tests/retry_budget.rs
@@ -15,7 +15,9 @@
 #[googletest::test]
 fn allowance_is_shared() {
     let mut budget = Budget::default();
-    let granted = (0..100).filter(|_| budget.repeat(RATE, 6, Moment(0))).count();
+    let granted = (0..100)
+        .filter(|_| budget.repeat(RATE, 6, Moment(0)))
+        .count();
     expect_that!(granted, le(10));
     expect_that!(granted, gt(5));
 }
@@ -26,7 +28,9 @@
     for _ in 0..500 {
         budget.request(Moment(100));
     }
-    let granted = (0..500).filter(|_| budget.repeat(RATE, 6, Moment(200))).count();
+    let granted = (0..500)
+        .filter(|_| budget.repeat(RATE, 6, Moment(200)))
+        .count();
     expect_that!(granted, le(110));
     expect_that!(granted, ge(80));
 }
--- a/crates/ploverwick_gateway/src/controllers/operator.rs
+++ b/crates/ploverwick_gateway/src/controllers/operator.rs
@@ -78,7 +78,11 @@
     if known.is_some_and(|known| known >= config.version) {
         return;
     }
-    spdlog::info!("config_in_force version={} before={:?}", config.version, known);
+    spdlog::info!(
+        "config_in_force version={} before={:?}",
+        config.version,
+        known
+    );
     state.config = Some(config);
     drop(state);
     shared.orders.notify_waiters();
--- a/crates/ploverwick_gateway/src/filters/admit.rs
+++ b/crates/ploverwick_gateway/src/filters/admit.rs
@@ -54,7 +54,10 @@
     budget.request(now);
     drop(state);
     // The chosen part is all that goes on; a path in absolute form loses its host.
-    let target = head.uri.path_and_query().map(http::uri::PathAndQuery::as_str);
+    let target = head
+        .uri
+        .path_and_query()
+        .map(http::uri::PathAndQuery::as_str);
     let target = target.and_then(|target| target.parse().ok());
     Ok(Task {
         method: head.method,
--- a/crates/ploverwick_gateway/src/filters/attempt.rs
+++ b/crates/ploverwick_gateway/src/filters/attempt.rs
@@ -185,12 +185,7 @@
     (Instant::now() + patience).min(task.deadline)
 }
 
-fn give_up(
-    shared: &Shared,
-    task: &Task,
-    history: History,
-    reply: Reply,
-) -> Response<Body> {
+fn give_up(shared: &Shared, task: &Task, history: History, reply: Reply) -> Response<Body> {
     // Once a send may have run, only an answer that promises nothing is true.
     let reply = if history.runs == 0 || reply.code.class() != ploverwick_codes::Class::NotRun {
         reply
@@ -223,13 +218,7 @@
     adapter.map_or_else(|| "-".to_owned(), ToString::to_string)
 }
 
-fn log(
-    shared: &Shared,
-    task: &Task,
-    target: &Target,
-    history: &History,
-    status: StatusCode,
-) {
+fn log(shared: &Shared, task: &Task, target: &Target, history: &History, status: StatusCode) {
     if shared.lines.allow(shared.now()) {
         spdlog::info!(
             "request_answered id={} route={} config={} adapter={} version={:?} endpoint={} domain={} cost={:.1} sent={} status={} ms={}",
--- a/crates/ploverwick_gateway/src/filters/place.rs
+++ b/crates/ploverwick_gateway/src/filters/place.rs
@@ -109,7 +109,11 @@
     let Some((cost, id)) = best else {
         return Err(Reply::new(Code::NoEndpoint, "").retry_after(NO_ENDPOINT));
     };
-    if state.fleet.fill(&id, now).is_some_and(|fill| fill >= MOST_FILL) {
+    if state
+        .fleet
+        .fill(&id, now)
+        .is_some_and(|fill| fill >= MOST_FILL)
+    {
         return Err(Reply::new(Code::Overloaded, "").retry_after(FULL));
     }
     let entry = state.fleet.entry(&id).expect("it was ranked").clone();
@@ -124,7 +128,11 @@
     Query {
         service: &task.service,
         domain: &shared.settings.domain,
-        key: task.call.adapter.as_ref().map_or(&*task.call.id, |k| &k.adapter),
+        key: task
+            .call
+            .adapter
+            .as_ref()
+            .map_or(&*task.call.id, |k| &k.adapter),
         bytes: task.bytes(),
         except,
     }
--- a/crates/ploverwick_gateway/src/filters/relay.rs
+++ b/crates/ploverwick_gateway/src/filters/relay.rs
@@ -13,7 +13,7 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming, SizeHint};
 use ploverwick_endpoints::Outcome;
-use ploverwick_platform::answer::{self, Head};
+use ploverwick_platform::answer::{self, Head, Statement};
 
 use super::flight::Flight;
 use super::place::{self, Target};
@@ -134,7 +134,7 @@
 /// A status that promises "not run" goes on only with the endpoint's own statement.
 fn promise(status: StatusCode, head: &Head) -> StatusCode {
     let promises = matches!(status.as_u16(), 408 | 421 | 429 | 503);
-    if promises && !head.not_run {
+    if promises && head.statement == Statement::Nothing {
         return StatusCode::BAD_GATEWAY;
     }
     status
--- a/crates/ploverwick_gateway/src/filters/send.rs
+++ b/crates/ploverwick_gateway/src/filters/send.rs
@@ -9,7 +9,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use ploverwick_endpoints::Outcome;
-use ploverwick_platform::answer::{self, Head};
+use ploverwick_platform::answer::{self, Head, Statement};
 use ploverwick_platform::request::{self, Addition};
 use tokio::time::Instant;
 
@@ -89,8 +89,8 @@
         flight.end(Outcome::Error);
         return Sent::Lost("the answer is another request's".to_owned());
     }
-    if head.not_run {
-        let misdirected = head.misdirected;
+    if head.statement != Statement::Nothing {
+        let misdirected = head.statement == Statement::Misdirected;
         flight.end(if misdirected {
             Outcome::Abandoned
         } else {
--- a/crates/ploverwick_gateway/src/front.rs
+++ b/crates/ploverwick_gateway/src/front.rs
@@ -82,7 +82,10 @@
     }
     let limits = {
         let state = shared.state();
-        state.config.as_ref().map_or_else(Default::default, |config| config.limits)
+        state
+            .config
+            .as_ref()
+            .map_or_else(Default::default, |config| config.limits)
     };
     let activity = Activity::new(shared.now());
     let service = service_fn(|request| {
--- a/crates/ploverwick_gateway/src/peers.rs
+++ b/crates/ploverwick_gateway/src/peers.rs
@@ -208,7 +208,10 @@
 ) {
     let mut by_domain: HashMap<Arc<str>, Vec<Used>> = HashMap::new();
     let State {
-        uses, fleet, placer, ..
+        uses,
+        fleet,
+        placer,
+        ..
     } = state;
     uses.retain(|(endpoint, copy), used| {
         let Some(entry) = fleet.entry(endpoint) else {
@@ -274,7 +277,9 @@
                 places,
             };
             state.peers.insert(Arc::clone(&instance), peer);
-            state.fleet.report(instance, loads.into_iter().collect(), now);
+            state
+                .fleet
+                .report(instance, loads.into_iter().collect(), now);
         }
         Message::Used(list) => {
             for used in list {
--- a/crates/ploverwick_gateway/src/pool.rs
+++ b/crates/ploverwick_gateway/src/pool.rs
@@ -97,7 +97,9 @@
         Ok(stream) => stream.map_err(|error| error.to_string())?,
         Err(_) => return Err(format!("no connection within {CONNECT:?}")),
     };
-    stream.set_nodelay(true).map_err(|error| error.to_string())?;
+    stream
+        .set_nodelay(true)
+        .map_err(|error| error.to_string())?;
     let socket = socket2::SockRef::from(&stream);
     // Without it a connection across a cut would hang; some systems lack the option.
     if let Err(error) = socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED)) {
--- a/crates/ploverwick_gateway/tests/leaving.rs
+++ b/crates/ploverwick_gateway/tests/leaving.rs
@@ -60,7 +60,9 @@
     tokio::time::sleep(Duration::from_millis(100)).await;
     assert_that!(client::is_ready(world.ready).await?, eq(false));
     world.store.away(false);
-    world.store.configure(&ploverwick_platform_standin::settings::config(1));
+    world
+        .store
+        .configure(&ploverwick_platform_standin::settings::config(1));
     world.until_ready(true).await
 }
 
--- a/crates/ploverwick_gateway/tests/request_path.rs
+++ b/crates/ploverwick_gateway/tests/request_path.rs
@@ -30,7 +30,10 @@
 async fn unknown_path() -> Result<()> {
     let (a, b) = two_plain().await?;
     let world = World::with(&[&a, &b]).await?;
-    assert_that!(world.ask("r1", "/nothing/").await?.status, eq(StatusCode::NOT_FOUND));
+    assert_that!(
+        world.ask("r1", "/nothing/").await?.status,
+        eq(StatusCode::NOT_FOUND)
+    );
     let ask = Ask::new("r2", "other.example", "/safe/");
     let got = client::send(world.front, &ask).await?;
     assert_that!(got.status, eq(StatusCode::NOT_FOUND));
@@ -99,6 +102,9 @@
         tokio::task::yield_now().await;
     }
     assert_that!(world.ask("r3", "/moved/").await?.status, eq(StatusCode::OK));
-    assert_that!(world.ask("r4", "/safe/").await?.status, eq(StatusCode::NOT_FOUND));
+    assert_that!(
+        world.ask("r4", "/safe/").await?.status,
+        eq(StatusCode::NOT_FOUND)
+    );
     Ok(())
 }
--- a/crates/ploverwick_gateway/tests/stream_relay.rs
+++ b/crates/ploverwick_gateway/tests/stream_relay.rs
@@ -54,7 +54,9 @@
     let world = World::with(&[&a, &b]).await?;
     // Both hold the adapter, so that either may go on.
     for number in 0..6 {
-        world.stream(&format!("warm-{number}"), "/resume/", "a1").await?;
+        world
+            .stream(&format!("warm-{number}"), "/resume/", "a1")
+            .await?;
     }
     a.script(&[Act::Cut(1)]);
     b.script(&[Act::Cut(1)]);
@@ -62,7 +64,10 @@
     let all_runs = [a.runs(), b.runs()].concat();
     let ours: Vec<_> = all_runs.iter().filter(|run| run.id == "r1").collect();
     assert_that!(ours.len(), eq(2));
-    assert_that!(ours.iter().filter_map(|run| run.after_event).max(), some(eq(1)));
+    assert_that!(
+        ours.iter().filter_map(|run| run.after_event).max(),
+        some(eq(1))
+    );
     // The second run is cut, too: what came is in order and without repeats.
     let came = numbers(&got.body);
     assert_that!(came, eq(&(0..came.len() as u64).collect::<Vec<_>>()));
--- a/crates/ploverwick_routes/tests/route_choice.rs
+++ b/crates/ploverwick_routes/tests/route_choice.rs
@@ -38,7 +38,11 @@
 #[googletest::test]
 fn longest_prefix_wins() {
     let config = config();
-    let name = |path| config.route("a.example", path).map(|r| r.prefix.to_string());
+    let name = |path| {
+        config
+            .route("a.example", path)
+            .map(|r| r.prefix.to_string())
+    };
     expect_that!(name("/x/1"), some(eq("/x/")));
     expect_that!(name("/x/y/1"), some(eq("/x/y/")));
     expect_that!(name("/x"), none());
@@ -55,7 +59,9 @@
 #[googletest::test]
 fn shares_split_by_weight() {
     let config = config();
-    let route = config.route("b.example", "/x/").expect("the route is there");
+    let route = config
+        .route("b.example", "/x/")
+        .expect("the route is there");
     expect_that!(route.service(0.0).map(|s| &**s), some(eq("three")));
     expect_that!(route.service(0.74).map(|s| &**s), some(eq("three")));
     expect_that!(route.service(0.76).map(|s| &**s), some(eq("four")));
