Let the operators' table act on the platform, and count what happens

Cause: rows, weights, priorities and limits had no effect on the platform's path, and nothing was counted. Change: the table is published into a topic of the project's own in one conditional write, cut into parts with a hash; limits are shared evenly over instances, priorities are told to engines, a lower weight leaves room at full endpoints. Token buckets move to a crate of their own.

--- a/crates/ploverwick_daemon/src/budget.rs
+++ b/crates/ploverwick_daemon/src/budget.rs
@@ -1,47 +1,11 @@
-//! Budgets: loads from the weight store, retries, and the table's limits.
+//! Budgets: loads from the weight store, and retries.
 //!
 //! Fleet-wide budgets are split evenly over the instances that can take work. That needs no
 //! message; the price is that an instance with more than its share of the traffic refuses while
 //! another has room. `docs/LIMITS.md` states the bounds.
 
-use std::collections::HashMap;
-use std::time::Duration;
-
+use ploverwick_limits::Bucket;
 use ploverwick_names::Moment;
-use ploverwick_table::{Column, Subject};
-
-const MILLIS_PER_SECOND: f64 = 1000.0;
-
-/// A token bucket on the monotonic clock.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct Bucket {
-    level: f64,
-    at: Moment,
-}
-
-impl Bucket {
-    /// Makes a bucket that holds `level` tokens.
-    pub(crate) fn new(level: f64, now: Moment) -> Self {
-        Self { level, at: now }
-    }
-
-    /// Fills the bucket up to `now` at `rate` tokens a second, to at most `burst`.
-    pub(crate) fn refill(&mut self, rate: f64, burst: f64, now: Moment) {
-        let seconds = now.since(self.at).as_secs_f64();
-        self.level = (self.level + seconds * rate).min(burst);
-        self.at = self.at.max(now);
-    }
-
-    /// Takes a token, or says how long until there is one at `rate`.
-    pub(crate) fn take(&mut self, rate: f64) -> Result<(), Duration> {
-        if self.level >= 1.0 {
-            self.level -= 1.0;
-            return Ok(());
-        }
-        let millis = (1.0 - self.level) / rate.max(f64::MIN_POSITIVE) * MILLIS_PER_SECOND;
-        Err(Duration::from_millis(millis.clamp(1.0, 60_000.0) as u64))
-    }
-}
 
 /// This instance's share of what the weight store allows.
 #[derive(Debug)]
@@ -77,12 +41,12 @@
         self.bucket.refill(rate, rate.max(1.0), now);
         let at_once = (f64::from(limits.at_once) / instances).ceil() as u32;
         let room = at_once.saturating_sub(self.running);
-        room.min(self.bucket.level as u32)
+        room.min(self.bucket.whole())
     }
 
     /// Says that a load starts.
     pub(crate) fn start(&mut self) {
-        self.bucket.level -= 1.0;
+        self.bucket.draw();
         self.running += 1;
     }
 
@@ -121,37 +85,3 @@
         has
     }
 }
-
-/// This instance's shares of the table's limits.
-#[derive(Debug, Default)]
-pub(crate) struct Rates {
-    buckets: HashMap<(Subject, Column), Bucket>,
-}
-
-impl Rates {
-    /// Takes a token of the cell's limit, of which this instance has `rate` a second.
-    ///
-    /// # Errors
-    /// Returns how long until there is a token.
-    pub(crate) fn take(
-        &mut self,
-        subject: &Subject,
-        column: &Column,
-        rate: f64,
-        now: Moment,
-    ) -> Result<(), Duration> {
-        let burst = rate.max(1.0);
-        let key = (subject.clone(), column.clone());
-        let bucket = self
-            .buckets
-            .entry(key)
-            .or_insert_with(|| Bucket::new(if rate > 0.0 { burst } else { 0.0 }, now));
-        bucket.refill(rate, burst, now);
-        bucket.take(rate)
-    }
-
-    /// Forgets all buckets, after the table changed.
-    pub(crate) fn clear(&mut self) {
-        self.buckets.clear();
-    }
-}
--- a/crates/ploverwick_daemon/src/daemon.rs
+++ b/crates/ploverwick_daemon/src/daemon.rs
@@ -7,6 +7,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use ploverwick_limits::Rates;
 use ploverwick_members::Controller as Members;
 use ploverwick_names::{Incarnation, Life, Moment};
 use ploverwick_owner::holds::Controller as Holds;
@@ -25,7 +26,7 @@
 
 use crate::admin::{self, Admin};
 use crate::answer::Answers;
-use crate::budget::{Loads, Rates, Retries};
+use crate::budget::{Loads, Retries};
 use crate::controllers::claims::Scribes;
 use crate::controllers::{members, owners, table};
 use crate::entry::Entry;
--- a/crates/ploverwick_daemon/src/node.rs
+++ b/crates/ploverwick_daemon/src/node.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
+use ploverwick_limits::Rates;
 use ploverwick_members::Controller as Members;
 use ploverwick_names::{Endpoint, Life, Moment, Offset, Request};
 use ploverwick_owner::holds::Controller as Holds;
@@ -18,7 +19,7 @@
 use tokio::sync::watch;
 
 use crate::answer::Answers;
-use crate::budget::{Loads, Rates, Retries};
+use crate::budget::{Loads, Retries};
 use crate::controllers::claims::Scribes;
 use crate::links::Links;
 use crate::owner::Owners;
--- a/crates/ploverwick_gateway/src/controllers.rs
+++ b/crates/ploverwick_gateway/src/controllers.rs
@@ -5,6 +5,7 @@
 pub(crate) mod operator;
 pub(crate) mod orders;
 pub(crate) mod roster;
+pub(crate) mod table;
 pub(crate) mod tenure;
 
 use std::time::Duration;
--- a/crates/ploverwick_gateway/src/controllers/orders.rs
+++ b/crates/ploverwick_gateway/src/controllers/orders.rs
@@ -15,6 +15,7 @@
 use ploverwick_names::Moment;
 use ploverwick_platform::{order, roster};
 
+use crate::metrics;
 use crate::peers;
 use crate::pool::{Connection, connect};
 use crate::shared::Shared;
@@ -142,6 +143,7 @@
             Answer::Gone
         }
     };
+    metrics::order(name(answer));
     let event = answered(shared, &entry.id, order, token, answer);
     if !matches!(answer, Answer::Accepted | Answer::Done) {
         spdlog::info!(
@@ -160,6 +162,18 @@
     }
 }
 
+fn name(answer: Answer) -> &'static str {
+    match answer {
+        Answer::Accepted => "accepted",
+        Answer::Done => "done",
+        Answer::Conflict => "conflict",
+        Answer::Fenced => "fenced",
+        Answer::Gone => "gone",
+        Answer::Invalid => "invalid",
+        Answer::Unknown => "unknown",
+    }
+}
+
 fn answered(
     shared: &Shared,
     endpoint: &Arc<str>,
--- a/crates/ploverwick_gateway/src/daemon.rs
+++ b/crates/ploverwick_gateway/src/daemon.rs
@@ -10,7 +10,7 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::JoinSet;
 
-use crate::controllers::{instances, operator, orders, roster, tenure};
+use crate::controllers::{instances, operator, orders, roster, table, tenure};
 use crate::front::{self, Open};
 use crate::peers::{self, Mail};
 use crate::shared::Shared;
@@ -83,6 +83,7 @@
         tasks.spawn(roster::follow(Arc::clone(&shared)));
         tasks.spawn(instances::enlist(Arc::clone(&shared)));
         tasks.spawn(instances::follow(Arc::clone(&shared)));
+        tasks.spawn(table::follow(Arc::clone(&shared)));
         tasks.spawn(tenure::keep(Arc::clone(&shared)));
         tasks.spawn(orders::keep(Arc::clone(&shared)));
         tasks.spawn(peers::tell(Arc::clone(&shared)));
--- a/crates/ploverwick_gateway/src/filters.rs
+++ b/crates/ploverwick_gateway/src/filters.rs
@@ -1,6 +1,6 @@
 //! The chain of filters that takes a request from a client to an endpoint and back.
 //!
-//! `admit` reads it and finds its route, `place` finds an endpoint, `send` hands it over, `relay`
+//! `admit` reads it and finds its route, `terms` applies the operators' table, `place` finds an endpoint, `send` hands it over, `relay`
 //! passes the answer on, and `attempt` repeats the last three where that is safe.
 
 mod admit;
@@ -11,14 +11,16 @@
 mod reply;
 mod send;
 mod task;
+mod terms;
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use http::{HeaderValue, Request, Response, header};
 use hyper::body::Incoming;
 
 use crate::connection::Activity;
+use crate::metrics;
 use crate::shared::Shared;
 use reply::Body;
 
@@ -32,10 +34,12 @@
     request: Request<Incoming>,
 ) -> Response<Body> {
     activity.begin();
+    let started = Instant::now();
     let mut response = match admit::run(&shared, request).await {
         Ok(task) => attempt::run(&shared, task).await,
         Err(refusal) => refusal.into_response(),
     };
+    metrics::request(response.status(), started.elapsed());
     if shared.is_stopping() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
--- a/crates/ploverwick_gateway/src/filters/admit.rs
+++ b/crates/ploverwick_gateway/src/filters/admit.rs
@@ -12,6 +12,7 @@
 
 use super::reply::Reply;
 use super::task::Task;
+use super::terms::{self, Terms};
 use crate::shared::Shared;
 
 /// When to come back to an instance that knows no configuration yet.
@@ -59,7 +60,8 @@
         .path_and_query()
         .map(http::uri::PathAndQuery::as_str);
     let target = target.and_then(|target| target.parse().ok());
-    Ok(Task {
+    let mut task = Task {
+        terms: Terms::of(&route),
         method: head.method,
         target: target.unwrap_or(head.uri),
         headers: head.headers,
@@ -70,5 +72,7 @@
         received,
         deadline: received + patience,
         config: config.version,
-    })
+    };
+    task.terms = terms::run(shared, &task)?;
+    Ok(task)
 }
--- a/crates/ploverwick_gateway/src/filters/attempt.rs
+++ b/crates/ploverwick_gateway/src/filters/attempt.rs
@@ -13,6 +13,7 @@
 use super::reply::{Body, Reply};
 use super::send::{self, Answered, Sent};
 use super::task::Task;
+use crate::metrics;
 use crate::shared::Shared;
 
 /// Endpoints that may refuse or be out of reach before a request is given up.
@@ -76,6 +77,7 @@
     history: &mut History,
     sent: Sent,
 ) -> Next {
+    metrics::send(sent.name());
     match sent {
         Sent::Unsent(cause) => {
             history.refusals += 1;
--- a/crates/ploverwick_gateway/src/filters/place.rs
+++ b/crates/ploverwick_gateway/src/filters/place.rs
@@ -13,6 +13,7 @@
 use super::reply::Reply;
 use super::task::Task;
 use crate::controllers::demand;
+use crate::metrics;
 use crate::shared::{Shared, State};
 
 /// When to come back if no endpoint is there.
@@ -64,7 +65,10 @@
         let placed = shared.placed.notified();
         let (choice, wanted) = look(shared, task, key, except);
         match choice {
-            Choice::Go(target) => return Ok(target),
+            Choice::Go(target) => {
+                metrics::adapter_wait(started.elapsed());
+                return Ok(target);
+            }
             Choice::Full => return Err(Reply::new(Code::Overloaded, "").retry_after(FULL)),
             Choice::Wait => {}
         }
@@ -124,6 +128,11 @@
     })
 }
 
+/// Returns how full an endpoint may be for a request: those with a lower weight leave room.
+fn most_fill(task: &Task) -> f64 {
+    (MOST_FILL * task.terms.weight).clamp(1.0, 2.0 * MOST_FILL)
+}
+
 fn query<'a>(shared: &'a Shared, task: &'a Task, except: &'a [Arc<str>]) -> Query<'a> {
     Query {
         service: &task.service,
@@ -169,7 +178,7 @@
         let need = if is_older { Need::Any } else { Need::Extra };
         demand::ask(shared, &shared.settings.domain, &wanted, need);
     }
-    if fill >= MOST_FILL {
+    if fill >= most_fill(task) {
         return (Choice::Full, wanted);
     }
     let target = Target {
--- a/crates/ploverwick_gateway/src/filters/send.rs
+++ b/crates/ploverwick_gateway/src/filters/send.rs
@@ -40,6 +40,20 @@
     Silent,
 }
 
+impl Sent {
+    /// Returns the ending's name, for counters.
+    pub(crate) fn name(&self) -> &'static str {
+        match self {
+            Self::Answered(_) => "answered",
+            Self::NotRun { misdirected: true } => "misdirected",
+            Self::NotRun { misdirected: false } => "refused",
+            Self::Unsent(_) => "unsent",
+            Self::Lost(_) => "lost",
+            Self::Silent => "silent",
+        }
+    }
+}
+
 /// An answer whose head was read.
 #[derive(Debug)]
 pub(crate) struct Answered {
@@ -154,7 +168,7 @@
             .call
             .model
             .is_some()
-            .then(|| task.route.priority.min(9)),
+            .then_some(task.terms.priority),
         after_event,
     };
     let mut message = Request::new(Full::new(task.body.clone()));
--- a/crates/ploverwick_gateway/src/filters/task.rs
+++ b/crates/ploverwick_gateway/src/filters/task.rs
@@ -9,6 +9,8 @@
 use ploverwick_routes::Route;
 use tokio::time::Instant;
 
+use super::terms::Terms;
+
 /// A request with all that decides how it is handled.
 #[derive(Debug)]
 pub(crate) struct Task {
@@ -22,6 +24,8 @@
     pub(crate) received: Instant,
     /// When the client or the operator will not wait any longer.
     pub(crate) deadline: Instant,
+    /// What the operators' table says.
+    pub(crate) terms: Terms,
     /// The version of the configuration that chose the route.
     pub(crate) config: u64,
 }
--- a/crates/ploverwick_gateway/src/lib.rs
+++ b/crates/ploverwick_gateway/src/lib.rs
@@ -10,10 +10,12 @@
 mod filters;
 mod front;
 mod journal;
+pub mod metrics;
 mod peers;
 mod pool;
 mod ready;
 mod shared;
+pub mod table;
 
 pub use daemon::{Daemon, run};
 pub use journal::set_up as set_up_logs;
--- /dev/null
+++ b/crates/ploverwick_gateway/src/metrics.rs
@@ -0,0 +1,102 @@
+//! Counters and histograms, as text for a scraper.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use anyhow::{Context, Result};
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use metrics::{counter, histogram};
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use tokio::net::TcpListener;
+
+/// The path of the metrics.
+const PATH: &str = "/metrics";
+/// How often samples are folded into the histograms; between, each takes memory.
+const UPKEEP: Duration = Duration::from_secs(2);
+/// Upper bounds of latency buckets in seconds, around the objectives of 0.15 to 1 s.
+const SECONDS: [f64; 10] = [0.01, 0.025, 0.05, 0.1, 0.15, 0.3, 0.6, 1.0, 2.0, 5.0];
+
+/// Starts to count, and serves the counts on `address`.
+///
+/// # Errors
+/// Fails if the port cannot be had or counting was started before.
+pub async fn serve(address: SocketAddr) -> Result<()> {
+    let handle = PrometheusBuilder::new()
+        .set_buckets(&SECONDS)
+        .context("set the buckets")?
+        .install_recorder()
+        .context("start to count")?;
+    let listener = TcpListener::bind(address).await;
+    let listener = listener.with_context(|| format!("listen for metrics on {address}"))?;
+    tokio::spawn(upkeep(handle.clone()));
+    tokio::spawn(accept(listener, handle));
+    Ok(())
+}
+
+async fn upkeep(handle: PrometheusHandle) {
+    loop {
+        tokio::time::sleep(UPKEEP).await;
+        handle.run_upkeep();
+    }
+}
+
+async fn accept(listener: TcpListener, handle: PrometheusHandle) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                spdlog::warn!("accept_failed on=metrics cause=\"{}\"", error);
+                tokio::time::sleep(UPKEEP).await;
+                continue;
+            }
+        };
+        let handle = handle.clone();
+        tokio::spawn(async move {
+            let answer = service_fn(|request| {
+                let response = answer(&handle, &request);
+                async move { Ok::<_, Infallible>(response) }
+            });
+            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), answer);
+            if let Err(error) = connection.await {
+                spdlog::debug!("metrics_connection_broke cause=\"{}\"", error);
+            }
+        });
+    }
+}
+
+fn answer(handle: &PrometheusHandle, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+    if request.uri().path() != PATH {
+        let mut response = Response::new(Full::default());
+        *response.status_mut() = StatusCode::NOT_FOUND;
+        return response;
+    }
+    Response::new(Full::new(Bytes::from(handle.render())))
+}
+
+/// Counts a request that ended, by the status that the client got.
+pub(crate) fn request(status: StatusCode, taken: Duration) {
+    counter!("ploverwick_requests_total", "status" => status.as_str().to_owned()).increment(1);
+    histogram!("ploverwick_head_seconds").record(taken.as_secs_f64());
+}
+
+/// Counts a send to an endpoint, by how it ended.
+pub(crate) fn send(ending: &'static str) {
+    counter!("ploverwick_sends_total", "ending" => ending).increment(1);
+}
+
+/// Counts an order, by the endpoint's answer.
+pub(crate) fn order(answer: &'static str) {
+    counter!("ploverwick_orders_total", "answer" => answer).increment(1);
+}
+
+/// Records how long a request waited for its adapter.
+pub(crate) fn adapter_wait(taken: Duration) {
+    histogram!("ploverwick_adapter_wait_seconds").record(taken.as_secs_f64());
+}
--- a/crates/ploverwick_gateway/src/shared.rs
+++ b/crates/ploverwick_gateway/src/shared.rs
@@ -8,10 +8,12 @@
 
 use ploverwick_adapters::{Copy, Directory, Placer, Tenure, Terms};
 use ploverwick_endpoints::{Budget, Fleet, Rate};
+use ploverwick_limits::Rates;
 use ploverwick_names::Moment;
 use ploverwick_platform::settings::Settings;
 use ploverwick_platform::store::Store;
 use ploverwick_routes::Config;
+use ploverwick_table::Table;
 use tokio::sync::{Notify, watch};
 
 use crate::clock::Clock;
@@ -48,6 +50,9 @@
 pub(crate) struct State {
     pub(crate) config: Option<Arc<Config>>,
     pub(crate) has_roster: bool,
+    /// The operators' table; `None` until one is published.
+    pub(crate) table: Option<Arc<Table>>,
+    pub(crate) rates: Rates,
     pub(crate) fleet: Fleet,
     pub(crate) directory: Directory,
     pub(crate) placer: Placer,
@@ -88,6 +93,8 @@
         let state = State {
             config: None,
             has_roster: false,
+            table: None,
+            rates: Rates::default(),
             fleet: Fleet::default(),
             directory: Directory::default(),
             placer: Placer::default(),
--- /dev/null
+++ b/crates/ploverwick_gateway/src/table.rs
@@ -0,0 +1,56 @@
+//! Publishing and reading the operators' table in the platform's store.
+
+use std::net::SocketAddr;
+
+use anyhow::{Context, Result, bail};
+use ploverwick_platform::TABLE;
+use ploverwick_platform::store::{Error, Store};
+use ploverwick_platform::table::{Assembly, encode};
+
+/// A table as it is published.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Published {
+    /// The version; it is the base of the next publication.
+    pub version: u64,
+    /// The text, as CSV; `None` if none was published yet.
+    pub text: Option<String>,
+}
+
+/// Reads the table that is published.
+///
+/// # Errors
+/// Fails if the store does not answer.
+pub async fn show(store: SocketAddr) -> Result<Published> {
+    let snapshot = Store::new(store).newest(TABLE).await?;
+    let mut assembly = Assembly::default();
+    let mut text = None;
+    for record in &snapshot.records {
+        text = assembly.take(record)?.or(text);
+    }
+    Ok(Published {
+        version: snapshot.end,
+        text,
+    })
+}
+
+/// Publishes a table if nobody has published one since the version `base`.
+///
+/// # Errors
+/// Fails if the table has a fault, if another one was published in between, or if the store does
+/// not answer; in the last case it may be published all the same.
+pub async fn publish(store: SocketAddr, text: &str, base: u64) -> Result<u64> {
+    if let Err(findings) = ploverwick_table::parse::parse(text) {
+        let lines: Vec<String> = findings.iter().map(ToString::to_string).collect();
+        bail!("the table has faults:\n{}", lines.join("\n"));
+    }
+    let records = encode(text);
+    let store = Store::new(store);
+    match store.put_all(TABLE, &records, base).await {
+        Ok(()) => Ok(base + records.len() as u64),
+        Err(Error::Moved) => bail!(
+            "another table was published since version {base}; \
+             take `table show`, merge, and publish with its version as the base"
+        ),
+        Err(error) => Err(error).context("publish the table; look with `table show` before trying again"),
+    }
+}
--- /dev/null
+++ b/crates/ploverwick_limits/tests/limit_rate.rs
@@ -0,0 +1,44 @@
+//! A limit admits its rate and no more, and says when to come back.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use ploverwick_limits::{Bucket, Rates};
+use ploverwick_names::Moment;
+use ploverwick_table::{Column, Subject};
+
+fn column() -> Column {
+    "limit".parse().expect("a column's header")
+}
+
+#[googletest::test]
+fn rate_is_kept() {
+    let mut rates = Rates::default();
+    let take = |rates: &mut Rates, at| rates.take(&Subject::All, &column(), 5.0, Moment(at));
+    let admitted = (0..10_000_u64).step_by(10).filter(|at| take(&mut rates, *at).is_ok());
+    // Five a second for ten seconds, and the first burst.
+    expect_that!(admitted.count(), all!(ge(50), le(56)));
+}
+
+#[googletest::test]
+fn hint_tells_when() {
+    let mut rates = Rates::default();
+    expect_that!(rates.take(&Subject::All, &column(), 1.0, Moment(0)), ok(anything()));
+    let wait = rates.take(&Subject::All, &column(), 1.0, Moment(400));
+    expect_that!(wait, err(le(Duration::from_millis(601))));
+    expect_that!(rates.take(&Subject::All, &column(), 1.0, Moment(1_001)), ok(anything()));
+}
+
+#[googletest::test]
+fn zero_admits_none() {
+    let mut rates = Rates::default();
+    let taken = rates.take(&Subject::All, &column(), 0.0, Moment(5_000));
+    expect_that!(taken, err(anything()));
+}
+
+#[googletest::test]
+fn bucket_holds_burst() {
+    let mut bucket = Bucket::new(0.0, Moment(0));
+    bucket.refill(10.0, 3.0, Moment(60_000));
+    expect_that!(bucket.whole(), eq(3));
+}
