Count prompts being read as load, and call the store less

Change: prompt tokens of which no answer has begun weigh on the choice; the list is read every 850 ms; reads of the configuration wait 4 s, and peers that have a newer one say so in their status.

--- a/crates/ploverwick_endpoints/src/fleet.rs
+++ b/crates/ploverwick_endpoints/src/fleet.rs
@@ -35,6 +35,14 @@
 /// Cost that spreads equal choices over requests, by a hash of key and endpoint.
 const SPREAD: f64 = 2.0;
 
+/// Prompt tokens that an engine reads in a millisecond, by the users' sheets for both deployments.
+const TOKENS_PER_MS: f64 = 38.7;
+/// Cost of a millisecond of prompts that are being read: they are read between the tokens of the
+/// others, whose events come that much later.
+const READING: f64 = 0.5;
+/// Cost to the requests under way of a millisecond of reading one more prompt, for each of them.
+const DISTURBING: f64 = 0.01;
+
 /// What a request wants of an endpoint.
 #[derive(Debug, Clone, Copy)]
 pub struct Query<'a> {
@@ -46,6 +54,8 @@
     pub key: &'a str,
     /// The bytes that would leave the failure domain.
     pub bytes: usize,
+    /// The tokens of its prompt.
+    pub prompt: u32,
     /// The endpoints that it must not go to.
     pub except: &'a [Arc<str>],
 }
@@ -54,6 +64,8 @@
 struct Member {
     entry: Entry,
     in_flight: u32,
+    /// The prompt tokens of this instance's requests that no answer has begun for.
+    reading: u32,
     health: Health,
 }
 
@@ -80,6 +92,7 @@
                 let member = Member {
                     entry,
                     in_flight: 0,
+                    reading: 0,
                     health: Health::default(),
                 };
                 self.members.insert(Arc::clone(&member.entry.id), member);
@@ -112,14 +125,22 @@
         self.entry(id).is_some_and(|e| e.state == State::Ready)
     }
 
-    /// Counts a request that is sent to an endpoint.
-    pub fn sent(&mut self, id: &str) {
+    /// Counts a request that is sent to an endpoint, with the tokens of its prompt.
+    pub fn sent(&mut self, id: &str, prompt: u32) {
         if let Some(member) = self.members.get_mut(id) {
             member.in_flight += 1;
+            member.reading += prompt;
             member.health.sent();
         }
     }
 
+    /// Takes in that an endpoint has read a prompt, or that its request ended before.
+    pub fn read(&mut self, id: &str, prompt: u32) {
+        if let Some(member) = self.members.get_mut(id) {
+            member.reading = member.reading.saturating_sub(prompt);
+        }
+    }
+
     /// Counts a request that ended at an endpoint.
     pub fn ended(&mut self, id: &str, outcome: Outcome, now: Moment) {
         if let Some(member) = self.members.get_mut(id) {
@@ -207,6 +228,9 @@
         if &*entry.domain != query.domain {
             cost += AWAY + AWAY_KB * query.bytes as f64 / 1_024.0;
         }
+        let own_ms = f64::from(query.prompt) / TOKENS_PER_MS;
+        cost += READING * f64::from(member.reading) / TOKENS_PER_MS;
+        cost += DISTURBING * own_ms * (next - 1.0);
         if member.health.is_full(now) {
             cost += REFUSED;
         }
--- a/crates/ploverwick_endpoints/tests/endpoint_choice.rs
+++ b/crates/ploverwick_endpoints/tests/endpoint_choice.rs
@@ -33,6 +33,7 @@
     domain: "d1",
     key: "k",
     bytes: 500,
+    prompt: 0,
     except: &[],
 };
 
@@ -49,7 +50,7 @@
 fn full_endpoint_yields() {
     let mut fleet = fleet();
     for _ in 0..4 {
-        fleet.sent("a");
+        fleet.sent("a", 0);
     }
     expect_that!(first(&fleet, Moment(0)).as_deref(), some(not(eq("a"))));
 }
@@ -82,13 +83,13 @@
 fn failures_eject() {
     let mut fleet = fleet();
     for _ in 0..3 {
-        fleet.sent("a");
+        fleet.sent("a", 0);
         fleet.ended("a", Outcome::Broken, Moment(0));
     }
     expect_that!(first(&fleet, Moment(1)).as_deref(), some(not(eq("a"))));
     // One trial at a time after the ejection, and its success readmits.
     expect_that!(first(&fleet, Moment(2_000)).as_deref(), some(eq("a")));
-    fleet.sent("a");
+    fleet.sent("a", 0);
     expect_that!(first(&fleet, Moment(2_000)).as_deref(), some(not(eq("a"))));
     fleet.ended("a", Outcome::Success, Moment(2_001));
     expect_that!(first(&fleet, Moment(2_002)).as_deref(), some(eq("a")));
@@ -99,7 +100,7 @@
     let mut fleet = fleet();
     for id in ["a", "b", "c"] {
         for _ in 0..3 {
-            fleet.sent(id);
+            fleet.sent(id, 0);
             fleet.ended(id, Outcome::Broken, Moment(0));
         }
     }
@@ -114,3 +115,12 @@
     }
     expect_that!(first(&fleet, Moment(0)).as_deref(), some(not(eq("a"))));
 }
+
+#[googletest::test]
+fn long_prompt_is_avoided() {
+    let mut fleet = fleet();
+    fleet.sent("a", 9_000);
+    expect_that!(first(&fleet, Moment(0)).as_deref(), some(not(eq("a"))));
+    fleet.read("a", 9_000);
+    expect_that!(first(&fleet, Moment(0)).as_deref(), some(eq("a")));
+}
--- a/crates/ploverwick_gateway/src/controllers/operator.rs
+++ b/crates/ploverwick_gateway/src/controllers/operator.rs
@@ -10,9 +10,11 @@
 use crate::journal::Outage;
 use crate::shared::Shared;
 
-/// How long a read waits for a record. A cut may swallow a waiting read without a trace, and the
-/// configuration must be in force two seconds after the operator's write, so it is short.
-const WAIT: Duration = Duration::from_millis(1_800);
+/// How long a read waits for a record. A cut may swallow a waiting read without a trace; peers that
+/// have a newer configuration then tell, and the read begins anew.
+const WAIT: Duration = Duration::from_secs(4);
+/// The least time between two reads that peers caused.
+const HINTED: Duration = Duration::from_millis(300);
 
 /// Follows the operator's topic for as long as the process runs.
 pub(crate) async fn follow(shared: Arc<Shared>) {
@@ -26,7 +28,14 @@
                 snapshot.end
             }),
             Some(from) => {
-                let read = shared.store.read(OPERATOR, from, WAIT).await;
+                let read = shared.store.read(OPERATOR, from, WAIT);
+                let read = tokio::select! {
+                    read = read => read,
+                    () = shared.newer_config.notified() => {
+                        tokio::time::sleep(HINTED).await;
+                        shared.store.read(OPERATOR, from, Duration::ZERO).await
+                    }
+                };
                 read.map(|batch| {
                     take(&shared, &batch.records);
                     from + batch.records.len() as u64
--- a/crates/ploverwick_gateway/src/controllers/roster.rs
+++ b/crates/ploverwick_gateway/src/controllers/roster.rs
@@ -14,7 +14,7 @@
 
 /// The pause between reads. Each heartbeat of an endpoint is a record, so that a read that waits
 /// for the next one would return at once; a leave must be seen well within the drain time.
-const PAUSE: Duration = Duration::from_millis(550);
+const PAUSE: Duration = Duration::from_millis(850);
 
 #[derive(Debug)]
 struct Follower {
--- a/crates/ploverwick_gateway/src/filters/attempt.rs
+++ b/crates/ploverwick_gateway/src/filters/attempt.rs
@@ -116,7 +116,6 @@
         answered.flight.end(Outcome::Broken);
         return lost(task, target, history, "an answer without a signature");
     }
-    answered.flight.latency(task.received.elapsed());
     if status.is_success() && task.route.kind.is_stream() {
         log(shared, task, target, history, status);
         let response = relay::stream(shared, task, target, answered, history.sent + 1);
--- a/crates/ploverwick_gateway/src/filters/flight.rs
+++ b/crates/ploverwick_gateway/src/filters/flight.rs
@@ -15,13 +15,20 @@
     shared: Arc<Shared>,
     pub(crate) endpoint: Arc<str>,
     copy: Option<Copy>,
+    /// The tokens of the prompt, until the answer begins.
+    reading: u32,
     outcome: Outcome,
 }
 
 impl Flight {
-    pub(crate) fn begin(shared: &Arc<Shared>, endpoint: &Arc<str>, copy: Option<Copy>) -> Self {
+    pub(crate) fn begin(
+        shared: &Arc<Shared>,
+        endpoint: &Arc<str>,
+        copy: Option<Copy>,
+        prompt: u32,
+    ) -> Self {
         let mut state = shared.state();
-        state.fleet.sent(endpoint);
+        state.fleet.sent(endpoint, prompt);
         if let Some(copy) = &copy {
             count_use(&mut state, endpoint, copy, true);
         }
@@ -30,6 +37,7 @@
             shared: Arc::clone(shared),
             endpoint: Arc::clone(endpoint),
             copy,
+            reading: prompt,
             outcome: Outcome::Abandoned,
         }
     }
@@ -40,8 +48,10 @@
     }
 
     /// Takes in how long the head of the answer took.
-    pub(crate) fn latency(&self, taken: Duration) {
-        self.shared.state().fleet.latency(&self.endpoint, taken);
+    pub(crate) fn latency(&mut self, taken: Duration) {
+        let mut state = self.shared.state();
+        state.fleet.latency(&self.endpoint, taken);
+        state.fleet.read(&self.endpoint, std::mem::take(&mut self.reading));
     }
 }
 
@@ -49,6 +59,7 @@
     fn drop(&mut self) {
         let now = self.shared.now();
         let mut state = self.shared.state();
+        state.fleet.read(&self.endpoint, self.reading);
         state.fleet.ended(&self.endpoint, self.outcome, now);
         if let Some(copy) = &self.copy {
             count_use(&mut state, &self.endpoint, copy, false);
--- a/crates/ploverwick_gateway/src/filters/place.rs
+++ b/crates/ploverwick_gateway/src/filters/place.rs
@@ -143,6 +143,7 @@
             .as_ref()
             .map_or(&*task.call.id, |k| &k.adapter),
         bytes: task.bytes(),
+        prompt: task.call.prompt_tokens,
         except,
     }
 }
--- a/crates/ploverwick_gateway/src/filters/send.rs
+++ b/crates/ploverwick_gateway/src/filters/send.rs
@@ -78,7 +78,9 @@
         return Sent::Unsent("no time is left".to_owned());
     }
     let endpoint = &target.entry.id;
-    let mut flight = Flight::begin(shared, endpoint, target.copy.clone());
+    let prompt = task.call.prompt_tokens;
+    let mut flight = Flight::begin(shared, endpoint, target.copy.clone(), prompt);
+    let begun = Instant::now();
     let (connection, result) = match exchange(shared, task, target, limit, after_event).await {
         Exchange::Unsent(cause) => {
             flight.end(Outcome::Broken);
@@ -97,6 +99,8 @@
             return Sent::Lost(error.to_string());
         }
     };
+    // Counted from the send and not from the client's request, which may have waited for a load.
+    flight.latency(begun.elapsed());
     let head = answer::read(parts.status, &parts.headers, &task.call.id);
     if head.foreign {
         // An answer to an earlier request: where this one's begins cannot be told any more.
--- a/crates/ploverwick_gateway/src/peers.rs
+++ b/crates/ploverwick_gateway/src/peers.rs
@@ -49,6 +49,8 @@
         instance: Arc<str>,
         domain: Arc<str>,
         places: Option<u64>,
+        /// The version of its configuration.
+        config: u64,
         loads: Vec<(Arc<str>, u32)>,
     },
     /// Its requests use these adapters.
@@ -166,6 +168,7 @@
     let mut state = shared.state();
     let loads = state.fleet.own_loads();
     let places = state.tenure.token(now);
+    let config = state.config.as_ref().map_or(0, |config| config.version);
     let mut out = Vec::new();
     let is_far_turn = round.is_multiple_of(FAR_EVERY);
     for peer in state.peers.values() {
@@ -183,6 +186,7 @@
             instance: Arc::clone(&settings.instance),
             domain: Arc::clone(&settings.domain),
             places,
+            config,
             loads: loads.take(CHUNK).collect(),
         };
         out.push((status, shared.mail_address(peer.ip)));
@@ -268,8 +272,13 @@
             instance,
             domain,
             places,
+            config,
             loads,
         } => {
+            let known = state.config.as_ref().map_or(0, |config| config.version);
+            if config > known {
+                shared.newer_config.notify_one();
+            }
             let peer = crate::shared::Peer {
                 ip: from,
                 domain,
--- a/crates/ploverwick_gateway/src/shared.rs
+++ b/crates/ploverwick_gateway/src/shared.rs
@@ -75,6 +75,8 @@
     pub(crate) lines: Lines,
     /// Wakes requests that wait for an adapter.
     pub(crate) placed: Notify,
+    /// Says that a peer has a newer configuration.
+    pub(crate) newer_config: Notify,
     /// Wakes the tasks that give orders.
     pub(crate) orders: Notify,
     /// Says that the process is asked to stop.
@@ -112,6 +114,7 @@
             mail,
             lines: Lines::default(),
             placed: Notify::new(),
+            newer_config: Notify::new(),
             orders: Notify::new(),
             stopping: watch::Sender::new(false),
             state: Mutex::new(state),
