Let a restarted placer go on under the same token

Cause: after kill_all and power_off_all nobody loaded adapters for 3 s, as a restarted process cannot know when its earlier life gave an order. Change: a holder writes its token beside its name; if the platform grants the same token after the restart, nobody else had the right in between, and there is no turn to wait for.

--- a/crates/ploverwick_adapters/src/tenure.rs
+++ b/crates/ploverwick_adapters/src/tenure.rs
@@ -37,6 +37,8 @@
     /// The last moment at which this instance may have given an order.
     last_held: Option<Moment>,
     refused: Option<u64>,
+    /// The token that an earlier life of this instance had last.
+    recalled: Option<u64>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -57,9 +59,16 @@
             held: None,
             last_held: earlier_life.then_some(now),
             refused: None,
+            recalled: None,
         }
     }
 
+    /// Recalls the token that an earlier life of this instance had last. The token rises with each
+    /// change of holder: under the same one nobody else had the right in between.
+    pub fn recall(&mut self, token: u64) {
+        self.recalled = Some(token);
+    }
+
     /// Takes in an answer of the platform to a request sent at `asked`.
     pub fn granted(&mut self, grant: Grant, asked: Moment, now: Moment) {
         let Grant::Held(token) = grant else {
@@ -73,8 +82,11 @@
         let from = match self.held {
             // A lapse in between may have let another one in.
             Some(held) if held.until >= asked => held.from,
+            None if self.recalled == Some(token) => now,
             _ => self.wait(now),
         };
+        // It says nothing of a later return.
+        self.recalled = None;
         // The token of a holding only rises; an answer that was overtaken by a later one is old.
         let token = self.held.map_or(token, |held| held.token.max(token));
         self.held = Some(Holding { token, until, from });
@@ -82,6 +94,7 @@
 
     /// Gives the right up.
     pub fn lose(&mut self, now: Moment) {
+        self.recalled = None;
         if let Some(held) = self.held.take() {
             self.last_held = Some(now.min(held.until));
         }
--- a/crates/ploverwick_adapters/tests/order_right.rs
+++ b/crates/ploverwick_adapters/tests/order_right.rs
@@ -72,3 +72,29 @@
     tenure.granted(Grant::Held(9), Moment(0), Moment(3));
     expect_that!(tenure.token(Moment(100)), none());
 }
+
+#[googletest::test]
+fn restart_under_same_token() {
+    let mut tenure = Tenure::new(TERMS, true, Moment(0));
+    tenure.recall(9);
+    tenure.granted(Grant::Held(9), Moment(0), Moment(3));
+    expect_that!(tenure.token(Moment(4)), some(eq(9)));
+}
+
+#[googletest::test]
+fn restart_under_later_token() {
+    let mut tenure = Tenure::new(TERMS, true, Moment(0));
+    tenure.recall(9);
+    tenure.granted(Grant::Held(11), Moment(0), Moment(3));
+    expect_that!(tenure.token(Moment(4)), none());
+}
+
+#[googletest::test]
+fn recalled_counts_once() {
+    let mut tenure = Tenure::new(TERMS, true, Moment(0));
+    tenure.recall(9);
+    tenure.granted(Grant::Held(9), Moment(0), Moment(3));
+    tenure.lose(Moment(100));
+    tenure.granted(Grant::Held(9), Moment(700), Moment(703));
+    expect_that!(tenure.token(Moment(704)), none());
+}
--- a/crates/ploverwick_gateway/src/controllers/instances.rs
+++ b/crates/ploverwick_gateway/src/controllers/instances.rs
@@ -21,14 +21,18 @@
 struct Line {
     ip: IpAddr,
     domain: Arc<str>,
+    /// The fencing token under which it last placed adapters.
+    #[serde(default)]
+    token: Option<u64>,
 }
 
 /// Lists this instance, again if the store is away.
-pub(crate) async fn enlist(shared: Arc<Shared>) {
+pub(crate) async fn enlist(shared: Arc<Shared>, token: Option<u64>) {
     let settings = &shared.settings;
     let line = Line {
         ip: settings.ip.into(),
         domain: Arc::clone(&settings.domain),
+        token,
     };
     let line = serde_json::to_vec(&line).expect("a line is plain data");
     let mut backoff = Backoff::new();
@@ -43,6 +47,25 @@
     }
 }
 
+/// Recalls what an earlier life of this instance wrote, before anything is written over it.
+pub(crate) async fn recall(shared: &Shared) {
+    let snapshot = match shared.store.newest(INSTANCES).await {
+        Ok(snapshot) => snapshot,
+        Err(error) => {
+            spdlog::info!("nothing_recalled cause=\"{}\"", error);
+            return;
+        }
+    };
+    let mut records = snapshot.records.iter();
+    let own = records.find(|record| record.key == *shared.settings.instance);
+    let value = own.and_then(|record| record.value.as_ref());
+    let line = value.and_then(|value| serde_json::from_slice::<Line>(value).ok());
+    if let Some(token) = line.and_then(|line| line.token) {
+        spdlog::info!("recalled token={}", token);
+        shared.state().tenure.recall(token);
+    }
+}
+
 /// Takes this instance off the list, if the store answers.
 pub(crate) async fn retire(shared: &Shared) {
     let name = &shared.settings.instance;
--- a/crates/ploverwick_gateway/src/controllers/tenure.rs
+++ b/crates/ploverwick_gateway/src/controllers/tenure.rs
@@ -6,7 +6,7 @@
 use ploverwick_adapters::Grant;
 use ploverwick_platform::group;
 
-use super::Backoff;
+use super::{Backoff, instances};
 use crate::journal::Outage;
 use crate::shared::{Shared, TENURE};
 
@@ -21,6 +21,7 @@
     let mut outage = Outage::of("placer group");
     let mut backoff = Backoff::new();
     let mut generation = 0;
+    let mut written = None;
     let mut stopping = shared.stopping.subscribe();
     loop {
         if shared.is_stopping() {
@@ -39,6 +40,11 @@
                     Grant::Elsewhere
                 };
                 take(&shared, grant, asked);
+                let token = membership.leads.then_some(generation);
+                if token.is_some() && token != written {
+                    written = token;
+                    tokio::spawn(instances::enlist(Arc::clone(&shared), token));
+                }
                 tokio::select! {
                     () = tokio::time::sleep(RENEWAL) => {}
                     _ = stopping.changed() => {}
--- a/crates/ploverwick_gateway/src/daemon.rs
+++ b/crates/ploverwick_gateway/src/daemon.rs
@@ -81,10 +81,9 @@
         let mut tasks = JoinSet::new();
         tasks.spawn(operator::follow(Arc::clone(&shared)));
         tasks.spawn(roster::follow(Arc::clone(&shared)));
-        tasks.spawn(instances::enlist(Arc::clone(&shared)));
         tasks.spawn(instances::follow(Arc::clone(&shared)));
         tasks.spawn(table::follow(Arc::clone(&shared)));
-        tasks.spawn(tenure::keep(Arc::clone(&shared)));
+        tasks.spawn(join(Arc::clone(&shared)));
         tasks.spawn(orders::keep(Arc::clone(&shared)));
         tasks.spawn(peers::tell(Arc::clone(&shared)));
         tasks.spawn(peers::listen(Arc::clone(&shared)));
@@ -141,6 +140,15 @@
     }
 }
 
+/// Lists this instance and joins its group, once what an earlier life wrote was read.
+async fn join(shared: Arc<Shared>) {
+    if !shared.settings.first_start {
+        instances::recall(&shared).await;
+    }
+    instances::enlist(Arc::clone(&shared), None).await;
+    tenure::keep(shared).await;
+}
+
 async fn sweep(shared: Arc<Shared>) {
     loop {
         tokio::time::sleep(SWEEP).await;
