Tie the right to place adapters to the last partition

Cause: the right moved with each instance that joined, as joining members take partitions from the front. Ruled out: lapses (renewals came in time).

--- a/crates/ploverwick_gateway/src/shared.rs
+++ b/crates/ploverwick_gateway/src/shared.rs
@@ -107,7 +107,7 @@
             away: HashMap::new(),
         };
         Self {
-            store: Store::new(settings.store),
+            store: Store::new(settings.store, settings.partitions),
             settings,
             clock,
             pool: Pool::default(),
--- a/crates/ploverwick_gateway/src/table.rs
+++ b/crates/ploverwick_gateway/src/table.rs
@@ -7,6 +7,9 @@
 use ploverwick_platform::store::{Error, Store};
 use ploverwick_platform::table::{Assembly, encode};
 
+/// Partitions do not matter to the table's topic, which has one.
+const PARTITIONS: u32 = 1;
+
 /// A table as it is published.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Published {
@@ -21,7 +24,7 @@
 /// # Errors
 /// Fails if the store does not answer.
 pub async fn show(store: SocketAddr) -> Result<Published> {
-    let snapshot = Store::new(store).newest(TABLE).await?;
+    let snapshot = Store::new(store, PARTITIONS).newest(TABLE).await?;
     let mut assembly = Assembly::default();
     let mut text = None;
     for record in &snapshot.records {
@@ -44,7 +47,7 @@
         bail!("the table has faults:\n{}", lines.join("\n"));
     }
     let records = encode(text);
-    let store = Store::new(store);
+    let store = Store::new(store, PARTITIONS);
     match store.put_all(TABLE, &records, base).await {
         Ok(()) => Ok(base + records.len() as u64),
         Err(Error::Moved) => bail!(
