--- a/crates/ploverwick_gateway/src/filters/flight.rs
+++ b/crates/ploverwick_gateway/src/filters/flight.rs
@@ -51,7 +51,9 @@
     pub(crate) fn latency(&mut self, taken: Duration) {
         let mut state = self.shared.state();
         state.fleet.latency(&self.endpoint, taken);
-        state.fleet.read(&self.endpoint, std::mem::take(&mut self.reading));
+        state
+            .fleet
+            .read(&self.endpoint, std::mem::take(&mut self.reading));
     }
 }
 
--- a/crates/ploverwick_gateway/src/filters/send.rs
+++ b/crates/ploverwick_gateway/src/filters/send.rs
@@ -168,11 +168,7 @@
         endpoint: &target.entry.id,
         left: task.left(),
         version: target.copy.as_ref().map(|copy| copy.version),
-        priority: task
-            .call
-            .model
-            .is_some()
-            .then_some(task.terms.priority),
+        priority: task.call.model.is_some().then_some(task.terms.priority),
         after_event,
     };
     let mut message = Request::new(Full::new(task.body.clone()));
--- a/crates/ploverwick_gateway/src/table.rs
+++ b/crates/ploverwick_gateway/src/table.rs
@@ -54,6 +54,8 @@
             "another table was published since version {base}; \
              take `table show`, merge, and publish with its version as the base"
         ),
-        Err(error) => Err(error).context("publish the table; look with `table show` before trying again"),
+        Err(error) => {
+            Err(error).context("publish the table; look with `table show` before trying again")
+        }
     }
 }
--- a/crates/ploverwick_gateway/tests/request_path.rs
+++ b/crates/ploverwick_gateway/tests/request_path.rs
@@ -87,7 +87,7 @@
     let (a, b) = two_plain().await?;
     let world = World::with(&[&a, &b]).await?;
     let mut config = settings::config(5);
-    config["routes"][0]["path_prefix"] = "/moved/".into();
+    settings::move_route(&mut config, 0, "/moved/");
     world.store.configure(&config);
     while world.ask("r1", "/moved/").await?.status != StatusCode::OK {
         tokio::task::yield_now().await;
@@ -96,7 +96,7 @@
     world.store.configure(&settings::config(4));
     world.store.compact();
     config["version"] = 6.into();
-    config["routes"][1]["path_prefix"] = "/last/".into();
+    settings::move_route(&mut config, 1, "/last/");
     world.store.configure(&config);
     while world.ask("r2", "/last/").await?.status != StatusCode::OK {
         tokio::task::yield_now().await;
--- a/crates/ploverwick_gateway/tests/table_terms.rs
+++ b/crates/ploverwick_gateway/tests/table_terms.rs
@@ -56,7 +56,10 @@
     let (world, engine) = world().await?;
     let text = "name,limit\na1,1\n";
     table::publish(world.store.address(), text, 0).await?;
-    until(&world, "a1", |id| engine.runs().iter().all(|run| run.id != id)).await?;
+    until(&world, "a1", |id| {
+        engine.runs().iter().all(|run| run.id != id)
+    })
+    .await?;
     let got = world.stream("refused", "/live/", "a1").await?;
     assert_that!(got.status, eq(StatusCode::TOO_MANY_REQUESTS));
     assert_that!(got.retry_after, some(anything()));
@@ -71,7 +74,10 @@
     let store = world.store.address();
     let version = table::publish(store, "name,weight\na1,2\n", 0).await?;
     let late = table::publish(store, "name,weight\na1,3\n", 0).await;
-    assert_that!(late.map_err(|e| e.to_string()), err(contains_substring("another table")));
+    assert_that!(
+        late.map_err(|e| e.to_string()),
+        err(contains_substring("another table"))
+    );
     table::publish(store, "name,weight\na1,4\n", version).await?;
     let published = table::show(store).await?;
     assert_that!(published.text, some(contains_substring("a1,4")));
@@ -82,7 +88,10 @@
 async fn faults_are_listed() -> Result<()> {
     let (world, _engine) = world().await?;
     let bad = table::publish(world.store.address(), "name,weight\na1,-3\n", 0).await;
-    assert_that!(bad.map_err(|e| e.to_string()), err(contains_substring("faults")));
+    assert_that!(
+        bad.map_err(|e| e.to_string()),
+        err(contains_substring("faults"))
+    );
     assert_that!(table::show(world.store.address()).await?.text, none());
     Ok(())
 }
@@ -91,7 +100,9 @@
 async fn long_table() -> Result<()> {
     let (world, _engine) = world().await?;
     let rows = (0..15_000).map(|n| format!("a{n},{},{}\n", n % 7 + 1, n % 10));
-    let text: String = std::iter::once("name,weight,priority\n".to_owned()).chain(rows).collect();
+    let text: String = std::iter::once("name,weight,priority\n".to_owned())
+        .chain(rows)
+        .collect();
     table::publish(world.store.address(), &text, 0).await?;
     let published = table::show(world.store.address()).await?;
     assert_that!(published.text, some(eq(&text)));
--- a/crates/ploverwick_limits/tests/limit_rate.rs
+++ b/crates/ploverwick_limits/tests/limit_rate.rs
@@ -15,7 +15,9 @@
 fn rate_is_kept() {
     let mut rates = Rates::default();
     let take = |rates: &mut Rates, at| rates.take(&Subject::All, &column(), 5.0, Moment(at));
-    let admitted = (0..10_000_u64).step_by(10).filter(|at| take(&mut rates, *at).is_ok());
+    let admitted = (0..10_000_u64)
+        .step_by(10)
+        .filter(|at| take(&mut rates, *at).is_ok());
     // Five a second for ten seconds, and the first burst.
     expect_that!(admitted.count(), all!(ge(50), le(56)));
 }
@@ -23,10 +25,16 @@
 #[googletest::test]
 fn hint_tells_when() {
     let mut rates = Rates::default();
-    expect_that!(rates.take(&Subject::All, &column(), 1.0, Moment(0)), ok(anything()));
+    expect_that!(
+        rates.take(&Subject::All, &column(), 1.0, Moment(0)),
+        ok(anything())
+    );
     let wait = rates.take(&Subject::All, &column(), 1.0, Moment(400));
     expect_that!(wait, err(le(Duration::from_millis(601))));
-    expect_that!(rates.take(&Subject::All, &column(), 1.0, Moment(1_001)), ok(anything()));
+    expect_that!(
+        rates.take(&Subject::All, &column(), 1.0, Moment(1_001)),
+        ok(anything())
+    );
 }
 
 #[googletest::test]
