--- a/crates/ploverwick_gateway/src/filters/place.rs
+++ b/crates/ploverwick_gateway/src/filters/place.rs
@@ -176,7 +176,14 @@
     let worth_loading = is_away && count_away(&mut state, &wanted, task.bytes());
     drop(state);
     if worth_loading || is_older || fill > CROWDED {
-        let need = if is_older { Need::Any } else { Need::Extra };
+        let need = if is_older {
+            Need::Any
+        } else if fill > CROWDED {
+            // Its requests would wait; a copy for bytes alone can wait itself.
+            Need::Another
+        } else {
+            Need::Extra
+        };
         demand::ask(shared, &shared.settings.domain, &wanted, need);
     }
     if fill >= most_fill(task) {
