Repeat an unanswered order after 45 ms

Cause: while orders go unanswered each endpoint's orders, one at a time, were bound by their timeout.

--- a/crates/ploverwick_gateway/src/controllers/orders.rs
+++ b/crates/ploverwick_gateway/src/controllers/orders.rs
@@ -22,7 +22,7 @@
 
 /// The time for an answer to an order; endpoints take about 3 ms, a loaded machine some more. An
 /// order that got no answer is repeated, which is safe, so that the time may be short.
-const ANSWER: Duration = Duration::from_millis(110);
+const ANSWER: Duration = Duration::from_millis(45);
 /// The time for a report.
 const REPORT: Duration = Duration::from_millis(450);
 /// The pause of a task that may give no order.
