Repeat an unanswered order after 25 ms, later for a slow endpoint

So that an endpoint that is merely slow is not asked again and again, the time doubles after four unanswered orders in a row.

--- a/crates/ploverwick_gateway/src/controllers/orders.rs
+++ b/crates/ploverwick_gateway/src/controllers/orders.rs
@@ -20,9 +20,13 @@
 use crate::pool::{Connection, connect};
 use crate::shared::Shared;
 
-/// The time for an answer to an order; endpoints take about 3 ms, a loaded machine some more. An
-/// order that got no answer is repeated, which is safe, so that the time may be short.
-const ANSWER: Duration = Duration::from_millis(45);
+/// The time for an answer to an order; endpoints of the same domain take about 3 ms. An order that
+/// got no answer is repeated, which is safe, so that the time may be short.
+const ANSWER: Duration = Duration::from_millis(25);
+/// Orders in a row without an answer after which the time doubles: the endpoint is slow.
+const DOUBLING: u32 = 4;
+/// How often the time doubles at most.
+const MOST_DOUBLINGS: u32 = 4;
 /// The time for a report.
 const REPORT: Duration = Duration::from_millis(450);
 /// The pause of a task that may give no order.
@@ -91,6 +95,7 @@
 
 /// Gives orders to one endpoint until it is gone or the right ends.
 async fn tend(shared: &Arc<Shared>, endpoint: &Arc<str>) {
+    let mut unanswered = 0;
     loop {
         let woken = shared.orders.notified();
         let Some((step, entry, token)) = decide(shared, endpoint) else {
@@ -98,7 +103,14 @@
         };
         match step {
             // The token is the one under which the order was decided, whatever comes meanwhile.
-            Step::Send(order) => give(shared, &entry, &order, token).await,
+            Step::Send(order) => {
+                let limit = ANSWER * 2_u32.pow((unanswered / DOUBLING).min(MOST_DOUBLINGS));
+                match give(shared, &entry, &order, token, limit).await {
+                    Some(Answer::Unknown) => unanswered += 1,
+                    Some(_) => unanswered = 0,
+                    None => {}
+                }
+            }
             Step::Report => learn(shared, &entry).await,
             Step::Wait(at) => wait(shared, at, woken).await,
             Step::Idle => wait(shared, shared.now() + PAUSE * 8, woken).await,
@@ -124,7 +136,14 @@
     }
 }
 
-async fn give(shared: &Arc<Shared>, entry: &Entry, order: &Order, token: u64) {
+/// Sends an order and takes in its answer; `None` if the right ended before it was sent.
+async fn give(
+    shared: &Arc<Shared>,
+    entry: &Entry,
+    order: &Order,
+    token: u64,
+    limit: Duration,
+) -> Option<Answer> {
     let request = order::encode(order, &entry.id, &shared.settings.instance, token);
     let connection = match shared.pool.take(&entry.id) {
         Some(connection) => Ok(connection),
@@ -133,8 +152,8 @@
     // Connecting takes time in which the right may have ended.
     let is_held = shared.state().tenure.token(shared.now()) == Some(token);
     let answer = match connection {
-        Ok(_) if !is_held => return,
-        Ok(connection) => match exchange(shared, entry, connection, request, ANSWER).await {
+        Ok(_) if !is_held => return None,
+        Ok(connection) => match exchange(shared, entry, connection, request, limit).await {
             Some(response) => order::answer(response.status()),
             None => Answer::Unknown,
         },
@@ -160,6 +179,7 @@
     if answer == Answer::Gone {
         tokio::time::sleep(PAUSE).await;
     }
+    Some(answer)
 }
 
 fn name(answer: Answer) -> &'static str {
