Hand the right to place adapters over faster

Cause: in a rolling stop each placer's successor waited: for its next join, and, if it had restarted lately, for a turn counted from its start; after a kill a domain had no placer for 2.5 s; while the store was silent no domain had one. Change: a leaving placer tells its domain's peers, which join at once; an instance that stops takes its line off the list a turn after its last order, and one that finds no line of its own need not wait; leases last 1.6 s; where endpoints check tokens a holder goes on for 8 s more while the store is silent, as the first order of a successor ends it at each endpoint.

--- a/crates/ploverwick_adapters/src/tenure.rs
+++ b/crates/ploverwick_adapters/src/tenure.rs
@@ -18,6 +18,9 @@
     pub turn: Duration,
     /// Endpoints refuse orders with a lower token than one that they have seen.
     pub fenced: bool,
+    /// How long a holder goes on after its lease if the platform does not answer and endpoints check
+    /// tokens: a successor's first order ends it at each endpoint.
+    pub extension: Duration,
 }
 
 /// What the platform answered to a request for the right.
@@ -69,6 +72,13 @@
         self.recalled = Some(token);
     }
 
+    /// Takes in that no earlier life of this instance gave an order within a turn.
+    pub fn no_earlier_life(&mut self) {
+        if self.held.is_none() {
+            self.last_held = None;
+        }
+    }
+
     /// Takes in an answer of the platform to a request sent at `asked`.
     pub fn granted(&mut self, grant: Grant, asked: Moment, now: Moment) {
         let Grant::Held(token) = grant else {
@@ -80,8 +90,12 @@
         }
         let until = asked + self.terms.lease;
         let from = match self.held {
-            // A lapse in between may have let another one in.
-            Some(held) if held.until >= asked => held.from,
+            // A lapse in between may have let another one in, unless the token is the same.
+            Some(held) if held.until >= asked || held.token == token => held.from,
+            Some(_) => {
+                self.lose(now);
+                self.wait(now)
+            }
             None if self.recalled == Some(token) => now,
             _ => self.wait(now),
         };
@@ -96,7 +110,7 @@
     pub fn lose(&mut self, now: Moment) {
         self.recalled = None;
         if let Some(held) = self.held.take() {
-            self.last_held = Some(now.min(held.until));
+            self.last_held = Some(now.min(self.end(held)));
         }
     }
 
@@ -111,12 +125,20 @@
     /// Returns the fencing token if this instance may give an order now.
     pub fn token(&self, now: Moment) -> Option<u64> {
         let held = self.held?;
-        (now >= held.from && now < held.until).then_some(held.token)
+        (now >= held.from && now < self.end(held)).then_some(held.token)
     }
 
     /// Returns whether this instance has the right, though it may have to wait yet.
     pub fn is_held(&self, now: Moment) -> bool {
-        self.held.is_some_and(|held| now < held.until)
+        self.held.is_some_and(|held| now < self.end(held))
+    }
+
+    fn end(&self, held: Holding) -> Moment {
+        if self.terms.fenced {
+            held.until + self.terms.extension
+        } else {
+            held.until
+        }
     }
 
     fn wait(&self, now: Moment) -> Moment {
--- a/crates/ploverwick_adapters/tests/order_right.rs
+++ b/crates/ploverwick_adapters/tests/order_right.rs
@@ -10,6 +10,7 @@
     lease: Duration::from_millis(2_500),
     turn: Duration::from_secs(3),
     fenced: true,
+    extension: Duration::ZERO,
 };
 
 #[googletest::test]
@@ -98,3 +99,60 @@
     tenure.granted(Grant::Held(9), Moment(700), Moment(703));
     expect_that!(tenure.token(Moment(704)), none());
 }
+
+const EXTENDED: Terms = Terms {
+    extension: Duration::from_secs(6),
+    ..TERMS
+};
+
+#[googletest::test]
+fn silent_store_extends() {
+    let mut tenure = Tenure::new(EXTENDED, false, Moment(0));
+    tenure.granted(Grant::Held(4), Moment(0), Moment(3));
+    expect_that!(tenure.token(Moment(8_000)), some(eq(4)));
+    expect_that!(tenure.token(Moment(8_500)), none());
+    // The same token after the outage: nobody else had the right.
+    tenure.granted(Grant::Held(4), Moment(8_000), Moment(8_003));
+    expect_that!(tenure.token(Moment(8_004)), some(eq(4)));
+}
+
+#[googletest::test]
+fn extension_ends_by_word() {
+    let mut tenure = Tenure::new(EXTENDED, false, Moment(0));
+    tenure.granted(Grant::Held(4), Moment(0), Moment(3));
+    tenure.granted(Grant::Elsewhere, Moment(5_000), Moment(5_003));
+    expect_that!(tenure.token(Moment(5_004)), none());
+    tenure.granted(Grant::Held(7), Moment(5_700), Moment(5_703));
+    expect_that!(tenure.token(Moment(5_704)), none());
+}
+
+#[googletest::test]
+fn later_token_after_lapse_waits() {
+    let mut tenure = Tenure::new(EXTENDED, false, Moment(0));
+    tenure.granted(Grant::Held(4), Moment(0), Moment(3));
+    // Another one may have had the right between the lapse and this answer.
+    tenure.granted(Grant::Held(6), Moment(5_000), Moment(5_003));
+    expect_that!(tenure.token(Moment(5_004)), none());
+}
+
+#[googletest::test]
+fn unfenced_is_not_extended() {
+    let terms = Terms {
+        fenced: false,
+        ..EXTENDED
+    };
+    let mut tenure = Tenure::new(terms, false, Moment(0));
+    for at in (0..4_200).step_by(700) {
+        tenure.granted(Grant::Held(4), Moment(at), Moment(at + 3));
+    }
+    expect_that!(tenure.token(Moment(3_600)), some(eq(4)));
+    expect_that!(tenure.token(Moment(6_100)), none());
+}
+
+#[googletest::test]
+fn orderly_restart_goes_on() {
+    let mut tenure = Tenure::new(TERMS, true, Moment(0));
+    tenure.no_earlier_life();
+    tenure.granted(Grant::Held(9), Moment(0), Moment(3));
+    expect_that!(tenure.token(Moment(4)), some(eq(9)));
+}
--- a/crates/ploverwick_gateway/src/controllers/instances.rs
+++ b/crates/ploverwick_gateway/src/controllers/instances.rs
@@ -58,6 +58,11 @@
     };
     let mut records = snapshot.records.iter();
     let own = records.find(|record| record.key == *shared.settings.instance);
+    if own.is_none() {
+        // An earlier life that ended in order took its line away a turn after its last order.
+        shared.state().tenure.no_earlier_life();
+        return;
+    }
     let value = own.and_then(|record| record.value.as_ref());
     let line = value.and_then(|value| serde_json::from_slice::<Line>(value).ok());
     if let Some(token) = line.and_then(|line| line.token) {
--- a/crates/ploverwick_gateway/src/controllers/tenure.rs
+++ b/crates/ploverwick_gateway/src/controllers/tenure.rs
@@ -8,10 +8,11 @@
 
 use super::{Backoff, instances};
 use crate::journal::Outage;
+use crate::peers;
 use crate::shared::{Shared, TENURE};
 
 /// The pause between renewals; three fit into a grant.
-const RENEWAL: Duration = Duration::from_millis(700);
+const RENEWAL: Duration = Duration::from_millis(450);
 
 /// Renews the membership for as long as the process runs.
 pub(crate) async fn keep(shared: Arc<Shared>) {
@@ -47,6 +48,7 @@
                 }
                 tokio::select! {
                     () = tokio::time::sleep(RENEWAL) => {}
+                    () = shared.vacant.notified() => {}
                     _ = stopping.changed() => {}
                 }
             }
@@ -83,7 +85,8 @@
 
 async fn leave(shared: &Shared, group: &str) {
     lose(shared);
-    if let Err(error) = shared.store.leave(group, &shared.settings.instance).await {
-        spdlog::warn!("group_not_left cause=\"{}\"", error);
+    match shared.store.leave(group, &shared.settings.instance).await {
+        Ok(()) => peers::vacate(shared),
+        Err(error) => spdlog::warn!("group_not_left cause=\"{}\"", error),
     }
 }
--- a/crates/ploverwick_gateway/src/daemon.rs
+++ b/crates/ploverwick_gateway/src/daemon.rs
@@ -127,12 +127,18 @@
     let asked = shared.now();
     spdlog::info!("stop_asked open={}", open.count());
     shared.stopping.send_replace(true);
+    // A later life may give orders at once, so that a turn must have passed since the last one.
+    let least = LEAST_STOP.max(shared.settings.lease);
     let latest = shared.settings.grace.saturating_sub(BEFORE_KILL);
-    instances::retire(shared).await;
+    let mut is_listed = true;
     loop {
         tokio::time::sleep(LOOK).await;
         let taken = shared.now().since(asked);
-        let is_done = taken >= LEAST_STOP && open.count() == 0;
+        if is_listed && taken >= least {
+            instances::retire(shared).await;
+            is_listed = false;
+        }
+        let is_done = taken >= least && open.count() == 0;
         if is_done || taken >= latest {
             spdlog::info!("stop open={} after={:?}", open.count(), taken);
             return;
--- a/crates/ploverwick_gateway/src/peers.rs
+++ b/crates/ploverwick_gateway/src/peers.rs
@@ -66,6 +66,8 @@
     Coming { endpoint: Arc<str>, copy: Copy },
     /// An endpoint holds an adapter from now on.
     Loaded { endpoint: Arc<str>, copy: Copy },
+    /// The sender no longer places the adapters of its failure domain.
+    Vacant,
     /// An endpoint does not hold an adapter any more.
     Unloaded { endpoint: Arc<str>, copy: Copy },
 }
@@ -134,6 +136,19 @@
     }
 }
 
+/// Tells the peers of this failure domain that one of them may place its adapters.
+pub(crate) fn vacate(shared: &Shared) {
+    let near: Vec<IpAddr> = {
+        let state = shared.state();
+        let peers = state.peers.values();
+        let near = peers.filter(|peer| peer.domain == shared.settings.domain);
+        near.map(|peer| peer.ip).collect()
+    };
+    for ip in near {
+        shared.mail.send(&Message::Vacant, shared.mail_address(ip));
+    }
+}
+
 fn holds(endpoint: &Arc<str>, copies: &[Copy]) -> Message {
     let mut by_model: HashMap<&Arc<str>, Vec<(Arc<str>, u64)>> = HashMap::new();
     for copy in copies {
@@ -322,6 +337,7 @@
             drop(state);
             shared.placed.notify_waiters();
         }
+        Message::Vacant => shared.vacant.notify_one(),
         Message::Unloaded { endpoint, copy } => state.directory.unloaded(&endpoint, &copy),
     }
 }
--- a/crates/ploverwick_gateway/src/shared.rs
+++ b/crates/ploverwick_gateway/src/shared.rs
@@ -5,6 +5,7 @@
 use std::collections::HashMap;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
 
 use ploverwick_adapters::{Copy, Directory, Placer, Tenure, Terms};
 use ploverwick_endpoints::{Budget, Fleet, Rate};
@@ -23,9 +24,12 @@
 
 /// How long a grant of the right to place adapters lasts. A shorter one is taken over sooner, a
 /// longer one survives more lost calls.
-pub(crate) const TENURE: std::time::Duration = std::time::Duration::from_millis(2_500);
+pub(crate) const TENURE: Duration = Duration::from_millis(1_600);
+/// How long a placer goes on while the store is silent; outages on record last up to 9 s, and a
+/// holder that goes on for too long only meets refusals.
+const EXTENSION: Duration = Duration::from_secs(8);
 /// A peer that is silent for longer is not asked for anything.
-pub(crate) const PEER_AGE: std::time::Duration = std::time::Duration::from_millis(2_500);
+pub(crate) const PEER_AGE: Duration = Duration::from_millis(2_500);
 
 /// Another instance.
 #[derive(Debug, Clone)]
@@ -77,6 +81,8 @@
     pub(crate) placed: Notify,
     /// Says that a peer has a newer configuration.
     pub(crate) newer_config: Notify,
+    /// Says that the placer of this failure domain gave up its right.
+    pub(crate) vacant: Notify,
     /// Wakes the tasks that give orders.
     pub(crate) orders: Notify,
     /// Says that the process is asked to stop.
@@ -91,6 +97,7 @@
             lease: TENURE.max(settings.shortest_ttl),
             turn: settings.lease,
             fenced: settings.fenced,
+            extension: EXTENSION,
         };
         let state = State {
             config: None,
@@ -115,6 +122,7 @@
             lines: Lines::default(),
             placed: Notify::new(),
             newer_config: Notify::new(),
+            vacant: Notify::new(),
             orders: Notify::new(),
             stopping: watch::Sender::new(false),
             state: Mutex::new(state),
