--- a/crates/ploverwick_gateway/src/shared.rs
+++ b/crates/ploverwick_gateway/src/shared.rs
@@ -23,8 +23,9 @@
 use crate::pool::Pool;
 
 /// How long a grant of the right to place adapters lasts. A shorter one is taken over sooner, a
-/// longer one survives more lost calls.
-pub(crate) const TENURE: Duration = Duration::from_millis(1_600);
+/// longer one survives more lost calls, and a restart of the whole system, after which its holder goes
+/// on under the same token.
+pub(crate) const TENURE: Duration = Duration::from_millis(2_800);
 /// How long a placer goes on while the store is silent; outages on record last up to 9 s, and a
 /// holder that goes on for too long only meets refusals.
 const EXTENSION: Duration = Duration::from_secs(8);
