Recall the token of an earlier life however long the store is away

Change: the recall is repeated until the store answers, and the line written at the start keeps the token. Test: same_token_goes_on fails on the code before and passes now.

--- a/crates/ploverwick_gateway/src/controllers/instances.rs
+++ b/crates/ploverwick_gateway/src/controllers/instances.rs
@@ -47,28 +47,30 @@
     }
 }
 
-/// Recalls what an earlier life of this instance wrote, before anything is written over it.
-pub(crate) async fn recall(shared: &Shared) {
-    let snapshot = match shared.store.newest(INSTANCES).await {
-        Ok(snapshot) => snapshot,
-        Err(error) => {
-            spdlog::info!("nothing_recalled cause=\"{}\"", error);
-            return;
+/// Recalls the token that an earlier life of this instance wrote, before anything is written over
+/// it; asks until the store answers, without which no right can be had either.
+pub(crate) async fn recall(shared: &Shared) -> Option<u64> {
+    let mut backoff = Backoff::new();
+    let snapshot = loop {
+        match shared.store.newest(INSTANCES).await {
+            Ok(snapshot) => break snapshot,
+            Err(error) => {
+                spdlog::info!("recall_fails cause=\"{}\"", error);
+                backoff.pause().await;
+            }
         }
     };
     let mut records = snapshot.records.iter();
-    let own = records.find(|record| record.key == *shared.settings.instance);
-    if own.is_none() {
+    let Some(own) = records.find(|record| record.key == *shared.settings.instance) else {
         // An earlier life that ended in order took its line away a turn after its last order.
         shared.state().tenure.no_earlier_life();
-        return;
-    }
-    let value = own.and_then(|record| record.value.as_ref());
-    let line = value.and_then(|value| serde_json::from_slice::<Line>(value).ok());
-    if let Some(token) = line.and_then(|line| line.token) {
-        spdlog::info!("recalled token={}", token);
-        shared.state().tenure.recall(token);
-    }
+        return None;
+    };
+    let value = own.value.as_ref()?;
+    let token = serde_json::from_slice::<Line>(value).ok()?.token?;
+    spdlog::info!("recalled token={}", token);
+    shared.state().tenure.recall(token);
+    Some(token)
 }
 
 /// Takes this instance off the list, if the store answers.
--- a/crates/ploverwick_gateway/src/daemon.rs
+++ b/crates/ploverwick_gateway/src/daemon.rs
@@ -148,10 +148,12 @@
 
 /// Lists this instance and joins its group, once what an earlier life wrote was read.
 async fn join(shared: Arc<Shared>) {
-    if !shared.settings.first_start {
-        instances::recall(&shared).await;
-    }
-    instances::enlist(Arc::clone(&shared), None).await;
+    let token = if shared.settings.first_start {
+        None
+    } else {
+        instances::recall(&shared).await
+    };
+    instances::enlist(Arc::clone(&shared), token).await;
     tenure::keep(shared).await;
 }
 
--- a/crates/ploverwick_gateway/tests/common/mod.rs
+++ b/crates/ploverwick_gateway/tests/common/mod.rs
@@ -28,8 +28,13 @@
 impl World {
     /// Starts a gateway that knows nothing yet.
     pub async fn bare() -> Result<Self> {
-        let store = Store::start().await?;
-        let settings = settings::of("one", Ipv4Addr::LOCALHOST, 0, store.address());
+        Self::of(Store::start().await?, true).await
+    }
+
+    /// Starts a gateway before a store; `first_start` says that the whole system starts.
+    pub async fn of(store: Store, first_start: bool) -> Result<Self> {
+        let mut settings = settings::of("one", Ipv4Addr::LOCALHOST, 0, store.address());
+        settings.first_start = first_start;
         let daemon = Daemon::open(settings).await?;
         let (front, ready) = (daemon.front()?, daemon.ready()?);
         let (stop, stopped) = oneshot::channel::<()>();
