--- a/crates/ploverwick_gateway/src/controllers.rs
+++ b/crates/ploverwick_gateway/src/controllers.rs
@@ -1,6 +1,7 @@
 //! Controllers: each keeps one part of the shared state in step with what it follows.
 
 pub(crate) mod demand;
+mod feed;
 pub(crate) mod instances;
 pub(crate) mod operator;
 pub(crate) mod orders;
--- a/crates/ploverwick_gateway/src/controllers/instances.rs
+++ b/crates/ploverwick_gateway/src/controllers/instances.rs
@@ -6,11 +6,11 @@
 use std::time::Duration;
 
 use ploverwick_platform::INSTANCES;
-use ploverwick_platform::store::{Error, Record};
+use ploverwick_platform::store::Record;
 use serde::{Deserialize, Serialize};
 
 use super::Backoff;
-use crate::journal::Outage;
+use super::feed::{self, Feed, News};
 use crate::shared::{Peer, Shared};
 
 /// How long a read waits for a record; instances come and go rarely, and peers that are not listed
@@ -83,36 +83,19 @@
 
 /// Follows the list for as long as the process runs.
 pub(crate) async fn follow(shared: Arc<Shared>) {
-    let mut outage = Outage::of("instance list");
-    let mut backoff = Backoff::new();
-    let mut next: Option<u64> = None;
-    loop {
-        let result = match next {
-            None => shared.store.newest(INSTANCES).await.map(|snapshot| {
-                replace(&shared, &snapshot.records);
-                snapshot.end
-            }),
-            Some(from) => {
-                let read = shared.store.read(INSTANCES, from, WAIT).await;
-                read.map(|batch| {
-                    take(&shared, &batch.records);
-                    from + batch.records.len() as u64
-                })
-            }
-        };
-        match result {
-            Ok(end) => {
-                next = Some(end);
-                outage.works();
-                backoff.reset();
-            }
-            Err(Error::Expired) => next = None,
-            Err(error) => {
-                outage.fails(&error);
-                backoff.pause().await;
-            }
-        }
-    }
+    let feed = Feed {
+        topic: INSTANCES,
+        what: "instance list",
+        wait: WAIT,
+        pause: Duration::ZERO,
+        hint: None,
+    };
+    feed::follow(&shared, feed, |news| match news {
+        News::Whole(records) => replace(&shared, records),
+        News::Next(records) => take(&shared, records),
+        News::Away => {}
+    })
+    .await;
 }
 
 fn replace(shared: &Shared, records: &[Record]) {
--- a/crates/ploverwick_gateway/src/controllers/operator.rs
+++ b/crates/ploverwick_gateway/src/controllers/operator.rs
@@ -3,61 +3,30 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ploverwick_platform::store::{Error, Record};
+use ploverwick_platform::store::Record;
 use ploverwick_platform::{CONFIG_KEY, OPERATOR, config, version};
 
-use super::Backoff;
-use crate::journal::Outage;
+use super::feed::{self, Feed, News};
 use crate::shared::Shared;
 
 /// How long a read waits for a record. A cut may swallow a waiting read without a trace; peers that
 /// have a newer configuration then tell, and the read begins anew.
 const WAIT: Duration = Duration::from_secs(4);
-/// The least time between two reads that peers caused.
-const HINTED: Duration = Duration::from_millis(300);
 
 /// Follows the operator's topic for as long as the process runs.
 pub(crate) async fn follow(shared: Arc<Shared>) {
-    let mut outage = Outage::of("operator topic");
-    let mut backoff = Backoff::new();
-    let mut next: Option<u64> = None;
-    loop {
-        let result = match next {
-            None => shared.store.newest(OPERATOR).await.map(|snapshot| {
-                take(&shared, &snapshot.records);
-                snapshot.end
-            }),
-            Some(from) => {
-                let read = shared.store.read(OPERATOR, from, WAIT);
-                let read = tokio::select! {
-                    read = read => read,
-                    () = shared.newer_config.notified() => {
-                        tokio::time::sleep(HINTED).await;
-                        shared.store.read(OPERATOR, from, Duration::ZERO).await
-                    }
-                };
-                read.map(|batch| {
-                    take(&shared, &batch.records);
-                    from + batch.records.len() as u64
-                })
-            }
-        };
-        match result {
-            Ok(end) => {
-                next = Some(end);
-                outage.works();
-                backoff.reset();
-            }
-            Err(Error::Expired) => {
-                spdlog::info!("history_lost topic={}", OPERATOR);
-                next = None;
-            }
-            Err(error) => {
-                outage.fails(&error);
-                backoff.pause().await;
-            }
-        }
-    }
+    let feed = Feed {
+        topic: OPERATOR,
+        what: "operator topic",
+        wait: WAIT,
+        pause: Duration::ZERO,
+        hint: Some(&shared.newer_config),
+    };
+    feed::follow(&shared, feed, |news| match news {
+        News::Whole(records) | News::Next(records) => take(&shared, records),
+        News::Away => {}
+    })
+    .await;
 }
 
 fn take(shared: &Arc<Shared>, records: &[Record]) {
--- a/crates/ploverwick_gateway/src/controllers/roster.rs
+++ b/crates/ploverwick_gateway/src/controllers/roster.rs
@@ -5,11 +5,10 @@
 use std::time::Duration;
 
 use ploverwick_endpoints::{Absence, State as EndpointState};
-use ploverwick_platform::store::{Error, Record};
+use ploverwick_platform::store::Record;
 use ploverwick_platform::{ROSTER, roster};
 
-use super::Backoff;
-use crate::journal::Outage;
+use super::feed::{self, Feed, News};
 use crate::shared::Shared;
 
 /// The pause between reads. Each heartbeat of an endpoint is a record, so that a read that waits
@@ -24,46 +23,36 @@
 
 /// Follows the list for as long as the process runs.
 pub(crate) async fn follow(shared: Arc<Shared>) {
-    let mut outage = Outage::of("endpoint list");
-    let mut backoff = Backoff::new();
-    let mut next: Option<u64> = None;
     let mut follower = Follower {
-        shared,
+        shared: Arc::clone(&shared),
         absence: Absence::default(),
     };
-    loop {
-        let store = &follower.shared.store;
-        let result = match next {
-            None => store.newest(ROSTER).await.map(|snapshot| {
-                follower.absence.store_read(follower.shared.now());
-                follower.replace(&snapshot.records);
-                snapshot.end
-            }),
-            Some(from) => store.read(ROSTER, from, Duration::ZERO).await.map(|batch| {
-                follower.absence.store_read(follower.shared.now());
-                follower.take(&batch.records);
-                from + batch.records.len() as u64
-            }),
-        };
-        match result {
-            Ok(end) => {
-                next = Some(end);
-                outage.works();
-                backoff.reset();
-                follower.settle();
-                tokio::time::sleep(PAUSE).await;
+    let feed = Feed {
+        topic: ROSTER,
+        what: "endpoint list",
+        wait: Duration::ZERO,
+        pause: PAUSE,
+        hint: None,
+    };
+    feed::follow(&shared, feed, |news| {
+        let now = follower.shared.now();
+        match news {
+            News::Away => {
+                follower.absence.store_away();
+                return;
             }
-            Err(Error::Expired) => {
-                spdlog::info!("history_lost topic={}", ROSTER);
-                next = None;
+            News::Whole(records) => {
+                follower.absence.store_read(now);
+                follower.replace(records);
             }
-            Err(error) => {
-                outage.fails(&error);
-                follower.absence.store_away();
-                backoff.pause().await;
+            News::Next(records) => {
+                follower.absence.store_read(now);
+                follower.take(records);
             }
         }
-    }
+        follower.settle();
+    })
+    .await;
 }
 
 impl Follower {
--- a/crates/ploverwick_gateway/src/controllers/table.rs
+++ b/crates/ploverwick_gateway/src/controllers/table.rs
@@ -4,11 +4,10 @@
 use std::time::Duration;
 
 use ploverwick_platform::TABLE;
-use ploverwick_platform::store::{Error, Record};
+use ploverwick_platform::store::Record;
 use ploverwick_platform::table::Assembly;
 
-use super::Backoff;
-use crate::journal::Outage;
+use super::feed::{self, Feed, News};
 use crate::shared::Shared;
 
 /// How long a read waits for a record: a cut may swallow a waiting read without a trace, and a
@@ -17,37 +16,19 @@
 
 /// Follows the table's topic for as long as the process runs.
 pub(crate) async fn follow(shared: Arc<Shared>) {
-    let mut outage = Outage::of("table topic");
-    let mut backoff = Backoff::new();
     let mut assembly = Assembly::default();
-    let mut next: Option<u64> = None;
-    loop {
-        let result = match next {
-            None => shared.store.newest(TABLE).await.map(|snapshot| {
-                take(&shared, &mut assembly, &snapshot.records);
-                snapshot.end
-            }),
-            Some(from) => {
-                let read = shared.store.read(TABLE, from, WAIT).await;
-                read.map(|batch| {
-                    take(&shared, &mut assembly, &batch.records);
-                    from + batch.records.len() as u64
-                })
-            }
-        };
-        match result {
-            Ok(end) => {
-                next = Some(end);
-                outage.works();
-                backoff.reset();
-            }
-            Err(Error::Expired) => next = None,
-            Err(error) => {
-                outage.fails(&error);
-                backoff.pause().await;
-            }
-        }
-    }
+    let feed = Feed {
+        topic: TABLE,
+        what: "table topic",
+        wait: WAIT,
+        pause: Duration::ZERO,
+        hint: None,
+    };
+    feed::follow(&shared, feed, |news| match news {
+        News::Whole(records) | News::Next(records) => take(&shared, &mut assembly, records),
+        News::Away => {}
+    })
+    .await;
 }
 
 fn take(shared: &Shared, assembly: &mut Assembly, records: &[Record]) {
