Let one instance of a failure domain read the list of endpoints

Change: the placer reads and tells its domain's peers what changed, with a digest of the whole list; an instance that hears nothing for 1.2 s or has another digest reads itself. Waiting reads of configuration and table are 8 and 10 s (peers tell of a newer configuration); lists of instances are read in batches.

--- a/crates/ploverwick_endpoints/src/entry.rs
+++ b/crates/ploverwick_endpoints/src/entry.rs
@@ -3,8 +3,10 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use serde::{Deserialize, Serialize};
+
 /// Whether an endpoint takes new requests.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum State {
     /// It takes requests.
     Ready,
@@ -13,7 +15,7 @@
 }
 
 /// A base model that an endpoint holds, with its adapters.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Held {
     /// The base model.
     pub model: Arc<str>,
@@ -22,7 +24,7 @@
 }
 
 /// One line of the list of endpoints.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
     /// The identifier of this life of the endpoint; a restart has another one.
     pub id: Arc<str>,
--- a/crates/ploverwick_endpoints/src/fleet.rs
+++ b/crates/ploverwick_endpoints/src/fleet.rs
@@ -6,6 +6,7 @@
 
 use ploverwick_names::Moment;
 use ploverwick_placement::{Candidate, score};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{Entry, Health, Outcome, State};
 
@@ -120,6 +121,18 @@
         self.members.values().map(|member| &member.entry)
     }
 
+    /// Returns a digest of the list: who is on it, where, and whether it takes requests.
+    ///
+    /// Instances compare it, so that it is XXH3 with 64 bits and part of their protocol.
+    pub fn digest(&self) -> u64 {
+        let mut lines: Vec<String> = self
+            .entries()
+            .map(|e| format!("{} {} {} {:?}", e.id, e.service, e.address, e.state))
+            .collect();
+        lines.sort_unstable();
+        xxh3_64(lines.join("\n").as_bytes())
+    }
+
     /// Returns whether an endpoint may get new requests.
     pub fn is_ready(&self, id: &str) -> bool {
         self.entry(id).is_some_and(|e| e.state == State::Ready)
--- a/crates/ploverwick_endpoints/tests/endpoint_choice.rs
+++ b/crates/ploverwick_endpoints/tests/endpoint_choice.rs
@@ -124,3 +124,17 @@
     fleet.read("a", 9_000);
     expect_that!(first(&fleet, Moment(0)).as_deref(), some(eq("a")));
 }
+
+#[googletest::test]
+fn digest_tells_lists_apart() {
+    let fleet = fleet();
+    let mut same = Fleet::default();
+    for (id, domain) in [("c", "d3"), ("a", "d1"), ("b", "d2")] {
+        same.put(entry(id, domain));
+    }
+    expect_that!(same.digest(), eq(fleet.digest()));
+    let mut leaving = entry("a", "d1");
+    leaving.state = State::Draining;
+    same.put(leaving);
+    expect_that!(same.digest(), not(eq(fleet.digest())));
+}
--- a/crates/ploverwick_gateway/src/controllers/feed.rs
+++ b/crates/ploverwick_gateway/src/controllers/feed.rs
@@ -12,6 +12,9 @@
 /// The least time between two reads that a hint caused.
 const HINTED: Duration = Duration::from_millis(300);
 
+/// How often a topic of which others tell is looked at again.
+const LOOK: Duration = Duration::from_millis(200);
+
 /// How a topic is followed.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Feed<'a> {
@@ -25,6 +28,13 @@
     pub(super) pause: Duration,
     /// Says that there is something to read although the waiting read is silent.
     pub(super) hint: Option<&'a Notify>,
+    /// Whether others tell what the topic holds, so that it need not be read now.
+    pub(super) is_told: fn(&Shared) -> bool,
+}
+
+/// For a topic of which nobody else tells.
+pub(super) fn never(_: &Shared) -> bool {
+    false
 }
 
 /// What a feed brings.
@@ -44,6 +54,12 @@
     let mut backoff = Backoff::new();
     let mut next: Option<u64> = None;
     loop {
+        if (feed.is_told)(shared) {
+            // Whatever comes meanwhile is read anew as a whole.
+            next = None;
+            tokio::time::sleep(LOOK).await;
+            continue;
+        }
         match read(shared, &feed, next, &mut take).await {
             Ok(end) => {
                 next = Some(end);
--- a/crates/ploverwick_gateway/src/controllers/instances.rs
+++ b/crates/ploverwick_gateway/src/controllers/instances.rs
@@ -17,6 +17,10 @@
 /// yet make themselves known by their messages.
 const WAIT: Duration = Duration::from_secs(20);
 
+/// The pause after each read: at a start all instances list themselves within a second or two, and
+/// each line would be a call of every instance.
+const PAUSE: Duration = Duration::from_millis(1_500);
+
 #[derive(Debug, Serialize, Deserialize)]
 struct Line {
     ip: IpAddr,
@@ -87,8 +91,9 @@
         topic: INSTANCES,
         what: "instance list",
         wait: WAIT,
-        pause: Duration::ZERO,
+        pause: PAUSE,
         hint: None,
+        is_told: feed::never,
     };
     feed::follow(&shared, feed, |news| match news {
         News::Whole(records) => replace(&shared, records),
--- a/crates/ploverwick_gateway/src/controllers/operator.rs
+++ b/crates/ploverwick_gateway/src/controllers/operator.rs
@@ -11,7 +11,7 @@
 
 /// How long a read waits for a record. A cut may swallow a waiting read without a trace; peers that
 /// have a newer configuration then tell, and the read begins anew.
-const WAIT: Duration = Duration::from_secs(4);
+const WAIT: Duration = Duration::from_secs(8);
 
 /// Follows the operator's topic for as long as the process runs.
 pub(crate) async fn follow(shared: Arc<Shared>) {
@@ -21,6 +21,7 @@
         wait: WAIT,
         pause: Duration::ZERO,
         hint: Some(&shared.newer_config),
+        is_told: feed::never,
     };
     feed::follow(&shared, feed, |news| match news {
         News::Whole(records) | News::Next(records) => take(&shared, records),
--- a/crates/ploverwick_gateway/src/controllers/roster.rs
+++ b/crates/ploverwick_gateway/src/controllers/roster.rs
@@ -1,14 +1,15 @@
 //! Follows the list of endpoints.
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
-use ploverwick_endpoints::{Absence, State as EndpointState};
+use ploverwick_endpoints::{Absence, Entry, State as EndpointState};
 use ploverwick_platform::store::Record;
 use ploverwick_platform::{ROSTER, roster};
 
 use super::feed::{self, Feed, News};
+use crate::peers;
 use crate::shared::Shared;
 
 /// The pause between reads. Each heartbeat of an endpoint is a record, so that a read that waits
@@ -19,6 +20,21 @@
 struct Follower {
     shared: Arc<Shared>,
     absence: Absence,
+    /// The lines that were told to the peers of this failure domain.
+    told: HashMap<Arc<str>, Entry>,
+}
+
+/// How long a peer's word on the list counts. With a read's pause and this one a leave is known
+/// within the drain time also if that peer falls silent.
+const TOLD: Duration = Duration::from_millis(1_200);
+
+/// Returns whether the peer that places the adapters of this failure domain tells what the list
+/// holds. One reader for each domain spares the store the others' calls.
+fn is_told(shared: &Shared) -> bool {
+    let now = shared.now();
+    let state = shared.state();
+    let heard = state.roster_told;
+    !state.tenure.is_held(now) && heard.is_some_and(|at| now.since(at) < TOLD)
 }
 
 /// Follows the list for as long as the process runs.
@@ -26,6 +42,7 @@
     let mut follower = Follower {
         shared: Arc::clone(&shared),
         absence: Absence::default(),
+        told: HashMap::new(),
     };
     let feed = Feed {
         topic: ROSTER,
@@ -33,6 +50,7 @@
         wait: Duration::ZERO,
         pause: PAUSE,
         hint: None,
+        is_told,
     };
     feed::follow(&shared, feed, |news| {
         let now = follower.shared.now();
@@ -51,6 +69,7 @@
             }
         }
         follower.settle();
+        follower.tell();
     })
     .await;
 }
@@ -81,59 +100,113 @@
     }
 
     fn put(&mut self, id: &str, value: &[u8]) {
-        let entry = match roster::entry(id, value) {
-            Ok(entry) => entry,
+        match roster::entry(id, value) {
+            Ok(entry) => {
+                self.absence.seen(&entry.id);
+                let now = self.shared.now();
+                let copies = roster::copies(&entry.held);
+                let mut state = self.shared.state();
+                state.directory.listed(&entry.id, copies, now);
+                drop(state);
+                put(&self.shared, entry);
+            }
             Err(error) => {
                 spdlog::warn!("endpoint_malformed endpoint={} cause=\"{}\"", id, error);
-                return;
             }
-        };
-        self.absence.seen(&entry.id);
-        let now = self.shared.now();
-        let mut state = self.shared.state();
-        let before = state.fleet.entry(id).map(|entry| entry.state);
-        if before != Some(entry.state) {
-            spdlog::info!(
-                "endpoint_listed endpoint={} service={} address={} domain={} state={:?}",
-                id,
-                entry.service,
-                entry.address,
-                entry.domain,
-                entry.state
-            );
         }
-        let copies = roster::copies(&entry.held);
-        state.directory.listed(&entry.id, copies, now);
-        if entry.state == EndpointState::Draining {
-            state.placer.remove(id);
+    }
+
+    /// Tells the peers of this failure domain what changed, if this instance reads for them.
+    fn tell(&mut self) {
+        let now = self.shared.now();
+        let state = self.shared.state();
+        if !state.tenure.is_held(now) {
+            self.told.clear();
+            return;
         }
-        state.fleet.put(entry);
+        let lines = state.fleet.entries().map(brief);
+        let lines: HashMap<Arc<str>, Entry> = lines.map(|e| (Arc::clone(&e.id), e)).collect();
+        let digest = state.fleet.digest();
+        drop(state);
+        let changed = lines.values().filter(|e| self.told.get(&e.id) != Some(*e));
+        let changed: Vec<Entry> = changed.cloned().collect();
+        let gone = self.told.keys().filter(|id| !lines.contains_key(*id));
+        let gone: Vec<Arc<str>> = gone.cloned().collect();
+        self.told = lines;
+        peers::tell_list(&self.shared, changed, gone, digest);
     }
 
     /// An endpoint is missing: it is gone, or the store has forgotten it in an outage.
     fn miss(&mut self, id: &Arc<str>) {
         let now = self.shared.now();
         if self.absence.miss(id, now) {
-            self.remove(id);
+            remove(&self.shared, id);
         }
     }
 
     fn settle(&mut self) {
         let now = self.shared.now();
         for id in self.absence.due(now) {
-            self.remove(&id);
+            remove(&self.shared, &id);
         }
     }
+}
 
-    fn remove(&self, id: &Arc<str>) {
-        let mut state = self.shared.state();
-        if !state.fleet.remove(id) {
-            return;
-        }
-        state.directory.remove(id);
-        state.placer.remove(id);
-        drop(state);
-        self.shared.pool.remove(id);
-        spdlog::info!("endpoint_gone endpoint={}", id);
+/// Takes in what the reader of this failure domain tells; its word counts if the lists agree then.
+pub(crate) fn told(shared: &Shared, changed: Vec<Entry>, gone: &[Arc<str>], digest: u64) {
+    for entry in changed {
+        put(shared, entry);
+    }
+    for id in gone {
+        remove(shared, id);
+    }
+    let now = shared.now();
+    let mut state = shared.state();
+    // A list that was never read, or a lost message, is mended by a read of one's own.
+    if state.has_roster && state.fleet.digest() == digest {
+        state.roster_told = Some(now);
+    }
+    drop(state);
+    shared.orders.notify_waiters();
+    shared.placed.notify_waiters();
+}
+
+/// Returns a line without the adapters, of which placers tell by themselves.
+fn brief(entry: &Entry) -> Entry {
+    let mut entry = entry.clone();
+    for held in &mut entry.held {
+        held.adapters.clear();
+    }
+    entry
+}
+
+fn put(shared: &Shared, entry: Entry) {
+    let mut state = shared.state();
+    let before = state.fleet.entry(&entry.id).map(|entry| entry.state);
+    if before != Some(entry.state) {
+        spdlog::info!(
+            "endpoint_listed endpoint={} service={} address={} domain={} state={:?}",
+            entry.id,
+            entry.service,
+            entry.address,
+            entry.domain,
+            entry.state
+        );
+    }
+    if entry.state == EndpointState::Draining {
+        state.placer.remove(&entry.id);
+    }
+    state.fleet.put(entry);
+}
+
+fn remove(shared: &Shared, id: &Arc<str>) {
+    let mut state = shared.state();
+    if !state.fleet.remove(id) {
+        return;
     }
+    state.directory.remove(id);
+    state.placer.remove(id);
+    drop(state);
+    shared.pool.remove(id);
+    spdlog::info!("endpoint_gone endpoint={}", id);
 }
--- a/crates/ploverwick_gateway/src/controllers/table.rs
+++ b/crates/ploverwick_gateway/src/controllers/table.rs
@@ -12,7 +12,7 @@
 
 /// How long a read waits for a record: a cut may swallow a waiting read without a trace, and a
 /// table should be in force within seconds.
-const WAIT: Duration = Duration::from_secs(5);
+const WAIT: Duration = Duration::from_secs(10);
 
 /// Follows the table's topic for as long as the process runs.
 pub(crate) async fn follow(shared: Arc<Shared>) {
@@ -23,6 +23,7 @@
         wait: WAIT,
         pause: Duration::ZERO,
         hint: None,
+        is_told: feed::never,
     };
     feed::follow(&shared, feed, |news| match news {
         News::Whole(records) | News::Next(records) => take(&shared, &mut assembly, records),
--- a/crates/ploverwick_gateway/src/peers.rs
+++ b/crates/ploverwick_gateway/src/peers.rs
@@ -8,16 +8,19 @@
 use std::time::Duration;
 
 use ploverwick_adapters::{Copy, Event, Key, Need};
+use ploverwick_endpoints::Entry;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 
-use crate::controllers::demand;
+use crate::controllers::{demand, roster};
 use crate::shared::{Shared, State, Use};
 
 /// The longest message; longer ones would be cut into packets.
 const LONGEST: usize = 1_300;
 /// Adapters in one message.
 const CHUNK: usize = 48;
+/// Lines of the list of endpoints in one message.
+const ENTRIES: usize = 8;
 /// The pause between messages to peers of the same failure domain.
 const NEAR: Duration = Duration::from_millis(150);
 /// Each so many of these pauses, peers of other failure domains get a message: bytes between
@@ -66,6 +69,12 @@
     Coming { endpoint: Arc<str>, copy: Copy },
     /// An endpoint holds an adapter from now on.
     Loaded { endpoint: Arc<str>, copy: Copy },
+    /// What changed in the list of endpoints, and the digest of all of it.
+    List {
+        changed: Vec<Entry>,
+        gone: Vec<Arc<str>>,
+        digest: u64,
+    },
     /// The sender no longer places the adapters of its failure domain.
     Vacant,
     /// An endpoint does not hold an adapter any more.
@@ -138,17 +147,43 @@
 
 /// Tells the peers of this failure domain that one of them may place its adapters.
 pub(crate) fn vacate(shared: &Shared) {
-    let near: Vec<IpAddr> = {
-        let state = shared.state();
-        let peers = state.peers.values();
-        let near = peers.filter(|peer| peer.domain == shared.settings.domain);
-        near.map(|peer| peer.ip).collect()
-    };
-    for ip in near {
+    for ip in near(shared) {
         shared.mail.send(&Message::Vacant, shared.mail_address(ip));
     }
 }
 
+/// Tells the peers of this failure domain what changed in the list of endpoints.
+pub(crate) fn tell_list(
+    shared: &Shared,
+    mut changed: Vec<Entry>,
+    mut gone: Vec<Arc<str>>,
+    digest: u64,
+) {
+    let peers = near(shared);
+    loop {
+        // The digest fits once the last part has arrived.
+        let rest = changed.split_off(changed.len().min(ENTRIES));
+        let message = Message::List {
+            changed: std::mem::replace(&mut changed, rest),
+            gone: std::mem::take(&mut gone),
+            digest,
+        };
+        for ip in &peers {
+            shared.mail.send(&message, shared.mail_address(*ip));
+        }
+        if changed.is_empty() {
+            return;
+        }
+    }
+}
+
+fn near(shared: &Shared) -> Vec<IpAddr> {
+    let state = shared.state();
+    let peers = state.peers.values();
+    let near = peers.filter(|peer| peer.domain == shared.settings.domain);
+    near.map(|peer| peer.ip).collect()
+}
+
 fn holds(endpoint: &Arc<str>, copies: &[Copy]) -> Message {
     let mut by_model: HashMap<&Arc<str>, Vec<(Arc<str>, u64)>> = HashMap::new();
     for copy in copies {
@@ -337,6 +372,14 @@
             drop(state);
             shared.placed.notify_waiters();
         }
+        Message::List {
+            changed,
+            gone,
+            digest,
+        } => {
+            drop(state);
+            roster::told(shared, changed, &gone, digest);
+        }
         Message::Vacant => shared.vacant.notify_one(),
         Message::Unloaded { endpoint, copy } => state.directory.unloaded(&endpoint, &copy),
     }
--- a/crates/ploverwick_gateway/src/shared.rs
+++ b/crates/ploverwick_gateway/src/shared.rs
@@ -55,6 +55,8 @@
 pub(crate) struct State {
     pub(crate) config: Option<Arc<Config>>,
     pub(crate) has_roster: bool,
+    /// When a peer last told what the list of endpoints holds, and it agreed with this one.
+    pub(crate) roster_told: Option<Moment>,
     /// The operators' table; `None` until one is published.
     pub(crate) table: Option<Arc<Table>>,
     pub(crate) rates: Rates,
@@ -103,6 +105,7 @@
         let state = State {
             config: None,
             has_roster: false,
+            roster_told: None,
             table: None,
             rates: Rates::default(),
             fleet: Fleet::default(),
