--- a/crates/ploverwick_adapters/src/key.rs
+++ b/crates/ploverwick_adapters/src/key.rs
@@ -28,3 +28,14 @@
     /// Its version.
     pub version: u64,
 }
+
+impl Copy {
+    /// Makes a copy of its parts.
+    pub fn of(model: &Arc<str>, adapter: Arc<str>, version: u64) -> Self {
+        let key = Key {
+            model: Arc::clone(model),
+            adapter,
+        };
+        Self { key, version }
+    }
+}
--- a/crates/ploverwick_adapters/src/order.rs
+++ b/crates/ploverwick_adapters/src/order.rs
@@ -26,6 +26,37 @@
     pub after: Option<u64>,
 }
 
+impl Order {
+    /// Makes an order to load an adapter that holds at a number of accepted orders.
+    pub fn load(copy: &Copy, after: u64) -> Self {
+        Self::of(Op::Load, copy, after)
+    }
+
+    /// Makes an order to unload an adapter that holds at a number of accepted orders.
+    pub fn unload(copy: &Copy, after: u64) -> Self {
+        Self::of(Op::Unload, copy, after)
+    }
+
+    /// Makes an order to load a base model that holds at a number of accepted orders.
+    pub fn load_base(model: &Arc<str>, after: u64) -> Self {
+        Self {
+            op: Op::Load,
+            model: Arc::clone(model),
+            adapter: None,
+            after: Some(after),
+        }
+    }
+
+    fn of(op: Op, copy: &Copy, after: u64) -> Self {
+        Self {
+            op,
+            model: Arc::clone(&copy.key.model),
+            adapter: Some((Arc::clone(&copy.key.adapter), copy.version)),
+            after: Some(after),
+        }
+    }
+}
+
 /// How an endpoint answered an order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Answer {
--- a/crates/ploverwick_adapters/src/shelf.rs
+++ b/crates/ploverwick_adapters/src/shelf.rs
@@ -335,7 +335,7 @@
         {
             // The endpoint takes no other order meanwhile.
             return Some(if *look_at <= now {
-                Step::Send(base_order(model, orders))
+                Step::Send(Order::load_base(model, orders))
             } else {
                 Step::Wait(*look_at)
             });
@@ -344,7 +344,7 @@
             return None;
         }
         match self.models.keys().next() {
-            Some(model) => Some(Step::Send(base_order(model, orders))),
+            Some(model) => Some(Step::Send(Order::load_base(model, orders))),
             None => Some(Step::Idle),
         }
     }
@@ -353,8 +353,8 @@
         self.places
             .iter()
             .find_map(|(copy, place)| match place.state {
-                State::Coming { look_at, .. } if look_at <= now => Some(load(copy, orders)),
-                State::Leaving { look_at } if look_at <= now => Some(unload(copy, orders)),
+                State::Coming { look_at, .. } if look_at <= now => Some(Order::load(copy, orders)),
+                State::Leaving { look_at } if look_at <= now => Some(Order::unload(copy, orders)),
                 _ => None,
             })
     }
@@ -382,12 +382,13 @@
             copy.key == wish.key && copy.version < wish.version && place.state == State::Held
         });
         if let Some((older, _)) = older {
-            return Some(unload(older, orders));
+            return Some(Order::unload(older, orders));
         }
         if self.taken() < self.capacity {
-            return Some(load(&wish, orders));
+            return Some(Order::load(&wish, orders));
         }
-        self.victim(now).map(|victim| unload(&victim, orders))
+        self.victim(now)
+            .map(|victim| Order::unload(&victim, orders))
     }
 
     /// Counts the places that are taken or may be.
@@ -421,7 +422,7 @@
                 .insert(Arc::clone(&order.model), Base::Coming { look_at });
             return None;
         };
-        let copy = copy_of(&order.model, adapter, version);
+        let copy = Copy::of(&order.model, adapter, version);
         match (order.op, self.places.get_mut(&copy)) {
             (Op::Load, Some(place)) => {
                 if let State::Coming { look_at, ordered } = &mut place.state {
@@ -462,7 +463,7 @@
             self.models.insert(Arc::clone(&order.model), Base::Held);
             return Some(Event::BaseLoaded(Arc::clone(&order.model)));
         };
-        let copy = copy_of(&order.model, adapter, version);
+        let copy = Copy::of(&order.model, adapter, version);
         match order.op {
             Op::Load => {
                 self.wishes.retain(|wish| wish.copy != copy);
@@ -501,7 +502,7 @@
             self.learn_again(now + REPORT_LAG);
             return;
         };
-        let copy = copy_of(&order.model, adapter, version);
+        let copy = Copy::of(&order.model, adapter, version);
         match (
             order.op,
             self.places.get_mut(&copy).map(|place| &mut place.state),
@@ -538,7 +539,7 @@
 
     fn victim_of(&mut self, order: &Order) -> Option<&mut Place> {
         let (adapter, version) = order.adapter.clone()?;
-        let copy = copy_of(&order.model, adapter, version);
+        let copy = Copy::of(&order.model, adapter, version);
         self.places.get_mut(&copy)
     }
 
@@ -547,7 +548,7 @@
             self.models.remove(&order.model);
             return;
         };
-        let copy = copy_of(&order.model, adapter, version);
+        let copy = Copy::of(&order.model, adapter, version);
         self.wishes.retain(|wish| wish.copy != copy);
         self.places.remove(&copy);
     }
@@ -565,37 +566,3 @@
         self.report_at = at;
     }
 }
-
-fn copy_of(model: &Arc<str>, adapter: Arc<str>, version: u64) -> Copy {
-    let key = crate::Key {
-        model: Arc::clone(model),
-        adapter,
-    };
-    Copy { key, version }
-}
-
-fn order(op: Op, copy: &Copy, orders: u64) -> Order {
-    Order {
-        op,
-        model: Arc::clone(&copy.key.model),
-        adapter: Some((Arc::clone(&copy.key.adapter), copy.version)),
-        after: Some(orders),
-    }
-}
-
-fn load(copy: &Copy, orders: u64) -> Order {
-    order(Op::Load, copy, orders)
-}
-
-fn unload(copy: &Copy, orders: u64) -> Order {
-    order(Op::Unload, copy, orders)
-}
-
-fn base_order(model: &Arc<str>, orders: u64) -> Order {
-    Order {
-        op: Op::Load,
-        model: Arc::clone(model),
-        adapter: None,
-        after: Some(orders),
-    }
-}
--- a/crates/ploverwick_gateway/src/peers.rs
+++ b/crates/ploverwick_gateway/src/peers.rs
@@ -13,7 +13,7 @@
 use tokio::net::UdpSocket;
 
 use crate::controllers::{demand, roster};
-use crate::shared::{Shared, State, Use};
+use crate::shared::{Shared, State};
 
 /// The longest message; longer ones would be cut into packets.
 const LONGEST: usize = 1_300;
@@ -267,21 +267,20 @@
         placer,
         ..
     } = state;
-    uses.retain(|(endpoint, copy), used| {
+    uses.retain(|(endpoint, copy), in_use| {
         let Some(entry) = fleet.entry(endpoint) else {
-            return used.in_use > 0;
+            return *in_use > 0;
         };
         if let Some(shelf) = placer.shelf(endpoint) {
-            shelf.used(copy, used.in_use, now);
+            shelf.used(copy, *in_use, now);
         }
         let list = by_domain.entry(Arc::clone(&entry.domain)).or_default();
         list.push(Used {
             endpoint: Arc::clone(endpoint),
             copy: copy.clone(),
-            in_use: used.in_use,
+            in_use: *in_use,
         });
-        used.is_new = false;
-        used.in_use > 0
+        *in_use > 0
     });
     for (domain, mut list) in by_domain {
         let Some(ip) = state.placer_of(&domain, now) else {
@@ -388,11 +387,10 @@
 /// Counts a request that uses an adapter at an endpoint, or one that ended.
 pub(crate) fn count_use(state: &mut State, endpoint: &Arc<str>, copy: &Copy, begins: bool) {
     let key = (Arc::clone(endpoint), copy.clone());
-    let used: &mut Use = state.uses.entry(key).or_default();
-    used.is_new = true;
-    used.in_use = if begins {
-        used.in_use + 1
+    let in_use = state.uses.entry(key).or_default();
+    *in_use = if begins {
+        *in_use + 1
     } else {
-        used.in_use.saturating_sub(1)
+        in_use.saturating_sub(1)
     };
 }
--- a/crates/ploverwick_gateway/src/shared.rs
+++ b/crates/ploverwick_gateway/src/shared.rs
@@ -43,13 +43,6 @@
     pub(crate) places: Option<u64>,
 }
 
-/// How an adapter at an endpoint is used by this instance's requests.
-#[derive(Debug, Clone, Copy, Default)]
-pub(crate) struct Use {
-    pub(crate) in_use: u32,
-    pub(crate) is_new: bool,
-}
-
 /// What changes while the process runs.
 #[derive(Debug)]
 pub(crate) struct State {
@@ -66,7 +59,9 @@
     pub(crate) tenure: Tenure,
     pub(crate) budgets: HashMap<Arc<str>, Budget>,
     pub(crate) peers: HashMap<Arc<str>, Peer>,
-    pub(crate) uses: HashMap<(Arc<str>, Copy), Use>,
+    /// This instance's requests under way, by endpoint and adapter; 0 for one that ended since the
+    /// placers were told.
+    pub(crate) uses: HashMap<(Arc<str>, Copy), u32>,
     /// Bytes sent to other failure domains for want of an adapter in this one.
     pub(crate) away: HashMap<Copy, usize>,
 }
