Let placers pass on what crosses failure domains, and call the store less

Each instance told its status to all others (260 messages a second each), each change at an endpoint went to all 78 peers, placers repeated all holdings to all (1,100 messages a second), and all instances joined their group 2.2 times a second.

Change: instances of a domain tell each other, at most 8 a turn in turn; between domains only placers hear what concerns endpoints and pass it on; a placer sums the requests at its endpoints; holdings are compared by digests and asked for where they differ. Beside the holder two instances stand by for the right, all of them if there was no placer for 3.5 s. Loads of base models keep to an even part of the platform's ceiling, counted by all instances of the domain.

--- a/crates/ploverwick_adapters/src/directory.rs
+++ b/crates/ploverwick_adapters/src/directory.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use ploverwick_names::Moment;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{Copy, Key};
 
@@ -81,6 +82,32 @@
         self.forget(endpoint, copy);
     }
 
+    /// Takes in that what is known of an endpoint agrees with its placer's word.
+    pub fn confirmed(&mut self, endpoint: &str, now: Moment) {
+        if let Some(holding) = self.endpoints.get_mut(endpoint) {
+            holding.heard = Some(now);
+        }
+    }
+
+    /// Lists what an endpoint holds; `None` if nothing was heard of it.
+    pub fn held(&self, endpoint: &str) -> Option<Vec<Copy>> {
+        let holding = self.endpoints.get(endpoint)?;
+        Some(holding.copies.iter().cloned().collect())
+    }
+
+    /// Returns a digest of what an endpoint holds; `None` if nothing was heard of it.
+    ///
+    /// Instances compare it, so that it is XXH3 with 64 bits and part of their protocol.
+    pub fn digest(&self, endpoint: &str) -> Option<u64> {
+        let copies = &self.endpoints.get(endpoint)?.copies;
+        let lines = copies
+            .iter()
+            .map(|copy| format!("{}@{}", copy.key, copy.version));
+        let mut lines: Vec<String> = lines.collect();
+        lines.sort_unstable();
+        Some(xxh3_64(lines.join("\n").as_bytes()))
+    }
+
     /// Takes in that an endpoint is gone.
     pub fn remove(&mut self, endpoint: &Arc<str>) {
         if let Some(holding) = self.endpoints.remove(endpoint) {
--- a/crates/ploverwick_adapters/src/lib.rs
+++ b/crates/ploverwick_adapters/src/lib.rs
@@ -7,6 +7,7 @@
 mod directory;
 mod key;
 mod order;
+mod pace;
 mod placer;
 mod shelf;
 mod tenure;
@@ -14,6 +15,7 @@
 pub use directory::Directory;
 pub use key::{Copy, Key};
 pub use order::{Answer, Op, Order, Report};
+pub use pace::{Ceiling, Pace};
 pub use placer::{Need, Placer, Site};
 pub use shelf::{Event, Shelf, Step};
 pub use tenure::{Grant, Tenure, Terms};
--- a/crates/ploverwick_adapters/src/shelf.rs
+++ b/crates/ploverwick_adapters/src/shelf.rs
@@ -179,6 +179,12 @@
         self.is_known() && self.models.values().all(|base| *base == Base::Missing)
     }
 
+    /// Returns whether an order loads a base model that is not on its way yet.
+    pub fn begins_base(&self, order: &Order) -> bool {
+        let is_coming = matches!(self.models.get(&order.model), Some(Base::Coming { .. }));
+        order.adapter.is_none() && order.op == Op::Load && !is_coming
+    }
+
     /// Counts the adapters on their way.
     pub fn coming(&self) -> usize {
         self.places
--- a/crates/ploverwick_endpoints/src/fleet.rs
+++ b/crates/ploverwick_endpoints/src/fleet.rs
@@ -82,6 +82,8 @@
 pub struct Fleet {
     members: HashMap<Arc<str>, Member>,
     reports: HashMap<Arc<str>, Loads>,
+    /// The requests of all instances at an endpoint, as its placer told them at a moment.
+    totals: HashMap<Arc<str>, (u32, Moment)>,
 }
 
 impl Fleet {
@@ -103,6 +105,7 @@
 
     /// Takes an endpoint off the list; `false` if it was not on it.
     pub fn remove(&mut self, id: &str) -> bool {
+        self.totals.remove(id);
         self.members.remove(id).is_some()
     }
 
@@ -187,6 +190,11 @@
         self.reports.insert(peer, Loads { at: now, requests });
     }
 
+    /// Takes in the requests of all instances at an endpoint, as its placer sums them.
+    pub fn total(&mut self, endpoint: Arc<str>, requests: u32, now: Moment) {
+        self.totals.insert(endpoint, (requests, now));
+    }
+
     /// Lists what this instance itself has under way.
     pub fn own_loads(&self) -> Vec<(Arc<str>, u32)> {
         let busy = self.members.values().filter(|m| m.in_flight > 0);
@@ -195,7 +203,17 @@
     }
 
     /// Returns the requests under way at an endpoint, as far as known.
+    ///
+    /// What instances told directly is younger, what a placer sums is more complete.
     pub fn load(&self, id: &str, now: Moment) -> u32 {
+        let total = self.totals.get(id);
+        let total = total.filter(|(_, at)| now.since(*at) <= REPORT_AGE);
+        let total = total.map_or(0, |(requests, _)| *requests);
+        self.heard_load(id, now).max(total)
+    }
+
+    /// Returns the requests under way at an endpoint by this instance and those that tell it directly.
+    pub fn heard_load(&self, id: &str, now: Moment) -> u32 {
         let own = self.members.get(id).map_or(0, |m| m.in_flight);
         let reports = self.reports.values();
         let fresh = reports.filter(|loads| now.since(loads.at) <= REPORT_AGE);
--- a/crates/ploverwick_gateway/src/controllers/demand.rs
+++ b/crates/ploverwick_gateway/src/controllers/demand.rs
@@ -5,8 +5,8 @@
 use ploverwick_adapters::{Copy, Need, Site};
 use ploverwick_endpoints::State as EndpointState;
 
-use crate::peers;
 use crate::shared::Shared;
+use crate::tell;
 
 /// Asks for an adapter at the endpoints of a failure domain. Returns whether there was anybody to ask.
 pub(crate) fn ask(shared: &Arc<Shared>, domain: &str, copy: &Copy, need: Need) -> bool {
@@ -20,7 +20,7 @@
         return true;
     }
     if let Some(ip) = placer {
-        peers::ask(shared, ip, copy, need);
+        tell::need(shared, ip, copy, need);
     }
     placer.is_some()
 }
--- a/crates/ploverwick_gateway/src/controllers/instances.rs
+++ b/crates/ploverwick_gateway/src/controllers/instances.rs
@@ -15,7 +15,7 @@
 
 /// How long a read waits for a record; instances come and go rarely, and peers that are not listed
 /// yet make themselves known by their messages.
-const WAIT: Duration = Duration::from_secs(20);
+const WAIT: Duration = Duration::from_secs(28);
 
 /// The pause after each read: at a start all instances list themselves within a second or two, and
 /// each line would be a call of every instance.
--- a/crates/ploverwick_gateway/src/controllers/operator.rs
+++ b/crates/ploverwick_gateway/src/controllers/operator.rs
@@ -9,9 +9,9 @@
 use super::feed::{self, Feed, News};
 use crate::shared::Shared;
 
-/// How long a read waits for a record. A cut may swallow a waiting read without a trace; peers that
-/// have a newer configuration then tell, and the read begins anew.
-const WAIT: Duration = Duration::from_secs(8);
+/// How long a read waits for a record, near the longest that the store allows: each return is a
+/// call. A silent connection breaks by itself, and peers that have a newer configuration tell.
+const WAIT: Duration = Duration::from_secs(28);
 
 /// Follows the operator's topic for as long as the process runs.
 pub(crate) async fn follow(shared: Arc<Shared>) {
--- a/crates/ploverwick_gateway/src/controllers/orders.rs
+++ b/crates/ploverwick_gateway/src/controllers/orders.rs
@@ -10,15 +10,15 @@
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use ploverwick_adapters::{Answer, Event, Order, Report, Step};
+use ploverwick_adapters::{Answer, Ceiling, Event, Order, Report, Step};
 use ploverwick_endpoints::{Entry, State as EndpointState};
 use ploverwick_names::Moment;
 use ploverwick_platform::{order, roster};
 
 use crate::metrics;
-use crate::peers;
 use crate::pool::{Connection, connect};
-use crate::shared::Shared;
+use crate::shared::{Shared, State};
+use crate::tell;
 
 /// The time for an answer to an order; endpoints of the same domain take about 3 ms. An order that
 /// got no answer is repeated, which is safe, so that the time may be short.
@@ -125,8 +125,33 @@
     let token = state.tenure.token(now)?;
     let entry = state.fleet.entry(endpoint).cloned()?;
     let may_load = state.placer.may_load();
+    let ceiling = ceiling(shared, &state, &entry);
     let shelf = state.placer.shelf(endpoint)?;
-    Some((shelf.next(now, may_load), entry, token))
+    let step = shelf.next(now, may_load);
+    if let Step::Send(order) = &step
+        && shelf.begins_base(order)
+    {
+        if let Some(at) = state.base_loads.next_at(&ceiling, now) {
+            return Some((Step::Wait(at), entry, token));
+        }
+        state.base_loads.begin(now);
+        drop(state);
+        tell::base_load(shared);
+    }
+    Some((step, entry, token))
+}
+
+/// Returns the bound on loads of base models at an endpoint's service.
+fn ceiling(shared: &Shared, state: &State, entry: &Entry) -> Ceiling {
+    let config = state.config.as_ref();
+    let service = config.and_then(|config| config.service(&entry.service));
+    let engine = service.and_then(|service| service.engine.as_ref());
+    Ceiling {
+        rate: engine.map_or(0.0, |engine| engine.loads_per_s),
+        overshoot: shared.settings.load_overshoot,
+        window: shared.settings.load_window,
+        domains: shared.settings.domains.len(),
+    }
 }
 
 async fn wait(shared: &Shared, until: Moment, woken: tokio::sync::futures::Notified<'_>) {
@@ -269,7 +294,7 @@
         );
     }
     shared.placed.notify_waiters();
-    peers::announce(shared, endpoint, event);
+    tell::changed(shared, endpoint, event);
 }
 
 /// Sends a request and reads the whole answer; `None` if there was none in time.
--- a/crates/ploverwick_gateway/src/controllers/roster.rs
+++ b/crates/ploverwick_gateway/src/controllers/roster.rs
@@ -9,8 +9,8 @@
 use ploverwick_platform::{ROSTER, roster};
 
 use super::feed::{self, Feed, News};
-use crate::peers;
 use crate::shared::Shared;
+use crate::tell;
 
 /// The pause between reads. Each heartbeat of an endpoint is a record, so that a read that waits
 /// for the next one would return at once; a leave must be seen well within the drain time.
@@ -133,7 +133,7 @@
         let gone = self.told.keys().filter(|id| !lines.contains_key(*id));
         let gone: Vec<Arc<str>> = gone.cloned().collect();
         self.told = lines;
-        peers::tell_list(&self.shared, changed, gone, digest);
+        tell::list(&self.shared, changed, gone, digest);
     }
 
     /// An endpoint is missing: it is gone, or the store has forgotten it in an outage.
--- a/crates/ploverwick_gateway/src/controllers/table.rs
+++ b/crates/ploverwick_gateway/src/controllers/table.rs
@@ -10,9 +10,9 @@
 use super::feed::{self, Feed, News};
 use crate::shared::Shared;
 
-/// How long a read waits for a record: a cut may swallow a waiting read without a trace, and a
-/// table should be in force within seconds.
-const WAIT: Duration = Duration::from_secs(10);
+/// How long a read waits for a record, near the longest that the store allows: each return is a
+/// call. A silent connection breaks by itself.
+const WAIT: Duration = Duration::from_secs(28);
 
 /// Follows the table's topic for as long as the process runs.
 pub(crate) async fn follow(shared: Arc<Shared>) {
--- a/crates/ploverwick_gateway/src/controllers/tenure.rs
+++ b/crates/ploverwick_gateway/src/controllers/tenure.rs
@@ -4,15 +4,24 @@
 use std::time::Duration;
 
 use ploverwick_adapters::Grant;
+use ploverwick_names::Moment;
 use ploverwick_platform::group;
 
 use super::{Backoff, instances};
 use crate::journal::Outage;
-use crate::peers;
-use crate::shared::{Shared, TENURE};
+use crate::shared::{PEER_AGE, Shared, TENURE};
+use crate::tell;
 
 /// The pause between renewals; three fit into a grant.
 const RENEWAL: Duration = Duration::from_millis(450);
+/// The pause between looks whether this instance should stand by for the right.
+const LOOK: Duration = Duration::from_millis(250);
+/// The instances of a failure domain that stand by for the right beside its holder. One takes over
+/// while another one dies or cannot reach the store; each call is priced.
+const STANDBYS: usize = 2;
+/// How long a failure domain may be without a placer before all of its instances stand by: those
+/// whose turn it is may be cut off from the store.
+const VACANT: Duration = Duration::from_millis(3_500);
 
 /// Renews the membership for as long as the process runs.
 pub(crate) async fn keep(shared: Arc<Shared>) {
@@ -23,12 +32,25 @@
     let mut backoff = Backoff::new();
     let mut generation = 0;
     let mut written = None;
+    let mut is_member = false;
+    let mut seen = shared.now();
     let mut stopping = shared.stopping.subscribe();
     loop {
         if shared.is_stopping() {
             leave(&shared, &group).await;
             return;
         }
+        if !stands_by(&shared, &mut seen) {
+            if std::mem::take(&mut is_member) {
+                leave(&shared, &group).await;
+            }
+            tokio::select! {
+                () = tokio::time::sleep(LOOK) => {}
+                _ = stopping.changed() => {}
+            }
+            continue;
+        }
+        is_member = true;
         let asked = shared.now();
         match shared.store.join(&group, &member, ttl, generation).await {
             Ok(membership) => {
@@ -60,7 +82,28 @@
     }
 }
 
-fn take(shared: &Shared, grant: Grant, asked: ploverwick_names::Moment) {
+/// Returns whether this instance should be a member of the group: it has the right, it is among the
+/// first of its failure domain by name, or nobody has had the right for too long. The group decides
+/// who has it; whoever stands by needlessly costs calls and nothing else.
+fn stands_by(shared: &Shared, seen: &mut Moment) -> bool {
+    let now = shared.now();
+    let state = shared.state();
+    let domain = &shared.settings.domain;
+    if state.tenure.is_held(now) || state.placer_of(domain, now).is_some() {
+        *seen = now;
+    }
+    if state.tenure.is_held(now) || now.since(*seen) > VACANT {
+        return true;
+    }
+    let own = &shared.settings.instance;
+    let before = state.peers.iter().filter(|(name, peer)| {
+        let is_heard = peer.heard.is_some_and(|at| now.since(at) <= PEER_AGE);
+        is_heard && peer.domain == *domain && *name < own
+    });
+    before.count() < STANDBYS
+}
+
+fn take(shared: &Shared, grant: Grant, asked: Moment) {
     let now = shared.now();
     let mut state = shared.state();
     let was_held = state.tenure.is_held(now);
@@ -86,7 +129,7 @@
 async fn leave(shared: &Shared, group: &str) {
     lose(shared);
     match shared.store.leave(group, &shared.settings.instance).await {
-        Ok(()) => peers::vacate(shared),
+        Ok(()) => tell::vacate(shared),
         Err(error) => spdlog::warn!("group_not_left cause=\"{}\"", error),
     }
 }
--- a/crates/ploverwick_gateway/src/daemon.rs
+++ b/crates/ploverwick_gateway/src/daemon.rs
@@ -12,9 +12,9 @@
 
 use crate::controllers::{instances, operator, orders, roster, table, tenure};
 use crate::front::{self, Open};
-use crate::peers::{self, Mail};
+use crate::mail::Mail;
 use crate::shared::Shared;
-use crate::{filters, ready};
+use crate::{filters, listen, ready, tell};
 
 /// The time between the end of the process and the platform's kill.
 const BEFORE_KILL: Duration = Duration::from_millis(400);
@@ -40,8 +40,8 @@
     /// # Errors
     /// Fails if a socket cannot be opened.
     pub async fn open(settings: Settings) -> Result<Self> {
-        let front = listen(settings.front, "front").await?;
-        let ready = listen(settings.ready, "ready").await?;
+        let front = bind(settings.front, "front").await?;
+        let ready = bind(settings.ready, "ready").await?;
         let mail = (settings.ip, settings.peer_port).into();
         let mail = Mail::open(mail).await.context("open the peers' socket")?;
         spdlog::info!(
@@ -85,8 +85,8 @@
         tasks.spawn(table::follow(Arc::clone(&shared)));
         tasks.spawn(join(Arc::clone(&shared)));
         tasks.spawn(orders::keep(Arc::clone(&shared)));
-        tasks.spawn(peers::tell(Arc::clone(&shared)));
-        tasks.spawn(peers::listen(Arc::clone(&shared)));
+        tasks.spawn(tell::run(Arc::clone(&shared)));
+        tasks.spawn(listen::run(Arc::clone(&shared)));
         tasks.spawn(filters::watch(Arc::clone(&shared)));
         tasks.spawn(ready::serve(Arc::clone(&shared), self.ready));
         tasks.spawn(sweep(Arc::clone(&shared)));
@@ -117,7 +117,7 @@
     Ok(())
 }
 
-async fn listen(address: SocketAddr, what: &str) -> Result<TcpListener> {
+async fn bind(address: SocketAddr, what: &str) -> Result<TcpListener> {
     let listener = TcpListener::bind(address).await;
     listener.with_context(|| format!("listen for {what} on {address}"))
 }
--- a/crates/ploverwick_gateway/src/filters/flight.rs
+++ b/crates/ploverwick_gateway/src/filters/flight.rs
@@ -6,7 +6,6 @@
 use ploverwick_adapters::Copy;
 use ploverwick_endpoints::Outcome;
 
-use crate::peers::count_use;
 use crate::shared::Shared;
 
 /// Counts a request at an endpoint for as long as it lives.
@@ -30,7 +29,7 @@
         let mut state = shared.state();
         state.fleet.sent(endpoint, prompt);
         if let Some(copy) = &copy {
-            count_use(&mut state, endpoint, copy, true);
+            state.count_use(endpoint, copy, true);
         }
         drop(state);
         Self {
@@ -64,7 +63,7 @@
         state.fleet.read(&self.endpoint, self.reading);
         state.fleet.ended(&self.endpoint, self.outcome, now);
         if let Some(copy) = &self.copy {
-            count_use(&mut state, &self.endpoint, copy, false);
+            state.count_use(&self.endpoint, copy, false);
         }
     }
 }
--- a/crates/ploverwick_gateway/src/lib.rs
+++ b/crates/ploverwick_gateway/src/lib.rs
@@ -10,12 +10,14 @@
 mod filters;
 mod front;
 mod journal;
+mod listen;
+mod mail;
 pub mod metrics;
-mod peers;
 mod pool;
 mod ready;
 mod shared;
 pub mod table;
+mod tell;
 
 pub use daemon::{Daemon, run};
 pub use journal::set_up as set_up_logs;
--- /dev/null
+++ b/crates/ploverwick_gateway/src/mail.rs
@@ -0,0 +1,204 @@
+//! Messages between instances: single datagrams, encoded with postcard.
+//!
+//! A lost message does no harm: loads are repeated, holdings are compared by digests, and a question
+//! is asked again.
+
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+
+use ploverwick_adapters::{Copy, Key, Need};
+use ploverwick_endpoints::Entry;
+use serde::{Deserialize, Serialize};
+use tokio::net::UdpSocket;
+
+/// The longest message; longer ones would be cut into packets.
+const LONGEST: usize = 1_300;
+
+/// An adapter at an endpoint and the requests of the sender that use it.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct Used {
+    pub(crate) endpoint: Arc<str>,
+    pub(crate) copy: Copy,
+    pub(crate) in_use: u32,
+}
+
+/// The adapters of one base model that an endpoint holds.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct Holding {
+    model: Arc<str>,
+    adapters: Vec<(Arc<str>, u64)>,
+}
+
+/// Requests under way at an endpoint.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct Load {
+    pub(crate) endpoint: Arc<str>,
+    pub(crate) requests: u32,
+}
+
+/// The digest of what an endpoint holds.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct Digest {
+    pub(crate) endpoint: Arc<str>,
+    pub(crate) digest: u64,
+}
+
+/// What one instance tells another.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) enum Message {
+    /// It runs, and has these requests under way at endpoints.
+    Status {
+        instance: Arc<str>,
+        domain: Arc<str>,
+        places: Option<u64>,
+        /// The version of its configuration.
+        config: u64,
+        loads: Vec<Load>,
+    },
+    /// The requests of all instances at endpoints of a placer's failure domain.
+    Totals(Vec<Load>),
+    /// Its requests use these adapters.
+    Used(Vec<Used>),
+    /// A request needs an adapter.
+    Need { copy: Copy, need: Need },
+    /// An endpoint holds these adapters and no others.
+    Holds {
+        endpoint: Arc<str>,
+        holdings: Vec<Holding>,
+    },
+    /// Digests of what endpoints hold; whoever has another one asks.
+    Digests(Vec<Digest>),
+    /// Asks what these endpoints hold.
+    AskHolds(Vec<Arc<str>>),
+    /// An adapter is on its way to an endpoint.
+    Coming { endpoint: Arc<str>, copy: Copy },
+    /// An endpoint holds an adapter from now on.
+    Loaded { endpoint: Arc<str>, copy: Copy },
+    /// An endpoint does not hold an adapter any more.
+    Unloaded { endpoint: Arc<str>, copy: Copy },
+    /// What changed in the list of endpoints, and the digest of all of it.
+    List {
+        changed: Vec<Entry>,
+        gone: Vec<Arc<str>>,
+        digest: u64,
+    },
+    /// The sender has a base model loaded at an endpoint of its failure domain.
+    BaseLoad,
+    /// The sender no longer places the adapters of its failure domain.
+    Vacant,
+}
+
+impl Message {
+    /// Makes the message that says what an endpoint holds.
+    pub(crate) fn holds(endpoint: &Arc<str>, copies: &[Copy]) -> Self {
+        let mut holdings: Vec<Holding> = Vec::new();
+        for copy in copies {
+            let adapter = (Arc::clone(&copy.key.adapter), copy.version);
+            match holdings.iter_mut().find(|h| h.model == copy.key.model) {
+                Some(holding) => holding.adapters.push(adapter),
+                None => holdings.push(Holding {
+                    model: Arc::clone(&copy.key.model),
+                    adapters: vec![adapter],
+                }),
+            }
+        }
+        Self::Holds {
+            endpoint: Arc::clone(endpoint),
+            holdings,
+        }
+    }
+
+    /// Returns whether a placer passes this on to its failure domain when it comes from another one:
+    /// what is known of endpoints crosses between two domains once and not once for each instance.
+    pub(crate) fn is_passed_on(&self) -> bool {
+        match self {
+            Self::Totals(_)
+            | Self::Holds { .. }
+            | Self::Digests(_)
+            | Self::Coming { .. }
+            | Self::Loaded { .. }
+            | Self::Unloaded { .. } => true,
+            Self::Status { .. }
+            | Self::Used(_)
+            | Self::Need { .. }
+            | Self::AskHolds(_)
+            | Self::List { .. }
+            | Self::BaseLoad
+            | Self::Vacant => false,
+        }
+    }
+}
+
+/// Lists the adapters of holdings.
+pub(crate) fn copies(holdings: Vec<Holding>) -> Vec<Copy> {
+    let copies = holdings.into_iter().flat_map(|holding| {
+        let model = holding.model;
+        holding.adapters.into_iter().map(move |(adapter, version)| {
+            let key = Key {
+                model: Arc::clone(&model),
+                adapter,
+            };
+            Copy { key, version }
+        })
+    });
+    copies.collect()
+}
+
+/// The socket for messages.
+#[derive(Debug)]
+pub(crate) struct Mail {
+    socket: UdpSocket,
+    /// The port of all instances.
+    port: u16,
+}
+
+impl Mail {
+    /// Opens the socket on an address whose port all instances use.
+    pub(crate) async fn open(address: SocketAddr) -> std::io::Result<Self> {
+        let socket = UdpSocket::bind(address).await?;
+        Ok(Self {
+            socket,
+            port: address.port(),
+        })
+    }
+
+    /// Sends a message to instances.
+    pub(crate) fn send(&self, message: &Message, to: &[IpAddr]) {
+        let bytes = match postcard::to_stdvec(message) {
+            Ok(bytes) if bytes.len() <= LONGEST => bytes,
+            Ok(bytes) => {
+                spdlog::warn!("message_too_long bytes={}", bytes.len());
+                return;
+            }
+            Err(error) => {
+                spdlog::warn!("message_unwritable cause=\"{}\"", error);
+                return;
+            }
+        };
+        for ip in to {
+            // A full socket loses a message, as the network may.
+            if let Err(error) = self.socket.try_send_to(&bytes, (*ip, self.port).into()) {
+                spdlog::debug!("message_lost to={} cause=\"{}\"", ip, error);
+            }
+        }
+    }
+
+    /// Waits for the next message; `None` if one could not be read.
+    pub(crate) async fn receive(&self, buffer: &mut [u8]) -> Option<(Message, IpAddr)> {
+        let (length, from) = match self.socket.recv_from(buffer).await {
+            Ok(received) => received,
+            Err(error) => {
+                spdlog::warn!("message_unread cause=\"{}\"", error);
+                tokio::task::yield_now().await;
+                return None;
+            }
+        };
+        match postcard::from_bytes(&buffer[..length]) {
+            Ok(message) => Some((message, from.ip())),
+            Err(error) => {
+                spdlog::warn!("message_malformed from={} cause=\"{}\"", from, error);
+                None
+            }
+        }
+    }
+}
--- a/crates/ploverwick_gateway/src/pool.rs
+++ b/crates/ploverwick_gateway/src/pool.rs
@@ -9,12 +9,11 @@
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
+use ploverwick_platform::socket;
 use tokio::net::TcpStream;
 
 /// The time for a new connection; an endpoint in reach answers within milliseconds.
 const CONNECT: Duration = Duration::from_millis(300);
-/// How long data may stay unacknowledged before the connection counts as broken.
-const UNACKNOWLEDGED: Duration = Duration::from_millis(1_500);
 /// How long a connection is kept idle if the endpoint does not say.
 const IDLE: Duration = Duration::from_secs(4);
 /// Room before the end of an endpoint's own limit, so that a request does not cross its close.
@@ -97,14 +96,7 @@
         Ok(stream) => stream.map_err(|error| error.to_string())?,
         Err(_) => return Err(format!("no connection within {CONNECT:?}")),
     };
-    stream
-        .set_nodelay(true)
-        .map_err(|error| error.to_string())?;
-    let socket = socket2::SockRef::from(&stream);
-    // Without it a connection across a cut would hang; some systems lack the option.
-    if let Err(error) = socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED)) {
-        spdlog::debug!("option_missing option=TCP_USER_TIMEOUT cause=\"{}\"", error);
-    }
+    socket::watch(&stream);
     let (sender, connection) = http1::handshake(TokioIo::new(stream))
         .await
         .map_err(|error| error.to_string())?;
--- a/crates/ploverwick_gateway/src/shared.rs
+++ b/crates/ploverwick_gateway/src/shared.rs
@@ -3,11 +3,11 @@
 //! One lock guards it. It is held for single steps and never across a wait.
 
 use std::collections::HashMap;
-use std::net::{IpAddr, SocketAddr};
+use std::net::IpAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-use ploverwick_adapters::{Copy, Directory, Placer, Tenure, Terms};
+use ploverwick_adapters::{Copy, Directory, Pace, Placer, Tenure, Terms};
 use ploverwick_endpoints::{Budget, Fleet, Rate};
 use ploverwick_limits::Rates;
 use ploverwick_names::Moment;
@@ -19,7 +19,7 @@
 
 use crate::clock::Clock;
 use crate::journal::Lines;
-use crate::peers::Mail;
+use crate::mail::Mail;
 use crate::pool::Pool;
 
 /// How long a grant of the right to place adapters lasts. A shorter one is taken over sooner, a
@@ -57,6 +57,8 @@
     pub(crate) directory: Directory,
     pub(crate) placer: Placer,
     pub(crate) tenure: Tenure,
+    /// The base models that were loaded lately in this failure domain.
+    pub(crate) base_loads: Pace,
     pub(crate) budgets: HashMap<Arc<str>, Budget>,
     pub(crate) peers: HashMap<Arc<str>, Peer>,
     /// This instance's requests under way, by endpoint and adapter; 0 for one that ended since the
@@ -110,6 +112,7 @@
             directory: Directory::default(),
             placer: Placer::default(),
             tenure: Tenure::new(terms, !settings.first_start, clock.now()),
+            base_loads: Pace::default(),
             budgets: HashMap::new(),
             peers: HashMap::new(),
             uses: HashMap::new(),
@@ -160,11 +163,6 @@
             window: self.settings.repeat_window,
         }
     }
-
-    /// Returns the address of a peer's mail.
-    pub(crate) fn mail_address(&self, ip: IpAddr) -> SocketAddr {
-        SocketAddr::new(ip, self.settings.peer_port)
-    }
 }
 
 impl State {
@@ -178,6 +176,17 @@
         placers.max().map(|(_, ip)| ip)
     }
 
+    /// Counts a request that uses an adapter at an endpoint, or one that ended.
+    pub(crate) fn count_use(&mut self, endpoint: &Arc<str>, copy: &Copy, begins: bool) {
+        let key = (Arc::clone(endpoint), copy.clone());
+        let in_use = self.uses.entry(key).or_default();
+        *in_use = if begins {
+            *in_use + 1
+        } else {
+            in_use.saturating_sub(1)
+        };
+    }
+
     /// Takes a repeat of a request to a service out of the budget.
     pub(crate) fn may_repeat(&mut self, service: &Arc<str>, rate: Rate, now: Moment) -> bool {
         let instances = self.peers.len() + 1;
--- /dev/null
+++ b/crates/ploverwick_gateway/src/tell.rs
@@ -0,0 +1,310 @@
+//! What this instance tells others.
+//!
+//! Instances of a failure domain tell each other directly. Between domains only placers hear what
+//! concerns endpoints and pass it on, so that neither messages nor bytes between domains grow with
+//! the product of instances.
+
+use std::collections::HashMap;
+use std::net::IpAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ploverwick_adapters::{Copy, Event, Need};
+use ploverwick_endpoints::Entry;
+use ploverwick_names::Moment;
+
+use crate::mail::{Digest, Load, Message, Used};
+use crate::shared::{Shared, State};
+
+/// Adapters, loads or digests in one message.
+const CHUNK: usize = 48;
+/// Lines of the list of endpoints in one message.
+const ENTRIES: usize = 8;
+/// The pause between messages to peers of the same failure domain.
+const NEAR: Duration = Duration::from_millis(150);
+/// The peers of the same failure domain that hear of this instance's loads in each such pause; in a
+/// larger domain they take turns, which bounds an instance's messages at any size.
+const NEAR_PEERS: usize = 8;
+/// Each so many of these pauses, a placer tells its own domain the totals of its endpoints.
+const TOTALS_EVERY: u32 = 2;
+/// Each so many of these pauses, peers of other failure domains get a message: bytes between
+/// failure domains are dear.
+const FAR_EVERY: u32 = 4;
+/// Each so many of these pauses, digests of holdings are told.
+const DIGESTS_EVERY: u32 = 14;
+
+/// Asks the instance at `ip` for an adapter.
+pub(crate) fn need(shared: &Shared, ip: IpAddr, copy: &Copy, need: Need) {
+    let message = Message::Need {
+        copy: copy.clone(),
+        need,
+    };
+    shared.mail.send(&message, &[ip]);
+}
+
+/// Tells what changed at an endpoint of this failure domain.
+pub(crate) fn changed(shared: &Shared, endpoint: &Arc<str>, event: &Event) {
+    let endpoint = Arc::clone(endpoint);
+    let message = match event.clone() {
+        Event::Coming(copy) => Message::Coming { endpoint, copy },
+        Event::Loaded(copy) => Message::Loaded { endpoint, copy },
+        Event::Unloaded(copy) => Message::Unloaded { endpoint, copy },
+        Event::Learned(copies) => Message::holds(&endpoint, &copies),
+        Event::BaseLoaded(_) => return,
+    };
+    let now = shared.now();
+    let state = shared.state();
+    let mut to = near(shared, &state);
+    to.extend(hubs(shared, &state, now));
+    drop(state);
+    shared.mail.send(&message, &to);
+}
+
+/// Tells the peers of this failure domain that one of them may place its adapters.
+pub(crate) fn vacate(shared: &Shared) {
+    let to = near(shared, &shared.state());
+    shared.mail.send(&Message::Vacant, &to);
+}
+
+/// Tells the peers of this failure domain, each of which may place adapters next, that a base model
+/// is being loaded.
+pub(crate) fn base_load(shared: &Shared) {
+    let to = near(shared, &shared.state());
+    shared.mail.send(&Message::BaseLoad, &to);
+}
+
+/// Passes on what a placer of another failure domain says.
+pub(crate) fn pass_on(shared: &Shared, message: &Message) {
+    let to = near(shared, &shared.state());
+    shared.mail.send(message, &to);
+}
+
+/// Tells the peers of this failure domain what changed in the list of endpoints.
+pub(crate) fn list(shared: &Shared, mut changed: Vec<Entry>, mut gone: Vec<Arc<str>>, digest: u64) {
+    let peers = near(shared, &shared.state());
+    loop {
+        // The digest fits once the last part has arrived.
+        let rest = changed.split_off(changed.len().min(ENTRIES));
+        let message = Message::List {
+            changed: std::mem::replace(&mut changed, rest),
+            gone: std::mem::take(&mut gone),
+            digest,
+        };
+        shared.mail.send(&message, &peers);
+        if changed.is_empty() {
+            return;
+        }
+    }
+}
+
+/// Asks the instance at `ip` what endpoints hold.
+pub(crate) fn ask_holds(shared: &Shared, ip: IpAddr, endpoints: Vec<Arc<str>>) {
+    shared.mail.send(&Message::AskHolds(endpoints), &[ip]);
+}
+
+/// Tells the instance at `ip` what endpoints hold, as far as it is known here.
+pub(crate) fn holds(shared: &Shared, ip: IpAddr, endpoints: &[Arc<str>]) {
+    for endpoint in endpoints {
+        let held = shared.state().directory.held(endpoint);
+        if let Some(held) = held {
+            shared.mail.send(&Message::holds(endpoint, &held), &[ip]);
+        }
+    }
+}
+
+/// Sends this instance's state to its peers, again and again.
+pub(crate) async fn run(shared: Arc<Shared>) {
+    let mut round: u32 = 0;
+    loop {
+        tokio::time::sleep(NEAR).await;
+        round = round.wrapping_add(1);
+        let outgoing = compose(&shared, round);
+        for (message, to) in outgoing {
+            shared.mail.send(&message, &to);
+        }
+    }
+}
+
+fn near(shared: &Shared, state: &State) -> Vec<IpAddr> {
+    let peers = state.peers.values();
+    let near = peers.filter(|peer| peer.domain == shared.settings.domain);
+    near.map(|peer| peer.ip).collect()
+}
+
+/// Lists who passes things on in other failure domains: the placer, or all instances of a domain
+/// that has none.
+fn hubs(shared: &Shared, state: &State, now: Moment) -> Vec<IpAddr> {
+    let mut hubs = Vec::new();
+    let domains = shared.settings.domains.iter();
+    for domain in domains.filter(|domain| **domain != shared.settings.domain) {
+        match state.placer_of(domain, now) {
+            Some(placer) => hubs.push(placer),
+            None => {
+                let peers = state.peers.values().filter(|peer| peer.domain == *domain);
+                hubs.extend(peers.map(|peer| peer.ip));
+            }
+        }
+    }
+    hubs
+}
+
+fn compose(shared: &Shared, round: u32) -> Vec<(Message, Vec<IpAddr>)> {
+    let now = shared.now();
+    let mut state = shared.state();
+    let places = state.tenure.token(now);
+    let is_far_turn = round.is_multiple_of(FAR_EVERY);
+    let mut out = vec![(
+        status(shared, &state, places, |_| true),
+        listeners(shared, &state, round, now),
+    )];
+    if is_far_turn {
+        far_statuses(shared, &state, places, now, &mut out);
+    }
+    if places.is_some() {
+        let near = near(shared, &state);
+        if round.is_multiple_of(TOTALS_EVERY) {
+            let mut to = near.clone();
+            if is_far_turn {
+                to.extend(hubs(shared, &state, now));
+            }
+            chunks(totals(shared, &state, now), &to, Message::Totals, &mut out);
+        }
+        if round.is_multiple_of(DIGESTS_EVERY) {
+            let mut to = near;
+            to.extend(hubs(shared, &state, now));
+            chunks(digests(&state), &to, Message::Digests, &mut out);
+        }
+    }
+    uses(&mut state, now, &mut out);
+    out
+}
+
+/// Cuts a list into messages.
+fn chunks<T>(
+    mut list: Vec<T>,
+    to: &[IpAddr],
+    message: impl Fn(Vec<T>) -> Message,
+    out: &mut Vec<(Message, Vec<IpAddr>)>,
+) {
+    while !list.is_empty() {
+        let rest = list.split_off(list.len().min(CHUNK));
+        out.push((message(std::mem::replace(&mut list, rest)), to.to_vec()));
+    }
+}
+
+/// Lists the peers of this failure domain whose turn it is; its placer's is always.
+fn listeners(shared: &Shared, state: &State, round: u32, now: Moment) -> Vec<IpAddr> {
+    let mut near = near(shared, state);
+    if near.len() <= NEAR_PEERS {
+        return near;
+    }
+    near.sort_unstable();
+    let first = round as usize * NEAR_PEERS % near.len();
+    near.rotate_left(first);
+    near.truncate(NEAR_PEERS);
+    if let Some(placer) = state.placer_of(&shared.settings.domain, now)
+        && !near.contains(&placer)
+    {
+        near.push(placer);
+    }
+    near
+}
+
+fn status(
+    shared: &Shared,
+    state: &State,
+    places: Option<u64>,
+    matters: impl Fn(&str) -> bool,
+) -> Message {
+    let loads = state.fleet.own_loads().into_iter();
+    let loads = loads.filter(|(endpoint, _)| matters(endpoint));
+    let loads = loads.map(|(endpoint, requests)| Load { endpoint, requests });
+    Message::Status {
+        instance: Arc::clone(&shared.settings.instance),
+        domain: Arc::clone(&shared.settings.domain),
+        places,
+        config: state.config.as_ref().map_or(0, |config| config.version),
+        loads: loads.take(CHUNK).collect(),
+    }
+}
+
+/// Tells placers elsewhere of the requests at their endpoints; a placer makes itself known to all.
+fn far_statuses(
+    shared: &Shared,
+    state: &State,
+    places: Option<u64>,
+    now: Moment,
+    out: &mut Vec<(Message, Vec<IpAddr>)>,
+) {
+    let hubs = hubs(shared, state, now);
+    let others = shared.settings.domains.iter();
+    for domain in others.filter(|domain| **domain != shared.settings.domain) {
+        let is_there = |id: &str| {
+            let entry = state.fleet.entry(id);
+            entry.is_some_and(|entry| entry.domain == *domain)
+        };
+        let peers = state.peers.values().filter(|peer| peer.domain == *domain);
+        let told = peers.filter(|peer| places.is_some() || hubs.contains(&peer.ip));
+        let to = told.map(|peer| peer.ip).collect();
+        out.push((status(shared, state, places, is_there), to));
+    }
+}
+
+/// Sums the requests at the endpoints of this failure domain.
+fn totals(shared: &Shared, state: &State, now: Moment) -> Vec<Load> {
+    let own = state.fleet.entries();
+    let own = own.filter(|entry| entry.domain == shared.settings.domain);
+    let totals = own.map(|entry| Load {
+        endpoint: Arc::clone(&entry.id),
+        requests: state.fleet.heard_load(&entry.id, now),
+    });
+    totals.collect()
+}
+
+/// Digests what the endpoints hold at which this instance places adapters.
+fn digests(state: &State) -> Vec<Digest> {
+    let known = state.placer.shelves().filter(|(_, shelf)| shelf.is_known());
+    let digests = known.filter_map(|(endpoint, _)| {
+        Some(Digest {
+            endpoint: Arc::clone(endpoint),
+            digest: state.directory.digest(endpoint)?,
+        })
+    });
+    digests.collect()
+}
+
+/// Reports the use of adapters to those who may unload them.
+fn uses(state: &mut State, now: Moment, out: &mut Vec<(Message, Vec<IpAddr>)>) {
+    let mut by_domain: HashMap<Arc<str>, Vec<Used>> = HashMap::new();
+    let State {
+        uses,
+        fleet,
+        placer,
+        ..
+    } = state;
+    uses.retain(|(endpoint, copy), in_use| {
+        let Some(entry) = fleet.entry(endpoint) else {
+            return *in_use > 0;
+        };
+        if let Some(shelf) = placer.shelf(endpoint) {
+            shelf.used(copy, *in_use, now);
+        }
+        let list = by_domain.entry(Arc::clone(&entry.domain)).or_default();
+        list.push(Used {
+            endpoint: Arc::clone(endpoint),
+            copy: copy.clone(),
+            in_use: *in_use,
+        });
+        *in_use > 0
+    });
+    for (domain, mut list) in by_domain {
+        let Some(ip) = state.placer_of(&domain, now) else {
+            continue;
+        };
+        while !list.is_empty() {
+            let rest = list.split_off(list.len().min(CHUNK / 2));
+            let message = Message::Used(std::mem::replace(&mut list, rest));
+            out.push((message, vec![ip]));
+        }
+    }
+}
--- /dev/null
+++ b/crates/ploverwick_gateway/tests/three_instances.rs
@@ -0,0 +1,86 @@
+//! Two failure domains: what a placer says reaches the instances of the other domain through the
+//! placer there, and only a few instances stand by for the right to place.
+
+mod common;
+
+use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::Result;
+use common::HOST;
+use googletest::prelude::*;
+use http::StatusCode;
+use ploverwick_gateway::Daemon;
+use ploverwick_platform::group;
+use ploverwick_platform_standin::client::{self, Ask};
+use ploverwick_platform_standin::endpoint::Endpoint;
+use ploverwick_platform_standin::settings;
+use ploverwick_platform_standin::store::Store;
+
+/// Starts an instance and returns where it listens; it runs as long as the test.
+async fn start(name: &str, domain: &str, host: u8, port: u16, store: &Store) -> Result<SocketAddr> {
+    let ip = Ipv4Addr::new(127, 0, 0, host);
+    let mut settings = settings::of(name, ip, port, store.address());
+    settings.domain = Arc::from(domain);
+    let daemon = Daemon::open(settings).await?;
+    let (front, ready) = (daemon.front()?, daemon.ready()?);
+    tokio::spawn(daemon.serve(std::future::pending()));
+    while !client::is_ready(ready).await? {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    Ok(front)
+}
+
+async fn stream(front: SocketAddr, id: &str, adapter: &str) -> Result<StatusCode> {
+    let ask = Ask::new(id, HOST, "/live/").model(&format!("base/{adapter}"));
+    Ok(client::send(front, &ask).await?.status)
+}
+
+fn port() -> Result<u16> {
+    let socket = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0))?;
+    Ok(socket.local_addr()?.port())
+}
+
+#[tokio::test]
+async fn other_domain_hears() -> Result<()> {
+    let store = Store::start().await?;
+    let engine = Endpoint::start("i-a", "lm", Some("base"), "d1").await?;
+    store.list(engine.id(), &engine.entry("ready"));
+    store.configure(&settings::config(1));
+    let port = port()?;
+    let one = start("one", "d1", 1, port, &store).await?;
+    start("two", "d2", 2, port, &store).await?;
+    let three = start("three", "d2", 3, port, &store).await?;
+    // Until all have heard of each other and who places where.
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    assert_that!(stream(one, "r1", "a1").await?, eq(StatusCode::OK));
+    let orders = engine.tokens().len();
+    // Whether it hears of the load at once or with the next digests, it orders nothing itself.
+    assert_that!(stream(three, "r2", "a1").await?, eq(StatusCode::OK));
+    assert_that!(engine.tokens().len(), eq(orders));
+    Ok(())
+}
+
+/// Each call to the store is priced, so that in a large failure domain most instances call nothing.
+#[tokio::test]
+async fn few_stand_by() -> Result<()> {
+    let store = Store::start().await?;
+    store.configure(&settings::config(1));
+    let port = port()?;
+    for (host, name) in (1..).zip(["a", "b", "c", "d", "e"]) {
+        start(name, "d1", host, port, &store).await?;
+    }
+    let members = || store.members(&group("d1"));
+    while members().len() > 3 {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    // Once settled it stays so: the holder, and the first two by name.
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let mut members = members();
+    members.sort_unstable();
+    assert_that!(members, contains(eq("a")));
+    assert_that!(members, contains(eq("b")));
+    assert_that!(members.len(), le(3));
+    Ok(())
+}
