Let the loads under way at once follow the time that loads take

Cause: the bound on adapters on their way was 11 a failure domain, worked out for one of the two sites. On the larger fleets, whose weight store serves 88 at full speed, 33 in all are too few for 870 requests a second; where one domain alone is in trouble, two thirds of the store lie idle.

Change: a window that grows while loads take their usual time and it is full, and shrinks when they take 1.35 times the shortest, as TCP Vegas does.

Tests: finds_small_and_large, one_domain_takes_all and two more.

--- a/crates/ploverwick_adapters/src/lib.rs
+++ b/crates/ploverwick_adapters/src/lib.rs
@@ -11,6 +11,7 @@
 mod placer;
 mod shelf;
 mod tenure;
+mod window;
 
 pub use directory::Directory;
 pub use key::{Copy, Key};
@@ -19,3 +20,4 @@
 pub use placer::{Need, Placer, Site};
 pub use shelf::{Event, Shelf, Step};
 pub use tenure::{Grant, Tenure, Terms};
+pub use window::Window;
--- a/crates/ploverwick_adapters/src/placer.rs
+++ b/crates/ploverwick_adapters/src/placer.rs
@@ -7,11 +7,8 @@
 use ploverwick_placement::{Candidate, even, rank, score};
 use serde::{Deserialize, Serialize};
 
-use crate::{Copy, Shelf};
+use crate::{Answer, Copy, Event, Order, Shelf, Window};
 
-/// The adapters that may be on their way to the endpoints of one failure domain at once. The
-/// weight store slows all loads down when more are fetched than it serves at full speed.
-const MOST_COMING: usize = 11;
 /// The endpoints of a failure domain, by hash, among which an adapter is placed. Few, so that it
 /// comes back to one that has it at hand, also after all instances were restarted.
 const HOMES: usize = 2;
@@ -48,6 +45,7 @@
 #[derive(Debug, Default)]
 pub struct Placer {
     shelves: HashMap<Arc<str>, Shelf>,
+    window: Window,
 }
 
 impl Placer {
@@ -81,13 +79,35 @@
     /// Returns whether another load may begin. Those that an endpoint took along when it crashed
     /// take nothing from the others.
     pub fn may_load(&self) -> bool {
+        self.coming() < self.window.size()
+    }
+
+    /// Takes in how an endpoint answered an order.
+    pub fn answered(
+        &mut self,
+        endpoint: &str,
+        order: &Order,
+        answer: Answer,
+        now: Moment,
+    ) -> Option<Event> {
+        let under_way = self.coming();
+        let target = self.shelves.get_mut(endpoint)?;
+        let load_began = target.load_began(order);
+        let event = target.answered(order, answer, now);
+        if let (Some(began), Some(Event::Loaded(_))) = (load_began, &event) {
+            self.window.loaded(began, now, under_way);
+        }
+        event
+    }
+
+    fn coming(&self) -> usize {
         let answering = self.shelves.values().filter(|shelf| !shelf.is_silent());
-        answering.map(Shelf::coming).sum::<usize>() < MOST_COMING
+        answering.map(Shelf::coming).sum()
     }
 
     /// Returns whether so many adapters are waited for that further copies of held ones must wait.
     pub fn is_behind(&self) -> bool {
-        self.shelves.values().map(Shelf::backlog).sum::<usize>() > MOST_COMING
+        self.shelves.values().map(Shelf::backlog).sum::<usize>() > self.window.size()
     }
 
     /// Takes in a demand for an adapter and returns the endpoint that is to load it.
--- a/crates/ploverwick_adapters/src/shelf.rs
+++ b/crates/ploverwick_adapters/src/shelf.rs
@@ -116,6 +116,8 @@
     refused_unloads: u32,
     /// Orders and reports without an answer since the last one that had one.
     unheard: u32,
+    /// When an order or a report had no answer last.
+    unheard_at: Option<Moment>,
 }
 
 impl Shelf {
@@ -134,6 +136,7 @@
             may_hold_more: false,
             refused_unloads: 0,
             unheard: 0,
+            unheard_at: None,
         }
     }
 
@@ -185,6 +188,23 @@
         order.adapter.is_none() && order.op == Op::Load && !is_coming
     }
 
+    /// Returns when the load that an order looks at was ordered; `None` if answers were lost since, as
+    /// it may then have been complete for longer than it seems.
+    pub fn load_began(&self, order: &Order) -> Option<Moment> {
+        let (adapter, version) = order.adapter.clone()?;
+        match self
+            .places
+            .get(&Copy::of(&order.model, adapter, version))?
+            .state
+        {
+            State::Coming { ordered, .. } => {
+                let is_clean = self.unheard_at.is_none_or(|at| at < ordered);
+                is_clean.then_some(ordered)
+            }
+            State::Held | State::Leaving { .. } => None,
+        }
+    }
+
     /// Counts the adapters on their way.
     pub fn coming(&self) -> usize {
         self.places
@@ -275,7 +295,7 @@
     pub fn answered(&mut self, order: &Order, answer: Answer, now: Moment) -> Option<Event> {
         let is_repeat = self.unanswered.take().is_some();
         self.last_order = Some(now);
-        self.hear(!matches!(answer, Answer::Unknown | Answer::Gone));
+        self.hear(!matches!(answer, Answer::Unknown | Answer::Gone), now);
         match answer {
             Answer::Accepted => self.accepted(order, now),
             Answer::Done => self.done(order, now),
@@ -308,7 +328,7 @@
 
     /// Takes in the endpoint's own report.
     pub fn report(&mut self, report: &Report, now: Moment) -> Event {
-        self.hear(true);
+        self.hear(true, now);
         self.orders = Some(report.orders);
         self.may_hold_more = false;
         for base in self.models.values_mut() {
@@ -339,7 +359,7 @@
 
     /// Takes in that no report came.
     pub fn no_report(&mut self, now: Moment) {
-        self.hear(false);
+        self.hear(false, now);
         self.learn_again(now + REPORT_LAG);
     }
 
@@ -583,7 +603,10 @@
 
     /// Counts answers that did not come. Whoever waits for an adapter that was wished for here asks
     /// again, and is served elsewhere.
-    fn hear(&mut self, is_answer: bool) {
+    fn hear(&mut self, is_answer: bool, now: Moment) {
+        if !is_answer {
+            self.unheard_at = Some(now);
+        }
         self.unheard = if is_answer { 0 } else { self.unheard + 1 };
         if self.is_silent() {
             self.wishes.clear();
--- a/crates/ploverwick_gateway/src/controllers/orders.rs
+++ b/crates/ploverwick_gateway/src/controllers/orders.rs
@@ -232,8 +232,7 @@
         spdlog::warn!("order_fenced endpoint={} token={}", endpoint, token);
         state.tenure.fenced(token, now);
     }
-    let shelf = state.placer.shelf(endpoint)?;
-    shelf.answered(order, answer, now)
+    state.placer.answered(endpoint, order, answer, now)
 }
 
 async fn learn(shared: &Arc<Shared>, entry: &Entry) {
