--- a/crates/ploverwick_gateway/src/controllers/feed.rs
+++ b/crates/ploverwick_gateway/src/controllers/feed.rs
@@ -74,7 +74,7 @@
             Err(error) => {
                 outage.fails(&error);
                 take(News::Away);
-                backoff.pause().await;
+                backoff.pause(shared).await;
             }
         }
     }
--- a/crates/ploverwick_gateway/src/controllers/instances.rs
+++ b/crates/ploverwick_gateway/src/controllers/instances.rs
@@ -47,7 +47,7 @@
         .await
     {
         spdlog::warn!("not_listed cause=\"{}\"", error);
-        backoff.pause().await;
+        backoff.pause(&shared).await;
     }
 }
 
@@ -60,7 +60,7 @@
             Ok(snapshot) => break snapshot,
             Err(error) => {
                 spdlog::info!("recall_fails cause=\"{}\"", error);
-                backoff.pause().await;
+                backoff.pause(shared).await;
             }
         }
     };
--- a/crates/ploverwick_gateway/src/controllers/roster.rs
+++ b/crates/ploverwick_gateway/src/controllers/roster.rs
@@ -27,14 +27,24 @@
 /// How long a peer's word on the list counts. With a read's pause and this one a leave is known
 /// within the drain time also if that peer falls silent.
 const TOLD: Duration = Duration::from_millis(1_200);
-
-/// Returns whether the peer that places the adapters of this failure domain tells what the list
-/// holds. One reader for each domain spares the store the others' calls.
+/// How much longer each next instance by name waits before it reads itself: the first that can read
+/// tells the others.
+const TURN: Duration = Duration::from_millis(40);
+/// The most turns that are waited for, so that a leave is known within the drain time all the same.
+const MOST_TURNS: usize = 6;
+
+/// Returns whether a peer of this failure domain tells what the list holds. One reader for each
+/// domain spares the store the others' calls; it is the placer, or whoever can read while that one
+/// cannot.
 fn is_told(shared: &Shared) -> bool {
     let now = shared.now();
     let state = shared.state();
-    let heard = state.roster_told;
-    !state.tenure.is_held(now) && heard.is_some_and(|at| now.since(at) < TOLD)
+    if state.tenure.is_held(now) {
+        return false;
+    }
+    let turns = state.rank(&shared.settings, now).min(MOST_TURNS);
+    let limit = TOLD + TURN * u32::try_from(turns).unwrap_or_default();
+    state.roster_told.is_some_and(|at| now.since(at) < limit)
 }
 
 /// Follows the list for as long as the process runs.
@@ -116,14 +126,10 @@
         }
     }
 
-    /// Tells the peers of this failure domain what changed, if this instance reads for them.
+    /// Tells the peers of this failure domain what changed; the digest shows them whether they have
+    /// all of it.
     fn tell(&mut self) {
-        let now = self.shared.now();
         let state = self.shared.state();
-        if !state.tenure.is_held(now) {
-            self.told.clear();
-            return;
-        }
         let lines = state.fleet.entries().map(brief);
         let lines: HashMap<Arc<str>, Entry> = lines.map(|e| (Arc::clone(&e.id), e)).collect();
         let digest = state.fleet.digest();
--- a/crates/ploverwick_gateway/src/controllers/tenure.rs
+++ b/crates/ploverwick_gateway/src/controllers/tenure.rs
@@ -9,16 +9,13 @@
 
 use super::{Backoff, instances};
 use crate::journal::Outage;
-use crate::shared::{PEER_AGE, Shared, TENURE};
+use crate::shared::{STANDBYS, Shared, TENURE};
 use crate::tell;
 
 /// The pause between renewals; three fit into a grant.
 const RENEWAL: Duration = Duration::from_millis(450);
 /// The pause between looks whether this instance should stand by for the right.
 const LOOK: Duration = Duration::from_millis(250);
-/// The instances of a failure domain that stand by for the right beside its holder. One takes over
-/// while another one dies or cannot reach the store; each call is priced.
-const STANDBYS: usize = 2;
 /// How long a failure domain may be without a placer before all of its instances stand by: those
 /// whose turn it is may be cut off from the store.
 const VACANT: Duration = Duration::from_millis(3_500);
@@ -76,7 +73,7 @@
             }
             Err(error) => {
                 outage.fails(&error);
-                backoff.pause().await;
+                backoff.pause(&shared).await;
             }
         }
     }
@@ -95,12 +92,7 @@
     if state.tenure.is_held(now) || now.since(*seen) > VACANT {
         return true;
     }
-    let own = &shared.settings.instance;
-    let before = state.peers.iter().filter(|(name, peer)| {
-        let is_heard = peer.heard.is_some_and(|at| now.since(at) <= PEER_AGE);
-        is_heard && peer.domain == *domain && *name < own
-    });
-    before.count() < STANDBYS
+    state.rank(&shared.settings, now) < STANDBYS
 }
 
 fn take(shared: &Shared, grant: Grant, asked: Moment) {
--- a/crates/ploverwick_gateway/src/shared.rs
+++ b/crates/ploverwick_gateway/src/shared.rs
@@ -29,6 +29,9 @@
 /// How long a placer goes on while the store is silent; outages on record last up to 9 s, and a
 /// holder that goes on for too long only meets refusals.
 const EXTENSION: Duration = Duration::from_secs(8);
+/// The instances of a failure domain that stand by for the right beside its holder. One takes over
+/// while another one dies or cannot reach the store; each call is priced.
+pub(crate) const STANDBYS: usize = 2;
 /// A peer that is silent for longer is not asked for anything.
 pub(crate) const PEER_AGE: Duration = Duration::from_millis(2_500);
 
@@ -155,6 +158,14 @@
         state.config.is_some() && state.has_roster && !self.is_stopping()
     }
 
+    /// Returns whether this instance is among those of its failure domain that call the store for the
+    /// others: it places adapters, or stands by to do so.
+    pub(crate) fn is_caller(&self) -> bool {
+        let now = self.now();
+        let state = self.state();
+        state.tenure.is_held(now) || state.rank(&self.settings, now) < STANDBYS
+    }
+
     /// Returns the bound on repeats.
     pub(crate) fn repeat_rate(&self) -> Rate {
         Rate {
@@ -176,6 +187,16 @@
         placers.max().map(|(_, ip)| ip)
     }
 
+    /// Returns how many instances of this failure domain that are heard come before this one by
+    /// name. Those that come first call the store for the others.
+    pub(crate) fn rank(&self, settings: &Settings, now: Moment) -> usize {
+        let before = self.peers.iter().filter(|(name, peer)| {
+            let is_heard = peer.heard.is_some_and(|at| now.since(at) <= PEER_AGE);
+            is_heard && peer.domain == settings.domain && **name < settings.instance
+        });
+        before.count()
+    }
+
     /// Counts a request that uses an adapter at an endpoint, or one that ended.
     pub(crate) fn count_use(&mut self, endpoint: &Arc<str>, copy: &Copy, begins: bool) {
         let key = (Arc::clone(endpoint), copy.clone());
