Gather changes at endpoints for 25 ms before they are told

Ruled out: requests, which are spread evenly. Change: changes go together, at once if a load is complete and requests of the own domain wait for it, else after 25 ms. Tests: three_instances as they stand.

--- a/crates/ploverwick_gateway/src/daemon.rs
+++ b/crates/ploverwick_gateway/src/daemon.rs
@@ -86,6 +86,7 @@
         tasks.spawn(join(Arc::clone(&shared)));
         tasks.spawn(orders::keep(Arc::clone(&shared)));
         tasks.spawn(tell::run(Arc::clone(&shared)));
+        tasks.spawn(tell::changes(Arc::clone(&shared)));
         tasks.spawn(listen::run(Arc::clone(&shared)));
         tasks.spawn(filters::watch(Arc::clone(&shared)));
         tasks.spawn(ready::serve(Arc::clone(&shared), self.ready));
--- a/crates/ploverwick_gateway/src/lib.rs
+++ b/crates/ploverwick_gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod listen;
 mod mail;
 pub mod metrics;
+mod outbox;
 mod pool;
 mod ready;
 mod shared;
--- a/crates/ploverwick_gateway/src/listen.rs
+++ b/crates/ploverwick_gateway/src/listen.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use crate::controllers::{demand, roster};
-use crate::mail::{self, Digest, Message};
+use crate::mail::{self, Change, Digest, Fate, Message};
 use crate::shared::{Peer, Shared};
 use crate::tell;
 
@@ -30,8 +30,12 @@
     let is_far = sender.is_some_and(|peer| peer.domain != shared.settings.domain);
     let places = state.tenure.token(now).is_some();
     drop(state);
-    if is_far && places {
-        tell::pass_on(shared, message);
+    if !is_far || !places {
+        return;
+    }
+    match message {
+        Message::Changes(changes) => shared.outbox.pass_on(changes),
+        _ => tell::pass_on(shared, message),
     }
 }
 
@@ -90,9 +94,19 @@
             drop(state);
             tell::holds(shared, from, &endpoints);
         }
-        Message::Coming { endpoint, copy } => state.directory.expect(&endpoint, copy, now),
-        Message::Loaded { endpoint, copy } => {
-            state.directory.loaded(&endpoint, copy, now);
+        Message::Changes(changes) => {
+            for change in changes {
+                let Change {
+                    endpoint,
+                    copy,
+                    fate,
+                } = change;
+                match fate {
+                    Fate::Coming => state.directory.expect(&endpoint, copy, now),
+                    Fate::Loaded => state.directory.loaded(&endpoint, copy, now),
+                    Fate::Unloaded => state.directory.unloaded(&endpoint, &copy),
+                }
+            }
             drop(state);
             shared.placed.notify_waiters();
         }
@@ -106,7 +120,6 @@
         }
         Message::BaseLoad => state.base_loads.begin(now),
         Message::Vacant => shared.vacant.notify_one(),
-        Message::Unloaded { endpoint, copy } => state.directory.unloaded(&endpoint, &copy),
     }
 }
 
--- a/crates/ploverwick_gateway/src/mail.rs
+++ b/crates/ploverwick_gateway/src/mail.rs
@@ -43,6 +43,25 @@
     pub(crate) digest: u64,
 }
 
+/// What happened to an adapter at an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum Fate {
+    /// It is on its way there.
+    Coming,
+    /// The endpoint holds it from now on.
+    Loaded,
+    /// The endpoint does not hold it any more.
+    Unloaded,
+}
+
+/// A change at an endpoint.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct Change {
+    pub(crate) endpoint: Arc<str>,
+    pub(crate) copy: Copy,
+    pub(crate) fate: Fate,
+}
+
 /// What one instance tells another.
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) enum Message {
@@ -70,12 +89,8 @@
     Digests(Vec<Digest>),
     /// Asks what these endpoints hold.
     AskHolds(Vec<Arc<str>>),
-    /// An adapter is on its way to an endpoint.
-    Coming { endpoint: Arc<str>, copy: Copy },
-    /// An endpoint holds an adapter from now on.
-    Loaded { endpoint: Arc<str>, copy: Copy },
-    /// An endpoint does not hold an adapter any more.
-    Unloaded { endpoint: Arc<str>, copy: Copy },
+    /// What changed at endpoints, in this order.
+    Changes(Vec<Change>),
     /// What changed in the list of endpoints, and the digest of all of it.
     List {
         changed: Vec<Entry>,
@@ -112,12 +127,7 @@
     /// what is known of endpoints crosses between two domains once and not once for each instance.
     pub(crate) fn is_passed_on(&self) -> bool {
         match self {
-            Self::Totals(_)
-            | Self::Holds { .. }
-            | Self::Digests(_)
-            | Self::Coming { .. }
-            | Self::Loaded { .. }
-            | Self::Unloaded { .. } => true,
+            Self::Totals(_) | Self::Holds { .. } | Self::Digests(_) | Self::Changes(_) => true,
             Self::Status { .. }
             | Self::Used(_)
             | Self::Need { .. }
--- a/crates/ploverwick_gateway/src/shared.rs
+++ b/crates/ploverwick_gateway/src/shared.rs
@@ -20,6 +20,7 @@
 use crate::clock::Clock;
 use crate::journal::Lines;
 use crate::mail::Mail;
+use crate::outbox::Outbox;
 use crate::pool::Pool;
 
 /// How long a grant of the right to place adapters lasts. A shorter one is taken over sooner, a
@@ -79,6 +80,7 @@
     pub(crate) store: Store,
     pub(crate) pool: Pool,
     pub(crate) mail: Mail,
+    pub(crate) outbox: Outbox,
     pub(crate) lines: Lines,
     /// Whether the token of the right to place adapters must outlast this process.
     pub(crate) keeps_token: bool,
@@ -128,6 +130,7 @@
             clock,
             pool: Pool::default(),
             mail,
+            outbox: Outbox::default(),
             lines: Lines::default(),
             placed: Notify::new(),
             newer_config: Notify::new(),
--- a/crates/ploverwick_gateway/src/tell.rs
+++ b/crates/ploverwick_gateway/src/tell.rs
@@ -13,7 +13,8 @@
 use ploverwick_endpoints::Entry;
 use ploverwick_names::Moment;
 
-use crate::mail::{Digest, Load, Message, Used};
+use crate::mail::{Change, Digest, Fate, Load, Message, Used};
+use crate::outbox;
 use crate::shared::{Shared, State};
 
 /// Adapters, loads or digests in one message.
@@ -25,6 +26,9 @@
 /// The peers of the same failure domain that hear of this instance's loads in each such pause; in a
 /// larger domain they take turns, which bounds an instance's messages at any size.
 const NEAR_PEERS: usize = 8;
+/// How long changes at endpoints are gathered; a request that waits for a load elsewhere waits that
+/// much longer, of some 260 ms.
+const GATHER: Duration = Duration::from_millis(25);
 /// Each so many of these pauses, a placer tells its own domain the totals of its endpoints.
 const TOTALS_EVERY: u32 = 2;
 /// Each so many of these pauses, peers of other failure domains get a message: bytes between
@@ -42,22 +46,65 @@
     shared.mail.send(&message, &[ip]);
 }
 
-/// Tells what changed at an endpoint of this failure domain.
+/// Tells what changed at an endpoint of this failure domain, together with what waits.
 pub(crate) fn changed(shared: &Shared, endpoint: &Arc<str>, event: &Event) {
-    let endpoint = Arc::clone(endpoint);
-    let message = match event.clone() {
-        Event::Coming(copy) => Message::Coming { endpoint, copy },
-        Event::Loaded(copy) => Message::Loaded { endpoint, copy },
-        Event::Unloaded(copy) => Message::Unloaded { endpoint, copy },
-        Event::Learned(copies) => Message::holds(&endpoint, &copies),
+    let (copy, fate) = match event {
+        Event::Coming(copy) => (copy, Fate::Coming),
+        Event::Loaded(copy) => (copy, Fate::Loaded),
+        Event::Unloaded(copy) => (copy, Fate::Unloaded),
+        Event::Learned(copies) => return learned(shared, endpoint, copies),
         Event::BaseLoaded(_) => return,
     };
+    let change = Change {
+        endpoint: Arc::clone(endpoint),
+        copy: copy.clone(),
+        fate,
+    };
+    if shared.outbox.add(change) {
+        let to = near(shared, &shared.state());
+        send_changes(shared, shared.outbox.take_near(), &to);
+    }
+}
+
+/// Tells all that an endpoint holds, after what changed there before.
+fn learned(shared: &Shared, endpoint: &Arc<str>, copies: &[Copy]) {
+    flush(shared);
     let now = shared.now();
     let state = shared.state();
     let mut to = near(shared, &state);
     to.extend(hubs(shared, &state, now));
     drop(state);
-    shared.mail.send(&message, &to);
+    shared.mail.send(&Message::holds(endpoint, copies), &to);
+}
+
+/// Tells what waits, a moment after something was added.
+pub(crate) async fn changes(shared: Arc<Shared>) {
+    loop {
+        shared.outbox.added().await;
+        tokio::time::sleep(GATHER).await;
+        flush(&shared);
+    }
+}
+
+fn flush(shared: &Shared) {
+    let waiting = shared.outbox.take();
+    if waiting.far.is_empty() && waiting.passed_on.is_empty() {
+        return;
+    }
+    let now = shared.now();
+    let state = shared.state();
+    let near = near(shared, &state);
+    let hubs = hubs(shared, &state, now);
+    drop(state);
+    send_changes(shared, waiting.near, &near);
+    send_changes(shared, waiting.far, &hubs);
+    send_changes(shared, waiting.passed_on, &near);
+}
+
+fn send_changes(shared: &Shared, changes: Vec<Change>, to: &[IpAddr]) {
+    for list in outbox::cut(changes) {
+        shared.mail.send(&Message::Changes(list), to);
+    }
 }
 
 /// Tells the peers of this failure domain that one of them may place its adapters.
