Copy crowded adapters by doubling, and let instances choose apart

Ruled out: places (2,717 of own refusals came while holders were crowded), the weight store (loads took 0.27 s). Change: as many copies may be on their way as there are holders; costs within a domain move by chance, by 1.2 for each other instance there.

--- a/crates/ploverwick_adapters/src/placer.rs
+++ b/crates/ploverwick_adapters/src/placer.rs
@@ -128,11 +128,17 @@
         let is_heard = |site: &Site| !of(site).is_silent();
         let is_any_heard = sites.iter().filter(has_shelf).any(is_heard);
         let known = |site: &&Site| has_shelf(site) && (!is_any_heard || is_heard(site));
-        let expecting = sites
-            .iter()
-            .filter(known)
-            .find(|site| of(site).expects(copy));
-        if let Some(site) = expecting {
+        let holding = sites.iter().filter(known).filter(|s| of(s).holds(copy));
+        let mut expecting = sites.iter().filter(known).filter(|s| of(s).expects(copy));
+        let first = expecting.next();
+        // As many may be on their way as there are: a crowded adapter spreads by doubling.
+        let most = match need {
+            Need::Any | Need::Extra => 1,
+            Need::Another => holding.count().max(1),
+        };
+        if let Some(site) = first
+            && expecting.count() + 1 >= most
+        {
             let endpoint = Arc::clone(&site.endpoint);
             // The wish stays young as long as it is asked for.
             self.shelf(&endpoint)?.wish(copy.clone(), now);
@@ -142,7 +148,8 @@
             return None;
         }
         let key = copy.key.to_string();
-        let can_load = |site: &&Site| of(site).has_base(&copy.key.model) && !of(site).holds(copy);
+        let has_it = |site: &Site| of(site).holds(copy) || of(site).expects(copy);
+        let can_load = |site: &&Site| of(site).has_base(&copy.key.model) && !has_it(site);
         let sites: Vec<&Site> = sites.iter().filter(known).filter(can_load).collect();
         let names = sites.iter().map(|site| &*site.endpoint);
         let homes = rank(&key, &even(names), HOMES);
--- a/crates/ploverwick_endpoints/src/fleet.rs
+++ b/crates/ploverwick_endpoints/src/fleet.rs
@@ -6,7 +6,7 @@
 
 use ploverwick_names::Moment;
 use ploverwick_placement::{Candidate, score};
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::{Entry, Health, Outcome, State};
 
@@ -36,6 +36,11 @@
 /// Cost that spreads equal choices over requests, by a hash of key and endpoint.
 const SPREAD: f64 = 2.0;
 
+/// How far costs within the failure domain are moved by chance for each other instance there. What is
+/// known of the others' requests is some 100 ms old, so that all would choose the same endpoint until
+/// they hear of it; one instance adds about half a request to an endpoint meanwhile.
+const CROWD: f64 = 1.2;
+
 /// Prompt tokens that an engine reads in a millisecond, by the users' sheets for both deployments.
 const TOKENS_PER_MS: f64 = 38.7;
 /// Cost of a millisecond of prompts that are being read: they are read between the tokens of the
@@ -53,6 +58,10 @@
     pub domain: &'a str,
     /// What requests that profit from the same endpoint share.
     pub key: &'a str,
+    /// The request's identifier, by which instances choose apart.
+    pub id: &'a str,
+    /// The other instances of the failure domain, which choose at the same time.
+    pub peers: usize,
     /// The bytes that would leave the failure domain.
     pub bytes: usize,
     /// The tokens of its prompt.
@@ -262,7 +271,9 @@
         let next = f64::from(self.load(&entry.id, now) + 1);
         let fill = next / f64::from(entry.slots.max(1));
         let mut cost = FILL * fill + CROWDED * (fill - NEARLY_FULL).max(0.0);
-        if &*entry.domain != query.domain {
+        if &*entry.domain == query.domain {
+            cost += CROWD * query.peers as f64 * chance(query.id, &entry.id);
+        } else {
             cost += AWAY + AWAY_KB * query.bytes as f64 / 1_024.0;
         }
         let own_ms = f64::from(query.prompt) / TOKENS_PER_MS;
@@ -294,3 +305,9 @@
         Some(known[known.len() / 2])
     }
 }
+
+/// Returns a number from -0.5 to 0.5 that differs by request and endpoint.
+fn chance(id: &str, endpoint: &str) -> f64 {
+    let hash = xxh3_64_with_seed(endpoint.as_bytes(), xxh3_64(id.as_bytes()));
+    hash as f64 / u64::MAX as f64 - 0.5
+}
--- a/crates/ploverwick_endpoints/tests/endpoint_choice.rs
+++ b/crates/ploverwick_endpoints/tests/endpoint_choice.rs
@@ -32,6 +32,8 @@
     service: "app",
     domain: "d1",
     key: "k",
+    id: "r1",
+    peers: 0,
     bytes: 500,
     prompt: 0,
     except: &[],
@@ -138,3 +140,46 @@
     same.put(leaving);
     expect_that!(same.digest(), not(eq(fleet.digest())));
 }
+
+/// Found by turnovar-ops-grown scale-2: 18 instances that had heard the same sent to the same endpoint
+/// until they heard of it, and it refused them.
+#[googletest::test]
+fn crowd_chooses_apart() {
+    let mut fleet = Fleet::default();
+    for id in ["a", "b", "c", "d"] {
+        fleet.put(entry(id, "d1"));
+    }
+    let choose = |number: usize| {
+        let id = format!("request-{number}");
+        let query = Query {
+            id: &id,
+            peers: 18,
+            ..QUERY
+        };
+        fleet.rank(&query, Moment(0)).swap_remove(0).1
+    };
+    let mut chosen: HashMap<Arc<str>, usize> = HashMap::new();
+    for number in 0..400 {
+        *chosen.entry(choose(number)).or_default() += 1;
+    }
+    expect_that!(chosen.len(), eq(4));
+    expect_that!(chosen.values().max(), some(le(&160)));
+}
+
+/// Bytes to other failure domains are dear, whatever chance says.
+#[googletest::test]
+fn crowd_stays_home() {
+    let fleet = fleet();
+    let query = |number: usize| format!("request-{number}");
+    let chosen = (0..400).map(query).map(|id| {
+        let query = Query {
+            id: &id,
+            peers: 18,
+            bytes: 3_000,
+            ..QUERY
+        };
+        fleet.rank(&query, Moment(0)).swap_remove(0).1
+    });
+    let away = chosen.filter(|id| **id != *"a").count();
+    expect_that!(away, eq(0));
+}
--- a/crates/ploverwick_gateway/src/filters/place.rs
+++ b/crates/ploverwick_gateway/src/filters/place.rs
@@ -100,7 +100,7 @@
 fn direct(shared: &Shared, task: &Task, except: &[Arc<str>]) -> Result<Target, Reply> {
     let now = shared.now();
     let state = shared.state();
-    let ranked = state.fleet.rank(&query(shared, task, except), now);
+    let ranked = state.fleet.rank(&query(shared, &state, task, except), now);
     let holds = |id: &str| match &task.call.model {
         None => true,
         Some(model) => {
@@ -133,7 +133,15 @@
     (MOST_FILL * task.terms.weight).clamp(1.0, 2.0 * MOST_FILL)
 }
 
-fn query<'a>(shared: &'a Shared, task: &'a Task, except: &'a [Arc<str>]) -> Query<'a> {
+fn query<'a>(
+    shared: &'a Shared,
+    state: &State,
+    task: &'a Task,
+    except: &'a [Arc<str>],
+) -> Query<'a> {
+    let domain = &shared.settings.domain;
+    let peers = state.peers.values().filter(|peer| peer.domain == *domain);
+    let peers = peers.count();
     Query {
         service: &task.service,
         domain: &shared.settings.domain,
@@ -142,6 +150,8 @@
             .adapter
             .as_ref()
             .map_or(&*task.call.id, |k| &k.adapter),
+        id: &task.call.id,
+        peers,
         bytes: task.bytes(),
         prompt: task.call.prompt_tokens,
         except,
@@ -157,7 +167,7 @@
         key: key.clone(),
         version,
     };
-    let ranked = state.fleet.rank(&query(shared, task, except), now);
+    let ranked = state.fleet.rank(&query(shared, &state, task, except), now);
     let mut held = wanted.clone();
     let mut best = best(&state, &ranked, &held);
     if best.is_none()
