--- a/crates/ploverwick_gateway/src/filters/attempt.rs
+++ b/crates/ploverwick_gateway/src/filters/attempt.rs
@@ -86,11 +86,13 @@
         }
         Sent::NotRun { misdirected } => {
             history.sent += 1;
-            history.refusals += 1;
             if misdirected {
+                // What was believed is mended by it, so that it does not count as a refusal: after
+                // a crash all holders of an adapter may be stale.
                 mislaid(shared, target, history);
-                return refused(history, "misdirected", Duration::ZERO);
+                return Next::Again(Duration::ZERO);
             }
+            history.refusals += 1;
             refused(history, "no room", PAUSE * history.refusals)
         }
         Sent::Lost(cause) => lost(task, target, history, &cause),
