Redraw the daemon crate so that imports go one way

Ruled out: moving the tasks into crates of their own, as the state that they share would have to be public. Change: types without tasks have modules of their own (lock, commands, scribes, ownership, reply); status keeps the forms and admin gathers them; no behaviour changes. A test reads all crates' imports and fails on a circle (imports_one_way; it fails on the tree before this change), and circle_is_found tests the test.

--- a/crates/ploverwick_daemon/src/admin.rs
+++ b/crates/ploverwick_daemon/src/admin.rs
@@ -8,11 +8,14 @@
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use ploverwick_codes::Code;
 use ploverwick_serve::{Handler, Reply, json, text};
+use ploverwick_table::history;
 use ploverwick_timeline::clock::Stamp;
 
 use crate::chain::refuse;
+use crate::lock::lock;
 use crate::node::Node;
-use crate::{entry, status};
+use crate::reply;
+use crate::status::{EndpointStatus, MemberStatus, Status};
 
 /// The exporter of this process's metrics. All daemons in a process share it.
 static EXPORTER: OnceLock<Option<PrometheusHandle>> = OnceLock::new();
@@ -42,13 +45,13 @@
     async fn handle(&self, request: Request<Incoming>) -> io::Result<Reply> {
         if request.method() != Method::GET {
             let verdict = refuse(Code::MethodNotAllowed, "only GET is taken here");
-            return Ok(entry::error(&verdict, None));
+            return Ok(reply::error(&verdict, None));
         }
         Ok(match request.uri().path() {
             "/healthz" => text(StatusCode::OK, "ok\n"),
-            "/readyz" => entry::ready(&self.node),
+            "/readyz" => ready(&self.node),
             "/metrics" => metrics(),
-            "/status" => json(StatusCode::OK, &status::status(&self.node)),
+            "/status" => json(StatusCode::OK, &status(&self.node)),
             "/table" => self.table(),
             "/timeline" => {
                 let after = after(request.uri().query());
@@ -56,7 +59,7 @@
             }
             path => {
                 let verdict = refuse(Code::PathUnknown, format!("no handler for {path}"));
-                entry::error(&verdict, None)
+                reply::error(&verdict, None)
             }
         })
     }
@@ -87,3 +90,48 @@
             .unwrap_or_default(),
     )
 }
+
+/// Gathers a daemon's status.
+fn status(node: &Node) -> Status {
+    let members = lock(&node.members);
+    let members = members.members().map(|member| MemberStatus {
+        instance: member.news.life.instance.to_string(),
+        incarnation: member.news.life.incarnation.0,
+        state: member.news.state.name().to_owned(),
+    });
+    let members = members.collect();
+    let listing = node.listing.borrow().clone();
+    let models = listing
+        .endpoints
+        .iter()
+        .filter(|entry| matches!(entry.serves, ploverwick_ports::roster::Serves::Model(_)));
+    let holds = lock(&node.holds);
+    let endpoints = models.map(|entry| EndpointStatus {
+        endpoint: entry.name.clone(),
+        owner: holds.owner(&entry.name).map(ToString::to_string),
+        leaving: entry.state == ploverwick_ports::roster::State::Leaving,
+    });
+    Status {
+        instance: node.life.instance.to_string(),
+        incarnation: node.life.incarnation.0,
+        failure_domain: node.settings.instance.failure_domain.to_string(),
+        draining: node.is_draining(),
+        table: node.in_force.borrow().version,
+        members,
+        endpoints: endpoints.collect(),
+        owned: lock(&node.endpoint_status).values().cloned().collect(),
+        answers: node.answers.len(),
+        scribes: node.scribes.len(),
+    }
+}
+
+/// Says whether the balancer should send requests here.
+pub(crate) fn ready(node: &Node) -> Reply {
+    if node.is_draining() {
+        return text(StatusCode::SERVICE_UNAVAILABLE, "draining\n");
+    }
+    if node.in_force.borrow().version == history::NONE {
+        return text(StatusCode::SERVICE_UNAVAILABLE, "no table in force\n");
+    }
+    text(StatusCode::OK, "ready\n")
+}
--- a/crates/ploverwick_daemon/src/answer.rs
+++ b/crates/ploverwick_daemon/src/answer.rs
@@ -11,7 +11,7 @@
 use ploverwick_ports::sse;
 use tokio::sync::{mpsc, watch};
 
-use crate::node::lock;
+use crate::lock::lock;
 
 /// How many parts may wait for a slow caller before the endpoint is slowed down.
 pub(crate) const PARTS_AHEAD: usize = 64;
--- a/crates/ploverwick_daemon/src/chain/limit.rs
+++ b/crates/ploverwick_daemon/src/chain/limit.rs
@@ -4,7 +4,8 @@
 use ploverwick_codes::attempt::Verdict;
 
 use super::{Exchange, refuse};
-use crate::node::{Node, lock};
+use crate::lock::lock;
+use crate::node::Node;
 
 /// Takes a token of every limit that applies.
 pub(super) fn apply(node: &Node, exchange: &mut Exchange) -> Result<(), Verdict> {
--- a/crates/ploverwick_daemon/src/controllers/claims.rs
+++ b/crates/ploverwick_daemon/src/controllers/claims.rs
@@ -1,8 +1,8 @@
 //! Decides which request may run under a key: asks the scribe of the key's partition, and is the
 //! scribe of some partitions itself.
 
-use std::collections::{HashMap, HashSet, VecDeque};
-use std::sync::{Arc, Mutex};
+use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use ploverwick_claims::Key;
@@ -19,9 +19,10 @@
 
 use crate::chain::Keyed;
 use crate::listing;
-use crate::node::{Node, lock};
+use crate::lock::lock;
+use crate::node::Node;
+use crate::scribes::Asked;
 
-const ASKS: usize = 1024;
 /// The pause after a failed read.
 const PAUSE: Duration = Duration::from_millis(100);
 /// How often a scribe looks at its batch and its waiting claims.
@@ -30,56 +31,6 @@
 const FORFEIT_TRIES: u32 = 6;
 const FORFEIT_PAUSE: Duration = Duration::from_millis(200);
 
-/// A claim on its way to a scribe.
-pub(crate) struct Asked {
-    ask: Ask,
-    answer: oneshot::Sender<Outcome>,
-}
-
-/// The partitions of which this daemon is the scribe.
-#[derive(Debug, Default)]
-pub(crate) struct Scribes {
-    tasks: Mutex<HashMap<u32, mpsc::Sender<Asked>>>,
-    given_up: Mutex<GivenUp>,
-}
-
-/// Requests of this life that never ran and never will, up to a fixed number. For an older one
-/// the entry says that the answer is lost, which is safe.
-#[derive(Debug, Default)]
-struct GivenUp {
-    known: HashSet<Request>,
-    order: VecDeque<Request>,
-}
-
-impl GivenUp {
-    /// The most requests remembered.
-    const MOST: usize = 16_384;
-
-    fn insert(&mut self, request: &Request) {
-        if !self.known.insert(request.clone()) {
-            return;
-        }
-        self.order.push_back(request.clone());
-        if self.order.len() > Self::MOST
-            && let Some(oldest) = self.order.pop_front()
-        {
-            self.known.remove(&oldest);
-        }
-    }
-}
-
-impl Scribes {
-    /// Ends the tasks of all partitions.
-    pub(crate) fn close(&self) {
-        lock(&self.tasks).clear();
-    }
-
-    /// Returns the number of partitions of which this daemon is the scribe.
-    pub(crate) fn len(&self) -> usize {
-        lock(&self.tasks).len()
-    }
-}
-
 fn stream(partition: u32) -> String {
     format!("claims-{partition}")
 }
@@ -91,7 +42,7 @@
     let answered = tokio::time::timeout(timeout, asking).await;
     let outcome = answered.unwrap_or(Outcome::Unconfirmed);
     if outcome == Outcome::Unconfirmed {
-        lock(&node.scribes.given_up).insert(request);
+        node.scribes.give_up(request);
     }
     metrics::counter!("ploverwick_claims", "outcome" => name(&outcome)).increment(1);
     outcome
@@ -108,12 +59,12 @@
 
 /// Says whether a request of this life gave its claim up, so that it never ran and never will.
 pub(crate) fn was_given_up(node: &Node, request: &Request) -> bool {
-    lock(&node.scribes.given_up).known.contains(request)
+    node.scribes.gave_up(request)
 }
 
 /// Gives a claim back for a request that did not run and never will.
 pub(crate) fn forfeit(node: &Arc<Node>, request: &Request, keyed: Keyed) {
-    lock(&node.scribes.given_up).insert(request);
+    node.scribes.give_up(request);
     let node = Arc::clone(node);
     let request = request.clone();
     // The caller has its verdict; this may take as long as the log is out.
@@ -202,13 +153,10 @@
 }
 
 fn task(node: &Arc<Node>, partition: u32) -> mpsc::Sender<Asked> {
-    let mut tasks = lock(&node.scribes.tasks);
-    if let Some(task) = tasks.get(&partition).filter(|task| !task.is_closed()) {
-        return task.clone();
+    let (sender, asks) = node.scribes.open(partition);
+    if let Some(asks) = asks {
+        tokio::spawn(run(Arc::clone(node), partition, asks));
     }
-    let (sender, asks) = mpsc::channel(ASKS);
-    tasks.insert(partition, sender.clone());
-    tokio::spawn(run(Arc::clone(node), partition, asks));
     sender
 }
 
--- a/crates/ploverwick_daemon/src/controllers/members.rs
+++ b/crates/ploverwick_daemon/src/controllers/members.rs
@@ -13,8 +13,9 @@
 
 use crate::controllers::table;
 use crate::listing;
+use crate::lock::lock;
 use crate::logging::Outage;
-use crate::node::{Node, lock};
+use crate::node::Node;
 
 /// Reads the platform's list again and again.
 pub(crate) async fn follow_list(node: Arc<Node>) {
--- a/crates/ploverwick_daemon/src/controllers/owners.rs
+++ b/crates/ploverwick_daemon/src/controllers/owners.rs
@@ -8,19 +8,18 @@
 use ploverwick_names::{Endpoint, Instance, Offset};
 use ploverwick_owner::holds::{Change, Standing};
 use ploverwick_owner::record::Record;
-use ploverwick_ports::client::Fault;
 use ploverwick_ports::log::Batch;
 use ploverwick_ports::roster::Listing;
 use ploverwick_timeline::{Event, Kind};
 use tokio::sync::oneshot;
 use tokio::time::MissedTickBehavior;
 
-use crate::listing;
-use crate::node::{Node, lock};
-use crate::owner::Command;
+use crate::commands::Command;
+use crate::lock::lock;
+use crate::node::Node;
+use crate::ownership::{STREAM, append};
+use crate::{listing, owner};
 
-/// The name of the stream.
-const STREAM: &str = "owners";
 /// The pause after a failed read or append.
 const PAUSE: Duration = Duration::from_millis(200);
 /// How often ownership is compared with what it should be.
@@ -29,24 +28,6 @@
 /// How long after its last answer, beyond the wait of a read, the log counts as out.
 const LOG_SILENCE: Duration = Duration::from_millis(500);
 
-/// Appends records to the stream.
-///
-/// # Errors
-/// Fails as the log does.
-pub(crate) async fn append(node: &Node, records: Vec<Record>) -> Result<Offset, Fault> {
-    let texts = records
-        .iter()
-        .map(|record| serde_json::to_string(record).unwrap_or_default());
-    node.log.append(STREAM, texts.collect()).await
-}
-
-/// Appends a record, again and again until the log confirms it. Twice does no harm.
-pub(crate) async fn append_surely(node: &Node, record: Record) {
-    while append(node, vec![record.clone()]).await.is_err() {
-        tokio::time::sleep(PAUSE).await;
-    }
-}
-
 /// Follows the stream for as long as it is polled.
 pub(crate) async fn follow(node: Arc<Node>) {
     let wait = node.settings.table.poll();
@@ -91,7 +72,7 @@
             node.record(event.endpoint(&endpoint));
             let listing = node.listing.borrow().clone();
             if let Some(entry) = listing.endpoint(&endpoint) {
-                node.owners.ensure(node, entry);
+                owner::ensure(node, entry);
                 node.owners.tell(&endpoint, Command::Gained).await;
             }
         }
--- a/crates/ploverwick_daemon/src/controllers/table.rs
+++ b/crates/ploverwick_daemon/src/controllers/table.rs
@@ -11,8 +11,9 @@
 use ploverwick_wire::{FetchAsk, TableCopy};
 
 use crate::listing;
+use crate::lock::lock;
 use crate::logging::Outage;
-use crate::node::{InForce, Node, lock};
+use crate::node::{InForce, Node};
 
 /// The name of the stream.
 pub(crate) const STREAM: &str = "table";
--- a/crates/ploverwick_daemon/src/daemon.rs
+++ b/crates/ploverwick_daemon/src/daemon.rs
@@ -27,13 +27,14 @@
 use crate::admin::{self, Admin};
 use crate::answer::Answers;
 use crate::budget::{Loads, Retries};
-use crate::controllers::claims::Scribes;
+use crate::commands::Owners;
 use crate::controllers::{members, owners, table};
 use crate::entry::Entry;
 use crate::links::Links;
-use crate::node::{InForce, Node, lock};
-use crate::owner::Owners;
+use crate::lock::lock;
+use crate::node::{InForce, Node};
 use crate::peer::Service;
+use crate::scribes::Scribes;
 use crate::status::OwnedEndpoint;
 
 /// The largest message from another daemon.
--- a/crates/ploverwick_daemon/src/joining.rs
+++ b/crates/ploverwick_daemon/src/joining.rs
@@ -18,7 +18,8 @@
 use crate::answer::{Answer, Entry, Head, Part, Sink};
 use crate::chain::{Exchange, Keyed, refuse, remaining};
 use crate::controllers::claims;
-use crate::node::{Node, lock};
+use crate::lock::lock;
+use crate::node::Node;
 use crate::relay::frames::Frames;
 use crate::relay::relay;
 
--- a/crates/ploverwick_daemon/src/links.rs
+++ b/crates/ploverwick_daemon/src/links.rs
@@ -8,7 +8,7 @@
 use ploverwick_wire::PeerClient;
 use tonic::transport::{Channel, Endpoint};
 
-use crate::node::lock;
+use crate::lock::lock;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 const KEEP_ALIVE: Duration = Duration::from_secs(2);
--- a/crates/ploverwick_daemon/src/node.rs
+++ b/crates/ploverwick_daemon/src/node.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Instant;
 
 use ploverwick_limits::Rates;
@@ -20,9 +20,10 @@
 
 use crate::answer::Answers;
 use crate::budget::{Loads, Retries};
-use crate::controllers::claims::Scribes;
+use crate::commands::Owners;
 use crate::links::Links;
-use crate::owner::Owners;
+use crate::lock::lock;
+use crate::scribes::Scribes;
 
 /// The table in force and its version.
 #[derive(Debug, Clone, Default)]
@@ -93,8 +94,3 @@
         lock(&self.members).able().len().max(1)
     }
 }
-
-/// Takes a lock. No code panics while it holds one, so the data are whole.
-pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/ploverwick_daemon/src/owner/orders.rs
+++ b/crates/ploverwick_daemon/src/owner/orders.rs
@@ -7,9 +7,10 @@
 use ploverwick_ports::client::Fault;
 use ploverwick_ports::engine::{Engine, Order, SlotState};
 
-use super::Command;
 use crate::budget::LoadLimits;
-use crate::node::{Node, lock};
+use crate::commands::Command;
+use crate::lock::lock;
+use crate::node::Node;
 
 /// How long a load may take.
 const LOAD_PATIENCE: Duration = Duration::from_mins(2);
--- a/crates/ploverwick_daemon/src/owner/send.rs
+++ b/crates/ploverwick_daemon/src/owner/send.rs
@@ -16,7 +16,7 @@
 use ploverwick_wire::{Chunk, Frame, Head, Order, frame};
 use tokio::sync::mpsc;
 
-use super::ending;
+use crate::commands::ending;
 use crate::node::Node;
 
 /// The pause before a cancellation that was not confirmed is tried again.
--- a/crates/ploverwick_daemon/src/owner/task.rs
+++ b/crates/ploverwick_daemon/src/owner/task.rs
@@ -18,8 +18,10 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::MissedTickBehavior;
 
-use super::{Command, ending, orders, send};
-use crate::node::{Node, lock};
+use super::{orders, send};
+use crate::commands::{Command, ending};
+use crate::lock::lock;
+use crate::node::Node;
 use crate::status::OwnedEndpoint;
 
 /// How often deadlines, budgets and permits are looked at without another cause.
--- a/crates/ploverwick_daemon/src/owner/task/acts.rs
+++ b/crates/ploverwick_daemon/src/owner/task/acts.rs
@@ -9,10 +9,12 @@
 use ploverwick_ports::engine::{Engine, Order as EngineOrder};
 use ploverwick_timeline::{Event, Kind};
 
-use super::super::{Command, ending, orders, send};
+use super::super::{orders, send};
 use super::{Pending, Task};
-use crate::controllers::owners;
-use crate::node::{Node, lock};
+use crate::commands::{Command, ending};
+use crate::lock::lock;
+use crate::node::Node;
+use crate::ownership;
 
 impl Task {
     pub(super) fn act_all(&mut self, actions: impl IntoIterator<Item = Action>) {
@@ -113,7 +115,7 @@
             variant: variant.clone(),
         };
         self.spawn_quiet(|node| async move {
-            let appended = owners::append(&node, vec![record.clone()]).await;
+            let appended = ownership::append(&node, vec![record.clone()]).await;
             if appended.is_err_and(|fault| fault.had_no_effect()) {
                 // The stream will not show it, so the machine has to be told.
                 let endpoint = record.endpoint().clone();
@@ -131,7 +133,7 @@
         };
         self.spawn_quiet(|node| async move {
             // Without this record a successor waits until this life has quit or ended.
-            let _ = owners::append(&node, vec![record]).await;
+            let _ = ownership::append(&node, vec![record]).await;
         });
     }
 
@@ -155,7 +157,7 @@
             endpoint: self.entry.name.clone(),
             life: self.node.life.clone(),
         };
-        self.spawn_quiet(|node| async move { owners::append_surely(&node, record).await });
+        self.spawn_quiet(|node| async move { ownership::append_surely(&node, record).await });
     }
 
     pub(super) fn note_load(&self, what: &str, variant: &Variant) {
--- a/crates/ploverwick_daemon/src/peer.rs
+++ b/crates/ploverwick_daemon/src/peer.rs
@@ -19,10 +19,10 @@
 
 use crate::answer::{PARTS_AHEAD, Part};
 use crate::chain::Keyed;
+use crate::commands::ending;
 use crate::controllers::{claims, members, table};
 use crate::joining;
 use crate::node::Node;
-use crate::owner::ending;
 
 /// The peers' side of a daemon.
 pub(crate) struct Service {
--- a/crates/ploverwick_daemon/src/relay.rs
+++ b/crates/ploverwick_daemon/src/relay.rs
@@ -17,7 +17,8 @@
 
 use crate::answer::{Head, Part, Sink};
 use crate::chain::{Exchange, refuse, remaining};
-use crate::node::{Node, lock};
+use crate::lock::lock;
+use crate::node::Node;
 use crate::route::{Target, target, targets};
 use frames::Frames;
 
--- a/crates/ploverwick_daemon/src/route.rs
+++ b/crates/ploverwick_daemon/src/route.rs
@@ -7,7 +7,8 @@
 use ploverwick_ports::roster::EndpointEntry;
 
 use crate::listing;
-use crate::node::{Node, lock};
+use crate::lock::lock;
+use crate::node::Node;
 
 /// An endpoint and the daemon to ask for it.
 #[derive(Debug, Clone)]
--- a/crates/ploverwick_daemon/src/service.rs
+++ b/crates/ploverwick_daemon/src/service.rs
@@ -26,8 +26,9 @@
 use crate::answer::{Entry, Head, PARTS_AHEAD, Part, Sink};
 use crate::chain::{self, Keyed, refuse, remaining};
 use crate::controllers::claims;
-use crate::node::{Node, lock};
-use crate::{entry, joining, listing};
+use crate::lock::lock;
+use crate::node::Node;
+use crate::{joining, listing, reply};
 
 /// Headers that concern one connection, or this daemon alone, and are not passed on.
 const NOT_PASSED: [&str; 9] = [
@@ -63,9 +64,9 @@
             let request = call.request.clone();
             let (sender, parts) = mpsc::channel(PARTS_AHEAD);
             tokio::spawn(run(Arc::clone(node), call, sender));
-            entry::answer(parts, &request, true).await
+            reply::answer(parts, &request, true).await
         }
-        Err(verdict) => entry::error(&verdict, None),
+        Err(verdict) => reply::error(&verdict, None),
     }
 }
 
--- a/crates/ploverwick_daemon/src/status.rs
+++ b/crates/ploverwick_daemon/src/status.rs
@@ -4,8 +4,6 @@
 use ploverwick_owner::endpoint::State;
 use serde::{Deserialize, Serialize};
 
-use crate::node::{Node, lock};
-
 /// The status of a daemon.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Status {
@@ -102,37 +100,3 @@
         }
     }
 }
-
-/// Gathers a daemon's status.
-pub(crate) fn status(node: &Node) -> Status {
-    let members = lock(&node.members);
-    let members = members.members().map(|member| MemberStatus {
-        instance: member.news.life.instance.to_string(),
-        incarnation: member.news.life.incarnation.0,
-        state: member.news.state.name().to_owned(),
-    });
-    let members = members.collect();
-    let listing = node.listing.borrow().clone();
-    let models = listing
-        .endpoints
-        .iter()
-        .filter(|entry| matches!(entry.serves, ploverwick_ports::roster::Serves::Model(_)));
-    let holds = lock(&node.holds);
-    let endpoints = models.map(|entry| EndpointStatus {
-        endpoint: entry.name.clone(),
-        owner: holds.owner(&entry.name).map(ToString::to_string),
-        leaving: entry.state == ploverwick_ports::roster::State::Leaving,
-    });
-    Status {
-        instance: node.life.instance.to_string(),
-        incarnation: node.life.incarnation.0,
-        failure_domain: node.settings.instance.failure_domain.to_string(),
-        draining: node.is_draining(),
-        table: node.in_force.borrow().version,
-        members,
-        endpoints: endpoints.collect(),
-        owned: lock(&node.endpoint_status).values().cloned().collect(),
-        answers: node.answers.len(),
-        scribes: node.scribes.len(),
-    }
-}
--- /dev/null
+++ b/crates/ploverwick_dev/tests/imports_one_way.rs
@@ -0,0 +1,131 @@
+//! No module of a crate needs itself through others: imports by `crate::` go one way.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::path::{Path, PathBuf};
+
+use googletest::prelude::*;
+
+/// The modules of a crate, each with those that it imports.
+type Imports = BTreeMap<String, BTreeSet<String>>;
+
+fn root() -> PathBuf {
+    let here = Path::new(env!("CARGO_MANIFEST_DIR"));
+    here.ancestors()
+        .nth(2)
+        .expect("the crate lies two folders below the root")
+        .to_owned()
+}
+
+/// Lists the source files below a folder.
+fn sources(folder: &Path, found: &mut Vec<PathBuf>) {
+    let Ok(entries) = std::fs::read_dir(folder) else {
+        return;
+    };
+    for entry in entries.flatten() {
+        let path = entry.path();
+        if path.is_dir() {
+            sources(&path, found);
+        } else if path.extension().is_some_and(|end| end == "rs") {
+            found.push(path);
+        }
+    }
+}
+
+/// Reads a crate's modules; the file of `a::b` is `a/b.rs`.
+fn modules(source: &Path) -> BTreeMap<String, String> {
+    let mut files = Vec::new();
+    sources(source, &mut files);
+    let read = files.into_iter().map(|file| {
+        let inside = file.strip_prefix(source).expect("it was found there");
+        let name = inside
+            .with_extension("")
+            .to_string_lossy()
+            .replace('/', "::");
+        let text = std::fs::read_to_string(&file).expect("a source can be read");
+        // Comments may point anywhere.
+        let code = text
+            .lines()
+            .filter(|line| !line.trim_start().starts_with("//"));
+        (name, code.collect::<Vec<_>>().join("\n"))
+    });
+    read.collect()
+}
+
+/// Lists the paths that follow `crate::` in a text, those in braces one by one.
+fn paths(text: &str) -> Vec<String> {
+    let mut paths = Vec::new();
+    for part in text.split("crate::").skip(1) {
+        let is_path = |c: char| c.is_ascii_alphanumeric() || c == '_' || c == ':';
+        let end = part.find(|c| !is_path(c)).unwrap_or(part.len());
+        let (base, rest) = part.split_at(end);
+        match rest.strip_prefix('{').and_then(|rest| rest.split_once('}')) {
+            Some((list, _)) => {
+                let names = list
+                    .split(',')
+                    .map(str::trim)
+                    .filter(|name| !name.is_empty());
+                paths.extend(names.map(|name| format!("{base}{name}")));
+            }
+            None => paths.push(base.to_owned()),
+        }
+    }
+    paths
+}
+
+/// Finds the module that a path names, or lies in.
+fn owner<'a>(path: &str, modules: &'a BTreeMap<String, String>) -> Option<&'a str> {
+    let parts: Vec<&str> = path.split("::").collect();
+    let prefixes = (1..=parts.len())
+        .rev()
+        .map(|count| parts[..count].join("::"));
+    prefixes
+        .filter_map(|prefix| modules.get_key_value(&prefix))
+        .map(|(name, _)| name.as_str())
+        .next()
+}
+
+fn imports(modules: &BTreeMap<String, String>) -> Imports {
+    let mut imports = Imports::new();
+    for (name, text) in modules {
+        let targets = paths(text);
+        let targets = targets.iter().filter_map(|path| owner(path, modules));
+        let others = targets.filter(|target| target != name).map(str::to_owned);
+        imports.insert(name.clone(), others.collect());
+    }
+    imports
+}
+
+/// Takes away modules that need nothing that is left; what remains lies in a circle or needs one.
+fn circle(mut imports: Imports) -> Vec<String> {
+    loop {
+        let left: BTreeSet<String> = imports.keys().cloned().collect();
+        let before = imports.len();
+        imports.retain(|_, needs| needs.iter().any(|need| left.contains(need)));
+        if imports.len() == before {
+            return imports.into_keys().collect();
+        }
+    }
+}
+
+#[googletest::test]
+fn crates_have_none() {
+    let mut folders: Vec<PathBuf> = vec![root().join("platform")];
+    let crates = std::fs::read_dir(root().join("crates")).expect("the folder is there");
+    folders.extend(crates.flatten().map(|entry| entry.path()));
+    for folder in folders {
+        let modules = modules(&folder.join("src"));
+        let found = circle(imports(&modules));
+        expect_that!(found, is_empty(), "in {}", folder.display());
+    }
+}
+
+#[googletest::test]
+fn circle_is_found() {
+    let modules = BTreeMap::from([
+        ("a".to_owned(), "use crate::b::{self, B};".to_owned()),
+        ("b".to_owned(), "use crate::{c, d};".to_owned()),
+        ("c".to_owned(), "crate::a::run()".to_owned()),
+        ("d".to_owned(), String::new()),
+    ]);
+    expect_that!(circle(imports(&modules)), eq(&vec!["a", "b", "c"]));
+}
