--- /dev/null
+++ b/crates/ploverwick_adapters/src/shelf/plan.rs
@@ -0,0 +1,130 @@
+//! What to do next at an endpoint.
+
+use std::time::Duration;
+
+use ploverwick_names::Moment;
+
+use super::{Base, LOOK, REPORT_LAG, Shelf, State, Step};
+use crate::{Copy, Order};
+
+/// The adapters that may be on their way to an endpoint at once, as the platform allows.
+const MOST_COMING: usize = 4;
+/// An adapter used within this time is not unloaded: a request for it may be on its way.
+const FRESH: Duration = Duration::from_millis(250);
+/// How long a wish for an adapter counts; whoever still wants it asks again.
+const WISH_AGE: Duration = Duration::from_millis(1_500);
+
+impl Shelf {
+    /// Decides what to do next; `may_load` says whether another load may begin.
+    pub fn next(&mut self, now: Moment, may_load: bool) -> Step {
+        let Some(orders) = self.orders else {
+            if now < self.report_at {
+                return Step::Wait(self.report_at);
+            }
+            return Step::Report;
+        };
+        if let Some(order) = &self.unanswered {
+            return Step::Send(order.clone());
+        }
+        if let Some(step) = self.next_base(orders, now) {
+            return step;
+        }
+        if self.should_verify(now) {
+            return Step::Report;
+        }
+        if let Some(order) = self.next_look(orders, now) {
+            return Step::Send(order);
+        }
+        if may_load && let Some(order) = self.next_load(orders, now) {
+            return Step::Send(order);
+        }
+        match self.next_look_at() {
+            Some(at) => Step::Wait(at),
+            None if self.wishes.is_empty() => Step::Idle,
+            None => Step::Wait(now + LOOK),
+        }
+    }
+
+    fn next_base(&self, orders: u64, now: Moment) -> Option<Step> {
+        let is_coming = |base: &Base| matches!(base, Base::Coming { .. });
+        if let Some((model, Base::Coming { look_at })) =
+            self.models.iter().find(|(_, base)| is_coming(base))
+        {
+            // The endpoint takes no other order meanwhile.
+            return Some(if *look_at <= now {
+                Step::Send(Order::load_base(model, orders))
+            } else {
+                Step::Wait(*look_at)
+            });
+        }
+        if self.models.values().any(|base| *base == Base::Held) {
+            return None;
+        }
+        match self.models.keys().next() {
+            Some(model) => Some(Step::Send(Order::load_base(model, orders))),
+            None => Some(Step::Idle),
+        }
+    }
+
+    fn next_look(&self, orders: u64, now: Moment) -> Option<Order> {
+        self.places
+            .iter()
+            .find_map(|(copy, place)| match place.state {
+                State::Coming { look_at, .. } if look_at <= now => Some(Order::load(copy, orders)),
+                State::Leaving { look_at } if look_at <= now => Some(Order::unload(copy, orders)),
+                _ => None,
+            })
+    }
+
+    fn next_look_at(&self) -> Option<Moment> {
+        let looks = self.places.values().filter_map(|place| match place.state {
+            State::Coming { look_at, .. } | State::Leaving { look_at } => Some(look_at),
+            State::Held => None,
+        });
+        looks.min()
+    }
+
+    fn next_load(&mut self, orders: u64, now: Moment) -> Option<Order> {
+        let places = &self.places;
+        self.wishes
+            .retain(|wish| now.since(wish.at) < WISH_AGE && !places.contains_key(&wish.copy));
+        // Of equal ones the oldest comes first.
+        let wish = self.wishes.iter().rev().max_by_key(|wish| wish.asks)?;
+        let wish = wish.copy.clone();
+        if self.coming() >= MOST_COMING || !self.has_base(&wish.key.model) {
+            return None;
+        }
+        // An older version goes first, so that the two never need a place each.
+        let older = self.places.iter().find(|(copy, place)| {
+            copy.key == wish.key && copy.version < wish.version && place.state == State::Held
+        });
+        if let Some((older, _)) = older {
+            return Some(Order::unload(older, orders));
+        }
+        if self.taken() < self.capacity {
+            return Some(Order::load(&wish, orders));
+        }
+        self.victim(now)
+            .map(|victim| Order::unload(&victim, orders))
+    }
+
+    /// Counts the places that are taken or may be.
+    pub(super) fn taken(&self) -> usize {
+        self.places.len() + usize::from(self.may_strike) + usize::from(self.may_hold_more)
+    }
+
+    /// Returns whether a report would tell what an assumption left open: reports lag behind, so
+    /// that nothing may have changed for a while.
+    fn should_verify(&self, now: Moment) -> bool {
+        let is_quiet = self.last_order.is_none_or(|at| now.since(at) >= REPORT_LAG);
+        self.may_hold_more && is_quiet && self.coming() == 0
+    }
+
+    pub(super) fn victim(&self, now: Moment) -> Option<Copy> {
+        let unused = self.places.iter().filter(|(_, place)| {
+            place.state == State::Held && place.in_use == 0 && now.since(place.used) >= FRESH
+        });
+        let oldest = unused.min_by_key(|(copy, place)| (place.used, (*copy).clone()));
+        oldest.map(|(copy, _)| copy.clone())
+    }
+}
