Pass over old heartbeats, and let a leaving endpoint stay so

Change: a record with an older heartbeat than one read before is passed over, as is one that was read before its endpoint was taken off the list; whoever leaves stays so in its life, whatever a peer says.

Tests that fail without it: old_heartbeat_ignored, late_heartbeat_ignored, leaving_stays_leaving.

--- a/crates/ploverwick_endpoints/src/entry.rs
+++ b/crates/ploverwick_endpoints/src/entry.rs
@@ -40,4 +40,7 @@
     pub state: State,
     /// What it held when it reported, if it serves models.
     pub held: Vec<Held>,
+    /// The number of the heartbeat that says so; instances do not tell it each other.
+    #[serde(skip)]
+    pub beat: u64,
 }
--- a/crates/ploverwick_endpoints/src/fleet.rs
+++ b/crates/ploverwick_endpoints/src/fleet.rs
@@ -97,9 +97,16 @@
 
 impl Fleet {
     /// Adds an endpoint or takes in its new line of the list.
-    pub fn put(&mut self, entry: Entry) {
+    ///
+    /// One that leaves does not come back in the same life, whatever a late message says.
+    pub fn put(&mut self, mut entry: Entry) {
         match self.members.get_mut(&entry.id) {
-            Some(member) => member.entry = entry,
+            Some(member) => {
+                if member.entry.state == State::Draining {
+                    entry.state = State::Draining;
+                }
+                member.entry = entry;
+            }
             None => {
                 let member = Member {
                     entry,
--- a/crates/ploverwick_endpoints/tests/endpoint_choice.rs
+++ b/crates/ploverwick_endpoints/tests/endpoint_choice.rs
@@ -17,6 +17,7 @@
         slots: 4,
         state: State::Ready,
         held: Vec::new(),
+        beat: 0,
     }
 }
 
@@ -183,3 +184,15 @@
     let away = chosen.filter(|id| **id != *"a").count();
     expect_that!(away, eq(0));
 }
+
+/// A late message of a peer may say "ready" of an endpoint that has begun to leave.
+#[googletest::test]
+fn leaving_stays_leaving() {
+    let mut fleet = fleet();
+    let mut leaving = entry("a", "d1");
+    leaving.state = State::Draining;
+    fleet.put(leaving);
+    fleet.put(entry("a", "d1"));
+    expect_that!(fleet.is_ready("a"), eq(false));
+    expect_that!(first(&fleet, Moment(0)).as_deref(), some(not(eq("a"))));
+}
--- a/crates/ploverwick_gateway/src/controllers/roster.rs
+++ b/crates/ploverwick_gateway/src/controllers/roster.rs
@@ -22,6 +22,9 @@
     absence: Absence,
     /// The lines that were told to the peers of this failure domain.
     told: HashMap<Arc<str>, Entry>,
+    /// The newest heartbeat of each endpoint, those that are gone included: an older one may arrive
+    /// after it.
+    beats: HashMap<Arc<str>, u64>,
 }
 
 /// How long a peer's word on the list counts. With a read's pause and this one a leave is known
@@ -53,6 +56,7 @@
         shared: Arc::clone(&shared),
         absence: Absence::default(),
         told: HashMap::new(),
+        beats: HashMap::new(),
     };
     let feed = Feed {
         topic: ROSTER,
@@ -112,6 +116,10 @@
     fn put(&mut self, id: &str, value: &[u8]) {
         match roster::entry(id, value) {
             Ok(entry) => {
+                if self.is_old(&entry) {
+                    spdlog::info!("heartbeat_old endpoint={} beat={}", entry.id, entry.beat);
+                    return;
+                }
                 self.absence.seen(&entry.id);
                 let now = self.shared.now();
                 let copies = roster::copies(&entry.held);
@@ -126,6 +134,16 @@
         }
     }
 
+    /// Returns whether a newer heartbeat of an endpoint was read before, or this one before it was
+    /// taken off the list.
+    fn is_old(&mut self, entry: &Entry) -> bool {
+        let is_listed = self.shared.state().fleet.entry(&entry.id).is_some();
+        let newest = self.beats.entry(Arc::clone(&entry.id)).or_insert(0);
+        let is_old = entry.beat < *newest || (entry.beat == *newest && !is_listed && *newest > 0);
+        *newest = entry.beat.max(*newest);
+        is_old
+    }
+
     /// Tells the peers of this failure domain what changed; the digest shows them whether they have
     /// all of it.
     fn tell(&mut self) {
@@ -183,6 +201,7 @@
     for held in &mut entry.held {
         held.adapters.clear();
     }
+    entry.beat = 0;
     entry
 }
 
--- a/crates/ploverwick_gateway/tests/leaving.rs
+++ b/crates/ploverwick_gateway/tests/leaving.rs
@@ -9,6 +9,7 @@
 use googletest::prelude::*;
 use http::StatusCode;
 use ploverwick_platform_standin::client::{self, Ask};
+use ploverwick_platform_standin::endpoint::Endpoint;
 
 #[tokio::test]
 async fn draining_gets_none() -> Result<()> {
@@ -84,3 +85,53 @@
     (&mut world.served).await?;
     Ok(())
 }
+
+/// An endpoint's line of the list with the number of its heartbeat.
+fn beat(endpoint: &Endpoint, state: &str, number: u64) -> serde_json::Value {
+    let mut entry = endpoint.entry(state);
+    entry["seq"] = number.into();
+    entry
+}
+
+/// Heartbeats may arrive out of order: what an older one says is past.
+#[tokio::test]
+async fn old_heartbeat_ignored() -> Result<()> {
+    let (a, b) = two_plain().await?;
+    let world = World::with(&[&a, &b]).await?;
+    world.store.list(a.id(), &beat(&a, "draining", 7));
+    tokio::time::sleep(Duration::from_millis(1_200)).await;
+    world.store.list(a.id(), &beat(&a, "ready", 6));
+    tokio::time::sleep(Duration::from_millis(1_200)).await;
+    let before = a.asked();
+    for number in 0..20 {
+        world.ask(&format!("r{number}"), "/safe/").await?;
+    }
+    assert_that!(a.asked(), eq(before));
+    Ok(())
+}
+
+/// A heartbeat that arrives after its endpoint was taken off the list does not bring it back.
+#[tokio::test]
+async fn late_heartbeat_ignored() -> Result<()> {
+    let (a, b) = two_plain().await?;
+    let world = World::with(&[&a, &b]).await?;
+    world.store.list(a.id(), &beat(&a, "ready", 7));
+    tokio::time::sleep(Duration::from_millis(1_200)).await;
+    world.store.unlist(a.id());
+    tokio::time::sleep(Duration::from_millis(1_200)).await;
+    world.store.list(a.id(), &beat(&a, "ready", 7));
+    tokio::time::sleep(Duration::from_millis(1_200)).await;
+    let before = a.asked();
+    for number in 0..20 {
+        world.ask(&format!("r{number}"), "/safe/").await?;
+    }
+    assert_that!(a.asked(), eq(before));
+    // A newer one does: the endpoint had lapsed and is well.
+    world.store.list(a.id(), &beat(&a, "ready", 8));
+    tokio::time::sleep(Duration::from_millis(1_200)).await;
+    for number in 0..20 {
+        world.ask(&format!("back-{number}"), "/safe/").await?;
+    }
+    assert_that!(a.asked(), gt(before));
+    Ok(())
+}
