Log what each repeat of a request rests on

Sight for the incident: the log did not say who granted a repeat and why, so that "a new life has a whole share again", "too few peers are known just after a start" and "requests of an earlier time earned them" could not be told apart. Each repeat that is wanted now leaves a line with the request's identifier, whether it was granted, the requests and repeats that count, how many there may be and the instances that share the allowance; a counter of granted and refused ones stands on the metrics port. No decision changes.

--- a/crates/ploverwick_endpoints/src/budget.rs
+++ b/crates/ploverwick_endpoints/src/budget.rs
@@ -32,6 +32,24 @@
     repeats: u32,
 }
 
+/// What a decision on a repeat rests on.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Account {
+    /// The requests that count.
+    pub requests: u32,
+    /// The repeats that count, without the one that is asked for.
+    pub repeats: u32,
+    /// How many repeats there may be.
+    pub most: f64,
+}
+
+impl Account {
+    /// Returns whether there is a repeat left.
+    pub fn has_room(&self) -> bool {
+        f64::from(self.repeats) + 1.0 <= self.most
+    }
+}
+
 /// The requests and repeats of one service in the recent past.
 #[derive(Debug, Default, Clone)]
 pub struct Budget {
@@ -44,10 +62,10 @@
         self.bucket(now).requests += 1;
     }
 
-    /// Takes a repeat out of the budget; `false` if there is none left.
+    /// Takes a repeat out of the budget if there is one left, and returns what that rests on.
     ///
     /// `instances` is the number of instances that share the allowance.
-    pub fn repeat(&mut self, rate: Rate, instances: usize, now: Moment) -> bool {
+    pub fn repeat(&mut self, rate: Rate, instances: usize, now: Moment) -> Account {
         self.bucket(now);
         // One bucket more than the window is kept, so that a repeat counts a little too long.
         let oldest = now - rate.window - BUCKET;
@@ -57,12 +75,15 @@
         let requests: u32 = self.buckets.iter().map(|b| b.requests).sum();
         let repeats: u32 = self.buckets.iter().map(|b| b.repeats).sum();
         let share = rate.allowance / instances.max(1) as f64;
-        let most = SAFETY * (rate.ratio * f64::from(requests) + share);
-        if f64::from(repeats) + 1.0 > most {
-            return false;
+        let account = Account {
+            requests,
+            repeats,
+            most: SAFETY * (rate.ratio * f64::from(requests) + share),
+        };
+        if account.has_room() {
+            self.bucket(now).repeats += 1;
         }
-        self.bucket(now).repeats += 1;
-        true
+        account
     }
 
     fn bucket(&mut self, now: Moment) -> &mut Bucket {
--- a/crates/ploverwick_endpoints/src/lib.rs
+++ b/crates/ploverwick_endpoints/src/lib.rs
@@ -12,7 +12,7 @@
 mod patience;
 
 pub use absence::Absence;
-pub use budget::{Budget, Rate};
+pub use budget::{Account, Budget, Rate};
 pub use entry::{Entry, Held, State};
 pub use fleet::{Cost, Fleet, Query};
 pub use health::{Health, Outcome};
--- a/crates/ploverwick_endpoints/tests/retry_budget.rs
+++ b/crates/ploverwick_endpoints/tests/retry_budget.rs
@@ -16,7 +16,7 @@
 fn allowance_is_shared() {
     let mut budget = Budget::default();
     let granted = (0..100)
-        .filter(|_| budget.repeat(RATE, 6, Moment(0)))
+        .filter(|_| budget.repeat(RATE, 6, Moment(0)).has_room())
         .count();
     expect_that!(granted, le(10));
     expect_that!(granted, gt(5));
@@ -29,7 +29,7 @@
         budget.request(Moment(100));
     }
     let granted = (0..500)
-        .filter(|_| budget.repeat(RATE, 6, Moment(200)))
+        .filter(|_| budget.repeat(RATE, 6, Moment(200)).has_room())
         .count();
     expect_that!(granted, le(110));
     expect_that!(granted, ge(80));
@@ -45,7 +45,7 @@
         if busy {
             budget.request(Moment(at));
         }
-        if budget.repeat(RATE, 1, Moment(at)) {
+        if budget.repeat(RATE, 1, Moment(at)).has_room() {
             granted.push(at);
         }
     }
--- a/crates/ploverwick_gateway/src/filters/attempt.rs
+++ b/crates/ploverwick_gateway/src/filters/attempt.rs
@@ -62,7 +62,7 @@
             Ok(target) => target,
             Err(reply) => return give_up(shared, &task, history, reply),
         };
-        if history.sent > 0 && !may_repeat(shared, &task) {
+        if history.sent > 0 && !shared.may_repeat(&task.call.id, &task.service) {
             let reply = Reply::new(Code::EndpointRefused, "No repeat is left in the budget.");
             return give_up(shared, &task, history, reply.retry_after(REFUSED));
         }
@@ -179,13 +179,6 @@
     task.route.kind.may_repeat() && runs < task.route.max_attempts
 }
 
-/// Takes a repeat out of the budget.
-fn may_repeat(shared: &Shared, task: &Task) -> bool {
-    let rate = shared.repeat_rate();
-    let now = shared.now();
-    shared.state().may_repeat(&task.service, rate, now)
-}
-
 /// An endpoint does not hold what the directory says, or nothing is known of what it holds.
 fn mislaid(shared: &Shared, target: &Target, history: &mut History) {
     match &target.copy {
--- a/crates/ploverwick_gateway/src/filters/relay.rs
+++ b/crates/ploverwick_gateway/src/filters/relay.rs
@@ -226,7 +226,11 @@
             Some(events) => events.cut(),
             None => return Err(self.broken(cause)),
         };
-        while self.sent < self.task.route.max_attempts && self.may_repeat() {
+        while self.sent < self.task.route.max_attempts
+            && self
+                .shared
+                .may_repeat(&self.task.call.id, &self.task.service)
+        {
             let target = match place::run(&self.shared, &self.task, &self.tried).await {
                 Ok(target) => target,
                 Err(reply) => return Err(self.broken(&reply.detail)),
@@ -258,13 +262,6 @@
         }
         Err(self.broken(cause))
     }
-
-    fn may_repeat(&self) -> bool {
-        let rate = self.shared.repeat_rate();
-        let now = self.shared.now();
-        let mut state = self.shared.state();
-        state.may_repeat(&self.task.service, rate, now)
-    }
 }
 
 /// Cuts a stream into whole events and remembers the last one's identifier.
--- a/crates/ploverwick_gateway/src/metrics.rs
+++ b/crates/ploverwick_gateway/src/metrics.rs
@@ -91,6 +91,12 @@
     counter!("ploverwick_sends_total", "ending" => ending).increment(1);
 }
 
+/// Counts a repeat that was wanted, by whether the budget had one left.
+pub(crate) fn repeat(is_granted: bool) {
+    let ending = if is_granted { "granted" } else { "refused" };
+    counter!("ploverwick_repeats_total", "ending" => ending).increment(1);
+}
+
 /// Counts an order, by the endpoint's answer.
 pub(crate) fn order(answer: &'static str) {
     counter!("ploverwick_orders_total", "answer" => answer).increment(1);
--- a/crates/ploverwick_gateway/src/shared.rs
+++ b/crates/ploverwick_gateway/src/shared.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use ploverwick_adapters::{Copy, Directory, Pace, Placer, Tenure, Terms};
-use ploverwick_endpoints::{Budget, Fleet, Rate};
+use ploverwick_endpoints::{Account, Budget, Fleet, Rate};
 use ploverwick_limits::Rates;
 use ploverwick_names::Moment;
 use ploverwick_platform::settings::Settings;
@@ -21,6 +21,7 @@
 use crate::clock::Clock;
 use crate::journal::Lines;
 use crate::mail::Mail;
+use crate::metrics;
 use crate::outbox::Outbox;
 use crate::pool::Pool;
 
@@ -181,8 +182,29 @@
         state.tenure.is_held(now) || state.rank(&self.settings, now) < STANDBYS
     }
 
+    /// Takes a repeat of a request out of its service's budget; `false` if there is none left.
+    pub(crate) fn may_repeat(&self, id: &str, service: &Arc<str>) -> bool {
+        let now = self.now();
+        let (account, instances) = self.state().repeat(service, self.repeat_rate(), now);
+        let is_granted = account.has_room();
+        metrics::repeat(is_granted);
+        if self.lines.allow(now) {
+            spdlog::info!(
+                "request_repeated id={} service={} granted={} requests={} repeats={} most={:.1} instances={}",
+                id,
+                service,
+                is_granted,
+                account.requests,
+                account.repeats,
+                account.most,
+                instances
+            );
+        }
+        is_granted
+    }
+
     /// Returns the bound on repeats.
-    pub(crate) fn repeat_rate(&self) -> Rate {
+    fn repeat_rate(&self) -> Rate {
         Rate {
             ratio: self.settings.repeat_ratio,
             allowance: self.settings.repeat_allowance,
@@ -235,10 +257,10 @@
         };
     }
 
-    /// Takes a repeat of a request to a service out of the budget.
-    pub(crate) fn may_repeat(&mut self, service: &Arc<str>, rate: Rate, now: Moment) -> bool {
+    /// Takes a repeat of a request to a service out of the budget, and returns what that rests on.
+    fn repeat(&mut self, service: &Arc<str>, rate: Rate, now: Moment) -> (Account, usize) {
         let instances = self.peers.len() + 1;
         let budget = self.budgets.entry(Arc::clone(service)).or_default();
-        budget.repeat(rate, instances, now)
+        (budget.repeat(rate, instances, now), instances)
     }
 }
