--- a/crates/ploverwick_endpoints/src/budget.rs
+++ b/crates/ploverwick_endpoints/src/budget.rs
@@ -8,6 +8,8 @@
 
 use ploverwick_names::Moment;
 
+use crate::Sharers;
+
 /// How finely requests are counted in time.
 const BUCKET: Duration = Duration::from_millis(500);
 
@@ -64,8 +66,8 @@
 
     /// Takes a repeat out of the budget if there is one left, and returns what that rests on.
     ///
-    /// `instances` is the number of instances that share the allowance.
-    pub fn repeat(&mut self, rate: Rate, instances: usize, now: Moment) -> Account {
+    /// `sharers` are those that share the allowance.
+    pub fn repeat(&mut self, rate: Rate, sharers: &Sharers, now: Moment) -> Account {
         self.bucket(now);
         // One bucket more than the window is kept, so that a repeat counts a little too long.
         let oldest = now - rate.window - BUCKET;
@@ -74,11 +76,10 @@
         }
         let requests: u32 = self.buckets.iter().map(|b| b.requests).sum();
         let repeats: u32 = self.buckets.iter().map(|b| b.repeats).sum();
-        let share = rate.allowance / instances.max(1) as f64;
         let account = Account {
             requests,
             repeats,
-            most: SAFETY * (rate.ratio * f64::from(requests) + share),
+            most: SAFETY * (rate.ratio * f64::from(requests) + sharers.share(rate, now)),
         };
         if account.has_room() {
             self.bucket(now).repeats += 1;
--- a/crates/ploverwick_endpoints/src/lib.rs
+++ b/crates/ploverwick_endpoints/src/lib.rs
@@ -10,6 +10,7 @@
 mod health;
 mod load;
 mod patience;
+mod sharers;
 
 pub use absence::Absence;
 pub use budget::{Account, Budget, Rate};
@@ -18,3 +19,4 @@
 pub use health::{Health, Outcome};
 pub use load::Load;
 pub use patience::patience;
+pub use sharers::Sharers;
--- a/crates/ploverwick_endpoints/tests/retry_budget.rs
+++ b/crates/ploverwick_endpoints/tests/retry_budget.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use ploverwick_endpoints::{Budget, Rate};
+use ploverwick_endpoints::{Budget, Rate, Sharers};
 use ploverwick_names::Moment;
 
 const RATE: Rate = Rate {
@@ -12,11 +12,22 @@
     window: Duration::from_secs(10),
 };
 
+/// More than a window after the number of instances became known.
+const LATER: Moment = Moment(20_000);
+
+/// Returns what an instance knows that has known for long that there are so many.
+fn shared_by(instances: usize) -> Sharers {
+    let mut sharers = Sharers::default();
+    sharers.heard(instances, RATE, Moment(0));
+    sharers
+}
+
 #[googletest::test]
 fn allowance_is_shared() {
+    let sharers = shared_by(6);
     let mut budget = Budget::default();
     let granted = (0..100)
-        .filter(|_| budget.repeat(RATE, 6, Moment(0)).has_room())
+        .filter(|_| budget.repeat(RATE, &sharers, LATER).has_room())
         .count();
     expect_that!(granted, le(10));
     expect_that!(granted, gt(5));
@@ -24,12 +35,17 @@
 
 #[googletest::test]
 fn requests_earn_repeats() {
+    let sharers = shared_by(6);
     let mut budget = Budget::default();
     for _ in 0..500 {
-        budget.request(Moment(100));
+        budget.request(LATER);
     }
     let granted = (0..500)
-        .filter(|_| budget.repeat(RATE, 6, Moment(200)).has_room())
+        .filter(|_| {
+            budget
+                .repeat(RATE, &sharers, LATER + Duration::from_millis(100))
+                .has_room()
+        })
         .count();
     expect_that!(granted, le(110));
     expect_that!(granted, ge(80));
@@ -39,13 +55,14 @@
 #[googletest::test]
 fn every_window_holds() {
     let mut budget = Budget::default();
+    let sharers = shared_by(1);
     let mut granted: Vec<u64> = Vec::new();
     for at in (0..60_000).step_by(50) {
         let busy = (at / 7_000) % 2 == 0;
         if busy {
             budget.request(Moment(at));
         }
-        if budget.repeat(RATE, 1, Moment(at)).has_room() {
+        if budget.repeat(RATE, &sharers, Moment(at)).has_room() {
             granted.push(at);
         }
     }
--- a/crates/ploverwick_gateway/src/shared.rs
+++ b/crates/ploverwick_gateway/src/shared.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use ploverwick_adapters::{Copy, Directory, Pace, Placer, Tenure, Terms};
-use ploverwick_endpoints::{Account, Budget, Fleet, Rate};
+use ploverwick_endpoints::{Account, Budget, Fleet, Rate, Sharers};
 use ploverwick_limits::Rates;
 use ploverwick_names::Moment;
 use ploverwick_platform::settings::Settings;
@@ -71,6 +71,8 @@
     /// The base models that were loaded lately in this failure domain.
     pub(crate) base_loads: Pace,
     pub(crate) budgets: HashMap<Arc<str>, Budget>,
+    /// The instances that share what the budgets allow whatever the number of requests.
+    pub(crate) sharers: Sharers,
     pub(crate) peers: HashMap<Arc<str>, Peer>,
     /// This instance's requests under way, by endpoint and adapter; 0 for one that ended since the
     /// placers were told.
@@ -126,6 +128,7 @@
             tenure: Tenure::new(terms, !settings.first_start, clock.now()),
             base_loads: Pace::default(),
             budgets: HashMap::new(),
+            sharers: Sharers::default(),
             peers: HashMap::new(),
             uses: HashMap::new(),
         };
@@ -185,7 +188,10 @@
     /// Takes a repeat of a request out of its service's budget; `false` if there is none left.
     pub(crate) fn may_repeat(&self, id: &str, service: &Arc<str>) -> bool {
         let now = self.now();
-        let (account, instances) = self.state().repeat(service, self.repeat_rate(), now);
+        let mut state = self.state();
+        let account = state.repeat(service, self.repeat_rate(), now);
+        let instances = state.peers.len() + 1;
+        drop(state);
         let is_granted = account.has_room();
         metrics::repeat(is_granted);
         if self.lines.allow(now) {
@@ -258,9 +264,9 @@
     }
 
     /// Takes a repeat of a request to a service out of the budget, and returns what that rests on.
-    fn repeat(&mut self, service: &Arc<str>, rate: Rate, now: Moment) -> (Account, usize) {
-        let instances = self.peers.len() + 1;
+    fn repeat(&mut self, service: &Arc<str>, rate: Rate, now: Moment) -> Account {
+        self.sharers.heard(self.peers.len() + 1, rate, now);
         let budget = self.budgets.entry(Arc::clone(service)).or_default();
-        (budget.repeat(rate, instances, now), instances)
+        budget.repeat(rate, &self.sharers, now)
     }
 }
