Keep the bound on repeats whatever processes start and end

Cause: the budget of repeats lived in the memory of one process. A process that ended forgot what it had spent; the next one had a whole part of the fixed allowance again, and earned repeats from its own requests while those that its predecessor had spent in advance were still in the window. Two instances that stopped in order also left the others a larger part at once.

Change: what a request earns lapses after 1.5 s, so that all that is spent in a window was earned in it or just before, whoever's process earned it; no memory is needed. The fixed allowance goes by the largest number of instances of the last window, and a process that has not been listed for a window has none of it. What is not earned comes out of the allowance in fractions, so that small instances lose nothing to rounding. Requests that earn no more are forgotten also where nothing is repeated; before they were kept until the next repeat. An instance whose line in the list was taken away by a late call of its earlier life lists itself again.

`calm_fleet_spends_share` passed before and passes.

--- a/crates/ploverwick_endpoints/src/budget.rs
+++ b/crates/ploverwick_endpoints/src/budget.rs
@@ -1,7 +1,13 @@
 //! A budget for sends beyond the first of each request.
 //!
-//! The bound holds over the sum of all instances. Each one keeps below its own requests' share and
-//! an even part of the fixed allowance, so that no message is needed to keep the sum.
+//! The bound holds over the sum of all instances in any window, whatever processes start and end
+//! meanwhile, and no message is needed to keep the sum. Two parts of it rest on no memory of an earlier
+//! process:
+//!
+//! - A request earns a part of a repeat, which lapses soon. What is spent in a window was earned in it
+//!   or just before, by whichever process.
+//! - Of the fixed allowance each instance has an even part, once its process has run for a window: what
+//!   an earlier process spent of it has left the window by then.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -10,10 +16,15 @@
 
 use crate::Sharers;
 
-/// How finely requests are counted in time.
-const BUCKET: Duration = Duration::from_millis(500);
+/// How finely time is counted.
+const BUCKET: Duration = Duration::from_millis(250);
+
+/// How long a request earns for repeats. It lets as much be spent in a window of ten seconds as 11.5
+/// seconds of requests earn; [`SAFETY`] makes up for that.
+const EARNING: Duration = Duration::from_millis(1_500);
 
-/// The part of the bound that is used; the rest covers requests that count later elsewhere.
+/// The part of the bound that is used: 0.85 of 11.5 seconds of requests are below ten. The rest covers
+/// repeats that arrive later than they were sent.
 const SAFETY: f64 = 0.85;
 
 /// The bound on repeats.
@@ -27,78 +38,105 @@
     pub window: Duration,
 }
 
-#[derive(Debug, Clone, Copy)]
-struct Bucket {
-    start: Moment,
-    requests: u32,
-    repeats: u32,
-}
-
-/// What a decision on a repeat rests on.
+/// What a decision on a repeat rests on, in repeats.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Account {
-    /// The requests that count.
-    pub requests: u32,
-    /// The repeats that count, without the one that is asked for.
-    pub repeats: u32,
-    /// How many repeats there may be.
-    pub most: f64,
+    /// What requests have earned lately and is not spent.
+    pub earned: f64,
+    /// What was taken out of the allowance in the window.
+    pub spent: f64,
+    /// This instance's part of the allowance.
+    pub share: f64,
 }
 
 impl Account {
-    /// Returns whether there is a repeat left.
+    /// Returns whether there is a repeat left: what is not earned comes out of the allowance.
     pub fn has_room(&self) -> bool {
-        f64::from(self.repeats) + 1.0 <= self.most
+        let missing = self.missing();
+        missing <= 0.0 || self.spent + missing <= self.share
+    }
+
+    /// Returns the part of a repeat that is not earned.
+    fn missing(&self) -> f64 {
+        (1.0 - self.earned).max(0.0)
     }
 }
 
+/// An amount that was counted from a moment on.
+#[derive(Debug, Clone, Copy)]
+struct Bucket {
+    start: Moment,
+    amount: f64,
+}
+
 /// The requests and repeats of one service in the recent past.
 #[derive(Debug, Default, Clone)]
 pub struct Budget {
-    buckets: VecDeque<Bucket>,
+    /// Requests that may still earn.
+    requests: VecDeque<Bucket>,
+    /// Repeats that were taken out of the allowance.
+    spent: VecDeque<Bucket>,
 }
 
 impl Budget {
     /// Counts a request.
     pub fn request(&mut self, now: Moment) {
-        self.bucket(now).requests += 1;
+        self.lapse(now);
+        add(&mut self.requests, 1.0, now);
     }
 
     /// Takes a repeat out of the budget if there is one left, and returns what that rests on.
     ///
     /// `sharers` are those that share the allowance.
     pub fn repeat(&mut self, rate: Rate, sharers: &Sharers, now: Moment) -> Account {
-        self.bucket(now);
-        // One bucket more than the window is kept, so that a repeat counts a little too long.
-        let oldest = now - rate.window - BUCKET;
-        while self.buckets.front().is_some_and(|b| b.start < oldest) {
-            self.buckets.pop_front();
-        }
-        let requests: u32 = self.buckets.iter().map(|b| b.requests).sum();
-        let repeats: u32 = self.buckets.iter().map(|b| b.repeats).sum();
+        self.lapse(now);
+        // A repeat at the end of its bucket counts for the whole window.
+        drop_until(&mut self.spent, now - rate.window - BUCKET);
         let account = Account {
-            requests,
-            repeats,
-            most: SAFETY * (rate.ratio * f64::from(requests) + sharers.share(rate, now)),
+            earned: SAFETY * rate.ratio * sum(&self.requests),
+            spent: sum(&self.spent),
+            share: SAFETY * sharers.share(rate, now),
         };
         if account.has_room() {
-            self.bucket(now).repeats += 1;
+            let missing = account.missing();
+            if missing < 1.0 {
+                self.use_up((1.0 - missing) / (SAFETY * rate.ratio));
+            }
+            if missing > 0.0 {
+                add(&mut self.spent, missing, now);
+            }
         }
         account
     }
 
-    fn bucket(&mut self, now: Moment) -> &mut Bucket {
-        let is_current = self
-            .buckets
-            .back()
-            .is_some_and(|b| now.since(b.start) < BUCKET);
-        if !is_current {
-            self.buckets.push_back(Bucket {
-                start: now,
-                requests: 0,
-                repeats: 0,
-            });
+    fn lapse(&mut self, now: Moment) {
+        drop_until(&mut self.requests, now - EARNING);
+    }
+
+    /// Uses requests up, the oldest first.
+    fn use_up(&mut self, mut requests: f64) {
+        for bucket in &mut self.requests {
+            let used = bucket.amount.min(requests);
+            bucket.amount -= used;
+            requests -= used;
         }
-        self.buckets.back_mut().expect("a bucket was just pushed")
+    }
+}
+
+fn sum(buckets: &VecDeque<Bucket>) -> f64 {
+    buckets.iter().map(|bucket| bucket.amount).sum()
+}
+
+/// Drops the buckets that start before a moment.
+fn drop_until(buckets: &mut VecDeque<Bucket>, moment: Moment) {
+    while buckets.front().is_some_and(|b| b.start < moment) {
+        buckets.pop_front();
+    }
+}
+
+fn add(buckets: &mut VecDeque<Bucket>, amount: f64, now: Moment) {
+    match buckets.back_mut() {
+        Some(last) if now.since(last.start) < BUCKET => last.amount += amount,
+        Some(_) | None => buckets.push_back(Bucket { start: now, amount }),
     }
 }
--- a/crates/ploverwick_endpoints/tests/budget_restart.rs
+++ b/crates/ploverwick_endpoints/tests/budget_restart.rs
@@ -14,6 +14,8 @@
 use googletest::prelude::*;
 use ploverwick_endpoints::{Budget, Rate, Sharers};
 use ploverwick_names::Moment;
+use rand::rngs::StdRng;
+use rand::{RngExt as _, SeedableRng as _};
 
 const RATE: Rate = Rate {
     ratio: 0.2,
@@ -39,6 +41,10 @@
 enum Event {
     /// Its process ends at once; another follows.
     Kill(usize),
+    /// It stops in order, so that the others no longer list it; another process follows.
+    Stop(usize),
+    /// It is new.
+    Join(usize),
 }
 
 /// Instances that take turns in serving, and what they did.
@@ -89,6 +95,12 @@
                 self.lives[index] = None;
                 self.back_at[index] = Some(at + GONE_MS);
             }
+            Event::Stop(index) => {
+                self.lives[index] = None;
+                self.is_listed[index] = false;
+                self.back_at[index] = Some(at + GONE_MS);
+            }
+            Event::Join(count) => (0..count).for_each(|_| self.add()),
         }
         self.hear(at);
     }
@@ -172,6 +184,46 @@
     expect_that!(fleet.excess(), le(0.0));
 }
 
+#[googletest::test]
+fn rolling_restart_keeps_bound() {
+    let mut fleet = Fleet::new(6);
+    let stops = (0..12_usize).map(|turn| (14_000 + 2_000 * turn as u64 / 2, Event::Stop(turn % 6)));
+    let events: Vec<_> = stops.collect();
+    fleet.play(&events, 12_000, 45_000);
+    expect_that!(fleet.excess(), le(0.0));
+}
+
+#[googletest::test]
+fn newcomers_keep_bound() {
+    let mut fleet = Fleet::new(6);
+    fleet.play(&[(18_000, Event::Join(6))], 12_000, 45_000);
+    expect_that!(fleet.excess(), le(0.0));
+}
+
+/// Any series of kills, stops and joins, drawn from fixed seeds.
+#[googletest::test]
+fn any_series_keeps_bound() {
+    for seed in 0..40 {
+        let mut random = StdRng::seed_from_u64(seed);
+        let instances = random.random_range(2..9);
+        let mut fleet = Fleet::new(instances);
+        let mut events = Vec::new();
+        for _ in 0..random.random_range(1..30) {
+            let at = random.random_range(5_000..40_000);
+            let index = random.random_range(0..instances);
+            let event = match random.random_range(0..9) {
+                0..5 => Event::Kill(index),
+                5..8 => Event::Stop(index),
+                _ => Event::Join(1),
+            };
+            events.push((at, event));
+        }
+        events.sort_by_key(|(at, _)| *at);
+        fleet.play(&events, 12_000, 50_000);
+        expect_that!(fleet.excess(), le(0.0), "seed {seed}");
+    }
+}
+
 /// Where nothing starts, nearly all that the bound allows is granted.
 #[googletest::test]
 fn calm_fleet_spends_share() {
--- a/crates/ploverwick_gateway/src/controllers/instances.rs
+++ b/crates/ploverwick_gateway/src/controllers/instances.rs
@@ -103,41 +103,59 @@
     .await;
 }
 
-fn replace(shared: &Shared, records: &[Record]) {
-    take(shared, records);
+fn replace(shared: &Arc<Shared>, records: &[Record]) {
     let listed: HashSet<&str> = records.iter().map(|record| &*record.key).collect();
     let mut state = shared.state();
     state.peers.retain(|name, _| listed.contains(&**name));
+    drop(state);
+    take(shared, records);
 }
 
-fn take(shared: &Shared, records: &[Record]) {
+fn take(shared: &Arc<Shared>, records: &[Record]) {
     for record in records {
-        if record.key == *shared.settings.instance {
-            continue;
-        }
-        let Some(value) = &record.value else {
-            shared.state().peers.remove(&*record.key);
-            spdlog::info!("instance_left instance={}", record.key);
-            continue;
-        };
-        match serde_json::from_slice::<Line>(value) {
-            Ok(line) => {
-                let mut state = shared.state();
-                let peer = state.peers.entry(Arc::from(&*record.key));
-                let peer = peer.or_insert_with(|| Peer {
-                    ip: line.ip,
-                    domain: Arc::clone(&line.domain),
-                    heard: None,
-                    places: None,
-                    waiting: 0,
-                });
-                peer.ip = line.ip;
-                peer.domain = line.domain;
-                spdlog::info!("instance_listed instance={} ip={}", record.key, line.ip);
+        match &record.value {
+            Some(_) if record.key == *shared.settings.instance => {
+                shared.state().is_listed = true;
             }
-            Err(error) => {
-                spdlog::warn!("instance_malformed key={} cause=\"{}\"", record.key, error);
+            None if record.key == *shared.settings.instance => list_again(shared),
+            Some(value) => take_line(shared, &record.key, value),
+            None => {
+                shared.state().peers.remove(&*record.key);
+                spdlog::info!("instance_left instance={}", record.key);
             }
         }
     }
+    shared.count_sharers(&mut shared.state());
+}
+
+/// Lists this instance again after its line was taken away, as an earlier life's last call may do late.
+fn list_again(shared: &Arc<Shared>) {
+    if shared.is_stopping() {
+        return;
+    }
+    spdlog::info!("line_lost instance={}", shared.settings.instance);
+    let token = shared.state().tenure.token(shared.now());
+    tokio::spawn(enlist(Arc::clone(shared), token));
+}
+
+fn take_line(shared: &Shared, name: &str, value: &[u8]) {
+    let line = match serde_json::from_slice::<Line>(value) {
+        Ok(line) => line,
+        Err(error) => {
+            spdlog::warn!("instance_malformed key={} cause=\"{}\"", name, error);
+            return;
+        }
+    };
+    spdlog::info!("instance_listed instance={} ip={}", name, line.ip);
+    let mut state = shared.state();
+    let peer = state.peers.entry(Arc::from(name));
+    let peer = peer.or_insert_with(|| Peer {
+        ip: line.ip,
+        domain: Arc::clone(&line.domain),
+        heard: None,
+        places: None,
+        waiting: 0,
+    });
+    peer.ip = line.ip;
+    peer.domain = line.domain;
 }
--- a/crates/ploverwick_gateway/src/listen.rs
+++ b/crates/ploverwick_gateway/src/listen.rs
@@ -63,6 +63,7 @@
                 waiting,
             };
             state.peers.insert(Arc::clone(&instance), peer);
+            shared.count_sharers(&mut state);
             let loads = loads.into_iter().map(|load| {
                 let counts = load.counts();
                 (load.endpoint, counts)
--- a/crates/ploverwick_gateway/src/shared.rs
+++ b/crates/ploverwick_gateway/src/shared.rs
@@ -74,6 +74,8 @@
     /// The instances that share what the budgets allow whatever the number of requests.
     pub(crate) sharers: Sharers,
     pub(crate) peers: HashMap<Arc<str>, Peer>,
+    /// This instance was seen in the list of instances, so that the others know of it.
+    pub(crate) is_listed: bool,
     /// This instance's requests under way, by endpoint and adapter; 0 for one that ended since the
     /// placers were told.
     pub(crate) uses: HashMap<(Arc<str>, Copy), u32>,
@@ -130,6 +132,7 @@
             budgets: HashMap::new(),
             sharers: Sharers::default(),
             peers: HashMap::new(),
+            is_listed: false,
             uses: HashMap::new(),
         };
         Self {
@@ -190,25 +193,35 @@
         let now = self.now();
         let mut state = self.state();
         let account = state.repeat(service, self.repeat_rate(), now);
-        let instances = state.peers.len() + 1;
+        let instances = state.sharers.most(self.repeat_rate(), now);
         drop(state);
         let is_granted = account.has_room();
         metrics::repeat(is_granted);
         if self.lines.allow(now) {
             spdlog::info!(
-                "request_repeated id={} service={} granted={} requests={} repeats={} most={:.1} instances={}",
+                "request_repeated id={} service={} granted={} earned={:.2} spent={:.2} share={:.2} instances={:?}",
                 id,
                 service,
                 is_granted,
-                account.requests,
-                account.repeats,
-                account.most,
+                account.earned,
+                account.spent,
+                account.share,
                 instances
             );
         }
         is_granted
     }
 
+    /// Takes in that the list of instances may have changed.
+    pub(crate) fn count_sharers(&self, state: &mut State) {
+        if state.is_listed {
+            let instances = state.peers.len() + 1;
+            state
+                .sharers
+                .heard(instances, self.repeat_rate(), self.now());
+        }
+    }
+
     /// Returns the bound on repeats.
     fn repeat_rate(&self) -> Rate {
         Rate {
@@ -265,7 +278,6 @@
 
     /// Takes a repeat of a request to a service out of the budget, and returns what that rests on.
     fn repeat(&mut self, service: &Arc<str>, rate: Rate, now: Moment) -> Account {
-        self.sharers.heard(self.peers.len() + 1, rate, now);
         let budget = self.budgets.entry(Arc::clone(service)).or_default();
         budget.repeat(rate, &self.sharers, now)
     }
--- a/crates/ploverwick_gateway/tests/common/mod.rs
+++ b/crates/ploverwick_gateway/tests/common/mod.rs
@@ -57,9 +57,16 @@
         })
     }
 
-    /// Starts a gateway with a configuration and endpoints, and waits until it is ready.
+    /// Starts a gateway with a configuration and endpoints, and waits until it is ready. Each request
+    /// earns a repeat, so that what may be sent again is not bounded by what came before.
     pub async fn with(endpoints: &[&Endpoint]) -> Result<Self> {
-        let world = Self::bare().await?;
+        Self::earning(endpoints, 2.0).await
+    }
+
+    /// Starts it where each request earns so many repeats.
+    pub async fn earning(endpoints: &[&Endpoint], repeats: f64) -> Result<Self> {
+        let store = Store::start().await?;
+        let world = Self::changed(store, |settings| settings.repeat_ratio = repeats).await?;
         for endpoint in endpoints {
             world.store.list(endpoint.id(), &endpoint.entry("ready"));
         }
