Log by what a request's version was judged, and how it was learned

Seen: requests begin on versions that were replaced more than 5 s before. The log did not tell whether the version was chosen by a wrong age, with a late limit, or by an instance that had not heard.

request_answered and request_failed now say how long ago the version was replaced as far as the instance knew, when it was sent and its limit; version_declared says how it was learned, and its offset in the topic. No decision is changed.

--- a/crates/ploverwick_gateway/src/controllers/operator.rs
+++ b/crates/ploverwick_gateway/src/controllers/operator.rs
@@ -24,13 +24,14 @@
         is_told: feed::never,
     };
     feed::follow(&shared, feed, |news| match news {
-        News::Whole(records) | News::Next(records) => take(&shared, records),
+        News::Whole(records) => take(&shared, records, "whole"),
+        News::Next(records) => take(&shared, records, "next"),
         News::Away => {}
     })
     .await;
 }
 
-fn take(shared: &Arc<Shared>, records: &[Record]) {
+fn take(shared: &Arc<Shared>, records: &[Record], learned: &'static str) {
     for record in records {
         let Some(value) = &record.value else {
             continue;
@@ -38,7 +39,7 @@
         if record.key == CONFIG_KEY {
             take_config(shared, value);
         } else {
-            take_version(shared, &record.key, value);
+            take_version(shared, record, value, learned);
         }
     }
 }
@@ -67,7 +68,8 @@
     shared.orders.notify_waiters();
 }
 
-fn take_version(shared: &Arc<Shared>, key: &str, value: &[u8]) {
+fn take_version(shared: &Arc<Shared>, record: &Record, value: &[u8], learned: &'static str) {
+    let key = &record.key;
     let copy = match version::decode(key, value) {
         Ok(Some(copy)) => copy,
         Ok(None) => return,
@@ -84,10 +86,13 @@
     let held_older = state.directory.older(&copy.key, copy.version);
     drop(state);
     spdlog::info!(
-        "version_declared adapter={} version={} older_held={:?}",
+        "version_declared adapter={} version={} older_held={:?} learned={} offset={} at={}",
         copy.key,
         copy.version,
-        held_older
+        held_older,
+        learned,
+        record.offset,
+        now.0
     );
     // What is in use is loaded before the next request asks for it.
     if held_older.is_some() {
--- a/crates/ploverwick_gateway/src/filters/attempt.rs
+++ b/crates/ploverwick_gateway/src/filters/attempt.rs
@@ -6,6 +6,7 @@
 use http::{Response, StatusCode};
 use ploverwick_codes::Code;
 use ploverwick_endpoints::{Outcome, patience};
+use ploverwick_names::Moment;
 use tokio::time::Instant;
 
 use super::place::{self, Target};
@@ -37,6 +38,33 @@
     answer: Option<Response<Body>>,
     /// Where the time went so far.
     spent: Spent,
+    /// What the last send went out with.
+    aim: Option<Aim>,
+}
+
+/// The version that a send names, and what bounds it; for the log.
+#[derive(Debug, Clone, Copy)]
+struct Aim {
+    version: Option<u64>,
+    /// How long ago the version was replaced, as far as this instance knew.
+    replaced: Option<Duration>,
+    /// When it went out, counted from the start of the process.
+    at: Moment,
+    /// How long its answer was awaited at most.
+    limit: Duration,
+}
+
+impl std::fmt::Display for Aim {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let version = self.version.unwrap_or_default();
+        let replaced = self.replaced.map(|age| age.as_millis());
+        let limit = self.limit.as_millis();
+        let at = self.at.0;
+        write!(
+            f,
+            "version={version} replaced_ms={replaced:?} sent_at={at} limit_ms={limit}"
+        )
+    }
 }
 
 /// The time that a request took up to now, by cause.
@@ -68,6 +96,12 @@
         }
         let limit = limit(&task, &target, &history);
         let begun = Instant::now();
+        history.aim = Some(Aim {
+            version: target.copy.as_ref().map(|copy| copy.version),
+            replaced: target.replaced,
+            at: shared.now(),
+            limit: limit.saturating_duration_since(begun),
+        });
         let sent = send::run(shared, &task, &target, limit, None).await;
         history.spent.answering = begun.elapsed();
         match settle(shared, &task, &target, &mut history, sent).await {
@@ -217,7 +251,7 @@
     };
     if shared.lines.allow(shared.now()) {
         spdlog::info!(
-            "request_failed id={} route={} service={} config={} adapter={} sent={} runs={} refusals={} except={:?} code={} detail=\"{}\" left_ms={} placing_ms={} in_vain_ms={} ms={}",
+            "request_failed id={} route={} service={} config={} adapter={} sent={} runs={} refusals={} except={:?} {} code={} detail=\"{}\" left_ms={} placing_ms={} in_vain_ms={} ms={}",
             task.call.id,
             task.route.name,
             task.service,
@@ -227,6 +261,7 @@
             history.runs,
             history.refusals,
             history.except,
+            aim(&history),
             reply.code,
             reply.detail,
             task.left().as_millis(),
@@ -243,15 +278,20 @@
     adapter.map_or_else(|| "-".to_owned(), ToString::to_string)
 }
 
+fn aim(history: &History) -> String {
+    let aim = history.aim.as_ref();
+    aim.map_or_else(|| "version=0".to_owned(), ToString::to_string)
+}
+
 fn log(shared: &Shared, task: &Task, target: &Target, history: &History, status: StatusCode) {
     if shared.lines.allow(shared.now()) {
         spdlog::info!(
-            "request_answered id={} route={} config={} adapter={} version={:?} endpoint={} domain={} cost={:.1} prompt={} load={} reading={} sent={} status={} placing_ms={} in_vain_ms={} answering_ms={} ms={}",
+            "request_answered id={} route={} config={} adapter={} {} endpoint={} domain={} cost={:.1} prompt={} load={} reading={} sent={} status={} placing_ms={} in_vain_ms={} answering_ms={} ms={}",
             task.call.id,
             task.route.name,
             task.config,
             adapter(task),
-            target.copy.as_ref().map(|copy| copy.version),
+            aim(history),
             target.entry.id,
             target.entry.domain,
             target.cost.0,
--- a/crates/ploverwick_gateway/src/filters/place.rs
+++ b/crates/ploverwick_gateway/src/filters/place.rs
@@ -45,6 +45,8 @@
     pub(crate) cost: Cost,
     /// When a request for an adapter that has not begun is taken back, as its version may be replaced.
     pub(crate) begin_by: Option<Instant>,
+    /// How long ago the version was replaced when it was chosen; `None` if it was the newest.
+    pub(crate) replaced: Option<Duration>,
     /// What was known to be under way there.
     pub(crate) load: Load,
     /// How long the answer was expected to take to begin.
@@ -131,6 +133,7 @@
         entry,
         copy: None,
         begin_by: None,
+        replaced: None,
         cost,
         load,
         expected,
@@ -210,6 +213,7 @@
         entry,
         copy: Some(held),
         begin_by: Some(shared.clock.instant(begin_by)),
+        replaced: replaced.map(|since| now.since(since)),
         cost,
         load,
         expected,
