Judge a version from the first newer one, as early as cannot be ruled out

Cause: the directory kept one declaration for each adapter with the moment at which it was read. A newer one, a start, or a read after an outage gave every older version the whole bound again; an instance whose connection to the store was silent counted from its own send.

A read that lags for 300 ms behind what peers tell is given up with the kept connections; before, the waiting read was dropped at the first such word. - A call to the store that is silent drops the kept connections too. - A request on its way is held to the bound from a declaration that is heard of meanwhile.

The tests of older_version name the moment as Since::NotBefore now; what they expect is unchanged.

--- a/crates/ploverwick_adapters/src/directory.rs
+++ b/crates/ploverwick_adapters/src/directory.rs
@@ -7,7 +7,7 @@
 use ploverwick_names::Moment;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::{Copy, Key};
+use crate::{Copy, Key, Lineage, Since};
 
 /// How long a placer's word goes before the platform's list, which lags behind.
 const WORD_AGE: Duration = Duration::from_secs(4);
@@ -32,7 +32,7 @@
     /// The endpoints that unloaded an adapter, the last one first.
     past: HashMap<Copy, Vec<Arc<str>>>,
     past_order: VecDeque<Copy>,
-    newest: HashMap<Key, (u64, Moment)>,
+    lineages: HashMap<Key, Lineage>,
     coming: HashMap<Copy, (Arc<str>, Moment)>,
 }
 
@@ -142,23 +142,22 @@
         self.past.get(copy).map_or(&[], Vec::as_slice)
     }
 
-    /// Takes in that a version was declared; older ones count no longer.
-    pub fn declare(&mut self, key: Key, version: u64, now: Moment) -> bool {
-        let is_new = self.newest.get(&key).is_none_or(|(v, _)| *v < version);
-        if is_new {
-            self.newest.insert(key, (version, now));
-        }
-        is_new
+    /// Takes in that a version was declared. Returns whether it is newer than those known.
+    pub fn declare(&mut self, copy: Copy, since: Since) -> bool {
+        let lineage = self.lineages.entry(copy.key).or_default();
+        lineage.declare(copy.version, since)
     }
 
-    /// Returns the newest version of an adapter and since when it is known.
+    /// Returns the newest version of an adapter.
     ///
     /// An adapter of which nothing was declared is in its first version.
-    pub fn newest(&self, key: &Key) -> (u64, Option<Moment>) {
-        match self.newest.get(key) {
-            Some((version, since)) => (*version, Some(*since)),
-            None => (1, None),
-        }
+    pub fn newest(&self, key: &Key) -> u64 {
+        self.lineages.get(key).map_or(1, Lineage::newest)
+    }
+
+    /// Returns since when there has been a newer version; `None` if it is the newest.
+    pub fn replaced(&self, copy: &Copy) -> Option<Since> {
+        self.lineages.get(&copy.key)?.replaced(copy.version)
     }
 
     fn replace(&mut self, endpoint: &Arc<str>, copies: Vec<Copy>, heard: Option<Moment>) {
--- /dev/null
+++ b/crates/ploverwick_adapters/src/horizon.rs
@@ -0,0 +1,77 @@
+//! What reads of a topic prove about the age of the records that they bring.
+//!
+//! A record is as old as its acknowledgement and not as the read that brought it. Three things part the
+//! two: the process started later, the topic could not be read for a while (a failure, or a connection
+//! that fell silent), or the process itself was held up.
+
+use std::time::Duration;
+
+use ploverwick_names::Moment;
+
+use crate::Since;
+
+/// A read that returns within this time may have found its records there: it takes up to 1 s to connect
+/// for it, and some ms to answer. One that took longer was waiting when they came.
+const AT_ONCE: Duration = Duration::from_millis(1_200);
+/// Until when one process has seen the end of a topic that it follows.
+#[derive(Debug, Default)]
+pub struct Horizon {
+    /// Whatever was not read by then was acknowledged later.
+    seen: Option<Moment>,
+    /// When the read that is under way was asked for.
+    asked: Moment,
+    /// The read before it came back.
+    is_steady: bool,
+    /// When the process last said that it runs.
+    ran: Moment,
+    /// When it said so before that. What had come by then would have been taken in: a process that was
+    /// held up since may look at the clock once before it takes in what came meanwhile, but not twice.
+    ran_before: Moment,
+}
+
+impl Horizon {
+    /// Takes in that the process runs. Twice the time between two such calls is what a record may count
+    /// as older than it is.
+    pub fn run(&mut self, now: Moment) {
+        self.ran_before = self.ran;
+        self.ran = now;
+    }
+
+    /// Takes in that a read is asked for.
+    pub fn ask(&mut self, now: Moment) {
+        self.asked = now;
+    }
+
+    /// Takes in that a read failed, or was given up.
+    pub fn fail(&mut self) {
+        self.is_steady = false;
+    }
+
+    /// Takes in that a read brought the whole topic, and returns since when what was unknown is there.
+    pub fn whole(&mut self) -> Since {
+        let since = self.unseen();
+        self.see(self.asked);
+        since
+    }
+
+    /// Takes in that a read went on from the last one, and returns since when what it brought is there.
+    pub fn next(&mut self, now: Moment) -> Since {
+        let unseen = self.unseen();
+        let has_waited = self.is_steady && now.since(self.asked) > AT_ONCE;
+        if !has_waited {
+            self.see(self.asked);
+            return unseen;
+        }
+        self.see(self.ran_before);
+        self.unseen()
+    }
+
+    fn unseen(&self) -> Since {
+        self.seen.map_or(Since::LongAgo, Since::NotBefore)
+    }
+
+    fn see(&mut self, moment: Moment) {
+        self.seen = self.seen.max(Some(moment));
+        self.is_steady = true;
+    }
+}
--- a/crates/ploverwick_adapters/src/lib.rs
+++ b/crates/ploverwick_adapters/src/lib.rs
@@ -6,7 +6,9 @@
 
 mod directory;
 mod home;
+mod horizon;
 mod key;
+mod lineage;
 mod order;
 mod pace;
 mod placer;
@@ -17,7 +19,9 @@
 
 pub use directory::Directory;
 pub use home::{Domain, home};
+pub use horizon::Horizon;
 pub use key::{Copy, Key};
+pub use lineage::{Lineage, Since};
 pub use order::{Answer, Op, Order, Report};
 pub use pace::{Ceiling, Pace};
 pub use placer::{Need, Placer, Site};
--- a/crates/ploverwick_adapters/src/supersession.rs
+++ b/crates/ploverwick_adapters/src/supersession.rs
@@ -7,6 +7,8 @@
 
 use ploverwick_names::Moment;
 
+use crate::Since;
+
 /// How long before the bound an older version is no longer chosen: the time to begin at an endpoint
 /// that reads other prompts first is mostly below a second.
 const CHOICE_MARGIN: Duration = Duration::from_millis(1_500);
@@ -22,14 +24,23 @@
 }
 
 impl Supersession {
-    /// Returns whether a version may be chosen though a newer one is known since `since`.
-    pub fn may_choose(self, since: Moment, now: Moment) -> bool {
-        now.since(since) < self.bound.saturating_sub(CHOICE_MARGIN)
+    /// Returns whether a version may be chosen though there has been a newer one since `since`.
+    pub fn may_choose(self, since: Since, now: Moment) -> bool {
+        match since {
+            Since::LongAgo => false,
+            Since::NotBefore(at) => now.since(at) < self.bound.saturating_sub(CHOICE_MARGIN),
+        }
     }
 
-    /// Returns by when a request that is sent now must have begun. `since` is when a newer version
-    /// than the one it is sent for became known; `None` if there is none, as one may be declared at once.
-    pub fn begin_by(self, since: Option<Moment>, now: Moment) -> Moment {
-        since.unwrap_or(now) + self.bound.saturating_sub(BEGIN_MARGIN)
+    /// Returns by when a request that is sent now must have begun. `since` is since when there
+    /// has been a newer version than the one it is sent for; `None` if there is none, as one may be
+    /// declared at once.
+    pub fn begin_by(self, since: Option<Since>, now: Moment) -> Moment {
+        let span = self.bound.saturating_sub(BEGIN_MARGIN);
+        match since {
+            Some(Since::LongAgo) => now,
+            Some(Since::NotBefore(at)) => at + span,
+            None => now + span,
+        }
     }
 }
--- a/crates/ploverwick_adapters/tests/older_version.rs
+++ b/crates/ploverwick_adapters/tests/older_version.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use ploverwick_adapters::Supersession;
+use ploverwick_adapters::{Since, Supersession};
 use ploverwick_names::Moment;
 
 const RULE: Supersession = Supersession {
@@ -17,9 +17,10 @@
 #[googletest::test]
 fn long_read_taken_back() {
     let declared = Moment(10_000);
-    let since = declared + HEARD;
+    let heard = declared + HEARD;
+    let since = Since::NotBefore(heard);
     for after in (0..8_000).step_by(50) {
-        let now = since + Duration::from_millis(after);
+        let now = heard + Duration::from_millis(after);
         if RULE.may_choose(since, now) {
             let latest = RULE.begin_by(Some(since), now);
             expect_that!(latest.since(declared), lt(RULE.bound));
@@ -40,5 +41,8 @@
     let rule = Supersession {
         bound: Duration::from_millis(900),
     };
-    expect_that!(rule.may_choose(Moment(5), Moment(5)), eq(false));
+    expect_that!(
+        rule.may_choose(Since::NotBefore(Moment(5)), Moment(5)),
+        eq(false)
+    );
 }
--- a/crates/ploverwick_gateway/src/controllers/feed.rs
+++ b/crates/ploverwick_gateway/src/controllers/feed.rs
@@ -2,14 +2,15 @@
 
 use std::time::Duration;
 
-use ploverwick_platform::store::{Error, Record};
-use tokio::sync::Notify;
+use ploverwick_platform::store::{Error, Record, Snapshot};
+use tokio::sync::watch;
 
 use super::Backoff;
 use crate::journal::Outage;
 use crate::shared::Shared;
 
-/// The least time between two reads that a hint caused.
+/// How long a waiting read may stay behind what others tell. The store's answers reach two instances
+/// some ms apart; one that lags for longer may wait on a connection that fell silent.
 const HINTED: Duration = Duration::from_millis(300);
 
 /// How often a topic of which others tell is looked at again.
@@ -24,10 +25,13 @@
     pub(super) what: &'static str,
     /// How long a read waits for a record.
     pub(super) wait: Duration,
+    /// How long the first read after a failure waits. One that does not wait proves what came meanwhile
+    /// and what came later.
+    pub(super) first_wait: Duration,
     /// The pause after each read.
     pub(super) pause: Duration,
-    /// Says that there is something to read although the waiting read is silent.
-    pub(super) hint: Option<&'a Notify>,
+    /// Where the topic ends as others tell, if they do.
+    pub(super) hint: Option<&'a watch::Sender<u64>>,
     /// Whether others tell what the topic holds, so that it need not be read now.
     pub(super) is_told: fn(&Shared) -> bool,
 }
@@ -38,12 +42,15 @@
 }
 
 /// What a feed brings.
-#[derive(Debug)]
+#[derive(Debug, Clone, Copy)]
 pub(super) enum News<'a> {
-    /// The newest record of each key; what is not among them is gone.
-    Whole(&'a [Record]),
-    /// The records that came since.
-    Next(&'a [Record]),
+    /// A read goes out.
+    Asking,
+    /// The newest record of each key, and the offset at which the topic ended; what is not among them
+    /// is gone.
+    Whole { records: &'a [Record], end: u64 },
+    /// The records that came since, and the offset up to which the topic was read.
+    Next { records: &'a [Record], end: u64 },
     /// The topic cannot be read now.
     Away,
 }
@@ -53,6 +60,7 @@
     let mut outage = Outage::of(feed.what);
     let mut backoff = Backoff::new();
     let mut next: Option<u64> = None;
+    let mut wait = feed.wait;
     loop {
         if (feed.is_told)(shared) {
             // Whatever comes meanwhile is read anew as a whole.
@@ -60,9 +68,10 @@
             tokio::time::sleep(LOOK).await;
             continue;
         }
-        match read(shared, &feed, next, &mut take).await {
+        match read(shared, &feed, next, wait, &mut take).await {
             Ok(end) => {
                 next = Some(end);
+                wait = feed.wait;
                 outage.works();
                 backoff.reset();
                 tokio::time::sleep(feed.pause).await;
@@ -74,6 +83,7 @@
             Err(error) => {
                 outage.fails(&error);
                 take(News::Away);
+                wait = feed.first_wait;
                 backoff.pause(shared).await;
             }
         }
@@ -85,28 +95,49 @@
     shared: &Shared,
     feed: &Feed<'_>,
     next: Option<u64>,
+    wait: Duration,
     take: &mut impl FnMut(News<'_>),
 ) -> Result<u64, Error> {
+    take(News::Asking);
     let Some(from) = next else {
-        let snapshot = shared.store.newest(feed.topic).await?;
-        take(News::Whole(&snapshot.records));
-        return Ok(snapshot.end);
+        let Snapshot { records, end } = shared.store.newest(feed.topic).await?;
+        let records = &records;
+        take(News::Whole { records, end });
+        return Ok(end);
     };
-    let waiting = shared.store.read(feed.topic, from, feed.wait);
-    let batch = tokio::select! {
-        batch = waiting => batch,
-        () = hinted(feed.hint) => {
-            tokio::time::sleep(HINTED).await;
-            shared.store.read(feed.topic, from, Duration::ZERO).await
+    let batch = match until_behind(feed.hint, from, shared.store.read(feed.topic, from, wait)).await
+    {
+        Some(batch) => batch?,
+        None => {
+            take(News::Away);
+            // What silenced this connection may have silenced the others.
+            shared.store.reconnect();
+            take(News::Asking);
+            let read = shared.store.read(feed.topic, from, Duration::ZERO);
+            read.await?
         }
-    }?;
-    take(News::Next(&batch.records));
-    Ok(from + batch.records.len() as u64)
+    };
+    let records = &batch.records;
+    let end = from + records.len() as u64;
+    take(News::Next { records, end });
+    Ok(end)
 }
 
-async fn hinted(hint: Option<&Notify>) {
-    match hint {
-        Some(hint) => hint.notified().await,
-        None => std::future::pending().await,
+/// Waits for a read; returns `None` if others have read further for a while.
+async fn until_behind<T>(
+    hint: Option<&watch::Sender<u64>>,
+    from: u64,
+    read: impl Future<Output = T>,
+) -> Option<T> {
+    let Some(hint) = hint else {
+        return Some(read.await);
+    };
+    tokio::pin!(read);
+    let mut told = hint.subscribe();
+    tokio::select! {
+        got = &mut read => return Some(got),
+        // The sender is borrowed, so that it cannot be gone.
+        _ = told.wait_for(|end| *end > from) => {}
     }
+    tokio::time::timeout(HINTED, read).await.ok()
 }
--- a/crates/ploverwick_gateway/src/controllers/instances.rs
+++ b/crates/ploverwick_gateway/src/controllers/instances.rs
@@ -91,14 +91,15 @@
         topic: INSTANCES,
         what: "instance list",
         wait: WAIT,
+        first_wait: WAIT,
         pause: PAUSE,
         hint: None,
         is_told: feed::never,
     };
     feed::follow(&shared, feed, |news| match news {
-        News::Whole(records) => replace(&shared, records),
-        News::Next(records) => take(&shared, records),
-        News::Away => {}
+        News::Whole { records, .. } => replace(&shared, records),
+        News::Next { records, .. } => take(&shared, records),
+        News::Asking | News::Away => {}
     })
     .await;
 }
--- a/crates/ploverwick_gateway/src/controllers/operator.rs
+++ b/crates/ploverwick_gateway/src/controllers/operator.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ploverwick_adapters::Since;
 use ploverwick_platform::store::Record;
 use ploverwick_platform::{CONFIG_KEY, OPERATOR, config, version};
 
@@ -10,7 +11,7 @@
 use crate::shared::Shared;
 
 /// How long a read waits for a record, near the longest that the store allows: each return is a
-/// call. A silent connection breaks by itself, and peers that have a newer configuration tell.
+/// call. A silent connection breaks by itself, and peers that have read further tell.
 const WAIT: Duration = Duration::from_secs(28);
 
 /// Follows the operator's topic for as long as the process runs.
@@ -19,19 +20,25 @@
         topic: OPERATOR,
         what: "operator topic",
         wait: WAIT,
+        first_wait: Duration::ZERO,
         pause: Duration::ZERO,
-        hint: Some(&shared.newer_config),
+        hint: Some(&shared.operator_end),
         is_told: feed::never,
     };
-    feed::follow(&shared, feed, |news| match news {
-        News::Whole(records) => take(&shared, records, "whole"),
-        News::Next(records) => take(&shared, records, "next"),
-        News::Away => {}
-    })
-    .await;
+    feed::follow(&shared, feed, |news| take(&shared, news)).await;
 }
 
-fn take(shared: &Arc<Shared>, records: &[Record], learned: &'static str) {
+fn take(shared: &Arc<Shared>, news: News<'_>) {
+    let now = shared.now();
+    let mut state = shared.state();
+    let (records, end, since) = match news {
+        News::Asking => return state.horizon.ask(now),
+        News::Away => return state.horizon.fail(),
+        News::Whole { records, end } => (records, end, state.horizon.whole()),
+        News::Next { records, end } => (records, end, state.horizon.next(now)),
+    };
+    state.operator_read = end;
+    drop(state);
     for record in records {
         let Some(value) = &record.value else {
             continue;
@@ -39,7 +46,7 @@
         if record.key == CONFIG_KEY {
             take_config(shared, value);
         } else {
-            take_version(shared, record, value, learned);
+            take_version(shared, record, value, since);
         }
     }
 }
@@ -68,31 +75,32 @@
     shared.orders.notify_waiters();
 }
 
-fn take_version(shared: &Arc<Shared>, record: &Record, value: &[u8], learned: &'static str) {
-    let key = &record.key;
-    let copy = match version::decode(key, value) {
+fn take_version(shared: &Arc<Shared>, record: &Record, value: &[u8], since: Since) {
+    let copy = match version::decode(&record.key, value) {
         Ok(Some(copy)) => copy,
         Ok(None) => return,
         Err(error) => {
-            spdlog::error!("version_malformed key={} cause=\"{}\"", key, error);
+            spdlog::error!("version_malformed key={} cause=\"{}\"", record.key, error);
             return;
         }
     };
     let now = shared.now();
     let mut state = shared.state();
-    if !state.directory.declare(copy.key.clone(), copy.version, now) {
+    if !state.directory.declare(copy.clone(), since) {
         return;
     }
     let held_older = state.directory.older(&copy.key, copy.version);
     drop(state);
+    // Requests that were sent for an older version are held to the bound from now on.
+    shared.declared.notify_waiters();
     spdlog::info!(
-        "version_declared adapter={} version={} older_held={:?} learned={} offset={} at={}",
+        "version_declared adapter={} version={} older_held={:?} offset={} at={} since={:?}",
         copy.key,
         copy.version,
         held_older,
-        learned,
         record.offset,
-        now.0
+        now.0,
+        since
     );
     // What is in use is loaded before the next request asks for it.
     if held_older.is_some() {
--- a/crates/ploverwick_gateway/src/controllers/roster.rs
+++ b/crates/ploverwick_gateway/src/controllers/roster.rs
@@ -62,6 +62,7 @@
         topic: ROSTER,
         what: "endpoint list",
         wait: Duration::ZERO,
+        first_wait: Duration::ZERO,
         pause: PAUSE,
         hint: None,
         is_told,
@@ -69,15 +70,16 @@
     feed::follow(&shared, feed, |news| {
         let now = follower.shared.now();
         match news {
+            News::Asking => return,
             News::Away => {
                 follower.absence.store_away();
                 return;
             }
-            News::Whole(records) => {
+            News::Whole { records, .. } => {
                 follower.absence.store_read(now);
                 follower.replace(records);
             }
-            News::Next(records) => {
+            News::Next { records, .. } => {
                 follower.absence.store_read(now);
                 follower.take(records);
             }
--- a/crates/ploverwick_gateway/src/controllers/table.rs
+++ b/crates/ploverwick_gateway/src/controllers/table.rs
@@ -21,13 +21,16 @@
         topic: TABLE,
         what: "table topic",
         wait: WAIT,
+        first_wait: WAIT,
         pause: Duration::ZERO,
         hint: None,
         is_told: feed::never,
     };
     feed::follow(&shared, feed, |news| match news {
-        News::Whole(records) | News::Next(records) => take(&shared, &mut assembly, records),
-        News::Away => {}
+        News::Whole { records, .. } | News::Next { records, .. } => {
+            take(&shared, &mut assembly, records);
+        }
+        News::Asking | News::Away => {}
     })
     .await;
 }
--- a/crates/ploverwick_gateway/src/filters/attempt.rs
+++ b/crates/ploverwick_gateway/src/filters/attempt.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use http::{Response, StatusCode};
+use ploverwick_adapters::Since;
 use ploverwick_codes::Code;
 use ploverwick_endpoints::{Outcome, patience};
 use ploverwick_names::Moment;
@@ -46,8 +47,8 @@
 #[derive(Debug, Clone, Copy)]
 struct Aim {
     version: Option<u64>,
-    /// How long ago the version was replaced, as far as this instance knew.
-    replaced: Option<Duration>,
+    /// Since when there had been a newer version, as far as this instance knew.
+    replaced: Option<Since>,
     /// When it went out, counted from the start of the process.
     at: Moment,
     /// How long its answer was awaited at most.
@@ -57,12 +58,16 @@
 impl std::fmt::Display for Aim {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         let version = self.version.unwrap_or_default();
-        let replaced = self.replaced.map(|age| age.as_millis());
         let limit = self.limit.as_millis();
         let at = self.at.0;
+        let replaced = match self.replaced {
+            None => "-".to_owned(),
+            Some(Since::LongAgo) => "long_ago".to_owned(),
+            Some(Since::NotBefore(since)) => self.at.since(since).as_millis().to_string(),
+        };
         write!(
             f,
-            "version={version} replaced_ms={replaced:?} sent_at={at} limit_ms={limit}"
+            "version={version} replaced_ms={replaced} sent_at={at} limit_ms={limit}"
         )
     }
 }
--- a/crates/ploverwick_gateway/src/filters/place.rs
+++ b/crates/ploverwick_gateway/src/filters/place.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ploverwick_adapters::{Copy, Key, Need, Supersession};
+use ploverwick_adapters::{Copy, Key, Need, Since, Supersession};
 use ploverwick_codes::Code;
 use ploverwick_endpoints::{Cost, Entry, Load, Query};
 use ploverwick_names::Moment;
@@ -45,8 +45,8 @@
     pub(crate) cost: Cost,
     /// When a request for an adapter that has not begun is taken back, as its version may be replaced.
     pub(crate) begin_by: Option<Instant>,
-    /// How long ago the version was replaced when it was chosen; `None` if it was the newest.
-    pub(crate) replaced: Option<Duration>,
+    /// Since when there had been a newer version when it was chosen; `None` if it was the newest.
+    pub(crate) replaced: Option<Since>,
     /// What was known to be under way there.
     pub(crate) load: Load,
     /// How long the answer was expected to take to begin.
@@ -174,7 +174,7 @@
 fn look(shared: &Arc<Shared>, task: &Task, key: &Key, except: &[Arc<str>]) -> (Choice, Copy) {
     let now = shared.now();
     let state = shared.state();
-    let (version, since) = state.directory.newest(key);
+    let version = state.directory.newest(key);
     let wanted = Copy {
         key: key.clone(),
         version,
@@ -183,7 +183,7 @@
     let mut held = wanted.clone();
     let mut best = best(&state, &ranked, &held);
     if best.is_none()
-        && let Some(older) = usable_older(shared, &state, key, version, since, now)
+        && let Some(older) = usable_older(shared, &state, &wanted, now)
     {
         held.version = older;
         best = self::best(&state, &ranked, &held);
@@ -199,7 +199,7 @@
     let expected = state.fleet.wait(&id, prompt, now).unwrap_or_default();
     let is_crowded = fill > CROWDED_FILL || others > task.route.objective.mul_f64(CROWDED);
     let is_older = held.version != wanted.version;
-    let replaced = if is_older { since } else { None };
+    let replaced = state.directory.replaced(&held);
     let begin_by = supersession(shared).begin_by(replaced, now);
     drop(state);
     if is_older || is_crowded {
@@ -213,7 +213,7 @@
         entry,
         copy: Some(held),
         begin_by: Some(shared.clock.instant(begin_by)),
-        replaced: replaced.map(|since| now.since(since)),
+        replaced,
         cost,
         load,
         expected,
@@ -227,17 +227,22 @@
     ranked.find(|(_, id)| holders.contains(id)).cloned()
 }
 
-/// Returns an older version that may still be used while the newest is being loaded.
-fn usable_older(
-    shared: &Shared,
-    state: &State,
-    key: &Key,
-    version: u64,
-    since: Option<Moment>,
-    now: Moment,
-) -> Option<u64> {
-    let is_recent = since.is_some_and(|since| supersession(shared).may_choose(since, now));
-    is_recent.then(|| state.directory.older(key, version))?
+/// Returns an older version that may still be used while the newest is being loaded. Those below it
+/// were replaced no later.
+fn usable_older(shared: &Shared, state: &State, newest: &Copy, now: Moment) -> Option<u64> {
+    let version = state.directory.older(&newest.key, newest.version)?;
+    let key = newest.key.clone();
+    let since = state.directory.replaced(&Copy { key, version })?;
+    let is_usable = supersession(shared).may_choose(since, now);
+    is_usable.then_some(version)
+}
+
+/// Returns until when a request that has been sent may begin; `None` if no newer version is known.
+pub(super) fn begin_by(shared: &Shared, copy: &Copy) -> Option<Instant> {
+    let now = shared.now();
+    let since = shared.state().directory.replaced(copy)?;
+    let moment = supersession(shared).begin_by(Some(since), now);
+    Some(shared.clock.instant(moment))
 }
 
 fn supersession(shared: &Shared) -> Supersession {
--- a/crates/ploverwick_gateway/src/filters/send.rs
+++ b/crates/ploverwick_gateway/src/filters/send.rs
@@ -14,7 +14,7 @@
 use tokio::time::Instant;
 
 use super::flight::Flight;
-use super::place::Target;
+use super::place::{self, Target};
 use super::reuse;
 use super::task::Task;
 use crate::pool::{Connection, connect};
@@ -147,14 +147,14 @@
     let is_last = !task.route.kind.may_repeat();
     while let Some(mut connection) = shared.pool.take(&target.entry.id, is_last) {
         let send = connection.sender.try_send_request(message);
-        match tokio::time::timeout_at(limit, send).await {
-            Err(_) => {
+        match within(shared, target, limit, send).await {
+            None => {
                 // What silenced this connection may have silenced the others.
                 shared.pool.remove(&target.entry.id);
                 return Exchange::Silent;
             }
-            Ok(Ok(response)) => return Exchange::Done(connection, Ok(response)),
-            Ok(Err(mut failed)) => match failed.take_message() {
+            Some(Ok(response)) => return Exchange::Done(connection, Ok(response)),
+            Some(Err(mut failed)) => match failed.take_message() {
                 Some(unsent) => message = unsent,
                 None => return Exchange::Done(connection, Err(failed.into_error())),
             },
@@ -165,9 +165,32 @@
         Err(cause) => return Exchange::Unsent(cause),
     };
     let send = connection.sender.send_request(message);
-    match tokio::time::timeout_at(limit, send).await {
-        Err(_) => Exchange::Silent,
-        Ok(result) => Exchange::Done(connection, result),
+    match within(shared, target, limit, send).await {
+        None => Exchange::Silent,
+        Some(result) => Exchange::Done(connection, result),
+    }
+}
+
+/// Waits for an answer to begin; returns `None` if it does not in time. A declaration that is heard of
+/// meanwhile brings the limit forward: it may be older than the send.
+async fn within<T>(
+    shared: &Shared,
+    target: &Target,
+    limit: Instant,
+    answer: impl Future<Output = T>,
+) -> Option<T> {
+    let Some(copy) = &target.copy else {
+        return tokio::time::timeout_at(limit, answer).await.ok();
+    };
+    tokio::pin!(answer);
+    loop {
+        let declared = shared.declared.notified();
+        let begin_by = place::begin_by(shared, copy).unwrap_or(limit);
+        tokio::select! {
+            got = &mut answer => return Some(got),
+            () = tokio::time::sleep_until(limit.min(begin_by)) => return None,
+            () = declared => {}
+        }
     }
 }
 
--- a/crates/ploverwick_gateway/src/listen.rs
+++ b/crates/ploverwick_gateway/src/listen.rs
@@ -48,13 +48,14 @@
             domain,
             places,
             waiting,
-            config,
+            operator_read,
             loads,
         } => {
-            let known = state.config.as_ref().map_or(0, |config| config.version);
-            if config > known {
-                shared.newer_config.notify_one();
-            }
+            shared.operator_end.send_if_modified(|end| {
+                let is_further = operator_read > *end;
+                *end = (*end).max(operator_read);
+                is_further
+            });
             let peer = Peer {
                 ip: from,
                 domain,
--- a/crates/ploverwick_gateway/src/mail.rs
+++ b/crates/ploverwick_gateway/src/mail.rs
@@ -91,8 +91,8 @@
         places: Option<u64>,
         /// The adapters that wait for a place, if it places them.
         waiting: u32,
-        /// The version of its configuration.
-        config: u64,
+        /// The offset up to which it has read the operator's topic.
+        operator_read: u64,
         loads: Vec<Load>,
     },
     /// The requests of all instances at endpoints of a placer's failure domain.
--- a/crates/ploverwick_gateway/src/shared.rs
+++ b/crates/ploverwick_gateway/src/shared.rs
@@ -8,7 +8,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-use ploverwick_adapters::{Copy, Directory, Pace, Placer, Tenure, Terms};
+use ploverwick_adapters::{Copy, Directory, Horizon, Pace, Placer, Tenure, Terms};
 use ploverwick_endpoints::{Budget, Fleet, Rate};
 use ploverwick_limits::Rates;
 use ploverwick_names::Moment;
@@ -65,6 +65,10 @@
     pub(crate) rates: Rates,
     pub(crate) fleet: Fleet,
     pub(crate) directory: Directory,
+    /// What is proved of the age of what the operator wrote.
+    pub(crate) horizon: Horizon,
+    /// The offset up to which the operator's topic was read.
+    pub(crate) operator_read: u64,
     pub(crate) placer: Placer,
     pub(crate) tenure: Tenure,
     /// The base models that were loaded lately in this failure domain.
@@ -92,8 +96,10 @@
     pub(crate) keeps_token: bool,
     /// Wakes requests that wait for an adapter.
     pub(crate) placed: Notify,
-    /// Says that a peer has a newer configuration.
-    pub(crate) newer_config: Notify,
+    /// The furthest offset up to which a peer has read the operator's topic.
+    pub(crate) operator_end: watch::Sender<u64>,
+    /// Wakes requests under way when a version is declared.
+    pub(crate) declared: Notify,
     /// Says that the placer of this failure domain gave up its right.
     pub(crate) vacant: Notify,
     /// Wakes the tasks that give orders.
@@ -121,6 +127,8 @@
             rates: Rates::default(),
             fleet: Fleet::default(),
             directory: Directory::default(),
+            horizon: Horizon::default(),
+            operator_read: 0,
             placer: Placer::default(),
             tenure: Tenure::new(terms, !settings.first_start, clock.now()),
             base_loads: Pace::default(),
@@ -139,7 +147,8 @@
             outbox: Outbox::default(),
             lines: Lines::default(),
             placed: Notify::new(),
-            newer_config: Notify::new(),
+            operator_end: watch::Sender::new(0),
+            declared: Notify::new(),
             vacant: Notify::new(),
             orders: Notify::new(),
             stopping: watch::Sender::new(false),
--- a/crates/ploverwick_gateway/src/tell.rs
+++ b/crates/ploverwick_gateway/src/tell.rs
@@ -198,6 +198,7 @@
 fn compose(shared: &Shared, round: u32) -> Vec<(Message, Vec<IpAddr>)> {
     let now = shared.now();
     let mut state = shared.state();
+    state.horizon.run(now);
     let places = state.tenure.token(now);
     let is_far_turn = round.is_multiple_of(FAR_EVERY);
     let mut out = vec![(
@@ -271,7 +272,7 @@
         domain: Arc::clone(&shared.settings.domain),
         places,
         waiting: u32::try_from(state.placer.waiting()).unwrap_or(u32::MAX),
-        config: state.config.as_ref().map_or(0, |config| config.version),
+        operator_read: state.operator_read,
         loads: loads.take(CHUNK).collect(),
     }
 }
