Log how long an answer was expected to take

What is left of late begins are requests whose sender lost power while they waited. Whether that wait was foreseen tells whether the choice or the limit is at fault. No decision is changed.

--- a/crates/ploverwick_gateway/src/filters/attempt.rs
+++ b/crates/ploverwick_gateway/src/filters/attempt.rs
@@ -53,12 +53,15 @@
     at: Moment,
     /// How long its answer was awaited at most.
     limit: Duration,
+    /// How long its answer was expected to take to begin.
+    expected: Duration,
 }
 
 impl std::fmt::Display for Aim {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         let version = self.version.unwrap_or_default();
         let limit = self.limit.as_millis();
+        let expected = self.expected.as_millis();
         let at = self.at.0;
         let replaced = match self.replaced {
             None => "-".to_owned(),
@@ -67,7 +70,7 @@
         };
         write!(
             f,
-            "version={version} replaced_ms={replaced} sent_at={at} limit_ms={limit}"
+            "version={version} replaced_ms={replaced} sent_at={at} limit_ms={limit} expected_ms={expected}"
         )
     }
 }
@@ -106,6 +109,7 @@
             replaced: target.replaced,
             at: shared.now(),
             limit: limit.saturating_duration_since(begun),
+            expected: target.expected,
         });
         let sent = send::run(shared, &task, &target, limit, None).await;
         history.spent.answering = begun.elapsed();
