Test that an older version is chosen only if it is expected to begin in time

The choice asks only for the age of the replacement, and nothing says whether the wait fits, so that the test does not compile on the code as it is:

error[E0599]: no method named `leaves_time` found for struct `Supersession`

--- a/crates/ploverwick_adapters/tests/older_version.rs
+++ b/crates/ploverwick_adapters/tests/older_version.rs
@@ -36,6 +36,35 @@
     expect_that!(RULE.begin_by(None, sent).since(sent), lt(RULE.bound));
 }
 
+/// Found by a day on which instances lost power: a request was sent to the older version in time, waited
+/// 2.1 s at its endpoint, and began 64 ms after the bound with nobody left to take it back.
+#[googletest::test]
+fn long_wait_not_begun() {
+    let since = Since::NotBefore(Moment(10_000));
+    let now = Moment(13_000);
+    expect_that!(RULE.may_choose(since, now), eq(true));
+    for expected in (0..2_000).step_by(10).map(Duration::from_millis) {
+        let slow = now + expected * 3;
+        if RULE.leaves_time(since, expected, now) {
+            expect_that!(slow.since(Moment(10_000)), lt(RULE.bound));
+        } else {
+            expect_that!(slow, ge(RULE.begin_by(Some(since), now)));
+        }
+    }
+    expect_that!(
+        RULE.leaves_time(since, Duration::from_millis(700), now),
+        eq(false)
+    );
+    expect_that!(
+        RULE.leaves_time(since, Duration::from_millis(100), now),
+        eq(true)
+    );
+    expect_that!(
+        RULE.leaves_time(Since::LongAgo, Duration::ZERO, now),
+        eq(false)
+    );
+}
+
 #[googletest::test]
 fn short_bound_chooses_newest() {
     let rule = Supersession {
