--- a/crates/ploverwick_gateway/tests/replaced_versions.rs
+++ b/crates/ploverwick_gateway/tests/replaced_versions.rs
@@ -10,13 +10,17 @@
 
 mod common;
 
+use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
 use std::time::Duration;
 
 use anyhow::Result;
-use common::{World, runs};
+use common::{HOST, World, runs};
 use googletest::prelude::*;
 use http::StatusCode;
-use ploverwick_platform_standin::endpoint::Endpoint;
+use ploverwick_gateway::Daemon;
+use ploverwick_platform_standin::client::{self, Ask};
+use ploverwick_platform_standin::endpoint::{Act, Endpoint};
+use ploverwick_platform_standin::proxy::Proxy;
 use ploverwick_platform_standin::settings;
 use ploverwick_platform_standin::store::Store;
 use serde_json::json;
@@ -94,3 +98,78 @@
     assert_that!(got.status, eq(StatusCode::SERVICE_UNAVAILABLE));
     Ok(())
 }
+
+/// Starts an instance and returns where it listens; it runs as long as the test.
+async fn start(
+    name: &str,
+    ip: Ipv4Addr,
+    port: u16,
+    store: SocketAddr,
+    bound: Duration,
+) -> Result<SocketAddr> {
+    let mut settings = settings::of(name, ip, port, store);
+    settings.version = bound;
+    let daemon = Daemon::open(settings).await?;
+    let (front, ready) = (daemon.front()?, daemon.ready()?);
+    tokio::spawn(daemon.serve(std::future::pending()));
+    while !client::is_ready(ready).await? {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    Ok(front)
+}
+
+/// Starts two instances, and returns where the second one listens and what is between it and the store.
+async fn behind_proxy(store: &Store, bound: Duration) -> Result<(SocketAddr, Proxy)> {
+    let socket = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0))?;
+    let port = socket.local_addr()?.port();
+    drop(socket);
+    let proxy = Proxy::start(store.address()).await?;
+    start("one", Ipv4Addr::LOCALHOST, port, store.address(), bound).await?;
+    let second = Ipv4Addr::new(127, 0, 0, 2);
+    let front = start("two", second, port, proxy.address(), bound).await?;
+    // Until each has heard of the other.
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    Ok((front, proxy))
+}
+
+fn ask(id: &str) -> Ask {
+    let ask = Ask::new(id, HOST, "/live/").model("base/a1");
+    ask.patience(Duration::from_secs(11))
+}
+
+/// An instance whose connection to the store is silent hears of a declaration from its peers.
+#[tokio::test]
+async fn peers_tell_the_deaf() -> Result<()> {
+    let store = Store::start().await?;
+    let engine = holder(&store).await?;
+    let (front, proxy) = behind_proxy(&store, BOUND).await?;
+    client::send(front, &ask("before")).await?;
+    assert_that!(runs(&[&engine], "before"), eq(1));
+    proxy.silence();
+    store.declare("base", "a1", 2);
+    tokio::time::sleep(BOUND * 3).await;
+    client::send(front, &ask("r1")).await?;
+    assert_that!(runs(&[&engine], "r1"), eq(0));
+    Ok(())
+}
+
+/// A request that was sent before a declaration was heard of is held to the bound all the same.
+#[tokio::test]
+async fn sent_is_taken_back() -> Result<()> {
+    let store = Store::start().await?;
+    let engine = holder(&store).await?;
+    let bound = Duration::from_secs(9);
+    let (front, proxy) = behind_proxy(&store, bound).await?;
+    proxy.silence();
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    store.declare("base", "a1", 2);
+    engine.script(&[Act::Hang]);
+    let sent = tokio::spawn(async move { client::send(front, &ask("r1")).await });
+    // Counted from the send, the bound is over later than this; counted from the last moment at which
+    // the instance knew that there was no newer version, it is over before.
+    tokio::time::sleep(Duration::from_secs(6)).await;
+    assert_that!(runs(&[&engine], "r1"), eq(1));
+    assert_that!(engine.abandoned(), eq(1));
+    sent.abort();
+    Ok(())
+}
