Begin a process's shares of the table's limits empty, and wait for who shares them

Cause: what a process spent of a limit is in its memory. Its successor began with full buckets, as did everybody after each publication; before the list of instances was read it divided a limit by one; before the table was read there were no limits at all (only the platform's path: the older one refuses without a table).

Ruled out: a first token dealt by chance, which keeps the rate on average and bounds nothing; a full bucket at a first start, which passes a second's worth times the instances while they do not know of each other; a count of spent tokens handed from peer to peer, which takes messages.

Change: a bucket fills from the start of its process, empty unless the whole system starts for the first time (then one token). A new table forgets only buckets that are full again. A limit is shared out once the instance has read its own line on the list (older path: the first list), and an instance is ready, and takes requests for adapters, once the table's topic was read.

--- a/crates/ploverwick_daemon/src/chain/limit.rs
+++ b/crates/ploverwick_daemon/src/chain/limit.rs
@@ -15,13 +15,12 @@
     if terms.limits.is_empty() {
         return Ok(());
     }
-    let instances = node.fleet_size() as f64;
+    let sharers = node.sharers();
     let now = node.now();
     let mut rates = lock(&node.rates);
     for limit in &terms.limits {
-        let share = limit.rate / instances;
         rates
-            .take(&limit.subject, &limit.column, share, now)
+            .share(&limit.subject, &limit.column, limit.rate, sharers, now)
             .map_err(|wait| {
                 let message = format!("{} of {} is reached", limit.column, limit.subject);
                 refuse(Code::LimitReached, message).retry_after(wait)
--- a/crates/ploverwick_daemon/src/daemon.rs
+++ b/crates/ploverwick_daemon/src/daemon.rs
@@ -7,7 +7,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use ploverwick_limits::Rates;
+use ploverwick_limits::{Past, Rates};
 use ploverwick_members::Controller as Members;
 use ploverwick_names::{Incarnation, Life, Moment};
 use ploverwick_owner::holds::Controller as Holds;
@@ -271,7 +271,8 @@
         links: Links::default(),
         loads: Mutex::new(Loads::new(start)),
         retries: Mutex::new(Retries::new()),
-        rates: Mutex::new(Rates::default()),
+        // Nothing tells a daemon whether the system starts for the first time.
+        rates: Mutex::new(Rates::new(Past::Unproven)),
         endpoint_status: Mutex::new(BTreeMap::new()),
         draining: AtomicBool::new(false),
         started: Instant::now(),
--- a/crates/ploverwick_daemon/src/node.rs
+++ b/crates/ploverwick_daemon/src/node.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Instant;
 
-use ploverwick_limits::Rates;
+use ploverwick_limits::{Rates, Sharers};
 use ploverwick_members::Controller as Members;
 use ploverwick_names::{Endpoint, Life, Moment, Offset, Request};
 use ploverwick_owner::holds::Controller as Holds;
@@ -89,6 +89,16 @@
         self.draining.load(Ordering::Acquire)
     }
 
+    /// Returns how many instances share the table's limits. Before the first list a daemon knows
+    /// only itself and would take the whole of a limit.
+    pub(crate) fn sharers(&self) -> Sharers {
+        if self.listing.borrow().instances.is_empty() {
+            Sharers::Unknown
+        } else {
+            Sharers::Known(self.fleet_size())
+        }
+    }
+
     /// Returns the number of instances that share fleet-wide budgets.
     pub(crate) fn fleet_size(&self) -> usize {
         lock(&self.members).able().len().max(1)
--- a/crates/ploverwick_gateway/src/controllers/instances.rs
+++ b/crates/ploverwick_gateway/src/controllers/instances.rs
@@ -113,6 +113,7 @@
 fn take(shared: &Shared, records: &[Record]) {
     for record in records {
         if record.key == *shared.settings.instance {
+            shared.state().is_listed |= record.value.is_some();
             continue;
         }
         let Some(value) = &record.value else {
--- a/crates/ploverwick_gateway/src/controllers/table.rs
+++ b/crates/ploverwick_gateway/src/controllers/table.rs
@@ -26,7 +26,11 @@
         is_told: feed::never,
     };
     feed::follow(&shared, feed, |news| match news {
-        News::Whole(records) | News::Next(records) => take(&shared, &mut assembly, records),
+        News::Whole(records) => {
+            take(&shared, &mut assembly, records);
+            shared.state().has_table = true;
+        }
+        News::Next(records) => take(&shared, &mut assembly, records),
         News::Away => {}
     })
     .await;
@@ -46,9 +50,10 @@
     match ploverwick_table::parse::parse(text) {
         Ok(table) => {
             spdlog::info!("table_in_force version={} rows={}", version, table.len());
+            let now = shared.now();
             let mut state = shared.state();
             state.table = Some(Arc::new(table));
-            state.rates.clear();
+            state.rates.forget_full(now);
         }
         // The publisher checks a table before it writes it; the one in force stays.
         Err(findings) => spdlog::error!("table_refused findings={}", findings.len()),
--- a/crates/ploverwick_gateway/src/shared.rs
+++ b/crates/ploverwick_gateway/src/shared.rs
@@ -10,7 +10,7 @@
 
 use ploverwick_adapters::{Copy, Directory, Pace, Placer, Tenure, Terms};
 use ploverwick_endpoints::{Budget, Fleet, Rate};
-use ploverwick_limits::Rates;
+use ploverwick_limits::{Past, Rates, Sharers};
 use ploverwick_names::Moment;
 use ploverwick_platform::settings::Settings;
 use ploverwick_platform::store::Store;
@@ -60,6 +60,8 @@
     pub(crate) has_roster: bool,
     /// When a peer last told what the list of endpoints holds, and it agreed with this one.
     pub(crate) roster_told: Option<Moment>,
+    /// Whether the table's topic was read in this life, so that a missing table is known to be none.
+    pub(crate) has_table: bool,
     /// The operators' table; `None` until one is published.
     pub(crate) table: Option<Arc<Table>>,
     pub(crate) rates: Rates,
@@ -71,6 +73,9 @@
     pub(crate) base_loads: Pace,
     pub(crate) budgets: HashMap<Arc<str>, Budget>,
     pub(crate) peers: HashMap<Arc<str>, Peer>,
+    /// Whether this instance read its own line on the list of instances. It then knows all that were
+    /// listed before, and those that are listed later read its line before theirs count.
+    pub(crate) is_listed: bool,
     /// This instance's requests under way, by endpoint and adapter; 0 for one that ended since the
     /// placers were told.
     pub(crate) uses: HashMap<(Arc<str>, Copy), u32>,
@@ -117,8 +122,13 @@
             config: None,
             has_roster: false,
             roster_told: None,
+            has_table: false,
             table: None,
-            rates: Rates::default(),
+            rates: Rates::new(if settings.first_start {
+                Past::None
+            } else {
+                Past::Unproven
+            }),
             fleet: Fleet::default(),
             directory: Directory::default(),
             placer: Placer::default(),
@@ -126,6 +136,7 @@
             base_loads: Pace::default(),
             budgets: HashMap::new(),
             peers: HashMap::new(),
+            is_listed: false,
             uses: HashMap::new(),
         };
         Self {
@@ -165,7 +176,8 @@
     pub(crate) fn is_ready(&self) -> bool {
         let can_take = self.takes_connections.load(Ordering::Relaxed);
         let state = self.state();
-        state.config.is_some() && state.has_roster && can_take && !self.is_stopping()
+        let knows_all = state.config.is_some() && state.has_roster && state.has_table;
+        knows_all && can_take && !self.is_stopping()
     }
 
     /// Says whether clients' connections can be taken.
@@ -224,6 +236,15 @@
         before.count()
     }
 
+    /// Returns how many instances share what is bounded over all of them, as far as that is proven.
+    pub(crate) fn sharers(&self) -> Sharers {
+        if self.is_listed {
+            Sharers::Known(self.peers.len() + 1)
+        } else {
+            Sharers::Unknown
+        }
+    }
+
     /// Counts a request that uses an adapter at an endpoint, or one that ended.
     pub(crate) fn count_use(&mut self, endpoint: &Arc<str>, copy: &Copy, begins: bool) {
         let key = (Arc::clone(endpoint), copy.clone());
--- a/crates/ploverwick_limits/src/lib.rs
+++ b/crates/ploverwick_limits/src/lib.rs
@@ -56,13 +56,73 @@
     }
 }
 
+/// What is known of the time before a process started.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Past {
+    /// The whole system starts for the first time, so that nothing was spent.
+    #[default]
+    None,
+    /// An earlier life may have spent all that its buckets held when it ended.
+    Unproven,
+}
+
+/// How many instances share the table's limits.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Sharers {
+    /// The list of instances was not read yet.
+    Unknown,
+    /// This many.
+    Known(usize),
+}
+
+/// When to come back to an instance that does not know yet who shares the limits; it reads the list
+/// of instances within some 100 ms of its start, or 1.6 s if it was not on it.
+const UNKNOWN: Duration = Duration::from_millis(300);
+/// What a bucket that nothing was drawn from holds at a first start, in tokens: the one request an
+/// instance that may pass beyond a limit.
+const FIRST: f64 = 1.0;
+
+/// A bucket and when it is full at the latest if nothing more is drawn.
+#[derive(Debug, Clone, Copy)]
+struct Share {
+    bucket: Bucket,
+    full: Moment,
+}
+
 /// This instance's shares of the table's limits.
 #[derive(Debug, Default)]
 pub struct Rates {
-    buckets: HashMap<(Subject, Column), Bucket>,
+    shares: HashMap<(Subject, Column), Share>,
+    past: Past,
 }
 
 impl Rates {
+    /// Starts with a process, at the first moment of its clock.
+    pub fn new(past: Past) -> Self {
+        Self {
+            shares: HashMap::new(),
+            past,
+        }
+    }
+
+    /// Takes a token of a cell's limit of `limit` requests a second over the whole fleet.
+    ///
+    /// # Errors
+    /// Returns how long until there is a token, or until the number of instances may be known.
+    pub fn share(
+        &mut self,
+        subject: &Subject,
+        column: &Column,
+        limit: f64,
+        sharers: Sharers,
+        now: Moment,
+    ) -> Result<(), Duration> {
+        match sharers {
+            Sharers::Unknown => Err(UNKNOWN),
+            Sharers::Known(count) => self.take(subject, column, limit / count.max(1) as f64, now),
+        }
+    }
+
     /// Takes a token of the cell's limit, of which this instance has `rate` a second.
     ///
     /// # Errors
@@ -75,17 +135,45 @@
         now: Moment,
     ) -> Result<(), Duration> {
         let burst = rate.max(1.0);
+        let level = self.first_level(rate);
         let key = (subject.clone(), column.clone());
-        let bucket = self
-            .buckets
-            .entry(key)
-            .or_insert_with(|| Bucket::new(if rate > 0.0 { burst } else { 0.0 }, now));
-        bucket.refill(rate, burst, now);
-        bucket.take(rate)
+        // A bucket fills from the start of the process whenever it is first used: no series of
+        // starts admits more than one long life, and who has lived the filling time loses nothing.
+        let share = self.shares.entry(key).or_insert_with(|| Share {
+            bucket: Bucket::new(level, Moment::default()),
+            full: Moment::default(),
+        });
+        share.bucket.refill(rate, burst, now);
+        share.full = now + filling(rate);
+        share.bucket.take(rate)
+    }
+
+    /// Forgets the buckets that are full again, after the table changed. The others stay: a new
+    /// table gives nobody back what was spent.
+    pub fn forget_full(&mut self, now: Moment) {
+        self.shares.retain(|_, share| share.full > now);
     }
 
-    /// Forgets all buckets, after the table changed.
-    pub fn clear(&mut self) {
-        self.buckets.clear();
+    /// Returns how many buckets are kept.
+    pub fn len(&self) -> usize {
+        self.shares.len()
     }
+
+    /// Returns whether no bucket is kept.
+    pub fn is_empty(&self) -> bool {
+        self.shares.is_empty()
+    }
+
+    fn first_level(&self, rate: f64) -> f64 {
+        match self.past {
+            Past::None if rate > 0.0 => FIRST,
+            Past::None | Past::Unproven => 0.0,
+        }
+    }
+}
+
+/// Returns how long an empty bucket takes to be full; a limit of nothing counts as a day.
+fn filling(rate: f64) -> Duration {
+    const DAY_S: f64 = 86_400.0;
+    Duration::from_secs_f64((1.0 / rate.max(f64::MIN_POSITIVE)).clamp(1.0, DAY_S))
 }
