--- a/crates/ploverwick_endpoints/src/budget.rs
+++ b/crates/ploverwick_endpoints/src/budget.rs
@@ -14,7 +14,7 @@
 
 use ploverwick_names::Moment;
 
-use crate::Sharers;
+use crate::Census;
 
 /// How finely time is counted.
 const BUCKET: Duration = Duration::from_millis(250);
@@ -87,15 +87,15 @@
 
     /// Takes a repeat out of the budget if there is one left, and returns what that rests on.
     ///
-    /// `sharers` are those that share the allowance.
-    pub fn repeat(&mut self, rate: Rate, sharers: &Sharers, now: Moment) -> Account {
+    /// `census` counts those that share the allowance.
+    pub fn repeat(&mut self, rate: Rate, census: &Census, now: Moment) -> Account {
         self.lapse(now);
         // A repeat at the end of its bucket counts for the whole window.
         drop_until(&mut self.spent, now - rate.window - BUCKET);
         let account = Account {
             earned: SAFETY * rate.ratio * sum(&self.requests),
             spent: sum(&self.spent),
-            share: SAFETY * sharers.share(rate, now),
+            share: SAFETY * census.share(rate, now),
         };
         if account.has_room() {
             let missing = account.missing();
--- a/crates/ploverwick_endpoints/src/sharers.rs
+++ b/crates/ploverwick_endpoints/src/census.rs
@@ -12,14 +12,14 @@
 /// the largest number in the last window counts, and a process that has known the others for less than a
 /// window has no part: an earlier one may have spent it, or others may not count this instance yet.
 #[derive(Debug, Default, Clone)]
-pub struct Sharers {
+pub struct Census {
     /// Since when the instances are known.
     known: Option<Moment>,
     /// How many there were, each number from its moment on.
     counts: VecDeque<(Moment, usize)>,
 }
 
-impl Sharers {
+impl Census {
     /// Takes in how many instances there are, this one among them, and that they know of this one.
     pub fn heard(&mut self, instances: usize, rate: Rate, now: Moment) {
         self.known.get_or_insert(now);
--- a/crates/ploverwick_endpoints/tests/budget_restart.rs
+++ b/crates/ploverwick_endpoints/tests/budget_restart.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use ploverwick_endpoints::{Budget, Rate, Sharers};
+use ploverwick_endpoints::{Budget, Census, Rate};
 use ploverwick_names::Moment;
 use rand::rngs::StdRng;
 use rand::{RngExt as _, SeedableRng as _};
@@ -33,7 +33,7 @@
 /// One process of an instance; `None` while there is none.
 struct Life {
     budget: Budget,
-    sharers: Sharers,
+    census: Census,
 }
 
 /// What happens to an instance.
@@ -75,7 +75,7 @@
     fn add(&mut self) {
         self.lives.push(Some(Life {
             budget: Budget::default(),
-            sharers: Sharers::default(),
+            census: Census::default(),
         }));
         self.back_at.push(None);
         self.is_listed.push(true);
@@ -85,7 +85,7 @@
     fn hear(&mut self, at: u64) {
         let listed = self.is_listed.iter().filter(|listed| **listed).count();
         for life in self.lives.iter_mut().flatten() {
-            life.sharers.heard(listed, RATE, Moment(at));
+            life.census.heard(listed, RATE, Moment(at));
         }
     }
 
@@ -112,7 +112,7 @@
                 self.is_listed[index] = true;
                 self.lives[index] = Some(Life {
                     budget: Budget::default(),
-                    sharers: Sharers::default(),
+                    census: Census::default(),
                 });
                 self.hear(at);
             }
@@ -133,7 +133,7 @@
             life.budget.request(now);
             self.requests.push(at);
             for _ in 0..wanted {
-                let account = life.budget.repeat(RATE, &life.sharers, now);
+                let account = life.budget.repeat(RATE, &life.census, now);
                 if account.has_room() {
                     self.repeats.push(at);
                 }
--- a/crates/ploverwick_gateway/src/controllers/instances.rs
+++ b/crates/ploverwick_gateway/src/controllers/instances.rs
@@ -126,7 +126,7 @@
             }
         }
     }
-    shared.count_sharers(&mut shared.state());
+    shared.count_instances(&mut shared.state());
 }
 
 /// Lists this instance again after its line was taken away, as an earlier life's last call may do late.
--- a/crates/ploverwick_gateway/src/shared.rs
+++ b/crates/ploverwick_gateway/src/shared.rs
@@ -9,8 +9,8 @@
 use std::time::Duration;
 
 use ploverwick_adapters::{Copy, Directory, Horizon, Pace, Placer, Tenure, Terms};
-use ploverwick_endpoints::{Account, Budget, Fleet, Rate, Sharers};
-use ploverwick_limits::Rates;
+use ploverwick_endpoints::{Account, Budget, Census, Fleet, Rate};
+use ploverwick_limits::{Past, Rates, Sharers};
 use ploverwick_names::Moment;
 use ploverwick_platform::settings::Settings;
 use ploverwick_platform::store::Store;
@@ -61,6 +61,8 @@
     pub(crate) has_roster: bool,
     /// When a peer last told what the list of endpoints holds, and it agreed with this one.
     pub(crate) roster_told: Option<Moment>,
+    /// Whether the table's topic was read in this life, so that a missing table is known to be none.
+    pub(crate) has_table: bool,
     /// The operators' table; `None` until one is published.
     pub(crate) table: Option<Arc<Table>>,
     pub(crate) rates: Rates,
@@ -75,10 +77,11 @@
     /// The base models that were loaded lately in this failure domain.
     pub(crate) base_loads: Pace,
     pub(crate) budgets: HashMap<Arc<str>, Budget>,
-    /// The instances that share what the budgets allow whatever the number of requests.
-    pub(crate) sharers: Sharers,
+    /// The instances that share what is bounded over all of them.
+    pub(crate) census: Census,
     pub(crate) peers: HashMap<Arc<str>, Peer>,
-    /// This instance was seen in the list of instances, so that the others know of it.
+    /// Whether this instance read its own line on the list of instances. It then knows all that were
+    /// listed before, and those that are listed later read its line before theirs count.
     pub(crate) is_listed: bool,
     /// This instance's requests under way, by endpoint and adapter; 0 for one that ended since the
     /// placers were told.
@@ -128,8 +131,13 @@
             config: None,
             has_roster: false,
             roster_told: None,
+            has_table: false,
             table: None,
-            rates: Rates::default(),
+            rates: Rates::new(if settings.first_start {
+                Past::None
+            } else {
+                Past::Unproven
+            }),
             fleet: Fleet::default(),
             directory: Directory::default(),
             horizon: Horizon::default(),
@@ -138,7 +146,7 @@
             tenure: Tenure::new(terms, !settings.first_start, clock.now()),
             base_loads: Pace::default(),
             budgets: HashMap::new(),
-            sharers: Sharers::default(),
+            census: Census::default(),
             peers: HashMap::new(),
             is_listed: false,
             uses: HashMap::new(),
@@ -181,7 +189,8 @@
     pub(crate) fn is_ready(&self) -> bool {
         let can_take = self.takes_connections.load(Ordering::Relaxed);
         let state = self.state();
-        state.config.is_some() && state.has_roster && can_take && !self.is_stopping()
+        let knows_all = state.config.is_some() && state.has_roster && state.has_table;
+        knows_all && can_take && !self.is_stopping()
     }
 
     /// Says whether clients' connections can be taken.
@@ -202,7 +211,7 @@
         let now = self.now();
         let mut state = self.state();
         let account = state.repeat(service, self.repeat_rate(), now);
-        let instances = state.sharers.most(self.repeat_rate(), now);
+        let instances = state.census.most(self.repeat_rate(), now);
         drop(state);
         let is_granted = account.has_room();
         metrics::repeat(is_granted);
@@ -222,15 +231,22 @@
     }
 
     /// Takes in that the list of instances may have changed.
-    pub(crate) fn count_sharers(&self, state: &mut State) {
+    pub(crate) fn count_instances(&self, state: &mut State) {
         if state.is_listed {
             let instances = state.peers.len() + 1;
             state
-                .sharers
+                .census
                 .heard(instances, self.repeat_rate(), self.now());
         }
     }
 
+    /// Returns how many instances share what is bounded over all of them, as far as that is proven:
+    /// what one spent that has just left still counts.
+    pub(crate) fn sharers(&self, state: &State) -> Sharers {
+        let most = state.census.most(self.repeat_rate(), self.now());
+        most.map_or(Sharers::Unknown, Sharers::Known)
+    }
+
     /// Returns the bound on repeats.
     fn repeat_rate(&self) -> Rate {
         Rate {
@@ -288,6 +304,6 @@
     /// Takes a repeat of a request to a service out of the budget, and returns what that rests on.
     fn repeat(&mut self, service: &Arc<str>, rate: Rate, now: Moment) -> Account {
         let budget = self.budgets.entry(Arc::clone(service)).or_default();
-        budget.repeat(rate, &self.sharers, now)
+        budget.repeat(rate, &self.census, now)
     }
 }
