--- a/crates/ploverwick_gateway/tests/replaced_versions.rs
+++ b/crates/ploverwick_gateway/tests/replaced_versions.rs
@@ -99,6 +99,27 @@
     Ok(())
 }
 
+/// Seen on a calm day: 31 of 79 instances heard of a version some 7 s late, and a request began on the older
+/// one 5.1 s after it was replaced. The version was declared 20 ms after a configuration, while the reads
+/// that had brought that went out again; the store did not wake them for it. Proved by a log of each
+/// read: those that went out in 3 ms around the declaration came back when their wait was over.
+#[tokio::test]
+async fn missed_record_is_found() -> Result<()> {
+    let store = Store::start().await?;
+    let engine = holder(&store).await?;
+    let world = world(&store).await?;
+    let mut config = settings::config(2);
+    for route in config["routes"].as_array_mut().into_iter().flatten() {
+        route["timeout_ms"] = 12_000.into();
+    }
+    store.configure_and_declare(&config, "base", "a1", 2);
+    tokio::time::sleep(BOUND * 2).await;
+    let got = world.stream("r1", "/live/", "a1").await?;
+    assert_that!(runs(&[&engine], "r1"), eq(0));
+    assert_that!(got.status, eq(StatusCode::SERVICE_UNAVAILABLE));
+    Ok(())
+}
+
 /// Starts an instance and returns where it listens; it runs as long as the test.
 async fn start(
     name: &str,
