Look once beside each read that waits for a record

Cause: the store does not wake a waiting read that arrives while a record is being written (some ms); the record comes with the next one, or when the wait of 28 s is over. An instance that follows the operator's topic reads again right after each record, so that a record soon after another is the most exposed.

Change: the instances that call the store for their failure domain look at the operator's topic once, 100 ms after each waiting read went out; the others hear from them how far it was read. At the table's topic every instance looks, as nobody tells it. What such a look finds, what comes at the end of a wait, and all but a single record count as old as the last moment at which the topic's end was known, so that no version gets a time of grace that it may not have.

Cost: a call for each waiting read of six to nine instances a fleet.

--- a/crates/ploverwick_gateway/src/controllers/feed.rs
+++ b/crates/ploverwick_gateway/src/controllers/feed.rs
@@ -2,8 +2,9 @@
 
 use std::time::Duration;
 
-use ploverwick_platform::store::{Error, Record, Snapshot};
+use ploverwick_platform::store::{Batch, Error, Record, Snapshot};
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 use super::Backoff;
 use crate::journal::Outage;
@@ -13,6 +14,10 @@
 /// some ms apart; one that lags for longer may wait on a connection that fell silent.
 const HINTED: Duration = Duration::from_millis(300);
 
+/// How long after a waiting read went out a look follows. The store may miss to wake a read that arrives
+/// while a record is being written, which takes some ms; the look finds it.
+const ARMED: Duration = Duration::from_millis(100);
+
 /// How often a topic of which others tell is looked at again.
 const LOOK: Duration = Duration::from_millis(200);
 
@@ -34,13 +39,20 @@
     pub(super) hint: Option<&'a watch::Sender<u64>>,
     /// Whether others tell what the topic holds, so that it need not be read now.
     pub(super) is_told: fn(&Shared) -> bool,
+    /// Whether this instance looks beside a waiting read; one that does not is told by others.
+    pub(super) looks: fn(&Shared) -> bool,
 }
 
-/// For a topic of which nobody else tells.
+/// For a topic of which nobody else tells, or beside which nobody looks.
 pub(super) fn never(_: &Shared) -> bool {
     false
 }
 
+/// For a topic beside which every instance looks.
+pub(super) fn always(_: &Shared) -> bool {
+    true
+}
+
 /// What a feed brings.
 #[derive(Debug, Clone, Copy)]
 pub(super) enum News<'a> {
@@ -49,8 +61,13 @@
     /// The newest record of each key, and the offset at which the topic ended; what is not among them
     /// is gone.
     Whole { records: &'a [Record], end: u64 },
-    /// The records that came since, and the offset up to which the topic was read.
-    Next { records: &'a [Record], end: u64 },
+    /// The records that came since, the offset up to which the topic was read, and whether a read that
+    /// waited was woken by the only one of them, so that it is as new as it seems.
+    Next {
+        records: &'a [Record],
+        end: u64,
+        was_woken: bool,
+    },
     /// The topic cannot be read now.
     Away,
 }
@@ -105,8 +122,15 @@
         take(News::Whole { records, end });
         return Ok(end);
     };
-    let batch = match until_behind(feed.hint, from, shared.store.read(feed.topic, from, wait)).await
-    {
+    let waiting = shared.store.read(feed.topic, from, wait);
+    let waiting = until_behind(feed.hint, from, waiting);
+    let looks = !wait.is_zero() && (feed.looks)(shared);
+    let begun = Instant::now();
+    let (batch, was_waiting) = tokio::select! {
+        batch = waiting => (batch, true),
+        batch = look(shared, feed.topic, from), if looks => (Some(Ok(batch)), false),
+    };
+    let batch = match batch {
         Some(batch) => batch?,
         None => {
             take(News::Away);
@@ -119,10 +143,29 @@
     };
     let records = &batch.records;
     let end = from + records.len() as u64;
-    take(News::Next { records, end });
+    // Only the record that ends a wait is known to be new; others may have been there for as long.
+    let was_woken = was_waiting && records.len() <= 1 && begun.elapsed() < wait;
+    take(News::Next {
+        records,
+        end,
+        was_woken,
+    });
     Ok(end)
 }
 
+/// Looks once whether a topic has records that the read beside it was not woken for; ends only if it has.
+async fn look(shared: &Shared, topic: &str, from: u64) -> Batch {
+    tokio::time::sleep(ARMED).await;
+    match shared.store.read(topic, from, Duration::ZERO).await {
+        Ok(batch) if !batch.records.is_empty() => {
+            spdlog::info!("record_missed topic={} offset={}", topic, from);
+            batch
+        }
+        // The read that waits tells of an outage.
+        Ok(_) | Err(_) => std::future::pending().await,
+    }
+}
+
 /// Waits for a read; returns `None` if others have read further for a while.
 async fn until_behind<T>(
     hint: Option<&watch::Sender<u64>>,
--- a/crates/ploverwick_gateway/src/controllers/instances.rs
+++ b/crates/ploverwick_gateway/src/controllers/instances.rs
@@ -95,6 +95,7 @@
         pause: PAUSE,
         hint: None,
         is_told: feed::never,
+        looks: feed::never,
     };
     feed::follow(&shared, feed, |news| match news {
         News::Whole { records, .. } => replace(&shared, records),
--- a/crates/ploverwick_gateway/src/controllers/operator.rs
+++ b/crates/ploverwick_gateway/src/controllers/operator.rs
@@ -24,6 +24,7 @@
         pause: Duration::ZERO,
         hint: Some(&shared.operator_end),
         is_told: feed::never,
+        looks: Shared::is_caller,
     };
     feed::follow(&shared, feed, |news| take(&shared, news)).await;
 }
@@ -35,7 +36,16 @@
         News::Asking => return state.horizon.ask(now),
         News::Away => return state.horizon.fail(),
         News::Whole { records, end } => (records, end, state.horizon.whole()),
-        News::Next { records, end } => (records, end, state.horizon.next(now)),
+        News::Next {
+            records,
+            end,
+            was_woken,
+        } => {
+            if !was_woken && !records.is_empty() {
+                state.horizon.fail();
+            }
+            (records, end, state.horizon.next(now))
+        }
     };
     state.operator_read = end;
     drop(state);
--- a/crates/ploverwick_gateway/src/controllers/roster.rs
+++ b/crates/ploverwick_gateway/src/controllers/roster.rs
@@ -66,6 +66,7 @@
         pause: PAUSE,
         hint: None,
         is_told,
+        looks: feed::never,
     };
     feed::follow(&shared, feed, |news| {
         let now = follower.shared.now();
--- a/crates/ploverwick_gateway/src/controllers/table.rs
+++ b/crates/ploverwick_gateway/src/controllers/table.rs
@@ -25,6 +25,7 @@
         pause: Duration::ZERO,
         hint: None,
         is_told: feed::never,
+        looks: feed::always,
     };
     feed::follow(&shared, feed, |news| match news {
         News::Whole { records, .. } => {
