Choose an older version for 4 s of the 5 allowed

The margin of the choice also covered waits at endpoints, which are asked for by themselves now.

Change: the margin of the choice is 1 s instead of 1.5 s. A request is taken back 0.6 s before the bound as before.

--- a/crates/ploverwick_adapters/src/supersession.rs
+++ b/crates/ploverwick_adapters/src/supersession.rs
@@ -9,9 +9,10 @@
 
 use crate::Since;
 
-/// How long before the bound an older version is no longer chosen: the time to begin at an endpoint
-/// that reads other prompts first is mostly below a second.
-const CHOICE_MARGIN: Duration = Duration::from_millis(1_500);
+/// How long before the bound an older version is no longer chosen: 400 ms before a request would be taken
+/// back. Of 2,933 answers that were expected within 100 ms, 36 took longer; where more is expected, it is
+/// asked besides whether that fits.
+const CHOICE_MARGIN: Duration = Duration::from_secs(1);
 /// How long before the bound a request that has not begun is taken back: instances hear of a version
 /// some 100 ms after it was declared, and an endpoint drops a request some ms after its connection.
 const BEGIN_MARGIN: Duration = Duration::from_millis(600);
--- a/crates/ploverwick_gateway/src/tell.rs
+++ b/crates/ploverwick_gateway/src/tell.rs
@@ -198,6 +198,7 @@
 fn compose(shared: &Shared, round: u32) -> Vec<(Message, Vec<IpAddr>)> {
     let now = shared.now();
     let mut state = shared.state();
+    // This pause is the step by which a process that was held up is known.
     state.horizon.run(now);
     let places = state.tenure.token(now);
     let is_far_turn = round.is_multiple_of(FAR_EVERY);
