--- a/crates/ploverwick_daemon/src/chain/limit.rs
+++ b/crates/ploverwick_daemon/src/chain/limit.rs
@@ -15,12 +15,12 @@
     if terms.limits.is_empty() {
         return Ok(());
     }
-    let sharers = node.sharers();
+    let split = node.split();
     let now = node.now();
     let mut rates = lock(&node.rates);
     for limit in &terms.limits {
         rates
-            .share(&limit.subject, &limit.column, limit.rate, sharers, now)
+            .share(&limit.subject, &limit.column, limit.rate, split, now)
             .map_err(|wait| {
                 let message = format!("{} of {} is reached", limit.column, limit.subject);
                 refuse(Code::LimitReached, message).retry_after(wait)
--- a/crates/ploverwick_daemon/src/controllers/members.rs
+++ b/crates/ploverwick_daemon/src/controllers/members.rs
@@ -48,7 +48,12 @@
 
 fn take_listing(node: &Arc<Node>, read: Listing) {
     let instances = listing::instances(&read);
-    let actions = lock(&node.members).listed(&instances, node.now());
+    let now = node.now();
+    let actions = lock(&node.members).listed(&instances, now);
+    // Whoever is not on the list is not counted by the others either.
+    if instances.contains_key(&node.life.instance) {
+        node.listed.get_or_init(|| now);
+    }
     node.listing.send_if_modified(|known| {
         let changed = **known != read;
         if changed {
--- a/crates/ploverwick_daemon/src/daemon.rs
+++ b/crates/ploverwick_daemon/src/daemon.rs
@@ -4,7 +4,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{Duration, Instant};
 
 use ploverwick_limits::{Past, Rates};
@@ -265,6 +265,7 @@
         in_force: watch::Sender::new(InForce::default()),
         history: Mutex::new(History::default()),
         listing: watch::Sender::default(),
+        listed: OnceLock::new(),
         log_read_at: Mutex::new(start),
         owners: Owners::default(),
         scribes: Scribes::default(),
--- a/crates/ploverwick_gateway/src/shared.rs
+++ b/crates/ploverwick_gateway/src/shared.rs
@@ -9,8 +9,8 @@
 use std::time::Duration;
 
 use ploverwick_adapters::{Copy, Directory, Pace, Placer, Tenure, Terms};
-use ploverwick_endpoints::{Budget, Fleet, Rate};
-use ploverwick_limits::{Past, Rates, Sharers};
+use ploverwick_endpoints::{Account, Budget, Fleet, Rate, Sharers};
+use ploverwick_limits::{Past, Rates, Split};
 use ploverwick_names::Moment;
 use ploverwick_platform::settings::Settings;
 use ploverwick_platform::store::Store;
@@ -21,6 +21,7 @@
 use crate::clock::Clock;
 use crate::journal::Lines;
 use crate::mail::Mail;
+use crate::metrics;
 use crate::outbox::Outbox;
 use crate::pool::Pool;
 
@@ -72,9 +73,10 @@
     /// The base models that were loaded lately in this failure domain.
     pub(crate) base_loads: Pace,
     pub(crate) budgets: HashMap<Arc<str>, Budget>,
+    /// The instances that share what the budgets allow whatever the number of requests.
+    pub(crate) sharers: Sharers,
     pub(crate) peers: HashMap<Arc<str>, Peer>,
-    /// Whether this instance read its own line on the list of instances. It then knows all that were
-    /// listed before, and those that are listed later read its line before theirs count.
+    /// This instance was seen in the list of instances, so that the others know of it.
     pub(crate) is_listed: bool,
     /// This instance's requests under way, by endpoint and adapter; 0 for one that ended since the
     /// placers were told.
@@ -135,6 +137,7 @@
             tenure: Tenure::new(terms, !settings.first_start, clock.now()),
             base_loads: Pace::default(),
             budgets: HashMap::new(),
+            sharers: Sharers::default(),
             peers: HashMap::new(),
             is_listed: false,
             uses: HashMap::new(),
@@ -193,8 +196,55 @@
         state.tenure.is_held(now) || state.rank(&self.settings, now) < STANDBYS
     }
 
+    /// Takes a repeat of a request out of its service's budget; `false` if there is none left.
+    pub(crate) fn may_repeat(&self, id: &str, service: &Arc<str>) -> bool {
+        let now = self.now();
+        let mut state = self.state();
+        let account = state.repeat(service, self.repeat_rate(), now);
+        let instances = state.sharers.most(self.repeat_rate(), now);
+        drop(state);
+        let is_granted = account.has_room();
+        metrics::repeat(is_granted);
+        if self.lines.allow(now) {
+            spdlog::info!(
+                "request_repeated id={} service={} granted={} earned={:.2} spent={:.2} share={:.2} instances={:?}",
+                id,
+                service,
+                is_granted,
+                account.earned,
+                account.spent,
+                account.share,
+                instances
+            );
+        }
+        is_granted
+    }
+
+    /// Takes in that the list of instances may have changed.
+    pub(crate) fn count_sharers(&self, state: &mut State) {
+        if state.is_listed {
+            let instances = state.peers.len() + 1;
+            state
+                .sharers
+                .heard(instances, self.repeat_rate(), self.now());
+        }
+    }
+
+    /// Returns how the table's limits are split, as far as that is proven. The largest number of
+    /// instances of the last while counts, so that nobody takes the share of one that starts anew.
+    pub(crate) fn split(&self, state: &State) -> Split {
+        let now = self.now();
+        match (
+            state.sharers.since(),
+            state.sharers.most(self.repeat_rate(), now),
+        ) {
+            (Some(since), Some(count)) => Split::Among { count, since },
+            (None, _) | (_, None) => Split::Unknown,
+        }
+    }
+
     /// Returns the bound on repeats.
-    pub(crate) fn repeat_rate(&self) -> Rate {
+    fn repeat_rate(&self) -> Rate {
         Rate {
             ratio: self.settings.repeat_ratio,
             allowance: self.settings.repeat_allowance,
@@ -236,15 +286,6 @@
         before.count()
     }
 
-    /// Returns how many instances share what is bounded over all of them, as far as that is proven.
-    pub(crate) fn sharers(&self) -> Sharers {
-        if self.is_listed {
-            Sharers::Known(self.peers.len() + 1)
-        } else {
-            Sharers::Unknown
-        }
-    }
-
     /// Counts a request that uses an adapter at an endpoint, or one that ended.
     pub(crate) fn count_use(&mut self, endpoint: &Arc<str>, copy: &Copy, begins: bool) {
         let key = (Arc::clone(endpoint), copy.clone());
@@ -256,10 +297,9 @@
         };
     }
 
-    /// Takes a repeat of a request to a service out of the budget.
-    pub(crate) fn may_repeat(&mut self, service: &Arc<str>, rate: Rate, now: Moment) -> bool {
-        let instances = self.peers.len() + 1;
+    /// Takes a repeat of a request to a service out of the budget, and returns what that rests on.
+    fn repeat(&mut self, service: &Arc<str>, rate: Rate, now: Moment) -> Account {
         let budget = self.budgets.entry(Arc::clone(service)).or_default();
-        budget.repeat(rate, instances, now)
+        budget.repeat(rate, &self.sharers, now)
     }
 }
--- a/crates/ploverwick_limits/src/lib.rs
+++ b/crates/ploverwick_limits/src/lib.rs
@@ -66,13 +66,18 @@
     Unproven,
 }
 
-/// How many instances share the table's limits.
+/// How the table's limits are split.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Sharers {
+pub enum Split {
     /// The list of instances was not read yet.
     Unknown,
-    /// This many.
-    Known(usize),
+    /// Evenly among the instances.
+    Among {
+        /// How many there are, this one among them.
+        count: usize,
+        /// Since when they leave this one its share.
+        since: Moment,
+    },
 }
 
 /// When to come back to an instance that does not know yet who shares the limits; it reads the list
@@ -97,7 +102,7 @@
 }
 
 impl Rates {
-    /// Starts with a process, at the first moment of its clock.
+    /// Starts with a process.
     pub fn new(past: Past) -> Self {
         Self {
             shares: HashMap::new(),
@@ -114,13 +119,14 @@
         subject: &Subject,
         column: &Column,
         limit: f64,
-        sharers: Sharers,
+        split: Split,
         now: Moment,
     ) -> Result<(), Duration> {
-        match sharers {
-            Sharers::Unknown => Err(UNKNOWN),
-            Sharers::Known(count) => self.take(subject, column, limit / count.max(1) as f64, now),
-        }
+        let (rate, since) = match split {
+            Split::Unknown => return Err(UNKNOWN),
+            Split::Among { count, since } => (limit / count.max(1) as f64, since),
+        };
+        self.take_since(since, (subject, column), rate, now)
     }
 
     /// Takes a token of the cell's limit, of which this instance has `rate` a second.
@@ -133,15 +139,26 @@
         column: &Column,
         rate: f64,
         now: Moment,
+    ) -> Result<(), Duration> {
+        self.take_since(Moment::default(), (subject, column), rate, now)
+    }
+
+    fn take_since(
+        &mut self,
+        since: Moment,
+        (subject, column): (&Subject, &Column),
+        rate: f64,
+        now: Moment,
     ) -> Result<(), Duration> {
         let burst = rate.max(1.0);
         let level = self.first_level(rate);
         let key = (subject.clone(), column.clone());
-        // A bucket fills from the start of the process whenever it is first used: no series of
-        // starts admits more than one long life, and who has lived the filling time loses nothing.
+        // A bucket fills since the others leave this instance its share, whenever it is first used: no
+        // series of starts admits more than one long life, and who has lived the filling time loses
+        // nothing.
         let share = self.shares.entry(key).or_insert_with(|| Share {
-            bucket: Bucket::new(level, Moment::default()),
-            full: Moment::default(),
+            bucket: Bucket::new(level, since),
+            full: since,
         });
         share.bucket.refill(rate, burst, now);
         share.full = now + filling(rate);
--- a/crates/ploverwick_limits/tests/life_series.rs
+++ b/crates/ploverwick_limits/tests/life_series.rs
@@ -7,7 +7,7 @@
 //! admits 825 if each of six instances starts anew every three seconds, and 1,140 if all do each second.
 
 use googletest::prelude::*;
-use ploverwick_limits::{Past, Rates, Sharers};
+use ploverwick_limits::{Past, Rates, Split};
 use ploverwick_names::Moment;
 use ploverwick_table::{Column, Subject};
 
@@ -25,8 +25,11 @@
 
 fn take(rates: &mut Rates, limit: f64, age: usize) -> bool {
     let now = Moment(age as u64);
-    let sharers = Sharers::Known(INSTANCES);
-    let taken = rates.share(&Subject::All, &column(), limit, sharers, now);
+    let split = Split::Among {
+        count: INSTANCES,
+        since: Moment(0),
+    };
+    let taken = rates.share(&Subject::All, &column(), limit, split, now);
     taken.is_ok()
 }
 
@@ -107,11 +110,29 @@
     expect_that!(take(&mut rates, limit, 20), is_false());
 }
 
+/// An instance that others did not count has nothing for that time, however long it has run.
+#[googletest::test]
+fn newcomer_begins_empty() {
+    let mut rates = Rates::new(Past::Unproven);
+    let split = Split::Among {
+        count: INSTANCES,
+        since: Moment(8_000),
+    };
+    let mut take = |at| {
+        rates
+            .share(&Subject::All, &column(), LIMIT, split, Moment(at))
+            .is_ok()
+    };
+    expect_that!(take(8_050), is_false());
+    expect_that!(take(8_110), is_true());
+    expect_that!(take(8_150), is_false());
+}
+
 #[googletest::test]
 fn unknown_sharers_wait() {
     let mut rates = Rates::new(Past::None);
     let now = Moment(60_000);
-    let taken = rates.share(&Subject::All, &column(), LIMIT, Sharers::Unknown, now);
+    let taken = rates.share(&Subject::All, &column(), LIMIT, Split::Unknown, now);
     expect_that!(taken, err(anything()));
 }
 
