--- a/crates/ploverwick_limits/tests/life_series.rs
+++ b/crates/ploverwick_limits/tests/life_series.rs
@@ -36,6 +36,14 @@
 /// Plays steady demand on all instances, each of which starts anew when `starts` says so, and returns
 /// when requests were admitted.
 fn play(starts: impl Fn(usize, usize) -> bool) -> Vec<usize> {
+    play_paused(starts, |_| false)
+}
+
+/// Plays demand that pauses when `pauses` says so.
+fn play_paused(
+    starts: impl Fn(usize, usize) -> bool,
+    pauses: impl Fn(usize) -> bool,
+) -> Vec<usize> {
     let mut lives: Vec<(usize, Rates)> = Vec::new();
     lives.resize_with(INSTANCES, || (0, Rates::new(Past::None)));
     let mut admitted = Vec::new();
@@ -44,7 +52,7 @@
             if starts(number, at) {
                 *life = (at, Rates::new(Past::Unproven));
             }
-            if take(&mut life.1, LIMIT, at - life.0) {
+            if !pauses(at) && take(&mut life.1, LIMIT, at - life.0) {
                 admitted.push(at);
             }
         }
@@ -80,6 +88,37 @@
     }
 }
 
+/// Returns the next number of a fixed series.
+fn draw(seed: &mut u64) -> u64 {
+    *seed = seed
+        .wrapping_mul(6_364_136_223_846_793_005)
+        .wrapping_add(1_442_695_040_888_963_407);
+    *seed >> 33
+}
+
+/// Drawn series of starts and of demand that pauses, in which buckets fill: beyond the limit comes a
+/// second's worth that was saved up and one request an instance.
+#[googletest::test]
+fn drawn_series() {
+    for first in 0..200_u64 {
+        let mut seed = first;
+        let rarity = 1 + draw(&mut seed) % 400;
+        let starts: Vec<bool> = (0..INSTANCES * PLAYED / PACE)
+            .map(|_| draw(&mut seed).is_multiple_of(rarity))
+            .collect();
+        let pauses: Vec<bool> = (0..=PLAYED / 500)
+            .map(|_| draw(&mut seed).is_multiple_of(2))
+            .collect();
+        let admitted = play_paused(
+            |number, at| starts[at / PACE * INSTANCES + number],
+            |at| pauses[at / 500],
+        );
+        for window in [1_000, 5_000, 10_000] {
+            expect_that!(beyond(&admitted, window), le(LIMIT + INSTANCES as f64));
+        }
+    }
+}
+
 /// What the mend costs: after a start the saved burst is missing, the rate is not.
 #[googletest::test]
 fn rate_is_kept() {
