--- a/crates/ploverwick_daemon/src/node.rs
+++ b/crates/ploverwick_daemon/src/node.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Instant;
 
-use ploverwick_limits::{Rates, Split};
+use ploverwick_limits::{Rates, Sharers};
 use ploverwick_members::Controller as Members;
 use ploverwick_names::{Endpoint, Life, Moment, Offset, Request};
 use ploverwick_owner::holds::Controller as Holds;
@@ -93,10 +93,10 @@
 
     /// Returns how the table's limits are split, once this daemon is listed. Before that it may know
     /// only itself and would take the whole of a limit.
-    pub(crate) fn split(&self) -> Split {
+    pub(crate) fn sharers(&self) -> Sharers {
         match self.listed.get() {
-            None => Split::Unknown,
-            Some(since) => Split::Among {
+            None => Sharers::Unknown,
+            Some(since) => Sharers::Known {
                 count: self.fleet_size(),
                 since: *since,
             },
--- a/crates/ploverwick_endpoints/src/lib.rs
+++ b/crates/ploverwick_endpoints/src/lib.rs
@@ -5,18 +5,18 @@
 
 mod absence;
 mod budget;
+mod census;
 mod entry;
 mod fleet;
 mod health;
 mod load;
 mod patience;
-mod sharers;
 
 pub use absence::Absence;
 pub use budget::{Account, Budget, Rate};
+pub use census::Census;
 pub use entry::{Entry, Held, State};
 pub use fleet::{Cost, Fleet, Query};
 pub use health::{Health, Outcome};
 pub use load::Load;
 pub use patience::patience;
-pub use sharers::Sharers;
--- a/crates/ploverwick_endpoints/tests/retry_budget.rs
+++ b/crates/ploverwick_endpoints/tests/retry_budget.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use ploverwick_endpoints::{Budget, Rate, Sharers};
+use ploverwick_endpoints::{Budget, Census, Rate};
 use ploverwick_names::Moment;
 
 const RATE: Rate = Rate {
@@ -16,18 +16,18 @@
 const LATER: Moment = Moment(20_000);
 
 /// Returns what an instance knows that has known for long that there are so many.
-fn shared_by(instances: usize) -> Sharers {
-    let mut sharers = Sharers::default();
-    sharers.heard(instances, RATE, Moment(0));
-    sharers
+fn shared_by(instances: usize) -> Census {
+    let mut census = Census::default();
+    census.heard(instances, RATE, Moment(0));
+    census
 }
 
 #[googletest::test]
 fn allowance_is_shared() {
-    let sharers = shared_by(6);
+    let census = shared_by(6);
     let mut budget = Budget::default();
     let granted = (0..100)
-        .filter(|_| budget.repeat(RATE, &sharers, LATER).has_room())
+        .filter(|_| budget.repeat(RATE, &census, LATER).has_room())
         .count();
     expect_that!(granted, le(10));
     expect_that!(granted, gt(5));
@@ -35,7 +35,7 @@
 
 #[googletest::test]
 fn requests_earn_repeats() {
-    let sharers = shared_by(6);
+    let census = shared_by(6);
     let mut budget = Budget::default();
     for _ in 0..500 {
         budget.request(LATER);
@@ -43,7 +43,7 @@
     let granted = (0..500)
         .filter(|_| {
             budget
-                .repeat(RATE, &sharers, LATER + Duration::from_millis(100))
+                .repeat(RATE, &census, LATER + Duration::from_millis(100))
                 .has_room()
         })
         .count();
@@ -55,14 +55,14 @@
 #[googletest::test]
 fn every_window_holds() {
     let mut budget = Budget::default();
-    let sharers = shared_by(1);
+    let census = shared_by(1);
     let mut granted: Vec<u64> = Vec::new();
     for at in (0..60_000).step_by(50) {
         let busy = (at / 7_000) % 2 == 0;
         if busy {
             budget.request(Moment(at));
         }
-        if budget.repeat(RATE, &sharers, Moment(at)).has_room() {
+        if budget.repeat(RATE, &census, Moment(at)).has_room() {
             granted.push(at);
         }
     }
--- a/crates/ploverwick_gateway/src/controllers/table.rs
+++ b/crates/ploverwick_gateway/src/controllers/table.rs
@@ -21,17 +21,18 @@
         topic: TABLE,
         what: "table topic",
         wait: WAIT,
+        first_wait: WAIT,
         pause: Duration::ZERO,
         hint: None,
         is_told: feed::never,
     };
     feed::follow(&shared, feed, |news| match news {
-        News::Whole(records) => {
+        News::Whole { records, .. } => {
             take(&shared, &mut assembly, records);
             shared.state().has_table = true;
         }
-        News::Next(records) => take(&shared, &mut assembly, records),
-        News::Away => {}
+        News::Next { records, .. } => take(&shared, &mut assembly, records),
+        News::Asking | News::Away => {}
     })
     .await;
 }
--- a/crates/ploverwick_gateway/src/filters/attempt.rs
+++ b/crates/ploverwick_gateway/src/filters/attempt.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use http::{Response, StatusCode};
+use ploverwick_adapters::Since;
 use ploverwick_codes::Code;
 use ploverwick_endpoints::{Outcome, patience};
 use ploverwick_names::Moment;
@@ -46,23 +47,30 @@
 #[derive(Debug, Clone, Copy)]
 struct Aim {
     version: Option<u64>,
-    /// How long ago the version was replaced, as far as this instance knew.
-    replaced: Option<Duration>,
+    /// Since when there had been a newer version, as far as this instance knew.
+    replaced: Option<Since>,
     /// When it went out, counted from the start of the process.
     at: Moment,
     /// How long its answer was awaited at most.
     limit: Duration,
+    /// How long its answer was expected to take to begin.
+    expected: Duration,
 }
 
 impl std::fmt::Display for Aim {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         let version = self.version.unwrap_or_default();
-        let replaced = self.replaced.map(|age| age.as_millis());
         let limit = self.limit.as_millis();
+        let expected = self.expected.as_millis();
         let at = self.at.0;
+        let replaced = match self.replaced {
+            None => "-".to_owned(),
+            Some(Since::LongAgo) => "long_ago".to_owned(),
+            Some(Since::NotBefore(since)) => self.at.since(since).as_millis().to_string(),
+        };
         write!(
             f,
-            "version={version} replaced_ms={replaced:?} sent_at={at} limit_ms={limit}"
+            "version={version} replaced_ms={replaced} sent_at={at} limit_ms={limit} expected_ms={expected}"
         )
     }
 }
@@ -101,6 +109,7 @@
             replaced: target.replaced,
             at: shared.now(),
             limit: limit.saturating_duration_since(begun),
+            expected: target.expected,
         });
         let sent = send::run(shared, &task, &target, limit, None).await;
         history.spent.answering = begun.elapsed();
--- a/crates/ploverwick_gateway/src/filters/terms.rs
+++ b/crates/ploverwick_gateway/src/filters/terms.rs
@@ -42,10 +42,10 @@
     let Some(found) = resolve(&table, &adapter, hall.as_ref(), Timestamp::now()) else {
         return Ok(terms);
     };
-    let split = shared.split(&state);
+    let sharers = shared.sharers(&state);
     for limit in &found.limits {
         let (subject, column) = (&limit.subject, &limit.column);
-        let taken = state.rates.share(subject, column, limit.rate, split, now);
+        let taken = state.rates.share(subject, column, limit.rate, sharers, now);
         if let Err(wait) = taken {
             let detail = format!("adapter {key}, limit {} a second", limit.rate);
             return Err(Reply::new(Code::LimitReached, detail).retry_after(wait));
--- a/crates/ploverwick_gateway/src/shared.rs
+++ b/crates/ploverwick_gateway/src/shared.rs
@@ -8,9 +8,9 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-use ploverwick_adapters::{Copy, Directory, Pace, Placer, Tenure, Terms};
-use ploverwick_endpoints::{Account, Budget, Fleet, Rate, Sharers};
-use ploverwick_limits::{Past, Rates, Split};
+use ploverwick_adapters::{Copy, Directory, Horizon, Pace, Placer, Tenure, Terms};
+use ploverwick_endpoints::{Account, Budget, Census, Fleet, Rate};
+use ploverwick_limits::{Past, Rates, Sharers};
 use ploverwick_names::Moment;
 use ploverwick_platform::settings::Settings;
 use ploverwick_platform::store::Store;
@@ -68,15 +68,20 @@
     pub(crate) rates: Rates,
     pub(crate) fleet: Fleet,
     pub(crate) directory: Directory,
+    /// What is proved of the age of what the operator wrote.
+    pub(crate) horizon: Horizon,
+    /// The offset up to which the operator's topic was read.
+    pub(crate) operator_read: u64,
     pub(crate) placer: Placer,
     pub(crate) tenure: Tenure,
     /// The base models that were loaded lately in this failure domain.
     pub(crate) base_loads: Pace,
     pub(crate) budgets: HashMap<Arc<str>, Budget>,
-    /// The instances that share what the budgets allow whatever the number of requests.
-    pub(crate) sharers: Sharers,
+    /// The instances that share what is bounded over all of them.
+    pub(crate) census: Census,
     pub(crate) peers: HashMap<Arc<str>, Peer>,
-    /// This instance was seen in the list of instances, so that the others know of it.
+    /// Whether this instance read its own line on the list of instances. It then knows all that were
+    /// listed before, and those that are listed later read its line before theirs count.
     pub(crate) is_listed: bool,
     /// This instance's requests under way, by endpoint and adapter; 0 for one that ended since the
     /// placers were told.
@@ -99,8 +104,10 @@
     pub(crate) keeps_token: bool,
     /// Wakes requests that wait for an adapter.
     pub(crate) placed: Notify,
-    /// Says that a peer has a newer configuration.
-    pub(crate) newer_config: Notify,
+    /// The furthest offset up to which a peer has read the operator's topic.
+    pub(crate) operator_end: watch::Sender<u64>,
+    /// Wakes requests under way when a version is declared.
+    pub(crate) declared: Notify,
     /// Says that the placer of this failure domain gave up its right.
     pub(crate) vacant: Notify,
     /// Wakes the tasks that give orders.
@@ -133,11 +140,13 @@
             }),
             fleet: Fleet::default(),
             directory: Directory::default(),
+            horizon: Horizon::default(),
+            operator_read: 0,
             placer: Placer::default(),
             tenure: Tenure::new(terms, !settings.first_start, clock.now()),
             base_loads: Pace::default(),
             budgets: HashMap::new(),
-            sharers: Sharers::default(),
+            census: Census::default(),
             peers: HashMap::new(),
             is_listed: false,
             uses: HashMap::new(),
@@ -153,7 +162,8 @@
             outbox: Outbox::default(),
             lines: Lines::default(),
             placed: Notify::new(),
-            newer_config: Notify::new(),
+            operator_end: watch::Sender::new(0),
+            declared: Notify::new(),
             vacant: Notify::new(),
             orders: Notify::new(),
             stopping: watch::Sender::new(false),
@@ -201,7 +211,7 @@
         let now = self.now();
         let mut state = self.state();
         let account = state.repeat(service, self.repeat_rate(), now);
-        let instances = state.sharers.most(self.repeat_rate(), now);
+        let instances = state.census.most(self.repeat_rate(), now);
         drop(state);
         let is_granted = account.has_room();
         metrics::repeat(is_granted);
@@ -221,25 +231,22 @@
     }
 
     /// Takes in that the list of instances may have changed.
-    pub(crate) fn count_sharers(&self, state: &mut State) {
+    pub(crate) fn count_instances(&self, state: &mut State) {
         if state.is_listed {
             let instances = state.peers.len() + 1;
             state
-                .sharers
+                .census
                 .heard(instances, self.repeat_rate(), self.now());
         }
     }
 
-    /// Returns how the table's limits are split, as far as that is proven. The largest number of
-    /// instances of the last while counts, so that nobody takes the share of one that starts anew.
-    pub(crate) fn split(&self, state: &State) -> Split {
-        let now = self.now();
-        match (
-            state.sharers.since(),
-            state.sharers.most(self.repeat_rate(), now),
-        ) {
-            (Some(since), Some(count)) => Split::Among { count, since },
-            (None, _) | (_, None) => Split::Unknown,
+    /// Returns how many instances share what is bounded over all of them, as far as that is proven:
+    /// what one spent that has just left still counts.
+    pub(crate) fn sharers(&self, state: &State) -> Sharers {
+        let most = state.census.most(self.repeat_rate(), self.now());
+        match (state.census.since(), most) {
+            (Some(since), Some(count)) => Sharers::Known { count, since },
+            (None, _) | (_, None) => Sharers::Unknown,
         }
     }
 
@@ -300,6 +307,6 @@
     /// Takes a repeat of a request to a service out of the budget, and returns what that rests on.
     fn repeat(&mut self, service: &Arc<str>, rate: Rate, now: Moment) -> Account {
         let budget = self.budgets.entry(Arc::clone(service)).or_default();
-        budget.repeat(rate, &self.sharers, now)
+        budget.repeat(rate, &self.census, now)
     }
 }
--- a/crates/ploverwick_limits/src/lib.rs
+++ b/crates/ploverwick_limits/src/lib.rs
@@ -66,13 +66,13 @@
     Unproven,
 }
 
-/// How the table's limits are split.
+/// The instances that share the table's limits.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Split {
+pub enum Sharers {
     /// The list of instances was not read yet.
     Unknown,
-    /// Evenly among the instances.
-    Among {
+    /// Each has an even part.
+    Known {
         /// How many there are, this one among them.
         count: usize,
         /// Since when they leave this one its share.
@@ -119,12 +119,12 @@
         subject: &Subject,
         column: &Column,
         limit: f64,
-        split: Split,
+        sharers: Sharers,
         now: Moment,
     ) -> Result<(), Duration> {
-        let (rate, since) = match split {
-            Split::Unknown => return Err(UNKNOWN),
-            Split::Among { count, since } => (limit / count.max(1) as f64, since),
+        let (rate, since) = match sharers {
+            Sharers::Unknown => return Err(UNKNOWN),
+            Sharers::Known { count, since } => (limit / count.max(1) as f64, since),
         };
         self.take_since(since, (subject, column), rate, now)
     }
--- a/crates/ploverwick_limits/tests/life_series.rs
+++ b/crates/ploverwick_limits/tests/life_series.rs
@@ -7,7 +7,7 @@
 //! admits 825 if each of six instances starts anew every three seconds, and 1,140 if all do each second.
 
 use googletest::prelude::*;
-use ploverwick_limits::{Past, Rates, Split};
+use ploverwick_limits::{Past, Rates, Sharers};
 use ploverwick_names::Moment;
 use ploverwick_table::{Column, Subject};
 
@@ -25,11 +25,11 @@
 
 fn take(rates: &mut Rates, limit: f64, age: usize) -> bool {
     let now = Moment(age as u64);
-    let split = Split::Among {
+    let sharers = Sharers::Known {
         count: INSTANCES,
         since: Moment(0),
     };
-    let taken = rates.share(&Subject::All, &column(), limit, split, now);
+    let taken = rates.share(&Subject::All, &column(), limit, sharers, now);
     taken.is_ok()
 }
 
@@ -153,13 +153,13 @@
 #[googletest::test]
 fn newcomer_begins_empty() {
     let mut rates = Rates::new(Past::Unproven);
-    let split = Split::Among {
+    let sharers = Sharers::Known {
         count: INSTANCES,
         since: Moment(8_000),
     };
     let mut take = |at| {
         rates
-            .share(&Subject::All, &column(), LIMIT, split, Moment(at))
+            .share(&Subject::All, &column(), LIMIT, sharers, Moment(at))
             .is_ok()
     };
     expect_that!(take(8_050), is_false());
@@ -171,7 +171,7 @@
 fn unknown_sharers_wait() {
     let mut rates = Rates::new(Past::None);
     let now = Moment(60_000);
-    let taken = rates.share(&Subject::All, &column(), LIMIT, Split::Unknown, now);
+    let taken = rates.share(&Subject::All, &column(), LIMIT, Sharers::Unknown, now);
     expect_that!(taken, err(anything()));
 }
 
