--- a/crates/ploverwick_daemon/src/node.rs
+++ b/crates/ploverwick_daemon/src/node.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Instant;
 
 use ploverwick_limits::{Rates, Sharers};
@@ -44,6 +44,8 @@
     pub(crate) in_force: watch::Sender<InForce>,
     pub(crate) history: Mutex<History>,
     pub(crate) listing: watch::Sender<Arc<Listing>>,
+    /// When this daemon first read its own line in the list of instances.
+    pub(crate) listed: OnceLock<Moment>,
     pub(crate) members: Mutex<Members>,
     pub(crate) holds: Mutex<Holds>,
     /// When the log last answered a read.
@@ -89,13 +91,15 @@
         self.draining.load(Ordering::Acquire)
     }
 
-    /// Returns how many instances share the table's limits. Before the first list a daemon knows
+    /// Returns how the table's limits are split, once this daemon is listed. Before that it may know
     /// only itself and would take the whole of a limit.
     pub(crate) fn sharers(&self) -> Sharers {
-        if self.listing.borrow().instances.is_empty() {
-            Sharers::Unknown
-        } else {
-            Sharers::Known(self.fleet_size())
+        match self.listed.get() {
+            None => Sharers::Unknown,
+            Some(since) => Sharers::Known {
+                count: self.fleet_size(),
+                since: *since,
+            },
         }
     }
 
--- a/crates/ploverwick_endpoints/src/census.rs
+++ b/crates/ploverwick_endpoints/src/census.rs
@@ -32,6 +32,11 @@
         }
     }
 
+    /// Returns since when the instances are known; `None` while they are not.
+    pub fn since(&self) -> Option<Moment> {
+        self.known
+    }
+
     /// Returns this instance's part of the allowance.
     pub fn share(&self, rate: Rate, now: Moment) -> f64 {
         let is_proved = self.known.is_some_and(|at| now.since(at) > rate.window);
--- a/crates/ploverwick_gateway/src/shared.rs
+++ b/crates/ploverwick_gateway/src/shared.rs
@@ -244,7 +244,10 @@
     /// what one spent that has just left still counts.
     pub(crate) fn sharers(&self, state: &State) -> Sharers {
         let most = state.census.most(self.repeat_rate(), self.now());
-        most.map_or(Sharers::Unknown, Sharers::Known)
+        match (state.census.since(), most) {
+            (Some(since), Some(count)) => Sharers::Known { count, since },
+            (None, _) | (_, None) => Sharers::Unknown,
+        }
     }
 
     /// Returns the bound on repeats.
