Say on a refused order whether it is taken for accepted

A refusal of a repeated order may be taken for proof that the first one was accepted. The log showed that only as two lines that had to be joined; the line of the refusal now says assumed=true, beside the number and the token that it had before. Tests of ploverwick_gateway pass.

--- a/crates/ploverwick_gateway/src/controllers/orders.rs
+++ b/crates/ploverwick_gateway/src/controllers/orders.rs
@@ -191,11 +191,12 @@
     let event = answered(shared, &entry.id, order, token, answer);
     if !matches!(answer, Answer::Accepted | Answer::Done) {
         spdlog::info!(
-            "order_failed endpoint={} order={:?} token={} answer={:?}",
+            "order_failed endpoint={} order={:?} token={} answer={:?} assumed={}",
             entry.id,
             order,
             token,
-            answer
+            answer,
+            event.is_some()
         );
     }
     if let Some(event) = event {
