Begin no base model for a window after a restart

The count of base models that a failure domain began to load lately lives in the process. Its instances tell each other, but a process that starts again hears of nothing that went before, and if all were killed nobody knows. It began with an empty count and could begin a whole share again in the same window.

A process that is not part of the first start of the system takes the share for spent until a window has passed since its start. The first start of the system waits for nothing. A live successor that missed the messages of its predecessor (they may be lost, or it was cut off) is not covered.

--- a/crates/ploverwick_adapters/src/pace.rs
+++ b/crates/ploverwick_adapters/src/pace.rs
@@ -38,11 +38,28 @@
 #[derive(Debug, Default)]
 pub struct Pace {
     begun: VecDeque<Moment>,
+    /// When this count began, if others may have begun loads before.
+    from: Option<Moment>,
 }
 
 impl Pace {
+    /// Starts a count that others may have spent: an earlier life of the process, or those that ended
+    /// with it, may have begun the whole share just before, and none of them can tell.
+    pub fn after_others(now: Moment) -> Self {
+        Self {
+            begun: VecDeque::new(),
+            from: Some(now),
+        }
+    }
+
     /// Returns when another load may begin; `None` if it may now.
     pub fn next_at(&mut self, ceiling: &Ceiling, now: Moment) -> Option<Moment> {
+        if let Some(from) = self.from {
+            if now.since(from) <= ceiling.window {
+                return Some(from + ceiling.window + Duration::from_millis(1));
+            }
+            self.from = None;
+        }
         while let Some(first) = self.begun.front()
             && now.since(*first) > ceiling.window
         {
--- a/crates/ploverwick_adapters/tests/base_pace.rs
+++ b/crates/ploverwick_adapters/tests/base_pace.rs
@@ -39,6 +39,15 @@
     expect_that!(pace.next_at(&ceiling, Moment(5_001)), none());
 }
 
+/// Others may have begun their whole share just before this count began.
+#[googletest::test]
+fn others_count() {
+    let mut pace = Pace::after_others(Moment(1_000));
+    expect_that!(pace.next_at(&QALAM, Moment(1_000)), some(eq(Moment(6_001))));
+    expect_that!(pace.next_at(&QALAM, Moment(6_000)), some(eq(Moment(6_001))));
+    expect_that!(pace.next_at(&QALAM, Moment(6_001)), none());
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(300) })]
 
--- a/crates/ploverwick_gateway/src/shared.rs
+++ b/crates/ploverwick_gateway/src/shared.rs
@@ -123,7 +123,11 @@
             directory: Directory::default(),
             placer: Placer::default(),
             tenure: Tenure::new(terms, !settings.first_start, clock.now()),
-            base_loads: Pace::default(),
+            base_loads: if settings.first_start {
+                Pace::default()
+            } else {
+                Pace::after_others(clock.now())
+            },
             budgets: HashMap::new(),
             peers: HashMap::new(),
             uses: HashMap::new(),
