--- a/crates/ploverwick_gateway/src/shared.rs
+++ b/crates/ploverwick_gateway/src/shared.rs
@@ -144,7 +144,11 @@
             operator_read: 0,
             placer: Placer::default(),
             tenure: Tenure::new(terms, !settings.first_start, clock.now()),
-            base_loads: Pace::default(),
+            base_loads: if settings.first_start {
+                Pace::default()
+            } else {
+                Pace::after_others(clock.now())
+            },
             budgets: HashMap::new(),
             census: Census::default(),
             peers: HashMap::new(),
