--- a/crates/ploverwick_adapters/tests/order_number.rs
+++ b/crates/ploverwick_adapters/tests/order_number.rs
@@ -419,7 +419,7 @@
 }
 
 /// An adapter that a report lists may have been leaving, and be gone: the unload that is then ordered
-/// is obeyed without being counted. Found by the generated lives, not in a trace.
+/// is obeyed without being counted. Found by the generated lives; no trace has shown it.
 #[googletest::test]
 fn uncounted_unload_fits() {
     let mut play = Play::holding(0..4);
--- a/crates/ploverwick_gateway/tests/base_restart.rs
+++ b/crates/ploverwick_gateway/tests/base_restart.rs
@@ -1,7 +1,7 @@
 //! A process that starts again does not know which base models its earlier life, and those that were
 //! killed with it, began to load: for a window it begins none.
 //!
-//! What was seen: nothing in a play; the code starts each process with an empty count. How it would
+//! What was seen: nothing yet; the code started each process with an empty count. How it would
 //! come about: a failure domain begins its part of the loads that a window allows, its instances are
 //! killed, and the new placer begins as many again in the same window.
 
