Read anew when another call to the store was silent, and owe a look until it is answered

A look that failed was not repeated.

Change: dropping the store's kept connections wakes what waits on another one, which then reads without waiting; a look is repeated until it is answered, at most every 2 s; an empty answer takes a false offset back. Of several records in one answer the last one is as new as the read and only the others count as old, so that a version beside a configuration keeps its time of grace.

--- a/crates/ploverwick_adapters/src/horizon.rs
+++ b/crates/ploverwick_adapters/src/horizon.rs
@@ -66,7 +66,8 @@
         self.unseen()
     }
 
-    fn unseen(&self) -> Since {
+    /// Returns since when a record that was not read yet may be there.
+    pub fn unseen(&self) -> Since {
         self.seen.map_or(Since::LongAgo, Since::NotBefore)
     }
 
--- a/crates/ploverwick_gateway/src/controllers/feed.rs
+++ b/crates/ploverwick_gateway/src/controllers/feed.rs
@@ -18,6 +18,9 @@
 /// while a record is being written, which takes some ms; the look finds it.
 const ARMED: Duration = Duration::from_millis(100);
 
+/// The longest pause between looks that fail; each call is priced.
+const LOOK_AGAIN: Duration = Duration::from_secs(2);
+
 /// How often a topic of which others tell is looked at again.
 const LOOK: Duration = Duration::from_millis(200);
 
@@ -61,8 +64,8 @@
     /// The newest record of each key, and the offset at which the topic ended; what is not among them
     /// is gone.
     Whole { records: &'a [Record], end: u64 },
-    /// The records that came since, the offset up to which the topic was read, and whether a read that
-    /// waited was woken by the only one of them, so that it is as new as it seems.
+    /// The records that came since, the offset up to which the topic was read, and whether the last of
+    /// them woke a read that waited, so that it is as new as it seems.
     Next {
         records: &'a [Record],
         end: u64,
@@ -123,28 +126,20 @@
         return Ok(end);
     };
     let waiting = shared.store.read(feed.topic, from, wait);
-    let waiting = until_behind(feed.hint, from, waiting);
+    let waiting = until_doubted(shared, feed.hint, from, waiting);
     let looks = !wait.is_zero() && (feed.looks)(shared);
     let begun = Instant::now();
     let (batch, was_waiting) = tokio::select! {
-        batch = waiting => (batch, true),
-        batch = look(shared, feed.topic, from), if looks => (Some(Ok(batch)), false),
-    };
-    let batch = match batch {
-        Some(batch) => batch?,
-        None => {
-            take(News::Away);
-            // What silenced this connection may have silenced the others.
-            shared.store.reconnect();
-            take(News::Asking);
-            let read = shared.store.read(feed.topic, from, Duration::ZERO);
-            read.await?
-        }
+        ended = waiting => match ended {
+            Ended::Read(batch) => (batch?, true),
+            Ended::Doubted => (read_again(shared, feed, from, take).await?, false),
+        },
+        batch = look(shared, feed.topic, from), if looks => (batch, false),
     };
     let records = &batch.records;
     let end = from + records.len() as u64;
     // Only the record that ends a wait is known to be new; others may have been there for as long.
-    let was_woken = was_waiting && records.len() <= 1 && begun.elapsed() < wait;
+    let was_woken = was_waiting && begun.elapsed() < wait;
     take(News::Next {
         records,
         end,
@@ -153,34 +148,83 @@
     Ok(end)
 }
 
-/// Looks once whether a topic has records that the read beside it was not woken for; ends only if it has.
+/// Reads without waiting, after a waiting read was given up.
+async fn read_again(
+    shared: &Shared,
+    feed: &Feed<'_>,
+    from: u64,
+    take: &mut impl FnMut(News<'_>),
+) -> Result<Batch, Error> {
+    take(News::Away);
+    take(News::Asking);
+    let batch = shared.store.read(feed.topic, from, Duration::ZERO).await?;
+    if let Some(hint) = feed.hint
+        && batch.records.is_empty()
+    {
+        // Whoever told of more was wrong; what it said must not be asked after for ever.
+        hint.send_modify(|end| *end = from.min(*end));
+    }
+    Ok(batch)
+}
+
+/// Looks whether a topic has records that the read beside it was not woken for; ends only if it has.
 async fn look(shared: &Shared, topic: &str, from: u64) -> Batch {
-    tokio::time::sleep(ARMED).await;
-    match shared.store.read(topic, from, Duration::ZERO).await {
-        Ok(batch) if !batch.records.is_empty() => {
-            spdlog::info!("record_missed topic={} offset={}", topic, from);
-            batch
+    let mut pause = ARMED;
+    loop {
+        tokio::time::sleep(pause).await;
+        match shared.store.read(topic, from, Duration::ZERO).await {
+            Ok(batch) if batch.records.is_empty() => std::future::pending().await,
+            Ok(batch) => {
+                spdlog::info!("record_missed topic={} offset={}", topic, from);
+                return batch;
+            }
+            // The read that waits may outlast it, so that the look is still owed.
+            Err(error) => spdlog::debug!("look_failed topic={} cause=\"{}\"", topic, error),
         }
-        // The read that waits tells of an outage.
-        Ok(_) | Err(_) => std::future::pending().await,
+        pause = (pause * 2).min(LOOK_AGAIN);
     }
 }
 
-/// Waits for a read; returns `None` if others have read further for a while.
-async fn until_behind<T>(
+/// How a waiting read ended.
+enum Ended<T> {
+    Read(T),
+    /// It may wait on a connection that fell silent.
+    Doubted,
+}
+
+/// Waits for a read, unless others have read further for a while, or another call was silent.
+async fn until_doubted<T>(
+    shared: &Shared,
     hint: Option<&watch::Sender<u64>>,
     from: u64,
     read: impl Future<Output = T>,
-) -> Option<T> {
-    let Some(hint) = hint else {
-        return Some(read.await);
-    };
+) -> Ended<T> {
+    let mut reconnects = shared.store.reconnects();
     tokio::pin!(read);
-    let mut told = hint.subscribe();
     tokio::select! {
-        got = &mut read => return Some(got),
-        // The sender is borrowed, so that it cannot be gone.
-        _ = told.wait_for(|end| *end > from) => {}
+        got = &mut read => return Ended::Read(got),
+        // The sender lives as long as the store, so that it cannot be gone.
+        _ = reconnects.changed() => return Ended::Doubted,
+        () = behind(hint, from) => {}
+    }
+    match tokio::time::timeout(HINTED, read).await {
+        Ok(got) => Ended::Read(got),
+        Err(_) => {
+            // What silenced this connection may have silenced the others.
+            shared.store.reconnect();
+            Ended::Doubted
+        }
+    }
+}
+
+/// Ends once others have read further.
+async fn behind(hint: Option<&watch::Sender<u64>>, from: u64) {
+    match hint {
+        Some(hint) => {
+            let mut told = hint.subscribe();
+            // The sender is borrowed, so that it cannot be gone.
+            drop(told.wait_for(|end| *end > from).await);
+        }
+        None => std::future::pending().await,
     }
-    tokio::time::timeout(HINTED, read).await.ok()
 }
--- a/crates/ploverwick_gateway/src/controllers/operator.rs
+++ b/crates/ploverwick_gateway/src/controllers/operator.rs
@@ -32,7 +32,9 @@
 fn take(shared: &Arc<Shared>, news: News<'_>) {
     let now = shared.now();
     let mut state = shared.state();
-    let (records, end, since) = match news {
+    // A read may bring what another one missed, so that only its last record is as new as the read.
+    let earlier = state.horizon.unseen();
+    let (records, end, last) = match news {
         News::Asking => return state.horizon.ask(now),
         News::Away => return state.horizon.fail(),
         News::Whole { records, end } => (records, end, state.horizon.whole()),
@@ -49,7 +51,9 @@
     };
     state.operator_read = end;
     drop(state);
-    for record in records {
+    for (index, record) in records.iter().enumerate() {
+        let is_last = index + 1 == records.len();
+        let since = if is_last { last } else { earlier };
         let Some(value) = &record.value else {
             continue;
         };
--- a/crates/ploverwick_gateway/tests/replaced_versions.rs
+++ b/crates/ploverwick_gateway/tests/replaced_versions.rs
@@ -174,6 +174,25 @@
     Ok(())
 }
 
+/// All connections to the store fall silent and no peer hears more: the calls that go out again and again
+/// notice, and what waits reads anew.
+#[tokio::test]
+async fn all_deaf_read_again() -> Result<()> {
+    let store = Store::start().await?;
+    let engine = holder(&store).await?;
+    let proxy = Proxy::start(store.address()).await?;
+    let front = start("one", Ipv4Addr::LOCALHOST, 0, proxy.address(), BOUND).await?;
+    client::send(front, &ask("before")).await?;
+    assert_that!(runs(&[&engine], "before"), eq(1));
+    proxy.silence();
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    store.declare("base", "a1", 2);
+    tokio::time::sleep(BOUND * 2).await;
+    client::send(front, &ask("r1")).await?;
+    assert_that!(runs(&[&engine], "r1"), eq(0));
+    Ok(())
+}
+
 /// A request that was sent before a declaration was heard of is held to the bound all the same.
 #[tokio::test]
 async fn sent_is_taken_back() -> Result<()> {
@@ -181,14 +200,16 @@
     let engine = holder(&store).await?;
     let bound = Duration::from_secs(9);
     let (front, proxy) = behind_proxy(&store, bound).await?;
-    proxy.silence();
-    tokio::time::sleep(Duration::from_secs(5)).await;
-    store.declare("base", "a1", 2);
     engine.script(&[Act::Hang]);
+    proxy.silence();
     let sent = tokio::spawn(async move { client::send(front, &ask("r1")).await });
-    // Counted from the send, the bound is over later than this; counted from the last moment at which
-    // the instance knew that there was no newer version, it is over before.
-    tokio::time::sleep(Duration::from_secs(6)).await;
+    while runs(&[&engine], "r1") == 0 {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    store.declare("base", "a1", 2);
+    // Counted from the send, the request is taken back after 8.4 s; counted from the last moment at which
+    // the instance knew that there was no newer version, 1.5 s earlier.
+    tokio::time::sleep(Duration::from_millis(7_700)).await;
     assert_that!(runs(&[&engine], "r1"), eq(1));
     assert_that!(engine.abandoned(), eq(1));
     sent.abort();
