Do not blame an endpoint for a request that is taken back

A request that is not awaited any more because its version was replaced counted as a broken connection: three in a row would take a sound endpoint out of the choice, and its kept connections were closed (found by reading in the review; no run shows it). It counts as given up now. All tests of the gateway pass.

--- a/crates/ploverwick_gateway/src/filters/send.rs
+++ b/crates/ploverwick_gateway/src/filters/send.rs
@@ -88,7 +88,11 @@
             return Sent::Unsent(cause);
         }
         Exchange::Silent => {
-            flight.end(Outcome::Broken);
+            flight.end(if is_taken_back(shared, target) {
+                Outcome::Abandoned
+            } else {
+                Outcome::Broken
+            });
             return Sent::Silent;
         }
         Exchange::Done(connection, result) => (connection, result),
@@ -149,8 +153,10 @@
         let send = connection.sender.try_send_request(message);
         match within(shared, target, limit, send).await {
             None => {
-                // What silenced this connection may have silenced the others.
-                shared.pool.remove(&target.entry.id);
+                if !is_taken_back(shared, target) {
+                    // What silenced this connection may have silenced the others.
+                    shared.pool.remove(&target.entry.id);
+                }
                 return Exchange::Silent;
             }
             Some(Ok(response)) => return Exchange::Done(connection, Ok(response)),
@@ -171,6 +177,16 @@
     }
 }
 
+/// Returns whether a request is not awaited any more because its version was replaced, which says nothing
+/// of its endpoint.
+fn is_taken_back(shared: &Shared, target: &Target) -> bool {
+    let now = Instant::now();
+    let copy = target.copy.as_ref();
+    let declared = copy.and_then(|copy| place::begin_by(shared, copy));
+    let limits = [target.begin_by, declared];
+    limits.into_iter().flatten().any(|limit| limit <= now)
+}
+
 /// Waits for an answer to begin; returns `None` if it does not in time. A declaration that is heard of
 /// meanwhile brings the limit forward: it may be older than the send.
 async fn within<T>(
