Tell "not run" of a request only if no attempt may have run

Cause: the relay told the caller what its last try met. Where an earlier try may have run, and the repeat was refused (an owner that had just released the endpoint, an endpoint that refuses, a connection that is not made), the request was told as "not run" although it ran. Plain services had the same fault. A caller that trusts the class repeats what has run.

What brought it out in `wrong_echo`: entry-1 claims both engines while it knows no other instance, and releases engine-2 once it knows entry-2. Both engines answered for another adapter (4003 twice), the second chance at engine-2 met an owner that had released it 125 ms before (3009), and 3009 was told.

Change: `Verdict::after` joins what attempts say; the relay and the service calls tell its result and decide on further tries as before. The time line shows how each try ended that did not end the request, without which the refused try could not be seen.

--- a/crates/ploverwick_codes/src/attempt.rs
+++ b/crates/ploverwick_codes/src/attempt.rs
@@ -47,6 +47,17 @@
         self
     }
 
+    /// Returns what the caller is told of a request of which `earlier` tells the attempts before
+    /// this one. A refusal speaks for its own attempt alone: "not run" is true of the request only
+    /// if no attempt may have run.
+    #[must_use]
+    pub fn after(self, earlier: Self) -> Self {
+        match (self.code.class(), earlier.code.class()) {
+            (Class::NotRun, Class::Ran | Class::MayHaveRun) => earlier,
+            (Class::Ran | Class::MayHaveRun, _) | (Class::NotRun, Class::NotRun) => self,
+        }
+    }
+
     /// Returns the result code.
     pub fn code(&self) -> Code {
         self.code
--- a/crates/ploverwick_codes/tests/code_table.rs
+++ b/crates/ploverwick_codes/tests/code_table.rs
@@ -1,7 +1,7 @@
 //! The table of codes, and the classes that attempts can end with.
 
 use googletest::prelude::*;
-use ploverwick_codes::attempt::{Attempt, Refusal};
+use ploverwick_codes::attempt::{Attempt, Refusal, Verdict};
 use ploverwick_codes::{Class, Code};
 
 #[gtest]
@@ -44,3 +44,26 @@
 fn unsent_ran() {
     let _ = Attempt::new().refuse(Code::Interrupted, "");
 }
+
+fn ended(code: Code) -> Verdict {
+    match code.class() {
+        Class::NotRun => Attempt::new().refuse(code, ""),
+        Class::MayHaveRun | Class::Ran => Attempt::new().send().fail(code, ""),
+    }
+}
+
+#[gtest]
+fn told_of_both() {
+    for earlier in Code::ALL {
+        for later in Code::ALL {
+            let told = ended(*later).after(ended(*earlier));
+            let refusals = [*earlier, *later].map(|code| code.class() == Class::NotRun);
+            let due = if refusals == [false, true] {
+                earlier
+            } else {
+                later
+            };
+            expect_that!(told.code(), eq(*due), "{earlier}, then {later}");
+        }
+    }
+}
--- a/crates/ploverwick_daemon/src/relay.rs
+++ b/crates/ploverwick_daemon/src/relay.rs
@@ -96,6 +96,8 @@
         "no endpoint with a known owner serves the model",
     )
     .retry_after(NO_ENDPOINT_HINT);
+    // What the caller is told: a later try's refusal takes nothing back of an earlier one.
+    let mut told = last.clone();
     let targets = targets(node, &exchange.model, &variant, count);
     // The first endpoint gets a second chance after a break, for it may be the only one.
     for (index, target) in targets.iter().chain(targets.first()).enumerate() {
@@ -104,8 +106,12 @@
             break;
         }
         match attempt(node, exchange, target, &mut progress, sink).await {
-            Step::Over(verdict) => return verdict,
-            Step::Elsewhere(verdict) => last = verdict,
+            Step::Over(verdict) => return verdict.after(told),
+            Step::Elsewhere(verdict) => {
+                note(node, exchange, target, &verdict);
+                told = verdict.clone().after(told);
+                last = verdict;
+            }
             Step::Resume(verdict) => {
                 return resume(node, exchange, target, verdict, &mut progress, sink).await;
             }
@@ -114,7 +120,14 @@
             break;
         }
     }
-    last
+    told
+}
+
+/// Records how a try ended that did not end the request; the answer names one of them only.
+fn note(node: &Node, exchange: &Exchange, target: &Target, verdict: &Verdict) {
+    let what = format!("try at {} ends with {}", target.owner, verdict.code());
+    let event = Event::new(Kind::Attempt, what).request(&exchange.request);
+    node.record(event.endpoint(&target.endpoint));
 }
 
 /// Says whether a request may be tried at another endpoint.
--- a/crates/ploverwick_daemon/src/service.rs
+++ b/crates/ploverwick_daemon/src/service.rs
@@ -199,6 +199,8 @@
         Code::NoEndpoint,
         format!("no endpoint serves {}", call.serves),
     );
+    // What the caller is told: a later try's refusal takes nothing back of an earlier one.
+    let mut told = last.clone();
     // The first endpoint gets a second chance after a break, for it may be the only one.
     for (tried, index) in order.iter().chain(order.first()).enumerate() {
         if tried == order.len() && last.code().class() == Class::NotRun {
@@ -209,17 +211,18 @@
         let code = verdict.code();
         let event = Event::new(Kind::Attempt, format!("service call: {code}"));
         node.record(event.request(&call.request).endpoint(&entry.name));
+        told = verdict.clone().after(told);
         if head || matches!(code, Code::Done | Code::DeadlineWhileRunning) {
-            return verdict;
+            return told;
         }
         // Only a call that is really repeated takes from the budget.
         let safe = code.class() == Class::NotRun || call.repeatable && lock(&node.retries).take();
         if !safe {
-            return verdict;
+            return told;
         }
         last = verdict;
     }
-    last
+    told
 }
 
 /// Makes one attempt; also says whether the caller has the head of an answer.
