--- a/crates/ploverwick_gateway/src/controllers/feed.rs
+++ b/crates/ploverwick_gateway/src/controllers/feed.rs
@@ -126,8 +126,12 @@
         return Ok(end);
     };
     let waiting = shared.store.read(feed.topic, from, wait);
+    if wait.is_zero() {
+        let batch = waiting.await?;
+        return Ok(pass_on(&batch, from, false, take));
+    }
     let waiting = until_doubted(shared, feed.hint, from, waiting);
-    let looks = !wait.is_zero() && (feed.looks)(shared);
+    let looks = (feed.looks)(shared);
     let begun = Instant::now();
     let (batch, was_waiting) = tokio::select! {
         ended = waiting => match ended {
@@ -136,16 +140,21 @@
         },
         batch = look(shared, feed.topic, from), if looks => (batch, false),
     };
-    let records = &batch.records;
-    let end = from + records.len() as u64;
     // Only the record that ends a wait is known to be new; others may have been there for as long.
     let was_woken = was_waiting && begun.elapsed() < wait;
+    Ok(pass_on(&batch, from, was_woken, take))
+}
+
+/// Passes records on and returns the offset to go on from.
+fn pass_on(batch: &Batch, from: u64, was_woken: bool, take: &mut impl FnMut(News<'_>)) -> u64 {
+    let records = &batch.records;
+    let end = from + records.len() as u64;
     take(News::Next {
         records,
         end,
         was_woken,
     });
-    Ok(end)
+    end
 }
 
 /// Reads without waiting, after a waiting read was given up.
