Tell the lives of an endpoint apart, and pass over entries of other writers

Cause: three faults of reading the list. (2) An endpoint may start again under its identifier: draining, load, order numbers and holdings of the earlier life lived on.

Change: a whole read of the list is read with the last records before it (four for each key); heartbeats are ordered by start and number; reports of another life count as none; records and entries that cannot be read are passed over with one bounded line.

--- a/crates/ploverwick_endpoints/src/entry.rs
+++ b/crates/ploverwick_endpoints/src/entry.rs
@@ -26,7 +26,8 @@
 /// One line of the list of endpoints.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
-    /// The identifier of this life of the endpoint; a restart has another one.
+    /// The identifier of this life of the endpoint; a restart has another one, also where the
+    /// platform lists it under the same name.
     pub id: Arc<str>,
     /// The service that it belongs to.
     pub service: Arc<str>,
@@ -40,6 +41,8 @@
     pub state: State,
     /// What it held when it reported, if it serves models.
     pub held: Vec<Held>,
+    /// When its process started, in milliseconds of Unix time; 0 if it does not say.
+    pub born: u64,
     /// The number of the heartbeat that says so; instances do not tell it each other.
     #[serde(skip)]
     pub beat: u64,
--- a/crates/ploverwick_endpoints/src/lib.rs
+++ b/crates/ploverwick_endpoints/src/lib.rs
@@ -9,6 +9,7 @@
 mod entry;
 mod fleet;
 mod health;
+mod heartbeats;
 mod load;
 mod patience;
 
@@ -18,5 +19,6 @@
 pub use entry::{Entry, Held, State};
 pub use fleet::{Cost, Fleet, Query};
 pub use health::{Health, Outcome};
+pub use heartbeats::{Heartbeat, Heartbeats};
 pub use load::Load;
 pub use patience::patience;
--- a/crates/ploverwick_endpoints/tests/endpoint_choice.rs
+++ b/crates/ploverwick_endpoints/tests/endpoint_choice.rs
@@ -17,6 +17,7 @@
         slots: 4,
         state: State::Ready,
         held: Vec::new(),
+        born: 0,
         beat: 0,
     }
 }
--- a/crates/ploverwick_gateway/src/controllers/feed.rs
+++ b/crates/ploverwick_gateway/src/controllers/feed.rs
@@ -24,6 +24,10 @@
 /// How often a topic of which others tell is looked at again.
 const LOOK: Duration = Duration::from_millis(200);
 
+/// The least number of records that are read before the newest ones: where few keys are left, those that
+/// went may have written more.
+const LEAST_PAST: u64 = 64;
+
 /// How a topic is followed.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Feed<'a> {
@@ -40,6 +44,8 @@
     pub(super) pause: Duration,
     /// Where the topic ends as others tell, if they do.
     pub(super) hint: Option<&'a watch::Sender<u64>>,
+    /// How many records before the newest ones are read with them, for each of these.
+    pub(super) past: u64,
     /// Whether others tell what the topic holds, so that it need not be read now.
     pub(super) is_told: fn(&Shared) -> bool,
     /// Whether this instance looks beside a waiting read; one that does not is told by others.
@@ -61,6 +67,8 @@
 pub(super) enum News<'a> {
     /// A read goes out.
     Asking,
+    /// Records that came before those which [`News::Whole`] brings next, as far as they are kept.
+    Past { records: &'a [Record] },
     /// The newest record of each key, and the offset at which the topic ended; what is not among them
     /// is gone.
     Whole { records: &'a [Record], end: u64 },
@@ -121,6 +129,10 @@
     take(News::Asking);
     let Some(from) = next else {
         let Snapshot { records, end } = shared.store.newest(feed.topic).await?;
+        if let Some(past) = past(shared, feed, records.len(), end).await {
+            let records = &past.records;
+            take(News::Past { records });
+        }
         let records = &records;
         take(News::Whole { records, end });
         return Ok(end);
@@ -128,7 +140,7 @@
     let waiting = shared.store.read(feed.topic, from, wait);
     if wait.is_zero() {
         let batch = waiting.await?;
-        return Ok(pass_on(&batch, from, false, take));
+        return Ok(pass_on(&batch, false, take));
     }
     let waiting = until_doubted(shared, feed.hint, from, waiting);
     let looks = (feed.looks)(shared);
@@ -142,13 +154,27 @@
     };
     // Only the record that ends a wait is known to be new; others may have been there for as long.
     let was_woken = was_waiting && begun.elapsed() < wait;
-    Ok(pass_on(&batch, from, was_woken, take))
+    Ok(pass_on(&batch, was_woken, take))
+}
+
+/// Reads the records before the end of a topic of `keys` keys. They may be gone, and are not needed to go
+/// on.
+async fn past(shared: &Shared, feed: &Feed<'_>, keys: usize, end: u64) -> Option<Batch> {
+    if feed.past == 0 || end == 0 {
+        return None;
+    }
+    let past = LEAST_PAST.max(feed.past * keys as u64);
+    let from = end.saturating_sub(past);
+    let batch = shared.store.read(feed.topic, from, Duration::ZERO).await;
+    batch
+        .map_err(|error| spdlog::info!("past_unread topic={} cause=\"{}\"", feed.topic, error))
+        .ok()
 }
 
 /// Passes records on and returns the offset to go on from.
-fn pass_on(batch: &Batch, from: u64, was_woken: bool, take: &mut impl FnMut(News<'_>)) -> u64 {
+fn pass_on(batch: &Batch, was_woken: bool, take: &mut impl FnMut(News<'_>)) -> u64 {
     let records = &batch.records;
-    let end = from + records.len() as u64;
+    let end = batch.next;
     take(News::Next {
         records,
         end,
@@ -168,7 +194,7 @@
     take(News::Asking);
     let batch = shared.store.read(feed.topic, from, Duration::ZERO).await?;
     if let Some(hint) = feed.hint
-        && batch.records.is_empty()
+        && batch.next == from
     {
         // Whoever told of more was wrong; what it said must not be asked after for ever.
         hint.send_modify(|end| *end = from.min(*end));
@@ -182,7 +208,7 @@
     loop {
         tokio::time::sleep(pause).await;
         match shared.store.read(topic, from, Duration::ZERO).await {
-            Ok(batch) if batch.records.is_empty() => std::future::pending().await,
+            Ok(batch) if batch.next == from => std::future::pending().await,
             Ok(batch) => {
                 spdlog::info!("record_missed topic={} offset={}", topic, from);
                 return batch;
--- a/crates/ploverwick_gateway/src/controllers/instances.rs
+++ b/crates/ploverwick_gateway/src/controllers/instances.rs
@@ -93,6 +93,7 @@
         wait: WAIT,
         first_wait: WAIT,
         pause: PAUSE,
+        past: 0,
         hint: None,
         is_told: feed::never,
         looks: feed::never,
@@ -100,7 +101,7 @@
     feed::follow(&shared, feed, |news| match news {
         News::Whole { records, .. } => replace(&shared, records),
         News::Next { records, .. } => take(&shared, records),
-        News::Asking | News::Away => {}
+        News::Asking | News::Away | News::Past { .. } => {}
     })
     .await;
 }
--- a/crates/ploverwick_gateway/src/controllers/operator.rs
+++ b/crates/ploverwick_gateway/src/controllers/operator.rs
@@ -22,6 +22,7 @@
         wait: WAIT,
         first_wait: Duration::ZERO,
         pause: Duration::ZERO,
+        past: 0,
         hint: Some(&shared.operator_end),
         is_told: feed::never,
         looks: Shared::is_caller,
@@ -35,6 +36,7 @@
     // A read may bring what another one missed, so that only its last record is as new as the read.
     let earlier = state.horizon.unseen();
     let (records, end, last) = match news {
+        News::Past { .. } => return,
         News::Asking => return state.horizon.ask(now),
         News::Away => return state.horizon.fail(),
         News::Whole { records, end } => (records, end, state.horizon.whole()),
--- a/crates/ploverwick_gateway/src/controllers/orders.rs
+++ b/crates/ploverwick_gateway/src/controllers/orders.rs
@@ -245,7 +245,7 @@
         Some(connection) => {
             let request = order::ask_report(&entry.id);
             let response = exchange(shared, entry, connection, request, REPORT).await;
-            response.and_then(|response| roster::report(response.body()).ok())
+            response.and_then(|response| stated(entry, response.body()))
         }
         None => None,
     };
@@ -254,6 +254,25 @@
     }
 }
 
+/// Reads the report of this life of an endpoint; `None` if another one answered, of which the list will
+/// tell.
+fn stated(entry: &Entry, body: &[u8]) -> Option<Report> {
+    let stated = roster::report(body)
+        .map_err(|error| {
+            spdlog::warn!("report_malformed endpoint={} cause=\"{}\"", entry.id, error)
+        })
+        .ok()?;
+    if stated.born.is_some_and(|born| born != entry.born) {
+        spdlog::info!(
+            "report_foreign endpoint={} born={:?}",
+            entry.id,
+            stated.born
+        );
+        return None;
+    }
+    Some(stated.report)
+}
+
 fn reported(shared: &Shared, endpoint: &Arc<str>, report: Option<Report>) -> Option<Event> {
     let now = shared.now();
     let mut state = shared.state();
--- a/crates/ploverwick_gateway/src/controllers/roster.rs
+++ b/crates/ploverwick_gateway/src/controllers/roster.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ploverwick_endpoints::{Absence, Entry, State as EndpointState};
+use ploverwick_endpoints::{Absence, Entry, Fleet, Heartbeat, Heartbeats, State as EndpointState};
 use ploverwick_platform::store::Record;
 use ploverwick_platform::{ROSTER, roster};
 
@@ -16,15 +16,19 @@
 /// for the next one would return at once; a leave must be seen well within the drain time.
 const PAUSE: Duration = Duration::from_millis(850);
 
+/// The records before the list that are read with it for each endpoint on it, so that a heartbeat which
+/// came after its endpoint left is told from one that is new: each writes one in about 1.2 s.
+const PAST: u64 = 4;
+
 #[derive(Debug)]
 struct Follower {
     shared: Arc<Shared>,
     absence: Absence,
     /// The lines that were told to the peers of this failure domain.
     told: HashMap<Arc<str>, Entry>,
-    /// The newest heartbeat of each endpoint, those that are gone included: an older one may arrive
-    /// after it.
-    beats: HashMap<Arc<str>, u64>,
+    /// The newest heartbeat of each endpoint by the platform's name for it: an older one may arrive after
+    /// it, also when its endpoint has left.
+    heartbeats: Heartbeats,
 }
 
 /// How long a peer's word on the list counts. With a read's pause and this one a leave is known
@@ -56,7 +60,7 @@
         shared: Arc::clone(&shared),
         absence: Absence::default(),
         told: HashMap::new(),
-        beats: HashMap::new(),
+        heartbeats: Heartbeats::default(),
     };
     let feed = Feed {
         topic: ROSTER,
@@ -65,6 +69,7 @@
         first_wait: Duration::ZERO,
         pause: PAUSE,
         hint: None,
+        past: PAST,
         is_told,
         looks: feed::never,
     };
@@ -76,6 +81,7 @@
                 follower.absence.store_away();
                 return;
             }
+            News::Past { records } => return follower.recall(records),
             News::Whole { records, .. } => {
                 follower.absence.store_read(now);
                 follower.replace(records);
@@ -92,14 +98,31 @@
 }
 
 impl Follower {
+    /// Takes in the heartbeats before those that stand on the list, so that a late one is told apart.
+    fn recall(&mut self, records: &[Record]) {
+        for record in records {
+            let Some(value) = &record.value else {
+                self.heartbeats.left(&record.key);
+                continue;
+            };
+            // What cannot be read is logged when the list itself is taken in.
+            if let Ok(entry) = roster::entry(&record.key, value) {
+                let instance = Arc::from(&*record.key);
+                self.heartbeats.heard(&instance, heartbeat(&entry), true);
+            }
+        }
+    }
+
     fn replace(&mut self, records: &[Record]) {
         self.take(records);
         let listed: HashSet<&str> = records.iter().map(|record| &*record.key).collect();
         let state = self.shared.state();
         let known = state.fleet.entries().map(|entry| Arc::clone(&entry.id));
-        let absent: Vec<Arc<str>> = known.filter(|id| !listed.contains(&**id)).collect();
+        let absent = known.filter(|id| !listed.contains(roster::instance(id)));
+        let absent: Vec<Arc<str>> = absent.collect();
         drop(state);
         for id in absent {
+            self.heartbeats.left(roster::instance(&id));
             self.miss(&id);
         }
         self.shared.state().has_roster = true;
@@ -109,42 +132,58 @@
         for record in records {
             match &record.value {
                 Some(value) => self.put(&record.key, value),
-                None => self.miss(&Arc::from(&*record.key)),
+                None => self.leave(&record.key),
             }
         }
         self.shared.orders.notify_waiters();
         self.shared.placed.notify_waiters();
     }
 
-    fn put(&mut self, id: &str, value: &[u8]) {
-        match roster::entry(id, value) {
-            Ok(entry) => {
-                if self.is_old(&entry) {
-                    spdlog::info!("heartbeat_old endpoint={} beat={}", entry.id, entry.beat);
-                    return;
-                }
-                self.absence.seen(&entry.id);
-                let now = self.shared.now();
-                let copies = roster::copies(&entry.held);
-                let mut state = self.shared.state();
-                state.directory.listed(&entry.id, copies, now);
-                drop(state);
-                put(&self.shared, entry);
-            }
-            Err(error) => {
-                spdlog::warn!("endpoint_malformed endpoint={} cause=\"{}\"", id, error);
+    fn put(&mut self, instance: &str, value: &[u8]) {
+        let entry = match roster::entry(instance, value) {
+            Ok(entry) => entry,
+            Err(error) => return self.pass_over(instance, &error),
+        };
+        let instance = Arc::from(instance);
+        let is_listed = self.shared.state().fleet.entry(&entry.id).is_some();
+        if !self
+            .heartbeats
+            .heard(&instance, heartbeat(&entry), is_listed)
+        {
+            spdlog::info!("heartbeat_old endpoint={} beat={}", entry.id, entry.beat);
+            return;
+        }
+        self.absence.seen(&entry.id);
+        for earlier in lives(&self.shared, &instance) {
+            if earlier != entry.id {
+                self.absence.seen(&earlier);
+                remove(&self.shared, &earlier);
             }
         }
+        let now = self.shared.now();
+        let copies = roster::copies(&entry.held);
+        let mut state = self.shared.state();
+        state.directory.listed(&entry.id, copies, now);
+        drop(state);
+        put(&self.shared, entry);
     }
 
-    /// Returns whether a newer heartbeat of an endpoint was read before, or this one before it was
-    /// taken off the list.
-    fn is_old(&mut self, entry: &Entry) -> bool {
-        let is_listed = self.shared.state().fleet.entry(&entry.id).is_some();
-        let newest = self.beats.entry(Arc::clone(&entry.id)).or_insert(0);
-        let is_old = entry.beat < *newest || (entry.beat == *newest && !is_listed && *newest > 0);
-        *newest = entry.beat.max(*newest);
-        is_old
+    /// Logs another writer's entry, which names no endpoint; what is known of the others holds.
+    fn pass_over(&self, instance: &str, error: &roster::Error) {
+        if self.shared.lines.allow(self.shared.now()) {
+            spdlog::warn!(
+                "endpoint_malformed endpoint={} cause=\"{}\"",
+                instance,
+                error
+            );
+        }
+    }
+
+    fn leave(&mut self, instance: &str) {
+        self.heartbeats.left(instance);
+        for id in lives(&self.shared, instance) {
+            self.miss(&id);
+        }
     }
 
     /// Tells the peers of this failure domain what changed; the digest shows them whether they have
@@ -208,8 +247,26 @@
     entry
 }
 
+/// Lists the lives of an endpoint that are known; one, but for a moment after it started again.
+fn lives(shared: &Shared, instance: &str) -> Vec<Arc<str>> {
+    let state = shared.state();
+    let lives = state.fleet.entries().map(|entry| &entry.id);
+    let lives = lives.filter(|id| roster::instance(id) == instance);
+    lives.cloned().collect()
+}
+
+fn heartbeat(entry: &Entry) -> Heartbeat {
+    Heartbeat {
+        born: entry.born,
+        number: entry.beat,
+    }
+}
+
 fn put(shared: &Shared, entry: Entry) {
     let mut state = shared.state();
+    if is_over(&state.fleet, &entry) {
+        return;
+    }
     let before = state.fleet.entry(&entry.id).map(|entry| entry.state);
     if before != Some(entry.state) {
         spdlog::info!(
@@ -227,6 +284,13 @@
     state.fleet.put(entry);
 }
 
+/// Returns whether a later life of an endpoint is known: a peer's late word may be of an earlier one.
+fn is_over(fleet: &Fleet, entry: &Entry) -> bool {
+    let instance = roster::instance(&entry.id);
+    let mut later = fleet.entries().filter(|other| other.born > entry.born);
+    later.any(|other| roster::instance(&other.id) == instance)
+}
+
 fn remove(shared: &Shared, id: &Arc<str>) {
     let mut state = shared.state();
     if !state.fleet.remove(id) {
--- a/crates/ploverwick_gateway/src/controllers/table.rs
+++ b/crates/ploverwick_gateway/src/controllers/table.rs
@@ -23,6 +23,7 @@
         wait: WAIT,
         first_wait: WAIT,
         pause: Duration::ZERO,
+        past: 0,
         hint: None,
         is_told: feed::never,
         looks: feed::always,
@@ -33,7 +34,7 @@
             shared.state().has_table = true;
         }
         News::Next { records, .. } => take(&shared, &mut assembly, records),
-        News::Asking | News::Away => {}
+        News::Asking | News::Away | News::Past { .. } => {}
     })
     .await;
 }
