Add the state machine by which few instances read a topic for the others

Ruled out, before code: pulls over TCP between instances (a configuration of some KB to 38 peers over 20 Mbit/s waits behind itself), a tree of readers (a link more to lose for each level). Change: a crate without network, not yet used: the first two of a failure domain by name read, one that fails is replaced (two at most), the others are told, and read themselves what they miss.

--- a/crates/ploverwick_gateway/src/controllers/orders.rs
+++ b/crates/ploverwick_gateway/src/controllers/orders.rs
@@ -259,7 +259,7 @@
 fn stated(entry: &Entry, body: &[u8]) -> Option<Report> {
     let stated = roster::report(body)
         .map_err(|error| {
-            spdlog::warn!("report_malformed endpoint={} cause=\"{}\"", entry.id, error)
+            spdlog::warn!("report_malformed endpoint={} cause=\"{}\"", entry.id, error);
         })
         .ok()?;
     if stated.born.is_some_and(|born| born != entry.born) {
--- /dev/null
+++ b/crates/ploverwick_topics/src/circle.rs
@@ -0,0 +1,60 @@
+//! Who reads a topic for its failure domain.
+
+/// The instances of a failure domain that read each topic: one goes on when the other one dies, and what
+/// one misses the other one tells.
+const READERS: usize = 2;
+/// The instances that cannot read and whose part others take. In an outage of the whole store all of them
+/// fail, and those that take over would only add calls.
+const MOST_REPLACED: usize = 2;
+
+/// What an instance does about a topic.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Reading {
+    /// It relies on others.
+    #[default]
+    Rests,
+    /// It reads, and the last read went well.
+    Reads,
+    /// Its last read failed.
+    Fails,
+}
+
+/// Another instance of the failure domain that was heard lately.
+#[derive(Debug, Clone, Copy)]
+pub struct Peer<'a> {
+    /// Its name, by which instances agree who comes first.
+    pub name: &'a str,
+    /// What it does about the topic.
+    pub reading: Reading,
+}
+
+/// What the instances of a failure domain are to each other for a topic.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Circle {
+    /// This instance reads for the others.
+    Reads,
+    /// Another one reads for this one.
+    Told,
+    /// Others should read, and none of them says that it does.
+    Untold,
+}
+
+/// Returns what this instance is to its peers. The first by name read; one that fails is replaced.
+pub fn circle<'a>(own: &str, peers: impl Iterator<Item = Peer<'a>>) -> Circle {
+    let (mut before, mut failing, mut is_read) = (0, 0, false);
+    for peer in peers {
+        let comes_first = peer.name < own;
+        match peer.reading {
+            Reading::Fails => failing += usize::from(comes_first),
+            Reading::Reads | Reading::Rests => before += usize::from(comes_first),
+        }
+        is_read |= peer.reading == Reading::Reads;
+    }
+    if before + failing.saturating_sub(MOST_REPLACED) < READERS {
+        Circle::Reads
+    } else if is_read {
+        Circle::Told
+    } else {
+        Circle::Untold
+    }
+}
--- /dev/null
+++ b/crates/ploverwick_topics/tests/feed_histories.rs
@@ -0,0 +1,375 @@
+//! Histories of kills, freezes, cuts from the store and lost messages: nobody that can hear is deaf for
+//! longer than a bound, and calls grow with the failure domains and not with the instances.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use googletest::prelude::*;
+use ploverwick_names::Moment;
+use ploverwick_topics::{Circle, Feed, Fit, Peer, Reading, Step, circle};
+use rand::rngs::StdRng;
+use rand::{RngExt as _, SeedableRng as _};
+
+/// One step of the simulated time.
+const TICK: u64 = 10;
+/// How long a history lasts.
+const END: u64 = 60_000;
+/// The pause between statuses, and how many peers of the own domain get one.
+const STATUS: u64 = 150;
+const STATUS_PEERS: usize = 8;
+/// The first instance of a domain tells the others where the topic ends, so often.
+const FAR: u64 = 600;
+/// A peer that is silent for longer is not counted.
+const HEARD: u64 = 2_500;
+/// A call whose answer does not come fails after this.
+const SILENT: u64 = 3_000;
+/// A waiting read comes back after this.
+const WAIT: u64 = 28_000;
+/// How late an instance may hear that runs and reaches the store: a configuration has 4 s there.
+const BOUND: u64 = 4_000;
+
+#[derive(Clone, Copy)]
+enum Call {
+    All,
+    On { from: u64, waits: bool, until: u64 },
+}
+
+enum Mail {
+    Status { from: usize, end: u64, reading: Reading },
+    Records { from: u64, next: u64 },
+    End(u64),
+}
+
+struct Instance {
+    name: String,
+    domain: usize,
+    feed: Feed,
+    reading: Reading,
+    heard: BTreeMap<usize, (u64, Reading)>,
+    call: Option<(Call, u64)>,
+    retry_at: u64,
+    runs_from: u64,
+    frozen_until: u64,
+    cut_until: u64,
+    /// Since when it runs without a pause and reaches the store.
+    sound_since: u64,
+}
+
+struct World {
+    now: u64,
+    random: StdRng,
+    instances: Vec<Instance>,
+    /// When each record was written.
+    records: Vec<u64>,
+    mail: VecDeque<(u64, usize, Mail)>,
+    calls: u64,
+    loss: f64,
+    late: u64,
+}
+
+impl World {
+    fn new(domains: usize, each: usize, seed: u64) -> Self {
+        let mut random = StdRng::seed_from_u64(seed);
+        let instances = (0..domains * each)
+            .map(|n| Instance {
+                name: format!("i{n:03}"),
+                domain: n % domains,
+                feed: Feed::new(random.random_range(0.0..1.0), Moment(0)),
+                reading: Reading::Rests,
+                heard: BTreeMap::new(),
+                call: None,
+                retry_at: 0,
+                runs_from: 0,
+                frozen_until: 0,
+                cut_until: 0,
+                sound_since: 0,
+            })
+            .collect();
+        Self {
+            now: 0,
+            random,
+            instances,
+            records: Vec::new(),
+            mail: VecDeque::new(),
+            calls: 0,
+            loss: 0.02,
+            late: 0,
+        }
+    }
+
+    fn end(&self) -> u64 {
+        self.records.len() as u64
+    }
+
+    fn send(&mut self, to: usize, mail: Mail) {
+        if !self.random.random_bool(self.loss) {
+            let at = self.now + self.random.random_range(1..30);
+            self.mail.push_back((at, to, mail));
+        }
+    }
+
+    fn peers(&self, own: usize) -> Vec<usize> {
+        let domain = self.instances[own].domain;
+        let all = 0..self.instances.len();
+        all.filter(|n| *n != own && self.instances[*n].domain == domain)
+            .collect()
+    }
+
+    fn deliver(&mut self) {
+        let now = self.now;
+        let waiting = std::mem::take(&mut self.mail);
+        for (at, to, mail) in waiting {
+            let instance = &mut self.instances[to];
+            if at > now || instance.frozen_until > now {
+                self.mail.push_back((at, to, mail));
+                continue;
+            }
+            if instance.runs_from > now {
+                continue;
+            }
+            match mail {
+                Mail::Status { from, end, reading } => {
+                    instance.heard.insert(from, (now, reading));
+                    instance.feed.hear_end(end, Moment(now));
+                }
+                Mail::End(end) => instance.feed.hear_end(end, Moment(now)),
+                Mail::Records { from, next } => {
+                    let fit = instance.feed.hear(from, next, Moment(now));
+                    assert!(fit != Fit::Next || instance.feed.next() == Some(next));
+                }
+            }
+        }
+    }
+
+    fn circle(&self, own: usize) -> Circle {
+        let instance = &self.instances[own];
+        let heard = instance.heard.iter();
+        let heard = heard.filter(|(_, (at, _))| self.now - at <= HEARD);
+        let peers = heard.map(|(peer, (_, reading))| Peer {
+            name: &self.instances[*peer].name,
+            reading: *reading,
+        });
+        circle(&instance.name, peers)
+    }
+
+    /// Begins or ends the call of an instance.
+    fn run(&mut self, own: usize) {
+        let now = self.now;
+        if self.instances[own].runs_from > now || self.instances[own].frozen_until > now {
+            return;
+        }
+        let is_cut = self.instances[own].cut_until > now;
+        if let Some((call, asked)) = self.instances[own].call {
+            return self.answer(own, call, asked, is_cut);
+        }
+        if self.instances[own].retry_at > now {
+            return;
+        }
+        let circle = self.circle(own);
+        let call = match self.instances[own].feed.step(circle, Moment(now)) {
+            Step::Rest { .. } => {
+                if circle != Circle::Reads {
+                    self.instances[own].reading = Reading::Rests;
+                }
+                return;
+            }
+            Step::ReadAll => Call::All,
+            Step::ReadOn { from, waits } => {
+                let until = if waits { now + WAIT } else { now };
+                Call::On { from, waits, until }
+            }
+        };
+        self.calls += 1;
+        let instance = &mut self.instances[own];
+        instance.feed.ask(Moment(now));
+        if matches!(call, Call::On { waits: true, .. }) {
+            instance.reading = Reading::Reads;
+        }
+        instance.call = Some((call, now));
+    }
+
+    fn answer(&mut self, own: usize, call: Call, asked: u64, is_cut: bool) {
+        let (now, end) = (self.now, self.end());
+        let instance = &mut self.instances[own];
+        if is_cut {
+            // A cut that lasts is noticed; one that ends before holds the answer up.
+            if now >= asked + SILENT && now + SILENT <= instance.cut_until + SILENT {
+                instance.call = None;
+                instance.reading = Reading::Fails;
+                instance.feed.fail();
+                instance.retry_at = now + 300;
+            }
+            return;
+        }
+        match call {
+            Call::All => {
+                instance.feed.read(end);
+                instance.call = None;
+            }
+            Call::On { from, waits, until } => {
+                if end == from && now < until {
+                    return;
+                }
+                instance.feed.read(end);
+                instance.call = None;
+                instance.reading = if waits { Reading::Reads } else { Reading::Rests };
+                if waits && end > from {
+                    for peer in self.peers(own) {
+                        self.send(peer, Mail::Records { from, next: end });
+                    }
+                }
+            }
+        }
+    }
+
+    fn statuses(&mut self, own: usize) {
+        let now = self.now;
+        let instance = &self.instances[own];
+        if instance.runs_from > now || instance.frozen_until > now {
+            return;
+        }
+        let (domain, reading) = (instance.domain, instance.reading);
+        let Some(end) = instance.feed.next() else {
+            return;
+        };
+        if now % STATUS == 0 {
+            let mut peers = self.peers(own);
+            if peers.len() > STATUS_PEERS {
+                let turn = (now / STATUS) as usize * STATUS_PEERS % peers.len();
+                peers.rotate_left(turn);
+                peers.truncate(STATUS_PEERS);
+            }
+            for peer in peers {
+                self.send(peer, Mail::Status { from: own, end, reading });
+            }
+        }
+        // The first of a domain by name stands for its placer.
+        let places = self.peers(own).iter().all(|peer| *peer > own);
+        if places && now % FAR == 0 {
+            for peer in 0..self.instances.len() {
+                if self.instances[peer].domain != domain {
+                    self.send(peer, Mail::End(end));
+                }
+            }
+        }
+    }
+
+    fn strike(&mut self) {
+        let now = self.now;
+        let own = self.random.random_range(0..self.instances.len());
+        let lasts = self.random.random_range(500..8_000);
+        let kind = self.random.random_range(0..3);
+        let chance = self.random.random_range(0.0..1.0);
+        let instance = &mut self.instances[own];
+        match kind {
+            0 => {
+                instance.runs_from = now + lasts;
+                instance.feed = Feed::new(chance, Moment(now + lasts));
+                instance.heard.clear();
+                instance.call = None;
+                instance.reading = Reading::Rests;
+            }
+            1 => instance.frozen_until = now + lasts,
+            _ => instance.cut_until = now + lasts,
+        }
+        instance.sound_since = instance.sound_since.max(now + lasts);
+    }
+
+    /// Looks who is deaf.
+    fn judge(&mut self) {
+        for instance in &self.instances {
+            let since = instance.sound_since;
+            let next = instance.feed.next().unwrap_or(0);
+            let missing = self.records.iter().skip(next as usize);
+            for written in missing {
+                let late = self.now.saturating_sub((*written).max(since));
+                self.late = self.late.max(late);
+            }
+        }
+    }
+
+    fn play(&mut self, strikes: f64, each_ms: u64) {
+        while self.now < END {
+            self.now += TICK;
+            if self.now % each_ms == 0 {
+                self.records.push(self.now);
+            }
+            if self.random.random_bool(strikes) {
+                self.strike();
+            }
+            self.deliver();
+            for own in 0..self.instances.len() {
+                self.run(own);
+                self.statuses(own);
+            }
+            self.judge();
+        }
+    }
+}
+
+/// One trouble in two seconds, each of up to eight.
+const STRIKES: f64 = TICK as f64 / 2_000.0;
+
+#[gtest]
+fn nobody_is_deaf() {
+    for seed in 0..8 {
+        let mut world = World::new(3, 12, seed);
+        world.play(STRIKES, 1_700);
+        expect_that!(world.late, le(BOUND), "seed {seed}");
+    }
+}
+
+/// Without trouble, calls follow the domains: the readers' reads of each record, the start of each
+/// instance, and what lost messages cost.
+#[gtest]
+fn calls_follow_domains() {
+    let calls = |each: usize| {
+        let mut world = World::new(3, each, 7);
+        world.play(0.0, 2_000);
+        let starts = world.instances.len() as u64;
+        (world.calls - starts, world.late)
+    };
+    let (few, _) = calls(4);
+    let (many, late) = calls(40);
+    // 30 records, 6 readers; 2 of 100 messages are lost on the way from each of two readers.
+    expect_that!(few, le(6 * 32 + 6));
+    expect_that!(many, le(6 * 32 + 30));
+    expect_that!(late, le(1_000));
+}
+
+/// All readers of a domain are cut off from the store at once, and the others hear in time.
+#[gtest]
+fn readers_cut_off() {
+    for seed in 0..6 {
+        let mut world = World::new(3, 12, seed);
+        for own in 0..6 {
+            world.instances[own].cut_until = 40_000;
+            world.instances[own].sound_since = 40_000;
+        }
+        // They started before.
+        for instance in &mut world.instances {
+            instance.feed.read(0);
+        }
+        world.play(0.0, 1_700);
+        expect_that!(world.late, le(BOUND), "seed {seed}");
+    }
+}
+
+/// While the store is away for all, few ask, whatever the size.
+#[gtest]
+fn outage_is_quiet() {
+    let calls = |each: usize| {
+        let mut world = World::new(3, each, 3);
+        for instance in &mut world.instances {
+            instance.feed.read(0);
+            instance.cut_until = END;
+            instance.sound_since = END;
+        }
+        world.play(0.0, 5_000);
+        world.calls
+    };
+    // Four of each domain try again and again; the others look now and then.
+    let often = END / (SILENT + 300) + 1;
+    let seldom = END / (9_600 + SILENT) + 4;
+    expect_that!(calls(4), le(3 * 4 * often));
+    expect_that!(calls(30), le(3 * (4 * often + 26 * seldom)));
+}
