--- a/crates/ploverwick_adapters/src/horizon.rs
+++ b/crates/ploverwick_adapters/src/horizon.rs
@@ -27,6 +27,8 @@
     /// When it said so before that. What had come by then would have been taken in: a process that was
     /// held up since may look at the clock once before it takes in what came meanwhile, but not twice.
     ran_before: Moment,
+    /// Since when the last record of the last read may be there.
+    last: Option<Moment>,
 }
 
 impl Horizon {
@@ -49,20 +51,37 @@
 
     /// Takes in that a read brought the whole topic, and returns since when what was unknown is there.
     pub fn whole(&mut self) -> Since {
-        let since = self.unseen();
+        self.last = self.seen;
         self.see(self.asked);
-        since
+        self.last()
     }
 
     /// Takes in that a read went on from the last one, and returns since when what it brought is there.
     pub fn next(&mut self, now: Moment) -> Since {
-        let unseen = self.unseen();
         let has_waited = self.is_steady && now.since(self.asked) > AT_ONCE;
-        if !has_waited {
+        if has_waited {
+            self.see(self.ran_before);
+            self.last = self.seen;
+        } else {
+            self.last = self.seen;
             self.see(self.asked);
-            return unseen;
         }
-        self.see(self.ran_before);
+        self.last()
+    }
+
+    /// Returns since when the last record of the last read may be there.
+    pub fn last(&self) -> Since {
+        self.last.map_or(Since::LongAgo, Since::NotBefore)
+    }
+
+    /// Takes in a record that another process read, which was there for `age` at most when that process
+    /// told of it, as were all after it; returns since when it may be there.
+    ///
+    /// What it told can have been under way since this process last ran for certain.
+    pub fn told(&mut self, age: Option<Duration>) -> Since {
+        if let Some(age) = age {
+            self.seen = self.seen.max(Some(self.ran_before - age));
+        }
         self.unseen()
     }
 
--- a/crates/ploverwick_gateway/src/controllers.rs
+++ b/crates/ploverwick_gateway/src/controllers.rs
@@ -8,6 +8,7 @@
 pub(crate) mod roster;
 pub(crate) mod table;
 pub(crate) mod tenure;
+mod topic;
 
 use std::time::Duration;
 
--- a/crates/ploverwick_gateway/src/controllers/feed.rs
+++ b/crates/ploverwick_gateway/src/controllers/feed.rs
@@ -1,4 +1,4 @@
-//! Follows a topic of the store: the newest records first, then each one that comes.
+//! Reads of a topic of the store: the newest records first, then each one that comes.
 
 use std::time::Duration;
 
@@ -6,8 +6,6 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-use super::Backoff;
-use crate::journal::Outage;
 use crate::shared::Shared;
 
 /// How long a waiting read may stay behind what others tell. The store's answers reach two instances
@@ -21,14 +19,11 @@
 /// The longest pause between looks that fail; each call is priced.
 const LOOK_AGAIN: Duration = Duration::from_secs(2);
 
-/// How often a topic of which others tell is looked at again.
-const LOOK: Duration = Duration::from_millis(200);
-
 /// The least number of records that are read before the newest ones: where few keys are left, those that
 /// went may have written more.
 const LEAST_PAST: u64 = 64;
 
-/// How a topic is followed.
+/// How a topic is read.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Feed<'a> {
     /// The topic.
@@ -37,29 +32,12 @@
     pub(super) what: &'static str,
     /// How long a read waits for a record.
     pub(super) wait: Duration,
-    /// How long the first read after a failure waits. One that does not wait proves what came meanwhile
-    /// and what came later.
-    pub(super) first_wait: Duration,
     /// The pause after each read.
     pub(super) pause: Duration,
     /// Where the topic ends as others tell, if they do.
     pub(super) hint: Option<&'a watch::Sender<u64>>,
     /// How many records before the newest ones are read with them, for each of these.
     pub(super) past: u64,
-    /// Whether others tell what the topic holds, so that it need not be read now.
-    pub(super) is_told: fn(&Shared) -> bool,
-    /// Whether this instance looks beside a waiting read; one that does not is told by others.
-    pub(super) looks: fn(&Shared) -> bool,
-}
-
-/// For a topic of which nobody else tells, or beside which nobody looks.
-pub(super) fn never(_: &Shared) -> bool {
-    false
-}
-
-/// For a topic beside which every instance looks.
-pub(super) fn always(_: &Shared) -> bool {
-    true
 }
 
 /// What a feed brings.
@@ -69,9 +47,8 @@
     Asking,
     /// Records that came before those which [`News::Whole`] brings next, as far as they are kept.
     Past { records: &'a [Record] },
-    /// The newest record of each key, and the offset at which the topic ended; what is not among them
-    /// is gone.
-    Whole { records: &'a [Record], end: u64 },
+    /// The newest record of each key; what is not among them is gone.
+    Whole { records: &'a [Record] },
     /// The records that came since, the offset up to which the topic was read, and whether the last of
     /// them woke a read that waited, so that it is as new as it seems.
     Next {
@@ -79,47 +56,17 @@
         end: u64,
         was_woken: bool,
     },
+    /// Records that a peer read, and the longest time for which each can have been there when it was told.
+    Told {
+        records: &'a [Record],
+        ages: &'a [Option<Duration>],
+    },
     /// The topic cannot be read now.
     Away,
 }
 
-/// Follows a topic for as long as the process runs.
-pub(super) async fn follow(shared: &Shared, feed: Feed<'_>, mut take: impl FnMut(News<'_>)) {
-    let mut outage = Outage::of(feed.what);
-    let mut backoff = Backoff::new();
-    let mut next: Option<u64> = None;
-    let mut wait = feed.wait;
-    loop {
-        if (feed.is_told)(shared) {
-            // Whatever comes meanwhile is read anew as a whole.
-            next = None;
-            tokio::time::sleep(LOOK).await;
-            continue;
-        }
-        match read(shared, &feed, next, wait, &mut take).await {
-            Ok(end) => {
-                next = Some(end);
-                wait = feed.wait;
-                outage.works();
-                backoff.reset();
-                tokio::time::sleep(feed.pause).await;
-            }
-            Err(Error::Expired) => {
-                spdlog::info!("history_lost topic={}", feed.topic);
-                next = None;
-            }
-            Err(error) => {
-                outage.fails(&error);
-                take(News::Away);
-                wait = feed.first_wait;
-                backoff.pause(shared).await;
-            }
-        }
-    }
-}
-
 /// Reads once and returns the offset to go on from.
-async fn read(
+pub(super) async fn read(
     shared: &Shared,
     feed: &Feed<'_>,
     next: Option<u64>,
@@ -134,7 +81,7 @@
             take(News::Past { records });
         }
         let records = &records;
-        take(News::Whole { records, end });
+        take(News::Whole { records });
         return Ok(end);
     };
     let waiting = shared.store.read(feed.topic, from, wait);
@@ -143,14 +90,13 @@
         return Ok(pass_on(&batch, false, take));
     }
     let waiting = until_doubted(shared, feed.hint, from, waiting);
-    let looks = (feed.looks)(shared);
     let begun = Instant::now();
     let (batch, was_waiting) = tokio::select! {
         ended = waiting => match ended {
             Ended::Read(batch) => (batch?, true),
             Ended::Doubted => (read_again(shared, feed, from, take).await?, false),
         },
-        batch = look(shared, feed.topic, from), if looks => (batch, false),
+        batch = look(shared, feed.topic, from) => (batch, false),
     };
     // Only the record that ends a wait is known to be new; others may have been there for as long.
     let was_woken = was_waiting && begun.elapsed() < wait;
--- a/crates/ploverwick_gateway/src/controllers/instances.rs
+++ b/crates/ploverwick_gateway/src/controllers/instances.rs
@@ -9,9 +9,10 @@
 use ploverwick_platform::store::Record;
 use serde::{Deserialize, Serialize};
 
-use super::Backoff;
-use super::feed::{self, Feed, News};
-use crate::shared::{Peer, Shared};
+use super::feed::{Feed, News};
+use super::{Backoff, topic};
+use crate::shared::{Listing, Peer, Shared};
+use crate::topics::{Stands, Topic};
 
 /// How long a read waits for a record; instances come and go rarely, and peers that are not listed
 /// yet make themselves known by their messages.
@@ -21,6 +22,10 @@
 /// each line would be a call of every instance.
 const PAUSE: Duration = Duration::from_millis(1_500);
 
+/// How long an instance waits to read the list when the whole system starts for the first time: all list
+/// themselves within some 300 ms, and a list that is read then need not be read again.
+const FIRST_START: Duration = Duration::from_millis(400);
+
 #[derive(Debug, Serialize, Deserialize)]
 struct Line {
     ip: IpAddr,
@@ -87,20 +92,20 @@
 
 /// Follows the list for as long as the process runs.
 pub(crate) async fn follow(shared: Arc<Shared>) {
+    if shared.settings.first_start {
+        tokio::time::sleep(FIRST_START).await;
+    }
     let feed = Feed {
         topic: INSTANCES,
         what: "instance list",
         wait: WAIT,
-        first_wait: WAIT,
         pause: PAUSE,
         past: 0,
-        hint: None,
-        is_told: feed::never,
-        looks: feed::never,
+        hint: Some(&shared.inboxes.of(Topic::Instances).end),
     };
-    feed::follow(&shared, feed, |news| match news {
-        News::Whole { records, .. } => replace(&shared, records),
-        News::Next { records, .. } => take(&shared, records),
+    topic::follow(&shared, Topic::Instances, feed, |news| match news {
+        News::Whole { records } => replace(&shared, records),
+        News::Next { records, .. } | News::Told { records, .. } => take(&shared, records),
         News::Asking | News::Away | News::Past { .. } => {}
     })
     .await;
@@ -110,6 +115,9 @@
     let listed: HashSet<&str> = records.iter().map(|record| &*record.key).collect();
     let mut state = shared.state();
     state.peers.retain(|name, _| listed.contains(&**name));
+    if state.listing == Listing::Unread {
+        state.listing = Listing::Read;
+    }
     drop(state);
     take(shared, records);
 }
@@ -118,7 +126,7 @@
     for record in records {
         match &record.value {
             Some(_) if record.key == *shared.settings.instance => {
-                shared.state().is_listed = true;
+                shared.state().listing = Listing::Listed;
             }
             None if record.key == *shared.settings.instance => list_again(shared),
             Some(value) => take_line(shared, &record.key, value),
@@ -158,6 +166,7 @@
         heard: None,
         places: None,
         waiting: 0,
+        stands: Stands::default(),
     });
     peer.ip = line.ip;
     peer.domain = line.domain;
--- a/crates/ploverwick_gateway/src/controllers/operator.rs
+++ b/crates/ploverwick_gateway/src/controllers/operator.rs
@@ -7,8 +7,10 @@
 use ploverwick_platform::store::Record;
 use ploverwick_platform::{CONFIG_KEY, OPERATOR, config, version};
 
-use super::feed::{self, Feed, News};
+use super::feed::{Feed, News};
+use super::topic;
 use crate::shared::Shared;
+use crate::topics::Topic;
 
 /// How long a read waits for a record, near the longest that the store allows: each return is a
 /// call. A silent connection breaks by itself, and peers that have read further tell.
@@ -20,14 +22,11 @@
         topic: OPERATOR,
         what: "operator topic",
         wait: WAIT,
-        first_wait: Duration::ZERO,
         pause: Duration::ZERO,
         past: 0,
-        hint: Some(&shared.operator_end),
-        is_told: feed::never,
-        looks: Shared::is_caller,
+        hint: Some(&shared.inboxes.of(Topic::Operator).end),
     };
-    feed::follow(&shared, feed, |news| take(&shared, news)).await;
+    topic::follow(&shared, Topic::Operator, feed, |news| take(&shared, news)).await;
 }
 
 fn take(shared: &Arc<Shared>, news: News<'_>) {
@@ -35,35 +34,48 @@
     let mut state = shared.state();
     // A read may bring what another one missed, so that only its last record is as new as the read.
     let earlier = state.horizon.unseen();
-    let (records, end, last) = match news {
+    let (records, last) = match news {
         News::Past { .. } => return,
+        News::Told { records, ages } => {
+            drop(state);
+            return take_told(shared, records, ages);
+        }
         News::Asking => return state.horizon.ask(now),
         News::Away => return state.horizon.fail(),
-        News::Whole { records, end } => (records, end, state.horizon.whole()),
+        News::Whole { records } => (records, state.horizon.whole()),
         News::Next {
-            records,
-            end,
-            was_woken,
+            records, was_woken, ..
         } => {
             if !was_woken && !records.is_empty() {
                 state.horizon.fail();
             }
-            (records, end, state.horizon.next(now))
+            (records, state.horizon.next(now))
         }
     };
-    state.operator_read = end;
     drop(state);
     for (index, record) in records.iter().enumerate() {
         let is_last = index + 1 == records.len();
         let since = if is_last { last } else { earlier };
-        let Some(value) = &record.value else {
-            continue;
-        };
-        if record.key == CONFIG_KEY {
-            take_config(shared, value);
-        } else {
-            take_version(shared, record, value, since);
-        }
+        take_record(shared, record, since);
+    }
+}
+
+/// Takes in what a peer read, each record as old as it can be.
+fn take_told(shared: &Arc<Shared>, records: &[Record], ages: &[Option<Duration>]) {
+    for (record, age) in records.iter().zip(ages) {
+        let since = shared.state().horizon.told(*age);
+        take_record(shared, record, since);
+    }
+}
+
+fn take_record(shared: &Arc<Shared>, record: &Record, since: Since) {
+    let Some(value) = &record.value else {
+        return;
+    };
+    if record.key == CONFIG_KEY {
+        take_config(shared, value);
+    } else {
+        take_version(shared, record, value, since);
     }
 }
 
--- a/crates/ploverwick_gateway/src/controllers/roster.rs
+++ b/crates/ploverwick_gateway/src/controllers/roster.rs
@@ -5,10 +5,12 @@
 use std::time::Duration;
 
 use ploverwick_endpoints::{Absence, Entry, Fleet, Heartbeat, Heartbeats, State as EndpointState};
-use ploverwick_platform::store::Record;
+use ploverwick_platform::store::{Error, Record};
 use ploverwick_platform::{ROSTER, roster};
 
+use super::Backoff;
 use super::feed::{self, Feed, News};
+use crate::journal::Outage;
 use crate::shared::Shared;
 use crate::tell;
 
@@ -31,6 +33,8 @@
     heartbeats: Heartbeats,
 }
 
+/// How often the list is looked at again of which a peer tells.
+const LOOK: Duration = Duration::from_millis(200);
 /// How long a peer's word on the list counts. With a read's pause and this one a leave is known
 /// within the drain time also if that peer falls silent.
 const TOLD: Duration = Duration::from_millis(1_200);
@@ -66,38 +70,61 @@
         topic: ROSTER,
         what: "endpoint list",
         wait: Duration::ZERO,
-        first_wait: Duration::ZERO,
         pause: PAUSE,
         hint: None,
         past: PAST,
-        is_told,
-        looks: feed::never,
     };
-    feed::follow(&shared, feed, |news| {
-        let now = follower.shared.now();
-        match news {
-            News::Asking => return,
-            News::Away => {
-                follower.absence.store_away();
-                return;
+    let mut outage = Outage::of(feed.what);
+    let mut backoff = Backoff::new();
+    let mut next: Option<u64> = None;
+    loop {
+        if is_told(&shared) {
+            // Whatever comes meanwhile is read anew as a whole.
+            next = None;
+            tokio::time::sleep(LOOK).await;
+            continue;
+        }
+        let mut take = |news: News<'_>| follower.hear(news);
+        match feed::read(&shared, &feed, next, feed.wait, &mut take).await {
+            Ok(end) => {
+                next = Some(end);
+                outage.works();
+                backoff.reset();
+                tokio::time::sleep(feed.pause).await;
             }
-            News::Past { records } => return follower.recall(records),
-            News::Whole { records, .. } => {
-                follower.absence.store_read(now);
-                follower.replace(records);
+            Err(Error::Expired) => {
+                spdlog::info!("history_lost topic={}", feed.topic);
+                next = None;
             }
-            News::Next { records, .. } => {
-                follower.absence.store_read(now);
-                follower.take(records);
+            Err(error) => {
+                outage.fails(&error);
+                follower.absence.store_away();
+                backoff.pause(&shared).await;
             }
         }
-        follower.settle();
-        follower.tell();
-    })
-    .await;
+    }
 }
 
 impl Follower {
+    fn hear(&mut self, news: News<'_>) {
+        let now = self.shared.now();
+        match news {
+            News::Asking | News::Told { .. } => return,
+            News::Away => return self.absence.store_away(),
+            News::Past { records } => return self.recall(records),
+            News::Whole { records } => {
+                self.absence.store_read(now);
+                self.replace(records);
+            }
+            News::Next { records, .. } => {
+                self.absence.store_read(now);
+                self.take(records);
+            }
+        }
+        self.settle();
+        self.tell();
+    }
+
     /// Takes in the heartbeats before those that stand on the list, so that a late one is told apart.
     fn recall(&mut self, records: &[Record]) {
         for record in records {
--- a/crates/ploverwick_gateway/src/controllers/table.rs
+++ b/crates/ploverwick_gateway/src/controllers/table.rs
@@ -7,8 +7,10 @@
 use ploverwick_platform::store::Record;
 use ploverwick_platform::table::Assembly;
 
-use super::feed::{self, Feed, News};
+use super::feed::{Feed, News};
+use super::topic;
 use crate::shared::Shared;
+use crate::topics::Topic;
 
 /// How long a read waits for a record, near the longest that the store allows: each return is a
 /// call. A silent connection breaks by itself.
@@ -21,19 +23,18 @@
         topic: TABLE,
         what: "table topic",
         wait: WAIT,
-        first_wait: WAIT,
         pause: Duration::ZERO,
         past: 0,
-        hint: None,
-        is_told: feed::never,
-        looks: feed::always,
+        hint: Some(&shared.inboxes.of(Topic::Table).end),
     };
-    feed::follow(&shared, feed, |news| match news {
-        News::Whole { records, .. } => {
+    topic::follow(&shared, Topic::Table, feed, |news| match news {
+        News::Whole { records } => {
             take(&shared, &mut assembly, records);
             shared.state().has_table = true;
         }
-        News::Next { records, .. } => take(&shared, &mut assembly, records),
+        News::Next { records, .. } | News::Told { records, .. } => {
+            take(&shared, &mut assembly, records);
+        }
         News::Asking | News::Away | News::Past { .. } => {}
     })
     .await;
--- a/crates/ploverwick_gateway/src/controllers/tenure.rs
+++ b/crates/ploverwick_gateway/src/controllers/tenure.rs
@@ -16,6 +16,9 @@
 const RENEWAL: Duration = Duration::from_millis(450);
 /// The pause between looks whether this instance should stand by for the right.
 const LOOK: Duration = Duration::from_millis(250);
+/// How long after its start an instance goes by the list of instances and not by whom it heard: where all
+/// start at once, each would stand by until it has heard the others.
+const HEARING: Moment = Moment(1_000);
 /// How long a failure domain may be without a placer before all of its instances stand by: those
 /// whose turn it is may be cut off from the store.
 const VACANT: Duration = Duration::from_millis(3_500);
@@ -92,6 +95,11 @@
     if state.tenure.is_held(now) || now.since(*seen) > VACANT {
         return true;
     }
+    if now < HEARING {
+        return state
+            .listed_rank(&shared.settings)
+            .is_some_and(|rank| rank < STANDBYS);
+    }
     state.rank(&shared.settings, now) < STANDBYS
 }
 
--- /dev/null
+++ b/crates/ploverwick_gateway/src/controllers/topic.rs
@@ -0,0 +1,196 @@
+//! Follows a topic of the store beside peers: reads it for them, or is told by them.
+
+use std::time::Duration;
+
+use ploverwick_adapters::Since;
+use ploverwick_platform::store::{Error, Record};
+use ploverwick_topics::{Circle, Feed, Fit, Reading, Step};
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::Backoff;
+use super::feed::{self, News};
+use crate::journal::Outage;
+use crate::shared::Shared;
+use crate::tell;
+use crate::topics::{Batch, Stand, Told, Topic};
+
+struct Follower<'a, F> {
+    shared: &'a Shared,
+    topic: Topic,
+    feed: feed::Feed<'a>,
+    place: Feed,
+    /// Whether the last read failed, so that the next one must prove that the store is back.
+    has_failed: bool,
+    take: F,
+}
+
+/// Follows a topic for as long as the process runs.
+pub(super) async fn follow(
+    shared: &Shared,
+    topic: Topic,
+    feed: feed::Feed<'_>,
+    take: impl FnMut(News<'_>),
+) {
+    let mut outage = Outage::of(feed.what);
+    let mut backoff = Backoff::new();
+    let mut follower = Follower {
+        shared,
+        topic,
+        feed,
+        place: Feed::new(chance(&shared.settings.instance), shared.now()),
+        has_failed: false,
+        take,
+    };
+    loop {
+        match follower.next().await {
+            Ok(()) => {
+                outage.works();
+                backoff.reset();
+            }
+            Err(Error::Expired) => {
+                spdlog::info!("history_lost topic={}", feed.topic);
+                follower.place.lose();
+            }
+            Err(error) => {
+                outage.fails(&error);
+                follower.fail();
+                backoff.pause(shared).await;
+            }
+        }
+    }
+}
+
+/// Returns a number from 0 to 1 by which instances differ.
+fn chance(instance: &str) -> f64 {
+    xxh3_64(instance.as_bytes()) as f64 / u64::MAX as f64
+}
+
+impl<F: FnMut(News<'_>)> Follower<'_, F> {
+    /// Takes the next step.
+    async fn next(&mut self) -> Result<(), Error> {
+        let now = self.shared.now();
+        self.hear();
+        let inbox = self.shared.inboxes.of(self.topic);
+        self.place.hear_end(*inbox.end.borrow(), now);
+        let circle = self.shared.circle(self.topic);
+        match self.place.step(circle, now) {
+            Step::Rest { until } => {
+                if circle != Circle::Reads && !self.has_failed {
+                    self.stand(Reading::Rests);
+                }
+                let until = self.shared.clock.instant(until);
+                tokio::select! {
+                    () = tokio::time::sleep_until(until) => {}
+                    () = inbox.added.notified() => {}
+                }
+                Ok(())
+            }
+            Step::ReadAll => self.read(None, Duration::ZERO).await,
+            Step::ReadOn { from, waits } => {
+                let is_proof = self.has_failed || !waits;
+                let wait = if is_proof {
+                    Duration::ZERO
+                } else {
+                    self.feed.wait
+                };
+                self.read(Some(from), wait).await
+            }
+        }
+    }
+
+    /// Reads once; `from` is `None` for the whole topic.
+    async fn read(&mut self, from: Option<u64>, wait: Duration) -> Result<(), Error> {
+        let (shared, topic) = (self.shared, self.topic);
+        let is_reader = shared.circle(topic) == Circle::Reads;
+        self.place.ask(shared.now());
+        if !wait.is_zero() {
+            self.stand(Reading::Reads);
+        }
+        let hear = &mut self.take;
+        let mut take = |news: News<'_>| {
+            let earlier = shared.state().horizon.unseen();
+            hear(news);
+            let last = shared.state().horizon.last();
+            if let (News::Next { records, end, .. }, Some(from), true) = (news, from, is_reader)
+                && end > from
+            {
+                let records = dated(shared, records, earlier, last);
+                tell::records(shared, topic, from, end, records);
+            }
+        };
+        let next = feed::read(shared, &self.feed, from, wait, &mut take).await?;
+        self.place.read(next);
+        shared.inboxes.of(topic).correct(next);
+        self.has_failed = false;
+        self.stand(if is_reader {
+            Reading::Reads
+        } else {
+            Reading::Rests
+        });
+        if from.is_some() {
+            tokio::time::sleep(self.feed.pause).await;
+        }
+        Ok(())
+    }
+
+    /// Takes in what peers told meanwhile.
+    fn hear(&mut self) {
+        let now = self.shared.now();
+        while let Some(batch) = self.shared.inboxes.of(self.topic).pop() {
+            if self.place.hear(batch.from, batch.next, now) == Fit::Next {
+                self.take_told(batch);
+            }
+        }
+    }
+
+    fn take_told(&mut self, batch: Batch) {
+        let Batch { records, .. } = batch;
+        let ages = records
+            .iter()
+            .map(|told| told.age_ms.map(Duration::from_millis));
+        let ages: Vec<Option<Duration>> = ages.collect();
+        let records = records.into_iter().map(|told| Record {
+            key: told.key,
+            value: told.value.map(Into::into),
+            offset: told.offset,
+        });
+        let records: Vec<Record> = records.collect();
+        (self.take)(News::Told {
+            records: &records,
+            ages: &ages,
+        });
+        self.stand(Reading::Rests);
+    }
+
+    fn fail(&mut self) {
+        self.place.fail();
+        self.has_failed = true;
+        (self.take)(News::Away);
+        self.stand(Reading::Fails);
+    }
+
+    /// Says where this instance stands, for its next messages.
+    fn stand(&self, reading: Reading) {
+        let end = self.place.next().unwrap_or_default();
+        let stand = Stand { end, reading };
+        self.shared.state().stands.set(self.topic, stand);
+    }
+}
+
+/// Returns records with the longest time for which each can have been there: only the last one may have
+/// woken a read that waited for it.
+fn dated(shared: &Shared, records: &[Record], earlier: Since, last: Since) -> Vec<Told> {
+    let now = shared.now();
+    let age = |since: Since| match since {
+        Since::LongAgo => None,
+        Since::NotBefore(at) => u64::try_from(now.since(at).as_millis()).ok(),
+    };
+    let count = records.len();
+    let told = records.iter().enumerate().map(|(index, record)| Told {
+        key: record.key.clone(),
+        value: record.value.as_ref().map(|value| value.to_vec()),
+        offset: record.offset,
+        age_ms: age(if index + 1 == count { last } else { earlier }),
+    });
+    told.collect()
+}
--- a/crates/ploverwick_gateway/src/lib.rs
+++ b/crates/ploverwick_gateway/src/lib.rs
@@ -19,6 +19,7 @@
 mod shared;
 pub mod table;
 mod tell;
+mod topics;
 
 pub use daemon::{Daemon, run};
 pub use journal::set_up as set_up_logs;
--- a/crates/ploverwick_gateway/src/listen.rs
+++ b/crates/ploverwick_gateway/src/listen.rs
@@ -7,6 +7,7 @@
 use crate::mail::{self, Change, Digest, Fate, Message};
 use crate::shared::{Peer, Shared};
 use crate::tell;
+use crate::topics::Topic;
 
 /// Takes in messages for as long as the process runs.
 pub(crate) async fn run(shared: Arc<Shared>) {
@@ -48,20 +49,19 @@
             domain,
             places,
             waiting,
-            operator_read,
+            stands,
             loads,
         } => {
-            shared.operator_end.send_if_modified(|end| {
-                let is_further = operator_read > *end;
-                *end = (*end).max(operator_read);
-                is_further
-            });
+            for topic in Topic::ALL {
+                shared.inboxes.of(topic).hear_end(stands.of(topic).end);
+            }
             let peer = Peer {
                 ip: from,
                 domain,
                 heard: Some(now),
                 places,
                 waiting,
+                stands,
             };
             state.peers.insert(Arc::clone(&instance), peer);
             shared.count_instances(&mut state);
@@ -126,6 +126,8 @@
             drop(state);
             roster::told(shared, changed, &gone, digest);
         }
+        Message::Records(batch) => shared.inboxes.of(batch.topic).push(batch),
+        Message::End { topic, end } => shared.inboxes.of(topic).hear_end(end),
         Message::BaseLoad => state.base_loads.begin(now),
         Message::Vacant => shared.vacant.notify_one(),
     }
--- a/crates/ploverwick_gateway/src/mail.rs
+++ b/crates/ploverwick_gateway/src/mail.rs
@@ -11,8 +11,10 @@
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 
+use crate::topics::{Batch, Stands, Topic};
+
 /// The longest message; longer ones would be cut into packets.
-const LONGEST: usize = 1_300;
+pub(crate) const LONGEST: usize = 1_300;
 
 /// An adapter at an endpoint and the requests of the sender that use it.
 #[derive(Debug, Serialize, Deserialize)]
@@ -91,8 +93,8 @@
         places: Option<u64>,
         /// The adapters that wait for a place, if it places them.
         waiting: u32,
-        /// The offset up to which it has read the operator's topic.
-        operator_read: u64,
+        /// How far it has read each topic of the store, and whether it reads it for others.
+        stands: Stands,
         loads: Vec<Load>,
     },
     /// The requests of all instances at endpoints of a placer's failure domain.
@@ -118,6 +120,10 @@
         gone: Vec<Arc<str>>,
         digest: u64,
     },
+    /// What the sender read of a topic of the store.
+    Records(Batch),
+    /// How far the sender has read a topic of the store, whose last record is too long for a message.
+    End { topic: Topic, end: u64 },
     /// The sender has a base model loaded at an endpoint of its failure domain.
     BaseLoad,
     /// The sender no longer places the adapters of its failure domain.
@@ -154,6 +160,8 @@
             | Self::Need { .. }
             | Self::AskHolds(_)
             | Self::List { .. }
+            | Self::Records(_)
+            | Self::End { .. }
             | Self::BaseLoad
             | Self::Vacant => false,
         }
--- a/crates/ploverwick_gateway/src/shared.rs
+++ b/crates/ploverwick_gateway/src/shared.rs
@@ -16,6 +16,7 @@
 use ploverwick_platform::store::Store;
 use ploverwick_routes::Config;
 use ploverwick_table::Table;
+use ploverwick_topics::Circle;
 use tokio::sync::{Notify, watch};
 
 use crate::clock::Clock;
@@ -24,6 +25,7 @@
 use crate::metrics;
 use crate::outbox::Outbox;
 use crate::pool::Pool;
+use crate::topics::{Inboxes, Stands, Topic};
 
 /// How long a grant of the right to place adapters lasts. A shorter one is taken over sooner, a
 /// longer one survives more lost calls, and a restart of the whole system, after which its holder goes
@@ -52,6 +54,20 @@
     pub(crate) places: Option<u64>,
     /// The adapters that wait for a place there, if it places them.
     pub(crate) waiting: u32,
+    /// How far it has read each topic of the store.
+    pub(crate) stands: Stands,
+}
+
+/// What one life of an instance read of the list of instances.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Listing {
+    /// Nothing.
+    Unread,
+    /// The list.
+    Read,
+    /// The list with its own line. It then knows all that were listed before, and those that are listed
+    /// later read its line before theirs count.
+    Listed,
 }
 
 /// What changes while the process runs.
@@ -70,8 +86,8 @@
     pub(crate) directory: Directory,
     /// What is proved of the age of what the operator wrote.
     pub(crate) horizon: Horizon,
-    /// The offset up to which the operator's topic was read.
-    pub(crate) operator_read: u64,
+    /// How far this instance has read each topic of the store.
+    pub(crate) stands: Stands,
     pub(crate) placer: Placer,
     pub(crate) tenure: Tenure,
     /// The base models that were loaded lately in this failure domain.
@@ -80,9 +96,8 @@
     /// The instances that share what is bounded over all of them.
     pub(crate) census: Census,
     pub(crate) peers: HashMap<Arc<str>, Peer>,
-    /// Whether this instance read its own line on the list of instances. It then knows all that were
-    /// listed before, and those that are listed later read its line before theirs count.
-    pub(crate) is_listed: bool,
+    /// What this life of the instance read of the list of instances.
+    pub(crate) listing: Listing,
     /// This instance's requests under way, by endpoint and adapter; 0 for one that ended since the
     /// placers were told.
     pub(crate) uses: HashMap<(Arc<str>, Copy), u32>,
@@ -104,8 +119,8 @@
     pub(crate) keeps_token: bool,
     /// Wakes requests that wait for an adapter.
     pub(crate) placed: Notify,
-    /// The furthest offset up to which a peer has read the operator's topic.
-    pub(crate) operator_end: watch::Sender<u64>,
+    /// What peers told of the topics of the store.
+    pub(crate) inboxes: Inboxes,
     /// Wakes requests under way when a version is declared.
     pub(crate) declared: Notify,
     /// Says that the placer of this failure domain gave up its right.
@@ -141,7 +156,7 @@
             fleet: Fleet::default(),
             directory: Directory::default(),
             horizon: Horizon::default(),
-            operator_read: 0,
+            stands: Stands::default(),
             placer: Placer::default(),
             tenure: Tenure::new(terms, !settings.first_start, clock.now()),
             base_loads: if settings.first_start {
@@ -152,7 +167,7 @@
             budgets: HashMap::new(),
             census: Census::default(),
             peers: HashMap::new(),
-            is_listed: false,
+            listing: Listing::Unread,
             uses: HashMap::new(),
         };
         Self {
@@ -166,7 +181,7 @@
             outbox: Outbox::default(),
             lines: Lines::default(),
             placed: Notify::new(),
-            operator_end: watch::Sender::new(0),
+            inboxes: Inboxes::default(),
             declared: Notify::new(),
             vacant: Notify::new(),
             orders: Notify::new(),
@@ -210,6 +225,25 @@
         state.tenure.is_held(now) || state.rank(&self.settings, now) < STANDBYS
     }
 
+    /// Returns what this instance is to the peers of its failure domain for a topic of the store. Whoever
+    /// places adapters reads itself, as other failure domains hear of the topics' ends from it.
+    pub(crate) fn circle(&self, topic: Topic) -> Circle {
+        let now = self.now();
+        let state = self.state();
+        if state.tenure.is_held(now) {
+            return Circle::Reads;
+        }
+        let peers = state.peers.iter().filter(|(_, peer)| {
+            let is_heard = peer.heard.is_some_and(|at| now.since(at) <= PEER_AGE);
+            is_heard && peer.domain == self.settings.domain
+        });
+        let peers = peers.map(|(name, peer)| ploverwick_topics::Peer {
+            name,
+            reading: peer.stands.of(topic).reading,
+        });
+        ploverwick_topics::circle(&self.settings.instance, peers)
+    }
+
     /// Takes a repeat of a request out of its service's budget; `false` if there is none left.
     pub(crate) fn may_repeat(&self, id: &str, service: &Arc<str>) -> bool {
         let now = self.now();
@@ -236,7 +270,7 @@
 
     /// Takes in that the list of instances may have changed.
     pub(crate) fn count_instances(&self, state: &mut State) {
-        if state.is_listed {
+        if state.listing == Listing::Listed {
             let instances = state.peers.len() + 1;
             state
                 .census
@@ -297,6 +331,15 @@
         before.count()
     }
 
+    /// Returns how many instances of this failure domain that are listed come before this one by name,
+    /// heard or not; `None` before the list was read.
+    pub(crate) fn listed_rank(&self, settings: &Settings) -> Option<usize> {
+        let peers = self.peers.iter();
+        let before = peers
+            .filter(|(name, peer)| peer.domain == settings.domain && **name < settings.instance);
+        (self.listing != Listing::Unread).then(|| before.count())
+    }
+
     /// Counts a request that uses an adapter at an endpoint, or one that ended.
     pub(crate) fn count_use(&mut self, endpoint: &Arc<str>, copy: &Copy, begins: bool) {
         let key = (Arc::clone(endpoint), copy.clone());
--- a/crates/ploverwick_gateway/src/tell.rs
+++ b/crates/ploverwick_gateway/src/tell.rs
@@ -13,12 +13,16 @@
 use ploverwick_endpoints::Entry;
 use ploverwick_names::Moment;
 
-use crate::mail::{Change, Digest, Fate, Load, Message, Used};
+use crate::mail::{Change, Digest, Fate, LONGEST, Load, Message, Used};
 use crate::outbox;
 use crate::shared::{Shared, State};
+use crate::topics::{Batch, Told, Topic};
 
 /// Adapters, loads or digests in one message.
 const CHUNK: usize = 48;
+/// The bytes of a record's numbers and lengths in a message, and its part of the message's own: five
+/// numbers of up to ten bytes.
+const HEADS: usize = 50;
 /// Lines of the list of endpoints in one message.
 const ENTRIES: usize = 8;
 /// The pause between messages to peers of the same failure domain.
@@ -144,6 +148,55 @@
     }
 }
 
+/// Tells the peers of this failure domain the records of a topic from `from` to before `next`. They read
+/// themselves what is too long for a message.
+pub(crate) fn records(shared: &Shared, topic: Topic, from: u64, next: u64, records: Vec<Told>) {
+    let peers = near(shared, &shared.state());
+    for message in batches(topic, from, next, records) {
+        shared.mail.send(&message, &peers);
+    }
+}
+
+/// Cuts records into messages that are short enough.
+fn batches(topic: Topic, from: u64, next: u64, records: Vec<Told>) -> Vec<Message> {
+    let mut out = Vec::new();
+    let mut part = Batch {
+        topic,
+        from,
+        next,
+        records: Vec::new(),
+    };
+    let mut bytes = 0;
+    for record in records {
+        let length = record_bytes(&record);
+        if bytes + length > LONGEST && !part.records.is_empty() {
+            let rest = Batch {
+                topic,
+                from: record.offset,
+                next,
+                records: Vec::new(),
+            };
+            let mut full = std::mem::replace(&mut part, rest);
+            full.next = record.offset;
+            out.push(Message::Records(full));
+            bytes = 0;
+        }
+        if length > LONGEST {
+            out.push(Message::End { topic, end: next });
+            return out;
+        }
+        bytes += length;
+        part.records.push(record);
+    }
+    out.push(Message::Records(part));
+    out
+}
+
+/// Returns the most bytes that a record takes in a message.
+fn record_bytes(record: &Told) -> usize {
+    HEADS + record.key.len() + record.value.as_ref().map_or(0, Vec::len)
+}
+
 /// Asks the instance at `ip` what endpoints hold.
 pub(crate) fn ask_holds(shared: &Shared, ip: IpAddr, endpoints: Vec<Arc<str>>) {
     shared.mail.send(&Message::AskHolds(endpoints), &[ip]);
@@ -273,7 +326,7 @@
         domain: Arc::clone(&shared.settings.domain),
         places,
         waiting: u32::try_from(state.placer.waiting()).unwrap_or(u32::MAX),
-        operator_read: state.operator_read,
+        stands: state.stands,
         loads: loads.take(CHUNK).collect(),
     }
 }
--- a/crates/ploverwick_topics/src/circle.rs
+++ b/crates/ploverwick_topics/src/circle.rs
@@ -1,5 +1,7 @@
 //! Who reads a topic for its failure domain.
 
+use serde::{Deserialize, Serialize};
+
 /// The instances of a failure domain that read each topic: one goes on when the other one dies, and what
 /// one misses the other one tells.
 const READERS: usize = 2;
@@ -8,7 +10,7 @@
 const MOST_REPLACED: usize = 2;
 
 /// What an instance does about a topic.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub enum Reading {
     /// It relies on others.
     #[default]
--- a/crates/ploverwick_topics/src/feed.rs
+++ b/crates/ploverwick_topics/src/feed.rs
@@ -8,7 +8,7 @@
 
 /// How long a process that starts waits before it reads on: until then it has heard its peers, and most
 /// of them read for it. Where all instances start at once this saves one call of each.
-const SETTLED: Duration = Duration::from_millis(1_000);
+const SETTLED: Duration = Duration::from_secs(1);
 /// How long what others told may stay away before an instance reads it itself: a datagram was lost, or
 /// the record is too long for one. Records that come in quick succession are read at once then. Bounds on
 /// how late a configuration may be begin at 2 s.
--- a/crates/ploverwick_topics/tests/circle_order.rs
+++ b/crates/ploverwick_topics/tests/circle_order.rs
@@ -26,8 +26,17 @@
 #[gtest]
 fn failing_ones_replaced() {
     expect_that!(at("c", &[("a", Fails), ("b", Reads)]), eq(Circle::Reads));
-    expect_that!(at("d", &[("a", Fails), ("b", Fails), ("c", Rests)]), eq(Circle::Reads));
-    expect_that!(at("e", &[("a", Fails), ("b", Fails), ("c", Reads), ("d", Reads)]), eq(Circle::Told));
+    expect_that!(
+        at("d", &[("a", Fails), ("b", Fails), ("c", Rests)]),
+        eq(Circle::Reads)
+    );
+    expect_that!(
+        at(
+            "e",
+            &[("a", Fails), ("b", Fails), ("c", Reads), ("d", Reads)]
+        ),
+        eq(Circle::Told)
+    );
 }
 
 /// A store that is away for all must not be asked by all.
--- a/crates/ploverwick_topics/tests/feed_histories.rs
+++ b/crates/ploverwick_topics/tests/feed_histories.rs
@@ -34,8 +34,15 @@
 }
 
 enum Mail {
-    Status { from: usize, end: u64, reading: Reading },
-    Records { from: u64, next: u64 },
+    Status {
+        from: usize,
+        end: u64,
+        reading: Reading,
+    },
+    Records {
+        from: u64,
+        next: u64,
+    },
     End(u64),
 }
 
@@ -211,7 +218,11 @@
                 }
                 instance.feed.read(end);
                 instance.call = None;
-                instance.reading = if waits { Reading::Reads } else { Reading::Rests };
+                instance.reading = if waits {
+                    Reading::Reads
+                } else {
+                    Reading::Rests
+                };
                 if waits && end > from {
                     for peer in self.peers(own) {
                         self.send(peer, Mail::Records { from, next: end });
@@ -239,7 +250,14 @@
                 peers.truncate(STATUS_PEERS);
             }
             for peer in peers {
-                self.send(peer, Mail::Status { from: own, end, reading });
+                self.send(
+                    peer,
+                    Mail::Status {
+                        from: own,
+                        end,
+                        reading,
+                    },
+                );
             }
         }
         // The first of a domain by name stands for its placer.
