Test that few instances read and all hear

Change: six instances of one failure domain before a stand-in store that counts the reads that wait; a configuration of a few and of 500 more routes; readers that end.

--- /dev/null
+++ b/crates/ploverwick_gateway/tests/few_readers.rs
@@ -0,0 +1,136 @@
+//! In a failure domain of many instances a few read the store's topics and tell the others, who hear all
+//! the same, also of what is too long for a message and when those that read are gone.
+
+mod common;
+
+use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
+use std::time::Duration;
+
+use anyhow::Result;
+use common::HOST;
+use googletest::prelude::*;
+use http::StatusCode;
+use ploverwick_gateway::Daemon;
+use ploverwick_platform::{INSTANCES, OPERATOR, TABLE};
+use ploverwick_platform_standin::client::{self, Ask};
+use ploverwick_platform_standin::endpoint::Endpoint;
+use ploverwick_platform_standin::settings;
+use ploverwick_platform_standin::store::Store;
+use tokio::sync::oneshot;
+
+/// The instances, by name.
+const NAMES: [&str; 6] = ["a", "b", "c", "d", "e", "f"];
+/// Longer than it takes until all have heard each other and most rely on others.
+const SETTLED: Duration = Duration::from_millis(2_500);
+/// How long a route may take to be in force everywhere: half of the shortest bound.
+const IN_FORCE: Duration = Duration::from_secs(1);
+
+struct Instance {
+    front: SocketAddr,
+    stop: oneshot::Sender<()>,
+}
+
+async fn start(name: &str, host: u8, port: u16, store: &Store) -> Result<Instance> {
+    let ip = Ipv4Addr::new(127, 0, 0, host);
+    let daemon = Daemon::open(settings::of(name, ip, port, store.address())).await?;
+    let (front, ready) = (daemon.front()?, daemon.ready()?);
+    let (stop, stopped) = oneshot::channel::<()>();
+    tokio::spawn(daemon.serve(async move { drop(stopped.await) }));
+    while !client::is_ready(ready).await? {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    Ok(Instance { front, stop })
+}
+
+async fn start_all(store: &Store) -> Result<Vec<Instance>> {
+    let port = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0))?
+        .local_addr()?
+        .port();
+    let mut instances = Vec::new();
+    for (host, name) in (1..).zip(NAMES) {
+        instances.push(start(name, host, port, store).await?);
+    }
+    tokio::time::sleep(SETTLED).await;
+    Ok(instances)
+}
+
+/// Waits until all instances serve a path that came with a configuration.
+async fn until_served(instances: &[Instance], path: &str) -> Result<()> {
+    for instance in instances {
+        let ask = Ask::new("new", HOST, path);
+        while client::send(instance.front, &ask).await?.status != StatusCode::OK {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+    Ok(())
+}
+
+/// The configuration with one more route, and with `idle` routes besides that nobody asks for.
+fn with_route(version: u64, path: &str, idle: usize) -> serde_json::Value {
+    let mut config = settings::config(version);
+    let routes = config["routes"].as_array_mut().expect("a list of routes");
+    let sample = routes
+        .iter()
+        .find(|route| route["path_prefix"] == "/safe/")
+        .cloned()
+        .expect("the plain route");
+    let named = |path: &str| {
+        let mut route = sample.clone();
+        route["name"] = path.into();
+        route["path_prefix"] = path.into();
+        route
+    };
+    routes.push(named(path));
+    routes.extend((0..idle).map(|n| named(&format!("/idle-{n}/"))));
+    config
+}
+
+async fn world() -> Result<(Store, Endpoint, Vec<Instance>)> {
+    let store = Store::start().await?;
+    let endpoint = Endpoint::start("i-a", "app", None, "d1").await?;
+    store.list(endpoint.id(), &endpoint.entry("ready"));
+    store.configure(&settings::config(1));
+    let instances = start_all(&store).await?;
+    Ok((store, endpoint, instances))
+}
+
+#[tokio::test]
+async fn all_hear() -> Result<()> {
+    let (store, _endpoint, instances) = world().await?;
+    let before = store.calls();
+    // Both are too long for a message, the second one by far.
+    store.configure(&with_route(2, "/second/", 0));
+    let heard = until_served(&instances, "/second/");
+    tokio::time::timeout(IN_FORCE * 4, heard).await??;
+    store.configure(&with_route(3, "/third/", 500));
+    let heard = until_served(&instances, "/third/");
+    tokio::time::timeout(IN_FORCE * 4, heard).await??;
+    assert_that!(store.calls(), gt(before));
+    Ok(())
+}
+
+/// Once all have heard each other, only those that read wait at the store.
+#[tokio::test]
+async fn few_read() -> Result<()> {
+    let (store, _endpoint, _instances) = world().await?;
+    for topic in [OPERATOR, TABLE, INSTANCES] {
+        while store.waiting(topic) < 2 {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        assert_that!(store.waiting(topic), le(3), "{topic}");
+    }
+    Ok(())
+}
+
+/// Those that read end, and the others hear all the same.
+#[tokio::test]
+async fn readers_end() -> Result<()> {
+    let (store, _endpoint, mut instances) = world().await?;
+    for reader in instances.drain(..3) {
+        reader.stop.send(()).expect("the instance runs");
+    }
+    store.configure(&with_route(2, "/second/", 0));
+    let heard = until_served(&instances, "/second/");
+    tokio::time::timeout(IN_FORCE * 4, heard).await??;
+    Ok(())
+}
