--- a/crates/ploverwick_adapters/src/horizon.rs
+++ b/crates/ploverwick_adapters/src/horizon.rs
@@ -79,7 +79,9 @@
     ///
     /// What it told can have been under way since this process last ran for certain.
     pub fn told(&mut self, age: Option<Duration>) -> Since {
-        if let Some(age) = age {
+        // What was there before this process began cannot be told from what was there for long.
+        let known = age.filter(|age| *age < self.ran_before.since(Moment(0)));
+        if let Some(age) = known {
             self.seen = self.seen.max(Some(self.ran_before - age));
         }
         self.unseen()
--- a/crates/ploverwick_gateway/src/controllers.rs
+++ b/crates/ploverwick_gateway/src/controllers.rs
@@ -6,6 +6,7 @@
 pub(crate) mod operator;
 pub(crate) mod orders;
 pub(crate) mod roster;
+mod starting;
 pub(crate) mod table;
 pub(crate) mod tenure;
 mod topic;
--- a/crates/ploverwick_gateway/src/controllers/feed.rs
+++ b/crates/ploverwick_gateway/src/controllers/feed.rs
@@ -56,6 +56,8 @@
         end: u64,
         was_woken: bool,
     },
+    /// The newest record of each key as a peer has them.
+    ToldWhole { records: &'a [Record] },
     /// Records that a peer read, and the longest time for which each can have been there when it was told.
     Told {
         records: &'a [Record],
--- a/crates/ploverwick_gateway/src/controllers/instances.rs
+++ b/crates/ploverwick_gateway/src/controllers/instances.rs
@@ -104,7 +104,7 @@
         hint: Some(&shared.inboxes.of(Topic::Instances).end),
     };
     topic::follow(&shared, Topic::Instances, feed, |news| match news {
-        News::Whole { records } => replace(&shared, records),
+        News::Whole { records } | News::ToldWhole { records } => replace(&shared, records),
         News::Next { records, .. } | News::Told { records, .. } => take(&shared, records),
         News::Asking | News::Away | News::Past { .. } => {}
     })
--- a/crates/ploverwick_gateway/src/controllers/operator.rs
+++ b/crates/ploverwick_gateway/src/controllers/operator.rs
@@ -36,6 +36,13 @@
     let earlier = state.horizon.unseen();
     let (records, last) = match news {
         News::Past { .. } => return,
+        News::ToldWhole { records } => {
+            drop(state);
+            for record in records {
+                take_record(shared, record, Since::LongAgo);
+            }
+            return;
+        }
         News::Told { records, ages } => {
             drop(state);
             return take_told(shared, records, ages);
--- a/crates/ploverwick_gateway/src/controllers/roster.rs
+++ b/crates/ploverwick_gateway/src/controllers/roster.rs
@@ -1,6 +1,7 @@
 //! Follows the list of endpoints.
 
 use std::collections::{HashMap, HashSet};
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,7 +10,7 @@
 use ploverwick_platform::{ROSTER, roster};
 
 use super::feed::{self, Feed, News};
-use super::until_back;
+use super::{starting, until_back};
 use crate::journal::Outage;
 use crate::shared::Shared;
 use crate::tell;
@@ -74,6 +75,7 @@
         hint: None,
         past: PAST,
     };
+    starting::ask(&shared, starting::Wanted::List).await;
     let mut outage = Outage::of(feed.what);
     let mut next: Option<u64> = None;
     loop {
@@ -109,7 +111,7 @@
     fn hear(&mut self, news: News<'_>) {
         let now = self.shared.now();
         match news {
-            News::Asking | News::Told { .. } => return,
+            News::Asking | News::Told { .. } | News::ToldWhole { .. } => return,
             News::Away => return self.absence.store_away(),
             News::Past { records } => return self.recall(records),
             News::Whole { records } => {
@@ -255,8 +257,10 @@
     }
     let now = shared.now();
     let mut state = shared.state();
-    // A list that was never read, or a lost message, is mended by a read of one's own.
-    if state.has_roster && state.fleet.digest() == digest {
+    // A lost message is mended by a read of one's own. Who has as many lines as the list, and the same,
+    // has it whole, read or told.
+    if state.fleet.digest() == digest {
+        state.has_roster = true;
         state.roster_told = Some(now);
     }
     drop(state);
@@ -264,6 +268,18 @@
     shared.placed.notify_waiters();
 }
 
+/// Tells an instance that has just started the list, if this one has it.
+pub(crate) fn tell_whole(shared: &Shared, ip: IpAddr) {
+    let state = shared.state();
+    if !state.has_roster {
+        return;
+    }
+    let lines = state.fleet.entries().map(brief).collect();
+    let digest = state.fleet.digest();
+    drop(state);
+    tell::whole_list(shared, ip, lines, digest);
+}
+
 /// Returns a line without the adapters, of which placers tell by themselves.
 fn brief(entry: &Entry) -> Entry {
     let mut entry = entry.clone();
--- a/crates/ploverwick_gateway/src/controllers/table.rs
+++ b/crates/ploverwick_gateway/src/controllers/table.rs
@@ -28,7 +28,7 @@
         hint: Some(&shared.inboxes.of(Topic::Table).end),
     };
     topic::follow(&shared, Topic::Table, feed, |news| match news {
-        News::Whole { records } => {
+        News::Whole { records } | News::ToldWhole { records } => {
             take(&shared, &mut assembly, records);
             shared.state().has_table = true;
         }
--- a/crates/ploverwick_gateway/src/controllers/topic.rs
+++ b/crates/ploverwick_gateway/src/controllers/topic.rs
@@ -8,6 +8,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::feed::{self, News};
+use super::starting::{self, Wanted};
 use super::{Backoff, until_back};
 use crate::journal::Outage;
 use crate::shared::Shared;
@@ -29,6 +30,8 @@
     topic: Topic,
     feed: feed::Feed<'a>,
     place: Feed,
+    /// Whether peers are still to be asked what the topic holds.
+    asks_peers: bool,
     /// Whether the last read failed, so that the next one must prove that the store is back.
     has_failed: bool,
     take: F,
@@ -48,6 +51,7 @@
         topic,
         feed,
         place: Feed::new(chance(&shared.settings.instance), shared.now()),
+        asks_peers: true,
         has_failed: false,
         take,
     };
@@ -102,6 +106,13 @@
                 }
                 Ok(Done::Rested)
             }
+            Step::ReadAll if self.asks_peers => {
+                self.asks_peers = false;
+                if starting::ask(self.shared, Wanted::Topic(self.topic)).await {
+                    self.take_whole();
+                }
+                Ok(Done::Rested)
+            }
             Step::ReadAll => self.read(None, Duration::ZERO).await,
             Step::ReadOn { from, waits } => {
                 let is_proof = self.has_failed || !waits;
@@ -127,6 +138,15 @@
         let mut take = |news: News<'_>| {
             let earlier = shared.state().horizon.unseen();
             hear(news);
+            match news {
+                News::Whole { records } => shared.inboxes.of(topic).keep(records, true),
+                News::Next { records, .. } => shared.inboxes.of(topic).keep(records, false),
+                News::Asking
+                | News::Past { .. }
+                | News::Told { .. }
+                | News::ToldWhole { .. }
+                | News::Away => {}
+            }
             let last = shared.state().horizon.last();
             if let (News::Next { records, end, .. }, Some(from), true) = (news, from, is_reader)
                 && end > from
@@ -160,18 +180,28 @@
         }
     }
 
+    /// Takes in the newest records as a peer has them.
+    fn take_whole(&mut self) {
+        let Some(whole) = self.shared.inboxes.of(self.topic).pop_whole() else {
+            return;
+        };
+        let records: Vec<Record> = whole.records.into_iter().map(record).collect();
+        (self.take)(News::ToldWhole { records: &records });
+        self.shared.inboxes.of(self.topic).keep(&records, true);
+        let age = whole.age_ms.map(Duration::from_millis);
+        self.shared.state().horizon.told(age);
+        self.place.read(whole.end);
+        self.stand(Reading::Rests);
+    }
+
     fn take_told(&mut self, batch: Batch) {
         let Batch { records, .. } = batch;
         let ages = records
             .iter()
             .map(|told| told.age_ms.map(Duration::from_millis));
         let ages: Vec<Option<Duration>> = ages.collect();
-        let records = records.into_iter().map(|told| Record {
-            key: told.key,
-            value: told.value.map(Into::into),
-            offset: told.offset,
-        });
-        let records: Vec<Record> = records.collect();
+        let records: Vec<Record> = records.into_iter().map(record).collect();
+        self.shared.inboxes.of(self.topic).keep(&records, false);
         (self.take)(News::Told {
             records: &records,
             ages: &ages,
@@ -194,6 +224,14 @@
     }
 }
 
+fn record(told: Told) -> Record {
+    Record {
+        key: told.key,
+        value: told.value.map(Into::into),
+        offset: told.offset,
+    }
+}
+
 /// Returns records with the longest time for which each can have been there: only the last one may have
 /// woken a read that waited for it.
 fn dated(shared: &Shared, records: &[Record], earlier: Since, last: Since) -> Vec<Told> {
--- a/crates/ploverwick_gateway/src/mail.rs
+++ b/crates/ploverwick_gateway/src/mail.rs
@@ -4,17 +4,19 @@
 //! is asked again.
 
 use std::net::{IpAddr, SocketAddr};
-use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
 
 use ploverwick_adapters::{Copy, Key, Need};
 use ploverwick_endpoints::Entry;
+use ploverwick_topics::parts::{self, Assembly};
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 
-use crate::topics::{Batch, Stands, Topic};
+use crate::topics::{Batch, Stands, Topic, Whole};
 
-/// The longest message; longer ones would be cut into packets.
-pub(crate) const LONGEST: usize = 1_300;
+/// The longest datagram; longer ones would be cut into packets by the network.
+const DATAGRAM: usize = 1_300;
 
 /// An adapter at an endpoint and the requests of the sender that use it.
 #[derive(Debug, Serialize, Deserialize)]
@@ -122,6 +124,12 @@
     },
     /// What the sender read of a topic of the store.
     Records(Batch),
+    /// Asks for the newest records of a topic of the store.
+    AskTopic(Topic),
+    /// The newest records of a topic of the store, as far as the sender has read it.
+    Whole(Whole),
+    /// Asks for the list of endpoints.
+    AskList,
     /// How far the sender has read a topic of the store, whose last record is too long for a message.
     End { topic: Topic, end: u64 },
     /// The sender has a base model loaded at an endpoint of its failure domain.
@@ -161,6 +169,9 @@
             | Self::AskHolds(_)
             | Self::List { .. }
             | Self::Records(_)
+            | Self::AskTopic(_)
+            | Self::Whole(_)
+            | Self::AskList
             | Self::End { .. }
             | Self::BaseLoad
             | Self::Vacant => false,
@@ -189,6 +200,9 @@
     socket: UdpSocket,
     /// The port of all instances.
     port: u16,
+    /// The number of the next message that is cut into parts.
+    number: AtomicU32,
+    parts: Mutex<Assembly>,
 }
 
 impl Mail {
@@ -198,13 +212,15 @@
         Ok(Self {
             socket,
             port: address.port(),
+            number: AtomicU32::new(0),
+            parts: Mutex::default(),
         })
     }
 
     /// Sends a message to instances.
     pub(crate) fn send(&self, message: &Message, to: &[IpAddr]) {
         let bytes = match postcard::to_stdvec(message) {
-            Ok(bytes) if bytes.len() <= LONGEST => bytes,
+            Ok(bytes) if bytes.len() <= parts::LONGEST => bytes,
             Ok(bytes) => {
                 spdlog::warn!("message_too_long bytes={}", bytes.len());
                 return;
@@ -214,15 +230,25 @@
                 return;
             }
         };
+        if bytes.len() <= DATAGRAM {
+            return self.send_datagram(&bytes, to);
+        }
+        let number = self.number.fetch_add(1, Ordering::Relaxed);
+        for part in parts::cut(&bytes, number, DATAGRAM) {
+            self.send_datagram(&part, to);
+        }
+    }
+
+    fn send_datagram(&self, bytes: &[u8], to: &[IpAddr]) {
         for ip in to {
             // A full socket loses a message, as the network may.
-            if let Err(error) = self.socket.try_send_to(&bytes, (*ip, self.port).into()) {
+            if let Err(error) = self.socket.try_send_to(bytes, (*ip, self.port).into()) {
                 spdlog::debug!("message_lost to={} cause=\"{}\"", ip, error);
             }
         }
     }
 
-    /// Waits for the next message; `None` if one could not be read.
+    /// Waits for the next datagram; `None` if it could not be read, or is not the last part of a message.
     pub(crate) async fn receive(&self, buffer: &mut [u8]) -> Option<(Message, IpAddr)> {
         let (length, from) = match self.socket.recv_from(buffer).await {
             Ok(received) => received,
@@ -232,12 +258,25 @@
                 return None;
             }
         };
-        match postcard::from_bytes(&buffer[..length]) {
-            Ok(message) => Some((message, from.ip())),
-            Err(error) => {
-                spdlog::warn!("message_malformed from={} cause=\"{}\"", from, error);
-                None
-            }
+        let datagram = &buffer[..length];
+        if parts::is_part(datagram) {
+            let whole = self
+                .parts
+                .lock()
+                .expect("no holder of the lock panics")
+                .take(datagram, from.ip())?;
+            return decode(&whole, from);
+        }
+        decode(datagram, from)
+    }
+}
+
+fn decode(bytes: &[u8], from: SocketAddr) -> Option<(Message, IpAddr)> {
+    match postcard::from_bytes(bytes) {
+        Ok(message) => Some((message, from.ip())),
+        Err(error) => {
+            spdlog::warn!("message_malformed from={} cause=\"{}\"", from, error);
+            None
         }
     }
 }
--- a/crates/ploverwick_gateway/src/tell.rs
+++ b/crates/ploverwick_gateway/src/tell.rs
@@ -9,17 +9,21 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ploverwick_adapters::{Copy, Event, Need};
+use ploverwick_adapters::{Copy, Event, Need, Since};
 use ploverwick_endpoints::Entry;
 use ploverwick_names::Moment;
+use ploverwick_topics::{Reading, parts};
 
-use crate::mail::{Change, Digest, Fate, LONGEST, Load, Message, Used};
+use crate::mail::{Change, Digest, Fate, Load, Message, Used};
 use crate::outbox;
 use crate::shared::{Shared, State};
 use crate::topics::{Batch, Told, Topic};
 
 /// Adapters, loads or digests in one message.
 const CHUNK: usize = 48;
+/// The bytes of records in one message, which is cut into as many datagrams as it needs. A configuration
+/// takes some kilobytes; longer records each instance reads itself.
+const LONGEST_BATCH: usize = parts::LONGEST - HEADS;
 /// The bytes of a record's numbers and lengths in a message, and its part of the message's own: five
 /// numbers of up to ten bytes.
 const HEADS: usize = 50;
@@ -131,19 +135,25 @@
 }
 
 /// Tells the peers of this failure domain what changed in the list of endpoints.
-pub(crate) fn list(shared: &Shared, mut changed: Vec<Entry>, mut gone: Vec<Arc<str>>, digest: u64) {
+pub(crate) fn list(shared: &Shared, changed: Vec<Entry>, gone: Vec<Arc<str>>, digest: u64) {
     let peers = near(shared, &shared.state());
+    for message in list_messages(changed, gone, digest) {
+        shared.mail.send(&message, &peers);
+    }
+}
+
+/// Cuts lines of the list of endpoints into messages; the digest fits once the last one has arrived.
+fn list_messages(mut changed: Vec<Entry>, mut gone: Vec<Arc<str>>, digest: u64) -> Vec<Message> {
+    let mut out = Vec::new();
     loop {
-        // The digest fits once the last part has arrived.
         let rest = changed.split_off(changed.len().min(ENTRIES));
-        let message = Message::List {
+        out.push(Message::List {
             changed: std::mem::replace(&mut changed, rest),
             gone: std::mem::take(&mut gone),
             digest,
-        };
-        shared.mail.send(&message, &peers);
+        });
         if changed.is_empty() {
-            return;
+            return out;
         }
     }
 }
@@ -157,6 +167,39 @@
     }
 }
 
+/// Tells the instance at `ip` the newest records of a topic, if this instance has them.
+pub(crate) fn whole(shared: &Shared, ip: IpAddr, topic: Topic) {
+    let stand = shared.state().stands.of(topic);
+    if stand.reading == Reading::Fails {
+        return;
+    }
+    let Some(mut whole) = shared.inboxes.of(topic).kept(stand.end) else {
+        return;
+    };
+    let now = shared.now();
+    if let Since::NotBefore(at) = shared.state().horizon.unseen() {
+        whole.age_ms = u64::try_from(now.since(at).as_millis()).ok();
+    }
+    shared.mail.send(&Message::Whole(whole), &[ip]);
+}
+
+/// Tells the instance at `ip` the list of endpoints, if this instance has it.
+pub(crate) fn whole_list(shared: &Shared, ip: IpAddr, entries: Vec<Entry>, digest: u64) {
+    for message in list_messages(entries, Vec::new(), digest) {
+        shared.mail.send(&message, &[ip]);
+    }
+}
+
+/// Asks instances for the newest records of a topic.
+pub(crate) fn ask_topic(shared: &Shared, topic: Topic, to: &[IpAddr]) {
+    shared.mail.send(&Message::AskTopic(topic), to);
+}
+
+/// Asks instances for the list of endpoints.
+pub(crate) fn ask_list(shared: &Shared, to: &[IpAddr]) {
+    shared.mail.send(&Message::AskList, to);
+}
+
 /// Cuts records into messages that are short enough.
 fn batches(topic: Topic, from: u64, next: u64, records: Vec<Told>) -> Vec<Message> {
     let mut out = Vec::new();
@@ -169,7 +212,7 @@
     let mut bytes = 0;
     for record in records {
         let length = record_bytes(&record);
-        if bytes + length > LONGEST && !part.records.is_empty() {
+        if bytes + length > LONGEST_BATCH && !part.records.is_empty() {
             let rest = Batch {
                 topic,
                 from: record.offset,
@@ -181,7 +224,7 @@
             out.push(Message::Records(full));
             bytes = 0;
         }
-        if length > LONGEST {
+        if length > LONGEST_BATCH {
             out.push(Message::End { topic, end: next });
             return out;
         }
--- a/crates/ploverwick_gateway/src/topics.rs
+++ b/crates/ploverwick_gateway/src/topics.rs
@@ -1,12 +1,17 @@
 //! The topics of the store that few instances read for the others, and what peers tell of them.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::sync::{Mutex, MutexGuard};
 
-use ploverwick_topics::Reading;
+use bytes::Bytes;
+use ploverwick_platform::store::Record;
+use ploverwick_topics::{Reading, parts};
 use serde::{Deserialize, Serialize};
 use tokio::sync::{Notify, watch};
 
+/// The bytes of the newest records of a topic that are told at once; the rest of a message are the
+/// records' numbers.
+const LONGEST_WHOLE: usize = parts::LONGEST / 2;
 /// Batches that wait to be taken in. More come only while the process is held up; what is dropped is
 /// read from the store.
 const MOST: usize = 64;
@@ -74,27 +79,51 @@
     pub(crate) records: Vec<Told>,
 }
 
+/// The newest record of each key of a topic.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct Whole {
+    pub(crate) topic: Topic,
+    /// The offset up to which the topic was read.
+    pub(crate) end: u64,
+    /// The most milliseconds since when records may have come that are not among these; `None` if that is
+    /// not known.
+    pub(crate) age_ms: Option<u64>,
+    pub(crate) records: Vec<Told>,
+}
+
+/// The newest record of each key, kept for instances that start.
+#[derive(Debug, Default)]
+struct Kept {
+    records: BTreeMap<String, Record>,
+    /// Whether the topic was read as a whole, and is short enough for a message.
+    is_whole: bool,
+}
+
 /// What peers told of a topic.
 #[derive(Debug)]
 pub(crate) struct Inbox {
+    topic: Topic,
     batches: Mutex<VecDeque<Batch>>,
+    whole: Mutex<Option<Whole>>,
+    kept: Mutex<Kept>,
     /// Says that something came.
     pub(crate) added: Notify,
     /// The furthest offset up to which a peer has read.
     pub(crate) end: watch::Sender<u64>,
 }
 
-impl Default for Inbox {
-    fn default() -> Self {
+impl Inbox {
+    fn of(topic: Topic) -> Self {
         Self {
+            topic,
             batches: Mutex::default(),
+            whole: Mutex::default(),
+            kept: Mutex::default(),
             added: Notify::new(),
             end: watch::Sender::new(0),
         }
     }
-}
 
-impl Inbox {
     /// Takes in how far a peer has read.
     pub(crate) fn hear_end(&self, end: u64) {
         let is_further = self.end.send_if_modified(|known| {
@@ -127,17 +156,86 @@
         self.lock().pop_front()
     }
 
+    /// Takes in the newest records that a peer told.
+    pub(crate) fn push_whole(&self, whole: Whole) {
+        *self.whole.lock().expect("no holder of the lock panics") = Some(whole);
+        self.added.notify_one();
+    }
+
+    /// Returns whether a peer told the newest records.
+    pub(crate) fn has_whole(&self) -> bool {
+        let whole = self.whole.lock().expect("no holder of the lock panics");
+        whole.is_some()
+    }
+
+    /// Takes the newest records that a peer told.
+    pub(crate) fn pop_whole(&self) -> Option<Whole> {
+        let mut whole = self.whole.lock().expect("no holder of the lock panics");
+        whole.take()
+    }
+
+    /// Keeps the newest records for instances that start. `is_whole` says that they are all, so that what
+    /// was kept before is gone.
+    pub(crate) fn keep(&self, records: &[Record], is_whole: bool) {
+        let mut kept = self.kept.lock().expect("no holder of the lock panics");
+        if is_whole {
+            *kept = Kept {
+                records: BTreeMap::new(),
+                is_whole,
+            };
+        }
+        for record in records {
+            if record.value.is_some() {
+                kept.records.insert(record.key.clone(), record.clone());
+            } else {
+                kept.records.remove(&record.key);
+            }
+        }
+        let bytes: usize = kept.records.values().map(length).sum();
+        if bytes > LONGEST_WHOLE {
+            // It is not told again before the topic was read anew.
+            *kept = Kept::default();
+        }
+    }
+
+    /// Returns the newest records and where they end, if they were all read and are short enough.
+    pub(crate) fn kept(&self, end: u64) -> Option<Whole> {
+        let kept = self.kept.lock().expect("no holder of the lock panics");
+        let records = kept.records.values().map(|record| Told {
+            key: record.key.clone(),
+            value: record.value.as_ref().map(|value| value.to_vec()),
+            offset: record.offset,
+            age_ms: None,
+        });
+        kept.is_whole.then(|| Whole {
+            topic: self.topic,
+            end,
+            age_ms: None,
+            records: records.collect(),
+        })
+    }
+
     fn lock(&self) -> MutexGuard<'_, VecDeque<Batch>> {
         self.batches.lock().expect("no holder of the lock panics")
     }
 }
 
 /// The inbox of each topic.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Inboxes([Inbox; Topic::ALL.len()]);
 
+impl Default for Inboxes {
+    fn default() -> Self {
+        Self(Topic::ALL.map(Inbox::of))
+    }
+}
+
 impl Inboxes {
     pub(crate) fn of(&self, topic: Topic) -> &Inbox {
         &self.0[topic.index()]
     }
 }
+
+fn length(record: &Record) -> usize {
+    record.key.len() + record.value.as_ref().map_or(0, Bytes::len)
+}
--- a/crates/ploverwick_topics/src/lib.rs
+++ b/crates/ploverwick_topics/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod circle;
 mod feed;
+pub mod parts;
 
 pub use circle::{Circle, Peer, Reading, circle};
 pub use feed::{Feed, Fit, Step};
--- a/crates/ploverwick_topics/tests/feed_histories.rs
+++ b/crates/ploverwick_topics/tests/feed_histories.rs
@@ -242,7 +242,7 @@
         let Some(end) = instance.feed.next() else {
             return;
         };
-        if now % STATUS == 0 {
+        if now.is_multiple_of(STATUS) {
             let mut peers = self.peers(own);
             if peers.len() > STATUS_PEERS {
                 let turn = (now / STATUS) as usize * STATUS_PEERS % peers.len();
@@ -262,7 +262,7 @@
         }
         // The first of a domain by name stands for its placer.
         let places = self.peers(own).iter().all(|peer| *peer > own);
-        if places && now % FAR == 0 {
+        if places && now.is_multiple_of(FAR) {
             for peer in 0..self.instances.len() {
                 if self.instances[peer].domain != domain {
                     self.send(peer, Mail::End(end));
@@ -308,7 +308,7 @@
     fn play(&mut self, strikes: f64, each_ms: u64) {
         while self.now < END {
             self.now += TICK;
-            if self.now % each_ms == 0 {
+            if self.now.is_multiple_of(each_ms) {
                 self.records.push(self.now);
             }
             if self.random.random_bool(strikes) {
