--- a/crates/ploverwick_gateway/src/controllers/instances.rs
+++ b/crates/ploverwick_gateway/src/controllers/instances.rs
@@ -22,6 +22,10 @@
 /// each line would be a call of every instance.
 const PAUSE: Duration = Duration::from_millis(1_500);
 
+/// What the keys begin with under which the last placer of each failure domain stands; no instance's name
+/// has the character.
+const PLACER: &str = "placer/";
+
 /// How long an instance waits to read the list when the whole system starts for the first time: all list
 /// themselves within some 300 ms, and a list that is read then need not be read again.
 const FIRST_START: Duration = Duration::from_millis(400);
@@ -30,6 +34,9 @@
 struct Line {
     ip: IpAddr,
     domain: Arc<str>,
+    /// The part of a processor that it has, in thousandths of a core.
+    #[serde(default)]
+    capacity: u32,
     /// The fencing token under which it last placed adapters.
     #[serde(default)]
     token: Option<u64>,
@@ -41,6 +48,7 @@
     let line = Line {
         ip: settings.ip.into(),
         domain: Arc::clone(&settings.domain),
+        capacity: settings.capacity,
         token,
     };
     let line = serde_json::to_vec(&line).expect("a line is plain data");
@@ -115,15 +123,21 @@
     let listed: HashSet<&str> = records.iter().map(|record| &*record.key).collect();
     let mut state = shared.state();
     state.peers.retain(|name, _| listed.contains(&**name));
+    drop(state);
+    take(shared, records);
+    spdlog::info!("instances_read count={}", listed.len());
+    let mut state = shared.state();
     if state.listing == Listing::Unread {
         state.listing = Listing::Read;
     }
-    drop(state);
-    take(shared, records);
 }
 
 fn take(shared: &Arc<Shared>, records: &[Record]) {
     for record in records {
+        if record.key.starts_with(PLACER) {
+            take_placer(shared, record);
+            continue;
+        }
         match &record.value {
             Some(_) if record.key == *shared.settings.instance => {
                 shared.state().listing = Listing::Listed;
@@ -139,6 +153,31 @@
     shared.count_instances(&mut shared.state());
 }
 
+/// Takes in who placed the adapters of a failure domain last.
+fn take_placer(shared: &Shared, record: &Record) {
+    if record.key != placer_key(&shared.settings.domain) {
+        return;
+    }
+    let name = record.value.as_deref().unwrap_or_default();
+    let is_own = name == shared.settings.instance.as_bytes();
+    shared.state().placed_before = is_own;
+}
+
+fn placer_key(domain: &str) -> String {
+    format!("{PLACER}{domain}")
+}
+
+/// Writes down that this instance places the adapters of its failure domain, for its own next life: the
+/// platform keeps the right for whoever had it, and no other one gets it before that lapses.
+pub(crate) async fn name_placer(shared: Arc<Shared>) {
+    let settings = &shared.settings;
+    let key = placer_key(&settings.domain);
+    let name = settings.instance.as_bytes();
+    if let Err(error) = shared.store.put(INSTANCES, &key, Some(name)).await {
+        spdlog::warn!("placer_unnamed cause=\"{}\"", error);
+    }
+}
+
 /// Lists this instance again after its line was taken away, as an earlier life's last call may do late.
 fn list_again(shared: &Arc<Shared>) {
     if shared.is_stopping() {
@@ -157,12 +196,16 @@
             return;
         }
     };
-    spdlog::info!("instance_listed instance={} ip={}", name, line.ip);
     let mut state = shared.state();
+    // A list that is read as a whole is told by its length: one line each takes a start's processor.
+    if state.listing != Listing::Unread && !state.peers.contains_key(name) {
+        spdlog::info!("instance_listed instance={} ip={}", name, line.ip);
+    }
     let peer = state.peers.entry(Arc::from(name));
     let peer = peer.or_insert_with(|| Peer {
         ip: line.ip,
         domain: Arc::clone(&line.domain),
+        capacity: line.capacity,
         heard: None,
         places: None,
         waiting: 0,
@@ -170,4 +213,5 @@
     });
     peer.ip = line.ip;
     peer.domain = line.domain;
+    peer.capacity = line.capacity;
 }
--- a/crates/ploverwick_gateway/src/controllers/roster.rs
+++ b/crates/ploverwick_gateway/src/controllers/roster.rs
@@ -1,18 +1,21 @@
 //! Follows the list of endpoints.
 
 use std::collections::{HashMap, HashSet};
-use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use ploverwick_endpoints::{Absence, Entry, Fleet, Heartbeat, Heartbeats, State as EndpointState};
+use ploverwick_adapters::Copy;
+use ploverwick_endpoints::{
+    Absence, Entry, Fleet, Heartbeat, Heartbeats, Held, State as EndpointState,
+};
 use ploverwick_platform::store::{Error, Record};
 use ploverwick_platform::{ROSTER, roster};
 
 use super::feed::{self, Feed, News};
 use super::{starting, until_back};
+use crate::handover::{Given, Wanted};
 use crate::journal::Outage;
-use crate::shared::Shared;
+use crate::shared::{Shared, State};
 use crate::tell;
 
 /// The pause between reads. Each heartbeat of an endpoint is a record, so that a read that waits
@@ -75,7 +78,9 @@
         hint: None,
         past: PAST,
     };
-    starting::ask(&shared, starting::Wanted::List).await;
+    if let Some(Given::List(entries)) = starting::ask(&shared, Wanted::List).await {
+        take_whole(&shared, entries);
+    }
     let mut outage = Outage::of(feed.what);
     let mut next: Option<u64> = None;
     loop {
@@ -154,6 +159,7 @@
             self.heartbeats.left(roster::instance(&id));
             self.miss(&id);
         }
+        spdlog::info!("endpoints_read count={}", listed.len());
         self.shared.state().has_roster = true;
     }
 
@@ -257,10 +263,8 @@
     }
     let now = shared.now();
     let mut state = shared.state();
-    // A lost message is mended by a read of one's own. Who has as many lines as the list, and the same,
-    // has it whole, read or told.
-    if state.fleet.digest() == digest {
-        state.has_roster = true;
+    // A list that was never read, or a lost message, is mended by a read of one's own.
+    if state.has_roster && state.fleet.digest() == digest {
         state.roster_told = Some(now);
     }
     drop(state);
@@ -268,16 +272,44 @@
     shared.placed.notify_waiters();
 }
 
-/// Tells an instance that has just started the list, if this one has it.
-pub(crate) fn tell_whole(shared: &Shared, ip: IpAddr) {
-    let state = shared.state();
-    if !state.has_roster {
-        return;
+/// Returns the list with what each endpoint holds, for an instance that has just started; `None` if it was
+/// not read yet.
+pub(crate) fn whole(state: &State) -> Option<Vec<Entry>> {
+    let entries = state.fleet.entries().map(|entry| {
+        let mut entry = entry.clone();
+        if let Some(copies) = state.directory.held(&entry.id) {
+            entry.held = with_copies(entry.held, &copies);
+        }
+        entry
+    });
+    state.has_roster.then(|| entries.collect())
+}
+
+/// Returns the base models that an endpoint holds with these adapters.
+fn with_copies(mut held: Vec<Held>, copies: &[Copy]) -> Vec<Held> {
+    for models in &mut held {
+        let of_model = copies.iter().filter(|copy| copy.key.model == models.model);
+        models.adapters = of_model
+            .map(|copy| (Arc::clone(&copy.key.adapter), copy.version))
+            .collect();
     }
-    let lines = state.fleet.entries().map(brief).collect();
-    let digest = state.fleet.digest();
+    held
+}
+
+/// Takes in the list as a peer has it.
+pub(super) fn take_whole(shared: &Shared, entries: Vec<Entry>) {
+    let now = shared.now();
+    for entry in entries {
+        let copies = roster::copies(&entry.held);
+        shared.state().directory.listed(&entry.id, copies, now);
+        put(shared, entry);
+    }
+    let mut state = shared.state();
+    state.has_roster = true;
+    state.roster_told = Some(now);
     drop(state);
-    tell::whole_list(shared, ip, lines, digest);
+    shared.orders.notify_waiters();
+    shared.placed.notify_waiters();
 }
 
 /// Returns a line without the adapters, of which placers tell by themselves.
@@ -311,7 +343,8 @@
         return;
     }
     let before = state.fleet.entry(&entry.id).map(|entry| entry.state);
-    if before != Some(entry.state) {
+    // A list that is read as a whole is told by its length: one line each takes a start's processor.
+    if before != Some(entry.state) && state.has_roster {
         spdlog::info!(
             "endpoint_listed endpoint={} service={} address={} domain={} state={:?}",
             entry.id,
--- a/crates/ploverwick_gateway/src/controllers/tenure.rs
+++ b/crates/ploverwick_gateway/src/controllers/tenure.rs
@@ -64,9 +64,12 @@
                 };
                 take(&shared, grant, asked);
                 let token = membership.leads.then_some(generation);
-                if shared.keeps_token && token.is_some() && token != written {
+                if token.is_some() && token != written {
                     written = token;
-                    tokio::spawn(instances::enlist(Arc::clone(&shared), token));
+                    tokio::spawn(instances::name_placer(Arc::clone(&shared)));
+                    if shared.keeps_token {
+                        tokio::spawn(instances::enlist(Arc::clone(&shared), token));
+                    }
                 }
                 tokio::select! {
                     () = tokio::time::sleep(RENEWAL) => {}
@@ -95,6 +98,9 @@
     if state.tenure.is_held(now) || now.since(*seen) > VACANT {
         return true;
     }
+    if now < HEARING && state.placed_before {
+        return true;
+    }
     if now < HEARING {
         return state
             .listed_rank(&shared.settings)
--- a/crates/ploverwick_gateway/src/controllers/topic.rs
+++ b/crates/ploverwick_gateway/src/controllers/topic.rs
@@ -8,12 +8,12 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::feed::{self, News};
-use super::starting::{self, Wanted};
-use super::{Backoff, until_back};
+use super::{Backoff, starting, until_back};
+use crate::handover::{Given, Wanted};
 use crate::journal::Outage;
 use crate::shared::Shared;
 use crate::tell;
-use crate::topics::{Batch, Stand, Told, Topic};
+use crate::topics::{Batch, Stand, Told, Topic, Whole};
 
 /// The topic that asks again and again while the store is away; the others wait for it.
 const PROBE: Topic = Topic::Operator;
@@ -108,8 +108,9 @@
             }
             Step::ReadAll if self.asks_peers => {
                 self.asks_peers = false;
-                if starting::ask(self.shared, Wanted::Topic(self.topic)).await {
-                    self.take_whole();
+                let wanted = Wanted::Topic(self.topic);
+                if let Some(Given::Topic(whole)) = starting::ask(self.shared, wanted).await {
+                    self.take_whole(whole);
                 }
                 Ok(Done::Rested)
             }
@@ -181,10 +182,7 @@
     }
 
     /// Takes in the newest records as a peer has them.
-    fn take_whole(&mut self) {
-        let Some(whole) = self.shared.inboxes.of(self.topic).pop_whole() else {
-            return;
-        };
+    fn take_whole(&mut self, whole: Whole) {
         let records: Vec<Record> = whole.records.into_iter().map(record).collect();
         (self.take)(News::ToldWhole { records: &records });
         self.shared.inboxes.of(self.topic).keep(&records, true);
--- a/crates/ploverwick_gateway/src/daemon.rs
+++ b/crates/ploverwick_gateway/src/daemon.rs
@@ -14,7 +14,7 @@
 use crate::front::{self, Open};
 use crate::mail::Mail;
 use crate::shared::Shared;
-use crate::{listen, ready, tell};
+use crate::{handover, listen, ready, tell};
 
 /// The time between the end of the process and the platform's kill.
 const BEFORE_KILL: Duration = Duration::from_millis(400);
@@ -32,6 +32,8 @@
     shared: Arc<Shared>,
     front: TcpListener,
     ready: TcpListener,
+    /// Where peers that start ask.
+    handover: Option<TcpListener>,
 }
 
 impl Daemon {
@@ -44,6 +46,9 @@
         let ready = bind(settings.ready, "ready").await?;
         let mail = (settings.ip, settings.peer_port).into();
         let mail = Mail::open(mail).await.context("open the peers' socket")?;
+        // Peers that start read from the store if they cannot ask here.
+        let handover = bind((settings.ip, settings.peer_port).into(), "handover").await;
+        let handover = handover.map_err(|error| spdlog::warn!("no_handover cause=\"{:#}\"", error));
         spdlog::info!(
             "start instance={} domain={} front={} first_start={}",
             settings.instance,
@@ -55,6 +60,7 @@
             shared: Arc::new(Shared::new(settings, mail)),
             front,
             ready,
+            handover: handover.ok(),
         })
     }
 
@@ -88,6 +94,9 @@
         tasks.spawn(tell::run(Arc::clone(&shared)));
         tasks.spawn(tell::changes(Arc::clone(&shared)));
         tasks.spawn(listen::run(Arc::clone(&shared)));
+        if let Some(handover) = self.handover {
+            tasks.spawn(handover::serve(Arc::clone(&shared), handover));
+        }
         tasks.spawn(ready::serve(Arc::clone(&shared), self.ready));
         tasks.spawn(sweep(Arc::clone(&shared)));
         let front = front::serve(Arc::clone(&shared), self.front, Arc::clone(&open));
--- a/crates/ploverwick_gateway/src/lib.rs
+++ b/crates/ploverwick_gateway/src/lib.rs
@@ -9,6 +9,7 @@
 mod daemon;
 mod filters;
 mod front;
+mod handover;
 mod journal;
 mod listen;
 mod mail;
--- a/crates/ploverwick_gateway/src/listen.rs
+++ b/crates/ploverwick_gateway/src/listen.rs
@@ -47,6 +47,7 @@
         Message::Status {
             instance,
             domain,
+            capacity,
             places,
             waiting,
             stands,
@@ -58,6 +59,7 @@
             let peer = Peer {
                 ip: from,
                 domain,
+                capacity,
                 heard: Some(now),
                 places,
                 waiting,
@@ -127,15 +129,6 @@
             roster::told(shared, changed, &gone, digest);
         }
         Message::Records(batch) => shared.inboxes.of(batch.topic).push(batch),
-        Message::AskTopic(topic) => {
-            drop(state);
-            tell::whole(shared, from, topic);
-        }
-        Message::Whole(whole) => shared.inboxes.of(whole.topic).push_whole(whole),
-        Message::AskList => {
-            drop(state);
-            roster::tell_whole(shared, from);
-        }
         Message::End { topic, end } => shared.inboxes.of(topic).hear_end(end),
         Message::BaseLoad => state.base_loads.begin(now),
         Message::Vacant => shared.vacant.notify_one(),
--- a/crates/ploverwick_gateway/src/mail.rs
+++ b/crates/ploverwick_gateway/src/mail.rs
@@ -13,7 +13,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 
-use crate::topics::{Batch, Stands, Topic, Whole};
+use crate::topics::{Batch, Stands, Topic};
 
 /// The longest datagram; longer ones would be cut into packets by the network.
 const DATAGRAM: usize = 1_300;
@@ -92,6 +92,8 @@
     Status {
         instance: Arc<str>,
         domain: Arc<str>,
+        /// The part of a processor that it has, in thousandths of a core.
+        capacity: u32,
         places: Option<u64>,
         /// The adapters that wait for a place, if it places them.
         waiting: u32,
@@ -124,12 +126,6 @@
     },
     /// What the sender read of a topic of the store.
     Records(Batch),
-    /// Asks for the newest records of a topic of the store.
-    AskTopic(Topic),
-    /// The newest records of a topic of the store, as far as the sender has read it.
-    Whole(Whole),
-    /// Asks for the list of endpoints.
-    AskList,
     /// How far the sender has read a topic of the store, whose last record is too long for a message.
     End { topic: Topic, end: u64 },
     /// The sender has a base model loaded at an endpoint of its failure domain.
@@ -169,9 +165,6 @@
             | Self::AskHolds(_)
             | Self::List { .. }
             | Self::Records(_)
-            | Self::AskTopic(_)
-            | Self::Whole(_)
-            | Self::AskList
             | Self::End { .. }
             | Self::BaseLoad
             | Self::Vacant => false,
--- a/crates/ploverwick_gateway/src/shared.rs
+++ b/crates/ploverwick_gateway/src/shared.rs
@@ -16,7 +16,7 @@
 use ploverwick_platform::store::Store;
 use ploverwick_routes::Config;
 use ploverwick_table::Table;
-use ploverwick_topics::Circle;
+use ploverwick_topics::{Circle, Place};
 use tokio::sync::{Notify, watch};
 
 use crate::clock::Clock;
@@ -48,6 +48,8 @@
 pub(crate) struct Peer {
     pub(crate) ip: IpAddr,
     pub(crate) domain: Arc<str>,
+    /// The part of a processor that it has, in thousandths of a core.
+    pub(crate) capacity: u32,
     /// When it last sent a message.
     pub(crate) heard: Option<Moment>,
     /// Its fencing token, if it places the adapters of its failure domain.
@@ -58,6 +60,24 @@
     pub(crate) stands: Stands,
 }
 
+impl Peer {
+    /// Returns its place among the instances of its failure domain.
+    pub(crate) fn place<'a>(&self, name: &'a str) -> Place<'a> {
+        Place {
+            capacity: self.capacity,
+            name,
+        }
+    }
+}
+
+/// Returns this instance's place among those of its failure domain.
+pub(crate) fn place(settings: &Settings) -> Place<'_> {
+    Place {
+        capacity: settings.capacity,
+        name: &settings.instance,
+    }
+}
+
 /// What one life of an instance read of the list of instances.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Listing {
@@ -98,6 +118,8 @@
     pub(crate) peers: HashMap<Arc<str>, Peer>,
     /// What this life of the instance read of the list of instances.
     pub(crate) listing: Listing,
+    /// Whether an earlier life of this instance was the last to place adapters here.
+    pub(crate) placed_before: bool,
     /// This instance's requests under way, by endpoint and adapter; 0 for one that ended since the
     /// placers were told.
     pub(crate) uses: HashMap<(Arc<str>, Copy), u32>,
@@ -170,6 +192,7 @@
             census: Census::default(),
             peers: HashMap::new(),
             listing: Listing::Unread,
+            placed_before: false,
             uses: HashMap::new(),
         };
         Self {
@@ -241,10 +264,10 @@
             is_heard && peer.domain == self.settings.domain
         });
         let peers = peers.map(|(name, peer)| ploverwick_topics::Peer {
-            name,
+            place: peer.place(name),
             reading: peer.stands.of(topic).reading,
         });
-        ploverwick_topics::circle(&self.settings.instance, peers)
+        ploverwick_topics::circle(place(&self.settings), peers)
     }
 
     /// Takes a repeat of a request out of its service's budget; `false` if there is none left.
@@ -324,18 +347,18 @@
         is_heard.then_some(placer.waiting)
     }
 
-    /// Returns how many instances of this failure domain that are heard come before this one by
-    /// name. Those that come first call the store for the others.
+    /// Returns how many instances of this failure domain that are heard come before this one. Those that come first call the store for the others.
     pub(crate) fn rank(&self, settings: &Settings, now: Moment) -> usize {
         let before = self.peers.iter().filter(|(name, peer)| {
             let is_heard = peer.heard.is_some_and(|at| now.since(at) <= PEER_AGE);
-            is_heard && peer.domain == settings.domain && **name < settings.instance
+            let is_near = is_heard && peer.domain == settings.domain;
+            is_near && peer.place(name).precedes(place(settings))
         });
         before.count()
     }
 
-    /// Returns how many instances of this failure domain that are listed come before this one by name,
-    /// heard or not; `None` before the list was read.
+    /// Returns how many instances of this failure domain that are listed come before this one, heard
+    /// or not; `None` before the list was read.
     pub(crate) fn listed_rank(&self, settings: &Settings) -> Option<usize> {
         let peers = self.peers.iter();
         let before = peers
--- a/crates/ploverwick_gateway/src/tell.rs
+++ b/crates/ploverwick_gateway/src/tell.rs
@@ -9,10 +9,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ploverwick_adapters::{Copy, Event, Need, Since};
+use ploverwick_adapters::{Copy, Event, Need};
 use ploverwick_endpoints::Entry;
 use ploverwick_names::Moment;
-use ploverwick_topics::{Reading, parts};
+use ploverwick_topics::parts;
 
 use crate::mail::{Change, Digest, Fate, Load, Message, Used};
 use crate::outbox;
@@ -167,39 +167,6 @@
     }
 }
 
-/// Tells the instance at `ip` the newest records of a topic, if this instance has them.
-pub(crate) fn whole(shared: &Shared, ip: IpAddr, topic: Topic) {
-    let stand = shared.state().stands.of(topic);
-    if stand.reading == Reading::Fails {
-        return;
-    }
-    let Some(mut whole) = shared.inboxes.of(topic).kept(stand.end) else {
-        return;
-    };
-    let now = shared.now();
-    if let Since::NotBefore(at) = shared.state().horizon.unseen() {
-        whole.age_ms = u64::try_from(now.since(at).as_millis()).ok();
-    }
-    shared.mail.send(&Message::Whole(whole), &[ip]);
-}
-
-/// Tells the instance at `ip` the list of endpoints, if this instance has it.
-pub(crate) fn whole_list(shared: &Shared, ip: IpAddr, entries: Vec<Entry>, digest: u64) {
-    for message in list_messages(entries, Vec::new(), digest) {
-        shared.mail.send(&message, &[ip]);
-    }
-}
-
-/// Asks instances for the newest records of a topic.
-pub(crate) fn ask_topic(shared: &Shared, topic: Topic, to: &[IpAddr]) {
-    shared.mail.send(&Message::AskTopic(topic), to);
-}
-
-/// Asks instances for the list of endpoints.
-pub(crate) fn ask_list(shared: &Shared, to: &[IpAddr]) {
-    shared.mail.send(&Message::AskList, to);
-}
-
 /// Cuts records into messages that are short enough.
 fn batches(topic: Topic, from: u64, next: u64, records: Vec<Told>) -> Vec<Message> {
     let mut out = Vec::new();
@@ -367,6 +334,7 @@
     Message::Status {
         instance: Arc::clone(&shared.settings.instance),
         domain: Arc::clone(&shared.settings.domain),
+        capacity: shared.settings.capacity,
         places,
         waiting: u32::try_from(state.placer.waiting()).unwrap_or(u32::MAX),
         stands: state.stands,
--- a/crates/ploverwick_gateway/src/topics.rs
+++ b/crates/ploverwick_gateway/src/topics.rs
@@ -5,13 +5,12 @@
 
 use bytes::Bytes;
 use ploverwick_platform::store::Record;
-use ploverwick_topics::{Reading, parts};
+use ploverwick_topics::Reading;
 use serde::{Deserialize, Serialize};
 use tokio::sync::{Notify, watch};
 
-/// The bytes of the newest records of a topic that are told at once; the rest of a message are the
-/// records' numbers.
-const LONGEST_WHOLE: usize = parts::LONGEST / 2;
+/// The most bytes of a topic's newest records that are kept for others; a longer topic they read themselves.
+const LONGEST_WHOLE: usize = 2 * 1_024 * 1_024;
 /// Batches that wait to be taken in. More come only while the process is held up; what is dropped is
 /// read from the store.
 const MOST: usize = 64;
@@ -82,7 +81,6 @@
 /// The newest record of each key of a topic.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) struct Whole {
-    pub(crate) topic: Topic,
     /// The offset up to which the topic was read.
     pub(crate) end: u64,
     /// The most milliseconds since when records may have come that are not among these; `None` if that is
@@ -100,11 +98,9 @@
 }
 
 /// What peers told of a topic.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub(crate) struct Inbox {
-    topic: Topic,
     batches: Mutex<VecDeque<Batch>>,
-    whole: Mutex<Option<Whole>>,
     kept: Mutex<Kept>,
     /// Says that something came.
     pub(crate) added: Notify,
@@ -113,17 +109,6 @@
 }
 
 impl Inbox {
-    fn of(topic: Topic) -> Self {
-        Self {
-            topic,
-            batches: Mutex::default(),
-            whole: Mutex::default(),
-            kept: Mutex::default(),
-            added: Notify::new(),
-            end: watch::Sender::new(0),
-        }
-    }
-
     /// Takes in how far a peer has read.
     pub(crate) fn hear_end(&self, end: u64) {
         let is_further = self.end.send_if_modified(|known| {
@@ -156,24 +141,6 @@
         self.lock().pop_front()
     }
 
-    /// Takes in the newest records that a peer told.
-    pub(crate) fn push_whole(&self, whole: Whole) {
-        *self.whole.lock().expect("no holder of the lock panics") = Some(whole);
-        self.added.notify_one();
-    }
-
-    /// Returns whether a peer told the newest records.
-    pub(crate) fn has_whole(&self) -> bool {
-        let whole = self.whole.lock().expect("no holder of the lock panics");
-        whole.is_some()
-    }
-
-    /// Takes the newest records that a peer told.
-    pub(crate) fn pop_whole(&self) -> Option<Whole> {
-        let mut whole = self.whole.lock().expect("no holder of the lock panics");
-        whole.take()
-    }
-
     /// Keeps the newest records for instances that start. `is_whole` says that they are all, so that what
     /// was kept before is gone.
     pub(crate) fn keep(&self, records: &[Record], is_whole: bool) {
@@ -208,7 +175,6 @@
             age_ms: None,
         });
         kept.is_whole.then(|| Whole {
-            topic: self.topic,
             end,
             age_ms: None,
             records: records.collect(),
@@ -221,15 +187,9 @@
 }
 
 /// The inbox of each topic.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub(crate) struct Inboxes([Inbox; Topic::ALL.len()]);
 
-impl Default for Inboxes {
-    fn default() -> Self {
-        Self(Topic::ALL.map(Inbox::of))
-    }
-}
-
 impl Inboxes {
     pub(crate) fn of(&self, topic: Topic) -> &Inbox {
         &self.0[topic.index()]
--- a/crates/ploverwick_topics/src/circle.rs
+++ b/crates/ploverwick_topics/src/circle.rs
@@ -1,5 +1,7 @@
 //! Who reads a topic for its failure domain.
 
+use std::cmp::Reverse;
+
 use serde::{Deserialize, Serialize};
 
 /// The instances of a failure domain that read each topic: one goes on when the other one dies, and what
@@ -21,11 +23,28 @@
     Fails,
 }
 
+/// What instances go by when they agree who comes first: whoever has more of a processor, since reading and
+/// telling for others takes it, and then the first by name.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Place<'a> {
+    /// The part of a processor, in thousandths of a core.
+    pub capacity: u32,
+    /// The instance's name.
+    pub name: &'a str,
+}
+
+impl Place<'_> {
+    /// Returns whether it comes before another one.
+    pub fn precedes(self, other: Place<'_>) -> bool {
+        (Reverse(self.capacity), self.name) < (Reverse(other.capacity), other.name)
+    }
+}
+
 /// Another instance of the failure domain that was heard lately.
 #[derive(Debug, Clone, Copy)]
 pub struct Peer<'a> {
-    /// Its name, by which instances agree who comes first.
-    pub name: &'a str,
+    /// Its place.
+    pub place: Place<'a>,
     /// What it does about the topic.
     pub reading: Reading,
 }
@@ -41,11 +60,11 @@
     Untold,
 }
 
-/// Returns what this instance is to its peers. The first by name read; one that fails is replaced.
-pub fn circle<'a>(own: &str, peers: impl Iterator<Item = Peer<'a>>) -> Circle {
+/// Returns what this instance is to its peers. The first by their places read; one that fails is replaced.
+pub fn circle<'a>(own: Place<'_>, peers: impl Iterator<Item = Peer<'a>>) -> Circle {
     let (mut before, mut failing, mut is_read) = (0, 0, false);
     for peer in peers {
-        let comes_first = peer.name < own;
+        let comes_first = peer.place.precedes(own);
         match peer.reading {
             Reading::Fails => failing += usize::from(comes_first),
             Reading::Reads | Reading::Rests => before += usize::from(comes_first),
--- a/crates/ploverwick_topics/src/lib.rs
+++ b/crates/ploverwick_topics/src/lib.rs
@@ -10,5 +10,5 @@
 mod feed;
 pub mod parts;
 
-pub use circle::{Circle, Peer, Reading, circle};
+pub use circle::{Circle, Peer, Place, Reading, circle};
 pub use feed::{Feed, Fit, Step};
--- a/crates/ploverwick_topics/tests/circle_order.rs
+++ b/crates/ploverwick_topics/tests/circle_order.rs
@@ -2,14 +2,40 @@
 //! everybody.
 
 use googletest::prelude::*;
-use ploverwick_topics::{Circle, Peer, Reading, circle};
+use ploverwick_topics::{Circle, Peer, Place, Reading, circle};
 
 fn at(own: &str, peers: &[(&str, Reading)]) -> Circle {
     let peers = peers.iter().map(|(name, reading)| Peer {
-        name,
+        place: place(120, name),
         reading: *reading,
     });
-    circle(own, peers)
+    circle(place(120, own), peers)
+}
+
+fn place(capacity: u32, name: &str) -> Place<'_> {
+    Place { capacity, name }
+}
+
+/// Reading and telling for forty others takes more of a processor than most instances have.
+#[gtest]
+fn large_ones_first() {
+    let peers = [("a", 120), ("y", 500), ("z", 500)];
+    let peers = peers.map(|(name, capacity)| Peer {
+        place: place(capacity, name),
+        reading: Rests,
+    });
+    expect_that!(
+        circle(place(120, "0"), peers.into_iter()),
+        eq(Circle::Untold)
+    );
+    expect_that!(
+        circle(place(500, "x"), peers.into_iter()),
+        eq(Circle::Reads)
+    );
+    expect_that!(
+        circle(place(500, "zz"), peers.into_iter()),
+        eq(Circle::Untold)
+    );
 }
 
 use Reading::{Fails, Reads, Rests};
--- a/crates/ploverwick_topics/tests/feed_histories.rs
+++ b/crates/ploverwick_topics/tests/feed_histories.rs
@@ -5,7 +5,7 @@
 
 use googletest::prelude::*;
 use ploverwick_names::Moment;
-use ploverwick_topics::{Circle, Feed, Fit, Peer, Reading, Step, circle};
+use ploverwick_topics::{Circle, Feed, Fit, Peer, Place, Reading, Step, circle};
 use rand::rngs::StdRng;
 use rand::{RngExt as _, SeedableRng as _};
 
@@ -61,6 +61,15 @@
     sound_since: u64,
 }
 
+/// One in twelve has more of a processor than the others.
+fn place(instance: &Instance) -> Place<'_> {
+    let is_large = instance.name.ends_with('7');
+    Place {
+        capacity: if is_large { 500 } else { 120 },
+        name: &instance.name,
+    }
+}
+
 struct World {
     now: u64,
     random: StdRng,
@@ -152,10 +161,10 @@
         let heard = instance.heard.iter();
         let heard = heard.filter(|(_, (at, _))| self.now - at <= HEARD);
         let peers = heard.map(|(peer, (_, reading))| Peer {
-            name: &self.instances[*peer].name,
+            place: place(&self.instances[*peer]),
             reading: *reading,
         });
-        circle(&instance.name, peers)
+        circle(place(instance), peers)
     }
 
     /// Begins or ends the call of an instance.
