--- a/crates/ploverwick_gateway/src/controllers/topic.rs
+++ b/crates/ploverwick_gateway/src/controllers/topic.rs
@@ -11,6 +11,7 @@
 use super::{Backoff, starting, until_back};
 use crate::handover::{Given, Wanted};
 use crate::journal::Outage;
+use crate::metrics;
 use crate::shared::Shared;
 use crate::tell;
 use crate::topics::{Batch, Stand, Told, Topic, Whole};
@@ -175,7 +176,17 @@
     fn hear(&mut self) {
         let now = self.shared.now();
         while let Some(batch) = self.shared.inboxes.of(self.topic).pop() {
-            if self.place.hear(batch.from, batch.next, now) == Fit::Next {
+            let fit = self.place.hear(batch.from, batch.next, now);
+            if fit != Fit::Known {
+                spdlog::info!(
+                    "topic_told topic={} from={} next={} fit={:?}",
+                    self.topic.name(),
+                    batch.from,
+                    batch.next,
+                    fit
+                );
+            }
+            if fit == Fit::Next {
                 self.take_told(batch);
             }
         }
@@ -218,7 +229,20 @@
     fn stand(&self, reading: Reading) {
         let end = self.place.next().unwrap_or_default();
         let stand = Stand { end, reading };
+        let before = self.shared.state().stands.of(self.topic);
         self.shared.state().stands.set(self.topic, stand);
+        if before.reading != reading {
+            spdlog::info!(
+                "topic_reading topic={} reading={:?} before={:?} end={}",
+                self.topic.name(),
+                reading,
+                before.reading,
+                end
+            );
+        }
+        if before.reading != reading || before.end != end {
+            metrics::topic(self.topic, stand, self.shared.now());
+        }
     }
 }
 
--- a/crates/ploverwick_gateway/src/mail.rs
+++ b/crates/ploverwick_gateway/src/mail.rs
@@ -13,6 +13,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 
+use crate::metrics;
 use crate::topics::{Batch, Stands, Topic};
 
 /// The longest datagram; longer ones would be cut into packets by the network.
@@ -233,6 +234,7 @@
     }
 
     fn send_datagram(&self, bytes: &[u8], to: &[IpAddr]) {
+        metrics::datagrams(to.len(), bytes.len());
         for ip in to {
             // A full socket loses a message, as the network may.
             if let Err(error) = self.socket.try_send_to(bytes, (*ip, self.port).into()) {
--- a/crates/ploverwick_gateway/src/metrics.rs
+++ b/crates/ploverwick_gateway/src/metrics.rs
@@ -12,10 +12,14 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use metrics::{counter, histogram};
+use metrics::{counter, gauge, histogram};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use ploverwick_names::Moment;
+use ploverwick_topics::Reading;
 use tokio::net::TcpListener;
 
+use crate::topics::{Stand, Topic};
+
 /// The path of the metrics.
 const PATH: &str = "/metrics";
 /// How often samples are folded into the histograms; between, each takes memory.
@@ -106,3 +110,22 @@
 pub(crate) fn adapter_wait(taken: Duration) {
     histogram!("ploverwick_adapter_wait_seconds").record(taken.as_secs_f64());
 }
+
+/// Counts datagrams to other instances.
+pub(crate) fn datagrams(count: usize, bytes: usize) {
+    counter!("ploverwick_datagrams_total").increment(count as u64);
+    counter!("ploverwick_datagram_bytes_total").increment((count * bytes) as u64);
+}
+
+/// Says how far a topic is known, since when, and whether this instance reads it for others.
+pub(crate) fn topic(topic: Topic, stand: Stand, now: Moment) {
+    let topic = topic.name();
+    let reads = if stand.reading == Reading::Reads {
+        1.0
+    } else {
+        0.0
+    };
+    gauge!("ploverwick_topic_offset", "topic" => topic).set(stand.end as f64);
+    gauge!("ploverwick_topic_reads", "topic" => topic).set(reads);
+    gauge!("ploverwick_topic_heard_ms", "topic" => topic).set(now.0 as f64);
+}
--- a/crates/ploverwick_gateway/src/tell.rs
+++ b/crates/ploverwick_gateway/src/tell.rs
@@ -338,7 +338,7 @@
         places,
         waiting: u32::try_from(state.placer.waiting()).unwrap_or(u32::MAX),
         stands: state.stands,
-        loads: loads.take(CHUNK).collect(),
+        loads: loads.collect(),
     }
 }
 
--- a/crates/ploverwick_gateway/src/topics.rs
+++ b/crates/ploverwick_gateway/src/topics.rs
@@ -30,6 +30,15 @@
     /// All of them, each at its index.
     pub(crate) const ALL: [Self; 3] = [Self::Operator, Self::Instances, Self::Table];
 
+    /// Returns its name in logs and metrics.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::Operator => "operator",
+            Self::Instances => "instances",
+            Self::Table => "table",
+        }
+    }
+
     fn index(self) -> usize {
         self as usize
     }
--- a/crates/ploverwick_gateway/tests/few_readers.rs
+++ b/crates/ploverwick_gateway/tests/few_readers.rs
@@ -42,10 +42,13 @@
     Ok(Instance { front, stop })
 }
 
+fn free_port() -> Result<u16> {
+    let socket = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0))?;
+    Ok(socket.local_addr()?.port())
+}
+
 async fn start_all(store: &Store) -> Result<Vec<Instance>> {
-    let port = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0))?
-        .local_addr()?
-        .port();
+    let port = free_port()?;
     let mut instances = Vec::new();
     for (host, name) in (1..).zip(NAMES) {
         instances.push(start(name, host, port, store).await?);
@@ -68,20 +71,10 @@
 /// The configuration with one more route, and with `idle` routes besides that nobody asks for.
 fn with_route(version: u64, path: &str, idle: usize) -> serde_json::Value {
     let mut config = settings::config(version);
-    let routes = config["routes"].as_array_mut().expect("a list of routes");
-    let sample = routes
-        .iter()
-        .find(|route| route["path_prefix"] == "/safe/")
-        .cloned()
-        .expect("the plain route");
-    let named = |path: &str| {
-        let mut route = sample.clone();
-        route["name"] = path.into();
-        route["path_prefix"] = path.into();
-        route
-    };
-    routes.push(named(path));
-    routes.extend((0..idle).map(|n| named(&format!("/idle-{n}/"))));
+    settings::add_route(&mut config, path);
+    for number in 0..idle {
+        settings::add_route(&mut config, &format!("/idle-{number}/"));
+    }
     config
 }
 
@@ -98,7 +91,7 @@
 async fn all_hear() -> Result<()> {
     let (store, _endpoint, instances) = world().await?;
     let before = store.calls();
-    // Both are too long for a message, the second one by far.
+    // The first one is pushed, in several datagrams; the second one is too long for that.
     store.configure(&with_route(2, "/second/", 0));
     let heard = until_served(&instances, "/second/");
     tokio::time::timeout(IN_FORCE * 4, heard).await??;
@@ -134,3 +127,26 @@
     tokio::time::timeout(IN_FORCE * 4, heard).await??;
     Ok(())
 }
+
+/// An instance that starts is told what the topics hold and asks the store for little.
+#[tokio::test]
+async fn start_is_told() -> Result<()> {
+    let store = Store::start().await?;
+    let endpoint = Endpoint::start("i-a", "app", None, "d1").await?;
+    store.list(endpoint.id(), &endpoint.entry("ready"));
+    store.configure(&with_route(1, "/first/", 2_000));
+    let port = free_port()?;
+    let mut instances = Vec::new();
+    for (host, name) in (1..).zip(&NAMES[..3]) {
+        instances.push(start(name, host, port, &store).await?);
+    }
+    tokio::time::sleep(SETTLED).await;
+    let whole = store.whole_reads(OPERATOR) + store.whole_reads(TABLE);
+    instances.push(start("d", 4, port, &store).await?);
+    until_served(&instances[3..], "/first/").await?;
+    assert_that!(
+        store.whole_reads(OPERATOR) + store.whole_reads(TABLE),
+        eq(whole)
+    );
+    Ok(())
+}
