Let an instance that starts while the store is away serve by what its peers know

Cause: an instance that starts in an outage of the store answered 503 until the store was back, though its peers knew all that it needs; one that had left was known to nobody. Ruled out: settings' seeds (no role is served there). Change: a failed first read asks any two peers; peers tell an instance that left for 20 s who runs.

--- a/crates/ploverwick_gateway/src/controllers/instances.rs
+++ b/crates/ploverwick_gateway/src/controllers/instances.rs
@@ -145,7 +145,10 @@
             None if record.key == *shared.settings.instance => list_again(shared),
             Some(value) => take_line(shared, &record.key, value),
             None => {
-                shared.state().peers.remove(&*record.key);
+                let now = shared.now();
+                let mut state = shared.state();
+                state.remove_peer(&record.key, &shared.settings, now);
+                drop(state);
                 spdlog::info!("instance_left instance={}", record.key);
             }
         }
--- a/crates/ploverwick_gateway/src/controllers/roster.rs
+++ b/crates/ploverwick_gateway/src/controllers/roster.rs
@@ -78,9 +78,7 @@
         hint: None,
         past: PAST,
     };
-    if let Some(Given::List(entries)) = starting::ask(&shared, Wanted::List).await {
-        take_whole(&shared, entries);
-    }
+    ask_peers(&shared).await;
     let mut outage = Outage::of(feed.what);
     let mut next: Option<u64> = None;
     loop {
@@ -106,7 +104,11 @@
                 outage.fails(&error);
                 follower.absence.store_away();
                 shared.store_away.send_replace(true);
-                until_back(&shared).await;
+                if shared.state().has_roster {
+                    until_back(&shared).await;
+                } else {
+                    ask_peers(&shared).await;
+                }
             }
         }
     }
@@ -296,8 +298,17 @@
     held
 }
 
+/// Asks peers for the list; one that the store is to be asked for comes a moment later.
+async fn ask_peers(shared: &Shared) {
+    match starting::ask(shared, Wanted::List).await {
+        Some(Given::List(entries)) => take_whole(shared, entries),
+        Some(Given::Topic(_) | Given::Later) => {}
+        None => tokio::time::sleep(LOOK).await,
+    }
+}
+
 /// Takes in the list as a peer has it.
-pub(super) fn take_whole(shared: &Shared, entries: Vec<Entry>) {
+fn take_whole(shared: &Shared, entries: Vec<Entry>) {
     let now = shared.now();
     for entry in entries {
         let copies = roster::copies(&entry.held);
--- a/crates/ploverwick_gateway/src/controllers/starting.rs
+++ b/crates/ploverwick_gateway/src/controllers/starting.rs
@@ -31,7 +31,7 @@
 const LOOK: Duration = Duration::from_millis(5);
 
 /// Asks peers; `None` if this instance is to read from the store by itself: it is among the first, which
-/// the others ask, or those cannot be reached.
+/// the others ask, or those cannot be reached. Where the store cannot be read, any peer is asked.
 pub(super) async fn ask(shared: &Shared, wanted: Wanted) -> Option<Given> {
     if wanted == Wanted::Topic(Topic::Instances) {
         // Without the list there is nobody to ask.
@@ -88,25 +88,23 @@
         LIST
     };
     let until = Instant::now() + limit;
-    while shared.state().listing == Listing::Unread {
-        if Instant::now() >= until {
-            return Vec::new();
-        }
+    // Peers that know this instance from an earlier life make themselves known meanwhile.
+    while shared.state().listing == Listing::Unread && Instant::now() < until {
         tokio::time::sleep(LOOK).await;
     }
+    let is_away = *shared.store_away.borrow();
     let state = shared.state();
     let near = state.peers.iter();
-    let near = near.filter(|(name, peer)| {
-        let is_first = peer.place(name).precedes(place(settings));
-        peer.domain == settings.domain && is_first
-    });
+    let near = near.filter(|(_, peer)| peer.domain == settings.domain);
     let mut near: Vec<_> = near
         .map(|(name, peer)| (peer.place(name), peer.ip))
         .collect();
     near.sort_by(|(a, _), (b, _)| b.precedes(*a).cmp(&a.precedes(*b)));
-    if near.len() < ASKED {
+    near.truncate(ASKED);
+    let own = place(settings);
+    let is_first = near.len() < ASKED || near.iter().any(|(peer, _)| own.precedes(*peer));
+    if is_first && !is_away {
         return Vec::new();
     }
-    near.truncate(ASKED);
     near.into_iter().map(|(_, ip)| ip).collect()
 }
--- a/crates/ploverwick_gateway/src/controllers/topic.rs
+++ b/crates/ploverwick_gateway/src/controllers/topic.rs
@@ -221,6 +221,8 @@
     fn fail(&mut self) {
         self.place.fail();
         self.has_failed = true;
+        // An instance that starts while the store is away serves by what its peers know.
+        self.asks_peers = true;
         (self.take)(News::Away);
         self.stand(Reading::Fails);
     }
--- a/crates/ploverwick_gateway/src/shared.rs
+++ b/crates/ploverwick_gateway/src/shared.rs
@@ -116,6 +116,9 @@
     /// The instances that share what is bounded over all of them.
     pub(crate) census: Census,
     pub(crate) peers: HashMap<Arc<str>, Peer>,
+    /// The instances of this failure domain that left, and when: they may start again while the store is
+    /// away, and then know nobody.
+    pub(crate) former: Vec<(IpAddr, Moment)>,
     /// What this life of the instance read of the list of instances.
     pub(crate) listing: Listing,
     /// Whether an earlier life of this instance was the last to place adapters here.
@@ -191,6 +194,7 @@
             budgets: HashMap::new(),
             census: Census::default(),
             peers: HashMap::new(),
+            former: Vec::new(),
             listing: Listing::Unread,
             placed_before: false,
             uses: HashMap::new(),
@@ -335,6 +339,14 @@
         placers.max().map(|(_, ip)| ip)
     }
 
+    /// Takes an instance off the list of those that run.
+    pub(crate) fn remove_peer(&mut self, name: &str, settings: &Settings, now: Moment) {
+        let left = self.peers.remove(name);
+        if let Some(peer) = left.filter(|peer| peer.domain == settings.domain) {
+            self.former.push((peer.ip, now));
+        }
+    }
+
     /// Returns how many adapters wait for a place in a failure domain; `None` if nobody places adapters
     /// there.
     pub(crate) fn waiting_in(&self, domain: &str, settings: &Settings, now: Moment) -> Option<u32> {
--- a/crates/ploverwick_gateway/src/tell.rs
+++ b/crates/ploverwick_gateway/src/tell.rs
@@ -42,6 +42,9 @@
 /// Each so many of these pauses, peers of other failure domains get a message: bytes between
 /// failure domains are dear.
 const FAR_EVERY: u32 = 4;
+/// How long an instance that left is still told who runs: a restart takes a few seconds, and one in an
+/// outage of the store has nobody else to ask.
+const FORMER: Duration = Duration::from_secs(20);
 /// Each so many of these pauses, digests of holdings are told.
 const DIGESTS_EVERY: u32 = 14;
 
@@ -265,10 +268,12 @@
     state.horizon.run(now);
     let places = state.tenure.token(now);
     let is_far_turn = round.is_multiple_of(FAR_EVERY);
-    let mut out = vec![(
-        status(shared, &state, places, |_| true),
-        listeners(shared, &state, round, now),
-    )];
+    let mut to = listeners(shared, &state, round, now);
+    if is_far_turn {
+        state.former.retain(|(_, left)| now.since(*left) < FORMER);
+        to.extend(state.former.iter().map(|(ip, _)| *ip));
+    }
+    let mut out = vec![(status(shared, &state, places, |_| true), to)];
     if is_far_turn {
         far_statuses(shared, &state, places, now, &mut out);
     }
--- a/crates/ploverwick_gateway/tests/few_readers.rs
+++ b/crates/ploverwick_gateway/tests/few_readers.rs
@@ -17,6 +17,7 @@
 use ploverwick_platform_standin::settings;
 use ploverwick_platform_standin::store::Store;
 use tokio::sync::oneshot;
+use tokio::task::JoinHandle;
 
 /// The instances, by name.
 const NAMES: [&str; 6] = ["a", "b", "c", "d", "e", "f"];
@@ -28,6 +29,7 @@
 struct Instance {
     front: SocketAddr,
     stop: oneshot::Sender<()>,
+    served: JoinHandle<()>,
 }
 
 async fn start(name: &str, host: u8, port: u16, store: &Store) -> Result<Instance> {
@@ -35,11 +37,15 @@
     let daemon = Daemon::open(settings::of(name, ip, port, store.address())).await?;
     let (front, ready) = (daemon.front()?, daemon.ready()?);
     let (stop, stopped) = oneshot::channel::<()>();
-    tokio::spawn(daemon.serve(async move { drop(stopped.await) }));
+    let served = tokio::spawn(daemon.serve(async move { drop(stopped.await) }));
     while !client::is_ready(ready).await? {
         tokio::time::sleep(Duration::from_millis(10)).await;
     }
-    Ok(Instance { front, stop })
+    Ok(Instance {
+        front,
+        stop,
+        served,
+    })
 }
 
 fn free_port() -> Result<u16> {
@@ -150,3 +156,26 @@
     );
     Ok(())
 }
+
+/// An instance that starts while the store is away serves by what its peers know.
+#[tokio::test]
+async fn starts_without_store() -> Result<()> {
+    let store = Store::start().await?;
+    let endpoint = Endpoint::start("i-a", "app", None, "d1").await?;
+    store.list(endpoint.id(), &endpoint.entry("ready"));
+    store.configure(&with_route(1, "/first/", 0));
+    let port = free_port()?;
+    let mut instances = Vec::new();
+    for (host, name) in (1..).zip(&NAMES[..3]) {
+        instances.push(start(name, host, port, &store).await?);
+    }
+    tokio::time::sleep(SETTLED).await;
+    // The first by name starts again: whoever comes first has nobody to ask while the store answers.
+    let first = instances.remove(0);
+    first.stop.send(()).expect("the instance runs");
+    first.served.await?;
+    store.away(true);
+    let again = start("a", 1, port, &store).await?;
+    until_served(&[again], "/first/").await?;
+    Ok(())
+}
