Test that instances that all start again read the topics few times

Change: six instances start at once before a stand-in store with their lines on the list and a configuration of 2,000 routes.

--- a/crates/ploverwick_gateway/tests/few_readers.rs
+++ b/crates/ploverwick_gateway/tests/few_readers.rs
@@ -11,6 +11,7 @@
 use googletest::prelude::*;
 use http::StatusCode;
 use ploverwick_gateway::Daemon;
+use ploverwick_platform::settings::Settings;
 use ploverwick_platform::{INSTANCES, OPERATOR, TABLE};
 use ploverwick_platform_standin::client::{self, Ask};
 use ploverwick_platform_standin::endpoint::Endpoint;
@@ -34,7 +35,19 @@
 
 async fn start(name: &str, host: u8, port: u16, store: &Store) -> Result<Instance> {
     let ip = Ipv4Addr::new(127, 0, 0, host);
-    let daemon = Daemon::open(settings::of(name, ip, port, store.address())).await?;
+    serve(settings::of(name, ip, port, store.address())).await
+}
+
+/// Starts an instance of a system that ran before.
+async fn start_again(name: &str, host: u8, port: u16, store: &Store) -> Result<Instance> {
+    let ip = Ipv4Addr::new(127, 0, 0, host);
+    let mut settings = settings::of(name, ip, port, store.address());
+    settings.first_start = false;
+    serve(settings).await
+}
+
+async fn serve(settings: Settings) -> Result<Instance> {
+    let daemon = Daemon::open(settings).await?;
     let (front, ready) = (daemon.front()?, daemon.ready()?);
     let (stop, stopped) = oneshot::channel::<()>();
     let served = tokio::spawn(daemon.serve(async move { drop(stopped.await) }));
@@ -179,3 +192,29 @@
     until_served(&[again], "/first/").await?;
     Ok(())
 }
+
+/// All instances start again at once, as after a loss of power: their lines stand on the list, and nobody
+/// knows what the topics hold. The first read it, and the others are told.
+#[tokio::test]
+async fn all_start_again() -> Result<()> {
+    let store = Store::start().await?;
+    let endpoint = Endpoint::start("i-a", "app", None, "d1").await?;
+    store.list(endpoint.id(), &endpoint.entry("ready"));
+    store.configure(&with_route(1, "/first/", 2_000));
+    for (host, name) in (1..).zip(NAMES) {
+        let line = format!(r#"{{"ip":"127.0.0.{host}","domain":"d1","capacity":250}}"#);
+        store.write(INSTANCES, name, line.as_bytes());
+    }
+    let port = free_port()?;
+    let starts = (1..).zip(NAMES).map(|(host, name)| {
+        let store = store.clone();
+        tokio::spawn(async move { start_again(name, host, port, &store).await })
+    });
+    let mut instances = Vec::new();
+    for started in starts.collect::<Vec<_>>() {
+        instances.push(started.await??);
+    }
+    until_served(&instances, "/first/").await?;
+    assert_that!(store.whole_reads(OPERATOR), lt(NAMES.len()));
+    Ok(())
+}
