Let those with more of a processor stand by first at a start, too

Cause: in the first second of a life the rank on the list of instances went by name alone, so that a small instance could get the right to place and keep it. Ruled out: nothing; found by reading the change again. Change: one order everywhere; a test of four that start at once.

--- a/crates/ploverwick_gateway/src/shared.rs
+++ b/crates/ploverwick_gateway/src/shared.rs
@@ -359,7 +359,8 @@
         is_heard.then_some(placer.waiting)
     }
 
-    /// Returns how many instances of this failure domain that are heard come before this one. Those that come first call the store for the others.
+    /// Returns how many instances of this failure domain that are heard come before this one. Those
+    /// that come first call the store for the others.
     pub(crate) fn rank(&self, settings: &Settings, now: Moment) -> usize {
         let before = self.peers.iter().filter(|(name, peer)| {
             let is_heard = peer.heard.is_some_and(|at| now.since(at) <= PEER_AGE);
@@ -374,7 +375,8 @@
     pub(crate) fn listed_rank(&self, settings: &Settings) -> Option<usize> {
         let peers = self.peers.iter();
         let before = peers
-            .filter(|(name, peer)| peer.domain == settings.domain && **name < settings.instance);
+            .filter(|(_, peer)| peer.domain == settings.domain)
+            .filter(|(name, peer)| peer.place(name).precedes(place(settings)));
         (self.listing != Listing::Unread).then(|| before.count())
     }
 
--- a/crates/ploverwick_gateway/tests/few_readers.rs
+++ b/crates/ploverwick_gateway/tests/few_readers.rs
@@ -12,7 +12,7 @@
 use http::StatusCode;
 use ploverwick_gateway::Daemon;
 use ploverwick_platform::settings::Settings;
-use ploverwick_platform::{INSTANCES, OPERATOR, TABLE};
+use ploverwick_platform::{INSTANCES, OPERATOR, TABLE, group};
 use ploverwick_platform_standin::client::{self, Ask};
 use ploverwick_platform_standin::endpoint::Endpoint;
 use ploverwick_platform_standin::settings;
@@ -218,3 +218,31 @@
     assert_that!(store.whole_reads(OPERATOR), lt(NAMES.len()));
     Ok(())
 }
+
+/// Where all start again at once, those with more of a processor stand by for the right to place adapters.
+#[tokio::test]
+async fn large_ones_place() -> Result<()> {
+    let store = Store::start().await?;
+    store.configure(&settings::config(1));
+    let sizes = [("a", 120), ("b", 120), ("c", 500), ("d", 500)];
+    for (host, (name, capacity)) in (1..).zip(sizes) {
+        let line = format!(r#"{{"ip":"127.0.0.{host}","domain":"d1","capacity":{capacity}}}"#);
+        store.write(INSTANCES, name, line.as_bytes());
+    }
+    let port = free_port()?;
+    let starts = (1..).zip(sizes).map(|(host, (name, capacity))| {
+        let ip = Ipv4Addr::new(127, 0, 0, host);
+        let mut settings = settings::of(name, ip, port, store.address());
+        settings.first_start = false;
+        settings.capacity = capacity;
+        tokio::spawn(serve(settings))
+    });
+    let mut instances = Vec::new();
+    for started in starts.collect::<Vec<_>>() {
+        instances.push(started.await??);
+    }
+    tokio::time::sleep(SETTLED).await;
+    let members = store.members(&group("d1"));
+    assert_that!(members, unordered_elements_are![eq("c"), eq("d")]);
+    Ok(())
+}
