Split what is told and the state by their jobs

Cause: tell.rs and shared.rs did more than one job, and handover, starting and the list of endpoints imported each other in a circle (found by imports_one_way, which failed since starts ask peers). Ruled out: nothing. No behaviour changes.

--- a/crates/ploverwick_gateway/src/controllers/instances.rs
+++ b/crates/ploverwick_gateway/src/controllers/instances.rs
@@ -11,7 +11,8 @@
 
 use super::feed::{Feed, News};
 use super::{Backoff, topic};
-use crate::shared::{Listing, Peer, Shared};
+use crate::shared::Shared;
+use crate::state::{Listing, Peer};
 use crate::topics::{Stands, Topic};
 
 /// How long a read waits for a record; instances come and go rarely, and peers that are not listed
--- a/crates/ploverwick_gateway/src/controllers/orders.rs
+++ b/crates/ploverwick_gateway/src/controllers/orders.rs
@@ -17,7 +17,8 @@
 
 use crate::metrics;
 use crate::pool::{Connection, connect};
-use crate::shared::{Shared, State};
+use crate::shared::Shared;
+use crate::state::State;
 use crate::tell;
 
 /// The time for an answer to an order; endpoints of the same domain take about 3 ms. An order that
--- a/crates/ploverwick_gateway/src/controllers/roster.rs
+++ b/crates/ploverwick_gateway/src/controllers/roster.rs
@@ -4,10 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ploverwick_adapters::Copy;
-use ploverwick_endpoints::{
-    Absence, Entry, Fleet, Heartbeat, Heartbeats, Held, State as EndpointState,
-};
+use ploverwick_endpoints::{Absence, Entry, Fleet, Heartbeat, Heartbeats, State as EndpointState};
 use ploverwick_platform::store::{Error, Record};
 use ploverwick_platform::{ROSTER, roster};
 
@@ -15,7 +12,7 @@
 use super::{starting, until_back};
 use crate::handover::{Given, Wanted};
 use crate::journal::Outage;
-use crate::shared::{Shared, State};
+use crate::shared::Shared;
 use crate::tell;
 
 /// The pause between reads. Each heartbeat of an endpoint is a record, so that a read that waits
@@ -274,30 +271,6 @@
     shared.placed.notify_waiters();
 }
 
-/// Returns the list with what each endpoint holds, for an instance that has just started; `None` if it was
-/// not read yet.
-pub(crate) fn whole(state: &State) -> Option<Vec<Entry>> {
-    let entries = state.fleet.entries().map(|entry| {
-        let mut entry = entry.clone();
-        if let Some(copies) = state.directory.held(&entry.id) {
-            entry.held = with_copies(entry.held, &copies);
-        }
-        entry
-    });
-    state.has_roster.then(|| entries.collect())
-}
-
-/// Returns the base models that an endpoint holds with these adapters.
-fn with_copies(mut held: Vec<Held>, copies: &[Copy]) -> Vec<Held> {
-    for models in &mut held {
-        let of_model = copies.iter().filter(|copy| copy.key.model == models.model);
-        models.adapters = of_model
-            .map(|copy| (Arc::clone(&copy.key.adapter), copy.version))
-            .collect();
-    }
-    held
-}
-
 /// Asks peers for the list; one that the store is to be asked for comes a moment later.
 async fn ask_peers(shared: &Shared) {
     match starting::ask(shared, Wanted::List).await {
--- a/crates/ploverwick_gateway/src/controllers/starting.rs
+++ b/crates/ploverwick_gateway/src/controllers/starting.rs
@@ -7,7 +7,8 @@
 use tokio::time::Instant;
 
 use crate::handover::{self, Given, Wanted};
-use crate::shared::{Listing, Shared, place};
+use crate::shared::Shared;
+use crate::state::{Listing, place};
 use crate::topics::Topic;
 
 /// How long an instance that starts waits for the list of instances, from which it knows whom to ask. The
--- a/crates/ploverwick_gateway/src/filters/place.rs
+++ b/crates/ploverwick_gateway/src/filters/place.rs
@@ -14,7 +14,8 @@
 use super::task::Task;
 use crate::controllers::demand;
 use crate::metrics;
-use crate::shared::{Shared, State};
+use crate::shared::Shared;
+use crate::state::State;
 
 /// When to come back if no endpoint is there.
 const NO_ENDPOINT: Duration = Duration::from_millis(400);
--- a/crates/ploverwick_gateway/src/handover.rs
+++ b/crates/ploverwick_gateway/src/handover.rs
@@ -17,7 +17,6 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::controllers::roster;
 use crate::shared::Shared;
 use crate::topics::{Topic, Whole};
 
@@ -85,7 +84,7 @@
 fn given(shared: &Shared, wanted: Wanted) -> Given {
     let given = match wanted {
         Wanted::Topic(topic) => whole(shared, topic).map(Given::Topic),
-        Wanted::List => roster::whole(&shared.state()).map(Given::List),
+        Wanted::List => shared.state().whole_list().map(Given::List),
     };
     given.unwrap_or(Given::Later)
 }
--- a/crates/ploverwick_gateway/src/lib.rs
+++ b/crates/ploverwick_gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod pool;
 mod ready;
 mod shared;
+mod state;
 pub mod table;
 mod tell;
 mod topics;
--- a/crates/ploverwick_gateway/src/listen.rs
+++ b/crates/ploverwick_gateway/src/listen.rs
@@ -5,7 +5,8 @@
 
 use crate::controllers::{demand, roster};
 use crate::mail::{self, Change, Digest, Fate, Message};
-use crate::shared::{Peer, Shared};
+use crate::shared::Shared;
+use crate::state::Peer;
 use crate::tell;
 use crate::topics::Topic;
 
--- /dev/null
+++ b/crates/ploverwick_gateway/src/state.rs
@@ -0,0 +1,236 @@
+//! What changes while the process runs, in one place that a lock guards.
+
+use std::collections::HashMap;
+use std::net::IpAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ploverwick_adapters::{Copy, Directory, Horizon, Pace, Placer, Tenure, Terms};
+use ploverwick_endpoints::{Account, Budget, Census, Entry, Fleet, Held, Rate};
+use ploverwick_limits::{Past, Rates};
+use ploverwick_names::Moment;
+use ploverwick_platform::settings::Settings;
+use ploverwick_routes::Config;
+use ploverwick_table::Table;
+use ploverwick_topics::Place;
+
+use crate::topics::Stands;
+
+/// A placer that is silent for longer is asked for nothing that another failure domain can load: it
+/// speaks every 600 ms to other domains, so that two messages are missing.
+const PLACER_AGE: Duration = Duration::from_millis(1_300);
+/// A peer that is silent for longer is not asked for anything.
+pub(crate) const PEER_AGE: Duration = Duration::from_millis(2_500);
+
+/// Another instance.
+#[derive(Debug, Clone)]
+pub(crate) struct Peer {
+    pub(crate) ip: IpAddr,
+    pub(crate) domain: Arc<str>,
+    /// The part of a processor that it has, in thousandths of a core.
+    pub(crate) capacity: u32,
+    /// When it last sent a message.
+    pub(crate) heard: Option<Moment>,
+    /// Its fencing token, if it places the adapters of its failure domain.
+    pub(crate) places: Option<u64>,
+    /// The adapters that wait for a place there, if it places them.
+    pub(crate) waiting: u32,
+    /// How far it has read each topic of the store.
+    pub(crate) stands: Stands,
+}
+
+impl Peer {
+    /// Returns its place among the instances of its failure domain.
+    pub(crate) fn place<'a>(&self, name: &'a str) -> Place<'a> {
+        Place {
+            capacity: self.capacity,
+            name,
+        }
+    }
+}
+
+/// Returns this instance's place among those of its failure domain.
+pub(crate) fn place(settings: &Settings) -> Place<'_> {
+    Place {
+        capacity: settings.capacity,
+        name: &settings.instance,
+    }
+}
+
+/// What one life of an instance read of the list of instances.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Listing {
+    /// Nothing.
+    Unread,
+    /// The list.
+    Read,
+    /// The list with its own line. It then knows all that were listed before, and those that are listed
+    /// later read its line before theirs count.
+    Listed,
+}
+
+/// What changes while the process runs.
+#[derive(Debug)]
+pub(crate) struct State {
+    pub(crate) config: Option<Arc<Config>>,
+    pub(crate) has_roster: bool,
+    /// When a peer last told what the list of endpoints holds, and it agreed with this one.
+    pub(crate) roster_told: Option<Moment>,
+    /// Whether the table's topic was read in this life, so that a missing table is known to be none.
+    pub(crate) has_table: bool,
+    /// The operators' table; `None` until one is published.
+    pub(crate) table: Option<Arc<Table>>,
+    pub(crate) rates: Rates,
+    pub(crate) fleet: Fleet,
+    pub(crate) directory: Directory,
+    /// What is proved of the age of what the operator wrote.
+    pub(crate) horizon: Horizon,
+    /// How far this instance has read each topic of the store.
+    pub(crate) stands: Stands,
+    pub(crate) placer: Placer,
+    pub(crate) tenure: Tenure,
+    /// The base models that were loaded lately in this failure domain.
+    pub(crate) base_loads: Pace,
+    pub(crate) budgets: HashMap<Arc<str>, Budget>,
+    /// The instances that share what is bounded over all of them.
+    pub(crate) census: Census,
+    pub(crate) peers: HashMap<Arc<str>, Peer>,
+    /// The instances of this failure domain that left, and when: they may start again while the store is
+    /// away, and then know nobody.
+    pub(crate) former: Vec<(IpAddr, Moment)>,
+    /// What this life of the instance read of the list of instances.
+    pub(crate) listing: Listing,
+    /// Whether an earlier life of this instance was the last to place adapters here.
+    pub(crate) placed_before: bool,
+    /// This instance's requests under way, by endpoint and adapter; 0 for one that ended since the
+    /// placers were told.
+    pub(crate) uses: HashMap<(Arc<str>, Copy), u32>,
+}
+
+impl State {
+    /// Makes the state of an instance that knows nothing yet.
+    pub(crate) fn new(settings: &Settings, terms: Terms, now: Moment) -> Self {
+        Self {
+            config: None,
+            has_roster: false,
+            roster_told: None,
+            has_table: false,
+            table: None,
+            rates: Rates::new(if settings.first_start {
+                Past::None
+            } else {
+                Past::Unproven
+            }),
+            fleet: Fleet::default(),
+            directory: Directory::default(),
+            horizon: Horizon::default(),
+            stands: Stands::default(),
+            placer: Placer::default(),
+            tenure: Tenure::new(terms, !settings.first_start, now),
+            base_loads: if settings.first_start {
+                Pace::default()
+            } else {
+                Pace::after_others(now)
+            },
+            budgets: HashMap::new(),
+            census: Census::default(),
+            peers: HashMap::new(),
+            former: Vec::new(),
+            listing: Listing::Unread,
+            placed_before: false,
+            uses: HashMap::new(),
+        }
+    }
+
+    /// Returns who places the adapters of a failure domain, unless it is this instance.
+    pub(crate) fn placer_of(&self, domain: &str, now: Moment) -> Option<IpAddr> {
+        let peers = self.peers.values().filter(|peer| {
+            let heard = peer.heard.is_some_and(|at| now.since(at) <= PEER_AGE);
+            heard && &*peer.domain == domain
+        });
+        let placers = peers.filter_map(|peer| Some((peer.places?, peer.ip)));
+        placers.max().map(|(_, ip)| ip)
+    }
+
+    /// Takes an instance off the list of those that run.
+    pub(crate) fn remove_peer(&mut self, name: &str, settings: &Settings, now: Moment) {
+        let left = self.peers.remove(name);
+        if let Some(peer) = left.filter(|peer| peer.domain == settings.domain) {
+            self.former.push((peer.ip, now));
+        }
+    }
+
+    /// Returns the list of endpoints with what each holds, for an instance that has just started; `None` if
+    /// it was not read yet.
+    pub(crate) fn whole_list(&self) -> Option<Vec<Entry>> {
+        let entries = self.fleet.entries().map(|entry| {
+            let mut entry = entry.clone();
+            if let Some(copies) = self.directory.held(&entry.id) {
+                entry.held = with_copies(entry.held, &copies);
+            }
+            entry
+        });
+        self.has_roster.then(|| entries.collect())
+    }
+
+    /// Returns how many adapters wait for a place in a failure domain; `None` if nobody places adapters
+    /// there.
+    pub(crate) fn waiting_in(&self, domain: &str, settings: &Settings, now: Moment) -> Option<u32> {
+        if *domain == *settings.domain && self.tenure.is_held(now) {
+            return Some(u32::try_from(self.placer.waiting()).unwrap_or(u32::MAX));
+        }
+        let ip = self.placer_of(domain, now)?;
+        let placer = self.peers.values().find(|peer| peer.ip == ip)?;
+        let is_heard = placer.heard.is_some_and(|at| now.since(at) <= PLACER_AGE);
+        is_heard.then_some(placer.waiting)
+    }
+
+    /// Returns how many instances of this failure domain that are heard come before this one. Those
+    /// that come first call the store for the others.
+    pub(crate) fn rank(&self, settings: &Settings, now: Moment) -> usize {
+        let before = self.peers.iter().filter(|(name, peer)| {
+            let is_heard = peer.heard.is_some_and(|at| now.since(at) <= PEER_AGE);
+            let is_near = is_heard && peer.domain == settings.domain;
+            is_near && peer.place(name).precedes(place(settings))
+        });
+        before.count()
+    }
+
+    /// Returns how many instances of this failure domain that are listed come before this one, heard
+    /// or not; `None` before the list was read.
+    pub(crate) fn listed_rank(&self, settings: &Settings) -> Option<usize> {
+        let peers = self.peers.iter();
+        let before = peers
+            .filter(|(_, peer)| peer.domain == settings.domain)
+            .filter(|(name, peer)| peer.place(name).precedes(place(settings)));
+        (self.listing != Listing::Unread).then(|| before.count())
+    }
+
+    /// Counts a request that uses an adapter at an endpoint, or one that ended.
+    pub(crate) fn count_use(&mut self, endpoint: &Arc<str>, copy: &Copy, begins: bool) {
+        let key = (Arc::clone(endpoint), copy.clone());
+        let in_use = self.uses.entry(key).or_default();
+        *in_use = if begins {
+            *in_use + 1
+        } else {
+            in_use.saturating_sub(1)
+        };
+    }
+
+    /// Takes a repeat of a request to a service out of the budget, and returns what that rests on.
+    pub(crate) fn repeat(&mut self, service: &Arc<str>, rate: Rate, now: Moment) -> Account {
+        let budget = self.budgets.entry(Arc::clone(service)).or_default();
+        budget.repeat(rate, &self.census, now)
+    }
+}
+
+/// Returns the base models that an endpoint holds with these adapters.
+fn with_copies(mut held: Vec<Held>, copies: &[Copy]) -> Vec<Held> {
+    for models in &mut held {
+        let of_model = copies.iter().filter(|copy| copy.key.model == models.model);
+        models.adapters = of_model
+            .map(|copy| (Arc::clone(&copy.key.adapter), copy.version))
+            .collect();
+    }
+    held
+}
--- /dev/null
+++ b/crates/ploverwick_gateway/src/tell/batches.rs
@@ -0,0 +1,78 @@
+//! Records and lists cut into messages.
+
+use std::sync::Arc;
+
+use ploverwick_endpoints::Entry;
+use ploverwick_topics::parts;
+
+use crate::mail::Message;
+use crate::topics::{Batch, Told, Topic};
+
+/// The bytes of records in one message, which is cut into as many datagrams as it needs. A configuration
+/// takes some kilobytes; longer records each instance reads itself.
+const LONGEST_BATCH: usize = parts::LONGEST - HEADS;
+/// The bytes of a record's numbers and lengths in a message, and its part of the message's own: five
+/// numbers of up to ten bytes.
+const HEADS: usize = 50;
+/// Lines of the list of endpoints in one message.
+const ENTRIES: usize = 8;
+
+/// Cuts lines of the list of endpoints into messages; the digest fits once the last one has arrived.
+pub(super) fn of_list(
+    mut changed: Vec<Entry>,
+    mut gone: Vec<Arc<str>>,
+    digest: u64,
+) -> Vec<Message> {
+    let mut out = Vec::new();
+    loop {
+        let rest = changed.split_off(changed.len().min(ENTRIES));
+        out.push(Message::List {
+            changed: std::mem::replace(&mut changed, rest),
+            gone: std::mem::take(&mut gone),
+            digest,
+        });
+        if changed.is_empty() {
+            return out;
+        }
+    }
+}
+
+/// Cuts records into messages that are short enough.
+pub(super) fn of_records(topic: Topic, from: u64, next: u64, records: Vec<Told>) -> Vec<Message> {
+    let mut out = Vec::new();
+    let mut part = Batch {
+        topic,
+        from,
+        next,
+        records: Vec::new(),
+    };
+    let mut bytes = 0;
+    for record in records {
+        let length = record_bytes(&record);
+        if bytes + length > LONGEST_BATCH && !part.records.is_empty() {
+            let rest = Batch {
+                topic,
+                from: record.offset,
+                next,
+                records: Vec::new(),
+            };
+            let mut full = std::mem::replace(&mut part, rest);
+            full.next = record.offset;
+            out.push(Message::Records(full));
+            bytes = 0;
+        }
+        if length > LONGEST_BATCH {
+            out.push(Message::End { topic, end: next });
+            return out;
+        }
+        bytes += length;
+        part.records.push(record);
+    }
+    out.push(Message::Records(part));
+    out
+}
+
+/// Returns the most bytes that a record takes in a message.
+fn record_bytes(record: &Told) -> usize {
+    HEADS + record.key.len() + record.value.as_ref().map_or(0, Vec::len)
+}
