--- a/crates/ploverwick_gateway/src/controllers/feed.rs
+++ b/crates/ploverwick_gateway/src/controllers/feed.rs
@@ -23,6 +23,10 @@
 /// went may have written more.
 const LEAST_PAST: u64 = 64;
 
+/// The most such records: some 120 KB where each is an endpoint's heartbeat. The store cuts an answer at
+/// 1 MiB from its oldest record on, so that more would leave out the newest.
+const MOST_PAST: u64 = 500;
+
 /// How a topic is read.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Feed<'a> {
@@ -111,7 +115,7 @@
     if feed.past == 0 || end == 0 {
         return None;
     }
-    let past = LEAST_PAST.max(feed.past * keys as u64);
+    let past = (feed.past * keys as u64).clamp(LEAST_PAST, MOST_PAST);
     let from = end.saturating_sub(past);
     let batch = shared.store.read(feed.topic, from, Duration::ZERO).await;
     batch
