Say which requests an endpoint ended under, and what proves that it ended

Cause: the log named no content and its lines are bounded, so that three hypotheses could not be told apart: the same request again, repeats of ours, or orders. Change: a request has a fingerprint (method, host, path, credentials, body); where a connection breaks under it, a look at the endpoint's address tells a process that ended from one that runs; an address that does not answer waits for the list. One line for each endpoint and each request.

--- a/crates/ploverwick_gateway/src/controllers.rs
+++ b/crates/ploverwick_gateway/src/controllers.rs
@@ -1,5 +1,6 @@
 //! Controllers: each keeps one part of the shared state in step with what it follows.
 
+pub(crate) mod crashes;
 pub(crate) mod demand;
 mod feed;
 pub(crate) mod instances;
--- a/crates/ploverwick_gateway/src/filters/admit.rs
+++ b/crates/ploverwick_gateway/src/filters/admit.rs
@@ -1,6 +1,6 @@
 //! Reads a request, checks it, and finds its route.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use http::{Request, header};
@@ -75,6 +75,7 @@
         deadline,
         begin_by: begin_by.min(deadline),
         config: config.version,
+        fingerprint: OnceLock::new(),
     };
     task.terms = terms::run(shared, &task)?;
     Ok(task)
--- a/crates/ploverwick_gateway/src/filters/relay.rs
+++ b/crates/ploverwick_gateway/src/filters/relay.rs
@@ -23,6 +23,7 @@
 use super::task::Task;
 use crate::clock::Clock;
 use crate::connection::Activity;
+use crate::controllers::crashes;
 use crate::pool::Connection;
 use crate::shared::Shared;
 
@@ -35,7 +36,7 @@
 /// # Errors
 /// Fails with the cause if it breaks off; nothing went to the client then.
 pub(crate) async fn whole(
-    shared: &Shared,
+    shared: &Arc<Shared>,
     task: &Task,
     answered: Answered,
 ) -> Result<Response<Body>, String> {
@@ -50,6 +51,7 @@
         Ok(Ok(body)) => body.to_bytes(),
         Ok(Err(error)) => {
             flight.end(Outcome::Broken);
+            crashes::broke(shared, &flight.endpoint, task.suspect());
             return Err(error.to_string());
         }
         Err(_) => {
@@ -156,7 +158,10 @@
                     }
                 }
                 Ok(None) => return Ok(self.finish()),
-                Ok(Some(Err(error))) => self.resume(&error.to_string()).await?,
+                Ok(Some(Err(error))) => {
+                    crashes::broke(&self.shared, &source.flight.endpoint, self.task.suspect());
+                    self.resume(&error.to_string()).await?;
+                }
                 Err(_) if limit < self.task.deadline => self.resume("the stream paused").await?,
                 Err(_) => {
                     self.lose(Outcome::Abandoned);
--- a/crates/ploverwick_gateway/src/filters/send.rs
+++ b/crates/ploverwick_gateway/src/filters/send.rs
@@ -17,6 +17,7 @@
 use super::place::{self, Target};
 use super::reuse;
 use super::task::Task;
+use crate::controllers::crashes;
 use crate::pool::{Connection, connect};
 use crate::shared::Shared;
 
@@ -101,6 +102,7 @@
         Ok(response) => response.into_parts(),
         Err(error) => {
             flight.end(Outcome::Broken);
+            crashes::broke(shared, endpoint, task.suspect());
             return Sent::Lost(error.to_string());
         }
     };
--- a/crates/ploverwick_gateway/src/filters/task.rs
+++ b/crates/ploverwick_gateway/src/filters/task.rs
@@ -1,11 +1,12 @@
 //! A request that was admitted.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
-use ploverwick_platform::request::Call;
+use ploverwick_platform::request::{self, Call};
+use ploverwick_quarantine::{Fingerprint, Suspect};
 use ploverwick_routes::Route;
 use tokio::time::Instant;
 
@@ -50,6 +51,7 @@
     pub(crate) terms: Terms,
     /// The version of the configuration that chose the route.
     pub(crate) config: u64,
+    pub(crate) fingerprint: OnceLock<Fingerprint>,
 }
 
 impl Task {
@@ -58,6 +60,30 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// Returns what makes it the same request as another attempt of the same caller. Worked out when it
+    /// is first asked for: most requests never are.
+    ///
+    /// The model, the adapter and the service are no part of it: what ends an endpoint is the content, and
+    /// a caller who varies them would end three endpoints with each.
+    pub(crate) fn fingerprint(&self) -> Fingerprint {
+        *self.fingerprint.get_or_init(|| {
+            let path = self.target.path_and_query();
+            let path = path.map_or("", http::uri::PathAndQuery::as_str);
+            let parts = [self.method.as_str(), &self.route.host, path];
+            let parts = parts.into_iter().map(str::as_bytes);
+            let parts = parts.chain(request::caller(&self.headers));
+            Fingerprint::of(parts.chain([&*self.body]))
+        })
+    }
+
+    /// Returns what is remembered of it if its endpoint may have ended under it.
+    pub(crate) fn suspect(&self) -> Suspect {
+        Suspect {
+            fingerprint: self.fingerprint(),
+            id: Arc::from(&*self.call.id),
+        }
+    }
+
     /// Returns about how many bytes an endpoint in another failure domain would cost.
     pub(crate) fn bytes(&self) -> usize {
         /// Headers of request and answer.
--- a/crates/ploverwick_gateway/src/metrics.rs
+++ b/crates/ploverwick_gateway/src/metrics.rs
@@ -15,6 +15,7 @@
 use metrics::{counter, gauge, histogram};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use ploverwick_names::Moment;
+use ploverwick_quarantine::Proof;
 use ploverwick_topics::Reading;
 use tokio::net::TcpListener;
 
@@ -101,6 +102,12 @@
     counter!("ploverwick_repeats_total", "ending" => ending).increment(1);
 }
 
+/// Counts requests whose connections to an endpoint broke, by what became of the endpoint.
+pub(crate) fn broken(proof: Proof, requests: usize) {
+    counter!("ploverwick_broken_requests_total", "endpoint" => proof.name())
+        .increment(requests as u64);
+}
+
 /// Counts an order, by the endpoint's answer.
 pub(crate) fn order(answer: &'static str) {
     counter!("ploverwick_orders_total", "answer" => answer).increment(1);
--- a/crates/ploverwick_gateway/src/state.rs
+++ b/crates/ploverwick_gateway/src/state.rs
@@ -10,6 +10,7 @@
 use ploverwick_limits::{Past, Rates};
 use ploverwick_names::Moment;
 use ploverwick_platform::settings::Settings;
+use ploverwick_quarantine::Breaks;
 use ploverwick_routes::Config;
 use ploverwick_table::Table;
 use ploverwick_topics::Place;
@@ -105,6 +106,8 @@
     /// This instance's requests under way, by endpoint and adapter; 0 for one that ended since the
     /// placers were told.
     pub(crate) uses: HashMap<(Arc<str>, Copy), u32>,
+    /// The connections to endpoints that broke under requests lately.
+    pub(crate) breaks: Breaks,
 }
 
 impl State {
@@ -139,6 +142,7 @@
             listing: Listing::Unread,
             placed_before: false,
             uses: HashMap::new(),
+            breaks: Breaks::default(),
         }
     }
 
--- /dev/null
+++ b/crates/ploverwick_quarantine/src/lib.rs
@@ -0,0 +1,12 @@
+//! Which requests end the endpoints that run them.
+//!
+//! Pure state: callers pass the time in and carry the messages. Instances agree on what a request and a
+//! crash are called, so that what several saw of one crash counts once.
+
+mod breaks;
+mod crash;
+mod fingerprint;
+
+pub use breaks::{Breaks, Finding, Proof, Suspect};
+pub use crash::Crash;
+pub use fingerprint::{Fingerprint, Malformed};
