Refuse a request once three endpoints have ended under it

Cause: what became of a request was known to one attempt at one instance, and gone with it; the caller's next attempt has another identifier, at any instance, so that nobody saw that the same content ended one endpoint after the other. Ruled out: orders and repeats of ours (the test has neither); a broken connection as proof (breaks_prove_nothing). Change: an endpoint's proved end is held against the content that ran there; instances tell it each other at once (and compare digests every 2.1 s), the third refuses it everywhere with a code of its own, and what is proved is written to a topic of the store, for those that start when nobody else runs and for operators, who list and release it. A good end clears it. The system sends nothing again of its own accord that one more end would prove.

--- a/crates/ploverwick_gateway/src/controllers.rs
+++ b/crates/ploverwick_gateway/src/controllers.rs
@@ -6,6 +6,7 @@
 pub(crate) mod instances;
 pub(crate) mod operator;
 pub(crate) mod orders;
+pub(crate) mod quarantine;
 pub(crate) mod roster;
 mod starting;
 pub(crate) mod table;
--- a/crates/ploverwick_gateway/src/controllers/crashes.rs
+++ b/crates/ploverwick_gateway/src/controllers/crashes.rs
@@ -8,10 +8,11 @@
 use std::time::Duration;
 
 use ploverwick_endpoints::{Entry, State};
-use ploverwick_quarantine::{Crash, Finding, Proof, Suspect};
+use ploverwick_quarantine::{Finding, Proof, Suspect};
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
+use super::quarantine;
 use crate::metrics;
 use crate::shared::Shared;
 
@@ -44,7 +45,7 @@
     drop(state);
     match finding {
         Finding::New => drop(tokio::spawn(settle(Arc::clone(shared), entry))),
-        Finding::Crashed(suspect) => blame(shared, endpoint, vec![suspect]),
+        Finding::Crashed(suspect) => quarantine::blame(shared, endpoint, &[suspect]),
         Finding::Pending | Finding::Spared => {}
     }
 }
@@ -64,7 +65,7 @@
         begun.elapsed().as_millis()
     );
     if proof.is_crash() {
-        blame(&shared, &entry.id, suspects);
+        quarantine::blame(&shared, &entry.id, &suspects);
     }
     tokio::time::sleep(KEPT).await;
     shared.state().breaks.forget(&entry.id);
@@ -109,17 +110,3 @@
         Ok(Err(_)) | Err(_) => Look::Unanswered,
     }
 }
-
-/// Takes in that an endpoint ended while it ran these requests.
-fn blame(_shared: &Arc<Shared>, endpoint: &Arc<str>, suspects: Vec<Suspect>) {
-    let crash = Crash::of(endpoint);
-    for suspect in suspects {
-        spdlog::info!(
-            "request_blamed fingerprint={} id={} endpoint={} crash={}",
-            suspect.fingerprint,
-            suspect.id,
-            endpoint,
-            crash
-        );
-    }
-}
--- a/crates/ploverwick_gateway/src/daemon.rs
+++ b/crates/ploverwick_gateway/src/daemon.rs
@@ -10,7 +10,7 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::JoinSet;
 
-use crate::controllers::{instances, operator, orders, roster, table, tenure};
+use crate::controllers::{instances, operator, orders, quarantine, roster, table, tenure};
 use crate::front::{self, Open};
 use crate::mail::Mail;
 use crate::shared::Shared;
@@ -89,6 +89,7 @@
         tasks.spawn(roster::follow(Arc::clone(&shared)));
         tasks.spawn(instances::follow(Arc::clone(&shared)));
         tasks.spawn(table::follow(Arc::clone(&shared)));
+        tasks.spawn(quarantine::follow(Arc::clone(&shared)));
         tasks.spawn(join(Arc::clone(&shared)));
         tasks.spawn(orders::keep(Arc::clone(&shared)));
         tasks.spawn(tell::run(Arc::clone(&shared)));
@@ -170,6 +171,7 @@
     loop {
         tokio::time::sleep(SWEEP).await;
         shared.pool.sweep();
+        quarantine::sweep(&shared);
     }
 }
 
--- a/crates/ploverwick_gateway/src/filters.rs
+++ b/crates/ploverwick_gateway/src/filters.rs
@@ -7,6 +7,7 @@
 mod attempt;
 mod flight;
 mod place;
+mod quarantine;
 mod relay;
 mod reply;
 mod reuse;
--- a/crates/ploverwick_gateway/src/filters/admit.rs
+++ b/crates/ploverwick_gateway/src/filters/admit.rs
@@ -10,6 +10,7 @@
 use ploverwick_platform::request;
 use tokio::time::Instant;
 
+use super::quarantine;
 use super::reply::Reply;
 use super::task::{Task, Terms};
 use super::terms;
@@ -77,6 +78,9 @@
         config: config.version,
         fingerprint: OnceLock::new(),
     };
+    if let Some(refusal) = quarantine::refusal(shared, &task) {
+        return Err(refusal);
+    }
     task.terms = terms::run(shared, &task)?;
     Ok(task)
 }
--- a/crates/ploverwick_gateway/src/filters/attempt.rs
+++ b/crates/ploverwick_gateway/src/filters/attempt.rs
@@ -11,6 +11,7 @@
 use tokio::time::Instant;
 
 use super::place::{self, Target};
+use super::quarantine;
 use super::relay;
 use super::reply::{Body, Reply};
 use super::send::{self, Answered, Sent};
@@ -91,6 +92,10 @@
     let task = Arc::new(task);
     let mut history = History::default();
     loop {
+        if history.runs > 0 && !quarantine::may_repeat(shared, &task) {
+            let reply = Reply::new(Code::Interrupted, "Endpoints ended under the request.");
+            return give_up(shared, &task, history, reply);
+        }
         let begun = Instant::now();
         let placed = place::run(shared, &task, &history.except).await;
         history.spent.placing += begun.elapsed();
@@ -102,6 +107,10 @@
             let reply = Reply::new(Code::EndpointRefused, "No repeat is left in the budget.");
             return give_up(shared, &task, history, reply.retry_after(REFUSED));
         }
+        // It may have been proved while the request waited for its adapter.
+        if let Some(refusal) = quarantine::refusal(shared, &task) {
+            return give_up(shared, &task, history, refusal);
+        }
         let limit = limit(&task, &target, &history);
         let begun = Instant::now();
         history.aim = Some(Aim {
@@ -188,6 +197,9 @@
         Ok(response) => response,
         Err(cause) => return lost(task, target, history, &cause),
     };
+    if status.is_success() {
+        quarantine::ended_well(shared, task);
+    }
     let is_failure = status.is_server_error();
     if is_failure && may_run_again(task, history.runs + 1) {
         history.sent += 1;
--- a/crates/ploverwick_gateway/src/filters/relay.rs
+++ b/crates/ploverwick_gateway/src/filters/relay.rs
@@ -17,6 +17,7 @@
 
 use super::flight::Flight;
 use super::place::{self, Target};
+use super::quarantine;
 use super::reply::{Body, Broken, whole as whole_body};
 use super::reuse::keep;
 use super::send::{self, Answered, Sent};
@@ -195,6 +196,7 @@
     fn finish(&mut self) -> Option<Bytes> {
         if let Some(mut source) = self.source.take() {
             source.flight.end(Outcome::Success);
+            quarantine::ended_well(&self.shared, &self.task);
             let endpoint = Arc::clone(&source.flight.endpoint);
             keep(&self.shared, &endpoint, source.connection, &source.head);
         }
@@ -232,6 +234,7 @@
             None => return Err(self.broken(cause)),
         };
         while self.sent < self.task.route.max_attempts
+            && quarantine::may_repeat(&self.shared, &self.task)
             && self
                 .shared
                 .may_repeat(&self.task.call.id, &self.task.service)
@@ -240,6 +243,9 @@
                 Ok(target) => target,
                 Err(reply) => return Err(self.broken(&reply.detail)),
             };
+            if let Some(refusal) = quarantine::refusal(&self.shared, &self.task) {
+                return Err(self.broken(&refusal.detail));
+            }
             self.sent += 1;
             self.tried.push(Arc::clone(&target.entry.id));
             let limit = target.begin_by.unwrap_or(self.task.deadline);
--- a/crates/ploverwick_gateway/src/lib.rs
+++ b/crates/ploverwick_gateway/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod metrics;
 mod outbox;
 mod pool;
+pub mod quarantine;
 mod ready;
 mod shared;
 mod state;
--- a/crates/ploverwick_gateway/src/listen.rs
+++ b/crates/ploverwick_gateway/src/listen.rs
@@ -3,7 +3,7 @@
 use std::net::IpAddr;
 use std::sync::Arc;
 
-use crate::controllers::{demand, roster};
+use crate::controllers::{demand, quarantine, roster};
 use crate::mail::{self, Change, Digest, Fate, Message};
 use crate::shared::Shared;
 use crate::state::Peer;
@@ -133,6 +133,14 @@
         Message::End { topic, end } => shared.inboxes.of(topic).hear_end(end),
         Message::BaseLoad => state.base_loads.begin(now),
         Message::Vacant => shared.vacant.notify_one(),
+        Message::Cases(cases) => {
+            drop(state);
+            quarantine::hear(shared, &cases, &from);
+        }
+        Message::CaseDigests { digests, asks } => {
+            drop(state);
+            tell::compare_cases(shared, from, &digests, asks);
+        }
     }
 }
 
--- a/crates/ploverwick_gateway/src/mail.rs
+++ b/crates/ploverwick_gateway/src/mail.rs
@@ -8,6 +8,7 @@
 
 use ploverwick_adapters::{Copy, Key, Need};
 use ploverwick_endpoints::Entry;
+use ploverwick_quarantine::{Case, PARTS};
 use ploverwick_topics::parts::{self, Assembly};
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
@@ -132,6 +133,11 @@
     BaseLoad,
     /// The sender no longer places the adapters of its failure domain.
     Vacant,
+    /// What is held against requests that endpoints ended under.
+    Cases(Vec<Case>),
+    /// Digests of all that the sender holds against requests; whoever has others tells what differs, and,
+    /// if it was asked, its own digests.
+    CaseDigests { digests: [u64; PARTS], asks: bool },
 }
 
 impl Message {
@@ -158,7 +164,11 @@
     /// what is known of endpoints crosses between two domains once and not once for each instance.
     pub(crate) fn is_passed_on(&self) -> bool {
         match self {
-            Self::Totals(_) | Self::Holds { .. } | Self::Digests(_) | Self::Changes(_) => true,
+            Self::Totals(_)
+            | Self::Holds { .. }
+            | Self::Digests(_)
+            | Self::Changes(_)
+            | Self::Cases(_) => true,
             Self::Status { .. }
             | Self::Used(_)
             | Self::Need { .. }
@@ -167,7 +177,8 @@
             | Self::Records(_)
             | Self::End { .. }
             | Self::BaseLoad
-            | Self::Vacant => false,
+            | Self::Vacant
+            | Self::CaseDigests { .. } => false,
         }
     }
 }
--- a/crates/ploverwick_gateway/src/main.rs
+++ b/crates/ploverwick_gateway/src/main.rs
@@ -3,8 +3,8 @@
 use std::process::ExitCode;
 
 use anyhow::{Context, Result};
-use flags::{GatewayCmd, TableCmd};
-use ploverwick_gateway::{metrics, table};
+use flags::{GatewayCmd, QuarantineCmd, TableCmd};
+use ploverwick_gateway::{metrics, quarantine, table};
 use ploverwick_platform::settings;
 
 fn main() -> ExitCode {
@@ -39,9 +39,26 @@
             })
         }
         GatewayCmd::Table(flags) => runtime.block_on(operate(flags.subcommand)),
+        GatewayCmd::Quarantine(flags) => runtime.block_on(review(flags.subcommand)),
     }
 }
 
+async fn review(command: QuarantineCmd) -> Result<()> {
+    match command {
+        QuarantineCmd::List(flags) => {
+            for case in quarantine::list(flags.store).await? {
+                println!("{} refused {} s ago", case.fingerprint, case.age_s);
+            }
+        }
+        QuarantineCmd::Release(flags) => {
+            let fingerprint = flags.fingerprint.parse()?;
+            quarantine::release(flags.store, fingerprint).await?;
+            println!("released {fingerprint}");
+        }
+    }
+    Ok(())
+}
+
 async fn operate(command: TableCmd) -> Result<()> {
     match command {
         TableCmd::Show(flags) => {
@@ -73,6 +90,21 @@
                 /// Serves counters and histograms on this port of the instance's address.
                 optional --metrics port: u16
             }
+            /// Shows the requests that are refused as endpoints ended under them.
+            cmd quarantine {
+                /// Prints them, the last proved first.
+                cmd list {
+                    /// The store, as IP:PORT.
+                    required --store store: SocketAddr
+                }
+                /// Lets one through again, after it or the endpoints were mended.
+                cmd release {
+                    /// The fingerprint, as the list and the log show it.
+                    required fingerprint: String
+                    /// The store, as IP:PORT.
+                    required --store store: SocketAddr
+                }
+            }
             /// Works on the operators' table in the platform's store.
             cmd table {
                 /// Prints the published table as CSV, and its version on the error stream.
--- a/crates/ploverwick_gateway/src/metrics.rs
+++ b/crates/ploverwick_gateway/src/metrics.rs
@@ -108,6 +108,16 @@
         .increment(requests as u64);
 }
 
+/// Counts a request that was refused as endpoints end under it.
+pub(crate) fn fatal_refused() {
+    counter!("ploverwick_fatal_refused_total").increment(1);
+}
+
+/// Says how many requests are refused as endpoints end under them.
+pub(crate) fn quarantined(requests: usize) {
+    gauge!("ploverwick_quarantined").set(requests as f64);
+}
+
 /// Counts an order, by the endpoint's answer.
 pub(crate) fn order(answer: &'static str) {
     counter!("ploverwick_orders_total", "answer" => answer).increment(1);
--- /dev/null
+++ b/crates/ploverwick_gateway/src/quarantine.rs
@@ -0,0 +1,66 @@
+//! The operators' view of the requests that are refused, from the platform's store.
+
+use std::net::SocketAddr;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use anyhow::{Context, Result, bail};
+use ploverwick_platform::QUARANTINE;
+use ploverwick_platform::quarantine::{decode, encode};
+use ploverwick_platform::store::Store;
+use ploverwick_quarantine::{Case, Fingerprint};
+
+/// Partitions do not matter to the topic, which has one.
+const PARTITIONS: u32 = 1;
+
+/// Lists the requests that are refused as endpoints ended under them, the last proved first.
+///
+/// # Errors
+/// Fails if the store does not answer.
+pub async fn list(store: SocketAddr) -> Result<Vec<Case>> {
+    let cases = read(&Store::new(store, PARTITIONS)).await?;
+    let refused = cases.into_iter().filter(Case::is_refused);
+    let mut refused: Vec<Case> = refused.collect();
+    refused.sort_by_key(|case| case.age_s);
+    Ok(refused)
+}
+
+/// Lets a request through again; instances hear of it within a second or two. If it ends three more
+/// endpoints it is refused again.
+///
+/// # Errors
+/// Fails if it is not refused, or if the store does not answer; in the last case it may be let through all
+/// the same.
+pub async fn release(store: SocketAddr, fingerprint: Fingerprint) -> Result<()> {
+    let store = Store::new(store, PARTITIONS);
+    let cases = read(&store).await?;
+    let case = cases
+        .iter()
+        .find(|case| case.fingerprint == fingerprint && case.is_refused());
+    let Some(case) = case else {
+        bail!("{fingerprint} is not refused; `quarantine list` shows what is");
+    };
+    let (key, value) = encode(&case.cleared(), unix_ms());
+    let written = store.put(QUARANTINE, &key, Some(&value)).await;
+    written.context("release the request; look with `quarantine list` before trying again")
+}
+
+async fn read(store: &Store) -> Result<Vec<Case>> {
+    let now_ms = unix_ms();
+    let snapshot = store.newest(QUARANTINE).await?;
+    let mut cases = Vec::new();
+    for record in &snapshot.records {
+        match decode(record, now_ms) {
+            Ok(case) => cases.extend(case),
+            Err(error) => eprintln!("passed over {}: {error}", record.key),
+        }
+    }
+    Ok(cases)
+}
+
+/// Returns the time of day, in milliseconds of Unix time.
+pub(crate) fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| {
+        u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+    })
+}
--- a/crates/ploverwick_gateway/src/state.rs
+++ b/crates/ploverwick_gateway/src/state.rs
@@ -10,7 +10,7 @@
 use ploverwick_limits::{Past, Rates};
 use ploverwick_names::Moment;
 use ploverwick_platform::settings::Settings;
-use ploverwick_quarantine::Breaks;
+use ploverwick_quarantine::{Breaks, Quarantine};
 use ploverwick_routes::Config;
 use ploverwick_table::Table;
 use ploverwick_topics::Place;
@@ -108,6 +108,8 @@
     pub(crate) uses: HashMap<(Arc<str>, Copy), u32>,
     /// The connections to endpoints that broke under requests lately.
     pub(crate) breaks: Breaks,
+    /// The requests that endpoints ended under.
+    pub(crate) quarantine: Quarantine,
 }
 
 impl State {
@@ -143,6 +145,7 @@
             placed_before: false,
             uses: HashMap::new(),
             breaks: Breaks::default(),
+            quarantine: Quarantine::default(),
         }
     }
 
--- a/crates/ploverwick_gateway/src/tell/rounds.rs
+++ b/crates/ploverwick_gateway/src/tell/rounds.rs
@@ -28,7 +28,7 @@
 /// How long an instance that left is still told who runs: a restart takes a few seconds, and one in an
 /// outage of the store has nobody else to ask.
 const FORMER: Duration = Duration::from_secs(20);
-/// Each so many of these pauses, digests of holdings are told.
+/// Each so many of these pauses, digests of holdings and of what is held against requests are told.
 const DIGESTS_EVERY: u32 = 14;
 
 /// Sends this instance's state to its peers, again and again.
@@ -75,6 +75,20 @@
             chunks(digests(&state), &to, Message::Digests, &mut out);
         }
     }
+    if round.is_multiple_of(DIGESTS_EVERY) && !state.quarantine.is_empty() {
+        let mut to = listeners(shared, &state, round, now);
+        if places.is_some() {
+            to.extend(hubs(shared, &state, now));
+        }
+        let digests = state.quarantine.digests();
+        out.push((
+            Message::CaseDigests {
+                digests,
+                asks: true,
+            },
+            to,
+        ));
+    }
     uses(shared.settings.ip.into(), &mut state, now, &mut out);
     out
 }
--- a/crates/ploverwick_gateway/src/topics.rs
+++ b/crates/ploverwick_gateway/src/topics.rs
@@ -24,11 +24,18 @@
     Instances,
     /// The operators' table.
     Table,
+    /// The requests that are refused as endpoints end under them.
+    Quarantine,
 }
 
 impl Topic {
     /// All of them, each at its index.
-    pub(crate) const ALL: [Self; 3] = [Self::Operator, Self::Instances, Self::Table];
+    pub(crate) const ALL: [Self; 4] = [
+        Self::Operator,
+        Self::Instances,
+        Self::Table,
+        Self::Quarantine,
+    ];
 
     /// Returns its name in logs and metrics.
     pub(crate) fn name(self) -> &'static str {
@@ -36,6 +43,7 @@
             Self::Operator => "operator",
             Self::Instances => "instances",
             Self::Table => "table",
+            Self::Quarantine => "quarantine",
         }
     }
 
--- a/crates/ploverwick_gateway/tests/fatal_request.rs
+++ b/crates/ploverwick_gateway/tests/fatal_request.rs
@@ -16,11 +16,14 @@
 use common::HOST;
 use googletest::prelude::*;
 use http::StatusCode;
-use ploverwick_gateway::Daemon;
+use ploverwick_gateway::{Daemon, quarantine};
 use ploverwick_platform_standin::client::{self, Ask, Got};
+use ploverwick_platform_standin::endpoint::{Act, Endpoint};
 use ploverwick_platform_standin::fragile::{FATAL, Fragile};
 use ploverwick_platform_standin::settings;
 use ploverwick_platform_standin::store::Store;
+use tokio::sync::oneshot;
+use tokio::task::JoinHandle;
 
 /// The instances, by name and failure domain.
 const INSTANCES: [(&str, &str); 3] = [("a", "d1"), ("b", "d1"), ("c", "d2")];
@@ -33,18 +36,106 @@
 /// The pause between two attempts of a caller; an endpoint ends well within it.
 const PAUSE: Duration = Duration::from_millis(150);
 
-/// Starts an instance and returns where it listens; it runs as long as the test.
-async fn start(name: &str, domain: &str, host: u8, port: u16, store: &Store) -> Result<SocketAddr> {
-    let ip = Ipv4Addr::new(127, 0, 0, host);
-    let mut settings = settings::of(name, ip, port, store.address());
-    settings.domain = Arc::from(domain);
-    let daemon = Daemon::open(settings).await?;
-    let (front, ready) = (daemon.front()?, daemon.ready()?);
-    tokio::spawn(daemon.serve(std::future::pending()));
-    while !client::is_ready(ready).await? {
-        tokio::time::sleep(Duration::from_millis(10)).await;
+/// A running instance; it stops when this is dropped.
+struct Instance {
+    front: SocketAddr,
+    _stop: oneshot::Sender<()>,
+    served: JoinHandle<()>,
+}
+
+/// Endpoints of one service and instances in two failure domains before them.
+struct World {
+    store: Store,
+    endpoints: Vec<Fragile>,
+    port: u16,
+    /// The last number of the last address that an instance has.
+    host: u8,
+    instances: Vec<Instance>,
+}
+
+impl World {
+    async fn start(service: &str) -> Result<Self> {
+        let store = Store::start().await?;
+        store.configure(&settings::config(1));
+        let mut endpoints = Vec::new();
+        for number in 0..ENDPOINTS {
+            let domain = if number % 2 == 0 { "d1" } else { "d2" };
+            let name = format!("i-{number}");
+            endpoints.push(Fragile::start(&name, service, domain, &store).await?);
+        }
+        let port = free_port()?;
+        let mut world = Self {
+            store,
+            endpoints,
+            port,
+            host: 0,
+            instances: Vec::new(),
+        };
+        world.start_all(true).await?;
+        Ok(world)
+    }
+
+    /// Starts all instances; `is_first` says that the whole system starts for the first time.
+    async fn start_all(&mut self, is_first: bool) -> Result<()> {
+        for number in 0..INSTANCES.len() {
+            self.start_one(number, is_first).await?;
+        }
+        tokio::time::sleep(SETTLED).await;
+        Ok(())
+    }
+
+    /// Starts an instance, at an address of its own as the platform does.
+    async fn start_one(&mut self, number: usize, is_first: bool) -> Result<()> {
+        let (name, domain) = INSTANCES[number];
+        self.host += 1;
+        let ip = Ipv4Addr::new(127, 0, 0, self.host);
+        let mut settings = settings::of(name, ip, self.port, self.store.address());
+        settings.domain = Arc::from(domain);
+        settings.first_start = is_first;
+        let daemon = Daemon::open(settings).await?;
+        let (front, ready) = (daemon.front()?, daemon.ready()?);
+        let (stop, stopped) = oneshot::channel::<()>();
+        let served = tokio::spawn(daemon.serve(async move { drop(stopped.await) }));
+        while !client::is_ready(ready).await? {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        self.instances.push(Instance {
+            front,
+            _stop: stop,
+            served,
+        });
+        Ok(())
+    }
+
+    /// Ends an instance at once, as a kill does.
+    fn kill(&mut self, number: usize) {
+        let instance = self.instances.remove(number);
+        instance.served.abort();
+    }
+
+    async fn send(&self, instance: usize, ask: &Ask) -> Result<Got> {
+        client::send(self.instances[instance].front, ask).await
+    }
+
+    /// Sends the same request again and again, each time by the next instance.
+    async fn again_and_again(&self, path: &str, times: usize) -> Result<()> {
+        for number in 0..times {
+            let ask = ask(&format!("again-{number}"), path, FATAL);
+            // Its answer breaks off, or it is refused.
+            self.send(number % self.instances.len(), &ask).await?;
+            tokio::time::sleep(PAUSE).await;
+        }
+        Ok(())
+    }
+
+    fn ended(&self) -> u64 {
+        self.endpoints.iter().map(Fragile::ended).sum()
+    }
+
+    fn runs(&self, text: &str) -> usize {
+        let endpoints = self.endpoints.iter();
+        endpoints.map(|endpoint| endpoint.runs(text)).sum()
     }
-    Ok(front)
 }
 
 fn free_port() -> Result<u16> {
@@ -52,50 +143,118 @@
     Ok(socket.local_addr()?.port())
 }
 
-/// Starts endpoints of a service and instances in two failure domains before them.
-async fn world(service: &str) -> Result<(Vec<Fragile>, Vec<SocketAddr>)> {
-    let store = Store::start().await?;
-    store.configure(&settings::config(1));
-    let mut endpoints = Vec::new();
-    for number in 0..ENDPOINTS {
-        let domain = if number % 2 == 0 { "d1" } else { "d2" };
-        let name = format!("i-{number}");
-        endpoints.push(Fragile::start(&name, service, domain, &store).await?);
-    }
-    let port = free_port()?;
-    let mut fronts = Vec::new();
-    for (host, (name, domain)) in (1..).zip(INSTANCES) {
-        fronts.push(start(name, domain, host, port, &store).await?);
-    }
-    tokio::time::sleep(SETTLED).await;
-    Ok((endpoints, fronts))
+fn ask(id: &str, path: &str, body: &str) -> Ask {
+    Ask::new(id, HOST, path).body(body.to_owned())
 }
 
-async fn send(front: SocketAddr, id: &str, path: &str, body: &str) -> Result<Got> {
-    let ask = Ask::new(id, HOST, path).body(body.to_owned());
-    client::send(front, &ask).await
+#[tokio::test]
+async fn few_endpoints_end() -> Result<()> {
+    let world = World::start("lm").await?;
+    world.again_and_again("/live/", 24).await?;
+    assert_that!(world.ended(), all![ge(3), le(MOST_ENDED)]);
+    Ok(())
+}
+
+/// A route whose requests the system itself sends again.
+#[tokio::test]
+async fn repeats_end_few() -> Result<()> {
+    let world = World::start("app").await?;
+    world.again_and_again("/safe/", 16).await?;
+    assert_that!(world.ended(), all![ge(3), le(MOST_ENDED)]);
+    Ok(())
 }
 
-/// Sends the same request again and again, each time by the next instance, and returns the last status.
-async fn again_and_again(fronts: &[SocketAddr], path: &str, body: &str) -> Result<StatusCode> {
-    let mut last = StatusCode::OK;
-    for (number, front) in fronts.iter().cycle().take(24).enumerate() {
-        last = send(*front, &format!("again-{number}"), path, body)
-            .await?
-            .status;
-        tokio::time::sleep(PAUSE).await;
+/// The refusal is final, at once and at each instance; nobody else's request is refused for it.
+#[tokio::test]
+async fn others_are_served() -> Result<()> {
+    let world = World::start("lm").await?;
+    world.again_and_again("/live/", 8).await?;
+    let before = world.runs(FATAL);
+    for instance in 0..INSTANCES.len() {
+        let got = world.send(instance, &ask("same", "/live/", FATAL)).await?;
+        assert_that!(got.status, eq(StatusCode::BAD_REQUEST));
+        assert_that!(got.is_signed, eq(false));
+        assert_that!(got.retry_after, none());
+        assert_that!(got.body, starts_with("PW2014"));
+    }
+    assert_that!(world.runs(FATAL), eq(before));
+    for (id, path, body) in [
+        ("other", "/live/", "another body"),
+        ("path", "/live/x", ""),
+        ("empty", "/live/", ""),
+    ] {
+        let got = world.send(0, &ask(id, path, body)).await?;
+        assert_that!(got.status, eq(StatusCode::OK), "{id}");
+        assert_that!(got.is_whole, eq(true), "{id}");
     }
-    Ok(last)
+    // Whether another caller's or another body ends endpoints is seen anew: they reach one.
+    let spaced = format!("{FATAL} ");
+    world.send(0, &ask("spaced", "/live/", &spaced)).await?;
+    assert_that!(world.runs(&spaced), eq(1));
+    let caller = ask("caller", "/live/", FATAL).caller("Bearer other");
+    world.send(0, &caller).await?;
+    assert_that!(world.runs(FATAL), eq(before + 2));
+    Ok(())
 }
 
-fn ended(endpoints: &[Fragile]) -> u64 {
-    endpoints.iter().map(Fragile::ended).sum()
+/// Connections that break at endpoints which live on prove nothing.
+#[tokio::test]
+async fn breaks_prove_nothing() -> Result<()> {
+    let endpoint = Endpoint::start("i-a", "app", None, "d1").await?;
+    let world = common::World::with(&[&endpoint]).await?;
+    endpoint.script(&[Act::Vanish; 6]);
+    for number in 0..6 {
+        let ask = ask(&format!("broken-{number}"), "/once/", "body");
+        let got = client::send(world.front, &ask).await?;
+        assert_that!(got.status, eq(StatusCode::BAD_GATEWAY));
+    }
+    // Longer than what is looked for proof of.
+    tokio::time::sleep(SETTLED).await;
+    let got = client::send(world.front, &ask("served", "/once/", "body")).await?;
+    assert_that!(got.status, eq(StatusCode::OK));
+    Ok(())
 }
 
+/// An instance that starts hears from peers.
 #[tokio::test]
-async fn few_endpoints_end() -> Result<()> {
-    let (endpoints, fronts) = world("lm").await?;
-    again_and_again(&fronts, "/live/", FATAL).await?;
-    assert_that!(ended(&endpoints), all![ge(3), le(MOST_ENDED)]);
+async fn start_is_told() -> Result<()> {
+    let mut world = World::start("lm").await?;
+    world.again_and_again("/live/", 8).await?;
+    let before = world.runs(FATAL);
+    world.kill(2);
+    world.start_one(2, false).await?;
+    tokio::time::sleep(SETTLED).await;
+    let got = world.send(2, &ask("late", "/live/", FATAL)).await?;
+    assert_that!(got.status, eq(StatusCode::BAD_REQUEST));
+    assert_that!(world.runs(FATAL), eq(before));
+    Ok(())
+}
+
+/// All instances are killed and start again; an operator lets the request through.
+#[tokio::test]
+async fn store_remembers() -> Result<()> {
+    let mut world = World::start("lm").await?;
+    world.again_and_again("/live/", 8).await?;
+    let before = world.runs(FATAL);
+    while !world.instances.is_empty() {
+        world.kill(0);
+    }
+    world.start_all(false).await?;
+    let got = world.send(0, &ask("after", "/live/", FATAL)).await?;
+    assert_that!(got.status, eq(StatusCode::BAD_REQUEST));
+    assert_that!(world.runs(FATAL), eq(before));
+    let store = world.store.address();
+    let refused = quarantine::list(store).await?;
+    assert_that!(refused, len(eq(1)));
+    quarantine::release(store, refused[0].fingerprint).await?;
+    assert_that!(quarantine::list(store).await?, is_empty());
+    tokio::time::sleep(SETTLED).await;
+    world.send(1, &ask("released", "/live/", FATAL)).await?;
+    assert_that!(world.runs(FATAL), eq(before + 1));
+    let again = quarantine::release(store, refused[0].fingerprint).await;
+    assert_that!(
+        again,
+        err(displays_as(contains_substring("is not refused")))
+    );
     Ok(())
 }
--- a/crates/ploverwick_quarantine/src/fingerprint.rs
+++ b/crates/ploverwick_quarantine/src/fingerprint.rs
@@ -34,6 +34,11 @@
         bytes.copy_from_slice(&hash.finalize()[..LENGTH]);
         Self(bytes)
     }
+
+    /// Returns in which of so many equal parts it falls.
+    pub(crate) fn part(self, parts: usize) -> usize {
+        usize::from(self.0[0]) % parts
+    }
 }
 
 impl fmt::Display for Fingerprint {
--- a/crates/ploverwick_quarantine/src/lib.rs
+++ b/crates/ploverwick_quarantine/src/lib.rs
@@ -4,9 +4,13 @@
 //! crash are called, so that what several saw of one crash counts once.
 
 mod breaks;
+mod case;
 mod crash;
 mod fingerprint;
+mod quarantine;
 
 pub use breaks::{Breaks, Finding, Proof, Suspect};
+pub use case::{Case, PROOF};
 pub use crash::Crash;
 pub use fingerprint::{Fingerprint, Malformed};
+pub use quarantine::{Change, PARTS, Quarantine, Standing};
