Count the time for which a machine is suspended

Cause: moments came from the steady clock, which stands still while the machine is suspended; the right to place, ages of news and versions, windows of repeats and what a kept connection is worth were believed younger than they are. Change: moments count the clock that goes on (the boot clock) beside the steady one; kept connections too. Waits of tasks and the deadlines of requests under way still count by the steady clock.

--- a/crates/ploverwick_gateway/src/filters.rs
+++ b/crates/ploverwick_gateway/src/filters.rs
@@ -47,6 +47,6 @@
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
-    let ended = relay::Ended::new(activity, shared.clock);
+    let ended = relay::Ended::new(activity, shared.clock.clone());
     response.map(|body| relay::watched(body, ended))
 }
--- a/crates/ploverwick_gateway/src/pool.rs
+++ b/crates/ploverwick_gateway/src/pool.rs
@@ -3,15 +3,18 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
+use ploverwick_names::Moment;
 use ploverwick_platform::socket;
 use tokio::net::TcpStream;
 
+use crate::clock::Clock;
+
 /// The time for a new connection; an endpoint in reach answers within milliseconds.
 const CONNECT: Duration = Duration::from_millis(300);
 /// How long a connection is kept idle if the endpoint does not say.
@@ -33,33 +36,43 @@
 #[derive(Debug)]
 struct Idle {
     connection: Connection,
-    since: Instant,
+    since: Moment,
 }
 
 impl Idle {
-    fn is_good(&self, longest: Duration) -> bool {
+    fn is_good(&self, longest: Duration, now: Moment) -> bool {
         let limit = self.connection.limit.unwrap_or(IDLE + IDLE_MARGIN);
         let limit = limit.saturating_sub(IDLE_MARGIN).min(longest);
-        self.since.elapsed() < limit && self.connection.sender.is_ready()
+        now.since(self.since) < limit && self.connection.sender.is_ready()
     }
 }
 
 /// Idle connections by endpoint.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Pool {
     idle: Mutex<HashMap<Arc<str>, Vec<Idle>>>,
+    /// Endpoints close connections after a time, also while this machine is suspended.
+    clock: Clock,
 }
 
 impl Pool {
+    pub(crate) fn new(clock: Clock) -> Self {
+        Self {
+            idle: Mutex::default(),
+            clock,
+        }
+    }
+
     /// Takes the connection that was used last, which is the least likely to be closed.
     ///
     /// `is_last` says that the request cannot be sent again if the connection turns out to be silent.
     pub(crate) fn take(&self, endpoint: &str, is_last: bool) -> Option<Connection> {
         let longest = if is_last { PROVEN } else { IDLE };
+        let now = self.clock.now();
         let mut idle = self.idle.lock().expect("no holder of the lock panics");
         let list = idle.get_mut(endpoint)?;
         while let Some(last) = list.pop() {
-            if last.is_good(longest) {
+            if last.is_good(longest, now) {
                 return Some(last.connection);
             }
         }
@@ -74,7 +87,7 @@
         let mut idle = self.idle.lock().expect("no holder of the lock panics");
         idle.entry(Arc::clone(endpoint)).or_default().push(Idle {
             connection,
-            since: Instant::now(),
+            since: self.clock.now(),
         });
     }
 
@@ -86,10 +99,11 @@
 
     /// Closes connections that were idle for too long.
     pub(crate) fn sweep(&self) {
+        let now = self.clock.now();
         let mut idle = self.idle.lock().expect("no holder of the lock panics");
         for list in idle.values_mut() {
             list.retain(|connection| {
-                connection.since.elapsed() < IDLE && !connection.connection.sender.is_closed()
+                now.since(connection.since) < IDLE && !connection.connection.sender.is_closed()
             });
         }
         idle.retain(|_, list| !list.is_empty());
