--- a/crates/ploverwick_quarantine/src/quarantine.rs
+++ b/crates/ploverwick_quarantine/src/quarantine.rs
@@ -80,6 +80,8 @@
 #[derive(Debug, Default)]
 pub struct Quarantine {
     cases: HashMap<Fingerprint, Kept>,
+    /// The sums of the cases' digests, kept up to date: they are compared many times for each change.
+    digests: [u64; PARTS],
 }
 
 impl Quarantine {
@@ -141,17 +143,16 @@
             at: now,
             is_witness: false,
         };
-        let kept = self.cases.entry(case.fingerprint).or_insert_with(fresh);
-        if kept.has_lapsed(now) {
-            *kept = fresh();
-        }
+        let kept = self.remove(&case.fingerprint);
+        let kept = kept.filter(|kept| !kept.has_lapsed(now));
+        let mut kept = kept.unwrap_or_else(fresh);
         let has_changed = kept.case.merge(case);
         if has_changed {
             kept.age = kept.age(now).min(age);
             kept.at = now;
         }
-        if kept.has_lapsed(now) || kept.case == Case::clear(case.fingerprint) {
-            self.cases.remove(&case.fingerprint);
+        if kept.case != Case::clear(case.fingerprint) {
+            self.insert(kept);
         }
         self.bound();
         match (before, self.standing(&case.fingerprint, now)) {
@@ -171,33 +172,28 @@
 
     /// Drops what has lapsed; returns the requests that are no longer refused.
     pub fn sweep(&mut self, now: Moment) -> Vec<Fingerprint> {
-        let mut released = Vec::new();
-        self.cases.retain(|fingerprint, kept| {
-            let has_lapsed = kept.has_lapsed(now);
-            if has_lapsed && kept.case.is_proved() {
-                released.push(*fingerprint);
-            }
-            !has_lapsed
-        });
-        released
+        let cases = self.cases.values();
+        let lapsed = cases.filter(|kept| kept.has_lapsed(now));
+        let lapsed: Vec<Fingerprint> = lapsed.map(|kept| kept.case.fingerprint).collect();
+        let dropped = lapsed.iter().filter_map(|lapsed| self.remove(lapsed));
+        let released = dropped.filter(|kept| kept.case.is_proved());
+        released.map(|kept| kept.case.fingerprint).collect()
     }
 
     /// Returns a number for each part of the requests; where those of two instances differ, so do cases.
     pub fn digests(&self) -> [u64; PARTS] {
-        let mut digests = [0; PARTS];
-        for kept in self.cases.values() {
-            digests[kept.case.fingerprint.part(PARTS)] ^= kept.case.digest();
-        }
-        digests
+        self.digests
     }
 
     /// Lists the cases of the parts in which another instance has other digests.
     pub fn differing(&self, other: &[u64; PARTS], now: Moment) -> Vec<Case> {
-        let own = self.digests();
+        if self.digests == *other {
+            return Vec::new();
+        }
         let cases = self.cases.values();
         let cases = cases.filter(|kept| {
             let part = kept.case.fingerprint.part(PARTS);
-            own[part] != other[part]
+            self.digests[part] != other[part]
         });
         cases.map(|kept| aged(kept, now)).collect()
     }
@@ -215,9 +211,20 @@
         }
         let least = self.cases.values().min_by_key(|kept| kept.rank());
         if let Some(least) = least.map(|kept| kept.case.fingerprint) {
-            self.cases.remove(&least);
+            self.remove(&least);
         }
     }
+
+    fn insert(&mut self, kept: Kept) {
+        self.digests[kept.case.fingerprint.part(PARTS)] ^= kept.case.digest();
+        self.cases.insert(kept.case.fingerprint, kept);
+    }
+
+    fn remove(&mut self, fingerprint: &Fingerprint) -> Option<Kept> {
+        let kept = self.cases.remove(fingerprint)?;
+        self.digests[fingerprint.part(PARTS)] ^= kept.case.digest();
+        Some(kept)
+    }
 }
 
 fn aged(kept: &Kept, now: Moment) -> Case {
