Gather what is told of requests that endpoints ended under

Cause, by counting: where thirty endpoints end at once before 195 instances, each instance would send a message for each of them to each of some 67 peers, twice, in the moment in which requests need its processor. Not measured.

--- a/crates/ploverwick_gateway/src/controllers/quarantine.rs
+++ b/crates/ploverwick_gateway/src/controllers/quarantine.rs
@@ -16,7 +16,6 @@
 use crate::metrics;
 use crate::quarantine::unix_ms;
 use crate::shared::Shared;
-use crate::tell;
 use crate::topics::Topic;
 
 /// How long a read waits for a record, near the longest that the store allows: each return is a call.
@@ -26,7 +25,6 @@
 pub(super) fn blame(shared: &Arc<Shared>, life: &Arc<str>, suspects: &[Suspect]) {
     let crash = Crash::of(life);
     let now = shared.now();
-    let mut told = Vec::new();
     for suspect in suspects {
         let (change, case) = shared
             .state()
@@ -44,11 +42,10 @@
             publish(shared, &case);
         }
         if change != Change::Known {
-            told.push(case);
+            shared.case_news.add(suspect.fingerprint);
         }
     }
     count(shared);
-    tell::cases(shared, told);
 }
 
 /// Takes in that a request came to a good end.
@@ -67,8 +64,8 @@
     if change == Change::Released {
         publish(shared, &case);
     }
+    shared.case_news.add(*fingerprint);
     count(shared);
-    tell::cases(shared, vec![case]);
 }
 
 /// Takes in what another instance tells, or the store; `source` says who, for the log.
--- a/crates/ploverwick_gateway/src/lib.rs
+++ b/crates/ploverwick_gateway/src/lib.rs
@@ -3,6 +3,7 @@
 //! Thin tasks around the decision crates: controllers follow the platform's store and keep the
 //! shared state, a chain of filters takes each request from a client to an endpoint and back.
 
+mod case_news;
 pub mod clock;
 mod connection;
 mod controllers;
--- a/crates/ploverwick_gateway/src/listen.rs
+++ b/crates/ploverwick_gateway/src/listen.rs
@@ -139,7 +139,7 @@
         }
         Message::CaseDigests { digests, asks } => {
             drop(state);
-            tell::compare_cases(shared, from, &digests, asks);
+            tell::cases::compare(shared, from, &digests, asks);
         }
     }
 }
--- a/crates/ploverwick_gateway/src/shared.rs
+++ b/crates/ploverwick_gateway/src/shared.rs
@@ -15,6 +15,7 @@
 use ploverwick_topics::Circle;
 use tokio::sync::{Notify, watch};
 
+use crate::case_news::News;
 use crate::clock::Clock;
 use crate::journal::Lines;
 use crate::mail::Mail;
@@ -44,6 +45,8 @@
     pub(crate) pool: Pool,
     pub(crate) mail: Mail,
     pub(crate) outbox: Outbox,
+    /// What is to be told of requests that endpoints ended under.
+    pub(crate) case_news: News,
     pub(crate) lines: Lines,
     /// Whether clients' connections can be taken.
     takes_connections: AtomicBool,
@@ -86,6 +89,7 @@
             clock,
             mail,
             outbox: Outbox::default(),
+            case_news: News::default(),
             lines: Lines::default(),
             placed: Notify::new(),
             inboxes: Inboxes::default(),
--- a/crates/ploverwick_gateway/src/tell.rs
+++ b/crates/ploverwick_gateway/src/tell.rs
@@ -5,6 +5,7 @@
 //! the product of instances.
 
 mod batches;
+pub(crate) mod cases;
 mod rounds;
 
 use std::net::IpAddr;
@@ -14,7 +15,6 @@
 use ploverwick_adapters::{Copy, Event, Need};
 use ploverwick_endpoints::Entry;
 use ploverwick_names::Moment;
-use ploverwick_quarantine::{Case, PARTS};
 
 use crate::mail::{Change, Fate, Message};
 use crate::outbox;
@@ -28,11 +28,6 @@
 /// much longer, of some 260 ms.
 const GATHER: Duration = Duration::from_millis(25);
 
-/// Cases in one message, of some 55 bytes each.
-const CASES: usize = 20;
-/// After what time cases are told once more.
-const CASES_AGAIN: Duration = Duration::from_millis(150);
-
 /// Asks the instance at `ip` for an adapter.
 pub(crate) fn need(shared: &Shared, ip: IpAddr, copy: &Copy, need: Need) {
     let message = Message::Need {
@@ -154,54 +149,6 @@
     }
 }
 
-/// Tells all instances what is held against requests, and once more a moment later: a message may be lost,
-/// and digests are compared only every other second.
-pub(crate) fn cases(shared: &Arc<Shared>, cases: Vec<Case>) {
-    if cases.is_empty() {
-        return;
-    }
-    send_cases(shared, &cases);
-    let shared = Arc::clone(shared);
-    tokio::spawn(async move {
-        tokio::time::sleep(CASES_AGAIN).await;
-        send_cases(&shared, &cases);
-    });
-}
-
-fn send_cases(shared: &Shared, cases: &[Case]) {
-    let now = shared.now();
-    let state = shared.state();
-    let mut to = near(shared, &state);
-    to.extend(hubs(shared, &state, now));
-    drop(state);
-    send_cases_to(shared, cases, &to);
-}
-
-/// Tells instances what is held against requests.
-fn send_cases_to(shared: &Shared, cases: &[Case], to: &[IpAddr]) {
-    for part in cases.chunks(CASES) {
-        shared.mail.send(&Message::Cases(part.to_vec()), to);
-    }
-}
-
-/// Tells the instance at `ip` what is held here against requests and differs from what it holds, and asks
-/// for the reverse if it asked itself.
-pub(crate) fn compare_cases(shared: &Shared, ip: IpAddr, digests: &[u64; PARTS], asks: bool) {
-    let now = shared.now();
-    let state = shared.state();
-    let own = state.quarantine.digests();
-    let differing = state.quarantine.differing(digests, now);
-    drop(state);
-    send_cases_to(shared, &differing, &[ip]);
-    if asks && own != *digests {
-        let message = Message::CaseDigests {
-            digests: own,
-            asks: false,
-        };
-        shared.mail.send(&message, &[ip]);
-    }
-}
-
 fn near(shared: &Shared, state: &State) -> Vec<IpAddr> {
     let peers = state.peers.values();
     let near = peers.filter(|peer| peer.domain == shared.settings.domain);
--- a/crates/ploverwick_quarantine/src/case.rs
+++ b/crates/ploverwick_quarantine/src/case.rs
@@ -51,6 +51,11 @@
         self.crashes.len() >= PROOF
     }
 
+    /// Returns whether the request is refused, or one more crash would prove it.
+    pub fn is_weighty(&self) -> bool {
+        self.crashes.len() + 1 >= PROOF
+    }
+
     /// Returns whether the request is refused, now that the case is so old.
     pub fn is_refused(&self) -> bool {
         let age = Duration::from_secs(self.age_s.into());
