Start instances of tests in one place, count refused requests only with changes

Six test files started a gateway each in its own way and looked for a port; they share one now. No test changed what it asks. The gauge of refused requests was summed with each message, over up to 4,096 cases.

--- a/crates/ploverwick_gateway/src/controllers/quarantine.rs
+++ b/crates/ploverwick_gateway/src/controllers/quarantine.rs
@@ -39,13 +39,13 @@
             change
         );
         if change == Change::Refused {
+            count(shared);
             publish(shared, &case);
         }
         if change != Change::Known {
             shared.case_news.add(suspect.fingerprint);
         }
     }
-    count(shared);
 }
 
 /// Takes in that a request came to a good end.
@@ -62,10 +62,10 @@
         change
     );
     if change == Change::Released {
+        count(shared);
         publish(shared, &case);
     }
     shared.case_news.add(*fingerprint);
-    count(shared);
 }
 
 /// Takes in what another instance tells, or the store; `source` says who, for the log.
@@ -88,12 +88,12 @@
             case.crashes.len(),
             source
         );
+        count(shared);
         // Those that saw a crash write down what the crashes prove together; a repeat changes nothing.
         if change == Change::Refused && is_witness {
             publish(shared, &case);
         }
     }
-    count(shared);
 }
 
 /// Drops what has lapsed.
--- a/crates/ploverwick_gateway/tests/common/mod.rs
+++ b/crates/ploverwick_gateway/tests/common/mod.rs
@@ -2,7 +2,7 @@
 
 #![expect(dead_code, reason = "each test file uses a part of it")]
 
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
 use std::time::Duration;
 
 use anyhow::Result;
@@ -114,6 +114,49 @@
     }
 }
 
+/// A gateway at an address of its own. It runs until it is stopped, or to the end of the test.
+pub struct Instance {
+    pub front: SocketAddr,
+    stop: oneshot::Sender<()>,
+    pub served: JoinHandle<()>,
+}
+
+impl Instance {
+    /// Starts a gateway and waits until it is ready.
+    pub async fn start(settings: Settings) -> Result<Self> {
+        let daemon = Daemon::open(settings).await?;
+        let (front, ready) = (daemon.front()?, daemon.ready()?);
+        let (stop, stopped) = oneshot::channel::<()>();
+        let stop_asked = async move {
+            if stopped.await.is_err() {
+                // Nobody can ask any more.
+                std::future::pending::<()>().await;
+            }
+        };
+        let served = tokio::spawn(daemon.serve(stop_asked));
+        while !client::is_ready(ready).await? {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        Ok(Self {
+            front,
+            stop,
+            served,
+        })
+    }
+
+    /// Asks it to stop, as the platform does; the task that is returned ends with it.
+    pub fn stop(self) -> JoinHandle<()> {
+        self.stop.send(()).expect("the instance runs");
+        self.served
+    }
+}
+
+/// Finds a port for messages between instances, which all use the same on addresses of their own.
+pub fn free_port() -> Result<u16> {
+    let socket = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0))?;
+    Ok(socket.local_addr()?.port())
+}
+
 /// Starts two endpoints of the plain service.
 pub async fn two_plain() -> Result<(Endpoint, Endpoint)> {
     let a = Endpoint::start("i-a", "app", None, "d1").await?;
--- a/crates/ploverwick_gateway/tests/fatal_request.rs
+++ b/crates/ploverwick_gateway/tests/fatal_request.rs
@@ -8,22 +8,20 @@
 
 mod common;
 
-use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
+use std::net::Ipv4Addr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use anyhow::Result;
-use common::HOST;
+use common::{HOST, Instance, free_port};
 use googletest::prelude::*;
 use http::StatusCode;
-use ploverwick_gateway::{Daemon, quarantine};
+use ploverwick_gateway::quarantine;
 use ploverwick_platform_standin::client::{self, Ask, Got};
 use ploverwick_platform_standin::endpoint::{Act, Endpoint};
 use ploverwick_platform_standin::fragile::{FATAL, Fragile};
 use ploverwick_platform_standin::settings;
 use ploverwick_platform_standin::store::Store;
-use tokio::sync::oneshot;
-use tokio::task::JoinHandle;
 
 /// The instances, by name and failure domain.
 const INSTANCES: [(&str, &str); 3] = [("a", "d1"), ("b", "d1"), ("c", "d2")];
@@ -36,13 +34,6 @@
 /// The pause between two attempts of a caller; an endpoint ends well within it.
 const PAUSE: Duration = Duration::from_millis(150);
 
-/// A running instance; it stops when this is dropped.
-struct Instance {
-    front: SocketAddr,
-    _stop: oneshot::Sender<()>,
-    served: JoinHandle<()>,
-}
-
 /// Endpoints of one service and instances in two failure domains before them.
 struct World {
     store: Store,
@@ -92,18 +83,7 @@
         let mut settings = settings::of(name, ip, self.port, self.store.address());
         settings.domain = Arc::from(domain);
         settings.first_start = is_first;
-        let daemon = Daemon::open(settings).await?;
-        let (front, ready) = (daemon.front()?, daemon.ready()?);
-        let (stop, stopped) = oneshot::channel::<()>();
-        let served = tokio::spawn(daemon.serve(async move { drop(stopped.await) }));
-        while !client::is_ready(ready).await? {
-            tokio::time::sleep(Duration::from_millis(10)).await;
-        }
-        self.instances.push(Instance {
-            front,
-            _stop: stop,
-            served,
-        });
+        self.instances.push(Instance::start(settings).await?);
         Ok(())
     }
 
@@ -138,11 +118,6 @@
     }
 }
 
-fn free_port() -> Result<u16> {
-    let socket = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0))?;
-    Ok(socket.local_addr()?.port())
-}
-
 fn ask(id: &str, path: &str, body: &str) -> Ask {
     Ask::new(id, HOST, path).body(body.to_owned())
 }
--- a/crates/ploverwick_gateway/tests/few_readers.rs
+++ b/crates/ploverwick_gateway/tests/few_readers.rs
@@ -3,22 +3,18 @@
 
 mod common;
 
-use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
+use std::net::Ipv4Addr;
 use std::time::Duration;
 
 use anyhow::Result;
-use common::HOST;
+use common::{HOST, Instance, free_port};
 use googletest::prelude::*;
 use http::StatusCode;
-use ploverwick_gateway::Daemon;
-use ploverwick_platform::settings::Settings;
 use ploverwick_platform::{INSTANCES, OPERATOR, TABLE, group};
 use ploverwick_platform_standin::client::{self, Ask};
 use ploverwick_platform_standin::endpoint::Endpoint;
 use ploverwick_platform_standin::settings;
 use ploverwick_platform_standin::store::Store;
-use tokio::sync::oneshot;
-use tokio::task::JoinHandle;
 
 /// The instances, by name.
 const NAMES: [&str; 6] = ["a", "b", "c", "d", "e", "f"];
@@ -27,15 +23,9 @@
 /// How long a route may take to be in force everywhere: half of the shortest bound.
 const IN_FORCE: Duration = Duration::from_secs(1);
 
-struct Instance {
-    front: SocketAddr,
-    stop: oneshot::Sender<()>,
-    served: JoinHandle<()>,
-}
-
 async fn start(name: &str, host: u8, port: u16, store: &Store) -> Result<Instance> {
     let ip = Ipv4Addr::new(127, 0, 0, host);
-    serve(settings::of(name, ip, port, store.address())).await
+    Instance::start(settings::of(name, ip, port, store.address())).await
 }
 
 /// Starts an instance of a system that ran before.
@@ -43,27 +33,7 @@
     let ip = Ipv4Addr::new(127, 0, 0, host);
     let mut settings = settings::of(name, ip, port, store.address());
     settings.first_start = false;
-    serve(settings).await
-}
-
-async fn serve(settings: Settings) -> Result<Instance> {
-    let daemon = Daemon::open(settings).await?;
-    let (front, ready) = (daemon.front()?, daemon.ready()?);
-    let (stop, stopped) = oneshot::channel::<()>();
-    let served = tokio::spawn(daemon.serve(async move { drop(stopped.await) }));
-    while !client::is_ready(ready).await? {
-        tokio::time::sleep(Duration::from_millis(10)).await;
-    }
-    Ok(Instance {
-        front,
-        stop,
-        served,
-    })
-}
-
-fn free_port() -> Result<u16> {
-    let socket = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0))?;
-    Ok(socket.local_addr()?.port())
+    Instance::start(settings).await
 }
 
 async fn start_all(store: &Store) -> Result<Vec<Instance>> {
@@ -139,7 +109,7 @@
 async fn readers_end() -> Result<()> {
     let (store, _endpoint, mut instances) = world().await?;
     for reader in instances.drain(..3) {
-        reader.stop.send(()).expect("the instance runs");
+        reader.stop();
     }
     store.configure(&with_route(2, "/second/", 0));
     let heard = until_served(&instances, "/second/");
@@ -185,8 +155,7 @@
     tokio::time::sleep(SETTLED).await;
     // The first by name starts again: whoever comes first has nobody to ask while the store answers.
     let first = instances.remove(0);
-    first.stop.send(()).expect("the instance runs");
-    first.served.await?;
+    first.stop().await?;
     store.away(true);
     let again = start("a", 1, port, &store).await?;
     until_served(&[again], "/first/").await?;
@@ -235,7 +204,7 @@
         let mut settings = settings::of(name, ip, port, store.address());
         settings.first_start = false;
         settings.capacity = capacity;
-        tokio::spawn(serve(settings))
+        tokio::spawn(Instance::start(settings))
     });
     let mut instances = Vec::new();
     for started in starts.collect::<Vec<_>>() {
--- a/crates/ploverwick_gateway/tests/late_beats.rs
+++ b/crates/ploverwick_gateway/tests/late_beats.rs
@@ -9,19 +9,17 @@
 
 mod common;
 
-use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
 use anyhow::Result;
-use common::{HOST, World, two_plain};
+use common::{HOST, Instance, World, free_port, two_plain};
 use googletest::prelude::*;
 use http::StatusCode;
-use ploverwick_gateway::Daemon;
 use ploverwick_platform_standin::client::{self, Ask};
 use ploverwick_platform_standin::endpoint::Endpoint;
 use ploverwick_platform_standin::settings;
 use ploverwick_platform_standin::store::Store;
-use tokio::sync::oneshot;
 
 /// Longer than two reads of the list with their pauses, and a heartbeat of the one that lives.
 const HEARD: Duration = Duration::from_millis(2_400);
@@ -57,25 +55,6 @@
     beat(store, endpoint, 4);
 }
 
-/// Starts an instance that can be stopped.
-async fn start(
-    name: &str,
-    ip: Ipv4Addr,
-    port: u16,
-    store: &Store,
-) -> Result<(SocketAddr, oneshot::Sender<()>)> {
-    let daemon = Daemon::open(settings::of(name, ip, port, store.address())).await?;
-    let (front, ready) = (daemon.front()?, daemon.ready()?);
-    let (stop, stopped) = oneshot::channel::<()>();
-    tokio::spawn(async move {
-        daemon.serve(async move { drop(stopped.await) }).await;
-    });
-    while !client::is_ready(ready).await? {
-        tokio::time::sleep(Duration::from_millis(10)).await;
-    }
-    Ok((front, stop))
-}
-
 async fn ask(front: SocketAddr, times: usize) -> Result<()> {
     for number in 0..times {
         client::send(front, &Ask::new(&format!("r{number}"), HOST, "/safe/")).await?;
@@ -107,11 +86,13 @@
     beat(&store, &a, 5);
     lives(&store, &b);
     store.configure(&settings::config(1));
-    let port = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0))?
-        .local_addr()?
-        .port();
-    let (_, stop) = start("one", Ipv4Addr::LOCALHOST, port, &store).await?;
-    let (front, _runs) = start("two", Ipv4Addr::new(127, 0, 0, 2), port, &store).await?;
+    let port = free_port()?;
+    let settings = |name, host| {
+        let ip = Ipv4Addr::new(127, 0, 0, host);
+        settings::of(name, ip, port, store.address())
+    };
+    let reader = Instance::start(settings("one", 1)).await?;
+    let front = Instance::start(settings("two", 2)).await?.front;
     tokio::time::sleep(HEARD).await;
     beat(&store, &a, 7);
     tokio::time::sleep(HEARD).await;
@@ -119,7 +100,7 @@
     tokio::time::sleep(HEARD).await;
     beat(&store, &a, 6);
     tokio::time::sleep(HEARD).await;
-    stop.send(()).expect("the reader runs");
+    reader.stop();
     tokio::time::sleep(HEARD).await;
     let before = a.asked();
     ask(front, 20).await?;
--- a/crates/ploverwick_gateway/tests/replaced_versions.rs
+++ b/crates/ploverwick_gateway/tests/replaced_versions.rs
@@ -10,14 +10,13 @@
 
 mod common;
 
-use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
 use anyhow::Result;
-use common::{HOST, World, runs};
+use common::{HOST, Instance, World, free_port, runs};
 use googletest::prelude::*;
 use http::StatusCode;
-use ploverwick_gateway::Daemon;
 use ploverwick_platform_standin::client::{self, Ask};
 use ploverwick_platform_standin::endpoint::{Act, Endpoint};
 use ploverwick_platform_standin::proxy::Proxy;
@@ -130,20 +129,12 @@
 ) -> Result<SocketAddr> {
     let mut settings = settings::of(name, ip, port, store);
     settings.version = bound;
-    let daemon = Daemon::open(settings).await?;
-    let (front, ready) = (daemon.front()?, daemon.ready()?);
-    tokio::spawn(daemon.serve(std::future::pending()));
-    while !client::is_ready(ready).await? {
-        tokio::time::sleep(Duration::from_millis(10)).await;
-    }
-    Ok(front)
+    Ok(Instance::start(settings).await?.front)
 }
 
 /// Starts two instances, and returns where the second one listens and what is between it and the store.
 async fn behind_proxy(store: &Store, bound: Duration) -> Result<(SocketAddr, Proxy)> {
-    let socket = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0))?;
-    let port = socket.local_addr()?.port();
-    drop(socket);
+    let port = free_port()?;
     let proxy = Proxy::start(store.address()).await?;
     start("one", Ipv4Addr::LOCALHOST, port, store.address(), bound).await?;
     let second = Ipv4Addr::new(127, 0, 0, 2);
--- a/crates/ploverwick_gateway/tests/three_instances.rs
+++ b/crates/ploverwick_gateway/tests/three_instances.rs
@@ -3,15 +3,14 @@
 
 mod common;
 
-use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
 use anyhow::Result;
-use common::HOST;
+use common::{HOST, Instance, free_port};
 use googletest::prelude::*;
 use http::StatusCode;
-use ploverwick_gateway::Daemon;
 use ploverwick_platform::group;
 use ploverwick_platform_standin::client::{self, Ask};
 use ploverwick_platform_standin::endpoint::Endpoint;
@@ -23,13 +22,7 @@
     let ip = Ipv4Addr::new(127, 0, 0, host);
     let mut settings = settings::of(name, ip, port, store.address());
     settings.domain = Arc::from(domain);
-    let daemon = Daemon::open(settings).await?;
-    let (front, ready) = (daemon.front()?, daemon.ready()?);
-    tokio::spawn(daemon.serve(std::future::pending()));
-    while !client::is_ready(ready).await? {
-        tokio::time::sleep(Duration::from_millis(10)).await;
-    }
-    Ok(front)
+    Ok(Instance::start(settings).await?.front)
 }
 
 async fn stream(front: SocketAddr, id: &str, adapter: &str) -> Result<StatusCode> {
@@ -37,18 +30,13 @@
     Ok(client::send(front, &ask).await?.status)
 }
 
-fn port() -> Result<u16> {
-    let socket = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0))?;
-    Ok(socket.local_addr()?.port())
-}
-
 #[tokio::test]
 async fn other_domain_hears() -> Result<()> {
     let store = Store::start().await?;
     let engine = Endpoint::start("i-a", "lm", Some("base"), "d1").await?;
     store.list(engine.id(), &engine.entry("ready"));
     store.configure(&settings::config(1));
-    let port = port()?;
+    let port = free_port()?;
     let one = start("one", "d1", 1, port, &store).await?;
     start("two", "d2", 2, port, &store).await?;
     let three = start("three", "d2", 3, port, &store).await?;
@@ -67,7 +55,7 @@
 async fn few_stand_by() -> Result<()> {
     let store = Store::start().await?;
     store.configure(&settings::config(1));
-    let port = port()?;
+    let port = free_port()?;
     for (host, name) in (1..).zip(["a", "b", "c", "d", "e"]) {
         start(name, "d1", host, port, &store).await?;
     }
--- a/crates/ploverwick_gateway/tests/two_instances.rs
+++ b/crates/ploverwick_gateway/tests/two_instances.rs
@@ -2,13 +2,12 @@
 
 mod common;
 
-use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
 use anyhow::Result;
-use common::{HOST, two_plain};
+use common::{HOST, Instance, free_port, two_plain};
 use googletest::prelude::*;
-use ploverwick_gateway::Daemon;
 use ploverwick_platform_standin::client::{self, Ask};
 use ploverwick_platform_standin::endpoint::Endpoint;
 use ploverwick_platform_standin::settings;
@@ -16,20 +15,13 @@
 
 /// Starts an instance and returns where it listens; it runs as long as the test.
 async fn start(name: &str, ip: Ipv4Addr, port: u16, store: &Store) -> Result<SocketAddr> {
-    let daemon = Daemon::open(settings::of(name, ip, port, store.address())).await?;
-    let (front, ready) = (daemon.front()?, daemon.ready()?);
-    tokio::spawn(daemon.serve(std::future::pending()));
-    while !client::is_ready(ready).await? {
-        tokio::time::sleep(Duration::from_millis(10)).await;
-    }
-    Ok(front)
+    let settings = settings::of(name, ip, port, store.address());
+    Ok(Instance::start(settings).await?.front)
 }
 
 /// Starts two instances that use one port for messages, on two addresses of the loopback.
 async fn two(store: &Store) -> Result<[SocketAddr; 2]> {
-    let port = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0))?
-        .local_addr()?
-        .port();
+    let port = free_port()?;
     let one = start("one", Ipv4Addr::LOCALHOST, port, store).await?;
     let two = start("two", Ipv4Addr::new(127, 0, 0, 2), port, store).await?;
     Ok([one, two])
--- a/crates/ploverwick_quarantine/src/case.rs
+++ b/crates/ploverwick_quarantine/src/case.rs
@@ -15,7 +15,7 @@
 /// another cause in one of 40 runs, the rate while another request ends an endpoint each second, is
 /// refused in one of 64,000 rows of three runs of which none ends well.
 const SUSPECTED: Duration = Duration::from_hours(1);
-/// How long a request stays refused after the last crash. Endpoints may have been mended meanwhile; if not,
+/// How long a request stays refused after it was proved. Endpoints may have been mended meanwhile; if not,
 /// it ends three more a day.
 const REFUSED: Duration = Duration::from_hours(24);
 
