--- a/crates/ploverwick_codes/src/code.rs
+++ b/crates/ploverwick_codes/src/code.rs
@@ -99,7 +99,7 @@
     2011 ModelUnknown NotRun 404 5 AfterChange "The table has no row for this adapter and no row for all adapters." "Publish a table with a row for the adapter or for '*'.";
     2012 ResumeUnknown NotRun 409 9 AfterChange "The answer to resume is not held here and the request may not be run again for it." "Send the request again without Last-Event-ID.";
     2013 BodySlow NotRun 408 4 Yes "The body did not arrive in time." "Send the request again over a faster link.";
-    2014 EndsEndpoints NotRun 400 3 AfterChange "Endpoints ended while they ran this request, three of them; it is not run any more." "Change the request; an operator can let it through again.";
+    2014 CrashesEndpoints NotRun 400 3 AfterChange "Endpoints crashed while they ran this request, three of them; it is not run any more." "Change the request; an operator can let it through again.";
     3000 Draining NotRun 503 14 Yes "This instance is leaving and takes no new requests." "Repeat the request; the balancer sends it elsewhere.";
     3001 NoTable NotRun 503 14 Yes "No table is in force yet." "Publish a first table; repeat after the hint.";
     3002 NoEndpoint NotRun 503 14 Yes "No live endpoint with a known owner can serve the model." "Repeat after the hint; see ploverwick status.";
--- a/crates/ploverwick_gateway/src/controllers/crashes.rs
+++ b/crates/ploverwick_gateway/src/controllers/crashes.rs
@@ -1,4 +1,4 @@
-//! Proves whether an endpoint ended under the requests whose connections to it broke.
+//! Proves whether an endpoint crashed under the requests whose connections to it broke.
 //!
 //! A broken connection alone proves nothing: connections are reset, links cut, answers lost, and endpoints
 //! that leave close theirs. Where nobody listens any more a moment later, the endpoint's process has ended.
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use ploverwick_endpoints::{Entry, State};
-use ploverwick_quarantine::{Finding, Proof, Suspect};
+use ploverwick_quarantine::{Diagnosis, Finding, Suspect};
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
@@ -18,20 +18,20 @@
 
 /// The pauses before each look whether somebody listens. A process that ends closes its sockets one after
 /// the other, and one that is slow to end (it writes its memory out) keeps listening meanwhile.
-const LOOKS: [Duration; 3] = [
+const PROBE_PAUSES: [Duration; 3] = [
     Duration::ZERO,
     Duration::from_millis(100),
     Duration::from_secs(1),
 ];
 /// How long an answer to a look is awaited; an endpoint in reach answers within milliseconds.
-const LOOK: Duration = Duration::from_millis(300);
+const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 /// How long the list is awaited if the endpoint's machine does not answer: it drops an endpoint after three
 /// heartbeats, of some 1.2 s each, and is read every 850 ms.
-const LISTED: Duration = Duration::from_secs(6);
+const LIST_TIMEOUT: Duration = Duration::from_secs(6);
 /// How often the list is looked at meanwhile.
-const LIST_LOOK: Duration = Duration::from_millis(200);
-/// How long what was proved of a life is kept for requests that are found broken later.
-const KEPT: Duration = Duration::from_secs(10);
+const LIST_POLL: Duration = Duration::from_millis(200);
+/// How long the diagnosis of a life is kept for requests that are found broken later.
+const RETENTION: Duration = Duration::from_secs(10);
 
 /// Takes in that the connection to an endpoint broke under a request.
 pub(crate) fn broke(shared: &Arc<Shared>, endpoint: &Arc<str>, suspect: Suspect) {
@@ -45,68 +45,68 @@
     drop(state);
     match finding {
         Finding::New => drop(tokio::spawn(settle(Arc::clone(shared), entry))),
-        Finding::Crashed(suspect) => quarantine::blame(shared, endpoint, &[suspect]),
+        Finding::Crashed(suspect) => quarantine::record_crash(shared, endpoint, &[suspect]),
         Finding::Pending | Finding::Spared => {}
     }
 }
 
-/// Proves what became of an endpoint, and blames the requests that it ended under.
+/// Finds out what became of an endpoint, and counts a crash against the requests that it ran.
 async fn settle(shared: Arc<Shared>, entry: Entry) {
     let begun = Instant::now();
-    let proof = prove(&shared, &entry).await;
-    let suspects = shared.state().breaks.proved(&entry.id, proof);
-    metrics::broken(proof, suspects.len());
+    let diagnosis = diagnose(&shared, &entry).await;
+    let suspects = shared.state().breaks.diagnosed(&entry.id, diagnosis);
+    metrics::broken(diagnosis, suspects.len());
     spdlog::info!(
-        "endpoint_broke endpoint={} service={} proof={} requests={} ms={}",
+        "endpoint_broke endpoint={} service={} diagnosis={} requests={} ms={}",
         entry.id,
         entry.service,
-        proof.name(),
+        diagnosis.name(),
         suspects.len(),
         begun.elapsed().as_millis()
     );
-    if proof.is_crash() {
-        quarantine::blame(&shared, &entry.id, &suspects);
+    if diagnosis.is_crash() {
+        quarantine::record_crash(&shared, &entry.id, &suspects);
     }
-    tokio::time::sleep(KEPT).await;
+    tokio::time::sleep(RETENTION).await;
     shared.state().breaks.forget(&entry.id);
 }
 
-async fn prove(shared: &Shared, entry: &Entry) -> Proof {
+async fn diagnose(shared: &Shared, entry: &Entry) -> Diagnosis {
     let mut listens = false;
-    for pause in LOOKS {
+    for pause in PROBE_PAUSES {
         tokio::time::sleep(pause).await;
-        match look(entry.address).await {
-            Look::Refused => return Proof::Refuses,
-            Look::Taken => listens = true,
-            Look::Unanswered => {}
+        match probe(entry.address).await {
+            Probe::Refused => return Diagnosis::Refuses,
+            Probe::Taken => listens = true,
+            Probe::Unanswered => {}
         }
     }
     if listens {
-        return Proof::Listens;
+        return Diagnosis::Listens;
     }
-    let until = Instant::now() + LISTED;
+    let until = Instant::now() + LIST_TIMEOUT;
     while Instant::now() < until {
         let listed = shared.state().fleet.entry(&entry.id).map(|e| e.state);
         match listed {
-            None => return Proof::Delisted,
-            Some(State::Draining) => return Proof::Leaves,
-            Some(State::Ready) => tokio::time::sleep(LIST_LOOK).await,
+            None => return Diagnosis::Delisted,
+            Some(State::Draining) => return Diagnosis::Leaves,
+            Some(State::Ready) => tokio::time::sleep(LIST_POLL).await,
         }
     }
-    Proof::Silent
+    Diagnosis::Silent
 }
 
 /// How a look at an address ended.
-enum Look {
+enum Probe {
     Refused,
     Taken,
     Unanswered,
 }
 
-async fn look(address: SocketAddr) -> Look {
-    match tokio::time::timeout(LOOK, TcpStream::connect(address)).await {
-        Ok(Ok(_)) => Look::Taken,
-        Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => Look::Refused,
-        Ok(Err(_)) | Err(_) => Look::Unanswered,
+async fn probe(address: SocketAddr) -> Probe {
+    match tokio::time::timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await {
+        Ok(Ok(_)) => Probe::Taken,
+        Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => Probe::Refused,
+        Ok(Err(_)) | Err(_) => Probe::Unanswered,
     }
 }
--- a/crates/ploverwick_gateway/src/controllers/quarantine.rs
+++ b/crates/ploverwick_gateway/src/controllers/quarantine.rs
@@ -1,6 +1,6 @@
-//! Keeps what all instances know of requests that end endpoints.
+//! Keeps what all instances know of requests that crash endpoints.
 //!
-//! A crash is told to all at once, as the next attempt may come to any of them. What is proved is written to
+//! A crash is told to all at once, as the next attempt may come to any of them. What is refused is written to
 //! the store too, for those that start when nobody else runs, and for operators.
 
 use std::sync::Arc;
@@ -9,7 +9,7 @@
 use ploverwick_platform::QUARANTINE;
 use ploverwick_platform::quarantine::{decode, encode};
 use ploverwick_platform::store::Record;
-use ploverwick_quarantine::{Case, Change, Crash, Fingerprint, Suspect};
+use ploverwick_quarantine::{Change, Crash, Entry, Fingerprint, Suspect};
 
 use super::feed::{Feed, News};
 use super::{Backoff, topic};
@@ -21,77 +21,78 @@
 /// How long a read waits for a record, near the longest that the store allows: each return is a call.
 const WAIT: Duration = Duration::from_secs(28);
 
-/// Takes in that an endpoint ended while it ran these requests.
-pub(super) fn blame(shared: &Arc<Shared>, life: &Arc<str>, suspects: &[Suspect]) {
+/// Takes in that an endpoint crashed while it ran these requests.
+pub(super) fn record_crash(shared: &Arc<Shared>, life: &Arc<str>, suspects: &[Suspect]) {
     let crash = Crash::of(life);
     let now = shared.now();
     for suspect in suspects {
-        let (change, case) = shared
-            .state()
-            .quarantine
-            .blame(suspect.fingerprint, crash, now);
+        let (change, entry) =
+            shared
+                .state()
+                .quarantine
+                .record_crash(suspect.fingerprint, crash, now);
         spdlog::info!(
-            "request_blamed fingerprint={} id={} endpoint={} crashes={} change={:?}",
+            "crash_recorded fingerprint={} id={} endpoint={} crashes={} change={:?}",
             suspect.fingerprint,
             suspect.id,
             life,
-            case.crashes.len(),
+            entry.crashes.len(),
             change
         );
         if change == Change::Refused {
             count(shared);
-            publish(shared, &case);
+            publish(shared, &entry);
         }
-        if change != Change::Known {
-            shared.case_news.add(suspect.fingerprint);
+        if change != Change::Unchanged {
+            shared.quarantine_news.add(suspect.fingerprint);
         }
     }
 }
 
-/// Takes in that a request came to a good end.
-pub(crate) fn clear(shared: &Arc<Shared>, fingerprint: &Fingerprint, id: &str) {
+/// Takes in that a request succeeded.
+pub(crate) fn reset(shared: &Arc<Shared>, fingerprint: &Fingerprint, id: &str) {
     let now = shared.now();
-    let cleared = shared.state().quarantine.clear(fingerprint, now);
-    let Some((change, case)) = cleared else {
+    let cleared = shared.state().quarantine.reset(fingerprint, now);
+    let Some((change, entry)) = cleared else {
         return;
     };
     spdlog::info!(
-        "request_cleared fingerprint={} id={} change={:?}",
+        "crashes_reset fingerprint={} id={} change={:?}",
         fingerprint,
         id,
         change
     );
     if change == Change::Released {
         count(shared);
-        publish(shared, &case);
+        publish(shared, &entry);
     }
-    shared.case_news.add(*fingerprint);
+    shared.quarantine_news.add(*fingerprint);
 }
 
 /// Takes in what another instance tells, or the store; `source` says who, for the log.
-pub(crate) fn hear(shared: &Arc<Shared>, cases: &[Case], source: &dyn std::fmt::Display) {
+pub(crate) fn hear(shared: &Arc<Shared>, entries: &[Entry], source: &dyn std::fmt::Display) {
     let now = shared.now();
-    for case in cases {
+    for entry in entries {
         let mut state = shared.state();
-        let change = state.quarantine.take(case, now);
-        let is_witness = state.quarantine.is_witness(&case.fingerprint);
-        let case = state.quarantine.case(&case.fingerprint, now);
+        let change = state.quarantine.take(entry, now);
+        let is_seen_here = state.quarantine.is_seen_here(&entry.fingerprint);
+        let entry = state.quarantine.entry(&entry.fingerprint, now);
         drop(state);
         match change {
-            Change::Known | Change::Noted => continue,
+            Change::Unchanged | Change::Updated => continue,
             Change::Refused | Change::Released => {}
         }
         spdlog::info!(
             "quarantine_told fingerprint={} change={:?} crashes={} by={}",
-            case.fingerprint,
+            entry.fingerprint,
             change,
-            case.crashes.len(),
+            entry.crashes.len(),
             source
         );
         count(shared);
-        // Those that saw a crash write down what the crashes prove together; a repeat changes nothing.
-        if change == Change::Refused && is_witness {
-            publish(shared, &case);
+        // Those that saw a crash write it down; a repeat changes nothing.
+        if change == Change::Refused && is_seen_here {
+            publish(shared, &entry);
         }
     }
 }
@@ -112,10 +113,10 @@
     metrics::quarantined(shared.state().quarantine.refused());
 }
 
-/// Writes a case to the store, again while the store is away.
-fn publish(shared: &Arc<Shared>, case: &Case) {
+/// Writes a entry to the store, again while the store is away.
+fn publish(shared: &Arc<Shared>, entry: &Entry) {
     let shared = Arc::clone(shared);
-    let (key, value) = encode(case, unix_ms());
+    let (key, value) = encode(entry, unix_ms());
     tokio::spawn(async move {
         let mut backoff = Backoff::new();
         while let Err(error) = shared.store.put(QUARANTINE, &key, Some(&value)).await {
@@ -151,10 +152,10 @@
 
 fn read(shared: &Arc<Shared>, records: &[Record]) {
     let now_ms = unix_ms();
-    let mut cases = Vec::new();
+    let mut entries = Vec::new();
     for record in records {
         match decode(record, now_ms) {
-            Ok(case) => cases.extend(case),
+            Ok(entry) => entries.extend(entry),
             Err(error) => {
                 spdlog::warn!(
                     "quarantine_malformed key={} cause=\"{}\"",
@@ -164,5 +165,5 @@
             }
         }
     }
-    hear(shared, &cases, &"store");
+    hear(shared, &entries, &"store");
 }
--- a/crates/ploverwick_gateway/src/daemon.rs
+++ b/crates/ploverwick_gateway/src/daemon.rs
@@ -94,7 +94,7 @@
         tasks.spawn(orders::keep(Arc::clone(&shared)));
         tasks.spawn(tell::run(Arc::clone(&shared)));
         tasks.spawn(tell::changes(Arc::clone(&shared)));
-        tasks.spawn(tell::cases::run(Arc::clone(&shared)));
+        tasks.spawn(tell::quarantine::run(Arc::clone(&shared)));
         tasks.spawn(listen::run(Arc::clone(&shared)));
         if let Some(handover) = self.handover {
             tasks.spawn(handover::serve(Arc::clone(&shared), handover));
--- a/crates/ploverwick_gateway/src/filters/attempt.rs
+++ b/crates/ploverwick_gateway/src/filters/attempt.rs
@@ -93,7 +93,7 @@
     let mut history = History::default();
     loop {
         if history.runs > 0 && !quarantine::may_repeat(shared, &task) {
-            let reply = Reply::new(Code::Interrupted, "Endpoints ended under the request.");
+            let reply = Reply::new(Code::Interrupted, "Endpoints crashed under the request.");
             return give_up(shared, &task, history, reply);
         }
         let begun = Instant::now();
@@ -107,7 +107,7 @@
             let reply = Reply::new(Code::EndpointRefused, "No repeat is left in the budget.");
             return give_up(shared, &task, history, reply.retry_after(REFUSED));
         }
-        // It may have been proved while the request waited for its adapter.
+        // The third crash may have come while the request waited for its adapter.
         if let Some(refusal) = quarantine::refusal(shared, &task) {
             return give_up(shared, &task, history, refusal);
         }
--- a/crates/ploverwick_gateway/src/filters/quarantine.rs
+++ b/crates/ploverwick_gateway/src/filters/quarantine.rs
@@ -1,9 +1,9 @@
-//! Keeps requests that end what runs them from endpoints.
+//! Keeps requests that crash what runs them from endpoints.
 
 use std::sync::Arc;
 
 use ploverwick_codes::Code;
-use ploverwick_quarantine::Standing;
+use ploverwick_quarantine::Status;
 
 use super::reply::Reply;
 use super::task::Task;
@@ -11,11 +11,11 @@
 use crate::metrics;
 use crate::shared::Shared;
 
-/// Returns the refusal of a request under which too many endpoints ended.
+/// Returns the refusal of a request under which too many endpoints crashed.
 ///
 /// It names no time to come back: the same request is refused for as long as it is asked.
 pub(super) fn refusal(shared: &Shared, task: &Task) -> Option<Reply> {
-    if standing(shared, task) != Standing::Refused {
+    if status(shared, task) != Status::Refused {
         return None;
     }
     metrics::fatal_refused();
@@ -30,27 +30,27 @@
         );
     }
     let detail = format!("Its fingerprint is {fingerprint}.");
-    Some(Reply::new(Code::EndsEndpoints, detail))
+    Some(Reply::new(Code::CrashesEndpoints, detail))
 }
 
 /// Returns whether a request may go to a second endpoint as far as those that ended under it say.
 pub(super) fn may_repeat(shared: &Shared, task: &Task) -> bool {
-    standing(shared, task).may_repeat()
+    status(shared, task).may_repeat()
 }
 
 /// Takes in that a request was answered with success to the end.
 pub(super) fn ended_well(shared: &Arc<Shared>, task: &Task) {
-    if standing(shared, task) != Standing::Clear {
-        quarantine::clear(shared, &task.fingerprint(), &task.call.id);
+    if status(shared, task) != Status::Clear {
+        quarantine::reset(shared, &task.fingerprint(), &task.call.id);
     }
 }
 
-fn standing(shared: &Shared, task: &Task) -> Standing {
+fn status(shared: &Shared, task: &Task) -> Status {
     let now = shared.now();
     let state = shared.state();
-    // Most of the time nothing is held against any request, and none needs its fingerprint.
+    // Most of the time nothing is counted against any request, and none needs its fingerprint.
     if state.quarantine.is_empty() {
-        return Standing::Clear;
+        return Status::Clear;
     }
-    state.quarantine.standing(&task.fingerprint(), now)
+    state.quarantine.status(&task.fingerprint(), now)
 }
--- a/crates/ploverwick_gateway/src/lib.rs
+++ b/crates/ploverwick_gateway/src/lib.rs
@@ -3,7 +3,6 @@
 //! Thin tasks around the decision crates: controllers follow the platform's store and keep the
 //! shared state, a chain of filters takes each request from a client to an endpoint and back.
 
-mod case_news;
 pub mod clock;
 mod connection;
 mod controllers;
@@ -18,6 +17,7 @@
 mod outbox;
 mod pool;
 pub mod quarantine;
+mod quarantine_news;
 mod ready;
 mod shared;
 mod state;
--- a/crates/ploverwick_gateway/src/listen.rs
+++ b/crates/ploverwick_gateway/src/listen.rs
@@ -133,13 +133,13 @@
         Message::End { topic, end } => shared.inboxes.of(topic).hear_end(end),
         Message::BaseLoad => state.base_loads.begin(now),
         Message::Vacant => shared.vacant.notify_one(),
-        Message::Cases(cases) => {
+        Message::Quarantined(entries) => {
             drop(state);
-            quarantine::hear(shared, &cases, &from);
+            quarantine::hear(shared, &entries, &from);
         }
-        Message::CaseDigests { digests, asks } => {
+        Message::QuarantineDigests { digests, asks } => {
             drop(state);
-            tell::cases::compare(shared, from, &digests, asks);
+            tell::quarantine::compare(shared, from, &digests, asks);
         }
     }
 }
--- a/crates/ploverwick_gateway/src/mail.rs
+++ b/crates/ploverwick_gateway/src/mail.rs
@@ -8,7 +8,7 @@
 
 use ploverwick_adapters::{Copy, Key, Need};
 use ploverwick_endpoints::Entry;
-use ploverwick_quarantine::{Case, PARTS};
+use ploverwick_quarantine::PARTS;
 use ploverwick_topics::parts::{self, Assembly};
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
@@ -133,11 +133,11 @@
     BaseLoad,
     /// The sender no longer places the adapters of its failure domain.
     Vacant,
-    /// What is held against requests that endpoints ended under.
-    Cases(Vec<Case>),
-    /// Digests of all that the sender holds against requests; whoever has others tells what differs, and,
-    /// if it was asked, its own digests.
-    CaseDigests { digests: [u64; PARTS], asks: bool },
+    /// The crashes that are counted against requests.
+    Quarantined(Vec<ploverwick_quarantine::Entry>),
+    /// Digests of all crashes that the sender counts against requests; whoever has others tells what
+    /// differs, and, if it was asked, its own digests.
+    QuarantineDigests { digests: [u64; PARTS], asks: bool },
 }
 
 impl Message {
@@ -168,7 +168,7 @@
             | Self::Holds { .. }
             | Self::Digests(_)
             | Self::Changes(_)
-            | Self::Cases(_) => true,
+            | Self::Quarantined(_) => true,
             Self::Status { .. }
             | Self::Used(_)
             | Self::Need { .. }
@@ -178,7 +178,7 @@
             | Self::End { .. }
             | Self::BaseLoad
             | Self::Vacant
-            | Self::CaseDigests { .. } => false,
+            | Self::QuarantineDigests { .. } => false,
         }
     }
 }
--- a/crates/ploverwick_gateway/src/main.rs
+++ b/crates/ploverwick_gateway/src/main.rs
@@ -90,9 +90,9 @@
                 /// Serves counters and histograms on this port of the instance's address.
                 optional --metrics port: u16
             }
-            /// Shows the requests that are refused as endpoints ended under them.
+            /// Shows the requests that are refused as endpoints crashed under them.
             cmd quarantine {
-                /// Prints them, the last proved first.
+                /// Prints them, the last refused first.
                 cmd list {
                     /// The store, as IP:PORT.
                     required --store store: SocketAddr
--- a/crates/ploverwick_gateway/src/metrics.rs
+++ b/crates/ploverwick_gateway/src/metrics.rs
@@ -15,7 +15,7 @@
 use metrics::{counter, gauge, histogram};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use ploverwick_names::Moment;
-use ploverwick_quarantine::Proof;
+use ploverwick_quarantine::Diagnosis;
 use ploverwick_topics::Reading;
 use tokio::net::TcpListener;
 
@@ -103,17 +103,17 @@
 }
 
 /// Counts requests whose connections to an endpoint broke, by what became of the endpoint.
-pub(crate) fn broken(proof: Proof, requests: usize) {
-    counter!("ploverwick_broken_requests_total", "endpoint" => proof.name())
+pub(crate) fn broken(diagnosis: Diagnosis, requests: usize) {
+    counter!("ploverwick_broken_requests_total", "endpoint" => diagnosis.name())
         .increment(requests as u64);
 }
 
-/// Counts a request that was refused as endpoints end under it.
+/// Counts a request that was refused as endpoints crash under it.
 pub(crate) fn fatal_refused() {
     counter!("ploverwick_fatal_refused_total").increment(1);
 }
 
-/// Says how many requests are refused as endpoints end under them.
+/// Says how many requests are refused as endpoints crash under them.
 pub(crate) fn quarantined(requests: usize) {
     gauge!("ploverwick_quarantined").set(requests as f64);
 }
--- a/crates/ploverwick_gateway/src/quarantine.rs
+++ b/crates/ploverwick_gateway/src/quarantine.rs
@@ -7,54 +7,54 @@
 use ploverwick_platform::QUARANTINE;
 use ploverwick_platform::quarantine::{decode, encode};
 use ploverwick_platform::store::Store;
-use ploverwick_quarantine::{Case, Fingerprint};
+use ploverwick_quarantine::{Entry, Fingerprint};
 
 /// Partitions do not matter to the topic, which has one.
 const PARTITIONS: u32 = 1;
 
-/// Lists the requests that are refused as endpoints ended under them, the last proved first.
+/// Lists the requests that are refused as endpoints crashed under them, the last refused first.
 ///
 /// # Errors
 /// Fails if the store does not answer.
-pub async fn list(store: SocketAddr) -> Result<Vec<Case>> {
-    let cases = read(&Store::new(store, PARTITIONS)).await?;
-    let refused = cases.into_iter().filter(Case::is_refused);
-    let mut refused: Vec<Case> = refused.collect();
-    refused.sort_by_key(|case| case.age_s);
+pub async fn list(store: SocketAddr) -> Result<Vec<Entry>> {
+    let entries = read(&Store::new(store, PARTITIONS)).await?;
+    let refused = entries.into_iter().filter(Entry::is_refused);
+    let mut refused: Vec<Entry> = refused.collect();
+    refused.sort_by_key(|entry| entry.age_s);
     Ok(refused)
 }
 
-/// Lets a request through again; instances hear of it within a second or two. If it ends three more
+/// Lets a request through again; instances hear of it within a second or two. If it crashes three more
 /// endpoints it is refused again.
 ///
 /// # Errors
-/// Fails if it is not refused, or if the store does not answer; in the last case it may be let through all
+/// Fails if it is not refused, or if the store does not answer; in the last entry it may be let through all
 /// the same.
 pub async fn release(store: SocketAddr, fingerprint: Fingerprint) -> Result<()> {
     let store = Store::new(store, PARTITIONS);
-    let cases = read(&store).await?;
-    let case = cases
+    let entries = read(&store).await?;
+    let entry = entries
         .iter()
-        .find(|case| case.fingerprint == fingerprint && case.is_refused());
-    let Some(case) = case else {
+        .find(|entry| entry.fingerprint == fingerprint && entry.is_refused());
+    let Some(entry) = entry else {
         bail!("{fingerprint} is not refused; `quarantine list` shows what is");
     };
-    let (key, value) = encode(&case.cleared(), unix_ms());
+    let (key, value) = encode(&entry.after_reset(), unix_ms());
     let written = store.put(QUARANTINE, &key, Some(&value)).await;
     written.context("release the request; look with `quarantine list` before trying again")
 }
 
-async fn read(store: &Store) -> Result<Vec<Case>> {
+async fn read(store: &Store) -> Result<Vec<Entry>> {
     let now_ms = unix_ms();
     let snapshot = store.newest(QUARANTINE).await?;
-    let mut cases = Vec::new();
+    let mut entries = Vec::new();
     for record in &snapshot.records {
         match decode(record, now_ms) {
-            Ok(case) => cases.extend(case),
+            Ok(entry) => entries.extend(entry),
             Err(error) => eprintln!("passed over {}: {error}", record.key),
         }
     }
-    Ok(cases)
+    Ok(entries)
 }
 
 /// Returns the time of day, in milliseconds of Unix time.
--- a/crates/ploverwick_gateway/src/case_news.rs
+++ b/crates/ploverwick_gateway/src/quarantine_news.rs
@@ -14,7 +14,7 @@
 }
 
 impl News {
-    /// Says that what is held against a request has changed here.
+    /// Says that what is counted against a request has changed here.
     pub(crate) fn add(&self, fingerprint: Fingerprint) {
         let mut waiting = self.waiting.lock().expect("no holder of the lock panics");
         waiting.insert(fingerprint);
--- a/crates/ploverwick_gateway/src/shared.rs
+++ b/crates/ploverwick_gateway/src/shared.rs
@@ -15,13 +15,13 @@
 use ploverwick_topics::Circle;
 use tokio::sync::{Notify, watch};
 
-use crate::case_news::News;
 use crate::clock::Clock;
 use crate::journal::Lines;
 use crate::mail::Mail;
 use crate::metrics;
 use crate::outbox::Outbox;
 use crate::pool::Pool;
+use crate::quarantine_news::News;
 use crate::state::{Listing, PEER_AGE, State, place};
 use crate::topics::{Inboxes, Topic};
 
@@ -45,8 +45,8 @@
     pub(crate) pool: Pool,
     pub(crate) mail: Mail,
     pub(crate) outbox: Outbox,
-    /// What is to be told of requests that endpoints ended under.
-    pub(crate) case_news: News,
+    /// What is to be told of crashes that are counted against requests.
+    pub(crate) quarantine_news: News,
     pub(crate) lines: Lines,
     /// Whether clients' connections can be taken.
     takes_connections: AtomicBool,
@@ -89,7 +89,7 @@
             clock,
             mail,
             outbox: Outbox::default(),
-            case_news: News::default(),
+            quarantine_news: News::default(),
             lines: Lines::default(),
             placed: Notify::new(),
             inboxes: Inboxes::default(),
--- a/crates/ploverwick_gateway/src/state.rs
+++ b/crates/ploverwick_gateway/src/state.rs
@@ -108,7 +108,7 @@
     pub(crate) uses: HashMap<(Arc<str>, Copy), u32>,
     /// The connections to endpoints that broke under requests lately.
     pub(crate) breaks: Breaks,
-    /// The requests that endpoints ended under.
+    /// The requests that endpoints crashed under.
     pub(crate) quarantine: Quarantine,
 }
 
--- a/crates/ploverwick_gateway/src/tell.rs
+++ b/crates/ploverwick_gateway/src/tell.rs
@@ -5,7 +5,7 @@
 //! the product of instances.
 
 mod batches;
-pub(crate) mod cases;
+pub(crate) mod quarantine;
 mod rounds;
 
 use std::net::IpAddr;
--- a/crates/ploverwick_gateway/src/tell/rounds.rs
+++ b/crates/ploverwick_gateway/src/tell/rounds.rs
@@ -28,7 +28,7 @@
 /// How long an instance that left is still told who runs: a restart takes a few seconds, and one in an
 /// outage of the store has nobody else to ask.
 const FORMER: Duration = Duration::from_secs(20);
-/// Each so many of these pauses, digests of holdings and of what is held against requests are told.
+/// Each so many of these pauses, digests of holdings and of of crashes are told.
 const DIGESTS_EVERY: u32 = 14;
 
 /// Sends this instance's state to its peers, again and again.
@@ -82,7 +82,7 @@
         }
         let digests = state.quarantine.digests();
         out.push((
-            Message::CaseDigests {
+            Message::QuarantineDigests {
                 digests,
                 asks: true,
             },
--- a/crates/ploverwick_gateway/src/topics.rs
+++ b/crates/ploverwick_gateway/src/topics.rs
@@ -24,7 +24,7 @@
     Instances,
     /// The operators' table.
     Table,
-    /// The requests that are refused as endpoints end under them.
+    /// The requests that are refused as endpoints crash under them.
     Quarantine,
 }
 
--- a/crates/ploverwick_quarantine/src/breaks.rs
+++ b/crates/ploverwick_quarantine/src/breaks.rs
@@ -20,7 +20,7 @@
 
 /// What became of an endpoint whose connections broke.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Proof {
+pub enum Diagnosis {
     /// Nobody listens at its address.
     Refuses,
     /// Its machine does not answer, and the list has dropped it.
@@ -33,7 +33,7 @@
     Silent,
 }
 
-impl Proof {
+impl Diagnosis {
     /// Returns whether the endpoint's process has ended, unplanned.
     pub fn is_crash(self) -> bool {
         match self {
@@ -69,9 +69,9 @@
 
 #[derive(Debug)]
 enum Break {
-    /// The requests that wait for a proof.
+    /// The requests that wait for a diagnosis.
     Open(Vec<Suspect>),
-    Proved(Proof),
+    Diagnosed(Diagnosis),
 }
 
 /// The endpoints, by life, whose connections broke lately.
@@ -93,17 +93,17 @@
                     }
                     Finding::Pending
                 }
-                Break::Proved(proof) if proof.is_crash() => Finding::Crashed(suspect),
-                Break::Proved(_) => Finding::Spared,
+                Break::Diagnosed(diagnosis) if diagnosis.is_crash() => Finding::Crashed(suspect),
+                Break::Diagnosed(_) => Finding::Spared,
             },
         }
     }
 
     /// Takes in what became of the endpoint, and returns the requests that waited for it.
-    pub fn proved(&mut self, life: &Arc<str>, proof: Proof) -> Vec<Suspect> {
-        match self.0.insert(Arc::clone(life), Break::Proved(proof)) {
+    pub fn diagnosed(&mut self, life: &Arc<str>, diagnosis: Diagnosis) -> Vec<Suspect> {
+        match self.0.insert(Arc::clone(life), Break::Diagnosed(diagnosis)) {
             Some(Break::Open(suspects)) => suspects,
-            Some(Break::Proved(_)) | None => Vec::new(),
+            Some(Break::Diagnosed(_)) | None => Vec::new(),
         }
     }
 
--- a/crates/ploverwick_quarantine/src/quarantine.rs
+++ b/crates/ploverwick_quarantine/src/quarantine.rs
@@ -1,11 +1,11 @@
-//! The requests that endpoints ended under, and those that are refused for it.
+//! The requests that endpoints crashed under, and those that are refused for it.
 
 use std::collections::HashMap;
 use std::time::Duration;
 
 use ploverwick_names::Moment;
 
-use crate::{Case, Crash, Fingerprint, PROOF};
+use crate::{Crash, Entry, Fingerprint, THRESHOLD};
 
 /// The most requests that are remembered: some 100 bytes each, 0.4 MB. Thirty endpoints that end at once with
 /// sixty requests each add 1,800.
@@ -15,22 +15,22 @@
 
 /// What follows for a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Standing {
-    /// Nothing is held against it.
+pub enum Status {
+    /// Nothing is counted against it.
     Clear,
-    /// So many endpoints ended under it.
+    /// So many endpoints crashed under it.
     Suspected(usize),
     /// It is refused.
     Refused,
 }
 
-impl Standing {
+impl Status {
     /// Returns whether the system may send it to a second endpoint of its own accord. If one more crash
-    /// would prove it, the caller has to ask again: it is the caller's request that is at stake then.
+    /// would refuse it, the caller has to ask again: it is the caller's request that is at stake then.
     pub fn may_repeat(self) -> bool {
         match self {
             Self::Clear => true,
-            Self::Suspected(crashes) => crashes + 1 < PROOF,
+            Self::Suspected(crashes) => crashes + 1 < THRESHOLD,
             Self::Refused => false,
         }
     }
@@ -40,9 +40,9 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Change {
     /// Nothing.
-    Known,
+    Unchanged,
     /// Something, and the request is refused or not as before.
-    Noted,
+    Updated,
     /// The request is refused from now on.
     Refused,
     /// The request is no longer refused.
@@ -51,13 +51,13 @@
 
 #[derive(Debug)]
 struct Kept {
-    case: Case,
+    entry: Entry,
     /// How long ago it last changed when it came here, perhaps before this process started.
     age: Duration,
     /// When it came.
     at: Moment,
     /// Whether this instance has seen one of the crashes itself.
-    is_witness: bool,
+    is_seen_here: bool,
 }
 
 impl Kept {
@@ -66,171 +66,176 @@
     }
 
     fn has_lapsed(&self, now: Moment) -> bool {
-        self.age(now) >= self.case.lapse()
+        self.age(now) >= self.entry.lapse()
     }
 
     /// Returns what is dropped last where there is too much: the same at all instances.
     fn rank(&self) -> (usize, u32, Fingerprint) {
-        let case = &self.case;
-        (case.crashes.len(), case.clearings, case.fingerprint)
+        let entry = &self.entry;
+        (entry.crashes.len(), entry.resets, entry.fingerprint)
     }
 }
 
-/// The requests that endpoints ended under.
+/// The requests that endpoints crashed under.
 #[derive(Debug, Default)]
 pub struct Quarantine {
-    cases: HashMap<Fingerprint, Kept>,
-    /// The sums of the cases' digests, kept up to date: they are compared many times for each change.
+    entries: HashMap<Fingerprint, Kept>,
+    /// The sums of the entries' digests, kept up to date: they are compared many times for each change.
     digests: [u64; PARTS],
 }
 
 impl Quarantine {
-    /// Returns whether nothing is held against any request.
+    /// Returns whether nothing is counted against any request.
     pub fn is_empty(&self) -> bool {
-        self.cases.is_empty()
+        self.entries.is_empty()
     }
 
     /// Counts the requests that are refused.
     pub fn refused(&self) -> usize {
-        let cases = self.cases.values();
-        cases.filter(|kept| kept.case.is_proved()).count()
+        let entries = self.entries.values();
+        entries.filter(|kept| kept.entry.is_at_threshold()).count()
     }
 
     /// Returns what follows for a request.
-    pub fn standing(&self, fingerprint: &Fingerprint, now: Moment) -> Standing {
-        let kept = self.cases.get(fingerprint);
+    pub fn status(&self, fingerprint: &Fingerprint, now: Moment) -> Status {
+        let kept = self.entries.get(fingerprint);
         let kept = kept.filter(|kept| !kept.has_lapsed(now));
-        match kept.map_or(0, |kept| kept.case.crashes.len()) {
-            0 => Standing::Clear,
-            crashes if crashes < PROOF => Standing::Suspected(crashes),
-            _ => Standing::Refused,
+        match kept.map_or(0, |kept| kept.entry.crashes.len()) {
+            0 => Status::Clear,
+            crashes if crashes < THRESHOLD => Status::Suspected(crashes),
+            _ => Status::Refused,
         }
     }
 
-    /// Takes in that this instance saw an endpoint end under a request; returns its case, to be told.
-    pub fn blame(&mut self, fingerprint: Fingerprint, crash: Crash, now: Moment) -> (Change, Case) {
-        let mut case = self.case(&fingerprint, now);
-        case.crashes = vec![crash];
-        case.age_s = 0;
-        let change = self.take(&case, now);
-        if let Some(kept) = self.cases.get_mut(&fingerprint) {
-            kept.is_witness = true;
+    /// Takes in that this instance saw an endpoint crash under a request; returns its entry, to be told.
+    pub fn record_crash(
+        &mut self,
+        fingerprint: Fingerprint,
+        crash: Crash,
+        now: Moment,
+    ) -> (Change, Entry) {
+        let mut entry = self.entry(&fingerprint, now);
+        entry.crashes = vec![crash];
+        entry.age_s = 0;
+        let change = self.take(&entry, now);
+        if let Some(kept) = self.entries.get_mut(&fingerprint) {
+            kept.is_seen_here = true;
         }
-        (change, self.case(&fingerprint, now))
+        (change, self.entry(&fingerprint, now))
     }
 
-    /// Takes in that a request came to a good end, which proves that it need not end what runs it; returns
-    /// its case, to be told, if something was held against it.
-    pub fn clear(&mut self, fingerprint: &Fingerprint, now: Moment) -> Option<(Change, Case)> {
-        if self.standing(fingerprint, now) == Standing::Clear {
+    /// Takes in that a request succeeded, which proves that it need not crash what runs it; returns
+    /// its entry, to be told, if something was counted against it.
+    pub fn reset(&mut self, fingerprint: &Fingerprint, now: Moment) -> Option<(Change, Entry)> {
+        if self.status(fingerprint, now) == Status::Clear {
             return None;
         }
-        let case = self.case(fingerprint, now).cleared();
-        let change = self.take(&case, now);
-        Some((change, case))
+        let entry = self.entry(fingerprint, now).after_reset();
+        let change = self.take(&entry, now);
+        Some((change, entry))
     }
 
-    /// Takes in a case of another instance, or of an earlier life.
-    pub fn take(&mut self, case: &Case, now: Moment) -> Change {
-        let age = Duration::from_secs(case.age_s.into());
-        if age >= case.lapse() {
-            return Change::Known;
+    /// Takes in a entry of another instance, or of an earlier life.
+    pub fn take(&mut self, entry: &Entry, now: Moment) -> Change {
+        let age = Duration::from_secs(entry.age_s.into());
+        if age >= entry.lapse() {
+            return Change::Unchanged;
         }
-        let before = self.standing(&case.fingerprint, now);
+        let before = self.status(&entry.fingerprint, now);
         let fresh = || Kept {
-            case: Case::clear(case.fingerprint),
+            entry: Entry::new(entry.fingerprint),
             age,
             at: now,
-            is_witness: false,
+            is_seen_here: false,
         };
-        let kept = self.remove(&case.fingerprint);
+        let kept = self.remove(&entry.fingerprint);
         let kept = kept.filter(|kept| !kept.has_lapsed(now));
         let mut kept = kept.unwrap_or_else(fresh);
-        let has_changed = kept.case.merge(case);
+        let has_changed = kept.entry.merge(entry);
         if has_changed {
             kept.age = kept.age(now).min(age);
             kept.at = now;
         }
-        if kept.case != Case::clear(case.fingerprint) {
+        if kept.entry != Entry::new(entry.fingerprint) {
             self.insert(kept);
         }
         self.bound();
-        match (before, self.standing(&case.fingerprint, now)) {
-            (Standing::Refused, Standing::Refused) => Change::Known,
-            (_, Standing::Refused) => Change::Refused,
-            (Standing::Refused, _) => Change::Released,
-            _ if has_changed => Change::Noted,
-            _ => Change::Known,
+        match (before, self.status(&entry.fingerprint, now)) {
+            (Status::Refused, Status::Refused) => Change::Unchanged,
+            (_, Status::Refused) => Change::Refused,
+            (Status::Refused, _) => Change::Released,
+            _ if has_changed => Change::Updated,
+            _ => Change::Unchanged,
         }
     }
 
-    /// Returns whether this instance has seen an endpoint end under a request.
-    pub fn is_witness(&self, fingerprint: &Fingerprint) -> bool {
-        let kept = self.cases.get(fingerprint);
-        kept.is_some_and(|kept| kept.is_witness)
+    /// Returns whether this instance has seen an endpoint crash under a request.
+    pub fn is_seen_here(&self, fingerprint: &Fingerprint) -> bool {
+        let kept = self.entries.get(fingerprint);
+        kept.is_some_and(|kept| kept.is_seen_here)
     }
 
     /// Drops what has lapsed; returns the requests that are no longer refused.
     pub fn sweep(&mut self, now: Moment) -> Vec<Fingerprint> {
-        let cases = self.cases.values();
-        let lapsed = cases.filter(|kept| kept.has_lapsed(now));
-        let lapsed: Vec<Fingerprint> = lapsed.map(|kept| kept.case.fingerprint).collect();
+        let entries = self.entries.values();
+        let lapsed = entries.filter(|kept| kept.has_lapsed(now));
+        let lapsed: Vec<Fingerprint> = lapsed.map(|kept| kept.entry.fingerprint).collect();
         let dropped = lapsed.iter().filter_map(|lapsed| self.remove(lapsed));
-        let released = dropped.filter(|kept| kept.case.is_proved());
-        released.map(|kept| kept.case.fingerprint).collect()
+        let released = dropped.filter(|kept| kept.entry.is_at_threshold());
+        released.map(|kept| kept.entry.fingerprint).collect()
     }
 
-    /// Returns a number for each part of the requests; where those of two instances differ, so do cases.
+    /// Returns a number for each part of the requests; where those of two instances differ, so do entries.
     pub fn digests(&self) -> [u64; PARTS] {
         self.digests
     }
 
-    /// Lists the cases of the parts in which another instance has other digests.
-    pub fn differing(&self, other: &[u64; PARTS], now: Moment) -> Vec<Case> {
+    /// Lists the entries of the parts in which another instance has other digests.
+    pub fn differing(&self, other: &[u64; PARTS], now: Moment) -> Vec<Entry> {
         if self.digests == *other {
             return Vec::new();
         }
-        let cases = self.cases.values();
-        let cases = cases.filter(|kept| {
-            let part = kept.case.fingerprint.part(PARTS);
+        let entries = self.entries.values();
+        let entries = entries.filter(|kept| {
+            let part = kept.entry.fingerprint.part(PARTS);
             self.digests[part] != other[part]
         });
-        cases.map(|kept| aged(kept, now)).collect()
+        entries.map(|kept| aged(kept, now)).collect()
     }
 
-    /// Returns what is held against a request.
-    pub fn case(&self, fingerprint: &Fingerprint, now: Moment) -> Case {
-        let kept = self.cases.get(fingerprint);
-        kept.map_or_else(|| Case::clear(*fingerprint), |kept| aged(kept, now))
+    /// Returns what is counted against a request.
+    pub fn entry(&self, fingerprint: &Fingerprint, now: Moment) -> Entry {
+        let kept = self.entries.get(fingerprint);
+        kept.map_or_else(|| Entry::new(*fingerprint), |kept| aged(kept, now))
     }
 
     /// Drops those that matter least if there are too many.
     fn bound(&mut self) {
-        if self.cases.len() <= MOST {
+        if self.entries.len() <= MOST {
             return;
         }
-        let least = self.cases.values().min_by_key(|kept| kept.rank());
-        if let Some(least) = least.map(|kept| kept.case.fingerprint) {
+        let least = self.entries.values().min_by_key(|kept| kept.rank());
+        if let Some(least) = least.map(|kept| kept.entry.fingerprint) {
             self.remove(&least);
         }
     }
 
     fn insert(&mut self, kept: Kept) {
-        self.digests[kept.case.fingerprint.part(PARTS)] ^= kept.case.digest();
-        self.cases.insert(kept.case.fingerprint, kept);
+        self.digests[kept.entry.fingerprint.part(PARTS)] ^= kept.entry.digest();
+        self.entries.insert(kept.entry.fingerprint, kept);
     }
 
     fn remove(&mut self, fingerprint: &Fingerprint) -> Option<Kept> {
-        let kept = self.cases.remove(fingerprint)?;
-        self.digests[fingerprint.part(PARTS)] ^= kept.case.digest();
+        let kept = self.entries.remove(fingerprint)?;
+        self.digests[fingerprint.part(PARTS)] ^= kept.entry.digest();
         Some(kept)
     }
 }
 
-fn aged(kept: &Kept, now: Moment) -> Case {
+fn aged(kept: &Kept, now: Moment) -> Entry {
     let age = kept.age(now).as_secs();
-    Case {
+    Entry {
         age_s: u32::try_from(age).unwrap_or(u32::MAX),
-        ..kept.case.clone()
+        ..kept.entry.clone()
     }
 }
--- a/crates/ploverwick_quarantine/tests/case_histories.rs
+++ b/crates/ploverwick_quarantine/tests/entry_histories.rs
@@ -1,11 +1,11 @@
 //! What instances hold against requests: in whatever order, however often and late news comes, all come to
-//! the same, and little of it is held against those that only were there.
+//! the same, and little of it is counted against those that only were there.
 
 use std::time::Duration;
 
 use googletest::prelude::*;
 use ploverwick_names::Moment;
-use ploverwick_quarantine::{Case, Change, Crash, Fingerprint, Quarantine, Standing};
+use ploverwick_quarantine::{Change, Crash, Entry, Fingerprint, Quarantine, Status};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, TestRunner};
 use rand::rngs::SmallRng;
@@ -30,12 +30,12 @@
 fn seen(crashes: &[usize]) -> Quarantine {
     let mut quarantine = Quarantine::default();
     for number in crashes {
-        quarantine.blame(request(0), crash(*number), START);
+        quarantine.record_crash(request(0), crash(*number), START);
     }
     quarantine
 }
 
-fn all(quarantine: &Quarantine, now: Moment) -> Vec<Case> {
+fn all(quarantine: &Quarantine, now: Moment) -> Vec<Entry> {
     let other = quarantine.digests().map(|digest| !digest);
     quarantine.differing(&other, now)
 }
@@ -43,32 +43,32 @@
 #[gtest]
 fn third_crash_refuses() {
     let mut quarantine = Quarantine::default();
-    let standing = |quarantine: &Quarantine| quarantine.standing(&request(0), START);
-    expect_that!(standing(&quarantine), eq(Standing::Clear));
-    for (number, change) in [Change::Noted, Change::Noted, Change::Refused]
+    let status = |quarantine: &Quarantine| quarantine.status(&request(0), START);
+    expect_that!(status(&quarantine), eq(Status::Clear));
+    for (number, change) in [Change::Updated, Change::Updated, Change::Refused]
         .into_iter()
         .enumerate()
     {
-        let (changed, _) = quarantine.blame(request(0), crash(number), START);
+        let (changed, _) = quarantine.record_crash(request(0), crash(number), START);
         expect_that!(changed, eq(change));
     }
-    expect_that!(standing(&quarantine), eq(Standing::Refused));
+    expect_that!(status(&quarantine), eq(Status::Refused));
     expect_that!(quarantine.refused(), eq(1));
-    let other = quarantine.standing(&request(1), START);
-    expect_that!(other, eq(Standing::Clear));
+    let other = quarantine.status(&request(1), START);
+    expect_that!(other, eq(Status::Clear));
 }
 
 /// Several instances have the request under way at the endpoint that ends, or hear of it twice.
 #[gtest]
 fn crash_counts_once() {
     let mut one = seen(&[0, 0, 1]);
-    for case in all(&seen(&[1, 0]), START) {
-        one.take(&case, START);
-        one.take(&case, START);
+    for entry in all(&seen(&[1, 0]), START) {
+        one.take(&entry, START);
+        one.take(&entry, START);
     }
-    let standing = one.standing(&request(0), START);
-    expect_that!(standing, eq(Standing::Suspected(2)));
-    expect_that!(standing.may_repeat(), eq(false));
+    let status = one.status(&request(0), START);
+    expect_that!(status, eq(Status::Suspected(2)));
+    expect_that!(status.may_repeat(), eq(false));
 }
 
 /// Each of three instances saw one of the crashes.
@@ -76,44 +76,41 @@
 fn crashes_add_up() {
     let mut one = seen(&[0]);
     for other in [seen(&[1]), seen(&[2])] {
-        for case in all(&other, START) {
-            one.take(&case, START);
+        for entry in all(&other, START) {
+            one.take(&entry, START);
         }
     }
-    expect_that!(one.standing(&request(0), START), eq(Standing::Refused));
+    expect_that!(one.status(&request(0), START), eq(Status::Refused));
 }
 
-/// A good end proves that the request need not end what runs it; what was seen before says nothing then.
+/// A success proves that the request need not crash what runs it; what was seen before says nothing then.
 #[gtest]
 fn good_end_clears() {
     let mut one = seen(&[0, 1, 2]);
     let before = all(&one, START);
     let (change, _) = one
-        .clear(&request(0), START)
-        .expect("something was held against it");
+        .reset(&request(0), START)
+        .expect("something was counted against it");
     expect_that!(change, eq(Change::Released));
-    for case in before {
-        expect_that!(one.take(&case, START), eq(Change::Known));
+    for entry in before {
+        expect_that!(one.take(&entry, START), eq(Change::Unchanged));
     }
-    expect_that!(one.standing(&request(0), START), eq(Standing::Clear));
-    expect_that!(one.clear(&request(0), START), none());
+    expect_that!(one.status(&request(0), START), eq(Status::Clear));
+    expect_that!(one.reset(&request(0), START), none());
 }
 
 #[gtest]
 fn cases_lapse() {
     let mut one = seen(&[0, 1]);
-    one.blame(request(1), crash(7), START);
-    one.blame(request(0), crash(2), after(10));
+    one.record_crash(request(1), crash(7), START);
+    one.record_crash(request(0), crash(2), after(10));
     let day = 24 * 60 * 60;
     expect_that!(
-        one.standing(&request(1), after(3_599)),
-        eq(Standing::Suspected(1))
-    );
-    expect_that!(one.standing(&request(1), after(3_600)), eq(Standing::Clear));
-    expect_that!(
-        one.standing(&request(0), after(day + 9)),
-        eq(Standing::Refused)
+        one.status(&request(1), after(3_599)),
+        eq(Status::Suspected(1))
     );
+    expect_that!(one.status(&request(1), after(3_600)), eq(Status::Clear));
+    expect_that!(one.status(&request(0), after(day + 9)), eq(Status::Refused));
     expect_that!(one.sweep(after(day + 10)), elements_are![eq(&request(0))]);
     expect_that!(one.is_empty(), eq(true));
 }
@@ -123,20 +120,14 @@
 fn age_is_told() {
     let one = seen(&[0, 1, 2]);
     let mut young = Quarantine::default();
-    for case in all(&one, after(80_000)) {
-        young.take(&case, after(1));
+    for entry in all(&one, after(80_000)) {
+        young.take(&entry, after(1));
     }
-    expect_that!(
-        young.standing(&request(0), after(6_000)),
-        eq(Standing::Refused)
-    );
-    expect_that!(
-        young.standing(&request(0), after(6_401)),
-        eq(Standing::Clear)
-    );
+    expect_that!(young.status(&request(0), after(6_000)), eq(Status::Refused));
+    expect_that!(young.status(&request(0), after(6_401)), eq(Status::Clear));
     let mut old = Quarantine::default();
-    for case in all(&one, after(90_000)) {
-        expect_that!(old.take(&case, after(1)), eq(Change::Known));
+    for entry in all(&one, after(90_000)) {
+        expect_that!(old.take(&entry, after(1)), eq(Change::Unchanged));
     }
 }
 
@@ -151,29 +142,29 @@
         } else {
             &mut one
         };
-        keeper.blame(request(number), crash(number), START);
+        keeper.record_crash(request(number), crash(number), START);
     }
     let (of_one, of_other) = (one.digests(), other.digests());
     let to_other = one.differing(&of_other, START);
-    for case in other.differing(&of_one, START) {
-        one.take(&case, START);
+    for entry in other.differing(&of_one, START) {
+        one.take(&entry, START);
     }
-    for case in to_other {
-        other.take(&case, START);
+    for entry in to_other {
+        other.take(&entry, START);
     }
     expect_that!(one.digests(), eq(other.digests()));
     expect_that!(one.differing(&other.digests(), START), is_empty());
 }
 
-/// A caller who has thousands of requests under way where endpoints end pushes out no proof.
+/// A caller who has thousands of requests under way where endpoints end pushes out no diagnosis.
 #[gtest]
 fn room_is_bounded() {
     let mut one = seen(&[0, 1, 2]);
     for number in 1..6_000 {
-        one.blame(request(number), crash(number), START);
+        one.record_crash(request(number), crash(number), START);
     }
     expect_that!(all(&one, START).len(), eq(4_096));
-    expect_that!(one.standing(&request(0), START), eq(Standing::Refused));
+    expect_that!(one.status(&request(0), START), eq(Status::Refused));
 }
 
 /// What a message of another build may hold.
@@ -181,9 +172,9 @@
 fn odd_cases_are_put_right() {
     let mut crashes: Vec<Crash> = (0..9).map(crash).collect();
     crashes.push(crash(0));
-    let odd = Case {
+    let odd = Entry {
         fingerprint: request(0),
-        clearings: 2,
+        resets: 2,
         crashes,
         age_s: 0,
     };
@@ -227,26 +218,26 @@
                     request: number,
                     crash: end,
                 } => {
-                    news.push(instance.blame(request(number), crash(end), START).1);
+                    news.push(instance.record_crash(request(number), crash(end), START).1);
                 }
                 Seen::GoodEnd { request: number } => {
                     news.extend(
                         instance
-                            .clear(&request(number), START)
-                            .map(|(_, case)| case),
+                            .reset(&request(number), START)
+                            .map(|(_, entry)| entry),
                     );
                 }
             }
-            if let Some(case) = news.get(random.random_range(0..news.len().max(1))).cloned() {
-                instances[random.random_range(0..4)].take(&case, START);
+            if let Some(entry) = news.get(random.random_range(0..news.len().max(1))).cloned() {
+                instances[random.random_range(0..4)].take(&entry, START);
             }
         }
         for instance in &mut instances {
             let mut late = news.clone();
             late.extend(news.iter().take(5).cloned());
             late.shuffle(&mut random);
-            for case in &late {
-                instance.take(case, START);
+            for entry in &late {
+                instance.take(entry, START);
             }
         }
         for instance in &instances {
@@ -260,7 +251,7 @@
 /// The share of requests that are refused though they end nothing, where their endpoint ends for another
 /// cause in one of `odds` runs and callers try three times: computed, one in the third power of it.
 #[gtest]
-fn few_innocents_are_refused() {
+fn few_bystanders_are_refused() {
     for (odds, most) in [(10, 1.4e-3), (40, 4.0e-5)] {
         let mut random = SmallRng::seed_from_u64(odds);
         let (requests, mut refused) = (200_000, 0);
@@ -268,10 +259,10 @@
             let mut quarantine = Quarantine::default();
             for run in 0..3 {
                 if random.random_range(0..odds) == 0 {
-                    quarantine.blame(request(number), crash(run), START);
+                    quarantine.record_crash(request(number), crash(run), START);
                 } else {
-                    // A good end, after which the caller does not ask again.
-                    quarantine.clear(&request(number), START);
+                    // A success, after which the caller does not ask again.
+                    quarantine.reset(&request(number), START);
                     break;
                 }
             }
--- a/crates/ploverwick_quarantine/tests/fleet_histories.rs
+++ b/crates/ploverwick_quarantine/tests/fleet_histories.rs
@@ -1,4 +1,4 @@
-//! A whole fleet before one request that ends what runs it: messages are lost and late, instances are killed
+//! A whole fleet before one request that crashes what runs it: messages are lost and late, instances are killed
 //! and start again, one by one or all at once, and the request keeps coming, at times to several at once.
 //!
 //! Seen: a request ended eighteen endpoints. What must hold: once three have ended, and news had three seconds
@@ -8,7 +8,7 @@
 
 use googletest::prelude::*;
 use ploverwick_names::Moment;
-use ploverwick_quarantine::{Case, Change, Crash, Fingerprint, PARTS, Quarantine, Standing};
+use ploverwick_quarantine::{Change, Crash, Entry, Fingerprint, PARTS, Quarantine, Status};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
@@ -40,8 +40,8 @@
     Comes(usize),
     /// The endpoint that an instance sent it to ends, in a life of the instance.
     Ends { at: usize, life: u32 },
-    /// Cases reach an instance.
-    Told { to: usize, cases: Vec<Case> },
+    /// Quarantined reach an instance.
+    Told { to: usize, entries: Vec<Entry> },
     /// An instance compares with another one.
     Compares {
         from: usize,
@@ -70,7 +70,7 @@
     events: BTreeMap<(u64, u64), Event>,
     numbered: u64,
     instances: Vec<Instance>,
-    store: Vec<Case>,
+    store: Vec<Entry>,
     ended: usize,
     third_at: Option<u64>,
     /// The sends that count against the bound.
@@ -144,11 +144,11 @@
         self.add(at, event);
     }
 
-    fn tell(&mut self, from: usize, case: &Case) {
+    fn tell(&mut self, from: usize, entry: &Entry) {
         for to in (0..INSTANCES).filter(|to| *to != from) {
             let told = Event::Told {
                 to,
-                cases: vec![case.clone()],
+                entries: vec![entry.clone()],
             };
             self.send(told.clone());
             self.now += AGAIN;
@@ -159,9 +159,9 @@
 
     fn write(&mut self, at: usize) {
         let now = Moment(self.now);
-        let case = self.instances[at].quarantine.case(&request(), now);
+        let entry = self.instances[at].quarantine.entry(&request(), now);
         if self.without != Without::Store {
-            self.store.push(case);
+            self.store.push(entry);
         }
     }
 
@@ -188,14 +188,17 @@
                 // What an instance saw that was killed meanwhile is lost with it.
                 if self.instances[at].life == life {
                     let crash = Crash::of(&format!("i-{}", self.ended));
-                    let (change, case) = self.instances[at].quarantine.blame(request(), crash, now);
+                    let (change, entry) =
+                        self.instances[at]
+                            .quarantine
+                            .record_crash(request(), crash, now);
                     if change == Change::Refused {
                         self.write(at);
                     }
-                    self.tell(at, &case);
+                    self.tell(at, &entry);
                 }
             }
-            Event::Told { to, cases } => self.hear(to, &cases),
+            Event::Told { to, entries } => self.hear(to, &entries),
             Event::Turn(from) => {
                 let to = self.random.random_range(0..INSTANCES);
                 let quarantine = &self.instances[from].quarantine;
@@ -218,8 +221,8 @@
             } => {
                 let quarantine = &self.instances[to].quarantine;
                 let own = quarantine.digests();
-                let cases = quarantine.differing(&digests, now);
-                self.send(Event::Told { to: from, cases });
+                let entries = quarantine.differing(&digests, now);
+                self.send(Event::Told { to: from, entries });
                 if asks && own != digests {
                     self.send(Event::Compares {
                         from: to,
@@ -251,7 +254,7 @@
     fn comes(&mut self, at: usize) {
         let now = Moment(self.now);
         let instance = &self.instances[at];
-        if instance.quarantine.standing(&request(), now) == Standing::Refused {
+        if instance.quarantine.status(&request(), now) == Status::Refused {
             return;
         }
         let is_calm = instance.since == 0 || self.now - instance.since >= CALM;
@@ -262,12 +265,12 @@
         self.add(self.now + runs, Event::Ends { at, life });
     }
 
-    fn hear(&mut self, at: usize, cases: &[Case]) {
+    fn hear(&mut self, at: usize, entries: &[Entry]) {
         let now = Moment(self.now);
-        for case in cases {
+        for entry in entries {
             let quarantine = &mut self.instances[at].quarantine;
-            let change = quarantine.take(case, now);
-            if change == Change::Refused && quarantine.is_witness(&request()) {
+            let change = quarantine.take(entry, now);
+            if change == Change::Refused && quarantine.is_seen_here(&request()) {
                 self.write(at);
             }
         }
@@ -291,7 +294,7 @@
     expect_that!(broken(Without::Telling).len(), ge(100));
 }
 
-/// Where all start again and nobody remembers, the request ends three more each time.
+/// Where all start again and nobody remembers, the request crashes three more each time.
 #[gtest]
 fn store_is_needed() {
     expect_that!(broken(Without::Store), not(is_empty()));
