--- a/crates/ploverwick_gateway/src/controllers/quarantine.rs
+++ b/crates/ploverwick_gateway/src/controllers/quarantine.rs
@@ -1,7 +1,7 @@
 //! Keeps what all instances know of requests that crash endpoints.
 //!
 //! A crash is told to all at once, as the next attempt may come to any of them. What is refused is written to
-//! the store too, for those that start when nobody else runs, and for operators.
+//! the store too, for instances that start when no other one runs, and for operators.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -113,7 +113,7 @@
     metrics::quarantined(shared.state().quarantine.refused());
 }
 
-/// Writes a entry to the store, again while the store is away.
+/// Writes an entry to the store, again while the store is away.
 fn publish(shared: &Arc<Shared>, entry: &Entry) {
     let shared = Arc::clone(shared);
     let (key, value) = encode(entry, unix_ms());
--- a/crates/ploverwick_gateway/src/tell/quarantine.rs
+++ b/crates/ploverwick_gateway/src/tell/quarantine.rs
@@ -11,7 +11,7 @@
 use crate::mail::Message;
 use crate::shared::Shared;
 
-/// How long news is gathered. Where many endpoints end at once, an instance of a large fleet would send
+/// How long news is gathered. Where many endpoints crash at once, an instance of a large fleet would send
 /// a message for each of them to each peer, at a time when requests need its processor.
 const GATHER: Duration = Duration::from_millis(20);
 /// After what time entries that one more crash would refuse, and those that are refused, are told once more: a
@@ -25,9 +25,9 @@
     loop {
         shared.quarantine_news.added().await;
         tokio::time::sleep(GATHER).await;
-        let weighty = tell(&shared, &shared.quarantine_news.take());
-        if !weighty.is_empty() {
-            tokio::spawn(again(Arc::clone(&shared), weighty));
+        let urgent = tell(&shared, &shared.quarantine_news.take());
+        if !urgent.is_empty() {
+            tokio::spawn(again(Arc::clone(&shared), urgent));
         }
     }
 }
@@ -47,8 +47,8 @@
     to.extend(hubs(shared, &state, now));
     drop(state);
     send(shared, &entries, &to);
-    let weighty = entries.iter().filter(|entry| entry.is_near_threshold());
-    weighty.map(|entry| entry.fingerprint).collect()
+    let urgent = entries.iter().filter(|entry| entry.is_near_threshold());
+    urgent.map(|entry| entry.fingerprint).collect()
 }
 
 fn send(shared: &Shared, entries: &[Entry], to: &[IpAddr]) {
@@ -57,8 +57,8 @@
     }
 }
 
-/// Tells the instance at `ip` what is held here against requests and differs from what it holds, and asks
-/// for the reverse if it asked itself.
+/// Tells the instance at `ip` the entries that differ from its own, and asks for the reverse if it asked
+/// itself.
 pub(crate) fn compare(shared: &Shared, ip: IpAddr, digests: &[u64; PARTS], asks: bool) {
     let now = shared.now();
     let state = shared.state();
--- a/crates/ploverwick_quarantine/src/entry.rs
+++ b/crates/ploverwick_quarantine/src/entry.rs
@@ -7,13 +7,13 @@
 
 use crate::{Crash, Fingerprint};
 
-/// The crashes after which a request is refused. One and two are chance where endpoints end for other
-/// causes while it runs; a third one beside no success is not (see [`crate::Quarantine`]).
+/// The crashes after which a request is refused. One and two are chance where endpoints crash for
+/// other causes while it runs; a third one beside no success is not (see [`crate::Quarantine`]).
 pub const THRESHOLD: usize = 3;
 
-/// How long crashes are counted against a request that is not refused. A request whose endpoint ends for
-/// another cause in one of 40 runs, the rate while another request ends an endpoint each second, is
-/// refused in one of 64,000 rows of three runs of which none ends well.
+/// How long crashes are counted against a request that is not refused. A request whose endpoint crashes
+/// for another cause in one of 40 runs, the rate while another request crashes an endpoint each second,
+/// is refused in one of 64,000 rows of three runs without a success.
 const SUSPECTED: Duration = Duration::from_hours(1);
 /// How long a request stays refused after the third crash. Endpoints may have been mended meanwhile; if not,
 /// it crashes three more a day.
@@ -21,22 +21,22 @@
 
 /// What is counted against one request.
 ///
-/// Quarantined of one request merge in any order, any number of times, to the same entry: the later clearing
-/// counts, and of equal ones all crashes do.
+/// Entries of one request merge in any order, any number of times, to the same entry: the one with more
+/// resets counts, and of equal ones all crashes do.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
     /// The request.
     pub fingerprint: Fingerprint,
-    /// How often it was cleared.
+    /// How often its crashes were reset.
     pub resets: u32,
-    /// The crashes since then that endpoints suffered under it, the least first; [`THRESHOLD`] at most.
+    /// The crashes under it since the last reset, in ascending order; [`THRESHOLD`] at most.
     pub crashes: Vec<Crash>,
     /// How many seconds ago it last changed.
     pub age_s: u32,
 }
 
 impl Entry {
-    /// Makes the entry of a request against which nothing is held.
+    /// Makes the entry of a request without crashes.
     pub fn new(fingerprint: Fingerprint) -> Self {
         Self {
             fingerprint,
@@ -62,7 +62,7 @@
         self.is_at_threshold() && age < self.lapse()
     }
 
-    /// Returns the entry after the request was cleared just now.
+    /// Returns the entry after its crashes were reset just now.
     #[must_use]
     pub fn after_reset(&self) -> Self {
         Self {
--- a/crates/ploverwick_quarantine/src/quarantine.rs
+++ b/crates/ploverwick_quarantine/src/quarantine.rs
@@ -7,7 +7,7 @@
 
 use crate::{Crash, Entry, Fingerprint, THRESHOLD};
 
-/// The most requests that are remembered: some 100 bytes each, 0.4 MB. Thirty endpoints that end at once with
+/// The most requests that are remembered: some 100 bytes each, 0.4 MB. Thirty endpoints that crash at once with
 /// sixty requests each add 1,800.
 const MOST: usize = 4_096;
 /// The parts in which instances compare what they hold, so that a lost message costs the repeat of a part.
@@ -26,7 +26,7 @@
 
 impl Status {
     /// Returns whether the system may send it to a second endpoint of its own accord. If one more crash
-    /// would refuse it, the caller has to ask again: it is the caller's request that is at stake then.
+    /// would refuse it, the caller has to ask again: others would lose their answers for a repeat that nobody asked for.
     pub fn may_repeat(self) -> bool {
         match self {
             Self::Clear => true,
@@ -41,7 +41,7 @@
 pub enum Change {
     /// Nothing.
     Unchanged,
-    /// Something, and the request is refused or not as before.
+    /// Something, but not whether the request is refused.
     Updated,
     /// The request is refused from now on.
     Refused,
@@ -135,7 +135,7 @@
         Some((change, entry))
     }
 
-    /// Takes in a entry of another instance, or of an earlier life.
+    /// Takes in an entry of another instance, or of an earlier life.
     pub fn take(&mut self, entry: &Entry, now: Moment) -> Change {
         let age = Duration::from_secs(entry.age_s.into());
         if age >= entry.lapse() {
