--- a/crates/ploverwick_gateway/src/quarantine.rs
+++ b/crates/ploverwick_gateway/src/quarantine.rs
@@ -28,7 +28,7 @@
 /// endpoints it is refused again.
 ///
 /// # Errors
-/// Fails if it is not refused, or if the store does not answer; in the last entry it may be let through all
+/// Fails if it is not refused, or if the store does not answer; in the last case it may be let through all
 /// the same.
 pub async fn release(store: SocketAddr, fingerprint: Fingerprint) -> Result<()> {
     let store = Store::new(store, PARTITIONS);
--- a/crates/ploverwick_quarantine/tests/entry_histories.rs
+++ b/crates/ploverwick_quarantine/tests/entry_histories.rs
@@ -1,5 +1,5 @@
-//! What instances hold against requests: in whatever order, however often and late news comes, all come to
-//! the same, and little of it is counted against those that only were there.
+//! The crashes that instances count against requests: in whatever order, however often and late news comes,
+//! all come to the same, and few requests are refused that only ran where an endpoint crashed.
 
 use std::time::Duration;
 
@@ -26,7 +26,7 @@
     START + Duration::from_secs(seconds)
 }
 
-/// An instance that saw endpoints end under the first request.
+/// An instance that saw endpoints crash under the first request.
 fn seen(crashes: &[usize]) -> Quarantine {
     let mut quarantine = Quarantine::default();
     for number in crashes {
@@ -85,7 +85,7 @@
 
 /// A success proves that the request need not crash what runs it; what was seen before says nothing then.
 #[gtest]
-fn good_end_clears() {
+fn success_resets() {
     let mut one = seen(&[0, 1, 2]);
     let before = all(&one, START);
     let (change, _) = one
@@ -100,7 +100,7 @@
 }
 
 #[gtest]
-fn cases_lapse() {
+fn entries_lapse() {
     let mut one = seen(&[0, 1]);
     one.record_crash(request(1), crash(7), START);
     one.record_crash(request(0), crash(2), after(10));
@@ -169,7 +169,7 @@
 
 /// What a message of another build may hold.
 #[gtest]
-fn odd_cases_are_put_right() {
+fn odd_entries_are_put_right() {
     let mut crashes: Vec<Crash> = (0..9).map(crash).collect();
     crashes.push(crash(0));
     let odd = Entry {
@@ -188,13 +188,13 @@
 #[derive(Debug, Clone, Copy)]
 enum Seen {
     Crash { request: usize, crash: usize },
-    GoodEnd { request: usize },
+    Success { request: usize },
 }
 
 fn history() -> impl Strategy<Value = Vec<(usize, Seen)>> {
     let seen = prop_oneof![
         4 => (0..3_usize, 0..6_usize).prop_map(|(request, crash)| Seen::Crash { request, crash }),
-        1 => (0..3_usize).prop_map(|request| Seen::GoodEnd { request }),
+        1 => (0..3_usize).prop_map(|request| Seen::Success { request }),
     ];
     prop::collection::vec((0..4_usize, seen), 0..40)
 }
@@ -220,7 +220,7 @@
                 } => {
                     news.push(instance.record_crash(request(number), crash(end), START).1);
                 }
-                Seen::GoodEnd { request: number } => {
+                Seen::Success { request: number } => {
                     news.extend(
                         instance
                             .reset(&request(number), START)
