Identify organisations by their keys, revoke within a bound, pool their quotas

What cannot be read is taken in its strictest sense, named without the key, and costs no other organisation anything.

Revocation: an instance serves keyed requests only while it has a proof that its configuration was the newest less than the bound ago. Proofs come from reads of the store by the first instances of a failure domain, and for the others from answers to questions, whose age counts from the question: neither a slow network nor a peer that stood still makes them younger.

Quotas: each instance owns an even part and lends it for a short time to one that pools them, so that any may pool without a right to it.

listen::take does one step a function, admit reads and counts in functions of their own.

--- a/crates/ploverwick_codes/src/code.rs
+++ b/crates/ploverwick_codes/src/code.rs
@@ -100,6 +100,7 @@
     2012 ResumeUnknown NotRun 409 9 AfterChange "The answer to resume is not held here and the request may not be run again for it." "Send the request again without Last-Event-ID.";
     2013 BodySlow NotRun 408 4 Yes "The body did not arrive in time." "Send the request again over a faster link.";
     2014 CrashesEndpoints NotRun 400 3 AfterChange "Endpoints crashed while they ran this request, three of them; it is not run any more." "Change the request; an operator can let it through again.";
+    2015 KeyUnknown NotRun 401 16 AfterChange "The request carries no API key, more than one, or one that no organisation holds." "Send one valid key in the header for keys; an operator adds keys with a new configuration.";
     3000 Draining NotRun 503 14 Yes "This instance is leaving and takes no new requests." "Repeat the request; the balancer sends it elsewhere.";
     3001 NoTable NotRun 503 14 Yes "No table is in force yet." "Publish a first table; repeat after the hint.";
     3002 NoEndpoint NotRun 503 14 Yes "No live endpoint with a known owner can serve the model." "Repeat after the hint; see ploverwick status.";
@@ -113,6 +114,9 @@
     3010 PeerUnreachable NotRun 503 14 Yes "The owner of the endpoint could not be reached, and nothing was sent." "Repeat after the hint.";
     3011 Cancelled NotRun 499 1 NotNeeded "The caller left before the request was sent to an endpoint." "Nothing to do.";
     3012 NoConfiguration NotRun 503 14 Yes "This instance knows no configuration yet." "Repeat after the hint; see the platform's store if it lasts.";
+    3013 ConfigurationStale NotRun 503 14 Yes "This instance could not confirm lately that its configuration is the newest, so that a key may have been revoked." "Repeat after the hint; other instances may serve. See the platform's store if it lasts.";
+    3014 QuotaReached NotRun 429 8 Yes "The organisation has used what its quota allows." "Repeat after the hint or raise the organisation's quota.";
+    3015 QuotaUnknown NotRun 503 14 Yes "The instance that counts the organisations' use could not be asked in time." "Repeat after the hint.";
     4000 Interrupted MayHaveRun 502 14 IfIdempotent "The answer broke off and cannot be resumed." "Repeat the request if it is idempotent.";
     4001 DeadlineWhileRunning MayHaveRun 504 4 IfIdempotent "The deadline passed while the request was with an endpoint." "Allow more time.";
     4002 OutcomeUnknown MayHaveRun 409 9 IfIdempotent "The request with this key was started by an instance that is gone; its outcome is not known." "Do not repeat it under a new key before checking its effect.";
--- a/crates/ploverwick_gateway/src/controllers.rs
+++ b/crates/ploverwick_gateway/src/controllers.rs
@@ -3,10 +3,12 @@
 pub(crate) mod crashes;
 pub(crate) mod demand;
 mod feed;
+pub(crate) mod freshness;
 pub(crate) mod instances;
 pub(crate) mod operator;
 pub(crate) mod orders;
 pub(crate) mod quarantine;
+pub(crate) mod quotas;
 pub(crate) mod roster;
 mod starting;
 pub(crate) mod table;
--- /dev/null
+++ b/crates/ploverwick_gateway/src/controllers/quotas.rs
@@ -0,0 +1,153 @@
+//! Lends this instance's parts of quotas to a pool, asks it for what requests need, and pools those of others.
+
+use std::net::IpAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ploverwick_names::Moment;
+use ploverwick_quota::{Ask, Given, Lend};
+use ploverwick_routes::Config;
+use tokio::time::Instant;
+
+use crate::mail::{Message, Question};
+use crate::metrics;
+use crate::shared::Shared;
+use crate::state::{Listing, State};
+
+/// How often an instance looks whether an organisation has a quota.
+const IDLE: Duration = Duration::from_millis(250);
+/// The least pause between messages, so that their number does not grow with the requests: a request that
+/// has to wait for one waits this much longer at most.
+const GAP: Duration = Duration::from_millis(10);
+/// How often it is worked out who may pool.
+const RANK: Duration = Duration::from_millis(500);
+
+/// Who may pool, and for how many.
+#[derive(Debug, Default)]
+struct Fleet {
+    pools: Vec<IpAddr>,
+    sharers: usize,
+    at: Option<Moment>,
+}
+
+/// Lends and asks for as long as the process runs.
+pub(crate) async fn keep(shared: Arc<Shared>) {
+    let mut fleet = Fleet::default();
+    loop {
+        if !is_needed(&shared) || !renew(&shared, &mut fleet) {
+            tokio::time::sleep(IDLE).await;
+            continue;
+        }
+        let told = Instant::now();
+        tell(&shared, &fleet);
+        let due = shared.state().purse.due();
+        tokio::select! {
+            () = tokio::time::sleep_until(shared.clock.instant(due)) => {}
+            () = shared.quota_wanted.notified() => {}
+        }
+        tokio::time::sleep_until(told + GAP).await;
+    }
+}
+
+/// Returns whether an organisation has a quota.
+fn is_needed(shared: &Shared) -> bool {
+    let state = shared.state();
+    state
+        .config
+        .as_ref()
+        .is_some_and(|config| config.has_quotas())
+}
+
+/// Works out anew who may pool; `false` as long as the list of instances was not read.
+fn renew(shared: &Shared, fleet: &mut Fleet) -> bool {
+    let now = shared.now();
+    if fleet.at.is_some_and(|at| now.since(at) < RANK) {
+        return true;
+    }
+    let state = shared.state();
+    let Some(sharers) = sharers(shared, &state) else {
+        return false;
+    };
+    *fleet = Fleet {
+        pools: state.by_place(&shared.settings),
+        sharers,
+        at: Some(now),
+    };
+    metrics::quota_pool(state.quota_pool.share(), state.quota_pool.lenders());
+    true
+}
+
+/// Returns how many instances share the quotas. One that is not on the list yet, which takes up to 1.6 s,
+/// counts itself beside those that are.
+fn sharers(shared: &Shared, state: &State) -> Option<usize> {
+    let listed = shared.listed(state);
+    let known = (state.listing != Listing::Unread).then_some(state.peers.len() + 1);
+    listed.max(known)
+}
+
+fn tell(shared: &Shared, fleet: &Fleet) {
+    let now = shared.now();
+    let question = shared.question(now);
+    let own = IpAddr::from(shared.settings.ip);
+    let told = shared.state().purse.tell(&fleet.pools, fleet.sharers, now);
+    for (to, lend) in told {
+        if to == own {
+            let granted = take_in(shared, own, &lend);
+            given(shared, own, question, &granted);
+        } else {
+            shared
+                .mail
+                .send(&Message::QuotaLend { question, lend }, &[to]);
+        }
+    }
+}
+
+/// Takes in what another instance lends and asks for, and answers.
+pub(crate) fn lent(shared: &Shared, from: IpAddr, question: Question, lend: &Lend) {
+    let given = take_in(shared, from, lend);
+    let answer = Message::QuotaGiven { question, given };
+    shared.mail.send(&answer, &[from]);
+}
+
+fn take_in(shared: &Shared, from: IpAddr, lend: &Lend) -> Vec<Given> {
+    let now = shared.now();
+    let mut state = shared.state();
+    state.quota_pool.lend(from, lend, now);
+    let Some(config) = state.config.clone() else {
+        return Vec::new();
+    };
+    let asks = lend.asks.iter();
+    let given = asks.filter_map(|ask| grant(&mut state, &config, ask, now));
+    given.collect()
+}
+
+/// Grants what there is room for; nothing to an organisation that the configuration does not know, and all
+/// to one that has no quota any more.
+fn grant(state: &mut State, config: &Config, ask: &Ask, now: Moment) -> Option<Given> {
+    let organisation = config.organisations()?.named(&ask.organisation)?;
+    let Some(quota) = &organisation.quota else {
+        let needs = ask.needs.iter().copied();
+        return Some(Given {
+            organisation: Arc::clone(&ask.organisation),
+            units: needs.fold(0, u32::saturating_add),
+            wait_ms: 0,
+        });
+    };
+    Some(state.quota_pool.ask(ask, quota, now))
+}
+
+/// Takes in what a pool grants.
+pub(crate) fn given(shared: &Shared, from: IpAddr, question: Question, given: &[Given]) {
+    if !shared.asked(question) {
+        return;
+    }
+    let now = shared.now();
+    let mut state = shared.state();
+    state.purse.answered(from, question.at, given, now);
+    let has_urgent = state.purse.has_urgent();
+    drop(state);
+    shared.quota_settled.notify_waiters();
+    if has_urgent {
+        shared.quota_wanted.notify_one();
+    }
+}
--- a/crates/ploverwick_gateway/src/controllers/topic.rs
+++ b/crates/ploverwick_gateway/src/controllers/topic.rs
@@ -4,6 +4,7 @@
 
 use ploverwick_adapters::Since;
 use ploverwick_platform::store::{Error, Record};
+use ploverwick_topics::freshness::Statement;
 use ploverwick_topics::{Circle, Feed, Fit, Reading, Step};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -132,7 +133,8 @@
     async fn read(&mut self, from: Option<u64>, wait: Duration) -> Result<Done, Error> {
         let (shared, topic) = (self.shared, self.topic);
         let is_reader = shared.circle(topic) == Circle::Reads;
-        self.place.ask(shared.now());
+        let asked = shared.now();
+        self.place.ask(asked);
         if !wait.is_zero() {
             self.stand(Reading::Reads);
         }
@@ -159,6 +161,10 @@
         };
         let next = feed::read(shared, &self.feed, from, wait, &mut take).await?;
         self.place.read(next);
+        if topic == Topic::Operator {
+            let statement = Statement::new(next, asked);
+            shared.state().freshness.stated(statement);
+        }
         shared.inboxes.of(topic).correct(next);
         self.has_failed = false;
         self.stand(if is_reader {
@@ -231,8 +237,13 @@
     fn stand(&self, reading: Reading) {
         let end = self.place.next().unwrap_or_default();
         let stand = Stand { end, reading };
-        let before = self.shared.state().stands.of(self.topic);
-        self.shared.state().stands.set(self.topic, stand);
+        let mut state = self.shared.state();
+        let before = state.stands.of(self.topic);
+        state.stands.set(self.topic, stand);
+        if self.topic == Topic::Operator {
+            state.freshness.known(end);
+        }
+        drop(state);
         if before.reading != reading {
             spdlog::info!(
                 "topic_reading topic={} reading={:?} before={:?} end={}",
--- a/crates/ploverwick_gateway/src/daemon.rs
+++ b/crates/ploverwick_gateway/src/daemon.rs
@@ -10,7 +10,9 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::JoinSet;
 
-use crate::controllers::{instances, operator, orders, quarantine, roster, table, tenure};
+use crate::controllers::{
+    freshness, instances, operator, orders, quarantine, quotas, roster, table, tenure,
+};
 use crate::front::{self, Open};
 use crate::mail::Mail;
 use crate::shared::Shared;
@@ -90,6 +92,8 @@
         tasks.spawn(instances::follow(Arc::clone(&shared)));
         tasks.spawn(table::follow(Arc::clone(&shared)));
         tasks.spawn(quarantine::follow(Arc::clone(&shared)));
+        tasks.spawn(freshness::keep(Arc::clone(&shared)));
+        tasks.spawn(quotas::keep(Arc::clone(&shared)));
         tasks.spawn(join(Arc::clone(&shared)));
         tasks.spawn(orders::keep(Arc::clone(&shared)));
         tasks.spawn(tell::run(Arc::clone(&shared)));
--- a/crates/ploverwick_gateway/src/filters.rs
+++ b/crates/ploverwick_gateway/src/filters.rs
@@ -1,13 +1,15 @@
 //! The chain of filters that takes a request from a client to an endpoint and back.
 //!
-//! `admit` reads it and finds its route, `terms` applies the operators' table, `place` finds an endpoint, `send` hands it over, `relay`
+//! `admit` reads it and finds its route, `identify` who calls, `quota` counts it for them, `terms` applies the operators' table, `place` finds an endpoint, `send` hands it over, `relay`
 //! passes the answer on, and `attempt` repeats the last three where that is safe.
 
 mod admit;
 mod attempt;
 mod flight;
+mod identify;
 mod place;
 mod quarantine;
+mod quota;
 mod relay;
 mod reply;
 mod reuse;
--- a/crates/ploverwick_gateway/src/filters/admit.rs
+++ b/crates/ploverwick_gateway/src/filters/admit.rs
@@ -3,6 +3,7 @@
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
+use bytes::Bytes;
 use http::{Request, header};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -10,7 +11,9 @@
 use ploverwick_platform::request;
 use tokio::time::Instant;
 
+use super::identify;
 use super::quarantine;
+use super::quota;
 use super::reply::Reply;
 use super::task::{Task, Terms};
 use super::terms;
@@ -22,7 +25,7 @@
 const BODY: Duration = Duration::from_secs(10);
 
 /// Admits a request or says why not.
-pub(crate) async fn run(shared: &Shared, request: Request<Incoming>) -> Result<Task, Reply> {
+pub(crate) async fn run(shared: &Arc<Shared>, request: Request<Incoming>) -> Result<Task, Reply> {
     let received = Instant::now();
     let Some(config) = shared.state().config.clone() else {
         return Err(Reply::new(Code::NoConfiguration, "").retry_after(NO_CONFIG));
@@ -35,26 +38,14 @@
         let detail = format!("host {host:?}, path {:?}", head.uri.path());
         return Err(Reply::new(Code::PathUnknown, detail));
     };
-    let call = request::read(&head.headers);
     let route = Arc::clone(route);
+    let caller = identify::run(shared, &config, &route, &head.headers)?;
+    let call = request::read(&head.headers);
     let patience = call.patience.unwrap_or(route.timeout).min(route.timeout);
-    let body = Limited::new(body, config.limits.body_bytes).collect();
-    let body = match tokio::time::timeout(BODY, body).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            let detail = format!("The limit is {} bytes.", config.limits.body_bytes);
-            return Err(Reply::new(Code::BodyTooLarge, detail));
-        }
-        Ok(Err(error)) => return Err(Reply::new(Code::BodyMalformed, error.to_string())),
-        Err(_) => return Err(Reply::new(Code::BodySlow, "")),
-    };
+    let body = read(body, config.limits.body_bytes).await?;
     let service = route.service(rand::random::<f64>());
     let service = Arc::clone(service.expect("a route has a service"));
-    let now = shared.now();
-    let mut state = shared.state();
-    let budget = state.budgets.entry(Arc::clone(&service)).or_default();
-    budget.request(now);
-    drop(state);
+    count(shared, &service);
     // The chosen part is all that goes on; a path in absolute form loses its host.
     let target = head
         .uri
@@ -64,7 +55,8 @@
     let deadline = received + patience;
     let begin_by = route.silence.map_or(deadline, |silence| received + silence);
     let mut task = Task {
-        terms: Terms::of(&route),
+        terms: Terms::of(&route, caller.organisation()),
+        caller,
         method: head.method,
         target: target.unwrap_or(head.uri),
         headers: head.headers,
@@ -77,10 +69,34 @@
         begin_by: begin_by.min(deadline),
         config: config.version,
         fingerprint: OnceLock::new(),
+        charge: None,
     };
     if let Some(refusal) = quarantine::refusal(shared, &task) {
         return Err(refusal);
     }
     task.terms = terms::run(shared, &task)?;
+    task.charge = quota::run(shared, &task).await?;
     Ok(task)
 }
+
+/// Reads a body of at most `most` bytes.
+async fn read(body: Incoming, most: usize) -> Result<Bytes, Reply> {
+    let body = Limited::new(body, most).collect();
+    match tokio::time::timeout(BODY, body).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+            let detail = format!("The limit is {most} bytes.");
+            Err(Reply::new(Code::BodyTooLarge, detail))
+        }
+        Ok(Err(error)) => Err(Reply::new(Code::BodyMalformed, error.to_string())),
+        Err(_) => Err(Reply::new(Code::BodySlow, "")),
+    }
+}
+
+/// Counts a request towards what the repeats of its service may be.
+fn count(shared: &Shared, service: &Arc<str>) {
+    let now = shared.now();
+    let mut state = shared.state();
+    let budget = state.budgets.entry(Arc::clone(service)).or_default();
+    budget.request(now);
+}
--- a/crates/ploverwick_gateway/src/filters/attempt.rs
+++ b/crates/ploverwick_gateway/src/filters/attempt.rs
@@ -149,6 +149,7 @@
 ) -> Next {
     metrics::send(sent.name());
     match sent {
+        Sent::Revoked(reply) => Next::GiveUp(reply),
         Sent::Unsent(cause) => {
             history.refusals += 1;
             history.except.push(Arc::clone(&target.entry.id));
--- a/crates/ploverwick_gateway/src/filters/relay.rs
+++ b/crates/ploverwick_gateway/src/filters/relay.rs
@@ -251,6 +251,9 @@
             let limit = target.begin_by.unwrap_or(self.task.deadline);
             let limit = limit.min(self.task.deadline);
             let sent = send::run(&self.shared, &self.task, &target, limit, after).await;
+            if let Sent::Revoked(reply) = &sent {
+                return Err(self.broken(reply.code.name()));
+            }
             if let Sent::Answered(answered) = sent
                 && answered.parts.status.is_success()
                 && answered.head.signed
--- a/crates/ploverwick_gateway/src/filters/reply.rs
+++ b/crates/ploverwick_gateway/src/filters/reply.rs
@@ -23,6 +23,8 @@
     pub(crate) detail: String,
     /// When the client may come back, if it may.
     pub(crate) retry_after: Option<Duration>,
+    /// The client is to come back over another connection, which may lead to another instance.
+    closes: bool,
 }
 
 impl Reply {
@@ -31,9 +33,15 @@
             code,
             detail: detail.into(),
             retry_after: None,
+            closes: false,
         }
     }
 
+    pub(crate) fn closing(mut self) -> Self {
+        self.closes = true;
+        self
+    }
+
     pub(crate) fn retry_after(mut self, delay: Duration) -> Self {
         self.retry_after = Some(delay);
         self
@@ -46,6 +54,9 @@
             StatusCode::from_u16(self.code.http()).expect("the codes' statuses are valid");
         let headers = response.headers_mut();
         headers.insert("ploverwick-code", HeaderValue::from(self.code.number()));
+        if self.closes {
+            headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+        }
         if let Some(delay) = self.retry_after {
             let seconds = format!("{:.3}", delay.as_secs_f64());
             let value = HeaderValue::from_str(&seconds).expect("a number is a valid header");
--- a/crates/ploverwick_gateway/src/filters/send.rs
+++ b/crates/ploverwick_gateway/src/filters/send.rs
@@ -14,7 +14,9 @@
 use tokio::time::Instant;
 
 use super::flight::Flight;
+use super::identify::{self, Caller};
 use super::place::{self, Target};
+use super::reply::Reply;
 use super::reuse;
 use super::task::Task;
 use crate::controllers::crashes;
@@ -34,6 +36,8 @@
         /// It does not hold what the request names, or is another endpoint.
         misdirected: bool,
     },
+    /// Its key is not valid any more, so that it was not sent.
+    Revoked(Reply),
     /// No byte of it went anywhere.
     Unsent(String),
     /// It may have run.
@@ -49,6 +53,7 @@
             Self::Answered(_) => "answered",
             Self::NotRun { misdirected: true } => "misdirected",
             Self::NotRun { misdirected: false } => "refused",
+            Self::Revoked(_) => "revoked",
             Self::Unsent(_) => "unsent",
             Self::Lost(_) => "lost",
             Self::Silent => "silent",
@@ -79,12 +84,21 @@
     if task.left() < LEAST_LEFT {
         return Sent::Unsent("no time is left".to_owned());
     }
+    let caller = match identify::again(shared, task) {
+        Ok(caller) => caller,
+        Err(reply) => return Sent::Revoked(reply),
+    };
     let endpoint = &target.entry.id;
     let prompt = task.call.prompt_tokens;
+    if let Some(charge) = &task.charge {
+        charge.sent();
+    }
     let mut flight = Flight::begin(shared, endpoint, target.copy.clone(), prompt);
     let begun = Instant::now();
-    let (connection, result) = match exchange(shared, task, target, limit, after_event).await {
+    let message = write(task, target, &caller, after_event);
+    let (connection, result) = match exchange(shared, task, target, limit, message).await {
         Exchange::Unsent(cause) => {
+            not_run(task);
             flight.end(Outcome::Broken);
             return Sent::Unsent(cause);
         }
@@ -117,6 +131,7 @@
         return Sent::Lost("the answer is another request's".to_owned());
     }
     if head.statement != Statement::Nothing {
+        not_run(task);
         let misdirected = head.statement == Statement::Misdirected;
         flight.end(if misdirected {
             Outcome::Abandoned
@@ -135,6 +150,12 @@
     }))
 }
 
+fn not_run(task: &Task) {
+    if let Some(charge) = &task.charge {
+        charge.not_run();
+    }
+}
+
 enum Exchange {
     Unsent(String),
     Silent,
@@ -146,9 +167,8 @@
     task: &Task,
     target: &Target,
     limit: Instant,
-    after_event: Option<u64>,
+    mut message: Request<Full<Bytes>>,
 ) -> Exchange {
-    let mut message = write(task, target, after_event);
     // A kept connection may have closed unnoticed; then the request comes back unsent.
     let is_last = !task.route.kind.may_repeat();
     while let Some(mut connection) = shared.pool.take(&target.entry.id, is_last) {
@@ -212,9 +232,15 @@
     }
 }
 
-fn write(task: &Task, target: &Target, after_event: Option<u64>) -> Request<Full<Bytes>> {
+fn write(
+    task: &Task,
+    target: &Target,
+    caller: &Caller,
+    after_event: Option<u64>,
+) -> Request<Full<Bytes>> {
     let addition = Addition {
         endpoint: &target.entry.id,
+        caller: caller.told(),
         left: task.left(),
         version: target.copy.as_ref().map(|copy| copy.version),
         priority: task.call.model.is_some().then_some(task.terms.priority),
--- a/crates/ploverwick_gateway/src/filters/task.rs
+++ b/crates/ploverwick_gateway/src/filters/task.rs
@@ -7,9 +7,12 @@
 use http::{HeaderMap, Method, Uri};
 use ploverwick_platform::request::{self, Call};
 use ploverwick_quarantine::{Fingerprint, Suspect};
-use ploverwick_routes::Route;
+use ploverwick_routes::{Organisation, Route};
 use tokio::time::Instant;
 
+use super::identify::Caller;
+use super::quota::Charge;
+
 /// The table's most urgent priority; the platform counts the other way round.
 pub(super) const MOST_URGENT: u8 = 9;
 
@@ -23,10 +26,12 @@
 }
 
 impl Terms {
-    /// Returns the terms of a request that the table does not cover.
-    pub(crate) fn of(route: &Route) -> Self {
+    /// Returns the terms of a request that the table does not cover: the organisation's priority goes before
+    /// the route's.
+    pub(crate) fn of(route: &Route, organisation: Option<&Arc<Organisation>>) -> Self {
+        let own = organisation.and_then(|organisation| organisation.priority);
         Self {
-            priority: route.priority.min(MOST_URGENT),
+            priority: own.unwrap_or(route.priority).min(MOST_URGENT),
             weight: 1.0,
         }
     }
@@ -40,6 +45,7 @@
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
     pub(crate) call: Call,
+    pub(crate) caller: Caller,
     pub(crate) route: Arc<Route>,
     pub(crate) service: Arc<str>,
     pub(crate) received: Instant,
@@ -52,6 +58,8 @@
     /// The version of the configuration that chose the route.
     pub(crate) config: u64,
     pub(crate) fingerprint: OnceLock<Fingerprint>,
+    /// What it counts as against its organisation's quota.
+    pub(crate) charge: Option<Charge>,
 }
 
 impl Task {
@@ -71,11 +79,20 @@
             let path = path.map_or("", http::uri::PathAndQuery::as_str);
             let parts = [self.method.as_str(), &self.route.host, path];
             let parts = parts.into_iter().map(str::as_bytes);
-            let parts = parts.chain(request::caller(&self.headers));
+            let parts = parts.chain(self.identity());
             Fingerprint::of(parts.chain([&*self.body]))
         })
     }
 
+    /// Returns what tells its caller from others. Where an organisation is known nothing that the client wrote
+    /// counts: it could pass for another one, or for a new one each time.
+    fn identity(&self) -> [&[u8]; 2] {
+        match self.caller.organisation() {
+            Some(organisation) => [b"organisation", organisation.name.as_bytes()],
+            None => request::credentials(&self.headers),
+        }
+    }
+
     /// Returns what is remembered of it if its endpoint may have ended under it.
     pub(crate) fn suspect(&self) -> Suspect {
         Suspect {
--- a/crates/ploverwick_gateway/src/filters/terms.rs
+++ b/crates/ploverwick_gateway/src/filters/terms.rs
@@ -20,7 +20,7 @@
 /// Fails if a limit of the table is reached, or if it is not known whether there is one; nothing was
 /// sent then.
 pub(crate) fn run(shared: &Shared, task: &Task) -> Result<Terms, Reply> {
-    let mut terms = Terms::of(&task.route);
+    let mut terms = Terms::of(&task.route, task.caller.organisation());
     let now = shared.now();
     let mut state = shared.state();
     let Some(key) = &task.call.adapter else {
--- a/crates/ploverwick_gateway/src/listen.rs
+++ b/crates/ploverwick_gateway/src/listen.rs
@@ -2,9 +2,10 @@
 
 use std::net::IpAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
-use crate::controllers::{demand, quarantine, roster};
-use crate::mail::{self, Change, Digest, Fate, Message};
+use crate::controllers::{demand, freshness, quarantine, quotas, roster};
+use crate::mail::{self, Change, Digest, Fate, Load, Message, Used};
 use crate::shared::Shared;
 use crate::state::Peer;
 use crate::tell;
@@ -43,7 +44,6 @@
 
 fn take(shared: &Arc<Shared>, message: Message, from: IpAddr) {
     let now = shared.now();
-    let mut state = shared.state();
     match message {
         Message::Status {
             instance,
@@ -54,9 +54,6 @@
             stands,
             loads,
         } => {
-            for topic in Topic::ALL {
-                shared.inboxes.of(topic).hear_end(stands.of(topic).end);
-            }
             let peer = Peer {
                 ip: from,
                 domain,
@@ -66,84 +63,100 @@
                 waiting,
                 stands,
             };
-            state.peers.insert(Arc::clone(&instance), peer);
-            shared.count_instances(&mut state);
-            let loads = loads.into_iter().map(|load| {
-                let counts = load.counts();
-                (load.endpoint, counts)
-            });
-            state.fleet.report(instance, loads.collect(), now);
-        }
-        Message::Totals(loads) => {
-            for load in loads {
-                let counts = load.counts();
-                state.fleet.total(load.endpoint, counts, now);
-            }
-        }
-        Message::Used(list) => {
-            for used in list {
-                if let Some(shelf) = state.placer.shelf(&used.endpoint) {
-                    shelf.used(&used.copy, from, used.in_use, now);
-                }
-            }
-        }
-        Message::Need { copy, need } => {
-            drop(state);
-            demand::take(shared, &copy, need);
+            status(shared, instance, peer, loads);
         }
+        Message::Totals(loads) => totals(shared, loads),
+        Message::Used(list) => used(shared, &list, from),
+        Message::Need { copy, need } => demand::take(shared, &copy, need),
         Message::Holds { endpoint, holdings } => {
             let copies = mail::copies(holdings);
-            state.directory.reported(&endpoint, copies, now);
-            drop(state);
-            shared.placed.notify_waiters();
-        }
-        Message::Digests(digests) => {
-            drop(state);
-            compare(shared, &digests, from);
-        }
-        Message::AskHolds(endpoints) => {
-            drop(state);
-            tell::holds(shared, from, &endpoints);
-        }
-        Message::Changes(changes) => {
-            for change in changes {
-                let Change {
-                    endpoint,
-                    copy,
-                    fate,
-                } = change;
-                match fate {
-                    Fate::Coming => state.directory.expect(&endpoint, copy, now),
-                    Fate::Loaded => state.directory.loaded(&endpoint, copy, now),
-                    Fate::Unloaded => state.directory.unloaded(&endpoint, &copy),
-                }
-            }
-            drop(state);
+            shared.state().directory.reported(&endpoint, copies, now);
             shared.placed.notify_waiters();
         }
+        Message::Digests(digests) => compare(shared, &digests, from),
+        Message::AskHolds(endpoints) => tell::holds(shared, from, &endpoints),
+        Message::Changes(changes) => changed(shared, changes),
         Message::List {
             changed,
             gone,
             digest,
-        } => {
-            drop(state);
-            roster::told(shared, changed, &gone, digest);
-        }
+        } => roster::told(shared, changed, &gone, digest),
         Message::Records(batch) => shared.inboxes.of(batch.topic).push(batch),
         Message::End { topic, end } => shared.inboxes.of(topic).hear_end(end),
-        Message::BaseLoad => state.base_loads.begin(now),
+        Message::AskProof { question } => freshness::answer(shared, from, question),
+        Message::Proof {
+            question,
+            end,
+            age_ms,
+        } => freshness::hear(shared, question, end, Duration::from_millis(age_ms)),
+        Message::QuotaLend { question, lend } => quotas::lent(shared, from, question, &lend),
+        Message::QuotaGiven { question, given } => quotas::given(shared, from, question, &given),
+        Message::BaseLoad => shared.state().base_loads.begin(now),
         Message::Vacant => shared.vacant.notify_one(),
-        Message::Quarantined(entries) => {
-            drop(state);
-            quarantine::hear(shared, &entries, &from);
-        }
+        Message::Quarantined(entries) => quarantine::hear(shared, &entries, &from),
         Message::QuarantineDigests { digests, asks } => {
-            drop(state);
             tell::quarantine::compare(shared, from, &digests, asks);
         }
     }
 }
 
+/// Takes in that a peer runs, how far it has read, and what it has under way.
+fn status(shared: &Shared, instance: Arc<str>, peer: Peer, loads: Vec<Load>) {
+    for topic in Topic::ALL {
+        shared.inboxes.of(topic).hear_end(peer.stands.of(topic).end);
+    }
+    let now = shared.now();
+    let mut state = shared.state();
+    state.peers.insert(Arc::clone(&instance), peer);
+    shared.count_instances(&mut state);
+    let loads = loads.into_iter().map(|load| {
+        let counts = load.counts();
+        (load.endpoint, counts)
+    });
+    state.fleet.report(instance, loads.collect(), now);
+}
+
+/// Takes in the requests of all instances at endpoints.
+fn totals(shared: &Shared, loads: Vec<Load>) {
+    let now = shared.now();
+    let mut state = shared.state();
+    for load in loads {
+        let counts = load.counts();
+        state.fleet.total(load.endpoint, counts, now);
+    }
+}
+
+/// Takes in which adapters a peer's requests use.
+fn used(shared: &Shared, list: &[Used], from: IpAddr) {
+    let now = shared.now();
+    let mut state = shared.state();
+    for used in list {
+        if let Some(shelf) = state.placer.shelf(&used.endpoint) {
+            shelf.used(&used.copy, from, used.in_use, now);
+        }
+    }
+}
+
+/// Takes in what happened to adapters at endpoints.
+fn changed(shared: &Shared, changes: Vec<Change>) {
+    let now = shared.now();
+    let mut state = shared.state();
+    for change in changes {
+        let Change {
+            endpoint,
+            copy,
+            fate,
+        } = change;
+        match fate {
+            Fate::Coming => state.directory.expect(&endpoint, copy, now),
+            Fate::Loaded => state.directory.loaded(&endpoint, copy, now),
+            Fate::Unloaded => state.directory.unloaded(&endpoint, &copy),
+        }
+    }
+    drop(state);
+    shared.placed.notify_waiters();
+}
+
 /// Asks for what this instance holds another view of; a message may have been lost.
 fn compare(shared: &Shared, digests: &[Digest], from: IpAddr) {
     let now = shared.now();
--- a/crates/ploverwick_gateway/src/mail.rs
+++ b/crates/ploverwick_gateway/src/mail.rs
@@ -8,7 +8,9 @@
 
 use ploverwick_adapters::{Copy, Key, Need};
 use ploverwick_endpoints::Entry;
+use ploverwick_names::Moment;
 use ploverwick_quarantine::PARTS;
+use ploverwick_quota::{Given, Lend};
 use ploverwick_topics::parts::{self, Assembly};
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
@@ -86,6 +88,15 @@
     pub(crate) fate: Fate,
 }
 
+/// What an answer names so that the asker knows to which question it belongs, and when it asked.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Question {
+    /// Drawn anew by each process: moments of an earlier one mean nothing to the next.
+    pub(crate) life: u64,
+    /// When it was asked, by the asker's clock.
+    pub(crate) at: Moment,
+}
+
 /// What one instance tells another.
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) enum Message {
@@ -129,6 +140,21 @@
     Records(Batch),
     /// How far the sender has read a topic of the store, whose last record is too long for a message.
     End { topic: Topic, end: u64 },
+    /// Asks what is proven of the age of the configuration.
+    AskProof { question: Question },
+    /// Answers a question: what the operator's topic held before `end` was all of it, `age_ms` before.
+    Proof {
+        question: Question,
+        end: u64,
+        age_ms: u64,
+    },
+    /// Lends the sender's parts of all quotas, and asks for what its requests need.
+    QuotaLend { question: Question, lend: Lend },
+    /// Answers that: what the sender's pool grants.
+    QuotaGiven {
+        question: Question,
+        given: Vec<Given>,
+    },
     /// The sender has a base model loaded at an endpoint of its failure domain.
     BaseLoad,
     /// The sender no longer places the adapters of its failure domain.
@@ -176,6 +202,10 @@
             | Self::List { .. }
             | Self::Records(_)
             | Self::End { .. }
+            | Self::AskProof { .. }
+            | Self::Proof { .. }
+            | Self::QuotaLend { .. }
+            | Self::QuotaGiven { .. }
             | Self::BaseLoad
             | Self::Vacant
             | Self::QuarantineDigests { .. } => false,
--- a/crates/ploverwick_gateway/src/metrics.rs
+++ b/crates/ploverwick_gateway/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use anyhow::{Context, Result};
@@ -14,6 +15,7 @@
 use hyper_util::rt::TokioIo;
 use metrics::{counter, gauge, histogram};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use ploverwick_codes::Code;
 use ploverwick_names::Moment;
 use ploverwick_quarantine::Diagnosis;
 use ploverwick_topics::Reading;
@@ -113,6 +115,39 @@
     counter!("ploverwick_fatal_refused_total").increment(1);
 }
 
+/// Says how old the configuration can be, as far as that is proven.
+pub(crate) fn configuration_age(age: Option<Duration>) {
+    let seconds = age.map_or(f64::INFINITY, |age| age.as_secs_f64());
+    gauge!("ploverwick_configuration_age_seconds").set(seconds);
+}
+
+/// Counts a request that was refused for its key, by the cause.
+pub(crate) fn key_refused(cause: &'static str) {
+    counter!("ploverwick_keys_refused_total", "cause" => cause).increment(1);
+}
+
+/// Counts what an organisation's requests counted as. Names come from the configuration alone.
+pub(crate) fn quota_units(organisation: &Arc<str>, cost: u32) {
+    counter!("ploverwick_quota_units_total", "organisation" => organisation.to_string())
+        .increment(cost.into());
+}
+
+/// Counts a request that was refused for its organisation's quota.
+pub(crate) fn quota_refused(organisation: &Arc<str>, code: Code) {
+    counter!(
+        "ploverwick_quota_refused_total",
+        "organisation" => organisation.to_string(),
+        "code" => code.name()
+    )
+    .increment(1);
+}
+
+/// Says which part of all quotas this instance pools, and for how many instances.
+pub(crate) fn quota_pool(share: f64, lenders: usize) {
+    gauge!("ploverwick_quota_pool_share").set(share);
+    gauge!("ploverwick_quota_pool_lenders").set(lenders as f64);
+}
+
 /// Says how many requests are refused as endpoints crash under them.
 pub(crate) fn quarantined(requests: usize) {
     gauge!("ploverwick_quarantined").set(requests as f64);
--- a/crates/ploverwick_gateway/src/shared.rs
+++ b/crates/ploverwick_gateway/src/shared.rs
@@ -12,12 +12,13 @@
 use ploverwick_names::Moment;
 use ploverwick_platform::settings::Settings;
 use ploverwick_platform::store::Store;
+use ploverwick_routes::Config;
 use ploverwick_topics::Circle;
 use tokio::sync::{Notify, watch};
 
 use crate::clock::Clock;
 use crate::journal::Lines;
-use crate::mail::Mail;
+use crate::mail::{Mail, Question};
 use crate::metrics;
 use crate::outbox::Outbox;
 use crate::pool::Pool;
@@ -36,6 +37,13 @@
 /// while another one dies or cannot reach the store; each call is priced.
 pub(crate) const STANDBYS: usize = 2;
 
+/// The part of the bound on revoked keys up to which requests with keys are served. The rest is for clocks
+/// that run at other paces, and the time between the look at the clock and at the key.
+const TRUSTED_SHARE: f64 = 0.97;
+/// The part of it after which new connections should go to other instances: this one will soon refuse, and
+/// the platform takes some 2 s to send clients elsewhere.
+const CONFIRMED_SHARE: f64 = 0.6;
+
 /// What all tasks share.
 #[derive(Debug)]
 pub(crate) struct Shared {
@@ -64,8 +72,14 @@
     pub(crate) vacant: Notify,
     /// Wakes the tasks that give orders.
     pub(crate) orders: Notify,
+    /// Says that a request waits for its organisation's quota.
+    pub(crate) quota_wanted: Notify,
+    /// Wakes requests that wait for their organisations' quotas.
+    pub(crate) quota_settled: Notify,
     /// Says that the process is asked to stop.
     pub(crate) stopping: watch::Sender<bool>,
+    /// Tells questions of this process from those of an earlier one at the same address.
+    life: u64,
     state: Mutex<State>,
 }
 
@@ -97,7 +111,10 @@
             declared: Notify::new(),
             vacant: Notify::new(),
             orders: Notify::new(),
+            quota_wanted: Notify::new(),
+            quota_settled: Notify::new(),
             stopping: watch::Sender::new(false),
+            life: rand::random(),
             state: Mutex::new(state),
         }
     }
@@ -111,6 +128,19 @@
         self.state.lock().expect("no holder of the lock panics")
     }
 
+    /// Makes a question that is asked now.
+    pub(crate) fn question(&self, now: Moment) -> Question {
+        Question {
+            life: self.life,
+            at: now,
+        }
+    }
+
+    /// Returns whether this process asked a question.
+    pub(crate) fn asked(&self, question: Question) -> bool {
+        question.life == self.life && question.at <= self.now()
+    }
+
     /// Returns whether the process is asked to stop.
     pub(crate) fn is_stopping(&self) -> bool {
         *self.stopping.borrow()
@@ -121,7 +151,31 @@
         let can_take = self.takes_connections.load(Ordering::Relaxed);
         let state = self.state();
         let knows_all = state.config.is_some() && state.has_roster && state.has_table;
-        knows_all && can_take && !self.is_stopping()
+        let is_fresh = self.is_younger_than(&state, CONFIRMED_SHARE);
+        let has_quotas = state
+            .config
+            .as_ref()
+            .is_some_and(|config| config.has_quotas());
+        let can_count = !has_quotas || state.purse.has_lent();
+        knows_all && is_fresh && can_count && can_take && !self.is_stopping()
+    }
+
+    /// Returns whether a key may have been revoked for so long that requests with it must not run any more.
+    pub(crate) fn is_stale(&self) -> bool {
+        !self.is_younger_than(&self.state(), TRUSTED_SHARE)
+    }
+
+    /// Returns whether the configuration is proven to be younger than a part of the bound on revoked keys,
+    /// or there is no such bound.
+    fn is_younger_than(&self, state: &State, share: f64) -> bool {
+        let has_keys = |config: &Arc<Config>| config.organisations().is_some();
+        match self.settings.revocation {
+            Some(bound) if state.config.as_ref().is_some_and(has_keys) => {
+                let age = state.freshness.age(self.now());
+                age.is_some_and(|age| age < bound.mul_f64(share))
+            }
+            Some(_) | None => true,
+        }
     }
 
     /// Says whether clients' connections can be taken.
@@ -190,10 +244,15 @@
         }
     }
 
+    /// Returns the largest number of instances that were listed lately; `None` until this one was among them.
+    pub(crate) fn listed(&self, state: &State) -> Option<usize> {
+        state.census.most(self.repeat_rate(), self.now())
+    }
+
     /// Returns how many instances share what is bounded over all of them, as far as that is proven:
     /// what one spent that has just left still counts.
     pub(crate) fn sharers(&self, state: &State) -> Sharers {
-        let most = state.census.most(self.repeat_rate(), self.now());
+        let most = self.listed(state);
         match (state.census.since(), most) {
             (Some(since), Some(count)) => Sharers::Known { count, since },
             (None, _) | (_, None) => Sharers::Unknown,
--- a/crates/ploverwick_gateway/src/state.rs
+++ b/crates/ploverwick_gateway/src/state.rs
@@ -11,9 +11,11 @@
 use ploverwick_names::Moment;
 use ploverwick_platform::settings::Settings;
 use ploverwick_quarantine::{Breaks, Quarantine};
+use ploverwick_quota::{Pool, Purse};
 use ploverwick_routes::Config;
 use ploverwick_table::Table;
 use ploverwick_topics::Place;
+use ploverwick_topics::freshness::Freshness;
 
 use crate::topics::Stands;
 
@@ -86,6 +88,8 @@
     pub(crate) directory: Directory,
     /// What is proved of the age of what the operator wrote.
     pub(crate) horizon: Horizon,
+    /// What is proven of the age of the configuration.
+    pub(crate) freshness: Freshness,
     /// How far this instance has read each topic of the store.
     pub(crate) stands: Stands,
     pub(crate) placer: Placer,
@@ -106,6 +110,10 @@
     /// This instance's requests under way, by endpoint and adapter; 0 for one that ended since the
     /// placers were told.
     pub(crate) uses: HashMap<(Arc<str>, Copy), u32>,
+    /// What this instance may use of the organisations' quotas.
+    pub(crate) purse: Purse,
+    /// The parts of quotas that instances lent to this one.
+    pub(crate) quota_pool: Pool,
     /// The connections to endpoints that broke under requests lately.
     pub(crate) breaks: Breaks,
     /// The requests that endpoints crashed under.
@@ -129,6 +137,7 @@
             fleet: Fleet::default(),
             directory: Directory::default(),
             horizon: Horizon::default(),
+            freshness: Freshness::default(),
             stands: Stands::default(),
             placer: Placer::default(),
             tenure: Tenure::new(terms, !settings.first_start, now),
@@ -144,6 +153,8 @@
             listing: Listing::Unread,
             placed_before: false,
             uses: HashMap::new(),
+            purse: Purse::new(settings.ip.into(), now),
+            quota_pool: Pool::default(),
             breaks: Breaks::default(),
             quarantine: Quarantine::default(),
         }
@@ -203,6 +214,17 @@
         before.count()
     }
 
+    /// Lists the addresses of all instances that are listed and of this one, those that come first first.
+    pub(crate) fn by_place(&self, settings: &Settings) -> Vec<IpAddr> {
+        let peers = self.peers.iter();
+        let peers = peers.map(|(name, peer)| (peer.place(name), peer.ip));
+        let mut all: Vec<_> = peers
+            .chain([(place(settings), settings.ip.into())])
+            .collect();
+        all.sort_by(|(a, _), (b, _)| b.precedes(*a).cmp(&a.precedes(*b)));
+        all.into_iter().map(|(_, ip)| ip).collect()
+    }
+
     /// Returns how many instances of this failure domain that are listed come before this one, heard
     /// or not; `None` before the list was read.
     pub(crate) fn listed_rank(&self, settings: &Settings) -> Option<usize> {
--- a/crates/ploverwick_routes/src/config.rs
+++ b/crates/ploverwick_routes/src/config.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::Route;
+use crate::{Organisations, Route};
 
 /// A service behind the routes.
 #[derive(Debug, Clone, PartialEq)]
@@ -66,6 +66,7 @@
     pub limits: Limits,
     routes: HashMap<Arc<str>, Vec<Arc<Route>>>,
     services: HashMap<Arc<str>, Service>,
+    organisations: Option<Organisations>,
 }
 
 impl Config {
@@ -89,9 +90,22 @@
             limits,
             routes: by_host,
             services,
+            organisations: None,
         }
     }
 
+    /// Adds the organisations whose keys requests need.
+    #[must_use]
+    pub fn with_organisations(mut self, organisations: Organisations) -> Self {
+        self.organisations = Some(organisations);
+        self
+    }
+
+    /// Returns the organisations; `None` if requests need no key.
+    pub fn organisations(&self) -> Option<&Organisations> {
+        self.organisations.as_ref()
+    }
+
     /// Finds the route for a host and a path; the longest matching prefix wins.
     ///
     /// A port behind the host is ignored, as is the case of its letters.
@@ -104,6 +118,12 @@
         list.iter().find(|route| path.starts_with(&*route.prefix))
     }
 
+    /// Returns whether an organisation has a quota.
+    pub fn has_quotas(&self) -> bool {
+        let organisations = self.organisations.as_ref();
+        organisations.is_some_and(|all| all.iter().any(|one| one.quota.is_some()))
+    }
+
     /// Returns a service.
     pub fn service(&self, name: &str) -> Option<&Service> {
         self.services.get(name)
--- a/crates/ploverwick_routes/src/route.rs
+++ b/crates/ploverwick_routes/src/route.rs
@@ -63,6 +63,8 @@
     pub max_attempts: u32,
     /// The rank; 0 is the most urgent.
     pub priority: u8,
+    /// Whether a request needs the key of an organisation, where the configuration has organisations.
+    pub needs_key: bool,
     /// The services that take the requests; never empty.
     pub shares: Vec<Share>,
 }
--- a/crates/ploverwick_routes/tests/route_choice.rs
+++ b/crates/ploverwick_routes/tests/route_choice.rs
@@ -17,6 +17,7 @@
         silence: None,
         max_attempts: 1,
         priority: 0,
+        needs_key: true,
         shares: shares
             .iter()
             .map(|(service, weight)| Share {
--- a/crates/ploverwick_topics/src/lib.rs
+++ b/crates/ploverwick_topics/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod circle;
 mod feed;
+pub mod freshness;
 pub mod parts;
 
 pub use circle::{Circle, Peer, Place, Reading, circle};
