Choose among the holders of an adapter, sum reports once

Cause: each request, and each one that waits whenever any adapter was loaded, ranked all endpoints of its service, and the load of each was summed anew over the reports of all peers.

Change: fleet.best costs the holders alone, the choice is the one that ranks all (best_is_first); sums of reports are kept as reports come. A report counts until the first one after its age, where the age alone counted before.

--- /dev/null
+++ b/crates/ploverwick_bench/src/decide.rs
@@ -0,0 +1,169 @@
+//! The cost of what the gateway decides for one request, without any input or output.
+
+use std::collections::HashMap;
+use std::hint::black_box;
+use std::net::{IpAddr, Ipv4Addr};
+use std::sync::Arc;
+use std::time::Instant;
+
+use ploverwick_endpoints::{Entry, Fleet, Load, Query, State};
+use ploverwick_names::Moment;
+use ploverwick_quota::{Ask, Lend, Pool, Purse};
+use ploverwick_routes::{Declaration, KeyDigest, Organisation, Organisations, Quota, Unit};
+
+/// Endpoints and peers that report, in fleets of today and of the largest kind.
+const FLEETS: [(usize, usize); 2] = [(90, 26), (3_000, 100)];
+/// Organisations, in configurations of today and of the largest kind.
+const ORGANISATIONS: [usize; 2] = [16, 10_000];
+/// Endpoints that hold one adapter.
+const HOLDERS: usize = 3;
+const NOW: Moment = Moment(10_000);
+
+/// Prints each decision's mean cost in nanoseconds.
+pub(crate) fn run(times: u32) {
+    for count in ORGANISATIONS {
+        let organisations = organisations(count);
+        print(
+            &format!("key of {count} organisations found"),
+            times,
+            || {
+                let key = KeyDigest::of(black_box(b"asnmgkcuyj8pjbvk9m68"));
+                black_box(organisations.holder(&key));
+            },
+        );
+    }
+    let name: Arc<str> = Arc::from("o0");
+    let mut purse = purse(&name);
+    print("quota, granted ahead", times, || {
+        black_box(purse.take(&name, &quota(), 1, NOW));
+        purse.give_back(&name, 1);
+    });
+    let mut pool = pool();
+    let ask = ask(&name, 1);
+    print("quota, asked of a pool of 74 parts", times, || {
+        black_box(pool.ask(&ask, &quota(), NOW));
+    });
+    for (endpoints, peers) in FLEETS {
+        let fleet = fleet(endpoints, peers);
+        let holders: Vec<Arc<str>> = (0..HOLDERS).map(|n| id(n * endpoints / HOLDERS)).collect();
+        let choice = format!("endpoint of {HOLDERS} holders chosen, {endpoints} endpoints");
+        print(&choice, times, || {
+            black_box(fleet.best(&QUERY, holders.iter(), NOW));
+        });
+        print(
+            &format!("{endpoints} endpoints ranked"),
+            times / 100,
+            || {
+                black_box(fleet.rank(&QUERY, NOW));
+            },
+        );
+    }
+}
+
+fn print(what: &str, times: u32, mut step: impl FnMut()) {
+    let begun = Instant::now();
+    for _ in 0..times {
+        step();
+    }
+    let nanos = begun.elapsed().as_nanos() / u128::from(times.max(1));
+    println!("{what:48} {nanos:>10} ns");
+}
+
+fn organisations(count: usize) -> Organisations {
+    let declarations = (0..count).map(|number| Declaration {
+        organisation: Organisation {
+            name: Arc::from(format!("o{number}")),
+            priority: None,
+            quota: Some(quota()),
+        },
+        keys: vec![KeyDigest::of(format!("key-{number}").as_bytes())],
+    });
+    Organisations::new(declarations.collect(), Vec::new())
+}
+
+fn quota() -> Quota {
+    Quota {
+        rate: 1e9,
+        burst: 1e9,
+        unit: Unit::Tokens { plain: 200 },
+    }
+}
+
+fn ask(name: &Arc<str>, need: u32) -> Ask {
+    Ask {
+        organisation: Arc::clone(name),
+        needs: vec![need],
+        extra: 0,
+        unused: 0,
+    }
+}
+
+fn ip(number: u32) -> IpAddr {
+    IpAddr::V4(Ipv4Addr::from(0x0a00_0001 + number))
+}
+
+/// A pool to which 74 instances have lent for a while.
+fn pool() -> Pool {
+    let mut pool = Pool::default();
+    let lend = Lend {
+        sharers: 74,
+        lent_ms: 60_000,
+        asks: Vec::new(),
+    };
+    for number in 0..74 {
+        pool.lend(ip(number), &lend, Moment(0));
+    }
+    pool
+}
+
+/// A purse that holds enough.
+fn purse(name: &Arc<str>) -> Purse {
+    let mut purse = Purse::new(ip(0), Moment(0));
+    purse.take(name, &quota(), 1_000, NOW);
+    purse.give_back(name, 1_000);
+    purse
+}
+
+fn id(number: usize) -> Arc<str> {
+    Arc::from(format!("i-{number}"))
+}
+
+const QUERY: Query<'static> = Query {
+    service: "lm",
+    domain: "d1",
+    key: "a1",
+    id: "r1",
+    peers: 26,
+    bytes: 900,
+    prompt: 700,
+    except: &[],
+};
+
+fn fleet(endpoints: usize, peers: usize) -> Fleet {
+    let mut fleet = Fleet::default();
+    for number in 0..endpoints {
+        fleet.put(Entry {
+            id: id(number),
+            service: Arc::from("lm"),
+            address: "127.0.0.1:80".parse().expect("an address"),
+            domain: Arc::from(format!("d{}", number % 3)),
+            slots: 12,
+            state: State::Ready,
+            held: Vec::new(),
+            born: 0,
+            beat: 0,
+        });
+    }
+    for peer in 0..peers {
+        let loads = (0..10).map(|n| {
+            let load = Load {
+                requests: 1,
+                reading: 700,
+            };
+            (id((peer * 10 + n) % endpoints), load)
+        });
+        let loads: HashMap<_, _> = loads.collect();
+        fleet.report(Arc::from(format!("p{peer}")), loads, NOW);
+    }
+    fleet
+}
--- a/crates/ploverwick_bench/src/main.rs
+++ b/crates/ploverwick_bench/src/main.rs
@@ -4,6 +4,7 @@
 //! machine; pages state the command that gave theirs.
 
 mod capacity;
+mod decide;
 mod fit;
 mod plot;
 mod recovery;
@@ -44,6 +45,11 @@
                 /// Print one JSON object a line.
                 optional --json
             }
+            /// Measures what the gateway decides for one request: key, quota, endpoint.
+            cmd decide {
+                /// How often each is decided; 20000 by default.
+                optional --times number: u32
+            }
             /// Measures the slopes of the control traffic and rewrites the capacity page.
             cmd capacity {
                 /// The page whose measured part is rewritten.
@@ -82,6 +88,10 @@
         PloverwickBenchCmd::Recovery(flags) => {
             system::runtime("bench")?.block_on(recovery::run(flags.times.unwrap_or(20), flags.json))
         }
+        PloverwickBenchCmd::Decide(flags) => {
+            decide::run(flags.times.unwrap_or(20_000));
+            Ok(())
+        }
         PloverwickBenchCmd::Capacity(flags) => {
             let page = flags
                 .page
--- a/crates/ploverwick_endpoints/src/fleet.rs
+++ b/crates/ploverwick_endpoints/src/fleet.rs
@@ -1,7 +1,6 @@
 //! The endpoints as one instance sees them.
 
 use std::collections::HashMap;
-use std::ops::Add;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,11 +8,9 @@
 use ploverwick_placement::{Candidate, score};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-use crate::load::{Load, Pace, Told};
-use crate::{Entry, Health, Outcome, State};
-
-/// How long a peer's report of its requests counts.
-const REPORT_AGE: Duration = Duration::from_millis(2_500);
+use crate::load::{Load, Pace};
+use crate::reports::{Reports, Told};
+use crate::{Entry, Health, Outcome, State, reports};
 
 /// The cost of a choice, comparable to milliseconds of waiting.
 #[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
@@ -78,11 +75,35 @@
     health: Health,
 }
 
+impl Member {
+    /// Returns whether the list and the request itself allow that it goes there.
+    fn takes(&self, query: &Query<'_>) -> bool {
+        let is_ready = self.entry.state == State::Ready;
+        let is_of_service = &*self.entry.service == query.service;
+        is_ready && is_of_service && !query.except.contains(&self.entry.id)
+    }
+}
+
+/// The endpoints that may take a request as far as their failures say.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Allowed {
+    /// Those that are not left out for their failures.
+    Sound,
+    /// All, as each is left out.
+    All,
+}
+
+impl Allowed {
+    fn allows(self, member: &Member, now: Moment) -> bool {
+        self == Self::All || !member.health.is_out(now)
+    }
+}
+
 /// The endpoints that are listed, with load and health.
 #[derive(Debug, Default)]
 pub struct Fleet {
     members: HashMap<Arc<str>, Member>,
-    reports: HashMap<Arc<str>, Told>,
+    reports: Reports,
     /// What all instances have under way at an endpoint, as its placer told it at a moment.
     totals: HashMap<Arc<str>, (Load, Moment)>,
 }
@@ -205,7 +226,7 @@
 
     /// Takes in what a peer has under way.
     pub fn report(&mut self, peer: Arc<str>, loads: HashMap<Arc<str>, Load>, now: Moment) {
-        self.reports.insert(peer, Told { at: now, loads });
+        self.reports.add(peer, Told { at: now, loads }, now);
     }
 
     /// Takes in what all instances have under way at an endpoint, as its placer sums it.
@@ -224,7 +245,7 @@
     /// What instances told directly is younger, what a placer sums is more complete.
     pub fn load(&self, id: &str, now: Moment) -> Load {
         let total = self.totals.get(id);
-        let total = total.filter(|(_, at)| now.since(*at) <= REPORT_AGE);
+        let total = total.filter(|(_, at)| now.since(*at) <= reports::AGE);
         let total = total.map_or_else(Load::default, |(load, _)| *load);
         self.heard_load(id, now).max(total)
     }
@@ -232,10 +253,7 @@
     /// Returns what this instance and those that tell it directly have under way at an endpoint.
     pub fn heard_load(&self, id: &str, now: Moment) -> Load {
         let own = self.members.get(id).map_or_else(Load::default, |m| m.own);
-        let fresh = self.reports.values();
-        let fresh = fresh.filter(|told| now.since(told.at) <= REPORT_AGE);
-        let others = fresh.filter_map(|told| told.loads.get(id).copied());
-        others.fold(own, Load::add)
+        own + self.reports.load(id, now)
     }
 
     /// Returns how long the first event of an answer will take at an endpoint: the prompts that are to
@@ -261,28 +279,55 @@
     ///
     /// Endpoints that are left out for their failures come only if there are no others.
     pub fn rank(&self, query: &Query<'_>, now: Moment) -> Vec<(Cost, Arc<str>)> {
-        let ranked = self.rank_if(query, now, |health| !health.is_out(now));
-        if ranked.is_empty() {
-            return self.rank_if(query, now, |_| true);
+        let allowed = self.allowed(query, now);
+        let takes = |member: &&Member| member.takes(query) && allowed.allows(member, now);
+        let members = self.members.values().filter(takes);
+        self.ranked(query, members, now)
+    }
+
+    /// Returns the cheapest of some endpoints that may take a request, as [`Self::rank`] ranks them.
+    ///
+    /// An adapter has a few holders among some thousand endpoints, and whoever waits for one looks each time
+    /// that any is loaded: what this takes does not grow with the endpoints.
+    pub fn best<'a>(
+        &self,
+        query: &Query<'_>,
+        among: impl Iterator<Item = &'a Arc<str>>,
+        now: Moment,
+    ) -> Option<(Cost, Arc<str>)> {
+        let members = among.filter_map(|id| self.members.get(id));
+        let members: Vec<&Member> = members.filter(|member| member.takes(query)).collect();
+        let sound = members.iter().filter(|member| !member.health.is_out(now));
+        let mut ranked = self.ranked(query, sound.copied(), now);
+        if ranked.is_empty() && !members.is_empty() && self.allowed(query, now) == Allowed::All {
+            ranked = self.ranked(query, members.into_iter(), now);
         }
-        ranked
+        ranked.into_iter().next()
     }
 
-    fn rank_if(
+    /// Returns which endpoints a request may go to as far as their failures say.
+    fn allowed(&self, query: &Query<'_>, now: Moment) -> Allowed {
+        let mut members = self.members.values();
+        if members.any(|member| member.takes(query) && !member.health.is_out(now)) {
+            Allowed::Sound
+        } else {
+            Allowed::All
+        }
+    }
+
+    fn ranked<'a>(
         &self,
         query: &Query<'_>,
+        members: impl Iterator<Item = &'a Member>,
         now: Moment,
-        allows: impl Fn(&Health) -> bool,
     ) -> Vec<(Cost, Arc<str>)> {
-        let median = self.median_latency(query.service);
-        let mut ranked: Vec<(Cost, Arc<str>)> = self
-            .members
-            .values()
-            .filter(|m| &*m.entry.service == query.service)
-            .filter(|m| m.entry.state == State::Ready && !query.except.contains(&m.entry.id))
-            .filter(|m| allows(&m.health))
-            .map(|m| (self.cost(m, query, median, now), Arc::clone(&m.entry.id)))
-            .collect();
+        // Only what reads no prompt is compared by its latency.
+        let reads = query.prompt > 0;
+        let median = (!reads)
+            .then(|| self.median_latency(query.service))
+            .flatten();
+        let costs = members.map(|m| (self.cost(m, query, median, now), Arc::clone(&m.entry.id)));
+        let mut ranked: Vec<(Cost, Arc<str>)> = costs.collect();
         ranked.sort_by(|a, b| a.0.0.total_cmp(&b.0.0).then_with(|| a.1.cmp(&b.1)));
         ranked
     }
--- a/crates/ploverwick_endpoints/src/lib.rs
+++ b/crates/ploverwick_endpoints/src/lib.rs
@@ -12,6 +12,7 @@
 mod heartbeats;
 mod load;
 mod patience;
+mod reports;
 
 pub use absence::Absence;
 pub use budget::{Account, Budget, Rate};
--- a/crates/ploverwick_endpoints/src/load.rs
+++ b/crates/ploverwick_endpoints/src/load.rs
@@ -1,12 +1,8 @@
 //! What endpoints have under way, and how fast they read prompts.
 
-use std::collections::HashMap;
 use std::ops::Add;
-use std::sync::Arc;
 use std::time::Duration;
 
-use ploverwick_names::Moment;
-
 /// What is under way at an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct Load {
@@ -28,6 +24,14 @@
 }
 
 impl Load {
+    /// Returns what is left without a part of it.
+    pub(crate) fn less(self, part: Self) -> Self {
+        Self {
+            requests: self.requests.saturating_sub(part.requests),
+            reading: self.reading.saturating_sub(part.reading),
+        }
+    }
+
     /// Returns the greater of two views, count by count.
     pub(crate) fn max(self, other: Self) -> Self {
         Self {
@@ -37,13 +41,6 @@
     }
 }
 
-/// What a peer has under way, as of a moment.
-#[derive(Debug)]
-pub(crate) struct Told {
-    pub(crate) at: Moment,
-    pub(crate) loads: HashMap<Arc<str>, Load>,
-}
-
 /// Milliseconds for a prompt token before any endpoint has answered: what a 70-billion-parameter model
 /// takes on one current accelerator, to a factor of two. The first answers replace it.
 const FIRST_PACE: f64 = 0.03;
--- a/crates/ploverwick_gateway/src/controllers/operator.rs
+++ b/crates/ploverwick_gateway/src/controllers/operator.rs
@@ -6,6 +6,7 @@
 use ploverwick_adapters::Since;
 use ploverwick_platform::store::Record;
 use ploverwick_platform::{CONFIG_KEY, OPERATOR, config, version};
+use ploverwick_routes::Organisations;
 
 use super::feed::{Feed, News};
 use super::topic;
@@ -105,7 +106,13 @@
         config.version,
         known
     );
-    state.config = Some(config);
+    let faults = config
+        .organisations()
+        .map_or(&[][..], Organisations::faults);
+    for fault in faults {
+        spdlog::error!("organisation_malformed cause=\"{}\"", fault);
+    }
+    state.config = Some(Arc::clone(&config));
     drop(state);
     shared.orders.notify_waiters();
 }
--- a/crates/ploverwick_gateway/src/filters/place.rs
+++ b/crates/ploverwick_gateway/src/filters/place.rs
@@ -180,14 +180,14 @@
         key: key.clone(),
         version,
     };
-    let ranked = state.fleet.rank(&query(shared, &state, task, except), now);
+    let query = query(shared, &state, task, except);
     let mut held = wanted.clone();
-    let mut best = best(&state, &ranked, &held);
+    let mut best = best(&state, &query, &held, now);
     if best.is_none()
         && let Some(older) = usable_older(shared, &state, &wanted, now)
     {
         held.version = older;
-        best = self::best(&state, &ranked, &held);
+        best = self::best(&state, &query, &held, now);
         best.take_if(|(_, id)| !begins_in_time(shared, &state, task, &held, id, now));
     }
     let Some((cost, id)) = best else {
@@ -223,10 +223,10 @@
     (Choice::Go(Box::new(target)), wanted)
 }
 
-fn best(state: &State, ranked: &[(Cost, Arc<str>)], copy: &Copy) -> Option<(Cost, Arc<str>)> {
+/// Returns the cheapest endpoint that holds an adapter.
+fn best(state: &State, query: &Query<'_>, copy: &Copy, now: Moment) -> Option<(Cost, Arc<str>)> {
     let holders = state.directory.holders(&copy.key, copy.version);
-    let mut ranked = ranked.iter();
-    ranked.find(|(_, id)| holders.contains(id)).cloned()
+    state.fleet.best(query, holders.iter(), now)
 }
 
 /// Returns an older version that may still be used while the newest is being loaded. Those below it
