Hold quotas over the sliding window, at twice their lasting pace at most

What was granted ahead and given back reduced what had been granted lately, though it had been granted long ago.

Change: a pool grants in any window what was lent to it over that window; nothing of other pools or an earlier life has to be known. What is granted lapses after a second in place of going back. At most twice the lasting pace is granted a second. A request waits for room that comes while it can still be on time; the time to come back counts how fast the window fills after a start.

--- a/crates/ploverwick_gateway/src/filters/quota.rs
+++ b/crates/ploverwick_gateway/src/filters/quota.rs
@@ -6,7 +6,7 @@
 
 use ploverwick_codes::Code;
 use ploverwick_quota::{Claim, Take, Ticket};
-use ploverwick_routes::Organisation;
+use ploverwick_routes::{Organisation, Quota};
 use tokio::time::Instant;
 
 use super::reply::Reply;
@@ -79,15 +79,15 @@
         return Ok(None);
     };
     let cost = quota.cost(task.call.tokens);
-    let now = shared.now();
-    let taken = shared
-        .state()
-        .purse
-        .take(&organisation.name, quota, cost, now);
-    let claim = match taken {
-        Take::Granted => Claim::Granted,
-        Take::Over(wait) => Claim::Over(wait),
-        Take::Waits(ticket) => wait(shared, task, organisation, ticket).await,
+    let patience = task.route.objective.mul_f64(WAIT_SHARE).min(LONGEST_WAIT);
+    let until = Instant::now() + patience;
+    let claim = loop {
+        let claim = take(shared, organisation, quota, cost, until).await;
+        match claim {
+            // There is room before it could not be on time any more.
+            Claim::Over(wait) if Instant::now() + wait < until => tokio::time::sleep(wait).await,
+            Claim::Granted | Claim::Over(_) | Claim::Waits => break claim,
+        }
     };
     match claim {
         Claim::Granted => {
@@ -104,15 +104,36 @@
     }
 }
 
+/// Takes what a request counts as, and asks for it if nothing is at hand.
+async fn take(
+    shared: &Shared,
+    organisation: &Organisation,
+    quota: &Quota,
+    cost: u32,
+    until: Instant,
+) -> Claim {
+    let now = shared.now();
+    let name = &organisation.name;
+    let taken = shared.state().purse.take(name, quota, cost, now);
+    match taken {
+        Take::Granted => Claim::Granted,
+        Take::Over(wait) => Claim::Over(wait),
+        Take::Waits(ticket) => wait(shared, organisation, ticket, until).await,
+    }
+}
+
 /// Waits until it is known what becomes of a request, or it could not be on time any more.
-async fn wait(shared: &Shared, task: &Task, organisation: &Organisation, ticket: Ticket) -> Claim {
+async fn wait(
+    shared: &Shared,
+    organisation: &Organisation,
+    ticket: Ticket,
+    until: Instant,
+) -> Claim {
     let waiting = Waiting {
         shared,
         organisation,
         ticket,
     };
-    let patience = task.route.objective.mul_f64(WAIT_SHARE).min(LONGEST_WAIT);
-    let until = Instant::now() + patience;
     shared.quota_wanted.notify_one();
     loop {
         let settled = shared.quota_settled.notified();
--- a/crates/ploverwick_gateway/src/state.rs
+++ b/crates/ploverwick_gateway/src/state.rs
@@ -154,7 +154,7 @@
             placed_before: false,
             uses: HashMap::new(),
             purse: Purse::new(settings.ip.into(), now),
-            quota_pool: Pool::default(),
+            quota_pool: Pool::new(settings.quota_window),
             breaks: Breaks::default(),
             quarantine: Quarantine::default(),
         }
--- a/crates/ploverwick_quota/src/lib.rs
+++ b/crates/ploverwick_quota/src/lib.rs
@@ -12,6 +12,7 @@
 mod demand;
 mod pool;
 mod purse;
+mod slots;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -54,8 +55,6 @@
     pub needs: Vec<u32>,
     /// What the next requests are expected to need.
     pub extra: u32,
-    /// What was granted before and is given back.
-    pub unused: u32,
 }
 
 /// What an instance tells a pool.
--- a/crates/ploverwick_quota/src/pool.rs
+++ b/crates/ploverwick_quota/src/pool.rs
@@ -8,18 +8,28 @@
 use ploverwick_names::Moment;
 use ploverwick_routes::Quota;
 
+use crate::slots::Slots;
 use crate::{AHEAD, Ask, Given, Lend};
 
-/// The seconds of its rate that a quota without a burst may save: less than one request would never pass.
-const LEAST_BURST_S: f64 = 0.25;
-/// The part of what may be saved above which more is granted than waiting requests need. Below it an
-/// organisation nears its quota, and what lies unused at one instance is missing at another.
-const PLENTY: f64 = 0.5;
-/// The part of a quota from which on a pool lets a request pass that is larger than can be saved up, and
-/// leaves a debt. Many small pools would each leave one.
+/// The part of what a window may hold that must be free for more to be granted than waiting requests need.
+/// Below it an organisation nears its quota, and what lies unused at one instance is missing at another. Nor
+/// is more granted than keeps the pace of the quota: what is used later than it was granted counts in a
+/// later window.
+const PLENTY: f64 = 0.25;
+/// The part of a quota that is granted. The rest covers what is used later than it was granted, in a window
+/// that holds more then: at an instance that stood still, or from what was granted ahead.
+const GRANTED: f64 = 0.96;
+const SECOND: Duration = Duration::from_secs(1);
+/// How many times faster than it lasts a quota may be used: a crowd of one organisation would use up a window's
+/// worth within a second or two, in which the others wait behind it at endpoints, and be refused for the rest.
+const FASTEST: f64 = 2.0;
+/// The part of a window from which on all of it counts as lent.
+const FILLED: f64 = 0.98;
+/// The part of a quota from which on a pool lets a request pass that is larger than a window may hold. Many
+/// small pools would each let one pass.
 const LARGE: f64 = 0.5;
 /// The shortest and the longest time after which a refused request is asked to come back.
-const WAITS: [Duration; 2] = [Duration::from_millis(100), Duration::from_secs(30)];
+const WAITS: [Duration; 2] = [Duration::from_millis(50), Duration::from_secs(30)];
 /// The seconds of its rate for which an organisation's refused requests count as coming back: most clients
 /// wait no longer.
 const COME_BACK_S: f64 = 3.0;
@@ -30,28 +40,41 @@
     until: Moment,
 }
 
-/// What one organisation may use.
-#[derive(Debug, Clone, Copy, Default)]
-struct Level {
-    /// The units that may be granted; below 0 after a request that is larger than what can be saved.
-    units: f64,
-    /// The pool's seconds when that was worked out.
-    at: f64,
+/// What was granted to one organisation.
+#[derive(Debug, Default)]
+struct Account {
+    granted: Slots,
     /// The units that were refused, less what there was room for since.
     refused: f64,
+    refused_at: Moment,
 }
 
 /// The parts that instances lent.
-#[derive(Debug, Default)]
+///
+/// In any window of time a pool grants no more than the part of the quota that was lent to it over that
+/// window, so that pools need to know nothing of each other, or of what was granted before they began.
+#[derive(Debug)]
 pub struct Pool {
+    window: Duration,
     lenders: BTreeMap<IpAddr, Lender>,
     /// Seconds for which whole quotas were lent: a quota of which half is lent for two seconds counts one.
-    seconds: f64,
+    lent: Slots,
     at: Moment,
-    levels: HashMap<Arc<str>, Level>,
+    accounts: HashMap<Arc<str>, Account>,
 }
 
 impl Pool {
+    /// Makes a pool of quotas that hold over any `window` of time.
+    pub fn new(window: Duration) -> Self {
+        Self {
+            window,
+            lenders: BTreeMap::new(),
+            lent: Slots::default(),
+            at: Moment(0),
+            accounts: HashMap::new(),
+        }
+    }
+
     /// Takes in what `from` lends, and returns whether it lends anything.
     pub fn lend(&mut self, from: IpAddr, lend: &Lend, now: Moment) -> bool {
         self.advance(now);
@@ -81,51 +104,62 @@
     /// Grants what there is room for.
     pub fn ask(&mut self, ask: &Ask, quota: &Quota, now: Moment) -> Given {
         self.advance(now);
+        let window = self.window;
         let share = self.share();
-        let most = most(quota) * share;
-        let rate = quota.rate * share;
-        let level = self.level(ask, quota.rate, most);
+        // A burst may be used once in each window, so that this is what may be used a second over time.
+        let rate = quota.rate + quota.burst / window.as_secs_f64();
+        let lent = self.lent.sum(window, now);
+        let most = rate * lent * GRANTED;
+        let account = self.account(ask);
+        let mut used = account.granted.sum(window, now);
+        let mut lately = account.granted.sum_of_last(SECOND, now);
+        let pace = rate * share * SECOND.as_secs_f64() * FASTEST;
         let mut units = 0.0;
         let mut missing: f64 = 0.0;
+        let mut is_over = false;
         for need in &ask.needs {
             let need = f64::from(*need);
-            // What is larger than can be saved up waits until all is saved.
-            let least = if share >= LARGE { need.min(most) } else { need };
-            if least > 0.0 && level.units >= least {
-                level.units -= need;
+            let is_too_large = share >= LARGE && need > rate * window.as_secs_f64();
+            let has_room = used + need <= most || is_too_large && used <= 0.0;
+            let is_paced = lately + need <= pace || lately <= 0.0;
+            if has_room && is_paced {
+                used += need;
+                lately += need;
                 units += need;
             } else {
-                missing = missing.max(least - level.units);
-                level.refused = (level.refused + need).min(rate * COME_BACK_S);
+                missing = missing.max(used + need - most).max(0.0);
+                is_over = true;
+                account.refuse(need, rate * share, now);
             }
         }
-        let room = level.units - most * PLENTY;
-        let extra = f64::from(ask.extra).min(room).max(0.0).floor();
-        level.units -= extra;
-        let wait = if missing > 0.0 {
-            wait((missing + level.refused) / rate)
-        } else {
+        let room = most * (1.0 - PLENTY) - used;
+        let pace = rate * share * AHEAD.as_secs_f64() - account.granted.sum_of_last(AHEAD, now);
+        let extra = f64::from(ask.extra).min(room).min(pace - units);
+        units += extra.max(0.0).floor();
+        account.granted.add(units, now);
+        let is_filling = lent < share * window.as_secs_f64() * FILLED;
+        let wait = if !is_over {
             Duration::ZERO
+        } else if missing <= 0.0 {
+            // There is room, and the pace leaves it for later.
+            bounded(account.refused / pace)
+        } else if is_filling && rate * share > 0.0 {
+            bounded((missing + account.refused) / (rate * share))
+        } else {
+            account
+                .granted
+                .until_gone(missing + account.refused, window, now)
         };
         Given {
             organisation: Arc::clone(&ask.organisation),
-            units: (units + extra) as u32,
+            units: units as u32,
             wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
         }
     }
 
-    /// Works out an organisation's level. What was never asked for was saved up since the pool began.
-    fn level(&mut self, ask: &Ask, rate: f64, most: f64) -> &mut Level {
-        let seconds = self.seconds;
-        let level = self
-            .levels
-            .entry(Arc::clone(&ask.organisation))
-            .or_default();
-        let more = (seconds - level.at) * rate;
-        level.at = seconds;
-        level.units = (level.units + more + f64::from(ask.unused)).min(most);
-        level.refused = (level.refused - more).max(0.0);
-        level
+    fn account(&mut self, ask: &Ask) -> &mut Account {
+        let name = Arc::clone(&ask.organisation);
+        self.accounts.entry(name).or_default()
     }
 
     /// Counts the time up to `now`, each part for as long as it is lent.
@@ -145,24 +179,33 @@
     }
 
     fn count(&mut self, until: Moment) {
-        self.seconds += self.share() * until.since(self.at).as_secs_f64();
-        self.at = self.at.max(until);
+        let share = self.share();
+        // A long pause is counted slot by slot, as it counts in the windows.
+        while self.at < until {
+            let next = Slots::end(self.at).min(until);
+            let seconds = next.since(self.at).as_secs_f64();
+            self.lent.add(share * seconds, self.at);
+            self.at = next;
+        }
     }
 }
 
-/// Returns the most units that can be saved up: with the burst what lies unused at instances, where it was
-/// granted ahead and is missing to others.
-fn most(quota: &Quota) -> f64 {
-    quota.burst.max(quota.rate * LEAST_BURST_S) + quota.rate * AHEAD.as_secs_f64()
+impl Account {
+    fn refuse(&mut self, need: f64, rate: f64, now: Moment) {
+        let since = now.since(self.refused_at).as_secs_f64();
+        let left = (self.refused - since * rate).max(0.0);
+        self.refused = (left + need).min(rate * COME_BACK_S);
+        self.refused_at = now;
+    }
 }
 
 /// Makes a time to come back of seconds.
-pub(crate) fn wait(seconds: f64) -> Duration {
+fn bounded(seconds: f64) -> Duration {
+    wait(Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX))
+}
+
+/// Bounds a time to come back.
+pub(crate) fn wait(wait: Duration) -> Duration {
     let [shortest, longest] = WAITS;
-    let seconds = if seconds.is_finite() {
-        seconds
-    } else {
-        longest.as_secs_f64()
-    };
-    Duration::from_secs_f64(seconds.clamp(shortest.as_secs_f64(), longest.as_secs_f64()))
+    wait.clamp(shortest, longest)
 }
--- a/crates/ploverwick_quota/src/purse.rs
+++ b/crates/ploverwick_quota/src/purse.rs
@@ -17,6 +17,8 @@
 const TRANSIT: Duration = Duration::from_millis(100);
 /// How long an answer is awaited before a waiting request is asked for again.
 const ASK_AGAIN: Duration = Duration::from_millis(60);
+/// How long what was granted may be used: the pool counts it in the window in which it granted it.
+const KEPT: Duration = Duration::from_secs(1);
 /// How long a pool may leave messages unanswered before another one is looked for.
 const SILENT: Duration = Duration::from_millis(350);
 /// The pause after a message to a pool that was not answered.
@@ -75,6 +77,8 @@
 struct Account {
     /// What was granted and not used.
     units: f64,
+    /// When something was last granted.
+    granted_at: Moment,
     demand: Demand,
     waiting: Vec<Waiting>,
     /// What became of those that waited and have not looked yet.
@@ -156,8 +160,9 @@
         let units = f64::from(cost);
         account.demand.add(units, now);
         account.used = now;
+        account.lapse(now);
         if quota.rate <= 0.0 {
-            return Take::Over(wait(f64::INFINITY));
+            return Take::Over(wait(Duration::MAX));
         }
         if account.waiting.is_empty() && account.units >= units {
             account.units -= units;
@@ -415,7 +420,7 @@
         }
         for given in given {
             if let Some(account) = self.accounts.get_mut(&given.organisation) {
-                account.granted(asked, given);
+                account.granted(asked, given, now);
             }
         }
     }
@@ -428,9 +433,8 @@
 impl Account {
     /// Makes what is asked of a pool, if anything is.
     fn ask(&mut self, name: &Arc<str>, now: Moment) -> Option<Ask> {
+        self.lapse(now);
         let target = self.demand.rate(now) * AHEAD.as_secs_f64();
-        let unused = (self.units - target * 2.0).max(0.0).floor();
-        self.units -= unused;
         let is_worth_it = target >= self.demand.mean() && self.units < target / 2.0;
         let extra = if is_worth_it {
             target - self.units
@@ -449,15 +453,25 @@
             organisation: Arc::clone(name),
             needs: needs.collect(),
             extra: extra as u32,
-            unused: unused as u32,
         };
-        let is_empty = ask.needs.is_empty() && ask.extra == 0 && ask.unused == 0;
+        let is_empty = ask.needs.is_empty() && ask.extra == 0;
         (!is_empty).then_some(ask)
     }
 
+    /// Drops what was granted long ago.
+    fn lapse(&mut self, now: Moment) {
+        if now.since(self.granted_at) > KEPT {
+            self.units = 0.0;
+        }
+    }
+
     /// Takes in what was granted, and settles what waits.
-    fn granted(&mut self, asked: Moment, given: &Given) {
-        self.units += f64::from(given.units);
+    fn granted(&mut self, asked: Moment, given: &Given, now: Moment) {
+        self.lapse(now);
+        if given.units > 0 {
+            self.units += f64::from(given.units);
+            self.granted_at = now;
+        }
         let over = Duration::from_millis(given.wait_ms.into());
         let (units, settled) = (&mut self.units, &mut self.settled);
         self.waiting.retain(|waiting| {
--- /dev/null
+++ b/crates/ploverwick_quota/src/slots.rs
@@ -0,0 +1,73 @@
+//! Sums over a window of time that moves on.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use ploverwick_names::Moment;
+
+use crate::pool::wait;
+
+/// The length of a slot in ms. A window is so much shorter at most than it should be: 1.3 % of 8 s.
+const SLOT_MS: u64 = 100;
+
+/// Amounts by the time at which they came, in slots.
+#[derive(Debug, Default)]
+pub(crate) struct Slots {
+    /// The slots in which something came, the oldest first.
+    amounts: VecDeque<(u64, f64)>,
+}
+
+impl Slots {
+    /// Returns the end of the slot of a moment.
+    pub(crate) fn end(at: Moment) -> Moment {
+        Moment((at.0 / SLOT_MS + 1) * SLOT_MS)
+    }
+
+    /// Adds an amount.
+    pub(crate) fn add(&mut self, amount: f64, at: Moment) {
+        let slot = at.0 / SLOT_MS;
+        match self.amounts.back_mut() {
+            Some((last, sum)) if *last >= slot => *sum += amount,
+            Some(_) | None if amount > 0.0 => self.amounts.push_back((slot, amount)),
+            Some(_) | None => {}
+        }
+    }
+
+    /// Returns the sum over the window that ends now, and forgets what came before it.
+    pub(crate) fn sum(&mut self, window: Duration, now: Moment) -> f64 {
+        let first = first(window, now);
+        while self
+            .amounts
+            .pop_front_if(|(slot, _)| *slot < first)
+            .is_some()
+        {}
+        self.amounts.iter().map(|(_, sum)| sum).sum()
+    }
+
+    /// Returns the sum over a shorter time than the window.
+    pub(crate) fn sum_of_last(&self, span: Duration, now: Moment) -> f64 {
+        let first = first(span, now);
+        let last = self.amounts.iter().rev();
+        let last = last.take_while(|(slot, _)| *slot >= first);
+        last.map(|(_, sum)| sum).sum()
+    }
+
+    /// Returns how long it takes until so much has left the window.
+    pub(crate) fn until_gone(&self, amount: f64, window: Duration, now: Moment) -> Duration {
+        let mut gone = 0.0;
+        for (slot, sum) in &self.amounts {
+            gone += sum;
+            if gone >= amount {
+                let leaves = Moment((slot + 1) * SLOT_MS) + window;
+                return wait(leaves.since(now));
+            }
+        }
+        wait(window)
+    }
+}
+
+/// Returns the first slot of the window that ends now.
+fn first(window: Duration, now: Moment) -> u64 {
+    let slots = u64::try_from(window.as_millis()).unwrap_or(u64::MAX) / SLOT_MS;
+    (now.0 / SLOT_MS + 1).saturating_sub(slots)
+}
