Close idle connections of clients where keys cannot be trusted

An instance that cannot prove that its configuration is younger than the bound refuses each request with a key; a client whose connection stays open would come back to it.

--- a/crates/ploverwick_gateway/src/front.rs
+++ b/crates/ploverwick_gateway/src/front.rs
@@ -133,7 +133,13 @@
             }
             () = tokio::time::sleep(LOOK) => {
                 let idle = activity.idle_since().map(|since| shared.now().since(since));
-                if !is_closing && idle.is_some_and(|idle| idle > limits.idle_timeout) {
+                // Other instances may serve what this one would refuse.
+                let longest = if shared.is_stale() {
+                    Duration::ZERO
+                } else {
+                    limits.idle_timeout
+                };
+                if !is_closing && idle.is_some_and(|idle| idle > longest) {
                     is_closing = true;
                     connection.as_mut().graceful_shutdown();
                 }
--- a/crates/ploverwick_gateway/tests/revoked_keys.rs
+++ b/crates/ploverwick_gateway/tests/revoked_keys.rs
@@ -91,6 +91,20 @@
     Ok(())
 }
 
+/// A client's idle connection is closed, so that its next request may go to another instance.
+#[gtest]
+#[tokio::test]
+async fn idle_ones_close() -> Result<()> {
+    let endpoint = Endpoint::start("i-a", "app", None, "d1").await?;
+    let world = ready(&endpoint).await?;
+    let mut connection = client::Connection::open(world.front).await?;
+    let ask = Ask::new("r", HOST, "/slow/");
+    expect_that!(connection.send(&ask).await?.status, eq(StatusCode::OK));
+    world.store.away(true);
+    connection.closed().await;
+    world.until_ready(false).await
+}
+
 /// Instances that do not read the store themselves are proved to by those that do.
 #[gtest]
 #[tokio::test]
