Name what quotas are kept with by the field's words

Allocation, Lease and Grant in place of Purse, Lend and Given: a part of a quota is leased to a pool, which grants units of it.

--- a/crates/ploverwick_bench/src/decide.rs
+++ b/crates/ploverwick_bench/src/decide.rs
@@ -8,7 +8,7 @@
 
 use ploverwick_endpoints::{Entry, Fleet, Load, Query, State};
 use ploverwick_names::Moment;
-use ploverwick_quota::{Ask, Lend, Pool, Purse};
+use ploverwick_quota::{Allocation, Ask, Lease, Pool};
 use ploverwick_routes::{Declaration, KeyDigest, Organisation, Organisations, Quota, Unit};
 
 /// Endpoints and peers that report, in fleets of today and of the largest kind.
@@ -33,10 +33,10 @@
         );
     }
     let name: Arc<str> = Arc::from("o0");
-    let mut purse = purse(&name);
+    let mut allocation = allocation(&name);
     print("quota, granted ahead", times, || {
-        black_box(purse.take(&name, &quota(), 1, NOW));
-        purse.give_back(&name, 1);
+        black_box(allocation.take(&name, &quota(), 1, NOW));
+        allocation.give_back(&name, 1);
     });
     let mut pool = pool();
     let ask = ask(&name, 1);
@@ -104,23 +104,23 @@
 /// A pool to which 74 instances have lent for a while.
 fn pool() -> Pool {
     let mut pool = Pool::new(Duration::from_secs(8));
-    let lend = Lend {
+    let lease = Lease {
         sharers: 74,
-        lent_ms: 60_000,
+        lease_ms: 60_000,
         asks: Vec::new(),
     };
     for number in 0..74 {
-        pool.lend(ip(number), &lend, Moment(0));
+        pool.lend(ip(number), &lease, Moment(0));
     }
     pool
 }
 
-/// A purse that holds enough.
-fn purse(name: &Arc<str>) -> Purse {
-    let mut purse = Purse::new(ip(0), Moment(0));
-    purse.take(name, &quota(), 1_000, NOW);
-    purse.give_back(name, 1_000);
-    purse
+/// A allocation that holds enough.
+fn allocation(name: &Arc<str>) -> Allocation {
+    let mut allocation = Allocation::new(ip(0), Moment(0));
+    allocation.take(name, &quota(), 1_000, NOW);
+    allocation.give_back(name, 1_000);
+    allocation
 }
 
 fn id(number: usize) -> Arc<str> {
--- a/crates/ploverwick_gateway/src/controllers/quotas.rs
+++ b/crates/ploverwick_gateway/src/controllers/quotas.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use ploverwick_names::Moment;
-use ploverwick_quota::{Ask, Given, Lend};
+use ploverwick_quota::{Ask, Grant, Lease};
 use ploverwick_routes::Config;
 use tokio::time::Instant;
 
@@ -40,7 +40,7 @@
         }
         let told = Instant::now();
         tell(&shared, &fleet);
-        let due = shared.state().purse.due();
+        let due = shared.state().allocation.due();
         tokio::select! {
             () = tokio::time::sleep_until(shared.clock.instant(due)) => {}
             () = shared.quota_wanted.notified() => {}
@@ -89,45 +89,48 @@
     let now = shared.now();
     let question = shared.question(now);
     let own = IpAddr::from(shared.settings.ip);
-    let told = shared.state().purse.tell(&fleet.pools, fleet.sharers, now);
-    for (to, lend) in told {
+    let told = shared
+        .state()
+        .allocation
+        .tell(&fleet.pools, fleet.sharers, now);
+    for (to, lease) in told {
         if to == own {
-            let granted = take_in(shared, own, &lend);
+            let granted = take_in(shared, own, &lease);
             given(shared, own, question, &granted);
         } else {
             shared
                 .mail
-                .send(&Message::QuotaLend { question, lend }, &[to]);
+                .send(&Message::QuotaLease { question, lease }, &[to]);
         }
     }
 }
 
 /// Takes in what another instance lends and asks for, and answers.
-pub(crate) fn lent(shared: &Shared, from: IpAddr, question: Question, lend: &Lend) {
-    let given = take_in(shared, from, lend);
-    let answer = Message::QuotaGiven { question, given };
+pub(crate) fn lent(shared: &Shared, from: IpAddr, question: Question, lease: &Lease) {
+    let grants = take_in(shared, from, lease);
+    let answer = Message::QuotaGrants { question, grants };
     shared.mail.send(&answer, &[from]);
 }
 
-fn take_in(shared: &Shared, from: IpAddr, lend: &Lend) -> Vec<Given> {
+fn take_in(shared: &Shared, from: IpAddr, lease: &Lease) -> Vec<Grant> {
     let now = shared.now();
     let mut state = shared.state();
-    state.quota_pool.lend(from, lend, now);
+    state.quota_pool.lend(from, lease, now);
     let Some(config) = state.config.clone() else {
         return Vec::new();
     };
-    let asks = lend.asks.iter();
-    let given = asks.filter_map(|ask| grant(&mut state, &config, ask, now));
-    given.collect()
+    let asks = lease.asks.iter();
+    let grants = asks.filter_map(|ask| grant(&mut state, &config, ask, now));
+    grants.collect()
 }
 
 /// Grants what there is room for; nothing to an organisation that the configuration does not know, and all
 /// to one that has no quota any more.
-fn grant(state: &mut State, config: &Config, ask: &Ask, now: Moment) -> Option<Given> {
+fn grant(state: &mut State, config: &Config, ask: &Ask, now: Moment) -> Option<Grant> {
     let organisation = config.organisations()?.named(&ask.organisation)?;
     let Some(quota) = &organisation.quota else {
         let needs = ask.needs.iter().copied();
-        return Some(Given {
+        return Some(Grant {
             organisation: Arc::clone(&ask.organisation),
             units: needs.fold(0, u32::saturating_add),
             wait_ms: 0,
@@ -137,14 +140,14 @@
 }
 
 /// Takes in what a pool grants.
-pub(crate) fn given(shared: &Shared, from: IpAddr, question: Question, given: &[Given]) {
+pub(crate) fn given(shared: &Shared, from: IpAddr, question: Question, grants: &[Grant]) {
     if !shared.asked(question) {
         return;
     }
     let now = shared.now();
     let mut state = shared.state();
-    state.purse.answered(from, question.at, given, now);
-    let has_urgent = state.purse.has_urgent();
+    state.allocation.answered(from, question.at, grants, now);
+    let has_urgent = state.allocation.has_urgent();
     drop(state);
     shared.quota_settled.notify_waiters();
     if has_urgent {
--- a/crates/ploverwick_gateway/src/filters/quota.rs
+++ b/crates/ploverwick_gateway/src/filters/quota.rs
@@ -48,7 +48,7 @@
     fn drop(&mut self) {
         if self.sends.load(Ordering::Relaxed) == 0 {
             let name = &self.organisation.name;
-            self.shared.state().purse.give_back(name, self.cost);
+            self.shared.state().allocation.give_back(name, self.cost);
         }
     }
 }
@@ -63,7 +63,7 @@
 impl Drop for Waiting<'_> {
     fn drop(&mut self) {
         let mut state = self.shared.state();
-        state.purse.leave(&self.organisation.name, self.ticket);
+        state.allocation.leave(&self.organisation.name, self.ticket);
     }
 }
 
@@ -114,7 +114,7 @@
 ) -> Claim {
     let now = shared.now();
     let name = &organisation.name;
-    let taken = shared.state().purse.take(name, quota, cost, now);
+    let taken = shared.state().allocation.take(name, quota, cost, now);
     match taken {
         Take::Granted => Claim::Granted,
         Take::Over(wait) => Claim::Over(wait),
@@ -139,7 +139,7 @@
         let settled = shared.quota_settled.notified();
         let claim = shared
             .state()
-            .purse
+            .allocation
             .claim(&organisation.name, waiting.ticket);
         if claim != Claim::Waits || tokio::time::timeout_at(until, settled).await.is_err() {
             return claim;
@@ -161,7 +161,7 @@
     metrics::quota_refused(&organisation.name, code);
     let now = shared.now();
     if shared.lines.allow(now) {
-        let pool = shared.state().purse.pool();
+        let pool = shared.state().allocation.pool();
         spdlog::info!(
             "request_over_quota id={} organisation={} cost={} quota={:?} room_in={:?} pool={:?} code={}",
             task.call.id,
--- a/crates/ploverwick_gateway/src/mail.rs
+++ b/crates/ploverwick_gateway/src/mail.rs
@@ -10,7 +10,7 @@
 use ploverwick_endpoints::Entry;
 use ploverwick_names::Moment;
 use ploverwick_quarantine::PARTS;
-use ploverwick_quota::{Given, Lend};
+use ploverwick_quota::{Grant, Lease};
 use ploverwick_topics::parts::{self, Assembly};
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
@@ -149,11 +149,11 @@
         age_ms: u64,
     },
     /// Lends the sender's parts of all quotas, and asks for what its requests need.
-    QuotaLend { question: Question, lend: Lend },
+    QuotaLease { question: Question, lease: Lease },
     /// Answers that: what the sender's pool grants.
-    QuotaGiven {
+    QuotaGrants {
         question: Question,
-        given: Vec<Given>,
+        grants: Vec<Grant>,
     },
     /// The sender has a base model loaded at an endpoint of its failure domain.
     BaseLoad,
@@ -204,8 +204,8 @@
             | Self::End { .. }
             | Self::AskProof { .. }
             | Self::Proof { .. }
-            | Self::QuotaLend { .. }
-            | Self::QuotaGiven { .. }
+            | Self::QuotaLease { .. }
+            | Self::QuotaGrants { .. }
             | Self::BaseLoad
             | Self::Vacant
             | Self::QuarantineDigests { .. } => false,
--- a/crates/ploverwick_gateway/src/state.rs
+++ b/crates/ploverwick_gateway/src/state.rs
@@ -11,7 +11,7 @@
 use ploverwick_names::Moment;
 use ploverwick_platform::settings::Settings;
 use ploverwick_quarantine::{Breaks, Quarantine};
-use ploverwick_quota::{Pool, Purse};
+use ploverwick_quota::{Allocation, Pool};
 use ploverwick_routes::Config;
 use ploverwick_table::Table;
 use ploverwick_topics::Place;
@@ -111,7 +111,7 @@
     /// placers were told.
     pub(crate) uses: HashMap<(Arc<str>, Copy), u32>,
     /// What this instance may use of the organisations' quotas.
-    pub(crate) purse: Purse,
+    pub(crate) allocation: Allocation,
     /// The parts of quotas that instances lent to this one.
     pub(crate) quota_pool: Pool,
     /// The connections to endpoints that broke under requests lately.
@@ -153,7 +153,7 @@
             listing: Listing::Unread,
             placed_before: false,
             uses: HashMap::new(),
-            purse: Purse::new(settings.ip.into(), now),
+            allocation: Allocation::new(settings.ip.into(), now),
             quota_pool: Pool::new(settings.quota_window),
             breaks: Breaks::default(),
             quarantine: Quarantine::default(),
--- a/crates/ploverwick_quota/src/purse.rs
+++ b/crates/ploverwick_quota/src/allocation.rs
@@ -10,7 +10,7 @@
 
 use crate::demand::Demand;
 use crate::pool::wait;
-use crate::{AHEAD, Ask, Given, Lend, lent, period};
+use crate::{AHEAD, Ask, Grant, Lease, lent, period};
 
 /// How long a message may take beyond the time for which parts are lent: the pool counts that time from when
 /// the message came.
@@ -122,7 +122,7 @@
 
 /// What one instance may use.
 #[derive(Debug)]
-pub struct Purse {
+pub struct Allocation {
     own: IpAddr,
     accounts: HashMap<Arc<str>, Account>,
     parts: Parts,
@@ -137,8 +137,8 @@
     has_lent: bool,
 }
 
-impl Purse {
-    /// Makes the purse of the instance at `own` that starts.
+impl Allocation {
+    /// Makes the allocation of the instance at `own` that starts.
     pub fn new(own: IpAddr, now: Moment) -> Self {
         Self {
             own,
@@ -238,7 +238,7 @@
 
     /// Makes the next messages and says to whom. `pools` lists who may pool, the first one first; this
     /// instance is among them. `sharers` counts the instances that share.
-    pub fn tell(&mut self, pools: &[IpAddr], sharers: usize, now: Moment) -> Vec<(IpAddr, Lend)> {
+    pub fn tell(&mut self, pools: &[IpAddr], sharers: usize, now: Moment) -> Vec<(IpAddr, Lease)> {
         self.sharers = sharers;
         self.told = Some(now);
         self.has_urgent = false;
@@ -269,17 +269,17 @@
         let pool = *pool;
         let asks = self.accounts.iter_mut();
         let asks = asks.filter_map(|(name, account)| account.ask(name, now));
-        let lend = Lend {
+        let lease = Lease {
             sharers: count(sharers),
-            lent_ms: u32::try_from(left.as_millis()).unwrap_or(u32::MAX).max(1),
+            lease_ms: u32::try_from(left.as_millis()).unwrap_or(u32::MAX).max(1),
             asks: asks.collect(),
         };
-        out.push((pool, lend));
+        out.push((pool, lease));
         out
     }
 
     /// Decides where the parts go.
-    fn move_parts(&mut self, pools: &[IpAddr], now: Moment, out: &mut Vec<(IpAddr, Lend)>) {
+    fn move_parts(&mut self, pools: &[IpAddr], now: Moment, out: &mut Vec<(IpAddr, Lease)>) {
         match self.parts {
             Parts::Lent {
                 pool,
@@ -356,7 +356,7 @@
     }
 
     /// Asks those that come first whether they can pool.
-    fn look(&mut self, pools: &[IpAddr], now: Moment, out: &mut Vec<(IpAddr, Lend)>) {
+    fn look(&mut self, pools: &[IpAddr], now: Moment, out: &mut Vec<(IpAddr, Lease)>) {
         let pool = self.pool();
         let pause = if pool.is_some() {
             LOOK
@@ -385,16 +385,16 @@
     }
 
     /// Makes a message that lends nothing.
-    fn nothing(&self) -> Lend {
-        Lend {
+    fn nothing(&self) -> Lease {
+        Lease {
             sharers: count(self.sharers),
-            lent_ms: 0,
+            lease_ms: 0,
             asks: Vec::new(),
         }
     }
 
     /// Takes in an answer to the message of `asked`.
-    pub fn answered(&mut self, from: IpAddr, asked: Moment, given: &[Given], now: Moment) {
+    pub fn answered(&mut self, from: IpAddr, asked: Moment, grants: &[Grant], now: Moment) {
         let candidate = self.candidates.entry(from).or_default();
         candidate.answered = Some(now);
         candidate.unanswered = 0;
@@ -418,9 +418,9 @@
             Parts::Own { .. } => self.has_urgent = true,
             Parts::Lent { .. } | Parts::Leaving { .. } => {}
         }
-        for given in given {
-            if let Some(account) = self.accounts.get_mut(&given.organisation) {
-                account.granted(asked, given, now);
+        for grant in grants {
+            if let Some(account) = self.accounts.get_mut(&grant.organisation) {
+                account.granted(asked, grant, now);
             }
         }
     }
@@ -466,20 +466,20 @@
     }
 
     /// Takes in what was granted, and settles what waits.
-    fn granted(&mut self, asked: Moment, given: &Given, now: Moment) {
+    fn granted(&mut self, asked: Moment, grant: &Grant, now: Moment) {
         self.lapse(now);
-        if given.units > 0 {
-            self.units += f64::from(given.units);
+        if grant.units > 0 {
+            self.units += f64::from(grant.units);
             self.granted_at = now;
         }
-        let over = Duration::from_millis(given.wait_ms.into());
+        let over = Duration::from_millis(grant.wait_ms.into());
         let (units, settled) = (&mut self.units, &mut self.settled);
         self.waiting.retain(|waiting| {
             let cost = f64::from(waiting.cost);
             let claim = if *units >= cost {
                 *units -= cost;
                 Claim::Granted
-            } else if waiting.asked == Some(asked) && given.wait_ms > 0 {
+            } else if waiting.asked == Some(asked) && grant.wait_ms > 0 {
                 Claim::Over(over)
             } else {
                 return true;
--- a/crates/ploverwick_quota/src/lib.rs
+++ b/crates/ploverwick_quota/src/lib.rs
@@ -1,7 +1,7 @@
 //! How instances keep an organisation's quota together.
 //!
 //! Each instance owns an even part of every quota and lends it, for a short time that runs out, to one
-//! instance that pools the parts ([`Pool`]) and grants from them to whoever has requests ([`Purse`]). An
+//! instance that pools the parts ([`Pool`]) and grants from them to whoever has requests ([`Allocation`]). An
 //! organisation that one instance alone sees has the whole quota there, and one that all see has it wherever
 //! its requests come. A part is lent to one pool at a time, and its owner takes it back only after the time
 //! for which it was lent. So any instance may pool, two may do so at once while they do not hear each other,
@@ -9,9 +9,9 @@
 //!
 //! Pure state: callers pass the time in and carry the messages.
 
+mod allocation;
 mod demand;
 mod pool;
-mod purse;
 mod slots;
 
 use std::sync::Arc;
@@ -19,8 +19,8 @@
 
 use serde::{Deserialize, Serialize};
 
+pub use allocation::{Allocation, Claim, Take, Ticket};
 pub use pool::Pool;
-pub use purse::{Claim, Purse, Take, Ticket};
 
 /// The time between two messages of an instance by which it lends its parts, where few instances share. A
 /// shorter one costs messages, a longer one leaves the parts of an instance that dies unused for longer.
@@ -59,18 +59,18 @@
 
 /// What an instance tells a pool.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Lend {
+pub struct Lease {
     /// The instances that share, as the sender knows: it lends one part of so many.
     pub sharers: u32,
     /// For how long it lends them from now on; 0 takes them back.
-    pub lent_ms: u32,
+    pub lease_ms: u32,
     /// What it asks for.
     pub asks: Vec<Ask>,
 }
 
 /// What a pool grants for one organisation.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Given {
+pub struct Grant {
     /// The organisation.
     pub organisation: Arc<str>,
     /// The units that may be used.
--- a/crates/ploverwick_quota/src/pool.rs
+++ b/crates/ploverwick_quota/src/pool.rs
@@ -9,7 +9,7 @@
 use ploverwick_routes::Quota;
 
 use crate::slots::Slots;
-use crate::{AHEAD, Ask, Given, Lend};
+use crate::{AHEAD, Ask, Grant, Lease};
 
 /// The part of what a window may hold that must be free for more to be granted than waiting requests need.
 /// Below it an organisation nears its quota, and what lies unused at one instance is missing at another. Nor
@@ -76,15 +76,15 @@
     }
 
     /// Takes in what `from` lends, and returns whether it lends anything.
-    pub fn lend(&mut self, from: IpAddr, lend: &Lend, now: Moment) -> bool {
+    pub fn lend(&mut self, from: IpAddr, lease: &Lease, now: Moment) -> bool {
         self.advance(now);
-        if lend.lent_ms == 0 {
+        if lease.lease_ms == 0 {
             self.lenders.remove(&from);
             return false;
         }
         let lender = Lender {
-            part: 1.0 / f64::from(lend.sharers.max(1)),
-            until: now + Duration::from_millis(lend.lent_ms.into()),
+            part: 1.0 / f64::from(lease.sharers.max(1)),
+            until: now + Duration::from_millis(lease.lease_ms.into()),
         };
         self.lenders.insert(from, lender);
         true
@@ -102,7 +102,7 @@
     }
 
     /// Grants what there is room for.
-    pub fn ask(&mut self, ask: &Ask, quota: &Quota, now: Moment) -> Given {
+    pub fn ask(&mut self, ask: &Ask, quota: &Quota, now: Moment) -> Grant {
         self.advance(now);
         let window = self.window;
         let share = self.share();
@@ -150,7 +150,7 @@
                 .granted
                 .until_gone(missing + account.refused, window, now)
         };
-        Given {
+        Grant {
             organisation: Arc::clone(&ask.organisation),
             units: units as u32,
             wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
--- a/crates/ploverwick_quota/tests/fleet/mod.rs
+++ b/crates/ploverwick_quota/tests/fleet/mod.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use ploverwick_names::Moment;
-use ploverwick_quota::{Claim, Given, Lend, Pool, Purse, Take, Ticket};
+use ploverwick_quota::{Allocation, Claim, Grant, Lease, Pool, Take, Ticket};
 use ploverwick_routes::{Quota, Unit};
 use rand::rngs::StdRng;
 use rand::{Rng, RngExt, SeedableRng};
@@ -79,21 +79,21 @@
 
 #[derive(Debug, Clone)]
 enum Mail {
-    Lend {
+    Lease {
         from: usize,
         life: u64,
         asked: Moment,
-        lend: Lend,
+        lease: Lease,
     },
-    Given {
+    Grant {
         from: usize,
         asked: Moment,
-        given: Vec<Given>,
+        grants: Vec<Grant>,
     },
 }
 
 struct Instance {
-    purse: Purse,
+    allocation: Allocation,
     pool: Pool,
     began: u64,
     life: u64,
@@ -186,7 +186,7 @@
 impl Fleet {
     pub fn new(size: usize, callers: Vec<Caller>, way: Way, seed: u64) -> Self {
         let instances = (0..size).map(|index| Instance {
-            purse: Purse::new(ip(index), Moment(0)),
+            allocation: Allocation::new(ip(index), Moment(0)),
             pool: Pool::new(Duration::from_millis(WINDOW)),
             began: 0,
             life: 0,
@@ -231,7 +231,7 @@
         instance.down_until = back;
         instance.began = back;
         instance.life += 1;
-        instance.purse = Purse::new(ip(index), Moment(0));
+        instance.allocation = Allocation::new(ip(index), Moment(0));
         instance.pool = Pool::new(Duration::from_millis(WINDOW));
         instance.waiting.clear();
     }
@@ -303,7 +303,10 @@
         }
         let now = self.moment(index);
         let Caller { name, quota, .. } = self.callers[caller].clone();
-        match self.instances[index].purse.take(&name, &quota, cost, now) {
+        match self.instances[index]
+            .allocation
+            .take(&name, &quota, cost, now)
+        {
             Take::Granted => self.grant(caller, cost),
             Take::Over(_) => self.refuse(cost, is_owed),
             Take::Waits(ticket) => {
@@ -351,16 +354,16 @@
             Way::Even => vec![ip(index)],
         };
         let instance = &mut self.instances[index];
-        let is_urgent = instance.purse.has_urgent() && self.now >= instance.last_told + 10;
-        if is_urgent || instance.purse.due() <= now {
+        let is_urgent = instance.allocation.has_urgent() && self.now >= instance.last_told + 10;
+        if is_urgent || instance.allocation.due() <= now {
             instance.last_told = self.now;
             let life = instance.life;
-            for (to, lend) in instance.purse.tell(&pools, size, now) {
-                let mail = Mail::Lend {
+            for (to, lease) in instance.allocation.tell(&pools, size, now) {
+                let mail = Mail::Lease {
                     from: index,
                     life,
                     asked: now,
-                    lend,
+                    lease,
                 };
                 self.send(index, self::index(to), mail);
             }
@@ -372,12 +375,12 @@
         let waiting = std::mem::take(&mut self.instances[index].waiting);
         for (caller, ticket, cost, until, is_owed) in waiting {
             let name = Arc::clone(&self.callers[caller].name);
-            let purse = &mut self.instances[index].purse;
-            match purse.claim(&name, ticket) {
+            let allocation = &mut self.instances[index].allocation;
+            match allocation.claim(&name, ticket) {
                 Claim::Granted => self.grant(caller, cost),
                 Claim::Over(_) => self.refuse(cost, is_owed),
                 Claim::Waits if until <= self.now => {
-                    purse.leave(&name, ticket);
+                    allocation.leave(&name, ticket);
                     self.refuse(cost, is_owed);
                 }
                 Claim::Waits => {
@@ -393,14 +396,14 @@
         if !is_own {
             self.seen.messages += 1;
             self.seen.bytes += match &mail {
-                Mail::Lend { lend, .. } => {
-                    20 + lend
+                Mail::Lease { lease, .. } => {
+                    20 + lease
                         .asks
                         .iter()
                         .map(|a| 14 + a.needs.len() as u64 * 2)
                         .sum::<u64>()
                 }
-                Mail::Given { given, .. } => 20 + given.len() as u64 * 14,
+                Mail::Grant { grants, .. } => 20 + grants.len() as u64 * 14,
             };
             let is_cut = [from, to]
                 .iter()
@@ -454,34 +457,38 @@
     fn take(&mut self, to: usize, mail: Mail) {
         let now = self.moment(to);
         match mail {
-            Mail::Lend {
+            Mail::Lease {
                 from,
                 life,
                 asked,
-                lend,
+                lease,
             } => {
                 let pool = &mut self.instances[to].pool;
-                pool.lend(ip(from), &lend, now);
+                pool.lend(ip(from), &lease, now);
                 let quotas: HashMap<_, _> =
                     self.callers.iter().map(|c| (&c.name, c.quota)).collect();
-                let given = lend
+                let grants = lease
                     .asks
                     .iter()
                     .map(|ask| pool.ask(ask, &quotas[&ask.organisation], now));
-                let given = given.collect();
+                let grants = grants.collect();
                 if self.instances[from].life == life {
-                    let mail = Mail::Given {
+                    let mail = Mail::Grant {
                         from: to,
                         asked,
-                        given,
+                        grants,
                     };
                     self.send(to, from, mail);
                 }
             }
-            Mail::Given { from, asked, given } => {
+            Mail::Grant {
+                from,
+                asked,
+                grants,
+            } => {
                 self.instances[to]
-                    .purse
-                    .answered(ip(from), asked, &given, now);
+                    .allocation
+                    .answered(ip(from), asked, &grants, now);
                 self.settle(to);
             }
         }
--- a/crates/ploverwick_topics/tests/revocation_histories.rs
+++ b/crates/ploverwick_topics/tests/revocation_histories.rs
@@ -71,6 +71,9 @@
     loses: f64,
 }
 
+/// Lets something fail.
+type Fault = fn(&mut Fleet);
+
 struct Fleet {
     now: u64,
     random: StdRng,
@@ -391,7 +394,7 @@
 /// What is refused for want of a proof, by cause; prints the table with `--nocapture`.
 #[gtest]
 fn refusals_by_cause() {
-    let causes: [(&str, fn(&mut Fleet)); 6] = [
+    let causes: [(&str, Fault); 6] = [
         ("quiet", |_| {}),
         ("slow store", |fleet| fleet.store.takes = 240),
         ("a third of answers lost", |fleet| fleet.store.loses = 0.35),
