Find proofs and pools while the configuration is still on its way

Change: both begin before the configuration is known, and end if it has no organisations; a silent pool is passed over for 2 s.

Ruled out: an allowance of the slack at each start, which a series of starts would spend again and again.

--- a/crates/ploverwick_gateway/src/controllers/freshness.rs
+++ b/crates/ploverwick_gateway/src/controllers/freshness.rs
@@ -58,11 +58,12 @@
     }
 }
 
-/// Returns whether requests need keys.
+/// Returns whether requests need keys, or may: a start that waits for its configuration first would refuse
+/// requests for as long as a proof takes then.
 fn is_needed(shared: &Shared) -> bool {
     let state = shared.state();
     let config = state.config.as_ref();
-    config.is_some_and(|config| config.organisations().is_some())
+    config.is_none_or(|config| config.organisations().is_some())
 }
 
 /// Asks peers that read the store for a proof.
--- a/crates/ploverwick_gateway/src/controllers/quotas.rs
+++ b/crates/ploverwick_gateway/src/controllers/quotas.rs
@@ -16,6 +16,8 @@
 
 /// How often an instance looks whether an organisation has a quota.
 const IDLE: Duration = Duration::from_millis(250);
+/// How often an instance that starts looks whether the list of instances was read.
+const LIST: Duration = Duration::from_millis(20);
 /// The least pause between messages, so that their number does not grow with the requests: a request that
 /// has to wait for one waits this much longer at most.
 const GAP: Duration = Duration::from_millis(10);
@@ -34,10 +36,14 @@
 pub(crate) async fn keep(shared: Arc<Shared>) {
     let mut fleet = Fleet::default();
     loop {
-        if !is_needed(&shared) || !renew(&shared, &mut fleet) {
+        if !is_needed(&shared) {
             tokio::time::sleep(IDLE).await;
             continue;
         }
+        if !renew(&shared, &mut fleet) {
+            tokio::time::sleep(LIST).await;
+            continue;
+        }
         let told = Instant::now();
         tell(&shared, &fleet);
         let due = shared.state().allocation.due();
@@ -49,13 +55,12 @@
     }
 }
 
-/// Returns whether an organisation has a quota.
+/// Returns whether an organisation has a quota, or may have: a start that waits for its configuration first
+/// would refuse requests until a pool is found.
 fn is_needed(shared: &Shared) -> bool {
     let state = shared.state();
-    state
-        .config
-        .as_ref()
-        .is_some_and(|config| config.has_quotas())
+    let config = state.config.as_ref();
+    config.is_none_or(|config| config.has_quotas())
 }
 
 /// Works out anew who may pool; `false` as long as the list of instances was not read.
--- a/crates/ploverwick_quota/src/allocation.rs
+++ b/crates/ploverwick_quota/src/allocation.rs
@@ -23,8 +23,9 @@
 const SILENT: Duration = Duration::from_millis(350);
 /// The pause after a message to a pool that was not answered.
 const DOUBTED: Duration = Duration::from_millis(100);
-/// How long a pool that was silent is passed over.
-const PASSED_OVER: Duration = Duration::from_secs(5);
+/// How long a pool that was silent is passed over: it may have started later than this instance, and where
+/// instances differ in whom they passed over, each pool has a part of the quotas.
+const PASSED_OVER: Duration = Duration::from_secs(2);
 /// How long an answer shows that an instance can pool.
 const ALIVE: Duration = Duration::from_millis(1_500);
 /// How often those that come before the pool in use are asked whether they can pool.
