Keep an index of endpoints' lives and a digest that is summed up

Change: the lives of an endpoint are found by an index; the digest is the sum of the lines' hashes, kept as lines come and go (digest_is_of_list). Fleet::retain had no caller and is gone. Instances of two builds do not agree on digests and would read the list by themselves.

No decision changes.

--- a/crates/ploverwick_endpoints/src/fleet.rs
+++ b/crates/ploverwick_endpoints/src/fleet.rs
@@ -106,6 +106,9 @@
     reports: Reports,
     /// What all instances have under way at an endpoint, as its placer told it at a moment.
     totals: HashMap<Arc<str>, (Load, Moment)>,
+    /// The sum of the hashes of all lines, modulo 2^64. It is asked for with each message about the list, and
+    /// a hash over all lines would take 3 ms for 3,000 endpoints.
+    digest: u64,
 }
 
 impl Fleet {
@@ -118,9 +121,12 @@
                 if member.entry.state == State::Draining {
                     entry.state = State::Draining;
                 }
-                member.entry = entry;
+                let before = std::mem::replace(&mut member.entry, entry);
+                self.digest = self.digest.wrapping_sub(hash(&before));
+                self.digest = self.digest.wrapping_add(hash(&member.entry));
             }
             None => {
+                self.digest = self.digest.wrapping_add(hash(&entry));
                 let member = Member {
                     entry,
                     own: Load::default(),
@@ -135,12 +141,11 @@
     /// Takes an endpoint off the list; `false` if it was not on it.
     pub fn remove(&mut self, id: &str) -> bool {
         self.totals.remove(id);
-        self.members.remove(id).is_some()
-    }
-
-    /// Keeps only the endpoints that `keep` names.
-    pub fn retain(&mut self, mut keep: impl FnMut(&str) -> bool) {
-        self.members.retain(|id, _| keep(id));
+        let removed = self.members.remove(id);
+        if let Some(member) = &removed {
+            self.digest = self.digest.wrapping_sub(hash(&member.entry));
+        }
+        removed.is_some()
     }
 
     /// Returns an endpoint's line of the list.
@@ -155,14 +160,10 @@
 
     /// Returns a digest of the list: who is on it, where, and whether it takes requests.
     ///
-    /// Instances compare it, so that it is XXH3 with 64 bits and part of their protocol.
+    /// Instances compare it: the sum, modulo 2^64, of XXH3 with 64 bits over each line is part of their
+    /// protocol.
     pub fn digest(&self) -> u64 {
-        let mut lines: Vec<String> = self
-            .entries()
-            .map(|e| format!("{} {} {} {:?}", e.id, e.service, e.address, e.state))
-            .collect();
-        lines.sort_unstable();
-        xxh3_64(lines.join("\n").as_bytes())
+        self.digest
     }
 
     /// Returns whether an endpoint may get new requests.
@@ -375,6 +376,18 @@
     }
 }
 
+/// Hashes a line of the list.
+fn hash(entry: &Entry) -> u64 {
+    let Entry {
+        id,
+        service,
+        address,
+        state,
+        ..
+    } = entry;
+    xxh3_64(format!("{id} {service} {address} {state:?}").as_bytes())
+}
+
 /// Returns a number from -0.5 to 0.5 that differs by request and endpoint.
 fn chance(id: &str, endpoint: &str) -> f64 {
     let hash = xxh3_64_with_seed(endpoint.as_bytes(), xxh3_64(id.as_bytes()));
--- a/crates/ploverwick_endpoints/tests/many_endpoints.rs
+++ b/crates/ploverwick_endpoints/tests/many_endpoints.rs
@@ -145,3 +145,32 @@
     let busy = (0..ENDPOINTS).filter(|n| fleet.heard_load(&id(*n), later) != Load::default());
     expect_that!(busy.count(), eq(0));
 }
+
+/// The digest is that of the list as it stands, whatever came and went before.
+#[googletest::test]
+fn digest_is_of_list() {
+    let mut random = StdRng::seed_from_u64(3);
+    let mut fleet = Fleet::default();
+    let mut listed: HashMap<usize, Entry> = HashMap::new();
+    for _ in 0..2_000 {
+        let number = random.random_range(0..60);
+        if random.random::<f64>() < 0.3 {
+            fleet.remove(&id(number));
+            listed.remove(&number);
+            continue;
+        }
+        let mut entry = entry(number);
+        entry.slots = random.random_range(1..20);
+        // One that leaves stays so until it is taken off the list.
+        let is_leaving = listed.get(&number).map(|before| before.state);
+        if is_leaving == Some(State::Draining) || random.random::<f64>() < 0.1 {
+            entry.state = State::Draining;
+        }
+        fleet.put(entry.clone());
+        listed.insert(number, entry);
+    }
+    let mut fresh = Fleet::default();
+    listed.into_values().for_each(|entry| fresh.put(entry));
+    expect_that!(fleet.digest(), eq(fresh.digest()));
+    expect_that!(fleet.digest(), not(eq(Fleet::default().digest())));
+}
--- a/crates/ploverwick_gateway/src/controllers/roster.rs
+++ b/crates/ploverwick_gateway/src/controllers/roster.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ploverwick_endpoints::{Absence, Entry, Fleet, Heartbeat, Heartbeats, State as EndpointState};
+use ploverwick_endpoints::{Absence, Entry, Heartbeat, Heartbeats, State as EndpointState};
 use ploverwick_platform::store::{Error, Record};
 use ploverwick_platform::{ROSTER, roster};
 
@@ -13,6 +13,7 @@
 use crate::handover::{Given, Wanted};
 use crate::journal::Outage;
 use crate::shared::Shared;
+use crate::state::State;
 use crate::tell;
 
 /// The pause between reads. Each heartbeat of an endpoint is a record, so that a read that waits
@@ -308,10 +309,7 @@
 
 /// Lists the lives of an endpoint that are known; one, but for a moment after it started again.
 fn lives(shared: &Shared, instance: &str) -> Vec<Arc<str>> {
-    let state = shared.state();
-    let lives = state.fleet.entries().map(|entry| &entry.id);
-    let lives = lives.filter(|id| roster::instance(id) == instance);
-    lives.cloned().collect()
+    shared.state().lives.of(instance).to_vec()
 }
 
 fn heartbeat(entry: &Entry) -> Heartbeat {
@@ -323,7 +321,7 @@
 
 fn put(shared: &Shared, entry: Entry) {
     let mut state = shared.state();
-    if is_over(&state.fleet, &entry) {
+    if is_over(&state, &entry) {
         return;
     }
     let before = state.fleet.entry(&entry.id).map(|entry| entry.state);
@@ -341,14 +339,15 @@
     if entry.state == EndpointState::Draining {
         state.placer.remove(&entry.id);
     }
+    state.lives.add(&entry.id);
     state.fleet.put(entry);
 }
 
 /// Returns whether a later life of an endpoint is known: a peer's late word may be of an earlier one.
-fn is_over(fleet: &Fleet, entry: &Entry) -> bool {
-    let instance = roster::instance(&entry.id);
-    let mut later = fleet.entries().filter(|other| other.born > entry.born);
-    later.any(|other| roster::instance(&other.id) == instance)
+fn is_over(state: &State, entry: &Entry) -> bool {
+    let lives = state.lives.of(roster::instance(&entry.id)).iter();
+    let mut lives = lives.filter_map(|id| state.fleet.entry(id));
+    lives.any(|other| other.born > entry.born)
 }
 
 fn remove(shared: &Shared, id: &Arc<str>) {
@@ -356,6 +355,7 @@
     if !state.fleet.remove(id) {
         return;
     }
+    state.lives.remove(id);
     state.directory.remove(id);
     state.placer.remove(id);
     drop(state);
--- a/crates/ploverwick_gateway/src/lib.rs
+++ b/crates/ploverwick_gateway/src/lib.rs
@@ -12,6 +12,7 @@
 mod handover;
 mod journal;
 mod listen;
+mod lives;
 mod mail;
 pub mod metrics;
 mod outbox;
--- a/crates/ploverwick_gateway/src/state.rs
+++ b/crates/ploverwick_gateway/src/state.rs
@@ -17,6 +17,7 @@
 use ploverwick_topics::Place;
 use ploverwick_topics::freshness::Freshness;
 
+use crate::lives::Lives;
 use crate::topics::Stands;
 
 /// A placer that is silent for longer is asked for nothing that another failure domain can load: it
@@ -85,6 +86,8 @@
     pub(crate) table: Option<Arc<Table>>,
     pub(crate) rates: Rates,
     pub(crate) fleet: Fleet,
+    /// The lives of the endpoints in it.
+    pub(crate) lives: Lives,
     pub(crate) directory: Directory,
     /// What is proved of the age of what the operator wrote.
     pub(crate) horizon: Horizon,
@@ -135,6 +138,7 @@
                 Past::Unproven
             }),
             fleet: Fleet::default(),
+            lives: Lives::default(),
             directory: Directory::default(),
             horizon: Horizon::default(),
             freshness: Freshness::default(),
