--- a/crates/ploverwick_quota/src/pool.rs
+++ b/crates/ploverwick_quota/src/pool.rs
@@ -19,6 +19,7 @@
 /// The part of a quota that is granted. The rest covers what is used later than it was granted, in a window
 /// that holds more then: at an instance that stood still, or from what was granted ahead.
 const GRANTED: f64 = 0.96;
+/// The time over which the pace is kept.
 const SECOND: Duration = Duration::from_secs(1);
 /// How many times faster than it lasts a quota may be used: a crowd of one organisation would use up a window's
 /// worth within a second or two, in which the others wait behind it at endpoints, and be refused for the rest.
@@ -104,62 +105,47 @@
     /// Grants what there is room for.
     pub fn ask(&mut self, ask: &Ask, quota: &Quota, now: Moment) -> Grant {
         self.advance(now);
-        let window = self.window;
-        let share = self.share();
-        // A burst may be used once in each window, so that this is what may be used a second over time.
-        let rate = quota.rate + quota.burst / window.as_secs_f64();
-        let lent = self.lent.sum(window, now);
-        let most = rate * lent * GRANTED;
-        let account = self.account(ask);
-        let mut used = account.granted.sum(window, now);
-        let mut lately = account.granted.sum_of_last(SECOND, now);
-        let pace = rate * share * SECOND.as_secs_f64() * FASTEST;
-        let mut units = 0.0;
-        let mut missing: f64 = 0.0;
-        let mut is_over = false;
+        let limits = self.limits(quota, now);
+        let name = Arc::clone(&ask.organisation);
+        let account = self.accounts.entry(name).or_default();
+        let mut usage = Usage::of(account, &limits, now);
+        let mut missing: Option<Missing> = None;
         for need in &ask.needs {
             let need = f64::from(*need);
-            let is_too_large = share >= LARGE && need > rate * window.as_secs_f64();
-            let has_room = used + need <= most || is_too_large && used <= 0.0;
-            let is_paced = lately + need <= pace || lately <= 0.0;
-            if has_room && is_paced {
-                used += need;
-                lately += need;
-                units += need;
+            if usage.allows(need, &limits) {
+                usage.grant(need);
             } else {
-                missing = missing.max(used + need - most).max(0.0);
-                is_over = true;
-                account.refuse(need, rate * share, now);
+                let short = usage.missing(need, &limits);
+                missing = Some(missing.map_or(short, |known| known.max(short)));
+                account.refuse(need, limits.rate, now);
             }
         }
-        let room = most * (1.0 - PLENTY) - used;
-        let pace = rate * share * AHEAD.as_secs_f64() - account.granted.sum_of_last(AHEAD, now);
-        let extra = f64::from(ask.extra).min(room).min(pace - units);
-        units += extra.max(0.0).floor();
-        account.granted.add(units, now);
-        let is_filling = lent < share * window.as_secs_f64() * FILLED;
-        let wait = if !is_over {
-            Duration::ZERO
-        } else if missing <= 0.0 {
-            // There is room, and the pace leaves it for later.
-            bounded(account.refused / pace)
-        } else if is_filling && rate * share > 0.0 {
-            bounded((missing + account.refused) / (rate * share))
-        } else {
-            account
-                .granted
-                .until_gone(missing + account.refused, window, now)
-        };
+        let ahead = f64::from(ask.extra).min(usage.room_ahead(&limits));
+        usage.grant(ahead.max(0.0).floor());
+        account.granted.add(usage.granted, now);
+        let wait = missing.map(|missing| account.room_in(missing, &limits, now));
+        let wait_ms = wait.unwrap_or_default().as_millis();
         Grant {
             organisation: Arc::clone(&ask.organisation),
-            units: units as u32,
-            wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
+            units: usage.granted as u32,
+            wait_ms: u32::try_from(wait_ms).unwrap_or(u32::MAX),
         }
     }
 
-    fn account(&mut self, ask: &Ask) -> &mut Account {
-        let name = Arc::clone(&ask.organisation);
-        self.accounts.entry(name).or_default()
+    /// Works out what the parts that are lent allow of a quota.
+    fn limits(&mut self, quota: &Quota, now: Moment) -> Limits {
+        let share = self.share();
+        let window_s = self.window.as_secs_f64();
+        // A burst may be used once in each window, so that this is what may be used a second over time.
+        let whole = quota.rate + quota.burst / window_s;
+        let lent = self.lent.sum(self.window, now);
+        Limits {
+            span: self.window,
+            window: whole * lent * GRANTED,
+            rate: whole * share,
+            is_filling: lent < share * window_s * FILLED,
+            large: (share >= LARGE && whole > 0.0).then_some(whole * window_s),
+        }
     }
 
     /// Counts the time up to `now`, each part for as long as it is lent.
@@ -180,6 +166,7 @@
 
     fn count(&mut self, until: Moment) {
         let share = self.share();
+        self.lent.forget(self.window, until);
         // A long pause is counted slot by slot, as it counts in the windows.
         while self.at < until {
             let next = Slots::end(self.at).min(until);
@@ -190,7 +177,102 @@
     }
 }
 
+/// What the parts that are lent allow of one quota.
+#[derive(Debug, Clone, Copy)]
+struct Limits {
+    /// The length of the window.
+    span: Duration,
+    /// The units that the window may hold that ends now.
+    window: f64,
+    /// The units a second that last.
+    rate: f64,
+    /// Whether parts were lent for less than a window, so that it may hold more each moment.
+    is_filling: bool,
+    /// The units above which a request is too large for any window, where one may pass all the same.
+    large: Option<f64>,
+}
+
+/// What one organisation has used, with what is being granted.
+#[derive(Debug, Clone, Copy)]
+struct Usage {
+    /// In the window.
+    window: f64,
+    /// In the last second.
+    second: f64,
+    /// In the time for which more is granted ahead.
+    lately: f64,
+    /// What is being granted.
+    granted: f64,
+}
+
+impl Usage {
+    fn of(account: &mut Account, limits: &Limits, now: Moment) -> Self {
+        Self {
+            window: account.granted.sum(limits.span, now),
+            second: account.granted.sum_of_last(SECOND, now),
+            lately: account.granted.sum_of_last(AHEAD, now),
+            granted: 0.0,
+        }
+    }
+
+    fn allows(&self, need: f64, limits: &Limits) -> bool {
+        let is_large = limits.large.is_some_and(|large| need > large);
+        let has_room = self.window + need <= limits.window || is_large && self.window <= 0.0;
+        let is_paced = self.second + need <= limits.rate * FASTEST || self.second <= 0.0;
+        has_room && is_paced
+    }
+
+    fn missing(&self, need: f64, limits: &Limits) -> Missing {
+        Missing {
+            window: self.window + need - limits.window,
+            second: self.second + need - limits.rate * FASTEST,
+        }
+    }
+
+    fn grant(&mut self, units: f64) {
+        self.window += units;
+        self.second += units;
+        self.lately += units;
+        self.granted += units;
+    }
+
+    /// Returns how much may be granted beyond what requests need now.
+    fn room_ahead(&self, limits: &Limits) -> f64 {
+        let room = limits.window * (1.0 - PLENTY) - self.window;
+        let pace = limits.rate * AHEAD.as_secs_f64() - self.lately;
+        room.min(pace)
+    }
+}
+
+/// The units that have to go before a refused request has room; not above 0 where it has.
+#[derive(Debug, Clone, Copy)]
+struct Missing {
+    window: f64,
+    second: f64,
+}
+
+impl Missing {
+    fn max(self, other: Self) -> Self {
+        Self {
+            window: self.window.max(other.window),
+            second: self.second.max(other.second),
+        }
+    }
+}
+
 impl Account {
+    /// Returns when there is room for what was refused, behind what was refused before.
+    fn room_in(&self, missing: Missing, limits: &Limits, now: Moment) -> Duration {
+        if missing.window <= 0.0 {
+            self.granted.until_gone(missing.second, SECOND, now)
+        } else if limits.is_filling {
+            bounded((missing.window + self.refused) / limits.rate)
+        } else {
+            let missing = missing.window + self.refused;
+            self.granted.until_gone(missing, limits.span, now)
+        }
+    }
+
     fn refuse(&mut self, need: f64, rate: f64, now: Moment) {
         let since = now.since(self.refused_at).as_secs_f64();
         let left = (self.refused - since * rate).max(0.0);
--- a/crates/ploverwick_quota/src/slots.rs
+++ b/crates/ploverwick_quota/src/slots.rs
@@ -33,14 +33,19 @@
         }
     }
 
-    /// Returns the sum over the window that ends now, and forgets what came before it.
-    pub(crate) fn sum(&mut self, window: Duration, now: Moment) -> f64 {
+    /// Forgets what came before the window that ends now.
+    pub(crate) fn forget(&mut self, window: Duration, now: Moment) {
         let first = first(window, now);
         while self
             .amounts
             .pop_front_if(|(slot, _)| *slot < first)
             .is_some()
         {}
+    }
+
+    /// Returns the sum over the window that ends now, and forgets what came before it.
+    pub(crate) fn sum(&mut self, window: Duration, now: Moment) -> f64 {
+        self.forget(window, now);
         self.amounts.iter().map(|(_, sum)| sum).sum()
     }
 
@@ -52,10 +57,11 @@
         last.map(|(_, sum)| sum).sum()
     }
 
-    /// Returns how long it takes until so much has left the window.
+    /// Returns how long it takes until so much has left the window; all of it, if there is not as much.
     pub(crate) fn until_gone(&self, amount: f64, window: Duration, now: Moment) -> Duration {
+        let first = first(window, now);
         let mut gone = 0.0;
-        for (slot, sum) in &self.amounts {
+        for (slot, sum) in self.amounts.iter().filter(|(slot, _)| *slot >= first) {
             gone += sum;
             if gone >= amount {
                 let leaves = Moment((slot + 1) * SLOT_MS) + window;
