--- a/crates/ploverwick_endpoints/tests/many_endpoints.rs
+++ b/crates/ploverwick_endpoints/tests/many_endpoints.rs
@@ -170,7 +170,9 @@
         listed.insert(number, entry);
     }
     let mut fresh = Fleet::default();
-    listed.into_values().for_each(|entry| fresh.put(entry));
+    for entry in listed.into_values() {
+        fresh.put(entry);
+    }
     expect_that!(fleet.digest(), eq(fresh.digest()));
     expect_that!(fleet.digest(), not(eq(Fleet::default().digest())));
 }
