--- a/crates/ploverwick_quota/src/allocation.rs
+++ b/crates/ploverwick_quota/src/allocation.rs
@@ -9,7 +9,7 @@
 use ploverwick_routes::Quota;
 
 use crate::demand::Demand;
-use crate::pool::wait;
+use crate::hint;
 use crate::{AHEAD, Ask, Grant, Lease, lent, period};
 
 /// How long a message may take beyond the time for which parts are lent: the pool counts that time from when
@@ -163,7 +163,7 @@
         account.used = now;
         account.lapse(now);
         if quota.rate <= 0.0 {
-            return Take::Over(wait(Duration::MAX));
+            return Take::Over(hint::of(Duration::MAX));
         }
         if account.waiting.is_empty() && account.units >= units {
             account.units -= units;
--- a/crates/ploverwick_quota/src/lib.rs
+++ b/crates/ploverwick_quota/src/lib.rs
@@ -11,6 +11,7 @@
 
 mod allocation;
 mod demand;
+mod hint;
 mod pool;
 mod slots;
 
--- a/crates/ploverwick_quota/src/pool.rs
+++ b/crates/ploverwick_quota/src/pool.rs
@@ -8,6 +8,7 @@
 use ploverwick_names::Moment;
 use ploverwick_routes::Quota;
 
+use crate::hint;
 use crate::slots::Slots;
 use crate::{AHEAD, Ask, Grant, Lease};
 
@@ -29,8 +30,6 @@
 /// The part of a quota from which on a pool lets a request pass that is larger than a window may hold. Many
 /// small pools would each let one pass.
 const LARGE: f64 = 0.5;
-/// The shortest and the longest time after which a refused request is asked to come back.
-const WAITS: [Duration; 2] = [Duration::from_millis(50), Duration::from_secs(30)];
 /// The seconds of its rate for which an organisation's refused requests count as coming back: most clients
 /// wait no longer.
 const COME_BACK_S: f64 = 3.0;
@@ -266,7 +265,7 @@
         if missing.window <= 0.0 {
             self.granted.until_gone(missing.second, SECOND, now)
         } else if limits.is_filling {
-            bounded((missing.window + self.refused) / limits.rate)
+            hint::of_seconds((missing.window + self.refused) / limits.rate)
         } else {
             let missing = missing.window + self.refused;
             self.granted.until_gone(missing, limits.span, now)
@@ -280,14 +279,3 @@
         self.refused_at = now;
     }
 }
-
-/// Makes a time to come back of seconds.
-fn bounded(seconds: f64) -> Duration {
-    wait(Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX))
-}
-
-/// Bounds a time to come back.
-pub(crate) fn wait(wait: Duration) -> Duration {
-    let [shortest, longest] = WAITS;
-    wait.clamp(shortest, longest)
-}
--- a/crates/ploverwick_quota/src/slots.rs
+++ b/crates/ploverwick_quota/src/slots.rs
@@ -5,7 +5,7 @@
 
 use ploverwick_names::Moment;
 
-use crate::pool::wait;
+use crate::hint;
 
 /// The length of a slot in ms. A window is so much shorter at most than it should be: 1.3 % of 8 s.
 const SLOT_MS: u64 = 100;
@@ -65,10 +65,10 @@
             gone += sum;
             if gone >= amount {
                 let leaves = Moment((slot + 1) * SLOT_MS) + window;
-                return wait(leaves.since(now));
+                return hint::of(leaves.since(now));
             }
         }
-        wait(window)
+        hint::of(window)
     }
 }
 
