--- a/crates/ploverwick_gateway/src/controllers/freshness.rs
+++ b/crates/ploverwick_gateway/src/controllers/freshness.rs
@@ -76,8 +76,8 @@
     shared.mail.send(&Message::AskProof { question }, &to);
 }
 
-/// Lists peers that read the operator's topic, those with more of a processor first; in this failure domain
-/// the first one only, and another one each time.
+/// Lists peers that read the operator's topic, those with more of a processor first; of this failure domain
+/// the first one alone.
 fn readers(shared: &Shared, state: &State, of_all_domains: bool, now: Moment) -> Vec<IpAddr> {
     let peers = state.peers.iter().filter(|(_, peer)| {
         let is_heard = peer.heard.is_some_and(|at| now.since(at) <= PEER_AGE);
--- a/crates/ploverwick_quota/src/lib.rs
+++ b/crates/ploverwick_quota/src/lib.rs
@@ -1,7 +1,7 @@
 //! How instances keep an organisation's quota together.
 //!
-//! Each instance owns an even part of every quota and lends it, for a short time that runs out, to one
-//! instance that pools the parts ([`Pool`]) and grants from them to whoever has requests ([`Allocation`]). An
+//! Each instance owns an even part of every quota and leases it ([`Lease`]) to one instance that pools the
+//! parts ([`Pool`]) and grants units of them to whoever has requests ([`Allocation`]). An
 //! organisation that one instance alone sees has the whole quota there, and one that all see has it wherever
 //! its requests come. A part is lent to one pool at a time, and its owner takes it back only after the time
 //! for which it was lent. So any instance may pool, two may do so at once while they do not hear each other,
@@ -42,7 +42,7 @@
     even.clamp(SHORTEST_PERIOD, LONGEST_PERIOD)
 }
 
-/// Returns for how long a part is lent at a time: until the next but one message, so that one may be lost.
+/// Returns for how long a part is leased at a time: until the next but one message, so that one may be lost.
 fn lent(period: Duration) -> Duration {
     period * 2 + period / 3
 }
