Say when an endpoint names a limit, and what is sent to it

The head of an answer now says its limit; a line (endpoint_limit) tells when it begins, changes and ends at an instance and by which request, each answered request's line has the limit that was known when it went out, a gauge counts such endpoints and a counter the sends to them. Nothing is decided by it: what is sent is as before.

--- a/crates/ploverwick_gateway/src/controllers.rs
+++ b/crates/ploverwick_gateway/src/controllers.rs
@@ -5,6 +5,7 @@
 mod feed;
 pub(crate) mod freshness;
 pub(crate) mod instances;
+pub(crate) mod limits;
 pub(crate) mod operator;
 pub(crate) mod orders;
 pub(crate) mod quarantine;
--- a/crates/ploverwick_gateway/src/controllers/roster.rs
+++ b/crates/ploverwick_gateway/src/controllers/roster.rs
@@ -355,6 +355,7 @@
     if !state.fleet.remove(id) {
         return;
     }
+    state.limits.remove(id);
     state.lives.remove(id);
     state.directory.remove(id);
     state.placer.remove(id);
--- a/crates/ploverwick_gateway/src/filters/attempt.rs
+++ b/crates/ploverwick_gateway/src/filters/attempt.rs
@@ -301,7 +301,7 @@
 fn log(shared: &Shared, task: &Task, target: &Target, history: &History, status: StatusCode) {
     if shared.lines.allow(shared.now()) {
         spdlog::info!(
-            "request_answered id={} route={} config={} adapter={} {} endpoint={} domain={} cost={:.1} prompt={} load={} reading={} sent={} status={} placing_ms={} in_vain_ms={} answering_ms={} ms={}",
+            "request_answered id={} route={} config={} adapter={} {} endpoint={} domain={} cost={:.1} prompt={} load={} reading={} limit={:?} sent={} status={} placing_ms={} in_vain_ms={} answering_ms={} ms={}",
             task.call.id,
             task.route.name,
             task.config,
@@ -313,6 +313,7 @@
             task.call.prompt_tokens,
             target.load.requests,
             target.load.reading,
+            shared.state().limits.named(&target.entry.id),
             history.sent + 1,
             status.as_u16(),
             history.spent.placing.as_millis(),
--- a/crates/ploverwick_gateway/src/filters/flight.rs
+++ b/crates/ploverwick_gateway/src/filters/flight.rs
@@ -6,6 +6,7 @@
 use ploverwick_adapters::Copy;
 use ploverwick_endpoints::Outcome;
 
+use crate::metrics;
 use crate::shared::Shared;
 
 /// Counts a request at an endpoint for as long as it lives.
@@ -32,6 +33,9 @@
         let mut state = shared.state();
         let ahead = state.fleet.load(endpoint, now).reading;
         state.fleet.sent(endpoint, prompt);
+        if state.limits.named(endpoint).is_some() {
+            metrics::limited_send();
+        }
         if let Some(copy) = &copy {
             state.count_use(endpoint, copy, true);
         }
--- a/crates/ploverwick_gateway/src/filters/send.rs
+++ b/crates/ploverwick_gateway/src/filters/send.rs
@@ -19,7 +19,7 @@
 use super::reply::Reply;
 use super::reuse;
 use super::task::Task;
-use crate::controllers::crashes;
+use crate::controllers::{crashes, limits};
 use crate::pool::{Connection, connect};
 use crate::shared::Shared;
 
@@ -130,6 +130,7 @@
         flight.end(Outcome::Error);
         return Sent::Lost("the answer is another request's".to_owned());
     }
+    limits::answered(shared, endpoint, &task.call.id, head.limit);
     if head.statement != Statement::Nothing {
         not_run(task);
         let misdirected = head.statement == Statement::Misdirected;
--- a/crates/ploverwick_gateway/src/metrics.rs
+++ b/crates/ploverwick_gateway/src/metrics.rs
@@ -98,6 +98,16 @@
     counter!("ploverwick_sends_total", "ending" => ending).increment(1);
 }
 
+/// Counts a send to an endpoint that has named a limit.
+pub(crate) fn limited_send() {
+    counter!("ploverwick_limited_sends_total").increment(1);
+}
+
+/// Says how many endpoints have named a limit, as far as this instance knows.
+pub(crate) fn endpoint_limits(endpoints: usize) {
+    gauge!("ploverwick_endpoint_limits").set(endpoints as f64);
+}
+
 /// Counts a repeat that was wanted, by whether the budget had one left.
 pub(crate) fn repeat(is_granted: bool) {
     let ending = if is_granted { "granted" } else { "refused" };
--- a/crates/ploverwick_gateway/src/state.rs
+++ b/crates/ploverwick_gateway/src/state.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use ploverwick_adapters::{Copy, Directory, Horizon, Pace, Placer, Tenure, Terms};
-use ploverwick_endpoints::{Account, Budget, Census, Entry, Fleet, Held, Rate};
+use ploverwick_endpoints::{Account, Budget, Census, Entry, Fleet, Held, Limits, Rate};
 use ploverwick_limits::{Past, Rates};
 use ploverwick_names::Moment;
 use ploverwick_platform::settings::Settings;
@@ -86,6 +86,8 @@
     pub(crate) table: Option<Arc<Table>>,
     pub(crate) rates: Rates,
     pub(crate) fleet: Fleet,
+    /// The limits that endpoints in need have named.
+    pub(crate) limits: Limits,
     /// The lives of the endpoints in it.
     pub(crate) lives: Lives,
     pub(crate) directory: Directory,
@@ -138,6 +140,7 @@
                 Past::Unproven
             }),
             fleet: Fleet::default(),
+            limits: Limits::default(),
             lives: Lives::default(),
             directory: Directory::default(),
             horizon: Horizon::default(),
