--- a/crates/ploverwick_gateway/src/state.rs
+++ b/crates/ploverwick_gateway/src/state.rs
@@ -250,20 +250,20 @@
         settings: &'a Settings,
         now: Moment,
     ) -> Vec<&'a str> {
-        let is_own = *domain == *settings.domain;
-        let runs = |peer: &Peer| peer.heard.is_some_and(|at| now.since(at) <= PEER_AGE);
-        let there = self
-            .peers
-            .iter()
-            .filter(|(_, peer)| *peer.domain == *domain && (!is_own || runs(peer)));
-        let mut names: Vec<&str> = there.map(|(name, _)| &**name).collect();
-        if names.is_empty() && !is_own {
-            names.extend(self.peers.keys().map(|name| &**name));
-            names.push(&settings.instance);
-        } else if is_own {
-            names.push(&settings.instance);
+        let there = self.peers.iter();
+        let there = there.filter(|(_, peer)| *peer.domain == *domain);
+        if *domain == *settings.domain {
+            let runs = |peer: &Peer| peer.heard.is_some_and(|at| now.since(at) <= PEER_AGE);
+            let near = there.filter(|(_, peer)| runs(peer));
+            let near = near.map(|(name, _)| &**name);
+            return near.chain([&*settings.instance]).collect();
         }
-        names
+        let names: Vec<&str> = there.map(|(name, _)| &**name).collect();
+        if !names.is_empty() {
+            return names;
+        }
+        let all = self.peers.keys().map(|name| &**name);
+        all.chain([&*settings.instance]).collect()
     }
 
     /// Counts a request that uses an adapter at an endpoint, or one that ended.
