Forget the limit of an endpoint that has ended

Found in reading: the answer to a request may come after its endpoint was taken off the list, and its limit was then kept for as long as the process ran, and counted by the gauge. What is swept each round now goes by the list too.

--- a/crates/ploverwick_endpoints/src/limits.rs
+++ b/crates/ploverwick_endpoints/src/limits.rs
@@ -140,10 +140,13 @@
         known.filter_map(|(endpoint, known)| Some((endpoint, known.limit?)))
     }
 
-    /// Forgets what was lifted so long ago that no older news of it can come any more.
-    pub fn sweep(&mut self, now: Moment) {
-        self.known
-            .retain(|_, known| known.limit.is_some() || now.since(known.heard) < LONGEST_PAUSE);
+    /// Forgets endpoints that are not listed any more, whose last answers may have come after their end, and
+    /// what was lifted so long ago that no older news of it can come.
+    pub fn sweep(&mut self, is_listed: impl Fn(&str) -> bool, now: Moment) {
+        self.known.retain(|endpoint, known| {
+            let is_young = now.since(known.heard) < LONGEST_PAUSE;
+            is_listed(endpoint) && (known.limit.is_some() || is_young)
+        });
     }
 
     /// Returns how long no request may go to an endpoint from here; `None` if one may now.
--- a/crates/ploverwick_endpoints/tests/limited_fleet/mod.rs
+++ b/crates/ploverwick_endpoints/tests/limited_fleet/mod.rs
@@ -368,7 +368,7 @@
         for number in 0..self.instances.len() {
             self.ask_limits(number);
             let limits = &mut self.instances[number].limits;
-            limits.sweep(now);
+            limits.sweep(|_| true, now);
             let limited: Vec<Arc<str>> = limits.limited().map(|(e, _)| Arc::clone(e)).collect();
             for endpoint in limited {
                 self.assign(number, &endpoint);
--- a/crates/ploverwick_gateway/src/controllers/limits.rs
+++ b/crates/ploverwick_gateway/src/controllers/limits.rs
@@ -84,7 +84,9 @@
 
 /// Gives this instance its part of each limit, by the instances that it hears now.
 pub(crate) fn assign(shared: &Shared, state: &mut State, now: Moment) {
-    state.limits.sweep(now);
+    let fleet = &state.fleet;
+    let is_listed = |endpoint: &str| fleet.entry(endpoint).is_some();
+    state.limits.sweep(is_listed, now);
     let limited = state.limits.limited();
     let parts = limited.map(|(endpoint, limit)| {
         let part = part(shared, state, endpoint, limit, now);
--- a/crates/ploverwick_quota/src/pool.rs
+++ b/crates/ploverwick_quota/src/pool.rs
@@ -61,7 +61,7 @@
 /// window's worth within half a window, and the window after its end would hold that and what the next
 /// pools grant. So in any time up to its end a pool grants no more than [`LEAD_S`] seconds' worth beyond
 /// the lasting pace, and a new one, to which nothing was lent yet, no more than that pace. Then windows over any series
-/// of pools hold at most a seventh more than the quota, and pools need to know nothing of each other.
+/// of pools hold about a ninth more than the quota at most, and pools need to know nothing of each other.
 #[derive(Debug)]
 pub struct Pool {
     window: Duration,
