--- a/crates/ploverwick_gateway/src/controllers/operator.rs
+++ b/crates/ploverwick_gateway/src/controllers/operator.rs
@@ -6,10 +6,11 @@
 use ploverwick_adapters::Since;
 use ploverwick_platform::store::Record;
 use ploverwick_platform::{CONFIG_KEY, OPERATOR, config, version};
-use ploverwick_routes::Organisations;
+use ploverwick_routes::{Config, Organisations};
 
 use super::feed::{Feed, News};
 use super::topic;
+use crate::metrics;
 use crate::shared::Shared;
 use crate::topics::Topic;
 
@@ -114,9 +115,19 @@
     }
     state.config = Some(Arc::clone(&config));
     drop(state);
+    show_quotas(&config);
     shared.orders.notify_waiters();
 }
 
+fn show_quotas(config: &Config) {
+    let organisations = config.organisations().into_iter();
+    for organisation in organisations.flat_map(Organisations::iter) {
+        if let Some(quota) = &organisation.quota {
+            metrics::quota(&organisation.name, quota.rate, quota.burst);
+        }
+    }
+}
+
 fn take_version(shared: &Arc<Shared>, record: &Record, value: &[u8], since: Since) {
     let copy = match version::decode(&record.key, value) {
         Ok(Some(copy)) => copy,
--- a/crates/ploverwick_gateway/src/filters/admit.rs
+++ b/crates/ploverwick_gateway/src/filters/admit.rs
@@ -39,8 +39,8 @@
         return Err(Reply::new(Code::PathUnknown, detail));
     };
     let route = Arc::clone(route);
-    let caller = identify::run(shared, &config, &route, &head.headers)?;
     let call = request::read(&head.headers);
+    let caller = identify::run(shared, &config, &route, &call.id, &head.headers)?;
     let patience = call.patience.unwrap_or(route.timeout).min(route.timeout);
     let body = read(body, config.limits.body_bytes).await?;
     let service = route.service(rand::random::<f64>());
--- a/crates/ploverwick_gateway/src/filters/identify.rs
+++ b/crates/ploverwick_gateway/src/filters/identify.rs
@@ -52,7 +52,7 @@
     }
 }
 
-/// Finds the caller of a request that has just been read.
+/// Finds the caller of the request `id`, whose headers have just been read.
 ///
 /// # Errors
 /// Fails if the route needs a key and the request has no valid one, or if it is not certain enough that
@@ -61,6 +61,7 @@
     shared: &Shared,
     config: &Config,
     route: &Route,
+    id: &str,
     headers: &HeaderMap,
 ) -> Result<Caller, Reply> {
     if config.organisations().is_none() {
@@ -72,16 +73,20 @@
     // The client sent it no later than now, and nothing that was acknowledged a bound ago is unknown. What
     // becomes of it later is no matter of this bound any more.
     if shared.is_stale() {
-        metrics::key_refused("stale");
+        refused(shared, id, &route.name, config.version, "stale");
         return Err(Reply::new(Code::ConfigurationStale, "")
             .retry_after(CONFIRMED)
             .closing());
     }
-    match request::credential(headers) {
+    let found = match request::credential(headers) {
         Credential::Key(key) => holder(config, key),
-        Credential::Missing => unknown("missing"),
-        Credential::Several => unknown("several"),
-    }
+        Credential::Missing => Err("missing"),
+        Credential::Several => Err("several"),
+    };
+    found.map_err(|cause| {
+        refused(shared, id, &route.name, config.version, cause);
+        Reply::new(Code::KeyUnknown, "")
+    })
 }
 
 /// Finds the caller anew, right before a request is sent: the key may have been taken away while it waited.
@@ -92,16 +97,21 @@
     let Caller::Holder { key, .. } = &task.caller else {
         return Ok(task.caller.clone());
     };
-    let Some(config) = shared.state().config.clone() else {
-        return unknown("no_configuration");
+    let config = shared.state().config.clone();
+    let found = match &config {
+        Some(config) if config.organisations().is_none() => return Ok(Caller::Anonymous),
+        Some(config) => holder(config, *key),
+        None => Err("no_configuration"),
     };
-    if config.organisations().is_none() {
-        return Ok(Caller::Anonymous);
-    }
-    holder(&config, *key)
+    found.map_err(|cause| {
+        let version = config.map_or(0, |config| config.version);
+        refused(shared, &task.call.id, &task.route.name, version, cause);
+        Reply::new(Code::KeyUnknown, "")
+    })
 }
 
-fn holder(config: &Config, key: KeyDigest) -> Result<Caller, Reply> {
+/// Finds the holder of a key, or says why there is none.
+fn holder(config: &Config, key: KeyDigest) -> Result<Caller, &'static str> {
     let organisations = config.organisations();
     let holder = organisations.and_then(|organisations| organisations.holder(&key));
     match holder {
@@ -109,11 +119,25 @@
             key,
             organisation: Arc::clone(organisation),
         }),
-        None => unknown("unknown"),
+        None => Err("unknown"),
     }
 }
 
-fn unknown(cause: &'static str) -> Result<Caller, Reply> {
+/// Counts a request that is refused for its key, and says by which configuration and how old that can be. The
+/// key is in neither.
+fn refused(shared: &Shared, id: &str, route: &str, version: u64, cause: &'static str) {
     metrics::key_refused(cause);
-    Err(Reply::new(Code::KeyUnknown, ""))
+    let now = shared.now();
+    if !shared.lines.allow(now) {
+        return;
+    }
+    let age = shared.state().freshness.age(now);
+    spdlog::info!(
+        "key_refused id={} route={} config={} age_ms={:?} cause={}",
+        id,
+        route,
+        version,
+        age.map(|age| age.as_millis()),
+        cause
+    );
 }
--- a/crates/ploverwick_gateway/src/metrics.rs
+++ b/crates/ploverwick_gateway/src/metrics.rs
@@ -136,6 +136,13 @@
     counter!("ploverwick_keys_refused_total", "cause" => cause).increment(1);
 }
 
+/// Says what an organisation may use over all instances. Names come from the configuration alone.
+pub(crate) fn quota(organisation: &Arc<str>, rate: f64, burst: f64) {
+    let label = organisation.to_string();
+    gauge!("ploverwick_quota_rate", "organisation" => label.clone()).set(rate);
+    gauge!("ploverwick_quota_burst", "organisation" => label).set(burst);
+}
+
 /// Counts what an organisation's requests counted as. Names come from the configuration alone.
 pub(crate) fn quota_units(organisation: &Arc<str>, cost: u32) {
     counter!("ploverwick_quota_units_total", "organisation" => organisation.to_string())
--- a/crates/ploverwick_gateway/tests/secret_keys.rs
+++ b/crates/ploverwick_gateway/tests/secret_keys.rs
@@ -69,6 +69,8 @@
         lines,
         contains_substring("code=PW2015").or(contains_substring("config_in_force"))
     );
+    // Who was refused is there, by the request and not by its key.
+    expect_that!(lines, contains_substring("key_refused id=r0 "));
     expect_that!(lines, not(contains_substring(SECRET)));
     let text = serde_json::to_vec(&config)?;
     let read = config::decode(&text)?;
