--- a/crates/ploverwick_gateway/src/filters/attempt.rs
+++ b/crates/ploverwick_gateway/src/filters/attempt.rs
@@ -6,7 +6,7 @@
 use http::{Response, StatusCode};
 use ploverwick_adapters::Since;
 use ploverwick_codes::Code;
-use ploverwick_endpoints::{Outcome, patience};
+use ploverwick_endpoints::{Outcome, State as EndpointState, patience};
 use ploverwick_names::Moment;
 use tokio::time::Instant;
 
@@ -185,12 +185,13 @@
     mut answered: Answered,
 ) -> Next {
     let status = answered.parts.status;
+    let state = answered.head.state;
     if status.is_success() && !answered.head.signed {
         answered.flight.end(Outcome::Broken);
         return lost(task, target, history, "an answer without a signature");
     }
     if status.is_success() && task.route.kind.is_stream() {
-        log(shared, task, target, history, status);
+        log(shared, task, target, history, status, state);
         let response = relay::stream(shared, task, target, answered, history.sent + 1);
         return Next::Answer(response);
     }
@@ -209,7 +210,7 @@
         history.answer = Some(response);
         return Next::Again(Duration::ZERO);
     }
-    log(shared, task, target, history, status);
+    log(shared, task, target, history, status, state);
     Next::Answer(response)
 }
 
@@ -298,10 +299,17 @@
     aim.map_or_else(|| "version=0".to_owned(), ToString::to_string)
 }
 
-fn log(shared: &Shared, task: &Task, target: &Target, history: &History, status: StatusCode) {
+fn log(
+    shared: &Shared,
+    task: &Task,
+    target: &Target,
+    history: &History,
+    status: StatusCode,
+    state: EndpointState,
+) {
     if shared.lines.allow(shared.now()) {
         spdlog::info!(
-            "request_answered id={} route={} config={} adapter={} {} endpoint={} domain={} cost={:.1} prompt={} load={} reading={} limit={:?} sent={} status={} placing_ms={} in_vain_ms={} answering_ms={} ms={}",
+            "request_answered id={} route={} config={} adapter={} {} endpoint={} domain={} cost={:.1} prompt={} load={} reading={} limit={:?} state={:?} sent={} status={} placing_ms={} in_vain_ms={} answering_ms={} ms={}",
             task.call.id,
             task.route.name,
             task.config,
@@ -314,6 +322,7 @@
             target.load.requests,
             target.load.reading,
             shared.state().limits.named(&target.entry.id),
+            state,
             history.sent + 1,
             status.as_u16(),
             history.spent.placing.as_millis(),
