Stop sending to endpoints whose answers report that they are leaving

Requests from callers were sent to an endpoint for up to 13 s after its answers had reported that it was leaving, because its departure could not reach the list while the store was unavailable. Cause: instances learned of departures only from the list; no decision used the header in the answer. Ruled out: a later list that made the endpoint ready again (none was read from 6 to 20 s), and delayed sends of requests placed earlier (placing_ms=0, sent=1 on the reported ones).

An answer to a request, an order or a report that says that the endpoint is leaving now marks it as draining immediately: nothing more is sent to it, its adapters are placed elsewhere, and a list entry does not undo this in the same life. The instance notifies all others, and again within 2.1 s. An instance that starts asks its peers. The digest of the list covers the state, so a lost message is detected.

Test: stated_leave.

--- a/crates/ploverwick_endpoints/src/fleet.rs
+++ b/crates/ploverwick_endpoints/src/fleet.rs
@@ -138,6 +138,21 @@
         }
     }
 
+    /// Marks an endpoint as draining, regardless of the state in its list entry. Returns `false` if it is already
+    /// draining or is not listed.
+    pub fn drain(&mut self, id: &str) -> bool {
+        let Some(member) = self.members.get_mut(id) else {
+            return false;
+        };
+        if member.entry.state == State::Draining {
+            return false;
+        }
+        self.digest = self.digest.wrapping_sub(hash(&member.entry));
+        member.entry.state = State::Draining;
+        self.digest = self.digest.wrapping_add(hash(&member.entry));
+        true
+    }
+
     /// Takes an endpoint off the list; `false` if it was not on it.
     pub fn remove(&mut self, id: &str) -> bool {
         self.totals.remove(id);
--- a/crates/ploverwick_endpoints/src/lib.rs
+++ b/crates/ploverwick_endpoints/src/lib.rs
@@ -6,6 +6,7 @@
 mod absence;
 mod budget;
 mod census;
+mod departures;
 mod entry;
 mod fleet;
 mod health;
@@ -19,6 +20,7 @@
 pub use absence::Absence;
 pub use budget::{Account, Budget, Rate};
 pub use census::Census;
+pub use departures::Departures;
 pub use entry::{Entry, Held, State};
 pub use fleet::{Cost, Fleet, Query};
 pub use health::{Health, Outcome};
--- a/crates/ploverwick_gateway/src/controllers.rs
+++ b/crates/ploverwick_gateway/src/controllers.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod crashes;
 pub(crate) mod demand;
+pub(crate) mod draining;
 mod feed;
 pub(crate) mod freshness;
 pub(crate) mod instances;
--- a/crates/ploverwick_gateway/src/controllers/orders.rs
+++ b/crates/ploverwick_gateway/src/controllers/orders.rs
@@ -13,8 +13,9 @@
 use ploverwick_adapters::{Answer, Ceiling, Event, Order, Report, Step};
 use ploverwick_endpoints::{Entry, State as EndpointState};
 use ploverwick_names::Moment;
-use ploverwick_platform::{order, roster};
+use ploverwick_platform::{answer, order, roster};
 
+use super::draining;
 use crate::metrics;
 use crate::pool::{Connection, connect};
 use crate::shared::Shared;
@@ -345,6 +346,8 @@
     match response {
         Ok(Ok(response)) => {
             shared.pool.keep(&entry.id, connection);
+            let reported = answer::state(response.headers());
+            draining::answered(shared, &entry.id, reported, &"call");
             Some(response)
         }
         Ok(Err(error)) => {
--- a/crates/ploverwick_gateway/src/controllers/roster.rs
+++ b/crates/ploverwick_gateway/src/controllers/roster.rs
@@ -324,7 +324,11 @@
     if is_over(&state, &entry) {
         return;
     }
-    let before = state.fleet.entry(&entry.id).map(|entry| entry.state);
+    let id = Arc::clone(&entry.id);
+    let before = state.fleet.entry(&id).map(|entry| entry.state);
+    state.lives.add(&id);
+    state.fleet.put(entry);
+    let entry = state.fleet.entry(&id).expect("the entry was just added");
     // A list that is read as a whole is told by its length: one line each takes a start's processor.
     if before != Some(entry.state) && state.has_roster {
         spdlog::info!(
@@ -337,10 +341,8 @@
         );
     }
     if entry.state == EndpointState::Draining {
-        state.placer.remove(&entry.id);
+        state.placer.remove(&id);
     }
-    state.lives.add(&entry.id);
-    state.fleet.put(entry);
 }
 
 /// Returns whether a later life of an endpoint is known: a peer's late word may be of an earlier one.
@@ -356,6 +358,7 @@
         return;
     }
     state.limits.remove(id);
+    state.departures.remove(id);
     state.lives.remove(id);
     state.directory.remove(id);
     state.placer.remove(id);
--- a/crates/ploverwick_gateway/src/filters/send.rs
+++ b/crates/ploverwick_gateway/src/filters/send.rs
@@ -19,7 +19,7 @@
 use super::reply::Reply;
 use super::reuse;
 use super::task::Task;
-use crate::controllers::{crashes, limits};
+use crate::controllers::{crashes, draining, limits};
 use crate::pool::{Connection, connect};
 use crate::shared::Shared;
 
@@ -135,6 +135,8 @@
         return Sent::Lost("the answer is another request's".to_owned());
     }
     limits::answered(shared, endpoint, &task.call.id, &head, sent);
+    let source = format_args!("answer id={}", task.call.id);
+    draining::answered(shared, endpoint, head.state, &source);
     if head.statement != Statement::Nothing {
         not_run(task);
         let misdirected = head.statement == Statement::Misdirected;
--- a/crates/ploverwick_gateway/src/listen.rs
+++ b/crates/ploverwick_gateway/src/listen.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::controllers::{demand, freshness, limits, quarantine, quotas, roster};
+use crate::controllers::{demand, draining, freshness, limits, quarantine, quotas, roster};
 use crate::mail::{self, Change, Digest, Fate, Load, Message, Used};
 use crate::shared::Shared;
 use crate::state::Peer;
@@ -94,8 +94,12 @@
         Message::BaseLoad => shared.state().base_loads.begin(now),
         Message::Vacant => shared.vacant.notify_one(),
         Message::Quarantined(entries) => quarantine::hear(shared, &entries, &from),
-        Message::AskEndpointLimits => tell::limits(shared, from),
+        Message::AskEndpointLimits => {
+            tell::limits(shared, from);
+            tell::all_draining(shared, from);
+        }
         Message::EndpointLimits(list) => limits::told(shared, &list, from),
+        Message::Draining(endpoints) => draining::told(shared, &endpoints, from),
         Message::QuarantineDigests { digests, asks } => {
             tell::quarantine::compare(shared, from, &digests, asks);
         }
--- a/crates/ploverwick_gateway/src/mail.rs
+++ b/crates/ploverwick_gateway/src/mail.rs
@@ -168,6 +168,8 @@
     /// Digests of all crashes that the sender counts against requests; whoever has others tells what
     /// differs, and, if it was asked, its own digests.
     QuarantineDigests { digests: [u64; PARTS], asks: bool },
+    /// Endpoints that have reported that they are leaving.
+    Draining(Vec<Arc<str>>),
 }
 
 impl Message {
@@ -199,6 +201,7 @@
             | Self::Digests(_)
             | Self::Changes(_)
             | Self::EndpointLimits(_)
+            | Self::Draining(_)
             | Self::Quarantined(_) => true,
             Self::Status { .. }
             | Self::Used(_)
--- a/crates/ploverwick_gateway/src/metrics.rs
+++ b/crates/ploverwick_gateway/src/metrics.rs
@@ -108,6 +108,11 @@
     gauge!("ploverwick_endpoint_limits").set(endpoints as f64);
 }
 
+/// Counts an endpoint that an answer or another instance reported as leaving before the list did.
+pub(crate) fn endpoint_draining() {
+    counter!("ploverwick_endpoints_draining_total").increment(1);
+}
+
 /// Counts a repeat that was wanted, by whether the budget had one left.
 pub(crate) fn repeat(is_granted: bool) {
     let ending = if is_granted { "granted" } else { "refused" };
--- a/crates/ploverwick_gateway/src/state.rs
+++ b/crates/ploverwick_gateway/src/state.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use ploverwick_adapters::{Copy, Directory, Horizon, Pace, Placer, Tenure, Terms};
-use ploverwick_endpoints::{Account, Budget, Census, Entry, Fleet, Held, Limits, Rate};
+use ploverwick_endpoints::{Account, Budget, Census, Departures, Entry, Fleet, Held, Limits, Rate};
 use ploverwick_limits::{Past, Rates};
 use ploverwick_names::Moment;
 use ploverwick_platform::settings::Settings;
@@ -88,6 +88,8 @@
     pub(crate) fleet: Fleet,
     /// The limits that endpoints in need have named.
     pub(crate) limits: Limits,
+    /// The endpoints whose answers to this instance reported that they are leaving.
+    pub(crate) departures: Departures,
     /// The lives of the endpoints in it.
     pub(crate) lives: Lives,
     pub(crate) directory: Directory,
@@ -141,6 +143,7 @@
             }),
             fleet: Fleet::default(),
             limits: Limits::default(),
+            departures: Departures::default(),
             lives: Lives::default(),
             directory: Directory::default(),
             horizon: Horizon::default(),
--- a/crates/ploverwick_gateway/src/tell.rs
+++ b/crates/ploverwick_gateway/src/tell.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 use ploverwick_adapters::{Copy, Event, Need};
-use ploverwick_endpoints::{Entry, Told as ToldLimit};
+use ploverwick_endpoints::{Entry, State as EndpointState, Told as ToldLimit};
 use ploverwick_names::Moment;
 
 use crate::mail::{Change, Fate, Message};
@@ -124,6 +124,28 @@
     shared.mail.send(&Message::EndpointLimits(vec![told]), &to);
 }
 
+/// Notifies all instances of endpoints whose answers to this instance reported that they are leaving.
+pub(crate) fn draining(shared: &Shared, endpoints: Vec<Arc<str>>) {
+    let now = shared.now();
+    let state = shared.state();
+    let mut to = near(shared, &state);
+    to.extend(hubs(shared, &state, now));
+    drop(state);
+    shared.mail.send(&Message::Draining(endpoints), &to);
+}
+
+/// Sends the instance at `ip` all endpoints that this instance knows to be draining.
+pub(crate) fn all_draining(shared: &Shared, ip: IpAddr) {
+    let state = shared.state();
+    let entries = state.fleet.entries();
+    let draining = entries.filter(|entry| entry.state == EndpointState::Draining);
+    let draining: Vec<Arc<str>> = draining.map(|entry| Arc::clone(&entry.id)).collect();
+    drop(state);
+    for part in draining.chunks(rounds::CHUNK) {
+        shared.mail.send(&Message::Draining(part.to_vec()), &[ip]);
+    }
+}
+
 /// Asks some peers which limits of endpoints they know; `false` if nobody can be asked yet. Who has just started
 /// knows none, and would send what it likes until the next answer, or the next time that others tell.
 pub(crate) fn ask_limits(shared: &Shared) -> bool {
--- a/crates/ploverwick_gateway/src/tell/rounds.rs
+++ b/crates/ploverwick_gateway/src/tell/rounds.rs
@@ -88,6 +88,8 @@
         to.extend(hubs(shared, &state, now));
         let news = state.limits.news(NEAR * DIGESTS_EVERY, now);
         chunks(news, &to, Message::EndpointLimits, &mut out);
+        let draining = state.departures.recent(NEAR * DIGESTS_EVERY, now);
+        chunks(draining, &to, Message::Draining, &mut out);
     }
     if round.is_multiple_of(DIGESTS_EVERY) && !state.quarantine.is_empty() {
         let mut to = listeners(shared, &state, round, now);
--- a/crates/ploverwick_gateway/tests/stated_leave.rs
+++ b/crates/ploverwick_gateway/tests/stated_leave.rs
@@ -1,20 +1,23 @@
-//! Endpoints that say in their answers that they are leaving get no more requests, whatever the list says.
+//! Tests that endpoints whose answers report that they are leaving get no more requests, regardless of the list.
 
 mod common;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use anyhow::Result;
-use common::{World, two_plain};
+use common::{HOST, Instance, World, free_port, two_plain};
 use googletest::prelude::*;
 use http::StatusCode;
+use ploverwick_platform_standin::client::{self, Ask};
 use ploverwick_platform_standin::endpoint::Endpoint;
+use ploverwick_platform_standin::settings;
+use ploverwick_platform_standin::store::Store;
 
-/// The time after which an endpoint that is leaving gets no more requests.
-const DRAIN: Duration = Duration::from_secs(2);
+/// The time after which an endpoint that reported that it is leaving must get no more requests.
+const DRAIN_DEADLINE: Duration = Duration::from_secs(2);
 
-/// Asks until an endpoint has answered once more.
-async fn until_answered(world: &World, endpoint: &Endpoint) -> Result<()> {
+/// Sends requests until one more has reached the endpoint.
+async fn request_until_received(world: &World, endpoint: &Endpoint) -> Result<()> {
     let before = endpoint.asked();
     let mut number = 0;
     while endpoint.asked() == before {
@@ -24,15 +27,15 @@
     Ok(())
 }
 
-/// Guards against requests to an endpoint whose departure the list cannot tell while the store is away.
+/// Guards against requests to a leaving endpoint while the store is unavailable and the list cannot be updated.
 #[tokio::test]
 async fn store_away() -> Result<()> {
     let (a, b) = two_plain().await?;
     let world = World::with(&[&a, &b]).await?;
     world.store.away(true);
     a.leave();
-    until_answered(&world, &a).await?;
-    tokio::time::sleep(DRAIN).await;
+    request_until_received(&world, &a).await?;
+    tokio::time::sleep(DRAIN_DEADLINE).await;
     let before = a.asked();
     for number in 0..20 {
         let got = world.ask(&format!("r{number}"), "/safe/").await?;
@@ -41,3 +44,84 @@
     assert_that!(a.asked(), eq(before));
     Ok(())
 }
+
+/// Guards against an outdated list entry that makes a leaving endpoint ready again.
+#[tokio::test]
+async fn listed_as_ready() -> Result<()> {
+    let (a, b) = two_plain().await?;
+    let world = World::with(&[&a, &b]).await?;
+    a.leave();
+    request_until_received(&world, &a).await?;
+    let until = Instant::now() + DRAIN_DEADLINE;
+    while Instant::now() < until {
+        world.store.list(a.id(), &a.entry("ready"));
+        tokio::time::sleep(DRAIN_DEADLINE / 8).await;
+    }
+    let before = a.asked();
+    for number in 0..20 {
+        let got = world.ask(&format!("r{number}"), "/safe/").await?;
+        assert_that!(got.status, eq(StatusCode::OK));
+    }
+    assert_that!(a.asked(), eq(before));
+    Ok(())
+}
+
+/// Guards against an adapter that is not placed elsewhere when its only holder is leaving.
+#[tokio::test]
+async fn adapter_moves() -> Result<()> {
+    let a = Endpoint::start("i-a", "lm", Some("base"), "d1").await?;
+    let b = Endpoint::start("i-b", "lm", Some("base"), "d1").await?;
+    let world = World::with(&[&a, &b]).await?;
+    let got = world.stream("first", "/live/", "a1").await?;
+    assert_that!(got.status, eq(StatusCode::OK));
+    let (holder, other) = if a.asked() > 0 { (&a, &b) } else { (&b, &a) };
+    world.store.away(true);
+    holder.leave();
+    world.stream("told", "/live/", "a1").await?;
+    tokio::time::sleep(DRAIN_DEADLINE).await;
+    let before = holder.asked();
+    for number in 0..5 {
+        let got = world.stream(&format!("r{number}"), "/live/", "a1").await?;
+        assert_that!(got.status, eq(StatusCode::OK));
+    }
+    assert_that!(holder.asked(), eq(before));
+    assert_that!(other.asked(), ge(5));
+    Ok(())
+}
+
+/// Guards against requests from an instance that can learn of the departure only from another instance.
+#[tokio::test]
+async fn peer_is_told() -> Result<()> {
+    let store = Store::start().await?;
+    store.configure(&settings::config(1));
+    let (a, b) = two_plain().await?;
+    for endpoint in [&a, &b] {
+        store.list(endpoint.id(), &endpoint.entry("ready"));
+    }
+    let port = free_port()?;
+    let mut instances = Vec::new();
+    for (name, host) in [("one", 1), ("two", 2)] {
+        let settings = settings::of(name, [127, 0, 0, host].into(), port, store.address());
+        instances.push(Instance::start(settings).await?);
+    }
+    // Long enough for the instances to discover each other.
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    store.away(true);
+    a.leave();
+    let mut number = 0;
+    let before = a.asked();
+    while a.asked() == before {
+        number += 1;
+        let ask = Ask::new(&format!("until-{number}"), HOST, "/safe/");
+        client::send(instances[0].front, &ask).await?;
+    }
+    tokio::time::sleep(DRAIN_DEADLINE).await;
+    let before = a.asked();
+    for number in 0..20 {
+        let ask = Ask::new(&format!("r{number}"), HOST, "/safe/");
+        let got = client::send(instances[1].front, &ask).await?;
+        assert_that!(got.status, eq(StatusCode::OK));
+    }
+    assert_that!(a.asked(), eq(before));
+    Ok(())
+}
