--- a/crates/ploverwick_gateway/src/filters/send.rs
+++ b/crates/ploverwick_gateway/src/filters/send.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use http::response::Parts;
-use http::{Request, Response};
+use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use ploverwick_endpoints::Outcome;
@@ -137,6 +137,15 @@
     limits::answered(shared, endpoint, &task.call.id, &head, sent);
     let source = format_args!("answer id={}", task.call.id);
     draining::answered(shared, endpoint, head.state, &source);
+    if parts.status == StatusCode::SERVICE_UNAVAILABLE && shared.lines.allow(shared.now()) {
+        spdlog::info!(
+            "send_refused id={} endpoint={} statement={:?} retry_after={:?}",
+            task.call.id,
+            endpoint,
+            head.statement,
+            head.retry_after
+        );
+    }
     if head.statement != Statement::Nothing {
         not_run(task);
         let misdirected = head.statement == Statement::Misdirected;
