Log what peers tell of a topic also where it counts as known

In a test with a restored store, the three instances that miss a configuration log `from=2 next=3 fit=Known` for it.

--- a/crates/ploverwick_gateway/src/controllers/topic.rs
+++ b/crates/ploverwick_gateway/src/controllers/topic.rs
@@ -183,15 +183,13 @@
         let now = self.shared.now();
         while let Some(batch) = self.shared.inboxes.of(self.topic).pop() {
             let fit = self.place.hear(batch.from, batch.next, now);
-            if fit != Fit::Known {
-                spdlog::info!(
-                    "topic_told topic={} from={} next={} fit={:?}",
-                    self.topic.name(),
-                    batch.from,
-                    batch.next,
-                    fit
-                );
-            }
+            spdlog::info!(
+                "topic_told topic={} from={} next={} fit={:?}",
+                self.topic.name(),
+                batch.from,
+                batch.next,
+                fit
+            );
             if fit == Fit::Next {
                 self.take_told(batch);
             }
