Distinguish offsets from before and after a restore by the store's era

Callers received 404 for routes that had been added, or were sent to the old service, at one instance of seven: it took in no configuration for 4.2 s after one was acknowledged (bound: 2 s). The store had been restored from a copy: the operator's topic ended at offset 3 where the instance had read up to 7, so the instance treated the records that its peers sent (from 3 to 4) as known. Cause: offsets from before and after the restore were compared with each other, in the positions of the readers, in messages between peers, in proofs of age and in reads that continue from an offset. Ruled out: peers that send nothing, and configurations that are dropped because of their version (the test's log shows `topic_told from=2 next=3 fit=Known`).

A place in a topic is now a position: the era that the store reports in `Store-Era`, and the offset. Positions of a later era come after all positions of an earlier one. A read from a position of an earlier era fails with `Error::Restored`, and the newest record of each key is read again. Waiting reads are abandoned as soon as any answer reports a later era. For the list of endpoints, a restore counts as an outage, so endpoints that the copy lacks are awaited. Instances whose own line is missing list themselves again. Fencing tokens hold the era above the group's generation, which restarts with the copy.

Test: restored_store, seven cases.

--- a/crates/ploverwick_gateway/src/controllers/feed.rs
+++ b/crates/ploverwick_gateway/src/controllers/feed.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use ploverwick_platform::store::{Batch, Error, Record, Snapshot};
+use ploverwick_topics::Position;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
@@ -39,7 +40,7 @@
     /// The pause after each read.
     pub(super) pause: Duration,
     /// Where the topic ends as others tell, if they do.
-    pub(super) hint: Option<&'a watch::Sender<u64>>,
+    pub(super) hint: Option<&'a watch::Sender<Position>>,
     /// How many records before the newest ones are read with them, for each of these.
     pub(super) past: u64,
 }
@@ -53,11 +54,11 @@
     Past { records: &'a [Record] },
     /// The newest record of each key; what is not among them is gone.
     Whole { records: &'a [Record] },
-    /// The records that came since, the offset up to which the topic was read, and whether the last of
+    /// The records that came since, the position up to which the topic was read, and whether the last of
     /// them woke a read that waited, so that it is as new as it seems.
     Next {
         records: &'a [Record],
-        end: u64,
+        end: Position,
         was_woken: bool,
     },
     /// The newest record of each key as a peer has them.
@@ -71,14 +72,14 @@
     Away,
 }
 
-/// Reads once and returns the offset to go on from.
+/// Reads once and returns the position to go on from.
 pub(super) async fn read(
     shared: &Shared,
     feed: &Feed<'_>,
-    next: Option<u64>,
+    next: Option<Position>,
     wait: Duration,
     take: &mut impl FnMut(News<'_>),
-) -> Result<u64, Error> {
+) -> Result<Position, Error> {
     take(News::Asking);
     let Some(from) = next else {
         let Snapshot { records, end } = shared.store.newest(feed.topic).await?;
@@ -111,20 +112,20 @@
 
 /// Reads the records before the end of a topic of `keys` keys. They may be gone, and are not needed to go
 /// on.
-async fn past(shared: &Shared, feed: &Feed<'_>, keys: usize, end: u64) -> Option<Batch> {
-    if feed.past == 0 || end == 0 {
+async fn past(shared: &Shared, feed: &Feed<'_>, keys: usize, end: Position) -> Option<Batch> {
+    if feed.past == 0 || end.offset == 0 {
         return None;
     }
     let past = (feed.past * keys as u64).clamp(LEAST_PAST, MOST_PAST);
-    let from = end.saturating_sub(past);
+    let from = end.with_offset(end.offset.saturating_sub(past));
     let batch = shared.store.read(feed.topic, from, Duration::ZERO).await;
     batch
         .map_err(|error| spdlog::info!("past_unread topic={} cause=\"{}\"", feed.topic, error))
         .ok()
 }
 
-/// Passes records on and returns the offset to go on from.
-fn pass_on(batch: &Batch, was_woken: bool, take: &mut impl FnMut(News<'_>)) -> u64 {
+/// Passes records on and returns the position to go on from.
+fn pass_on(batch: &Batch, was_woken: bool, take: &mut impl FnMut(News<'_>)) -> Position {
     let records = &batch.records;
     let end = batch.next;
     take(News::Next {
@@ -139,7 +140,7 @@
 async fn read_again(
     shared: &Shared,
     feed: &Feed<'_>,
-    from: u64,
+    from: Position,
     take: &mut impl FnMut(News<'_>),
 ) -> Result<Batch, Error> {
     take(News::Away);
@@ -155,7 +156,7 @@
 }
 
 /// Looks whether a topic has records that the read beside it was not woken for; ends only if it has.
-async fn look(shared: &Shared, topic: &str, from: u64) -> Batch {
+async fn look(shared: &Shared, topic: &str, from: Position) -> Batch {
     let mut pause = ARMED;
     loop {
         tokio::time::sleep(pause).await;
@@ -165,6 +166,8 @@
                 spdlog::info!("record_missed topic={} offset={}", topic, from);
                 return batch;
             }
+            // The new era also ends the waiting read, which then reports the restore.
+            Err(Error::Restored) => std::future::pending().await,
             // The read that waits may outlast it, so that the look is still owed.
             Err(error) => spdlog::debug!("look_failed topic={} cause=\"{}\"", topic, error),
         }
@@ -182,8 +185,8 @@
 /// Waits for a read, unless others have read further for a while, or another call was silent.
 async fn until_doubted<T>(
     shared: &Shared,
-    hint: Option<&watch::Sender<u64>>,
-    from: u64,
+    hint: Option<&watch::Sender<Position>>,
+    from: Position,
     read: impl Future<Output = T>,
 ) -> Ended<T> {
     let mut reconnects = shared.store.reconnects();
@@ -205,7 +208,7 @@
 }
 
 /// Ends once others have read further.
-async fn behind(hint: Option<&watch::Sender<u64>>, from: u64) {
+async fn behind(hint: Option<&watch::Sender<Position>>, from: Position) {
     match hint {
         Some(hint) => {
             let mut told = hint.subscribe();
--- a/crates/ploverwick_gateway/src/controllers/freshness.rs
+++ b/crates/ploverwick_gateway/src/controllers/freshness.rs
@@ -9,8 +9,8 @@
 
 use ploverwick_names::Moment;
 use ploverwick_platform::OPERATOR;
-use ploverwick_topics::Reading;
 use ploverwick_topics::freshness::{Need, Statement};
+use ploverwick_topics::{Position, Reading};
 
 use crate::mail::{Message, Question};
 use crate::metrics;
@@ -137,7 +137,7 @@
 
 /// Takes in a peer's answer. The peer worked out the age after it was asked, so that its proof is no older
 /// than the age counted from the question.
-pub(crate) fn hear(shared: &Shared, question: Question, end: u64, age: Duration) {
+pub(crate) fn hear(shared: &Shared, question: Question, end: Position, age: Duration) {
     if !shared.asked(question) {
         return;
     }
--- a/crates/ploverwick_gateway/src/controllers/instances.rs
+++ b/crates/ploverwick_gateway/src/controllers/instances.rs
@@ -12,7 +12,7 @@
 use super::feed::{Feed, News};
 use super::{Backoff, topic};
 use crate::shared::Shared;
-use crate::state::{Listing, Peer};
+use crate::state::{Listing, PEER_AGE, Peer};
 use crate::topics::{Stands, Topic};
 
 /// How long a read waits for a record; instances come and go rarely, and peers that are not listed
@@ -112,19 +112,34 @@
         past: 0,
         hint: Some(&shared.inboxes.of(Topic::Instances).end),
     };
+    let mut era = 0;
     topic::follow(&shared, Topic::Instances, feed, |news| match news {
-        News::Whole { records } | News::ToldWhole { records } => replace(&shared, records),
+        News::Whole { records } | News::ToldWhole { records } => {
+            let previous_era = std::mem::replace(&mut era, shared.store.era());
+            replace(&shared, records, previous_era != era);
+        }
         News::Next { records, .. } | News::Told { records, .. } => take(&shared, records),
         News::Asking | News::Away | News::Past { .. } => {}
     })
     .await;
 }
 
-fn replace(shared: &Arc<Shared>, records: &[Record]) {
+/// Replaces the listed peers. After a restore of the store, the list may lack running instances until they list
+/// themselves again, so peers that were heard recently are kept.
+fn replace(shared: &Arc<Shared>, records: &[Record], is_restored: bool) {
     let listed: HashSet<&str> = records.iter().map(|record| &*record.key).collect();
+    let now = shared.now();
     let mut state = shared.state();
-    state.peers.retain(|name, _| listed.contains(&**name));
+    state.peers.retain(|name, peer| {
+        let is_heard = peer.heard.is_some_and(|at| now.since(at) <= PEER_AGE);
+        listed.contains(&**name) || (is_restored && is_heard)
+    });
+    let is_unlisted =
+        state.listing == Listing::Listed && !listed.contains(&*shared.settings.instance);
     drop(state);
+    if is_unlisted {
+        list_again(shared);
+    }
     take(shared, records);
     spdlog::info!("instances_read count={}", listed.len());
     let mut state = shared.state();
@@ -182,7 +197,8 @@
     }
 }
 
-/// Lists this instance again after its line was taken away, as an earlier life's last call may do late.
+/// Lists this instance again after its line was taken away, as an earlier life's last call may do late, or was
+/// lost in a restore of the store.
 fn list_again(shared: &Arc<Shared>) {
     if shared.is_stopping() {
         return;
--- a/crates/ploverwick_gateway/src/controllers/roster.rs
+++ b/crates/ploverwick_gateway/src/controllers/roster.rs
@@ -7,6 +7,7 @@
 use ploverwick_endpoints::{Absence, Entry, Heartbeat, Heartbeats, State as EndpointState};
 use ploverwick_platform::store::{Error, Record};
 use ploverwick_platform::{ROSTER, roster};
+use ploverwick_topics::Position;
 
 use super::feed::{self, Feed, News};
 use super::{starting, until_back};
@@ -78,7 +79,7 @@
     };
     ask_peers(&shared).await;
     let mut outage = Outage::of(feed.what);
-    let mut next: Option<u64> = None;
+    let mut next: Option<Position> = None;
     loop {
         if is_told(&shared) {
             // Whatever comes meanwhile is read anew as a whole.
@@ -98,6 +99,16 @@
                 spdlog::info!("history_lost topic={}", feed.topic);
                 next = None;
             }
+            Err(Error::Restored) => {
+                spdlog::info!(
+                    "history_restored topic={} era={}",
+                    feed.topic,
+                    shared.store.era()
+                );
+                // The restored list may lack endpoints that are still running; they write their entries again.
+                follower.absence.store_away();
+                next = None;
+            }
             Err(error) => {
                 outage.fails(&error);
                 follower.absence.store_away();
--- a/crates/ploverwick_gateway/src/controllers/tenure.rs
+++ b/crates/ploverwick_gateway/src/controllers/tenure.rs
@@ -31,6 +31,7 @@
     let mut outage = Outage::of("placer group");
     let mut backoff = Backoff::new();
     let mut generation = 0;
+    let mut era = 0;
     let mut written = None;
     let mut is_member = false;
     let mut seen = shared.now();
@@ -51,6 +52,10 @@
             continue;
         }
         is_member = true;
+        // Generations restart when the store is restored.
+        if std::mem::replace(&mut era, shared.store.era()) != shared.store.era() {
+            generation = 0;
+        }
         let asked = shared.now();
         match shared.store.join(&group, &member, ttl, generation).await {
             Ok(membership) => {
@@ -58,12 +63,12 @@
                 backoff.reset();
                 generation = membership.generation;
                 let grant = if membership.leads {
-                    Grant::Held(membership.generation)
+                    Grant::Held(membership.token)
                 } else {
                     Grant::Elsewhere
                 };
                 take(&shared, grant, asked);
-                let token = membership.leads.then_some(generation);
+                let token = membership.leads.then_some(membership.token);
                 if token.is_some() && token != written {
                     written = token;
                     tokio::spawn(instances::name_placer(Arc::clone(&shared)));
--- a/crates/ploverwick_gateway/src/controllers/topic.rs
+++ b/crates/ploverwick_gateway/src/controllers/topic.rs
@@ -5,7 +5,7 @@
 use ploverwick_adapters::Since;
 use ploverwick_platform::store::{Error, Record};
 use ploverwick_topics::freshness::Statement;
-use ploverwick_topics::{Circle, Feed, Fit, Reading, Step};
+use ploverwick_topics::{Circle, Feed, Fit, Position, Reading, Step};
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::feed::{self, News};
@@ -69,6 +69,14 @@
                 spdlog::info!("history_lost topic={}", feed.topic);
                 follower.place.lose();
             }
+            Err(Error::Restored) => {
+                spdlog::info!(
+                    "history_restored topic={} era={}",
+                    feed.topic,
+                    shared.store.era()
+                );
+                follower.place.lose();
+            }
             Err(error) => {
                 outage.fails(&error);
                 follower.fail();
@@ -130,7 +138,7 @@
     }
 
     /// Reads once; `from` is `None` for the whole topic.
-    async fn read(&mut self, from: Option<u64>, wait: Duration) -> Result<Done, Error> {
+    async fn read(&mut self, from: Option<Position>, wait: Duration) -> Result<Done, Error> {
         let (shared, topic) = (self.shared, self.topic);
         let is_reader = shared.circle(topic) == Circle::Reads;
         let asked = shared.now();
@@ -198,6 +206,10 @@
 
     /// Takes in the newest records as a peer has them.
     fn take_whole(&mut self, whole: Whole) {
+        if whole.end.era < self.shared.store.era() {
+            // The peer read these records before the store was restored.
+            return;
+        }
         let records: Vec<Record> = whole.records.into_iter().map(record).collect();
         (self.take)(News::ToldWhole { records: &records });
         self.shared.inboxes.of(self.topic).keep(&records, true);
--- a/crates/ploverwick_gateway/src/mail.rs
+++ b/crates/ploverwick_gateway/src/mail.rs
@@ -11,6 +11,7 @@
 use ploverwick_names::Moment;
 use ploverwick_quarantine::PARTS;
 use ploverwick_quota::{Grant, Lease};
+use ploverwick_topics::Position;
 use ploverwick_topics::parts::{self, Assembly};
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
@@ -139,13 +140,13 @@
     /// What the sender read of a topic of the store.
     Records(Batch),
     /// How far the sender has read a topic of the store, whose last record is too long for a message.
-    End { topic: Topic, end: u64 },
+    End { topic: Topic, end: Position },
     /// Asks what is proven of the age of the configuration.
     AskProof { question: Question },
     /// Answers a question: what the operator's topic held before `end` was all of it, `age_ms` before.
     Proof {
         question: Question,
-        end: u64,
+        end: Position,
         age_ms: u64,
     },
     /// Lends the sender's parts of all quotas, and asks for what its requests need.
--- a/crates/ploverwick_gateway/src/metrics.rs
+++ b/crates/ploverwick_gateway/src/metrics.rs
@@ -204,7 +204,7 @@
     } else {
         0.0
     };
-    gauge!("ploverwick_topic_offset", "topic" => topic).set(stand.end as f64);
+    gauge!("ploverwick_topic_offset", "topic" => topic).set(stand.end.offset as f64);
     gauge!("ploverwick_topic_reads", "topic" => topic).set(reads);
     gauge!("ploverwick_topic_heard_ms", "topic" => topic).set(now.0 as f64);
 }
--- a/crates/ploverwick_gateway/src/table.rs
+++ b/crates/ploverwick_gateway/src/table.rs
@@ -31,7 +31,7 @@
         text = assembly.take(record)?.or(text);
     }
     Ok(Published {
-        version: snapshot.end,
+        version: snapshot.end.offset,
         text,
     })
 }
--- a/crates/ploverwick_gateway/src/tell.rs
+++ b/crates/ploverwick_gateway/src/tell.rs
@@ -15,6 +15,7 @@
 use ploverwick_adapters::{Copy, Event, Need};
 use ploverwick_endpoints::{Entry, State as EndpointState, Told as ToldLimit};
 use ploverwick_names::Moment;
+use ploverwick_topics::Position;
 
 use crate::mail::{Change, Fate, Message};
 use crate::outbox;
@@ -191,7 +192,13 @@
 
 /// Tells the peers of this failure domain the records of a topic from `from` to before `next`. They read
 /// themselves what is too long for a message.
-pub(crate) fn records(shared: &Shared, topic: Topic, from: u64, next: u64, records: Vec<Told>) {
+pub(crate) fn records(
+    shared: &Shared,
+    topic: Topic,
+    from: Position,
+    next: Position,
+    records: Vec<Told>,
+) {
     let peers = near(shared, &shared.state());
     for message in batches::of_records(topic, from, next, records) {
         shared.mail.send(&message, &peers);
--- a/crates/ploverwick_gateway/src/tell/batches.rs
+++ b/crates/ploverwick_gateway/src/tell/batches.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use ploverwick_endpoints::Entry;
-use ploverwick_topics::parts;
+use ploverwick_topics::{Position, parts};
 
 use crate::mail::Message;
 use crate::topics::{Batch, Told, Topic};
@@ -38,7 +38,12 @@
 }
 
 /// Cuts records into messages that are short enough.
-pub(super) fn of_records(topic: Topic, from: u64, next: u64, records: Vec<Told>) -> Vec<Message> {
+pub(super) fn of_records(
+    topic: Topic,
+    from: Position,
+    next: Position,
+    records: Vec<Told>,
+) -> Vec<Message> {
     let mut out = Vec::new();
     let mut part = Batch {
         topic,
@@ -52,12 +57,12 @@
         if bytes + length > LONGEST_BATCH && !part.records.is_empty() {
             let rest = Batch {
                 topic,
-                from: record.offset,
+                from: from.with_offset(record.offset),
                 next,
                 records: Vec::new(),
             };
             let mut full = std::mem::replace(&mut part, rest);
-            full.next = record.offset;
+            full.next = from.with_offset(record.offset);
             out.push(Message::Records(full));
             bytes = 0;
         }
--- a/crates/ploverwick_gateway/src/topics.rs
+++ b/crates/ploverwick_gateway/src/topics.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use ploverwick_platform::store::Record;
-use ploverwick_topics::Reading;
+use ploverwick_topics::{Position, Reading};
 use serde::{Deserialize, Serialize};
 use tokio::sync::{Notify, watch};
 
@@ -55,7 +55,7 @@
 /// How far an instance has read a topic, and whether it reads it for others.
 #[derive(Debug, Clone, Copy, Default, Serialize, Deserialize)]
 pub(crate) struct Stand {
-    pub(crate) end: u64,
+    pub(crate) end: Position,
     pub(crate) reading: Reading,
 }
 
@@ -88,18 +88,18 @@
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) struct Batch {
     pub(crate) topic: Topic,
-    /// The offset of the first.
-    pub(crate) from: u64,
-    /// The offset after the last.
-    pub(crate) next: u64,
+    /// The position of the first.
+    pub(crate) from: Position,
+    /// The position after the last.
+    pub(crate) next: Position,
     pub(crate) records: Vec<Told>,
 }
 
 /// The newest record of each key of a topic.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) struct Whole {
-    /// The offset up to which the topic was read.
-    pub(crate) end: u64,
+    /// The position up to which the topic was read.
+    pub(crate) end: Position,
     /// The most milliseconds since when records may have come that are not among these; `None` if that is
     /// not known.
     pub(crate) age_ms: Option<u64>,
@@ -121,13 +121,13 @@
     kept: Mutex<Kept>,
     /// Says that something came.
     pub(crate) added: Notify,
-    /// The furthest offset up to which a peer has read.
-    pub(crate) end: watch::Sender<u64>,
+    /// The furthest position up to which a peer has read.
+    pub(crate) end: watch::Sender<Position>,
 }
 
 impl Inbox {
     /// Takes in how far a peer has read.
-    pub(crate) fn hear_end(&self, end: u64) {
+    pub(crate) fn hear_end(&self, end: Position) {
         let is_further = self.end.send_if_modified(|known| {
             let is_further = end > *known;
             *known = end.max(*known);
@@ -139,7 +139,7 @@
     }
 
     /// Takes in that the topic ends at `end`, whatever peers told.
-    pub(crate) fn correct(&self, end: u64) {
+    pub(crate) fn correct(&self, end: Position) {
         self.end.send_modify(|told| *told = end.min(*told));
     }
 
@@ -183,7 +183,7 @@
     }
 
     /// Returns the newest records and where they end, if they were all read and are short enough.
-    pub(crate) fn kept(&self, end: u64) -> Option<Whole> {
+    pub(crate) fn kept(&self, end: Position) -> Option<Whole> {
         let kept = self.kept.lock().expect("no holder of the lock panics");
         let records = kept.records.values().map(|record| Told {
             key: record.key.clone(),
--- a/crates/ploverwick_gateway/tests/restored_store.rs
+++ b/crates/ploverwick_gateway/tests/restored_store.rs
@@ -1,4 +1,4 @@
-//! The store comes back from a copy that lacks its newest records, and gives their offsets out again.
+//! The store is restored from a copy that lacks its newest records and assigns their offsets again.
 
 mod common;
 
@@ -6,25 +6,25 @@
 use std::time::Duration;
 
 use anyhow::Result;
-use common::{HOST, Instance, free_port};
+use common::{HOST, Instance, World, free_port, two_plain};
 use googletest::prelude::*;
 use http::StatusCode;
-use ploverwick_platform::OPERATOR;
+use ploverwick_platform::{self as platform, INSTANCES, OPERATOR, ROSTER};
 use ploverwick_platform_standin::client::{self, Ask};
 use ploverwick_platform_standin::endpoint::Endpoint;
 use ploverwick_platform_standin::settings;
 use ploverwick_platform_standin::store::Store;
 
-/// The instances of one failure domain; few of them read the store.
-const INSTANCES_OF_DOMAIN: [&str; 5] = ["a", "b", "c", "d", "e"];
-/// Longer than it takes until all have heard each other and most rely on others.
+/// The names of the instances, which share one failure domain so that only some of them read the store.
+const INSTANCE_NAMES: [&str; 5] = ["a", "b", "c", "d", "e"];
+/// Longer than the instances take to discover each other and to rely on those that read the store.
 const SETTLED: Duration = Duration::from_millis(2_500);
-/// How long a configuration may take to be in force everywhere.
+/// The bound within which a configuration must be in force at all instances.
 const IN_FORCE: Duration = Duration::from_secs(2);
-/// How long the store is away for a restore.
+/// How long the store is unavailable during a restore.
 const AWAY: Duration = Duration::from_millis(300);
-/// The configurations that the copy lacks.
-const LOST: usize = 4;
+/// The number of records that the copy lacks.
+const LOST_RECORDS: usize = 4;
 
 fn with_route(version: u64, path: &str) -> serde_json::Value {
     let mut config = settings::config(version);
@@ -32,7 +32,7 @@
     config
 }
 
-/// Restores the store without the last records of a topic.
+/// Makes the store unavailable and restores it without the last records of a topic.
 async fn restore(store: &Store, topic: &str, records: usize) {
     store.away(true);
     tokio::time::sleep(AWAY).await;
@@ -40,13 +40,13 @@
     store.away(false);
 }
 
-/// Returns the instances that do not serve a path.
+/// Returns the indices of the instances that do not serve a path.
 async fn without_route(instances: &[Instance], path: &str) -> Result<Vec<usize>> {
     let mut without = Vec::new();
-    for (number, instance) in instances.iter().enumerate() {
+    for (index, instance) in instances.iter().enumerate() {
         let got = client::send(instance.front, &Ask::new("new", HOST, path)).await?;
         if got.status != StatusCode::OK {
-            without.push(number);
+            without.push(index);
         }
     }
     Ok(without)
@@ -55,7 +55,7 @@
 async fn start_all(store: &Store) -> Result<Vec<Instance>> {
     let port = free_port()?;
     let mut instances = Vec::new();
-    for (host, name) in (1..).zip(INSTANCES_OF_DOMAIN) {
+    for (host, name) in (1..).zip(INSTANCE_NAMES) {
         let ip = Ipv4Addr::new(127, 0, 0, host);
         let settings = settings::of(name, ip, port, store.address());
         instances.push(Instance::start(settings).await?);
@@ -64,7 +64,7 @@
     Ok(instances)
 }
 
-async fn domain() -> Result<(Store, Endpoint, Vec<Instance>)> {
+async fn start_domain() -> Result<(Store, Endpoint, Vec<Instance>)> {
     let store = Store::start().await?;
     let endpoint = Endpoint::start("i-a", "app", None, "d1").await?;
     store.list(endpoint.id(), &endpoint.entry("ready"));
@@ -77,12 +77,12 @@
     Ok((store, endpoint, instances))
 }
 
-/// Guards against instances that take what their peers read after a restore for known, as its offsets are
-/// lower than those of before.
+/// Guards against instances that ignore records from their peers after a restore because the offsets are lower
+/// than those already read.
 #[tokio::test]
 async fn told_after_restore() -> Result<()> {
-    let (store, _endpoint, instances) = domain().await?;
-    restore(&store, OPERATOR, LOST).await;
+    let (store, _endpoint, instances) = start_domain().await?;
+    restore(&store, OPERATOR, LOST_RECORDS).await;
     tokio::time::sleep(IN_FORCE).await;
     store.configure(&with_route(7, "/seventh/"));
     tokio::time::sleep(IN_FORCE).await;
@@ -92,3 +92,129 @@
     );
     Ok(())
 }
+
+/// Guards against records that are skipped because the offset reached before the restore exists again.
+#[tokio::test]
+async fn offsets_are_reused() -> Result<()> {
+    let (store, _endpoint, instances) = start_domain().await?;
+    store.away(true);
+    tokio::time::sleep(AWAY).await;
+    store.restore(OPERATOR, LOST_RECORDS);
+    store.configure(&with_route(7, "/seventh/"));
+    for version in 1..=LOST_RECORDS as u64 + 2 {
+        store.declare("base", "a1", version);
+    }
+    store.away(false);
+    tokio::time::sleep(IN_FORCE).await;
+    assert_that!(
+        without_route(&instances, "/seventh/").await?,
+        elements_are![]
+    );
+    Ok(())
+}
+
+/// Guards against calls that repeat without a pause because peers report offsets that the store does not have.
+#[tokio::test]
+async fn calls_stay_few() -> Result<()> {
+    let (store, _endpoint, _instances) = start_domain().await?;
+    let before = store.calls();
+    tokio::time::sleep(IN_FORCE).await;
+    let calls_before_restore = store.calls() - before;
+    restore(&store, OPERATOR, LOST_RECORDS).await;
+    tokio::time::sleep(IN_FORCE).await;
+    let before = store.calls();
+    tokio::time::sleep(IN_FORCE).await;
+    assert_that!(store.calls() - before, le(calls_before_restore * 2));
+    Ok(())
+}
+
+/// Guards against a departure that is missed because reading continues at an offset from before the restore.
+#[tokio::test]
+async fn departure_is_read() -> Result<()> {
+    let (a, b) = two_plain().await?;
+    let world = World::with(&[&a, &b]).await?;
+    for _ in 0..LOST_RECORDS {
+        world.store.list(b.id(), &b.entry("ready"));
+    }
+    tokio::time::sleep(SETTLED).await;
+    world.store.away(true);
+    tokio::time::sleep(AWAY).await;
+    world.store.restore(ROSTER, LOST_RECORDS);
+    world.store.list(a.id(), &a.entry("draining"));
+    for _ in 0..LOST_RECORDS + 2 {
+        world.store.list(b.id(), &b.entry("ready"));
+    }
+    world.store.away(false);
+    tokio::time::sleep(SETTLED).await;
+    let before = a.asked();
+    for number in 0..20 {
+        world.ask(&format!("r{number}"), "/safe/").await?;
+    }
+    assert_that!(a.asked(), eq(before));
+    Ok(())
+}
+
+/// Guards against endpoints that are considered gone because the copy lacks their entries.
+#[tokio::test]
+async fn missing_endpoints_are_awaited() -> Result<()> {
+    let (a, b) = two_plain().await?;
+    let world = World::with(&[&a, &b]).await?;
+    world.store.restore(ROSTER, usize::MAX);
+    // Longer than the pause between two reads of the list, shorter than the wait for missing endpoints.
+    tokio::time::sleep(Duration::from_millis(1_300)).await;
+    let got = world.ask("meanwhile", "/safe/").await?;
+    assert_that!(got.status, eq(StatusCode::OK));
+    for endpoint in [&a, &b] {
+        world.store.list(endpoint.id(), &endpoint.entry("ready"));
+    }
+    tokio::time::sleep(SETTLED).await;
+    let got = world.ask("back", "/safe/").await?;
+    assert_that!(got.status, eq(StatusCode::OK));
+    Ok(())
+}
+
+/// Guards against running instances that stay unlisted because the copy lacks their lines.
+#[tokio::test]
+async fn instances_are_listed_again() -> Result<()> {
+    let (store, _endpoint, _instances) = start_domain().await?;
+    restore(&store, INSTANCES, usize::MAX).await;
+    tokio::time::sleep(IN_FORCE * 2).await;
+    for name in INSTANCE_NAMES {
+        assert_that!(store.newest_of(INSTANCES, name), some(anything()), "{name}");
+    }
+    Ok(())
+}
+
+/// Guards against orders that endpoints refuse because the group's generations restart.
+#[tokio::test]
+async fn fencing_tokens_rise() -> Result<()> {
+    let store = Store::start().await?;
+    store.configure(&settings::config(1));
+    let endpoint = Endpoint::start("i-a", "lm", Some("base"), "d1").await?;
+    store.list(endpoint.id(), &endpoint.entry("ready"));
+    // Raises the generation above the one that the group has after the restore.
+    let other = platform::store::Store::new(store.address(), 1);
+    let group = platform::group("d1");
+    for _ in 0..5 {
+        other.join(&group, "other", SETTLED, 0).await?;
+        other.leave(&group, "other").await?;
+    }
+    let port = free_port()?;
+    let start = |name, host| {
+        let ip = Ipv4Addr::new(127, 0, 0, host);
+        Instance::start(settings::of(name, ip, port, store.address()))
+    };
+    let first = start("one", 1).await?;
+    let ask =
+        |id: &str, adapter: &str| Ask::new(id, HOST, "/live/").model(&format!("base/{adapter}"));
+    let got = client::send(first.front, &ask("before", "a1")).await?;
+    assert_that!(got.status, eq(StatusCode::OK));
+    restore(&store, OPERATOR, 0).await;
+    first.stop().await?;
+    let second = start("two", 2).await?;
+    tokio::time::sleep(SETTLED).await;
+    let got = client::send(second.front, &ask("after", "a2")).await?;
+    assert_that!(got.status, eq(StatusCode::OK));
+    assert_that!(endpoint.tokens().is_sorted(), eq(true));
+    Ok(())
+}
--- a/crates/ploverwick_topics/src/feed.rs
+++ b/crates/ploverwick_topics/src/feed.rs
@@ -4,7 +4,7 @@
 
 use ploverwick_names::Moment;
 
-use crate::Circle;
+use crate::{Circle, Position};
 
 /// How long a process that starts waits before it reads on: until then it has heard its peers, and most
 /// of them read for it. Where all instances start at once this saves one call of each.
@@ -32,10 +32,10 @@
 pub enum Step {
     /// Reads the newest record of each key.
     ReadAll,
-    /// Reads on from an offset.
+    /// Reads on from a position.
     ReadOn {
-        /// The offset.
-        from: u64,
+        /// The position to read from.
+        from: Position,
         /// Whether the read waits for a record if there is none.
         waits: bool,
     },
@@ -63,10 +63,10 @@
     began: Moment,
     /// How long it waits for what others told of, for instances to read at different moments.
     patience: Duration,
-    /// The offset after the last record that it has.
-    next: Option<u64>,
+    /// The position after the last record that it has.
+    next: Option<Position>,
     /// Where the topic ends as others tell, and since when that is further than this instance has read.
-    told: u64,
+    told: Position,
     behind: Option<Moment>,
     /// When it read last, or tried to.
     asked: Moment,
@@ -82,15 +82,15 @@
             began: now,
             patience: BEHIND + spread.mul_f64(chance.clamp(0.0, 1.0)),
             next: None,
-            told: 0,
+            told: Position::default(),
             behind: None,
             asked: now,
             failed: 0,
         }
     }
 
-    /// Returns the offset after the last record that is known; `None` before the first read.
-    pub fn next(&self) -> Option<u64> {
+    /// Returns the position after the last record that is known; `None` before the first read.
+    pub fn next(&self) -> Option<Position> {
         self.next
     }
 
@@ -102,6 +102,10 @@
         let due = self.behind.map(|since| since + self.patience);
         let due = due.map(|due| due.max(self.retry_at()));
         if due.is_some_and(|due| due <= now) {
+            // Offsets of an earlier era are not valid in a later one.
+            if self.told.era > from.era {
+                return Step::ReadAll;
+            }
             return Step::ReadOn { from, waits: false };
         }
         let settled = self.began + SETTLED;
@@ -141,12 +145,16 @@
     }
 
     /// Takes in that all before `next` is known now.
-    pub fn read(&mut self, next: u64) {
+    pub fn read(&mut self, next: Position) {
         self.next = Some(next);
+        self.failed = 0;
+        // A peer has reported a later era, so the topic has to be read again.
+        if self.told.era > next.era {
+            return;
+        }
         // Whoever told of more was wrong; what it said is not asked after again.
         self.told = next;
         self.behind = None;
-        self.failed = 0;
     }
 
     /// Takes in that the records after the last known one are gone.
@@ -156,10 +164,10 @@
 
     /// Takes in that a peer tells the records from `from` to before `next`. Those that fit are known from
     /// now on.
-    pub fn hear(&mut self, from: u64, next: u64, now: Moment) -> Fit {
+    pub fn hear(&mut self, from: Position, next: Position, now: Moment) -> Fit {
         match self.next {
             Some(known) if next <= known => Fit::Known,
-            Some(known) if from <= known => {
+            Some(known) if from <= known && from.era == known.era => {
                 self.next = Some(next);
                 if self.told <= next {
                     self.behind = None;
@@ -174,7 +182,7 @@
     }
 
     /// Takes in how far a peer has read.
-    pub fn hear_end(&mut self, end: u64, now: Moment) {
+    pub fn hear_end(&mut self, end: Position, now: Moment) {
         self.told = self.told.max(end);
         if self.next.is_some_and(|next| self.told > next) {
             self.behind.get_or_insert(now);
--- a/crates/ploverwick_topics/src/freshness.rs
+++ b/crates/ploverwick_topics/src/freshness.rs
@@ -11,6 +11,8 @@
 
 use ploverwick_names::Moment;
 
+use crate::Position;
+
 /// The part of the bound after which the first instance of a failure domain reads the store. Each read is
 /// a priced call: at a bound of 5 s one a second in each failure domain.
 const FIRST_READS: f64 = 0.2;
@@ -55,8 +57,8 @@
 /// Where a topic ended at some moment or later.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Statement {
-    /// The offset after the last record: all that was acknowledged before the moment lies before it.
-    pub end: u64,
+    /// The position after the last record: all that was acknowledged before the moment lies before it.
+    pub end: Position,
     /// The moment in milliseconds since the process started, negative for an earlier one: a peer may have
     /// known the end before this process began.
     at_ms: i64,
@@ -64,12 +66,12 @@
 
 impl Statement {
     /// States where the topic ended at `at` or later.
-    pub fn new(end: u64, at: Moment) -> Self {
+    pub fn new(end: Position, at: Moment) -> Self {
         Self::aged(end, at, Duration::ZERO)
     }
 
     /// States where the topic ended at `age` before `at`, or later.
-    pub fn aged(end: u64, at: Moment, age: Duration) -> Self {
+    pub fn aged(end: Position, at: Moment, age: Duration) -> Self {
         let age_ms = i64::try_from(age.as_millis()).unwrap_or(i64::MAX);
         Self {
             end,
@@ -98,8 +100,8 @@
 /// What one instance can prove of the age of what it knows of a topic.
 #[derive(Debug, Default)]
 pub struct Freshness {
-    /// The offset after the last record that is known.
-    next: u64,
+    /// The position after the last record that is known.
+    next: Position,
     /// The newest statement whose records are all known.
     proven: Option<Statement>,
     /// Newer ones whose records are not all known, the oldest first.
@@ -132,7 +134,7 @@
     }
 
     /// Takes in that all records before `next` are known.
-    pub fn known(&mut self, next: u64) {
+    pub fn known(&mut self, next: Position) {
         self.next = next;
         let newest = self.pending.iter().rev().find(|one| one.end <= next);
         if let Some(newest) = newest.copied() {
--- a/crates/ploverwick_topics/src/lib.rs
+++ b/crates/ploverwick_topics/src/lib.rs
@@ -10,6 +10,8 @@
 mod feed;
 pub mod freshness;
 pub mod parts;
+mod position;
 
 pub use circle::{Circle, Peer, Place, Reading, circle};
 pub use feed::{Feed, Fit, Step};
+pub use position::Position;
--- a/crates/ploverwick_topics/tests/feed_histories.rs
+++ b/crates/ploverwick_topics/tests/feed_histories.rs
@@ -1,11 +1,11 @@
 //! Histories of kills, freezes, cuts from the store and lost messages: nobody that can hear is deaf for
 //! longer than a bound, and calls grow with the failure domains and not with the instances.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use googletest::prelude::*;
 use ploverwick_names::Moment;
-use ploverwick_topics::{Circle, Feed, Fit, Peer, Place, Reading, Step, circle};
+use ploverwick_topics::{Circle, Feed, Fit, Peer, Place, Position, Reading, Step, circle};
 use rand::rngs::StdRng;
 use rand::{RngExt as _, SeedableRng as _};
 
@@ -30,26 +30,34 @@
 #[derive(Clone, Copy)]
 enum Call {
     All,
-    On { from: u64, waits: bool, until: u64 },
+    On {
+        from: Position,
+        waits: bool,
+        until: u64,
+    },
 }
 
 enum Mail {
     Status {
         from: usize,
-        end: u64,
+        end: Position,
         reading: Reading,
     },
     Records {
-        from: u64,
-        next: u64,
+        from: Position,
+        next: Position,
+        /// The write time of each record.
+        written: Vec<u64>,
     },
-    End(u64),
+    End(Position),
 }
 
 struct Instance {
     name: String,
     domain: usize,
     feed: Feed,
+    /// The write times of the records that it has read or was told of.
+    known_records: BTreeSet<u64>,
     reading: Reading,
     heard: BTreeMap<usize, (u64, Reading)>,
     call: Option<(Call, u64)>,
@@ -76,6 +84,12 @@
     instances: Vec<Instance>,
     /// When each record was written.
     records: Vec<u64>,
+    /// The number of times the store has been restored.
+    era: u64,
+    /// Whether the store reports its era; if not, positions differ by offset only.
+    reports_era: bool,
+    /// Whether the store is restored at every `RESTORE_INTERVAL`.
+    has_restores: bool,
     mail: VecDeque<(u64, usize, Mail)>,
     calls: u64,
     loss: f64,
@@ -90,6 +104,7 @@
                 name: format!("i{n:03}"),
                 domain: n % domains,
                 feed: Feed::new(random.random_range(0.0..1.0), Moment(0)),
+                known_records: BTreeSet::new(),
                 reading: Reading::Rests,
                 heard: BTreeMap::new(),
                 call: None,
@@ -105,6 +120,9 @@
             random,
             instances,
             records: Vec::new(),
+            era: 0,
+            reports_era: true,
+            has_restores: false,
             mail: VecDeque::new(),
             calls: 0,
             loss: 0.02,
@@ -112,8 +130,11 @@
         }
     }
 
-    fn end(&self) -> u64 {
-        self.records.len() as u64
+    fn end(&self) -> Position {
+        Position {
+            era: if self.reports_era { self.era } else { 0 },
+            offset: self.records.len() as u64,
+        }
     }
 
     fn send(&mut self, to: usize, mail: Mail) {
@@ -148,8 +169,15 @@
                     instance.feed.hear_end(end, Moment(now));
                 }
                 Mail::End(end) => instance.feed.hear_end(end, Moment(now)),
-                Mail::Records { from, next } => {
+                Mail::Records {
+                    from,
+                    next,
+                    written,
+                } => {
                     let fit = instance.feed.hear(from, next, Moment(now));
+                    if fit == Fit::Next {
+                        instance.known_records.extend(written);
+                    }
                     assert!(fit != Fit::Next || instance.feed.next() == Some(next));
                 }
             }
@@ -218,13 +246,20 @@
         }
         match call {
             Call::All => {
+                instance.known_records.extend(&self.records);
                 instance.feed.read(end);
                 instance.call = None;
             }
+            Call::On { from, .. } if from.era < end.era || from > end => {
+                instance.feed.lose();
+                instance.call = None;
+            }
             Call::On { from, waits, until } => {
                 if end == from && now < until {
                     return;
                 }
+                let written = self.records[from.offset as usize..].to_vec();
+                instance.known_records.extend(&written);
                 instance.feed.read(end);
                 instance.call = None;
                 instance.reading = if waits {
@@ -234,7 +269,16 @@
                 };
                 if waits && end > from {
                     for peer in self.peers(own) {
-                        self.send(peer, Mail::Records { from, next: end });
+                        let written = written.clone();
+                        let next = end;
+                        self.send(
+                            peer,
+                            Mail::Records {
+                                from,
+                                next,
+                                written,
+                            },
+                        );
                     }
                 }
             }
@@ -291,6 +335,7 @@
             0 => {
                 instance.runs_from = now + lasts;
                 instance.feed = Feed::new(chance, Moment(now + lasts));
+                instance.known_records.clear();
                 instance.heard.clear();
                 instance.call = None;
                 instance.reading = Reading::Rests;
@@ -305,8 +350,8 @@
     fn judge(&mut self) {
         for instance in &self.instances {
             let since = instance.sound_since;
-            let next = instance.feed.next().unwrap_or(0);
-            let missing = self.records.iter().skip(next as usize);
+            let missing = self.records.iter();
+            let missing = missing.filter(|written| !instance.known_records.contains(written));
             for written in missing {
                 let late = self.now.saturating_sub((*written).max(since));
                 self.late = self.late.max(late);
@@ -314,9 +359,20 @@
         }
     }
 
+    /// Restores the store from a copy that lacks the newest one to four records.
+    fn restore(&mut self) {
+        let lost = self.random.random_range(1..=4);
+        let kept = self.records.len().saturating_sub(lost);
+        self.records.truncate(kept);
+        self.era += 1;
+    }
+
     fn play(&mut self, strikes: f64, each_ms: u64) {
         while self.now < END {
             self.now += TICK;
+            if self.has_restores && self.now.is_multiple_of(RESTORE_INTERVAL) {
+                self.restore();
+            }
             if self.now.is_multiple_of(each_ms) {
                 self.records.push(self.now);
             }
@@ -333,6 +389,9 @@
     }
 }
 
+/// The time between two restores of the store.
+const RESTORE_INTERVAL: u64 = 9_000;
+
 /// One trouble in two seconds, each of up to eight.
 const STRIKES: f64 = TICK as f64 / 2_000.0;
 
@@ -374,7 +433,7 @@
         }
         // They started before.
         for instance in &mut world.instances {
-            instance.feed.read(0);
+            instance.feed.read(0.into());
         }
         world.play(0.0, 1_700);
         expect_that!(world.late, le(BOUND), "seed {seed}");
@@ -387,7 +446,7 @@
     let calls = |each: usize| {
         let mut world = World::new(3, each, 3);
         for instance in &mut world.instances {
-            instance.feed.read(0);
+            instance.feed.read(0.into());
             instance.cut_until = END;
             instance.sound_since = END;
         }
@@ -400,3 +459,27 @@
     expect_that!(calls(4), le(3 * 4 * often));
     expect_that!(calls(30), le(3 * (4 * often + 26 * seldom)));
 }
+
+/// Guards against instances that miss records whose offsets were already assigned before a restore.
+#[gtest]
+fn restores_are_heard() {
+    for seed in 0..8 {
+        let mut world = World::new(3, 12, seed);
+        world.has_restores = true;
+        world.play(STRIKES, 1_700);
+        expect_that!(world.late, le(BOUND), "seed {seed}");
+    }
+}
+
+/// Checks that `restores_are_heard` would detect instances that compare offsets alone.
+#[gtest]
+fn era_is_needed() {
+    let late = (0..8).map(|seed| {
+        let mut world = World::new(3, 12, seed);
+        world.has_restores = true;
+        world.reports_era = false;
+        world.play(STRIKES, 1_700);
+        world.late
+    });
+    expect_that!(late.max(), some(gt(BOUND)));
+}
--- a/crates/ploverwick_topics/tests/revocation_histories.rs
+++ b/crates/ploverwick_topics/tests/revocation_histories.rs
@@ -282,7 +282,7 @@
                 let now = Moment(self.now - instance.began);
                 if let Some(proven) = instance.freshness.proven() {
                     let age = proven.age(now).as_millis() as u64;
-                    let end = proven.end;
+                    let end = proven.end.offset;
                     let answer = Event::Answered {
                         to: from,
                         life,
@@ -305,7 +305,7 @@
                     let age = Duration::from_millis(age);
                     instance
                         .freshness
-                        .stated(Statement::aged(end, Moment(at), age));
+                        .stated(Statement::aged(end.into(), Moment(at), age));
                     instance.hear_end(end, self.now);
                 }
             }
@@ -321,7 +321,9 @@
                     return;
                 }
                 instance.freshness.answered();
-                instance.freshness.stated(Statement::new(end, Moment(at)));
+                instance
+                    .freshness
+                    .stated(Statement::new(end.into(), Moment(at)));
                 if is_proof && instance.next < end {
                     instance.hear_end(end, self.now);
                 } else {
@@ -352,7 +354,7 @@
     fn know(&mut self, end: u64) {
         self.next = self.next.max(end);
         self.behind = None;
-        self.freshness.known(self.next);
+        self.freshness.known(self.next.into());
     }
 
     fn hear_end(&mut self, end: u64, now: u64) {
