Keep the operators' table when the store is restored without it

After the store was restored from a copy that lacked the newest operators' table, instances put an older one in force: a request that had run with priority 8 ran with priority 0 again. The whole topic is read again after a restore, and whichever table it held came into force. Tables have no version other than their offset in the topic, and offsets are assigned again after a restore.

Each instance now remembers which tables have been superseded. If the whole topic is read in a later era of the store and holds a superseded table or none, the table in force is kept and published again, on the condition that nothing has been written to the topic in the meantime. Instances that start later therefore read it, too.

Test: table_stays. Previously the older table was in force after the restore; now the newest one stays in force and is in the store again. No test covers a topic that holds no table at all, or an instance that starts after the restore.

--- a/crates/ploverwick_gateway/src/controllers/table.rs
+++ b/crates/ploverwick_gateway/src/controllers/table.rs
@@ -1,11 +1,13 @@
 //! Follows the operators' table.
 
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
 use ploverwick_platform::TABLE;
 use ploverwick_platform::store::Record;
-use ploverwick_platform::table::Assembly;
+use ploverwick_platform::table::{Assembly, encode};
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::feed::{Feed, News};
 use super::topic;
@@ -18,7 +20,7 @@
 
 /// Follows the table's topic for as long as the process runs.
 pub(crate) async fn follow(shared: Arc<Shared>) {
-    let mut assembly = Assembly::default();
+    let mut follower = Follower::new(Arc::clone(&shared));
     let feed = Feed {
         topic: TABLE,
         what: "table topic",
@@ -28,38 +30,108 @@
         hint: Some(&shared.inboxes.of(Topic::Table).end),
     };
     topic::follow(&shared, Topic::Table, feed, |news| match news {
-        News::Whole { records } | News::ToldWhole { records } => {
-            take(&shared, &mut assembly, records);
-            shared.state().has_table = true;
-        }
+        News::Whole { records } | News::ToldWhole { records } => follower.take_whole(records),
         News::Next { records, .. } | News::Told { records, .. } => {
-            take(&shared, &mut assembly, records);
+            if let Some((text, offset)) = follower.take(records) {
+                follower.put_in_force(text, offset);
+            }
         }
         News::Asking | News::Away | News::Past { .. } => {}
     })
     .await;
 }
 
-fn take(shared: &Shared, assembly: &mut Assembly, records: &[Record]) {
-    for record in records {
-        match assembly.take(record) {
-            Ok(Some(text)) => put_in_force(shared, &text, record.offset),
-            Ok(None) => {}
-            Err(error) => spdlog::error!("table_malformed cause=\"{}\"", error),
+/// Keeps the table in force in step with the topic, including across restores of the store.
+struct Follower {
+    shared: Arc<Shared>,
+    assembly: Assembly,
+    /// The store's era when the whole topic was last taken in.
+    era: u64,
+    /// The text of the table in force.
+    in_force: Option<Arc<str>>,
+    /// Hashes of the tables that were in force before another one replaced them.
+    superseded: HashSet<u64>,
+}
+
+impl Follower {
+    fn new(shared: Arc<Shared>) -> Self {
+        Self {
+            shared,
+            assembly: Assembly::default(),
+            era: 0,
+            in_force: None,
+            superseded: HashSet::new(),
         }
     }
-}
 
-fn put_in_force(shared: &Shared, text: &str, version: u64) {
-    match ploverwick_table::parse::parse(text) {
-        Ok(table) => {
-            spdlog::info!("table_in_force version={} rows={}", version, table.len());
-            let now = shared.now();
-            let mut state = shared.state();
-            state.table = Some(Arc::new(table));
-            state.rates.forget_full(now);
+    /// Takes in the newest record of each key. If the store was restored since the last time and the topic now holds
+    /// a superseded table or none, the table in force is kept and published again.
+    fn take_whole(&mut self, records: &[Record]) {
+        let previous_era = std::mem::replace(&mut self.era, self.shared.store.era());
+        let found = self.take(records);
+        let is_outdated = match &found {
+            Some((text, _)) => self.superseded.contains(&hash(text)),
+            None => self.in_force.is_some(),
+        };
+        if previous_era != self.era && is_outdated {
+            let last = records.iter().map(|record| record.offset).max();
+            self.republish(last.map_or(0, |last| last + 1));
+        } else if let Some((text, offset)) = found {
+            self.put_in_force(text, offset);
+        }
+        self.shared.state().has_table = true;
+    }
+
+    /// Takes in records and returns the text of the last table that they complete, with the offset of the record
+    /// that completes it.
+    fn take(&mut self, records: &[Record]) -> Option<(String, u64)> {
+        let mut found = None;
+        for record in records {
+            match self.assembly.take(record) {
+                Ok(Some(text)) => found = Some((text, record.offset)),
+                Ok(None) => {}
+                Err(error) => spdlog::error!("table_malformed cause=\"{}\"", error),
+            }
         }
-        // The publisher checks a table before it writes it; the one in force stays.
-        Err(findings) => spdlog::error!("table_refused findings={}", findings.len()),
+        found
     }
+
+    fn put_in_force(&mut self, text: String, version: u64) {
+        match ploverwick_table::parse::parse(&text) {
+            Ok(table) => {
+                spdlog::info!("table_in_force version={} rows={}", version, table.len());
+                let now = self.shared.now();
+                let mut state = self.shared.state();
+                state.table = Some(Arc::new(table));
+                state.rates.forget_full(now);
+                drop(state);
+                if let Some(previous) = &self.in_force {
+                    self.superseded.insert(hash(previous));
+                }
+                self.superseded.remove(&hash(&text));
+                self.in_force = Some(Arc::from(text));
+            }
+            // The publisher checks a table before it writes it; the one in force stays.
+            Err(findings) => spdlog::error!("table_refused findings={}", findings.len()),
+        }
+    }
+
+    /// Publishes the table in force again in the background, unless the topic no longer ends at `end` because
+    /// something has been written to it.
+    fn republish(&self, end: u64) {
+        let Some(text) = self.in_force.clone() else {
+            return;
+        };
+        spdlog::info!("table_republishing era={} end={}", self.era, end);
+        let shared = Arc::clone(&self.shared);
+        tokio::spawn(async move {
+            if let Err(error) = shared.store.put_all(TABLE, &encode(&text), end).await {
+                spdlog::info!("table_republish_failed cause=\"{}\"", error);
+            }
+        });
+    }
+}
+
+fn hash(text: &str) -> u64 {
+    xxh3_64(text.as_bytes())
 }
--- a/crates/ploverwick_gateway/tests/restored_store.rs
+++ b/crates/ploverwick_gateway/tests/restored_store.rs
@@ -9,7 +9,8 @@
 use common::{HOST, Instance, World, free_port, two_plain};
 use googletest::prelude::*;
 use http::StatusCode;
-use ploverwick_platform::{self as platform, INSTANCES, OPERATOR, ROSTER};
+use ploverwick_gateway::table;
+use ploverwick_platform::{self as platform, INSTANCES, OPERATOR, ROSTER, TABLE};
 use ploverwick_platform_standin::client::{self, Ask};
 use ploverwick_platform_standin::endpoint::Endpoint;
 use ploverwick_platform_standin::settings;
@@ -218,3 +219,37 @@
     assert_that!(endpoint.tokens().is_sorted(), eq(true));
     Ok(())
 }
+
+/// Sends a request for adapter `a1` and returns the priority with which the engine ran it.
+async fn priority(world: &World, engine: &Endpoint, id: &str) -> Result<Option<u64>> {
+    world.stream(id, "/live/", "a1").await?;
+    let runs = engine.runs();
+    let run = runs.iter().find(|run| run.id == id);
+    Ok(run.and_then(|run| run.priority))
+}
+
+/// Guards against an operators' table that reverts to an older one, or that instances cannot read when they start,
+/// because the copy lacks the newest one.
+#[tokio::test]
+async fn table_stays() -> Result<()> {
+    let engine = Endpoint::start("i-a", "lm", Some("base"), "d1").await?;
+    let world = World::with(&[&engine]).await?;
+    let address = world.store.address();
+    let first_version = table::publish(address, "name,priority\na1,9\n", 0).await?;
+    tokio::time::sleep(IN_FORCE).await;
+    let first = priority(&world, &engine, "first").await?;
+    let newest_text = "name,priority\na1,1\n";
+    table::publish(address, newest_text, first_version).await?;
+    tokio::time::sleep(IN_FORCE).await;
+    let newest = priority(&world, &engine, "newest").await?;
+    assert_that!(newest, some(anything()));
+    assert_that!(newest, not(eq(first)));
+    // The newest table consists of two records: a part and the head.
+    restore(&world.store, TABLE, 2).await;
+    tokio::time::sleep(IN_FORCE).await;
+    let restored = priority(&world, &engine, "restored").await?;
+    assert_that!(restored, eq(newest));
+    let published = table::show(address).await?;
+    assert_that!(published.text.as_deref(), some(eq(newest_text)));
+    Ok(())
+}
