Test that a pausing endpoint gets no orders

The placer sends no orders to an endpoint that refuses with `Retry-After` during its pause, and places new adapters elsewhere. No test showed this.

no_orders_in_pause requests five new adapters while one of two endpoints is pausing, and checks that all are served and that the pausing endpoint gets no order. No code but the test changes.

--- a/crates/ploverwick_gateway/tests/asked_pause.rs
+++ b/crates/ploverwick_gateway/tests/asked_pause.rs
@@ -128,3 +128,34 @@
     assert_that!(count_in_pause(holder, before), le(MAX_IN_PAUSE));
     Ok(())
 }
+
+/// Guards against orders to a pausing endpoint, which would load adapters that cannot serve requests during the pause.
+#[tokio::test]
+async fn no_orders_in_pause() -> Result<()> {
+    let a = Endpoint::start("i-a", "lm", Some("base"), "d1").await?;
+    let b = Endpoint::start("i-b", "lm", Some("base"), "d1").await?;
+    let world = World::earning(&[&a, &b], 1.0).await?;
+    send_requests_for(
+        &world,
+        Duration::from_millis(100),
+        "/live/",
+        Some("base/a1"),
+    )
+    .await?;
+    let holder = if a.asked() > 0 { &a } else { &b };
+    refuse_all(holder);
+    send_requests_for(
+        &world,
+        Duration::from_millis(100),
+        "/live/",
+        Some("base/a1"),
+    )
+    .await?;
+    let orders_before = holder.tokens().len();
+    for adapter in ["a2", "a3", "a4", "a5", "a6"] {
+        let got = world.stream(adapter, "/live/", adapter).await?;
+        assert_that!(got.status, eq(StatusCode::OK));
+    }
+    assert_that!(holder.tokens().len(), eq(orders_before));
+    Ok(())
+}
