Decode the longest pause, the tokens of an event and the bytes of a token

Streams are late by their pauses more often than by their start, and no decision knows the pause that the operator declares. Decode it with the tokens that an event holds and the bytes that a token occupies, and add the speed of an endpoint as a type that the parts to come share.

--- a/crates/ploverwick_endpoints/src/fleet.rs
+++ b/crates/ploverwick_endpoints/src/fleet.rs
@@ -8,6 +8,7 @@
 use ploverwick_placement::{Candidate, score};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
+use crate::capacity::Capacity;
 use crate::load::{Load, PromptPace};
 use crate::peer_loads::{PeerLoad, PeerLoads};
 use crate::{Entry, Health, Outcome, State, peer_loads};
@@ -294,6 +295,12 @@
         f64::from(ahead.saturating_add(prompt)) * member.pace.ms_per_token()
     }
 
+    /// Returns the learned speed of an endpoint; `None` if it is not listed.
+    pub fn capacity(&self, id: &str) -> Option<Capacity> {
+        let member = self.members.get(id)?;
+        Some(Capacity::with_read_ms(member.pace.ms_per_token()))
+    }
+
     /// Returns the ratio of requests to slots of an endpoint; 1 means that all slots are in use.
     pub fn fill(&self, id: &str, now: Moment) -> Option<f64> {
         let slots = self.members.get(id)?.entry.slots;
--- a/crates/ploverwick_endpoints/src/lib.rs
+++ b/crates/ploverwick_endpoints/src/lib.rs
@@ -6,6 +6,7 @@
 mod absences;
 mod answer_timeout;
 mod budget;
+mod capacity;
 mod draining_reports;
 mod entry;
 mod fleet;
@@ -21,6 +22,7 @@
 pub use absences::Absences;
 pub use answer_timeout::answer_timeout;
 pub use budget::{Balance, Budget, RetryPolicy};
+pub use capacity::Capacity;
 pub use draining_reports::DrainingReports;
 pub use entry::{Entry, Held, State};
 pub use fleet::{Cost, Fleet, Query};
--- a/crates/ploverwick_routes/src/config.rs
+++ b/crates/ploverwick_routes/src/config.rs
@@ -24,6 +24,10 @@
     pub slots: u32,
     /// The memory, in tokens, for running requests and cached prompts.
     pub token_capacity: u64,
+    /// The memory, in bytes, that a token of a running request occupies; 0 if unknown.
+    pub bytes_per_token: u64,
+    /// The number of generated tokens in one event of a stream, 1 or more.
+    pub event_tokens: u32,
     /// The number of adapters that an endpoint may hold, including those being loaded.
     pub adapter_slots: usize,
     /// The loads of base models per second that the weight store allows over all endpoints.
--- a/crates/ploverwick_routes/src/route.rs
+++ b/crates/ploverwick_routes/src/route.rs
@@ -59,6 +59,9 @@
     /// How long a client waits for each event of a stream, including the first, before it disconnects;
     /// `None` if it waits indefinitely.
     pub event_timeout: Option<Duration>,
+    /// The longest pause between two events of a stream with which it still meets its objective; `None` if the
+    /// operator declares none.
+    pub max_pause: Option<Duration>,
     /// The maximum number of endpoints that one attempt of a client may run on, 1 or more.
     pub max_attempts: u32,
     /// The priority of its requests; 0 is the most urgent.
--- a/crates/ploverwick_routes/tests/route_choice.rs
+++ b/crates/ploverwick_routes/tests/route_choice.rs
@@ -15,6 +15,7 @@
         timeout: Duration::from_secs(1),
         objective: Duration::from_millis(100),
         event_timeout: None,
+        max_pause: None,
         max_attempts: 1,
         priority: 0,
         needs_key: true,
