Keep a paused stream's endpoint until another one takes over

Cause: after a pause of half of the event timeout the endpoint was closed first, and only then were another endpoint and a retry in the budget sought. The budget refused, or no other endpoint held the adapter: the selection waited for it until the time limit of a new request, which was long past. A send that did not run also used up one of the route's attempts.

Change: the source is read on while another endpoint and a retry are sought, and is closed when the other endpoint answers or 100 ms after the send. A source that continues ends the search. Without any, the stream waits for its source; without a source, it seeks until the deadline.

--- a/crates/ploverwick_endpoints/src/lib.rs
+++ b/crates/ploverwick_endpoints/src/lib.rs
@@ -18,6 +18,7 @@
 mod load;
 mod pauses;
 mod peer_loads;
+mod resumption;
 
 pub use absences::Absences;
 pub use answer_timeout::answer_timeout;
@@ -33,3 +34,4 @@
 pub use limits::{Change, LimitUpdate, Limits};
 pub use load::Load;
 pub use pauses::Pauses;
+pub use resumption::{Resumption, Step};
--- a/crates/ploverwick_gateway/src/filters.rs
+++ b/crates/ploverwick_gateway/src/filters.rs
@@ -4,15 +4,18 @@
 //! operators' table, `quota` charges the organisation's quota, `select` chooses an endpoint, `send` sends the
 //! request to it, `forward` forwards the answer, and `retry` retries the last three steps where that is safe.
 
+mod activity_guard;
 mod admit;
 mod admitted_request;
 mod authenticate;
+mod event_splitter;
 mod forward;
 mod in_flight;
 mod missing_adapter;
 mod quarantine;
 mod quota;
 mod reply;
+mod resume;
 mod retry;
 mod reuse;
 mod select;
@@ -50,6 +53,6 @@
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
-    let guard = forward::ActivityGuard::new(activity, shared.clock.clone());
-    response.map(|body| forward::guarded(body, guard))
+    let guard = activity_guard::ActivityGuard::new(activity, shared.clock.clone());
+    response.map(|body| activity_guard::guarded(body, guard))
 }
--- /dev/null
+++ b/crates/ploverwick_gateway/src/filters/event_splitter.rs
@@ -0,0 +1,57 @@
+//! Splits streams into events.
+
+use bytes::{Bytes, BytesMut};
+
+/// Splits a stream into complete events and keeps the identifier of the last one.
+#[derive(Debug, Default)]
+pub(crate) struct EventSplitter {
+    pending: BytesMut,
+    last: Option<u64>,
+}
+
+impl EventSplitter {
+    /// Appends bytes and returns the complete events so far, if any.
+    pub(crate) fn push(&mut self, data: &[u8]) -> Option<Bytes> {
+        let from = self.pending.len().saturating_sub(3);
+        self.pending.extend_from_slice(data);
+        let end = event_end(&self.pending, from)?;
+        let events = self.pending.split_to(end).freeze();
+        self.last = last_id(&events).or(self.last);
+        Some(events)
+    }
+
+    /// Returns the identifier of the last complete event.
+    pub(crate) fn last(&self) -> Option<u64> {
+        self.last
+    }
+
+    /// Discards an incomplete event.
+    pub(crate) fn discard_partial(&mut self) {
+        self.pending.clear();
+    }
+
+    /// Returns the remaining bytes at the end of the stream.
+    pub(crate) fn take_rest(&mut self) -> Bytes {
+        self.pending.split().freeze()
+    }
+}
+
+/// Returns the end of the last complete event. An empty line ends an event.
+fn event_end(bytes: &[u8], from: usize) -> Option<usize> {
+    let mut end = None;
+    for at in from..bytes.len() {
+        let rest = &bytes[at..];
+        if rest.starts_with(b"\n\n") {
+            end = Some(at + 2);
+        } else if rest.starts_with(b"\n\r\n") {
+            end = Some(at + 3);
+        }
+    }
+    end
+}
+
+fn last_id(events: &[u8]) -> Option<u64> {
+    let mut lines = events.rsplit(|byte| *byte == b'\n');
+    let id = lines.find_map(|line| line.strip_prefix(b"id:"))?;
+    std::str::from_utf8(id).ok()?.trim().parse().ok()
+}
--- a/crates/ploverwick_gateway/src/filters/forward.rs
+++ b/crates/ploverwick_gateway/src/filters/forward.rs
@@ -1,36 +1,36 @@
 //! Forwards answers of endpoints to clients.
 
-use std::pin::Pin;
+use std::pin::pin;
 use std::sync::Arc;
-use std::task::{Context, Poll};
+use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures_util::stream;
 use http::response::Parts;
 use http::{Response, StatusCode};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, StreamBody};
-use hyper::body::{Frame, Incoming, SizeHint};
-use ploverwick_endpoints::Outcome;
+use hyper::body::{Frame, Incoming};
+use ploverwick_endpoints::{Outcome, Resumption, Step};
 use ploverwick_platform::answer::{self, Head, Statement};
 use tokio::time::Instant;
 
 use super::admitted_request::AdmittedRequest;
+use super::event_splitter::EventSplitter;
 use super::in_flight::InFlight;
 use super::quarantine;
 use super::reply::{Body, BrokenAnswer, full_body};
+use super::resume::{self, Cause, Found, Interruption};
 use super::reuse::keep;
-use super::select::{self, Target};
+use super::select::Target;
 use super::send::{self, Answered, SendOutcome};
-use crate::clock::Clock;
-use crate::connection::Activity;
 use crate::controllers::crashes;
+use crate::metrics;
 use crate::pool::Connection;
 use crate::shared::Shared;
 
-/// The fraction of the client's event timeout for which a stream may pause before it is resumed at another
-/// endpoint. That endpoint needs the other half to read the prompt.
-const MAX_PAUSE_RATIO: f64 = 0.5;
+/// How long a paused endpoint is kept after the request was sent to another one, which may refuse it at once.
+const MAX_OVERLAP: Duration = Duration::from_millis(100);
 
 /// Reads a complete answer and builds the response from it.
 ///
@@ -70,32 +70,32 @@
 }
 
 /// Forwards a stream of events as it arrives.
+///
+/// `runs` is the number of sends that may have run, and `excluded` are the endpoints that are not tried again.
 pub(crate) fn event_stream(
     shared: &Arc<Shared>,
     request: &Arc<AdmittedRequest>,
-    target: &Target,
     answered: Answered,
-    sent: u32,
+    runs: u32,
+    mut excluded: Vec<Arc<str>>,
 ) -> Response<Body> {
-    let Answered {
-        parts,
-        head,
-        body,
-        in_flight,
-        connection,
-    } = answered;
+    let parts = answered.parts.clone();
+    let head = answered.head.clone();
+    let source = Source::from(answered);
+    excluded.push(Arc::clone(&source.in_flight.endpoint));
+    let route = &request.route;
+    let may_resume = route.kind.may_retry();
+    let max_runs = if may_resume { route.max_attempts } else { 1 };
     let forwarded = ForwardedStream {
         shared: Arc::clone(shared),
         request: Arc::clone(request),
-        source: Some(Source {
-            body,
-            in_flight,
-            connection,
-            head: head.clone(),
-        }),
-        splitter: request.route.kind.may_retry().then(EventSplitter::default),
-        sent,
-        tried: vec![Arc::clone(&target.entry.id)],
+        source: Some(source),
+        splitter: may_resume.then(EventSplitter::default),
+        is_complete: false,
+        resumption: Resumption::new(route.event_timeout, max_runs, runs),
+        excluded,
+        seek_from: Instant::now(),
+        interruption: None,
     };
     let frames = stream::try_unfold(forwarded, |mut forwarded| async move {
         let bytes = forwarded.next().await?;
@@ -121,6 +121,7 @@
     status
 }
 
+/// The answer of an endpoint that is being read.
 #[derive(Debug)]
 struct Source {
     body: Incoming,
@@ -129,6 +130,45 @@
     head: Head,
 }
 
+impl From<Answered> for Source {
+    fn from(answered: Answered) -> Self {
+        Self {
+            body: answered.body,
+            in_flight: answered.in_flight,
+            connection: answered.connection,
+            head: answered.head,
+        }
+    }
+}
+
+/// What happened while a stream waited.
+#[derive(Debug)]
+enum Event {
+    Data(Bytes),
+    End,
+    Break(hyper::Error),
+    Found(Found),
+    Timeout,
+}
+
+/// Reads from an endpoint; never completes without one.
+async fn read(source: &mut Option<Source>) -> Event {
+    let Some(source) = source else {
+        return std::future::pending().await;
+    };
+    loop {
+        match source.body.frame().await {
+            None => return Event::End,
+            Some(Err(error)) => return Event::Break(error),
+            Some(Ok(frame)) => {
+                if let Ok(data) = frame.into_data() {
+                    return Event::Data(data);
+                }
+            }
+        }
+    }
+}
+
 /// A stream that is forwarded to a client.
 #[derive(Debug)]
 struct ForwardedStream {
@@ -137,59 +177,163 @@
     source: Option<Source>,
     /// Splits the bytes into events, if the stream may be resumed at another endpoint.
     splitter: Option<EventSplitter>,
-    sent: u32,
-    tried: Vec<Arc<str>>,
+    is_complete: bool,
+    resumption: Resumption,
+    /// The endpoints that are not tried again.
+    excluded: Vec<Arc<str>>,
+    /// When another endpoint may be sought at the earliest.
+    seek_from: Instant,
+    interruption: Option<Interruption>,
 }
 
 impl ForwardedStream {
     /// Returns the next bytes for the client; `None` at the end of the stream.
     async fn next(&mut self) -> Result<Option<Bytes>, BrokenAnswer> {
+        if self.is_complete {
+            return Ok(None);
+        }
+        let silent_since = Instant::now();
         loop {
-            let deadline = self.read_deadline();
-            let Some(source) = &mut self.source else {
-                return Ok(None);
+            let has_source = self.source.is_some();
+            let silence = silent_since.elapsed();
+            let remaining = self.request.remaining();
+            let step = self.resumption.next_step(has_source, silence, remaining);
+            let mut event = match step {
+                Step::Wait(time) => self.wait(time).await,
+                Step::Seek(time) => self.seek(time).await,
+                Step::Fail => return Err(self.fail(remaining.is_zero())),
             };
-            let frame = tokio::time::timeout_at(deadline, source.body.frame()).await;
-            match frame {
-                Ok(Some(Ok(frame))) => {
-                    let Ok(data) = frame.into_data() else {
-                        continue;
-                    };
+            if let Event::Found(Found::Target(target)) = event {
+                event = self.resume(&target, silent_since).await;
+            }
+            match event {
+                Event::Data(data) => {
+                    self.end_pause(silent_since);
                     if let Some(bytes) = self.accept(data) {
                         return Ok(Some(bytes));
                     }
                 }
-                Ok(None) => return Ok(self.finish()),
-                Ok(Some(Err(error))) => {
-                    crashes::handle_broken_connection(
-                        &self.shared,
-                        &source.in_flight.endpoint,
-                        self.request.suspect(),
-                    );
-                    self.resume(&error.to_string()).await?;
+                Event::End => return Ok(self.finish()),
+                Event::Break(error) => self.handle_break(&error),
+                Event::Found(Found::Forbidden(cause)) => self.forbid(&cause),
+                Event::Found(_) | Event::Timeout => {}
+            }
+        }
+    }
+
+    async fn wait(&mut self, time: Duration) -> Event {
+        let event = tokio::time::timeout(time, read(&mut self.source)).await;
+        event.unwrap_or(Event::Timeout)
+    }
+
+    /// Seeks another endpoint while the present one may still continue.
+    async fn seek(&mut self, time: Duration) -> Event {
+        let end = Instant::now() + time;
+        self.interrupt(Cause::Pause);
+        let (shared, request) = (&self.shared, &self.request);
+        tokio::select! {
+            biased;
+            event = read(&mut self.source) => event,
+            found = resume::seek(shared, request, &self.excluded, self.seek_from, end) => Event::Found(found),
+        }
+    }
+
+    /// Resumes the stream at another endpoint after the last complete event.
+    ///
+    /// The present endpoint is closed once the other one answers, or after [`MAX_OVERLAP`].
+    async fn resume(&mut self, target: &Target, silent_since: Instant) -> Event {
+        let shared = Arc::clone(&self.shared);
+        let request = Arc::clone(&self.request);
+        let deadline = target.start_deadline.unwrap_or(request.deadline);
+        let deadline = deadline.min(request.deadline);
+        let after = self.splitter.as_ref().and_then(EventSplitter::last);
+        let mut send = pin!(send::run(&shared, &request, target, deadline, after));
+        let outcome = tokio::select! {
+            biased;
+            event = read(&mut self.source) => match event {
+                Event::Break(error) => {
+                    self.handle_break(&error);
+                    send.await
                 }
-                Err(_) if deadline < self.request.deadline => {
-                    self.resume("the stream paused").await?;
+                event => {
+                    self.resumption.record_run();
+                    self.excluded.push(Arc::clone(&target.entry.id));
+                    return event;
                 }
-                Err(_) => {
-                    self.close_source(Outcome::Abandoned);
-                    return Err(self.fail("the deadline passed"));
+            },
+            outcome = &mut send => outcome,
+            () = tokio::time::sleep(MAX_OVERLAP) => {
+                self.close_source(Outcome::Broken);
+                send.await
+            }
+        };
+        self.handle_outcome(target, outcome, silent_since);
+        Event::Timeout
+    }
+
+    fn handle_outcome(&mut self, target: &Target, outcome: SendOutcome, silent_since: Instant) {
+        metrics::send(outcome.name());
+        match outcome {
+            SendOutcome::Answered(answered)
+                if answered.parts.status.is_success() && answered.head.is_signed =>
+            {
+                self.log_resumed(target, silent_since);
+                self.close_source(Outcome::Broken);
+                self.source = Some(Source::from(*answered));
+                self.resumption.record_run();
+                if let Some(interruption) = self.interruption.take() {
+                    interruption.end_resumed();
                 }
             }
+            SendOutcome::Answered(mut answered) => {
+                answered.in_flight.set_outcome(Outcome::Error);
+                self.resumption.record_run();
+            }
+            SendOutcome::Lost(_) | SendOutcome::TimedOut => self.resumption.record_run(),
+            SendOutcome::Revoked(reply) => self.forbid(reply.code.name()),
+            SendOutcome::Unsent(_) | SendOutcome::NotRun { .. } => {
+                let backoff = self.resumption.record_refusal();
+                self.seek_from = Instant::now() + backoff;
+            }
         }
+        self.excluded.push(Arc::clone(&target.entry.id));
     }
 
-    /// Returns the deadline for the next bytes. It is the request's deadline, unless the stream may be resumed at
-    /// another endpoint before the client disconnects: a connection may stall without an error.
-    fn read_deadline(&self) -> Instant {
-        let may_resume = self.splitter.is_some() && self.sent < self.request.route.max_attempts;
-        match self.request.route.event_timeout {
-            Some(event_timeout) if may_resume => {
-                let deadline = Instant::now() + event_timeout.mul_f64(MAX_PAUSE_RATIO);
-                deadline.min(self.request.deadline)
-            }
-            Some(_) | None => self.request.deadline,
+    fn forbid(&mut self, cause: &str) {
+        self.log("stream_not_resumed", cause);
+        self.resumption.forbid();
+    }
+
+    fn handle_break(&mut self, error: &hyper::Error) {
+        if let Some(source) = &self.source {
+            let endpoint = &source.in_flight.endpoint;
+            crashes::handle_broken_connection(&self.shared, endpoint, self.request.suspect());
+        }
+        self.close_source(Outcome::Broken);
+        self.interruption = None;
+        self.interrupt(Cause::Break(error.to_string()));
+    }
+
+    /// Marks the stream as interrupted. If the client disconnects now, its endpoint is the cause.
+    fn interrupt(&mut self, cause: Cause) {
+        if let Some(source) = &mut self.source {
+            source.in_flight.set_outcome(Outcome::Broken);
         }
+        self.interruption
+            .get_or_insert_with(|| Interruption::new(cause));
+    }
+
+    /// Records that the endpoint continued by itself, if it had paused.
+    fn end_pause(&mut self, silent_since: Instant) {
+        let Some(interruption) = self.interruption.take() else {
+            return;
+        };
+        interruption.end_kept();
+        if let Some(source) = &mut self.source {
+            source.in_flight.set_outcome(Outcome::Abandoned);
+        }
+        let pause = silent_since.elapsed().as_millis();
+        self.log("stream_kept", format_args!("it continued after {pause} ms"));
     }
 
     /// Returns the bytes to forward. Incomplete events are buffered if the stream may be resumed at another
@@ -202,188 +346,62 @@
     }
 
     fn finish(&mut self) -> Option<Bytes> {
+        self.is_complete = true;
         if let Some(mut source) = self.source.take() {
             source.in_flight.set_outcome(Outcome::Success);
             quarantine::handle_success(&self.shared, &self.request);
             let endpoint = Arc::clone(&source.in_flight.endpoint);
             keep(&self.shared, &endpoint, source.connection, &source.head);
         }
+        if let Some(interruption) = self.interruption.take() {
+            interruption.end_kept();
+        }
         let rest = self.splitter.as_mut().map(EventSplitter::take_rest);
         rest.filter(|rest| !rest.is_empty())
     }
 
+    /// Closes the connection to the endpoint and discards the event of which a part was read.
     fn close_source(&mut self, outcome: Outcome) {
         if let Some(mut source) = self.source.take() {
             source.in_flight.set_outcome(outcome);
         }
+        if let Some(splitter) = &mut self.splitter {
+            splitter.discard_partial();
+        }
     }
 
-    fn fail(&self, cause: &str) -> BrokenAnswer {
+    fn fail(&mut self, is_late: bool) -> BrokenAnswer {
+        self.close_source(Outcome::Abandoned);
+        let cause = match &self.interruption {
+            Some(interruption) if !is_late => interruption.cause.to_string(),
+            Some(_) | None => "the deadline passed".to_owned(),
+        };
+        self.log("stream_broken", &cause);
+        BrokenAnswer(cause)
+    }
+
+    fn log_resumed(&self, target: &Target, silent_since: Instant) {
+        let cause = self.interruption.as_ref().map(|it| it.cause.to_string());
+        let cause = cause.unwrap_or_default();
+        let endpoint = &target.entry.id;
+        let pause = silent_since.elapsed().as_millis();
+        let detail = format_args!("{cause}, {endpoint} continues after {pause} ms");
+        self.log("stream_resumed", detail);
+    }
+
+    fn log(&self, event: &str, cause: impl std::fmt::Display) {
         if self.shared.log_limiter.allow(self.shared.now()) {
             spdlog::info!(
-                "stream_broken id={} route={} sent={} endpoints={:?} cause=\"{}\" left_ms={} ms={}",
+                "{} id={} route={} runs={} endpoints={:?} cause=\"{}\" left_ms={} ms={}",
+                event,
                 self.request.info.id,
                 self.request.route.name,
-                self.sent,
-                self.tried,
+                self.resumption.runs(),
+                self.excluded,
                 cause,
                 self.request.remaining().as_millis(),
                 self.request.received.elapsed().as_millis()
             );
         }
-        BrokenAnswer(cause.to_owned())
-    }
-
-    /// Resumes the stream at another endpoint after the last complete event.
-    async fn resume(&mut self, cause: &str) -> Result<(), BrokenAnswer> {
-        self.close_source(Outcome::Broken);
-        let after = match &mut self.splitter {
-            Some(splitter) => splitter.discard_partial(),
-            None => return Err(self.fail(cause)),
-        };
-        while self.sent < self.request.route.max_attempts
-            && quarantine::may_retry(&self.shared, &self.request)
-            && self
-                .shared
-                .may_retry(&self.request.info.id, &self.request.service)
-        {
-            let target = match select::run(&self.shared, &self.request, &self.tried).await {
-                Ok(target) => target,
-                Err(reply) => return Err(self.fail(&reply.detail)),
-            };
-            if let Some(refusal) = quarantine::refusal(&self.shared, &self.request) {
-                return Err(self.fail(&refusal.detail));
-            }
-            self.sent += 1;
-            self.tried.push(Arc::clone(&target.entry.id));
-            let deadline = target.start_deadline.unwrap_or(self.request.deadline);
-            let deadline = deadline.min(self.request.deadline);
-            let outcome = send::run(&self.shared, &self.request, &target, deadline, after).await;
-            if let SendOutcome::Revoked(reply) = &outcome {
-                return Err(self.fail(reply.code.name()));
-            }
-            if let SendOutcome::Answered(answered) = outcome
-                && answered.parts.status.is_success()
-                && answered.head.is_signed
-            {
-                let Answered {
-                    head,
-                    body,
-                    in_flight,
-                    connection,
-                    ..
-                } = *answered;
-                self.source = Some(Source {
-                    body,
-                    in_flight,
-                    connection,
-                    head,
-                });
-                return Ok(());
-            }
-        }
-        Err(self.fail(cause))
-    }
-}
-
-/// Splits a stream into complete events and keeps the identifier of the last one.
-#[derive(Debug, Default)]
-pub(crate) struct EventSplitter {
-    pending: BytesMut,
-    last: Option<u64>,
-}
-
-impl EventSplitter {
-    /// Appends bytes and returns the complete events so far, if any.
-    pub(crate) fn push(&mut self, data: &[u8]) -> Option<Bytes> {
-        let from = self.pending.len().saturating_sub(3);
-        self.pending.extend_from_slice(data);
-        let end = event_end(&self.pending, from)?;
-        let events = self.pending.split_to(end).freeze();
-        self.last = last_id(&events).or(self.last);
-        Some(events)
-    }
-
-    /// Discards an incomplete event and returns the identifier of the last complete one.
-    pub(crate) fn discard_partial(&mut self) -> Option<u64> {
-        self.pending.clear();
-        self.last
-    }
-
-    /// Returns the remaining bytes at the end of the stream.
-    pub(crate) fn take_rest(&mut self) -> Bytes {
-        self.pending.split().freeze()
-    }
-}
-
-/// Returns the end of the last complete event. An empty line ends an event.
-fn event_end(bytes: &[u8], from: usize) -> Option<usize> {
-    let mut end = None;
-    for at in from..bytes.len() {
-        let rest = &bytes[at..];
-        if rest.starts_with(b"\n\n") {
-            end = Some(at + 2);
-        } else if rest.starts_with(b"\n\r\n") {
-            end = Some(at + 3);
-        }
-    }
-    end
-}
-
-fn last_id(events: &[u8]) -> Option<u64> {
-    let mut lines = events.rsplit(|byte| *byte == b'\n');
-    let id = lines.find_map(|line| line.strip_prefix(b"id:"))?;
-    std::str::from_utf8(id).ok()?.trim().parse().ok()
-}
-
-/// Marks the client's connection as idle when dropped at the end of an answer.
-#[derive(Debug)]
-pub(crate) struct ActivityGuard {
-    activity: Activity,
-    clock: Clock,
-}
-
-impl ActivityGuard {
-    pub(crate) fn new(activity: Activity, clock: Clock) -> Self {
-        Self { activity, clock }
-    }
-}
-
-impl Drop for ActivityGuard {
-    fn drop(&mut self) {
-        self.activity.end(self.clock.now());
-    }
-}
-
-/// Wraps a body so that `guard` is dropped with it.
-pub(crate) fn guarded(body: Body, guard: ActivityGuard) -> Body {
-    UnsyncBoxBody::new(GuardedBody {
-        body,
-        _guard: guard,
-    })
-}
-
-struct GuardedBody {
-    body: Body,
-    _guard: ActivityGuard,
-}
-
-impl hyper::body::Body for GuardedBody {
-    type Data = Bytes;
-    type Error = BrokenAnswer;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BrokenAnswer>>> {
-        Pin::new(&mut self.body).poll_frame(context)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
     }
 }
--- a/crates/ploverwick_gateway/src/filters/retry.rs
+++ b/crates/ploverwick_gateway/src/filters/retry.rs
@@ -164,7 +164,9 @@
             if misdirected {
                 // This corrects the directory, so it does not count as a refusal: after a crash,
                 // every entry for the adapter may be stale.
-                handle_misdirected(shared, target, history);
+                if target.copy.is_none() {
+                    history.excluded.push(Arc::clone(&target.entry.id));
+                }
                 return NextStep::Retry(Duration::ZERO);
             }
             history.refusals += 1;
@@ -198,7 +200,8 @@
     }
     if status.is_success() && request.route.kind.is_stream() {
         log_answered(shared, request, target, history, status, state);
-        let response = forward::event_stream(shared, request, target, answered, history.sent + 1);
+        let excluded = std::mem::take(&mut history.excluded);
+        let response = forward::event_stream(shared, request, answered, history.runs + 1, excluded);
         return NextStep::Respond(response);
     }
     let response = match forward::whole(shared, request, answered).await {
@@ -247,18 +250,6 @@
     request.route.kind.may_retry() && runs < request.route.max_attempts
 }
 
-/// Corrects the directory if an endpoint does not hold the adapter listed there. A request without an adapter
-/// excludes the endpoint instead.
-fn handle_misdirected(shared: &Shared, target: &Target, history: &mut History) {
-    match &target.copy {
-        Some(copy) => {
-            let mut state = shared.state();
-            state.directory.mark_unloaded(&target.entry.id, copy);
-        }
-        None => history.excluded.push(Arc::clone(&target.entry.id)),
-    }
-}
-
 /// Returns the deadline for the head of an answer. It is earlier than the request's own deadline if the request
 /// may be retried or the adapter's version may be replaced in the meantime.
 fn answer_deadline(request: &AdmittedRequest, target: &Target, history: &History) -> Instant {
--- a/crates/ploverwick_gateway/src/filters/select.rs
+++ b/crates/ploverwick_gateway/src/filters/select.rs
@@ -64,14 +64,30 @@
     request: &AdmittedRequest,
     except: &[Arc<str>],
 ) -> Result<Target, Reply> {
-    let Some(key) = &request.info.adapter else {
-        return select_without_adapter(shared, request, except);
-    };
     let started = Instant::now();
     let timeout = request
         .first_event_deadline
         .saturating_duration_since(started);
-    let deadline = started + timeout.mul_f64(LOAD_WAIT_RATIO);
+    run_until(
+        shared,
+        request,
+        except,
+        started + timeout.mul_f64(LOAD_WAIT_RATIO),
+    )
+    .await
+}
+
+/// Selects an endpoint. If the adapter has to be loaded first, waits until `deadline`.
+pub(super) async fn run_until(
+    shared: &Arc<Shared>,
+    request: &AdmittedRequest,
+    except: &[Arc<str>],
+    deadline: Instant,
+) -> Result<Target, Reply> {
+    let Some(key) = &request.info.adapter else {
+        return select_without_adapter(shared, request, except);
+    };
+    let started = Instant::now();
     let mut load_requests = 0;
     loop {
         let changed = shared.placement_changed.notified();
--- a/crates/ploverwick_gateway/src/filters/send.rs
+++ b/crates/ploverwick_gateway/src/filters/send.rs
@@ -152,6 +152,10 @@
     if head.statement != Statement::Nothing {
         record_not_run(request);
         let misdirected = head.statement == Statement::Misdirected;
+        if misdirected && let Some(copy) = &target.copy {
+            // The directory is wrong: the endpoint does not hold the adapter.
+            shared.state().directory.mark_unloaded(endpoint, copy);
+        }
         in_flight.set_outcome(if misdirected {
             Outcome::Abandoned
         } else {
--- a/crates/ploverwick_gateway/src/metrics.rs
+++ b/crates/ploverwick_gateway/src/metrics.rs
@@ -98,6 +98,12 @@
     counter!("ploverwick_sends_total", "ending" => outcome).increment(1);
 }
 
+/// Counts an interruption of a stream by its cause and by how it ended.
+pub(crate) fn stream_interruption(cause: &'static str, end: &'static str) {
+    counter!("ploverwick_stream_interruptions_total", "cause" => cause, "ending" => end)
+        .increment(1);
+}
+
 /// Counts a send to an endpoint that has set a limit.
 pub(crate) fn limited_send() {
     counter!("ploverwick_limited_sends_total").increment(1);
