Log and count how the events of each forwarded stream met its route's objectives

Callers of streams are late more often by a pause between events than by the start, and nothing measured it: the answer's line is written at the first event. A line at the stream's end (`stream_ended`), a histogram of the longest pause and a counter by timing and ending hold it now; `grep -c 'stream_ended.* timing=late_pause' LOG` counts.

--- a/crates/ploverwick_gateway/src/filters.rs
+++ b/crates/ploverwick_gateway/src/filters.rs
@@ -17,6 +17,7 @@
 mod reuse;
 mod select;
 mod send;
+mod stream_timing;
 mod terms;
 
 use std::sync::Arc;
--- a/crates/ploverwick_gateway/src/filters/forward.rs
+++ b/crates/ploverwick_gateway/src/filters/forward.rs
@@ -22,6 +22,7 @@
 use super::reuse::keep;
 use super::select::{self, Target};
 use super::send::{self, Answered, SendOutcome};
+use super::stream_timing::{Ending, StreamTiming};
 use crate::clock::Clock;
 use crate::connection::Activity;
 use crate::controllers::crashes;
@@ -96,6 +97,7 @@
         splitter: request.route.kind.may_retry().then(EventSplitter::default),
         sent,
         tried: vec![Arc::clone(&target.entry.id)],
+        timing: StreamTiming::start(shared, request, &target.entry.id),
     };
     let frames = stream::try_unfold(forwarded, |mut forwarded| async move {
         let bytes = forwarded.next().await?;
@@ -139,6 +141,7 @@
     splitter: Option<EventSplitter>,
     sent: u32,
     tried: Vec<Arc<str>>,
+    timing: StreamTiming,
 }
 
 impl ForwardedStream {
@@ -155,6 +158,8 @@
                     let Ok(data) = frame.into_data() else {
                         continue;
                     };
+                    let endpoint = &source.in_flight.endpoint;
+                    self.timing.record_bytes(endpoint, &data, Instant::now());
                     if let Some(bytes) = self.accept(data) {
                         return Ok(Some(bytes));
                     }
@@ -204,6 +209,7 @@
     fn finish(&mut self) -> Option<Bytes> {
         if let Some(mut source) = self.source.take() {
             source.in_flight.set_outcome(Outcome::Success);
+            self.timing.set_ending(Ending::Complete);
             quarantine::handle_success(&self.shared, &self.request);
             let endpoint = Arc::clone(&source.in_flight.endpoint);
             keep(&self.shared, &endpoint, source.connection, &source.head);
@@ -218,7 +224,8 @@
         }
     }
 
-    fn fail(&self, cause: &str) -> BrokenAnswer {
+    fn fail(&mut self, cause: &str) -> BrokenAnswer {
+        self.timing.set_ending(Ending::Broken);
         if self.shared.log_limiter.allow(self.shared.now()) {
             spdlog::info!(
                 "stream_broken id={} route={} sent={} endpoints={:?} cause=\"{}\" left_ms={} ms={}",
--- a/crates/ploverwick_gateway/src/metrics.rs
+++ b/crates/ploverwick_gateway/src/metrics.rs
@@ -103,6 +103,13 @@
     counter!("ploverwick_limited_sends_total").increment(1);
 }
 
+/// Counts a stream that was forwarded by whether its events came in time and how it ended, and records its longest
+/// pause between two events.
+pub(crate) fn stream(punctuality: &'static str, ending: &'static str, longest_pause: Duration) {
+    counter!("ploverwick_streams_total", "timing" => punctuality, "ending" => ending).increment(1);
+    histogram!("ploverwick_stream_pause_seconds").record(longest_pause.as_secs_f64());
+}
+
 /// Sets the number of endpoints that this instance knows to have set a limit.
 pub(crate) fn endpoint_limits(endpoints: usize) {
     gauge!("ploverwick_endpoint_limits").set(endpoints as f64);
