--- a/crates/ploverwick_endpoints/src/capacity.rs
+++ b/crates/ploverwick_endpoints/src/capacity.rs
@@ -18,6 +18,15 @@
 pub use observations::{EndpointKey, EndpointObservations, Figure, Observations, StepMeter};
 pub(crate) use pace::Pace;
 
+/// The maximum number of endpoints in a round of messages whose observations an instance sends to placers, of about
+/// 13 bytes each.
+pub const MAX_OBSERVED_ENDPOINTS: usize = 7;
+/// The maximum number of changed figures that a placer sends in a round, of 6 bytes each.
+pub const MAX_CHANGED_FIGURES: usize = 5;
+/// The number of unchanged figures that a placer sends again in a round. Messages may be lost, and instances that
+/// have just started know none.
+pub const REFRESHED_FIGURES: usize = 2;
+
 /// The speed that is assumed before any endpoint of a service has answered. It is within a factor of two of what a
 /// 70-billion-parameter model reaches on one current accelerator.
 pub(crate) const INITIAL: Capacity = Capacity {
--- a/crates/ploverwick_endpoints/src/capacity/observations.rs
+++ b/crates/ploverwick_endpoints/src/capacity/observations.rs
@@ -10,6 +10,8 @@
 use super::log_byte::LogByte;
 use super::rate::Sums;
 
+/// The prompt tokens that say as much as one generation step.
+pub(crate) const TOKENS_PER_STEP: u32 = 10;
 /// The unit of the rates in a figure, in milliseconds.
 const RATE_UNIT_MS: f64 = 1e-4;
 
@@ -33,8 +35,10 @@
 pub struct Observations {
     /// The prompt tokens that were read.
     pub read_tokens: u32,
-    /// The time that reading them took, in milliseconds.
+    /// The time until they were read, in milliseconds.
     pub read_ms: u32,
+    /// The generation steps that this time includes.
+    pub read_steps: u32,
     /// The generation steps without prompts to read.
     pub steps: u32,
     /// The time that these steps took, in milliseconds.
@@ -47,15 +51,18 @@
         self.read_tokens == 0 && self.steps == 0
     }
 
-    /// Returns the time that was observed, in milliseconds.
-    pub(crate) fn total_ms(&self) -> u32 {
-        self.read_ms.saturating_add(self.steps_ms)
+    /// Returns how much work was observed, in prompt tokens. It does not depend on the speed, so that observations
+    /// of a slow endpoint are not sent ahead of others.
+    pub(crate) fn amount(&self) -> u32 {
+        let steps = self.steps.saturating_mul(TOKENS_PER_STEP);
+        self.read_tokens.saturating_add(steps)
     }
 
     pub(crate) fn reads(&self) -> Sums {
         Sums {
             units: self.read_tokens.into(),
             ms: self.read_ms.into(),
+            steps: self.read_steps.into(),
         }
     }
 
@@ -63,6 +70,7 @@
         Sums {
             units: self.steps.into(),
             ms: self.steps_ms.into(),
+            steps: 0.0,
         }
     }
 }
@@ -74,6 +82,7 @@
         Self {
             read_tokens: self.read_tokens.saturating_add(other.read_tokens),
             read_ms: self.read_ms.saturating_add(other.read_ms),
+            read_steps: self.read_steps.saturating_add(other.read_steps),
             steps: self.steps.saturating_add(other.steps),
             steps_ms: self.steps_ms.saturating_add(other.steps_ms),
         }
@@ -123,8 +132,8 @@
 
 /// Measures the generation steps of one stream.
 ///
-/// Each observation holds the median of some pauses between events: prompts that this instance does not know of
-/// lengthen some of the pauses, and events that arrive together shorten others.
+/// Each observation holds the lower third of some pauses between events: prompts that this instance does not know of
+/// lengthen up to half of the pauses, and events that arrive together shorten a few.
 #[derive(Debug, Default)]
 pub struct StepMeter {
     pauses: Vec<Duration>,
@@ -146,11 +155,11 @@
     fn take(&mut self, event_tokens: u32) -> Observations {
         self.pauses.sort_unstable();
         let count = u32::try_from(self.pauses.len()).unwrap_or(u32::MAX);
-        let median = self.pauses[self.pauses.len() / 2];
+        let typical = self.pauses[self.pauses.len() / 3];
         self.pauses.clear();
         Observations {
             steps: count * event_tokens,
-            steps_ms: whole_ms(median * count),
+            steps_ms: whole_ms(typical * count),
             ..Observations::default()
         }
     }
--- a/crates/ploverwick_endpoints/src/capacity/pace.rs
+++ b/crates/ploverwick_endpoints/src/capacity/pace.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::observations::{EndpointKey, Figure, Observations};
+use super::observations::{EndpointKey, Figure, Observations, TOKENS_PER_STEP};
 use super::rate::{Rate, Weights};
 use super::{Capacity, INITIAL};
 
@@ -13,11 +13,11 @@
     lasting: 1_000.0,
     told: 8_000.0,
 };
-/// The weights for generation steps, of which an endpoint takes about one per ten prompt tokens.
+/// The weights for generation steps.
 const STEP_WEIGHTS: Weights = Weights {
-    prior: 100.0,
-    lasting: 100.0,
-    told: 800.0,
+    prior: READ_WEIGHTS.prior / TOKENS_PER_STEP as f64,
+    lasting: READ_WEIGHTS.lasting / TOKENS_PER_STEP as f64,
+    told: READ_WEIGHTS.told / TOKENS_PER_STEP as f64,
 };
 /// The age after which observations are not sent to the placer any more.
 const MAX_PENDING_AGE: Duration = Duration::from_secs(2);
@@ -71,7 +71,11 @@
 
     /// Returns the speed as far as enough was observed at this endpoint.
     pub(crate) fn known(&self) -> (Option<f64>, Option<f64>) {
-        (self.read.known(READ_WEIGHTS), self.step.known(STEP_WEIGHTS))
+        let step_ms = self.capacity.step_ms;
+        (
+            self.read.known(step_ms, READ_WEIGHTS),
+            self.step.known(0.0, STEP_WEIGHTS),
+        )
     }
 
     /// Returns whether enough was observed at this endpoint to tell it from others.
@@ -155,10 +159,11 @@
     }
 
     fn update(&mut self) {
-        self.capacity = Capacity {
-            read_ms: self.read.estimate(self.prior.read_ms, READ_WEIGHTS),
-            step_ms: self.step.estimate(self.prior.step_ms, STEP_WEIGHTS),
-        };
+        let step_ms = self.step.estimate(self.prior.step_ms, 0.0, STEP_WEIGHTS);
+        let read_ms = self
+            .read
+            .estimate(self.prior.read_ms, step_ms, READ_WEIGHTS);
+        self.capacity = Capacity { read_ms, step_ms };
     }
 }
 
--- a/crates/ploverwick_endpoints/src/capacity/rate.rs
+++ b/crates/ploverwick_endpoints/src/capacity/rate.rs
@@ -10,11 +10,16 @@
 /// The same for a rate that the placer sent. It repeats each rate about once a minute in a large fleet.
 const TOLD_DECAY: Duration = Duration::from_secs(40);
 
+/// The part of the time that is never attributed to generation steps, whose own estimate may be too high.
+const MIN_NET_RATIO: f64 = 0.1;
+
 /// An amount of work and the time that it took.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub(crate) struct Sums {
     pub(crate) units: f64,
     pub(crate) ms: f64,
+    /// The generation steps that the time includes besides the work.
+    pub(crate) steps: f64,
 }
 
 impl Sums {
@@ -22,6 +27,7 @@
         Self {
             units,
             ms: units * ms_per_unit,
+            steps: 0.0,
         }
     }
 
@@ -29,6 +35,7 @@
         Self {
             units: self.units + other.units,
             ms: self.ms + other.ms,
+            steps: self.steps + other.steps,
         }
     }
 
@@ -36,11 +43,14 @@
         Self {
             units: self.units * factor,
             ms: self.ms * factor,
+            steps: self.steps * factor,
         }
     }
 
-    fn ms_per_unit(self) -> f64 {
-        self.ms / self.units
+    /// Returns the time per unit without that of the steps, which take `step_ms` each.
+    fn ms_per_unit(self, step_ms: f64) -> f64 {
+        let net_ms = self.ms - self.steps * step_ms;
+        net_ms.max(MIN_NET_RATIO * self.ms) / self.units
     }
 }
 
@@ -70,8 +80,9 @@
         self.lasting = self.lasting.plus(observed);
     }
 
-    /// Replaces the rate that the placer sent.
+    /// Replaces the rate that the placer sent. It includes the lasting observations of this instance.
     pub(crate) fn set_told(&mut self, ms_per_unit: f64, weights: Weights) {
+        self.lasting = Sums::default();
         self.told = Sums::at_rate(weights.told, ms_per_unit);
     }
 
@@ -83,18 +94,19 @@
         self.told = self.told.scaled(factor(TOLD_DECAY));
     }
 
-    /// Returns the rate of this endpoint alone; `None` until enough was observed.
-    pub(crate) fn known(&self, weights: Weights) -> Option<f64> {
+    /// Returns the rate of this endpoint alone; `None` until enough was observed. `step_ms` is the time of a
+    /// generation step.
+    pub(crate) fn known(&self, step_ms: f64, weights: Weights) -> Option<f64> {
         let all = self.lasting.plus(self.told);
-        (all.units >= weights.prior).then(|| all.ms_per_unit())
+        (all.units >= weights.prior).then(|| all.ms_per_unit(step_ms))
     }
 
     /// Returns the estimated rate in milliseconds per unit. `prior` is the rate of similar endpoints: recent
     /// observations outweigh lasting ones, and both outweigh the prior, each according to how many there are.
-    pub(crate) fn estimate(&self, prior: f64, weights: Weights) -> f64 {
+    pub(crate) fn estimate(&self, prior: f64, step_ms: f64, weights: Weights) -> f64 {
         let lasting = self.lasting.plus(self.told);
         let lasting = lasting.plus(Sums::at_rate(weights.prior, prior));
-        let lasting = Sums::at_rate(weights.lasting, lasting.ms_per_unit());
-        self.recent.plus(lasting).ms_per_unit()
+        let lasting = Sums::at_rate(weights.lasting, lasting.ms_per_unit(step_ms));
+        self.recent.plus(lasting).ms_per_unit(step_ms)
     }
 }
--- a/crates/ploverwick_endpoints/src/fleet/capacities.rs
+++ b/crates/ploverwick_endpoints/src/fleet/capacities.rs
@@ -37,16 +37,13 @@
     ///
     /// The time of requests that waited for a slot says nothing and must not be recorded.
     pub fn record_reading(&mut self, id: &str, tokens: u32, steps: u32, taken: Duration) {
-        let Some(member) = self.members.get_mut(id) else {
-            return;
-        };
-        let steps_ms = f64::from(steps) * member.pace.capacity().step_ms;
-        let reading = taken.saturating_sub(Duration::from_secs_f64(steps_ms / 1_000.0));
-        member.pace.record_own(Observations {
+        let observed = Observations {
             read_tokens: tokens,
-            read_ms: whole_ms(reading),
+            read_ms: whole_ms(taken),
+            read_steps: steps,
             ..Observations::default()
-        });
+        };
+        self.record_observations(id, observed);
     }
 
     /// Records what this instance observed at an endpoint.
@@ -118,8 +115,8 @@
             .filter(|member| !member.pace.pending().is_empty())
             .collect();
         pending.sort_by(|a, b| {
-            let time = |member: &Member| member.pace.pending().total_ms();
-            time(b).cmp(&time(a)).then(a.entry.id.cmp(&b.entry.id))
+            let amount = |member: &Member| member.pace.pending().amount();
+            amount(b).cmp(&amount(a)).then(a.entry.id.cmp(&b.entry.id))
         });
         let taken = pending.into_iter().take(max);
         let taken = taken.map(|member| EndpointObservations {
--- a/crates/ploverwick_endpoints/src/lib.rs
+++ b/crates/ploverwick_endpoints/src/lib.rs
@@ -23,7 +23,8 @@
 pub use answer_timeout::answer_timeout;
 pub use budget::{Balance, Budget, RetryPolicy};
 pub use capacity::{
-    Capacity, EndpointKey, EndpointObservations, Figure, LogByte, Observations, StepMeter,
+    Capacity, EndpointKey, EndpointObservations, Figure, LogByte, MAX_CHANGED_FIGURES,
+    MAX_OBSERVED_ENDPOINTS, Observations, REFRESHED_FIGURES, StepMeter,
 };
 pub use draining_reports::DrainingReports;
 pub use entry::{Entry, Held, State};
--- a/crates/ploverwick_gateway/src/broadcast/capacities.rs
+++ b/crates/ploverwick_gateway/src/broadcast/capacities.rs
@@ -5,6 +5,7 @@
 
 use std::net::IpAddr;
 
+use ploverwick_endpoints::{MAX_CHANGED_FIGURES, MAX_OBSERVED_ENDPOINTS, REFRESHED_FIGURES};
 use ploverwick_names::Moment;
 
 use super::{domain_peers, remote_relays};
@@ -13,14 +14,6 @@
 use crate::shared::Shared;
 use crate::state::State;
 
-/// The maximum number of endpoints in a round whose observations are sent to placers, of about 12 bytes each.
-const MAX_OBSERVED_ENDPOINTS: usize = 8;
-/// The maximum number of changed figures that a placer sends in a round, of 6 bytes each.
-const MAX_CHANGED_FIGURES: usize = 6;
-/// The number of unchanged figures that a placer sends again in a round. Messages may be lost, and instances that
-/// have just started know none.
-const REFRESHED_FIGURES: usize = 2;
-
 /// Adds the messages of a round: what this instance observed, to the placers of the endpoints' failure domains, and,
 /// if it is a placer itself, the figures of its failure domain to all instances.
 pub(super) fn push_messages(
--- a/crates/ploverwick_gateway/src/filters/in_flight.rs
+++ b/crates/ploverwick_gateway/src/filters/in_flight.rs
@@ -11,8 +11,9 @@
 use crate::shared::Shared;
 use crate::state::State;
 
-/// The generation steps before the head of an answer: the one that runs when the request arrives.
-const STEPS_TO_HEAD: u32 = 1;
+/// The generation steps before the head of an answer, besides reading: the one that runs when the request arrives, and
+/// the one that generates its first token.
+const STEPS_TO_HEAD: u32 = 2;
 
 /// Counts a request in the load of an endpoint until it is dropped.
 #[derive(Debug)]
@@ -28,8 +29,8 @@
     held_tokens: u32,
     /// Whether requests waited for a slot at the endpoint when this one was sent.
     was_full: bool,
-    /// The number of tokens in an event.
-    event_tokens: u32,
+    /// The number of tokens in an event, if the endpoint serves models.
+    event_tokens: Option<u32>,
     /// When the last event arrived, and whether no prompt was known to be unread then.
     last_event: Option<(Instant, bool)>,
     steps: StepMeter,
@@ -98,26 +99,27 @@
 
     /// Records an event of the answer, to measure the generation steps between events.
     pub(crate) fn record_event(&mut self, at: Instant) {
+        let Some(event_tokens) = self.event_tokens else {
+            return;
+        };
         let now = self.shared.now();
         let mut state = self.shared.state();
         let is_undisturbed = state.fleet.load(&self.endpoint, now).unread_tokens == 0;
         let last = self.last_event.replace((at, is_undisturbed));
         if let Some((last_at, true)) = last
             && is_undisturbed
-            && let Some(observed) = self.steps.record_pause(at - last_at, self.event_tokens)
+            && let Some(observed) = self.steps.record_pause(at - last_at, event_tokens)
         {
             state.fleet.record_observations(&self.endpoint, observed);
         }
     }
 }
 
-/// Returns the number of tokens in an event of an endpoint's streams.
-fn event_tokens(state: &State, endpoint: &str) -> u32 {
-    let entry = state.fleet.entry(endpoint);
-    let config = state.config.as_ref();
-    let service = config.and_then(|config| config.service(&entry?.service));
-    let engine = service.and_then(|service| service.engine.as_ref());
-    engine.map_or(1, |engine| engine.event_tokens)
+/// Returns the number of tokens in an event of an endpoint's streams; `None` if it serves no models.
+fn event_tokens(state: &State, endpoint: &str) -> Option<u32> {
+    let entry = state.fleet.entry(endpoint)?;
+    let service = state.config.as_ref()?.service(&entry.service)?;
+    Some(service.engine.as_ref()?.event_tokens)
 }
 
 impl Drop for InFlight {
@@ -127,7 +129,9 @@
         state
             .fleet
             .record_prompt_read(&self.endpoint, self.unread_tokens);
-        if let Some(observed) = self.steps.finish(self.event_tokens) {
+        if let Some(event_tokens) = self.event_tokens
+            && let Some(observed) = self.steps.finish(event_tokens)
+        {
             state.fleet.record_observations(&self.endpoint, observed);
         }
         state
--- a/crates/ploverwick_gateway/src/filters/send.rs
+++ b/crates/ploverwick_gateway/src/filters/send.rs
@@ -98,7 +98,7 @@
     if let Some(charge) = &request.charge {
         charge.record_sent();
     }
-    let answer = request.info.answer_tokens;
+    let answer = request.info.expected_answer_tokens;
     let mut in_flight = InFlight::start(shared, endpoint, target.copy.clone(), prompt, answer);
     let begun = Instant::now();
     let message = build_message(request, target, &caller, after_event);
