--- a/crates/ploverwick_endpoints/src/fleet/capacities.rs
+++ b/crates/ploverwick_endpoints/src/fleet/capacities.rs
@@ -193,6 +193,9 @@
 
     /// Returns the cost of sending a prompt to an endpoint whose memory may overflow.
     pub(super) fn memory_cost(&self, member: &Member, prompt: u32, now: Moment) -> f64 {
+        if !self.token_capacities.contains_key(&member.entry.service) {
+            return 0.0;
+        }
         let mut load = self.load(&member.entry.id, now);
         load.requests += 1;
         load.held_tokens = load.held_tokens.saturating_add(prompt);
--- a/crates/ploverwick_routes/src/lib.rs
+++ b/crates/ploverwick_routes/src/lib.rs
@@ -5,10 +5,12 @@
 
 mod config;
 mod organisation;
+mod punctuality;
 mod route;
 
 pub use config::{Config, Engine, Limits, Service};
 pub use organisation::{
     Declaration, DeclarationError, KeyDigest, Organisation, Organisations, Quota, Unit,
 };
+pub use punctuality::{EventTimes, Punctuality};
 pub use route::{Kind, Route, Share};
