Rely more on lasting observations, cap late samples, and describe what is learned

A sample counts three times the expected time at most, and the last second outweighs lasting observations less. Operators see the highest memory fill of a failure domain.

--- a/crates/ploverwick_endpoints/src/capacity.rs
+++ b/crates/ploverwick_endpoints/src/capacity.rs
@@ -14,7 +14,6 @@
 use crate::Load;
 
 pub use log_byte::LogByte;
-pub(crate) use observations::whole_ms;
 pub use observations::{EndpointKey, EndpointObservations, Figure, Observations, StepMeter};
 pub(crate) use pace::Pace;
 
--- a/crates/ploverwick_endpoints/src/capacity/pace.rs
+++ b/crates/ploverwick_endpoints/src/capacity/pace.rs
@@ -2,15 +2,15 @@
 
 use std::time::Duration;
 
-use super::observations::{EndpointKey, Figure, Observations, TOKENS_PER_STEP};
+use super::observations::{EndpointKey, Figure, Observations, TOKENS_PER_STEP, whole_ms};
 use super::rate::{Rate, Weights};
 use super::{Capacity, INITIAL};
 
-/// The weights for prompt tokens. An instance that alone sends an endpoint a request in ten seconds relies on what
-/// the placer sends; the placer itself receives several thousand tokens a second at a busy endpoint.
+/// The weights for prompt tokens. A busy endpoint reads several thousand a second, which outweighs what was observed
+/// before. An instance that alone sends it a request in ten seconds relies on what the placer sends.
 const READ_WEIGHTS: Weights = Weights {
     prior: 1_000.0,
-    lasting: 1_000.0,
+    lasting: 4_000.0,
     told: 8_000.0,
 };
 /// The weights for generation steps.
@@ -19,6 +19,9 @@
     lasting: READ_WEIGHTS.lasting / TOKENS_PER_STEP as f64,
     told: READ_WEIGHTS.told / TOKENS_PER_STEP as f64,
 };
+/// The ratio to the expected time above which a time to the first event counts no more: the request waited for
+/// something else than reading.
+const MAX_SAMPLE_RATIO: f64 = 3.0;
 /// The age after which observations are not sent to the placer any more.
 const MAX_PENDING_AGE: Duration = Duration::from_secs(2);
 /// The ratio by which an estimate must differ from the last figure to be sent again ahead of others.
@@ -83,6 +86,20 @@
         self.known() != (None, None)
     }
 
+    /// Records the time to the first event of an answer before which `tokens` prompt tokens were read and `steps`
+    /// steps taken.
+    pub(crate) fn record_reading(&mut self, tokens: u32, steps: u32, taken: Duration) {
+        let Capacity { read_ms, step_ms } = self.capacity;
+        let expected_ms = f64::from(tokens) * read_ms + f64::from(steps) * step_ms;
+        let limit = Duration::from_secs_f64(MAX_SAMPLE_RATIO * expected_ms / 1_000.0);
+        self.record_own(Observations {
+            read_tokens: tokens,
+            read_ms: whole_ms(taken.min(limit)),
+            read_steps: steps,
+            ..Observations::default()
+        });
+    }
+
     /// Records observations of this instance.
     pub(crate) fn record_own(&mut self, observed: Observations) {
         self.pending = self.pending + observed;
--- a/crates/ploverwick_endpoints/src/capacity/rate.rs
+++ b/crates/ploverwick_endpoints/src/capacity/rate.rs
@@ -6,7 +6,7 @@
 /// within a second or two.
 const RECENT_DECAY: Duration = Duration::from_millis(1_200);
 /// The same for lasting observations, to which an estimate returns when there are no recent ones.
-const LASTING_DECAY: Duration = Duration::from_secs(20);
+const LASTING_DECAY: Duration = Duration::from_secs(8);
 /// The same for a rate that the placer sent. It repeats each rate about once a minute in a large fleet.
 const TOLD_DECAY: Duration = Duration::from_secs(40);
 
--- a/crates/ploverwick_endpoints/src/fleet/capacities.rs
+++ b/crates/ploverwick_endpoints/src/fleet/capacities.rs
@@ -8,9 +8,7 @@
 
 use super::{Fleet, Member};
 use crate::Load;
-use crate::capacity::{
-    Capacity, EndpointKey, EndpointObservations, Figure, INITIAL, Observations, whole_ms,
-};
+use crate::capacity::{Capacity, EndpointKey, EndpointObservations, Figure, INITIAL, Observations};
 
 /// The memory fill up to which an endpoint costs no more. The rest absorbs what is sent there before the load of
 /// this request is known.
@@ -37,13 +35,9 @@
     ///
     /// The time of requests that waited for a slot says nothing and must not be recorded.
     pub fn record_reading(&mut self, id: &str, tokens: u32, steps: u32, taken: Duration) {
-        let observed = Observations {
-            read_tokens: tokens,
-            read_ms: whole_ms(taken),
-            read_steps: steps,
-            ..Observations::default()
-        };
-        self.record_observations(id, observed);
+        if let Some(member) = self.members.get_mut(id) {
+            member.pace.record_reading(tokens, steps, taken);
+        }
     }
 
     /// Records what this instance observed at an endpoint.
@@ -182,6 +176,14 @@
         self.memory_fill_of(member, self.load(id, now))
     }
 
+    /// Returns the highest memory fill of the endpoints of a failure domain; `None` if none declares its memory.
+    pub fn max_memory_fill(&self, domain: &str, now: Moment) -> Option<f64> {
+        let members = self.members.values();
+        let in_domain = members.filter(|member| *member.entry.domain == *domain);
+        let fills = in_domain.filter_map(|m| self.memory_fill_of(m, self.load(&m.entry.id, now)));
+        fills.max_by(f64::total_cmp)
+    }
+
     fn memory_fill_of(&self, member: &Member, load: Load) -> Option<f64> {
         let capacity = *self.token_capacities.get(&member.entry.service)?;
         // Requests that wait for a slot hold nothing yet.
--- a/crates/ploverwick_gateway/src/broadcast/capacities.rs
+++ b/crates/ploverwick_gateway/src/broadcast/capacities.rs
@@ -56,6 +56,9 @@
         .fleet
         .next_figures(domain, MAX_CHANGED_FIGURES, REFRESHED_FIGURES);
     metrics::known_capacities(state.fleet.count_known_capacities(domain));
+    if let Some(fill) = state.fleet.max_memory_fill(domain, now) {
+        metrics::max_memory_fill(fill);
+    }
     if chosen.is_empty() {
         return;
     }
--- a/crates/ploverwick_gateway/src/metrics.rs
+++ b/crates/ploverwick_gateway/src/metrics.rs
@@ -120,6 +120,12 @@
     gauge!("ploverwick_endpoint_capacities").set(endpoints as f64);
 }
 
+/// Sets the highest memory fill of the endpoints of this failure domain, as known to their placer. Above 1, an endpoint
+/// preempts requests.
+pub(crate) fn max_memory_fill(fill: f64) {
+    gauge!("ploverwick_endpoint_memory_fill_max").set(fill);
+}
+
 /// Counts an endpoint that an answer or another instance reported as leaving before the list did.
 pub(crate) fn endpoint_draining() {
     counter!("ploverwick_endpoints_draining_total").increment(1);
