--- a/crates/ploverwick_endpoints/src/capacity.rs
+++ b/crates/ploverwick_endpoints/src/capacity.rs
@@ -8,14 +8,16 @@
 mod observations;
 mod pace;
 mod rate;
+mod step_meter;
 
 use std::time::Duration;
 
 use crate::Load;
 
 pub use log_byte::LogByte;
-pub use observations::{EndpointKey, EndpointObservations, Figure, Observations, StepMeter};
+pub use observations::{EndpointKey, EndpointObservations, Figure, Observations};
 pub(crate) use pace::Pace;
+pub use step_meter::StepMeter;
 
 /// The maximum number of endpoints in a round of messages whose observations an instance sends to placers, of about
 /// 13 bytes each.
