--- a/crates/ploverwick_endpoints/src/lib.rs
+++ b/crates/ploverwick_endpoints/src/lib.rs
@@ -23,7 +23,10 @@
 pub use absences::Absences;
 pub use answer_timeout::answer_timeout;
 pub use budget::{Balance, Budget, RetryPolicy};
-pub use capacity::Capacity;
+pub use capacity::{
+    Capacity, EndpointKey, EndpointObservations, Figure, LogByte, MAX_CHANGED_FIGURES,
+    MAX_OBSERVED_ENDPOINTS, Observations, REFRESHED_FIGURES, StepMeter,
+};
 pub use draining_reports::DrainingReports;
 pub use entry::{Entry, Held, State};
 pub use fleet::{Cost, Fleet, Query};
--- a/crates/ploverwick_gateway/src/filters/forward.rs
+++ b/crates/ploverwick_gateway/src/filters/forward.rs
@@ -24,6 +24,7 @@
 use super::reuse::keep;
 use super::select::Target;
 use super::send::{self, Answered, SendOutcome};
+use super::stream_timing::{Ending, StreamTiming};
 use crate::controllers::crashes;
 use crate::metrics;
 use crate::pool::Connection;
@@ -83,6 +84,7 @@
     let head = answered.head.clone();
     let source = Source::from(answered);
     excluded.push(Arc::clone(&source.in_flight.endpoint));
+    let timing = StreamTiming::start(shared, request, &source.in_flight.endpoint);
     let route = &request.route;
     let may_resume = route.kind.may_retry();
     let max_runs = if may_resume { route.max_attempts } else { 1 };
@@ -96,6 +98,7 @@
         excluded,
         seek_from: Instant::now(),
         interruption: None,
+        timing,
     };
     let frames = stream::try_unfold(forwarded, |mut forwarded| async move {
         let bytes = forwarded.next().await?;
@@ -184,6 +187,7 @@
     /// When another endpoint may be sought at the earliest.
     seek_from: Instant,
     interruption: Option<Interruption>,
+    timing: StreamTiming,
 }
 
 impl ForwardedStream {
@@ -209,6 +213,7 @@
             match event {
                 Event::Data(data) => {
                     self.end_pause(silent_since);
+                    self.record_bytes(&data);
                     if let Some(bytes) = self.accept(data) {
                         return Ok(Some(bytes));
                     }
@@ -336,6 +341,18 @@
         self.log("stream_kept", format_args!("it continued after {pause} ms"));
     }
 
+    /// Records when the events in `data` arrived.
+    fn record_bytes(&mut self, data: &[u8]) {
+        let Some(source) = &mut self.source else {
+            return;
+        };
+        let now = Instant::now();
+        let endpoint = &source.in_flight.endpoint;
+        if self.timing.record_bytes(endpoint, data, now) {
+            source.in_flight.record_event(now);
+        }
+    }
+
     /// Returns the bytes to forward. Incomplete events are buffered if the stream may be resumed at another
     /// endpoint.
     fn accept(&mut self, data: Bytes) -> Option<Bytes> {
@@ -349,6 +366,7 @@
         self.is_complete = true;
         if let Some(mut source) = self.source.take() {
             source.in_flight.set_outcome(Outcome::Success);
+            self.timing.set_ending(Ending::Complete);
             quarantine::handle_success(&self.shared, &self.request);
             let endpoint = Arc::clone(&source.in_flight.endpoint);
             keep(&self.shared, &endpoint, source.connection, &source.head);
@@ -371,6 +389,7 @@
     }
 
     fn fail(&mut self, is_late: bool) -> BrokenAnswer {
+        self.timing.set_ending(Ending::Broken);
         self.close_source(Outcome::Abandoned);
         let cause = match &self.interruption {
             Some(interruption) if !is_late => interruption.cause.to_string(),
--- a/crates/ploverwick_gateway/src/metrics.rs
+++ b/crates/ploverwick_gateway/src/metrics.rs
@@ -109,11 +109,29 @@
     counter!("ploverwick_limited_sends_total").increment(1);
 }
 
+/// Counts a stream that was forwarded by whether its events came in time and how it ended, and records its longest
+/// pause between two events.
+pub(crate) fn stream(punctuality: &'static str, ending: &'static str, longest_pause: Duration) {
+    counter!("ploverwick_streams_total", "timing" => punctuality, "ending" => ending).increment(1);
+    histogram!("ploverwick_stream_pause_seconds").record(longest_pause.as_secs_f64());
+}
+
 /// Sets the number of endpoints that this instance knows to have set a limit.
 pub(crate) fn endpoint_limits(endpoints: usize) {
     gauge!("ploverwick_endpoint_limits").set(endpoints as f64);
 }
 
+/// Sets the number of endpoints of this failure domain whose speed this instance, their placer, has learned.
+pub(crate) fn known_capacities(endpoints: usize) {
+    gauge!("ploverwick_endpoint_capacities").set(endpoints as f64);
+}
+
+/// Sets the highest memory fill of the endpoints of this failure domain, as known to their placer. Above 1, an endpoint
+/// preempts requests.
+pub(crate) fn max_memory_fill(fill: f64) {
+    gauge!("ploverwick_endpoint_memory_fill_max").set(fill);
+}
+
 /// Counts an endpoint that an answer or another instance reported as leaving before the list did.
 pub(crate) fn endpoint_draining() {
     counter!("ploverwick_endpoints_draining_total").increment(1);
