--- a/crates/ploverwick_adapters/src/placer.rs
+++ b/crates/ploverwick_adapters/src/placer.rs
@@ -5,9 +5,10 @@
 use std::time::Duration;
 
 use ploverwick_names::Moment;
-use ploverwick_placement::{Candidate, equally_weighted, rank, score};
+use ploverwick_placement::{Candidate, rank, score};
 use serde::{Deserialize, Serialize};
 
+use crate::crowding::Crowding;
 use crate::{Answer, Copy, Event, Order, Slots, Window};
 
 /// The number of endpoints, by hash, among which an adapter is placed. It is small so that the
@@ -31,6 +32,9 @@
 /// The bonus of an endpoint that has the adapter cached: it loads 0.23 s faster, and the weight
 /// store is left to adapters that are available only there.
 const CACHED_BONUS: f64 = 12.0;
+/// The wait at an endpoint that gets a copy to relieve others, as a fraction of the least wait at
+/// those. With less difference, the copy would help nobody.
+const RELIEF_WAIT_RATIO: f64 = 0.5;
 
 /// Why an adapter is requested.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -39,6 +43,8 @@
     Any,
     /// A request cannot use the endpoints that hold the adapter.
     Another,
+    /// A request uses an endpoint that holds the adapter, but is likely to pause the streams there for too long.
+    Relief,
 }
 
 /// An endpoint at which an adapter may be placed.
@@ -48,6 +54,17 @@
     pub endpoint: Arc<str>,
     /// How long a request would wait there for queued prompts of other requests.
     pub wait: Duration,
+    /// The endpoint's share of the adapters relative to the others, by its speed; must be greater than 0.
+    pub share: f64,
+}
+
+impl Target {
+    fn candidate(&self) -> Candidate<'_> {
+        Candidate {
+            name: &self.endpoint,
+            weight: self.share,
+        }
+    }
 }
 
 /// Places adapters at the endpoints of one failure domain.
@@ -55,6 +72,7 @@
 pub struct Placer {
     endpoints: HashMap<Arc<str>, Slots>,
     window: Window,
+    crowding: Crowding,
 }
 
 impl Placer {
@@ -139,6 +157,9 @@
         previous_holders: &[Arc<str>],
         now: Moment,
     ) -> Option<Arc<str>> {
+        if need == Need::Relief && !self.crowding.record(copy, now) {
+            return None;
+        }
         let slots_of = |target: &Target| &self.endpoints[&target.endpoint];
         let has_slots = |target: &&Target| self.endpoints.contains_key(&target.endpoint);
         // Loads do not complete at an unresponsive endpoint. If all are unresponsive, this
@@ -160,7 +181,7 @@
         // doubles.
         let max_expected = match need {
             Need::Any => 1,
-            Need::Another => holding.count().max(1),
+            Need::Another | Need::Relief => holding.clone().count().max(1),
         };
         if let Some(target) = first
             && expecting.count() + 1 >= max_expected
@@ -178,14 +199,28 @@
         {
             return None;
         }
+        let max_wait = match need {
+            Need::Any | Need::Another => Duration::MAX,
+            Need::Relief => holding
+                .map(|target| target.wait.mul_f64(RELIEF_WAIT_RATIO))
+                .min()
+                .unwrap_or(Duration::MAX),
+        };
+        let relieves = |target: &Target| {
+            let slots = slots_of(target);
+            target.wait <= max_wait && slots.has_room(now) && slots.waiting() == 0
+        };
         let key = copy.key.to_string();
         let has_it =
             |target: &Target| slots_of(target).holds(copy) || slots_of(target).expects(copy);
-        let can_load =
-            |target: &&Target| slots_of(target).has_base(&copy.key.model) && !has_it(target);
+        let can_load = |target: &&Target| {
+            slots_of(target).has_base(&copy.key.model)
+                && !has_it(target)
+                && (need != Need::Relief || relieves(target))
+        };
         let targets: Vec<&Target> = targets.iter().filter(known).filter(can_load).collect();
-        let names = targets.iter().map(|target| &*target.endpoint);
-        let preferred = rank(&key, &equally_weighted(names), PREFERRED_ENDPOINTS);
+        let candidates: Vec<Candidate<'_>> = targets.iter().map(|t| t.candidate()).collect();
+        let preferred = rank(&key, &candidates, PREFERRED_ENDPOINTS);
         let best = targets
             .iter()
             .enumerate()
@@ -212,11 +247,7 @@
     previous_holders: &[Arc<str>],
     now: Moment,
 ) -> f64 {
-    let candidate = Candidate {
-        name: &target.endpoint,
-        weight: 1.0,
-    };
-    let mut rating = HASH_WEIGHT * score(key, &candidate).min(3.0);
+    let mut rating = HASH_WEIGHT * score(key, &target.candidate()).min(3.0);
     rating -= LOADING_COST * slots.loading() as f64;
     rating -= WAITING_COST * slots.waiting() as f64;
     rating -= PROMPT_WAIT_COST * target.wait.as_secs_f64();
--- a/crates/ploverwick_bench/src/decide.rs
+++ b/crates/ploverwick_bench/src/decide.rs
@@ -135,6 +135,7 @@
     peers: 26,
     bytes: 900,
     prompt: 700,
+    pacing: None,
     except: &[],
 };
 
--- a/crates/ploverwick_endpoints/src/fleet.rs
+++ b/crates/ploverwick_endpoints/src/fleet.rs
@@ -9,6 +9,7 @@
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::capacity::Capacity;
+use crate::interference::Pacing;
 use crate::load::{Load, PromptPace};
 use crate::peer_loads::{PeerLoad, PeerLoads};
 use crate::{Entry, Health, Outcome, State, peer_loads};
@@ -44,9 +45,13 @@
 /// same endpoint in the meantime. Each instance adds about half a request to an endpoint during that time.
 const JITTER_COST_PER_PEER: f64 = 1.2;
 
-/// The cost to each request in progress per millisecond spent reading the new prompt.
+/// The cost to each request in progress per millisecond spent reading the new prompt, if no pause is too long
+/// for it.
 const INTERFERENCE_FACTOR: f64 = 0.01;
 
+/// The range of pseudo-random jitter of the cost to running streams, as a fraction of that cost.
+const INTERFERENCE_JITTER: f64 = 1.0;
+
 /// The parameters of an endpoint selection.
 #[derive(Debug, Clone, Copy)]
 pub struct Query<'a> {
@@ -64,6 +69,8 @@
     pub bytes: usize,
     /// The number of prompt tokens.
     pub prompt: u32,
+    /// What the answer needs if it is a stream whose pauses must not be too long.
+    pub pacing: Option<Pacing>,
     /// The endpoints to exclude.
     pub except: &'a [Arc<str>],
 }
@@ -84,6 +91,10 @@
         let is_of_service = &*self.entry.service == query.service;
         is_ready && is_of_service && !query.except.contains(&self.entry.id)
     }
+
+    fn capacity(&self) -> Capacity {
+        Capacity::with_read_ms(self.pace.ms_per_token())
+    }
 }
 
 /// Which endpoints are eligible with regard to their health.
@@ -297,8 +308,7 @@
 
     /// Returns the learned speed of an endpoint; `None` if it is not listed.
     pub fn capacity(&self, id: &str) -> Option<Capacity> {
-        let member = self.members.get(id)?;
-        Some(Capacity::with_read_ms(member.pace.ms_per_token()))
+        self.members.get(id).map(Member::capacity)
     }
 
     /// Returns the ratio of requests to slots of an endpoint; 1 means that all slots are in use.
@@ -372,7 +382,8 @@
 
     fn cost(&self, member: &Member, query: &Query<'_>, median: Option<f64>, now: Moment) -> Cost {
         let entry = &member.entry;
-        let next = f64::from(self.load(&entry.id, now).requests + 1);
+        let load = self.load(&entry.id, now);
+        let next = f64::from(load.requests + 1);
         let fill = next / f64::from(entry.slots.max(1));
         let mut cost = FILL_COST * fill + OVERLOAD_COST * (fill - NEARLY_FULL_FILL).max(0.0);
         if &*entry.domain == query.domain {
@@ -381,8 +392,7 @@
             cost += REMOTE_COST + REMOTE_COST_PER_KB * query.bytes as f64 / 1_024.0;
         }
         cost += self.expected_ms(member, query.prompt, now);
-        let own_ms = f64::from(query.prompt) * member.pace.ms_per_token();
-        cost += INTERFERENCE_FACTOR * own_ms * (next - 1.0);
+        cost += interference(member, query, load);
         if member.health.is_full(now) {
             cost += REFUSAL_COST;
         }
@@ -413,6 +423,18 @@
     }
 }
 
+/// Returns the cost to the streams at an endpoint, with a jitter that spreads the concurrent choices of instances
+/// that know the same loads.
+fn interference(member: &Member, query: &Query<'_>, load: Load) -> f64 {
+    let capacity = member.capacity();
+    let Some(pacing) = &query.pacing else {
+        let own_ms = f64::from(query.prompt) * capacity.read_ms;
+        return INTERFERENCE_FACTOR * own_ms * f64::from(load.requests);
+    };
+    let factor = 1.0 + INTERFERENCE_JITTER * jitter(query.id, &member.entry.id);
+    factor * pacing.cost(capacity, load, query.prompt)
+}
+
 /// Returns the hash of a list entry.
 fn entry_hash(entry: &Entry) -> u64 {
     let Entry {
--- a/crates/ploverwick_endpoints/tests/endpoint_choice.rs
+++ b/crates/ploverwick_endpoints/tests/endpoint_choice.rs
@@ -38,6 +38,7 @@
     peers: 0,
     bytes: 500,
     prompt: 0,
+    pacing: None,
     except: &[],
 };
 
--- a/crates/ploverwick_endpoints/tests/many_endpoints.rs
+++ b/crates/ploverwick_endpoints/tests/many_endpoints.rs
@@ -47,6 +47,7 @@
         peers: PEERS,
         bytes: 900,
         prompt: 700,
+        pacing: None,
         except,
     }
 }
--- a/crates/ploverwick_gateway/src/controllers/load_requests.rs
+++ b/crates/ploverwick_gateway/src/controllers/load_requests.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use ploverwick_adapters::{Copy, Need, Target};
-use ploverwick_endpoints::State as EndpointState;
+use ploverwick_endpoints::{Fleet, State as EndpointState, service_rate};
 
 use crate::broadcast;
 use crate::shared::Shared;
@@ -40,8 +40,10 @@
         .map(|entry| Target {
             endpoint: Arc::clone(&entry.id),
             wait: fleet.expected_wait(&entry.id, 0, now).unwrap_or_default(),
+            share: 1.0,
         })
         .collect();
+    assign_shares(fleet, &mut targets);
     // An adapter at an ejected endpoint serves no requests.
     if targets
         .iter()
@@ -78,6 +80,18 @@
     }
 }
 
+/// Sets the share of each endpoint by its speed.
+fn assign_shares(fleet: &Fleet, targets: &mut [Target]) {
+    let read_ms = |target: &Target| Some(fleet.capacity(&target.endpoint)?.read_ms);
+    let Some(typical) = service_rate::typical_read_ms(targets.iter().filter_map(read_ms).collect())
+    else {
+        return;
+    };
+    for target in targets {
+        target.share = read_ms(target).map_or(1.0, |read_ms| service_rate::share(read_ms, typical));
+    }
+}
+
 /// Loads a newly declared version if an endpoint of this failure domain holds any version of the adapter.
 pub(crate) fn handle_new_version(shared: &Arc<Shared>, copy: &Copy) {
     let now = shared.now();
--- a/crates/ploverwick_gateway/src/filters/select.rs
+++ b/crates/ploverwick_gateway/src/filters/select.rs
@@ -6,7 +6,7 @@
 
 use ploverwick_adapters::{Copy, Key, Need, Since, StalenessPolicy};
 use ploverwick_codes::Code;
-use ploverwick_endpoints::{Cost, Entry, Load, Query};
+use ploverwick_endpoints::{Cost, Entry, Load, Pacing, Query};
 use ploverwick_names::Moment;
 use tokio::time::Instant;
 
@@ -33,6 +33,9 @@
 const MAX_QUEUE_RATIO: f64 = 1.5;
 /// The fill of the best endpoint that holds an adapter above which the adapter is loaded at another one too.
 const BUSY_FILL: f64 = 0.85;
+/// The expected pause of streams at the best endpoint that holds an adapter, as a fraction of the longest one
+/// allowed, above which another copy of the adapter would relieve it.
+const CROWDED_PAUSE_RATIO: f64 = 0.5;
 /// How often the load of an adapter is requested again while a request waits for it, as messages may be lost.
 const LOAD_REQUEST_INTERVAL: Duration = Duration::from_millis(70);
 /// The maximum `Retry-After` if no endpoint accepts requests from this instance. Other instances may still be able
@@ -227,10 +230,22 @@
         peers,
         bytes: request.cross_domain_bytes(),
         prompt: request.info.prompt_tokens,
+        pacing: pacing(state, request),
         except,
     }
 }
 
+/// Returns what the answer needs if it is a stream whose pauses must not be too long.
+fn pacing(state: &State, request: &AdmittedRequest) -> Option<Pacing> {
+    let max_pause = request.route.max_pause?;
+    let service = state.config.as_ref()?.service(&request.service)?;
+    Some(Pacing {
+        max_pause,
+        event_tokens: service.engine.as_ref()?.event_tokens,
+        answer_tokens: request.info.answer_tokens,
+    })
+}
+
 /// Selects an endpoint that holds the adapter, from the current state. If only an older version is held or the
 /// endpoint is busy, requests a load of the newest version as well.
 fn select_holder(
@@ -271,12 +286,24 @@
         .expected_wait(&id, prompt, now)
         .unwrap_or_default();
     let is_busy = fill > BUSY_FILL || queue_wait > request.route.objective.mul_f64(MAX_QUEUE_RATIO);
+    let is_crowded = query.pacing.is_some_and(|pacing| {
+        let capacity = state.fleet.capacity(&id);
+        capacity.is_some_and(|capacity| {
+            pacing.pause_ratio(capacity, load, prompt) > CROWDED_PAUSE_RATIO
+        })
+    });
     let is_older = held.version != newest.version;
     let replaced_since = state.directory.replaced_since(&held);
     let start_deadline = staleness_policy(shared).start_deadline(replaced_since, now);
     drop(state);
-    if is_older || is_busy {
-        let need = if is_older { Need::Any } else { Need::Another };
+    let need = if is_older {
+        Some(Need::Any)
+    } else if is_busy {
+        Some(Need::Another)
+    } else {
+        is_crowded.then_some(Need::Relief)
+    };
+    if let Some(need) = need {
         load_requests::request_load(shared, &shared.settings.domain, &newest, need);
     }
     if fill >= max_fill(request) {
