--- a/crates/ploverwick_adapters/src/domain.rs
+++ b/crates/ploverwick_adapters/src/domain.rs
@@ -3,7 +3,7 @@
 //! All instances compute the same choice from the messages that they receive, so that an adapter is
 //! loaded once and not in every failure domain. The domain that held it last is preferred, as it
 //! loads there ten times as fast and without using the weight store; otherwise the choice follows a
-//! hash weighted by the number of endpoints in each domain. A domain in which many adapters wait
+//! hash weighted by the capacity of each domain. A domain in which many adapters wait
 //! for a slot is passed over: a load requested there and, when that takes too long, in another
 //! domain too occupies two slots and loads from the weight store twice.
 
@@ -24,6 +24,8 @@
     pub name: &'a str,
     /// The number of its endpoints that may serve the request.
     pub endpoints: usize,
+    /// The capacity of these endpoints, in those of typical speed; greater than 0 if there are any.
+    pub capacity: f64,
     /// The number of adapters that wait there for a slot.
     pub waiting: u32,
 }
@@ -63,6 +65,6 @@
 fn candidate<'a>(domain: &Domain<'a>) -> Candidate<'a> {
     Candidate {
         name: domain.name,
-        weight: domain.endpoints as f64,
+        weight: domain.capacity,
     }
 }
--- a/crates/ploverwick_adapters/tests/domain_choice.rs
+++ b/crates/ploverwick_adapters/tests/domain_choice.rs
@@ -12,6 +12,7 @@
     all.map(|((name, endpoints), waiting)| Domain {
         name,
         endpoints,
+        capacity: endpoints as f64,
         waiting,
     })
     .collect()
@@ -35,6 +36,17 @@
     expect_that!(counts["d3"], all![ge(500), le(700)]);
 }
 
+/// Guards against a choice by the number of endpoints, which gave a domain of slow ones as many adapters as one of
+/// fast ones.
+#[googletest::test]
+fn shares_follow_capacity() {
+    let mut domains = domains([4, 4, 4], [0, 0, 0]);
+    domains[2].capacity = 8.0;
+    let counts = counts(&domains);
+    expect_that!(counts["d1"], all![ge(650), le(850)]);
+    expect_that!(counts["d3"], all![ge(1_380), le(1_620)]);
+}
+
 /// A domain without endpoints was still chosen, and its requests waited in vain.
 #[googletest::test]
 fn empty_domain_gets_none() {
--- a/crates/ploverwick_gateway/src/filters/missing_adapter.rs
+++ b/crates/ploverwick_gateway/src/filters/missing_adapter.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use ploverwick_adapters::{Copy, Domain, Need};
+use ploverwick_endpoints::service_rate;
 
 use super::admitted_request::AdmittedRequest;
 use crate::controllers::load_requests;
@@ -31,6 +32,8 @@
     if state.directory.loading_on(copy, now).is_some() {
         return None;
     }
+    let shares = service_rate::domain_shares(&state.fleet, &request.service, now);
+    let capacity = |name: &str| shares.get(name).copied().unwrap_or(1.0);
     let names = shared.settings.domains.iter();
     let domains: Vec<Domain<'_>> = names
         .filter_map(|name| {
@@ -39,6 +42,7 @@
             Some(Domain {
                 name,
                 endpoints,
+                capacity: capacity(name),
                 waiting,
             })
         })
