--- a/crates/ploverwick_gateway/src/filters/missing_adapter.rs
+++ b/crates/ploverwick_gateway/src/filters/missing_adapter.rs
@@ -33,7 +33,7 @@
         return None;
     }
     let shares = service_rate::domain_shares(&state.fleet, &request.service, now);
-    let capacity = |name: &str| shares.get(name).copied().unwrap_or(1.0);
+    let capacity_of = |name: &str| shares.get(name).copied().unwrap_or(1.0);
     let names = shared.settings.domains.iter();
     let domains: Vec<Domain<'_>> = names
         .filter_map(|name| {
@@ -42,7 +42,7 @@
             Some(Domain {
                 name,
                 endpoints,
-                capacity: capacity(name),
+                capacity: capacity_of(name),
                 waiting,
             })
         })
