--- a/crates/ploverwick_endpoints/tests/interference.rs
+++ b/crates/ploverwick_endpoints/tests/interference.rs
@@ -53,7 +53,7 @@
 fn learn(fleet: &mut Fleet, endpoint: &str, read_us: u32) {
     let taken = Duration::from_micros(u64::from(read_us) * 4_000);
     for _ in 0..60 {
-        fleet.record_latency(endpoint, 4_000, taken);
+        fleet.record_reading(endpoint, 4_000, 0, taken);
     }
 }
 
@@ -109,6 +109,7 @@
         let load = Load {
             requests,
             unread_tokens: 100 * (number % 4),
+            ..Load::default()
         };
         (id(number as usize), load)
     });
--- a/crates/ploverwick_gateway/src/controllers/load_requests.rs
+++ b/crates/ploverwick_gateway/src/controllers/load_requests.rs
@@ -88,7 +88,8 @@
         return;
     };
     for target in targets {
-        target.share = read_ms(target).map_or(1.0, |read_ms| service_rate::share(read_ms, typical));
+        target.share =
+            read_ms(target).map_or(1.0, |read_ms| service_rate::adapter_share(read_ms, typical));
     }
 }
 
--- a/crates/ploverwick_gateway/src/filters/missing_adapter.rs
+++ b/crates/ploverwick_gateway/src/filters/missing_adapter.rs
@@ -32,8 +32,8 @@
     if state.directory.loading_on(copy, now).is_some() {
         return None;
     }
-    let shares = service_rate::domain_shares(&state.fleet, &request.service, now);
-    let capacity_of = |name: &str| shares.get(name).copied().unwrap_or(1.0);
+    let capacities = service_rate::domain_capacities(&state.fleet, &request.service, now);
+    let capacity_of = |name: &str| capacities.get(name).copied().unwrap_or(1.0);
     let names = shared.settings.domains.iter();
     let domains: Vec<Domain<'_>> = names
         .filter_map(|name| {
