--- a/crates/ploverwick_adapters/src/crowding.rs
+++ b/crates/ploverwick_adapters/src/crowding.rs
@@ -11,9 +11,9 @@
 use crate::Copy;
 
 /// The number of requests, beyond one in each [`FORGET_INTERVAL`], that justify a copy.
-const MIN_REQUESTS: f64 = 3.0;
-/// The interval in which one request is forgotten, about as long as a load from the weight store.
-const FORGET_INTERVAL: Duration = Duration::from_millis(300);
+const MIN_REQUESTS: f64 = 2.0;
+/// The interval in which one request is forgotten. Adapters with fewer requests seldom meet each other.
+const FORGET_INTERVAL: Duration = Duration::from_secs(1);
 /// The number of adapters above which forgotten ones are removed.
 const MAX_IDLE_ADAPTERS: usize = 256;
 
--- a/crates/ploverwick_adapters/src/placer.rs
+++ b/crates/ploverwick_adapters/src/placer.rs
@@ -32,9 +32,9 @@
 /// The bonus of an endpoint that has the adapter cached: it loads 0.23 s faster, and the weight
 /// store is left to adapters that are available only there.
 const CACHED_BONUS: f64 = 12.0;
-/// The wait at an endpoint that gets a copy to relieve others, as a fraction of the least wait at
-/// those. With less difference, the copy would help nobody.
-const RELIEF_WAIT_RATIO: f64 = 0.5;
+/// The pause at an endpoint that gets a copy to relieve others, as a fraction of the shortest pause
+/// at those. With less difference, the copy would help nobody.
+const RELIEF_PAUSE_RATIO: f64 = 0.6;
 
 /// Why an adapter is requested.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -54,6 +54,8 @@
     pub endpoint: Arc<str>,
     /// How long a request would wait there for queued prompts of other requests.
     pub wait: Duration,
+    /// The pause that a further prompt would cause in the streams there.
+    pub pause: Duration,
     /// The endpoint's share of the adapters relative to the others, by its speed; must be greater than 0.
     pub share: f64,
 }
@@ -199,16 +201,13 @@
         {
             return None;
         }
-        let max_wait = match need {
-            Need::Any | Need::Another => Duration::MAX,
-            Need::Relief => holding
-                .map(|target| target.wait.mul_f64(RELIEF_WAIT_RATIO))
-                .min()
-                .unwrap_or(Duration::MAX),
-        };
+        let max_pause = holding
+            .map(|target| target.pause.mul_f64(RELIEF_PAUSE_RATIO))
+            .min()
+            .unwrap_or(Duration::MAX);
         let relieves = |target: &Target| {
             let slots = slots_of(target);
-            target.wait <= max_wait && slots.has_room(now) && slots.waiting() == 0
+            target.pause <= max_pause && slots.has_room(now) && slots.waiting() == 0
         };
         let key = copy.key.to_string();
         let has_it =
--- a/crates/ploverwick_adapters/tests/copy_growth.rs
+++ b/crates/ploverwick_adapters/tests/copy_growth.rs
@@ -42,6 +42,7 @@
         targets.push(Target {
             endpoint,
             wait: Duration::from_millis(300),
+            pause: Duration::ZERO,
             share: 1.0,
         });
     }
--- a/crates/ploverwick_adapters/tests/endpoint_choice.rs
+++ b/crates/ploverwick_adapters/tests/endpoint_choice.rs
@@ -48,6 +48,7 @@
     all.map(|(id, ms)| Target {
         endpoint: Arc::from(id),
         wait: Duration::from_millis(ms),
+        pause: Duration::ZERO,
         share: 1.0,
     })
     .collect()
--- a/crates/ploverwick_adapters/tests/unresponsive_endpoint.rs
+++ b/crates/ploverwick_adapters/tests/unresponsive_endpoint.rs
@@ -25,6 +25,7 @@
     let target = |name: &Arc<str>| Target {
         endpoint: Arc::clone(name),
         wait: Duration::ZERO,
+        pause: Duration::ZERO,
         share: 1.0,
     };
     names.iter().map(target).collect()
--- a/crates/ploverwick_gateway/src/controllers/load_requests.rs
+++ b/crates/ploverwick_gateway/src/controllers/load_requests.rs
@@ -3,10 +3,15 @@
 use std::sync::Arc;
 
 use ploverwick_adapters::{Copy, Need, Target};
-use ploverwick_endpoints::{Fleet, State as EndpointState, service_rate};
+use ploverwick_endpoints::{Entry, Fleet, State as EndpointState, service_rate};
+use ploverwick_names::Moment;
 
 use crate::broadcast;
 use crate::shared::Shared;
+use crate::state::State;
+
+/// The length of the prompt by whose pause endpoints are compared, in tokens.
+const COMPARED_PROMPT_TOKENS: u32 = 1_000;
 
 /// Requests the load of an adapter in a failure domain. Returns whether the domain has a placer to ask.
 pub(crate) fn request_load(shared: &Arc<Shared>, domain: &str, copy: &Copy, need: Need) -> bool {
@@ -34,15 +39,9 @@
     }
     let domain = &shared.settings.domain;
     let fleet = &state.fleet;
-    let mut targets: Vec<Target> = fleet
-        .entries()
-        .filter(|entry| entry.domain == *domain && entry.state == EndpointState::Ready)
-        .map(|entry| Target {
-            endpoint: Arc::clone(&entry.id),
-            wait: fleet.expected_wait(&entry.id, 0, now).unwrap_or_default(),
-            share: 1.0,
-        })
-        .collect();
+    let entries = fleet.entries();
+    let entries = entries.filter(|e| e.domain == *domain && e.state == EndpointState::Ready);
+    let mut targets: Vec<Target> = entries.map(|entry| target(&state, entry, now)).collect();
     assign_shares(fleet, &mut targets);
     // An adapter at an ejected endpoint serves no requests.
     if targets
@@ -80,6 +79,24 @@
     }
 }
 
+fn target(state: &State, entry: &Entry, now: Moment) -> Target {
+    let load = state.fleet.load(&entry.id, now);
+    let engine = state
+        .config
+        .as_ref()
+        .and_then(|config| config.service(&entry.service)?.engine.as_ref());
+    let event_tokens = engine.map_or(1, |engine| engine.event_tokens);
+    let capacity = state.fleet.capacity(&entry.id);
+    let pause = capacity.map(|c| c.expected_pause(load, COMPARED_PROMPT_TOKENS, event_tokens));
+    let wait = state.fleet.expected_wait(&entry.id, 0, now);
+    Target {
+        endpoint: Arc::clone(&entry.id),
+        wait: wait.unwrap_or_default(),
+        pause: pause.unwrap_or_default(),
+        share: 1.0,
+    }
+}
+
 /// Sets the share of each endpoint by its speed.
 fn assign_shares(fleet: &Fleet, targets: &mut [Target]) {
     let read_ms = |target: &Target| Some(fleet.capacity(&target.endpoint)?.read_ms);
--- a/crates/ploverwick_gateway/src/filters/select.rs
+++ b/crates/ploverwick_gateway/src/filters/select.rs
@@ -35,7 +35,7 @@
 const BUSY_FILL: f64 = 0.85;
 /// The expected pause of streams at the best endpoint that holds an adapter, as a fraction of the longest one
 /// allowed, above which another copy of the adapter would relieve it.
-const CROWDED_PAUSE_RATIO: f64 = 0.5;
+const CROWDED_PAUSE_RATIO: f64 = 0.4;
 /// How often the load of an adapter is requested again while a request waits for it, as messages may be lost.
 const LOAD_REQUEST_INTERVAL: Duration = Duration::from_millis(70);
 /// The maximum `Retry-After` if no endpoint accepts requests from this instance. Other instances may still be able
