--- a/crates/ploverwick_endpoints/src/fleet/capacities.rs
+++ b/crates/ploverwick_endpoints/src/fleet/capacities.rs
@@ -37,16 +37,13 @@
     ///
     /// The time of requests that waited for a slot says nothing and must not be recorded.
     pub fn record_reading(&mut self, id: &str, tokens: u32, steps: u32, taken: Duration) {
-        let Some(member) = self.members.get_mut(id) else {
-            return;
-        };
-        let steps_ms = f64::from(steps) * member.pace.capacity().step_ms;
-        let reading = taken.saturating_sub(Duration::from_secs_f64(steps_ms / 1_000.0));
-        member.pace.record_own(Observations {
+        let observed = Observations {
             read_tokens: tokens,
-            read_ms: whole_ms(reading),
+            read_ms: whole_ms(taken),
+            read_steps: steps,
             ..Observations::default()
-        });
+        };
+        self.record_observations(id, observed);
     }
 
     /// Records what this instance observed at an endpoint.
@@ -118,8 +115,8 @@
             .filter(|member| !member.pace.pending().is_empty())
             .collect();
         pending.sort_by(|a, b| {
-            let time = |member: &Member| member.pace.pending().total_ms();
-            time(b).cmp(&time(a)).then(a.entry.id.cmp(&b.entry.id))
+            let amount = |member: &Member| member.pace.pending().amount();
+            amount(b).cmp(&amount(a)).then(a.entry.id.cmp(&b.entry.id))
         });
         let taken = pending.into_iter().take(max);
         let taken = taken.map(|member| EndpointObservations {
@@ -196,6 +193,9 @@
 
     /// Returns the cost of sending a prompt to an endpoint whose memory may overflow.
     pub(super) fn memory_cost(&self, member: &Member, prompt: u32, now: Moment) -> f64 {
+        if !self.token_capacities.contains_key(&member.entry.service) {
+            return 0.0;
+        }
         let mut load = self.load(&member.entry.id, now);
         load.requests += 1;
         load.held_tokens = load.held_tokens.saturating_add(prompt);
