--- a/crates/ploverwick_endpoints/src/interference.rs
+++ b/crates/ploverwick_endpoints/src/interference.rs
@@ -11,11 +11,6 @@
 /// pauses and takes a slot from others.
 const GENERATION_FACTOR: f64 = 0.05;
 
-/// The age of the known loads, in milliseconds.
-const LOAD_AGE_MS: f64 = 200.0;
-/// The number of generated tokens after which a running stream has been replaced by another one.
-const REPLACED_AFTER_TOKENS: f64 = 300.0;
-
 /// What a stream of events needs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Pacing {
@@ -31,7 +26,6 @@
     /// Returns the pause that is expected at an endpoint while a prompt is read, as a multiple of the longest
     /// one allowed.
     pub fn pause_ratio(&self, capacity: Capacity, load: Load, prompt: u32) -> f64 {
-        let load = with_unseen(capacity, load);
         let pause = capacity.expected_pause(load, prompt, self.event_tokens);
         pause.as_secs_f64() / self.max_pause.as_secs_f64()
     }
@@ -50,14 +44,3 @@
         late * self.max_pause.as_secs_f64() * 1_000.0 + GENERATION_FACTOR * generation_ms
     }
 }
-
-/// Returns a load with the prompts that have probably been sent since it was known: as streams end, others take their
-/// place.
-fn with_unseen(capacity: Capacity, load: Load) -> Load {
-    let lifetime_ms = REPLACED_AFTER_TOKENS * capacity.step_ms;
-    let unseen = f64::from(load.held_tokens) * (LOAD_AGE_MS / lifetime_ms).min(1.0);
-    Load {
-        unread_tokens: load.unread_tokens.saturating_add(unseen as u32),
-        ..load
-    }
-}
