--- a/crates/ploverwick_adapters/src/placer.rs
+++ b/crates/ploverwick_adapters/src/placer.rs
@@ -25,8 +25,9 @@
 /// equal endpoints, so that an adapter returns to its previous endpoint even when no instance
 /// remembers it.
 const HASH_WEIGHT: f64 = 0.3;
-/// The cost of each second of queued prompts.
-const PROMPT_WAIT_COST: f64 = 10.0;
+/// The cost of each second that the streams pause for a further prompt, including the time to read
+/// those that are queued.
+const PAUSE_COST: f64 = 10.0;
 /// The cost of an endpoint where every slot is in use: a request must finish first.
 const NO_ROOM_COST: f64 = 6.0;
 /// The bonus of an endpoint that has the adapter cached: it loads 0.23 s faster, and the weight
@@ -52,9 +53,7 @@
 pub struct Target {
     /// The endpoint's name.
     pub endpoint: Arc<str>,
-    /// How long a request would wait there for queued prompts of other requests.
-    pub wait: Duration,
-    /// The pause that a further prompt would cause in the streams there.
+    /// The pause that a further prompt would cause in the streams there, after those that are queued.
     pub pause: Duration,
     /// The endpoint's share of the adapters relative to the others, by its speed; must be greater than 0.
     pub share: f64,
@@ -249,7 +248,7 @@
     let mut rating = HASH_WEIGHT * score(key, &target.candidate()).min(3.0);
     rating -= LOADING_COST * slots.loading() as f64;
     rating -= WAITING_COST * slots.waiting() as f64;
-    rating -= PROMPT_WAIT_COST * target.wait.as_secs_f64();
+    rating -= PAUSE_COST * target.pause.as_secs_f64();
     if !slots.has_room(now) {
         rating -= NO_ROOM_COST;
     }
--- a/crates/ploverwick_adapters/tests/copy_growth.rs
+++ b/crates/ploverwick_adapters/tests/copy_growth.rs
@@ -41,8 +41,7 @@
         slots.handle_report(&report, Moment(0));
         targets.push(Target {
             endpoint,
-            wait: Duration::from_millis(300),
-            pause: Duration::ZERO,
+            pause: Duration::from_millis(300),
             share: 1.0,
         });
     }
--- a/crates/ploverwick_adapters/tests/endpoint_choice.rs
+++ b/crates/ploverwick_adapters/tests/endpoint_choice.rs
@@ -47,8 +47,7 @@
     let all = ["i-0", "i-1", "i-2"].into_iter().zip(waits);
     all.map(|(id, ms)| Target {
         endpoint: Arc::from(id),
-        wait: Duration::from_millis(ms),
-        pause: Duration::ZERO,
+        pause: Duration::from_millis(ms),
         share: 1.0,
     })
     .collect()
--- a/crates/ploverwick_adapters/tests/relief_copies.rs
+++ b/crates/ploverwick_adapters/tests/relief_copies.rs
@@ -51,7 +51,6 @@
     let all = 0..ENDPOINTS;
     all.map(|number| Target {
         endpoint: id(number),
-        wait: Duration::ZERO,
         pause: pauses(number),
         share: 1.0,
     })
--- a/crates/ploverwick_adapters/tests/unresponsive_endpoint.rs
+++ b/crates/ploverwick_adapters/tests/unresponsive_endpoint.rs
@@ -24,7 +24,6 @@
 fn targets(names: &[Arc<str>]) -> Vec<Target> {
     let target = |name: &Arc<str>| Target {
         endpoint: Arc::clone(name),
-        wait: Duration::ZERO,
         pause: Duration::ZERO,
         share: 1.0,
     };
--- a/crates/ploverwick_endpoints/src/service_rate.rs
+++ b/crates/ploverwick_endpoints/src/service_rate.rs
@@ -5,24 +5,33 @@
 
 use ploverwick_names::Moment;
 
-use crate::{Fleet, State};
+use crate::{Capacity, Fleet, State};
 
 /// The limit on how much faster or slower than a typical endpoint one counts.
 const MAX_RATIO: f64 = 4.0;
 /// The number of steps in which the speed doubles.
 const STEPS_PER_DOUBLING: f64 = 2.0;
 
-/// Returns the typical time to read one prompt token, in milliseconds: the median.
-pub fn typical_read_ms(mut all: Vec<f64>) -> Option<f64> {
-    all.sort_by(f64::total_cmp);
-    all.get(all.len() / 2).copied()
+/// Returns the typical speed of endpoints: the median of each figure.
+pub fn typical(all: &[Capacity]) -> Option<Capacity> {
+    Some(Capacity {
+        read_ms: median(all.iter().map(|capacity| capacity.read_ms).collect())?,
+        step_ms: median(all.iter().map(|capacity| capacity.step_ms).collect())?,
+    })
 }
 
-/// Returns the speed of an endpoint that reads a prompt token in `read_ms`, relative to a typical one.
+fn median(mut values: Vec<f64>) -> Option<f64> {
+    values.sort_by(f64::total_cmp);
+    values.get(values.len() / 2).copied()
+}
+
+/// Returns the speed of an endpoint relative to a typical one: the geometric mean of how fast it reads and generates.
 ///
 /// It is rounded to a few steps, so that estimates that vary a little, or differ between instances, are equal.
-pub fn speed(read_ms: f64, typical_read_ms: f64) -> f64 {
-    let ratio = typical_read_ms / read_ms;
+pub fn speed(capacity: Capacity, typical: Capacity) -> f64 {
+    let read_ratio = typical.read_ms / capacity.read_ms;
+    let step_ratio = typical.step_ms / capacity.step_ms;
+    let ratio = (read_ratio * step_ratio).sqrt();
     if !ratio.is_finite() {
         return 1.0;
     }
@@ -34,8 +43,8 @@
 ///
 /// It is the square of the speed: at a slow endpoint, prompts pause the streams for longer, and the streams also run
 /// for longer and meet more prompts.
-pub fn adapter_share(read_ms: f64, typical_read_ms: f64) -> f64 {
-    speed(read_ms, typical_read_ms).powi(2)
+pub fn adapter_share(capacity: Capacity, typical: Capacity) -> f64 {
+    speed(capacity, typical).powi(2)
 }
 
 /// Returns the capacity of the usable endpoints of a service in each failure domain, in typical endpoints.
@@ -44,16 +53,16 @@
         let is_ready = entry.state == State::Ready && !fleet.is_ejected(&entry.id, now);
         *entry.service == *service && is_ready
     });
-    let usable: Vec<(&Arc<str>, f64)> = usable
-        .filter_map(|entry| Some((&entry.domain, fleet.capacity(&entry.id)?.read_ms)))
+    let usable: Vec<(&Arc<str>, Capacity)> = usable
+        .filter_map(|entry| Some((&entry.domain, fleet.capacity(&entry.id)?)))
         .collect();
+    let all: Vec<Capacity> = usable.iter().map(|(_, capacity)| *capacity).collect();
     let mut capacities: HashMap<Arc<str>, f64> = HashMap::new();
-    let Some(typical) = typical_read_ms(usable.iter().map(|(_, read_ms)| *read_ms).collect())
-    else {
+    let Some(typical) = typical(&all) else {
         return capacities;
     };
-    for (domain, read_ms) in usable {
-        *capacities.entry(Arc::clone(domain)).or_default() += speed(read_ms, typical);
+    for (domain, capacity) in usable {
+        *capacities.entry(Arc::clone(domain)).or_default() += speed(capacity, typical);
     }
     capacities
 }
--- a/crates/ploverwick_endpoints/tests/learned_capacity.rs
+++ b/crates/ploverwick_endpoints/tests/learned_capacity.rs
@@ -262,6 +262,7 @@
         peers: 0,
         bytes: 0,
         prompt: 1_000,
+        pacing: None,
         except: &[],
     };
     let ranked = fleet.rank(&query, Moment(1_000));
--- a/crates/ploverwick_gateway/src/controllers/load_requests.rs
+++ b/crates/ploverwick_gateway/src/controllers/load_requests.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use ploverwick_adapters::{Copy, Need, Target};
-use ploverwick_endpoints::{Entry, Fleet, State as EndpointState, service_rate};
+use ploverwick_endpoints::{Capacity, Entry, Fleet, State as EndpointState, service_rate};
 use ploverwick_names::Moment;
 
 use crate::broadcast;
@@ -88,10 +88,8 @@
     let event_tokens = engine.map_or(1, |engine| engine.event_tokens);
     let capacity = state.fleet.capacity(&entry.id);
     let pause = capacity.map(|c| c.expected_pause(load, COMPARED_PROMPT_TOKENS, event_tokens));
-    let wait = state.fleet.expected_wait(&entry.id, 0, now);
     Target {
         endpoint: Arc::clone(&entry.id),
-        wait: wait.unwrap_or_default(),
         pause: pause.unwrap_or_default(),
         share: 1.0,
     }
@@ -99,14 +97,15 @@
 
 /// Sets the share of each endpoint by its speed.
 fn assign_shares(fleet: &Fleet, targets: &mut [Target]) {
-    let read_ms = |target: &Target| Some(fleet.capacity(&target.endpoint)?.read_ms);
-    let Some(typical) = service_rate::typical_read_ms(targets.iter().filter_map(read_ms).collect())
-    else {
+    let capacity = |target: &Target| fleet.capacity(&target.endpoint);
+    let all: Vec<Capacity> = targets.iter().filter_map(capacity).collect();
+    let Some(typical) = service_rate::typical(&all) else {
         return;
     };
     for target in targets {
-        target.share =
-            read_ms(target).map_or(1.0, |read_ms| service_rate::adapter_share(read_ms, typical));
+        if let Some(capacity) = capacity(target) {
+            target.share = service_rate::adapter_share(capacity, typical);
+        }
     }
 }
 
