--- a/crates/ploverwick_gateway/src/filters.rs
+++ b/crates/ploverwick_gateway/src/filters.rs
@@ -7,6 +7,7 @@
 mod admit;
 mod admitted_request;
 mod authenticate;
+mod copy_demand;
 mod forward;
 mod in_flight;
 mod missing_adapter;
--- a/crates/ploverwick_gateway/src/filters/select.rs
+++ b/crates/ploverwick_gateway/src/filters/select.rs
@@ -11,8 +11,8 @@
 use tokio::time::Instant;
 
 use super::admitted_request::AdmittedRequest;
-use super::missing_adapter;
 use super::reply::Reply;
+use super::{copy_demand, missing_adapter};
 use crate::controllers::load_requests;
 use crate::metrics;
 use crate::shared::Shared;
@@ -27,15 +27,6 @@
 /// The ratio of requests to slots of an endpoint at which further requests are refused, since they would wait
 /// longer than their latency objective.
 const MAX_FILL: f64 = 2.5;
-/// The time a request may wait for queued prompts of others at the best endpoint that holds its adapter, as a
-/// multiple of its latency objective, before the adapter is loaded at another endpoint too. Below 1 the request
-/// would still meet its objective, and another copy takes a slot from another adapter.
-const MAX_QUEUE_RATIO: f64 = 1.5;
-/// The fill of the best endpoint that holds an adapter above which the adapter is loaded at another one too.
-const BUSY_FILL: f64 = 0.85;
-/// The expected pause of streams at the best endpoint that holds an adapter, as a fraction of the longest one
-/// allowed, above which another copy of the adapter would relieve it.
-const CROWDED_PAUSE_RATIO: f64 = 0.4;
 /// How often the load of an adapter is requested again while a request waits for it, as messages may be lost.
 const LOAD_REQUEST_INTERVAL: Duration = Duration::from_millis(70);
 /// The maximum `Retry-After` if no endpoint accepts requests from this instance. Other instances may still be able
@@ -279,30 +270,19 @@
     let entry = state.fleet.entry(&id).expect("it was ranked").clone();
     let fill = state.fleet.fill(&id, now).unwrap_or(0.0);
     let load = state.fleet.load(&id, now);
-    let queue_wait = state.fleet.expected_wait(&id, 0, now).unwrap_or_default();
     let prompt = request.info.prompt_tokens;
     let expected_wait = state
         .fleet
         .expected_wait(&id, prompt, now)
         .unwrap_or_default();
-    let is_busy = fill > BUSY_FILL || queue_wait > request.route.objective.mul_f64(MAX_QUEUE_RATIO);
-    let is_crowded = query.pacing.is_some_and(|pacing| {
-        let capacity = state.fleet.capacity(&id);
-        capacity.is_some_and(|capacity| {
-            pacing.pause_ratio(capacity, load, prompt) > CROWDED_PAUSE_RATIO
-        })
-    });
-    let is_older = held.version != newest.version;
+    let need = if held.version == newest.version {
+        copy_demand::another_copy(shared, &state, request, query.pacing, &id, now)
+    } else {
+        Some(Need::Any)
+    };
     let replaced_since = state.directory.replaced_since(&held);
     let start_deadline = staleness_policy(shared).start_deadline(replaced_since, now);
     drop(state);
-    let need = if is_older {
-        Some(Need::Any)
-    } else if is_busy {
-        Some(Need::Another)
-    } else {
-        is_crowded.then_some(Need::Relief)
-    };
     if let Some(need) = need {
         load_requests::request_load(shared, &shared.settings.domain, &newest, need);
     }
--- a/crates/ploverwick_gateway/src/metrics.rs
+++ b/crates/ploverwick_gateway/src/metrics.rs
@@ -203,6 +203,12 @@
     histogram!("ploverwick_adapter_wait_seconds").record(elapsed.as_secs_f64());
 }
 
+/// Counts a request that asked for another copy of its adapter, because its prompt pauses the streams at the best
+/// endpoint for too long.
+pub(crate) fn relief_request() {
+    counter!("ploverwick_relief_requests_total").increment(1);
+}
+
 /// Counts datagrams sent to other instances.
 pub(crate) fn datagrams(count: usize, bytes: usize) {
     counter!("ploverwick_datagrams_total").increment(count as u64);
