--- a/crates/ploverwick_adapters/tests/copy_growth.rs
+++ b/crates/ploverwick_adapters/tests/copy_growth.rs
@@ -41,7 +41,8 @@
         slots.handle_report(&report, Moment(0));
         targets.push(Target {
             endpoint,
-            wait: Duration::from_millis(300),
+            pause: Duration::from_millis(300),
+            share: 1.0,
         });
     }
     (placer, targets)
--- a/crates/ploverwick_gateway/src/controllers/load_requests.rs
+++ b/crates/ploverwick_gateway/src/controllers/load_requests.rs
@@ -3,10 +3,15 @@
 use std::sync::Arc;
 
 use ploverwick_adapters::{Copy, Need, Target};
-use ploverwick_endpoints::State as EndpointState;
+use ploverwick_endpoints::{Capacity, Entry, Fleet, State as EndpointState, service_rate};
+use ploverwick_names::Moment;
 
 use crate::broadcast;
 use crate::shared::Shared;
+use crate::state::State;
+
+/// The length of the prompt by whose pause endpoints are compared, in tokens.
+const COMPARED_PROMPT_TOKENS: u32 = 1_000;
 
 /// Requests the load of an adapter in a failure domain. Returns whether the domain has a placer to ask.
 pub(crate) fn request_load(shared: &Arc<Shared>, domain: &str, copy: &Copy, need: Need) -> bool {
@@ -34,14 +39,10 @@
     }
     let domain = &shared.settings.domain;
     let fleet = &state.fleet;
-    let mut targets: Vec<Target> = fleet
-        .entries()
-        .filter(|entry| entry.domain == *domain && entry.state == EndpointState::Ready)
-        .map(|entry| Target {
-            endpoint: Arc::clone(&entry.id),
-            wait: fleet.expected_wait(&entry.id, 0, now).unwrap_or_default(),
-        })
-        .collect();
+    let entries = fleet.entries();
+    let entries = entries.filter(|e| e.domain == *domain && e.state == EndpointState::Ready);
+    let mut targets: Vec<Target> = entries.map(|entry| target(&state, entry, now)).collect();
+    assign_shares(fleet, &mut targets);
     // An adapter at an ejected endpoint serves no requests.
     if targets
         .iter()
@@ -78,6 +79,36 @@
     }
 }
 
+fn target(state: &State, entry: &Entry, now: Moment) -> Target {
+    let load = state.fleet.load(&entry.id, now);
+    let engine = state
+        .config
+        .as_ref()
+        .and_then(|config| config.service(&entry.service)?.engine.as_ref());
+    let event_tokens = engine.map_or(1, |engine| engine.event_tokens);
+    let capacity = state.fleet.capacity(&entry.id);
+    let pause = capacity.map(|c| c.expected_pause(load, COMPARED_PROMPT_TOKENS, event_tokens));
+    Target {
+        endpoint: Arc::clone(&entry.id),
+        pause: pause.unwrap_or_default(),
+        share: 1.0,
+    }
+}
+
+/// Sets the share of each endpoint by its speed.
+fn assign_shares(fleet: &Fleet, targets: &mut [Target]) {
+    let capacity = |target: &Target| fleet.capacity(&target.endpoint);
+    let all: Vec<Capacity> = targets.iter().filter_map(capacity).collect();
+    let Some(typical) = service_rate::typical(&all) else {
+        return;
+    };
+    for target in targets {
+        if let Some(capacity) = capacity(target) {
+            target.share = service_rate::adapter_share(capacity, typical);
+        }
+    }
+}
+
 /// Loads a newly declared version if an endpoint of this failure domain holds any version of the adapter.
 pub(crate) fn handle_new_version(shared: &Arc<Shared>, copy: &Copy) {
     let now = shared.now();
--- a/crates/ploverwick_gateway/src/filters.rs
+++ b/crates/ploverwick_gateway/src/filters.rs
@@ -8,6 +8,7 @@
 mod admit;
 mod admitted_request;
 mod authenticate;
+mod copy_demand;
 mod event_splitter;
 mod forward;
 mod in_flight;
--- a/crates/ploverwick_gateway/src/filters/select.rs
+++ b/crates/ploverwick_gateway/src/filters/select.rs
@@ -6,13 +6,13 @@
 
 use ploverwick_adapters::{Copy, Key, Need, Since, StalenessPolicy};
 use ploverwick_codes::Code;
-use ploverwick_endpoints::{Cost, Entry, Load, Query};
+use ploverwick_endpoints::{Cost, Entry, Load, Pacing, Query};
 use ploverwick_names::Moment;
 use tokio::time::Instant;
 
 use super::admitted_request::AdmittedRequest;
-use super::missing_adapter;
 use super::reply::Reply;
+use super::{copy_demand, missing_adapter};
 use crate::controllers::load_requests;
 use crate::metrics;
 use crate::shared::Shared;
@@ -27,12 +27,6 @@
 /// The ratio of requests to slots of an endpoint at which further requests are refused, since they would wait
 /// longer than their latency objective.
 const MAX_FILL: f64 = 2.5;
-/// The time a request may wait for queued prompts of others at the best endpoint that holds its adapter, as a
-/// multiple of its latency objective, before the adapter is loaded at another endpoint too. Below 1 the request
-/// would still meet its objective, and another copy takes a slot from another adapter.
-const MAX_QUEUE_RATIO: f64 = 1.5;
-/// The fill of the best endpoint that holds an adapter above which the adapter is loaded at another one too.
-const BUSY_FILL: f64 = 0.85;
 /// How often the load of an adapter is requested again while a request waits for it, as messages may be lost.
 const LOAD_REQUEST_INTERVAL: Duration = Duration::from_millis(70);
 /// The maximum `Retry-After` if no endpoint accepts requests from this instance. Other instances may still be able
@@ -243,10 +237,22 @@
         peers,
         bytes: request.cross_domain_bytes(),
         prompt: request.info.prompt_tokens,
+        pacing: pacing(state, request),
         except,
     }
 }
 
+/// Returns what the answer needs if it is a stream whose pauses must not be too long.
+fn pacing(state: &State, request: &AdmittedRequest) -> Option<Pacing> {
+    let max_pause = request.route.max_pause?;
+    let service = state.config.as_ref()?.service(&request.service)?;
+    Some(Pacing {
+        max_pause,
+        event_tokens: service.engine.as_ref()?.event_tokens,
+        answer_tokens: request.info.answer_tokens,
+    })
+}
+
 /// Selects an endpoint that holds the adapter, from the current state. If only an older version is held or the
 /// endpoint is busy, requests a load of the newest version as well.
 fn select_holder(
@@ -280,19 +286,20 @@
     let entry = state.fleet.entry(&id).expect("it was ranked").clone();
     let fill = state.fleet.fill(&id, now).unwrap_or(0.0);
     let load = state.fleet.load(&id, now);
-    let queue_wait = state.fleet.expected_wait(&id, 0, now).unwrap_or_default();
     let prompt = request.info.prompt_tokens;
     let expected_wait = state
         .fleet
         .expected_wait(&id, prompt, now)
         .unwrap_or_default();
-    let is_busy = fill > BUSY_FILL || queue_wait > request.route.objective.mul_f64(MAX_QUEUE_RATIO);
-    let is_older = held.version != newest.version;
+    let need = if held.version == newest.version {
+        copy_demand::another_copy(shared, &state, request, query.pacing, &id, now)
+    } else {
+        Some(Need::Any)
+    };
     let replaced_since = state.directory.replaced_since(&held);
     let start_deadline = staleness_policy(shared).start_deadline(replaced_since, now);
     drop(state);
-    if is_older || is_busy {
-        let need = if is_older { Need::Any } else { Need::Another };
+    if let Some(need) = need {
         load_requests::request_load(shared, &shared.settings.domain, &newest, need);
     }
     if fill >= max_fill(request) {
