--- a/crates/ploverwick_endpoints/src/totals.rs
+++ b/crates/ploverwick_endpoints/src/totals.rs
@@ -19,8 +19,8 @@
 /// The change of the number of requests that is sent. One request more or less does not change the choice of an
 /// endpoint that processes dozens.
 const MIN_CHANGED_REQUESTS: u32 = 2;
-/// The change of the unread tokens that is sent, in units. A shorter prompt is read before the message arrives.
-const MIN_CHANGED_UNITS: u32 = 8;
+/// The change of the unread tokens that is sent, in units. A shorter queue is read before the next message.
+const MIN_CHANGED_UNITS: u32 = 16;
 /// The age after which a received load expires. By then a lost placer has been replaced, and the next one sends
 /// its own totals.
 pub(crate) const MAX_AGE: Duration = Duration::from_secs(4);
