--- a/crates/ploverwick_gateway/src/messages.rs
+++ b/crates/ploverwick_gateway/src/messages.rs
@@ -204,6 +204,34 @@
         }
     }
 
+    /// Returns the name of the kind of message, as used in metrics.
+    fn kind(&self) -> &'static str {
+        match self {
+            Self::Status { .. } => "status",
+            Self::LoadTotals(_) => "load_totals",
+            Self::AdapterUses(_) => "adapter_uses",
+            Self::LoadRequest { .. } => "load_request",
+            Self::EndpointReport { .. } => "endpoint_report",
+            Self::EndpointDigests(_) => "endpoint_digests",
+            Self::EndpointReportRequest(_) => "endpoint_report_request",
+            Self::Changes(_) => "changes",
+            Self::EndpointListUpdate { .. } => "endpoint_list_update",
+            Self::Records(_) => "records",
+            Self::TopicEnd { .. } => "topic_end",
+            Self::ProofRequest { .. } => "proof_request",
+            Self::Proof { .. } => "proof",
+            Self::QuotaLease { .. } => "quota_lease",
+            Self::QuotaGrants { .. } => "quota_grants",
+            Self::BaseLoad => "base_load",
+            Self::LeaseReleased => "lease_released",
+            Self::QuarantineEntries(_) => "quarantine_entries",
+            Self::EndpointLimitsRequest => "endpoint_limits_request",
+            Self::EndpointLimits(_) => "endpoint_limits",
+            Self::QuarantineDigests { .. } => "quarantine_digests",
+            Self::Draining(_) => "draining",
+        }
+    }
+
     /// Returns whether a placer relays this message from another failure domain to its own, so that information
     /// on endpoints crosses between two domains once instead of once per instance.
     pub(crate) fn is_relayed(&self) -> bool {
@@ -286,15 +314,15 @@
             }
         };
         if bytes.len() <= MAX_DATAGRAM_BYTES {
-            return self.send_datagram(&bytes, to);
+            return self.send_datagram(message.kind(), &bytes, to);
         }
         for part in parts::split(&bytes, MAX_DATAGRAM_BYTES) {
-            self.send_datagram(&part, to);
+            self.send_datagram(message.kind(), &part, to);
         }
     }
 
-    fn send_datagram(&self, bytes: &[u8], to: &[IpAddr]) {
-        metrics::datagrams(to.len(), bytes.len());
+    fn send_datagram(&self, kind: &'static str, bytes: &[u8], to: &[IpAddr]) {
+        metrics::datagrams(kind, to.len(), bytes.len());
         for ip in to {
             // A full send buffer drops the message, as the network may.
             if let Err(error) = self.socket.try_send_to(bytes, (*ip, self.port).into()) {
--- a/crates/ploverwick_gateway/src/metrics.rs
+++ b/crates/ploverwick_gateway/src/metrics.rs
@@ -191,10 +191,10 @@
     histogram!("ploverwick_adapter_wait_seconds").record(elapsed.as_secs_f64());
 }
 
-/// Counts datagrams sent to other instances.
-pub(crate) fn datagrams(count: usize, bytes: usize) {
-    counter!("ploverwick_datagrams_total").increment(count as u64);
-    counter!("ploverwick_datagram_bytes_total").increment((count * bytes) as u64);
+/// Counts datagrams sent to other instances, by the kind of message.
+pub(crate) fn datagrams(kind: &'static str, count: usize, bytes: usize) {
+    counter!("ploverwick_datagrams_total", "kind" => kind).increment(count as u64);
+    counter!("ploverwick_datagram_bytes_total", "kind" => kind).increment((count * bytes) as u64);
 }
 
 /// Sets how far a topic has been read, when that was updated, and whether this instance reads it for others.
