--- a/crates/ploverwick_gateway/src/messages.rs
+++ b/crates/ploverwick_gateway/src/messages.rs
@@ -7,7 +7,8 @@
 use std::sync::{Arc, Mutex};
 
 use ploverwick_adapters::{Copy, Key, Need};
-use ploverwick_endpoints::{EndpointObservations, Entry, Figure, LimitUpdate, LogByte};
+use ploverwick_endpoints::numbering::Numbered;
+use ploverwick_endpoints::{EndpointObservations, Entry, Figure, LimitUpdate, LogByte, totals};
 use ploverwick_names::Moment;
 use ploverwick_quarantine::DIGEST_BUCKETS;
 use ploverwick_quota::{Grant, Lease};
@@ -70,11 +71,14 @@
     }
 }
 
-/// The digest of the adapters that an endpoint holds.
+/// Digests of the adapters that endpoints of one failure domain hold.
 #[derive(Debug, Clone, Serialize, Deserialize)]
-pub(crate) struct EndpointDigest {
-    pub(crate) endpoint: Arc<str>,
-    pub(crate) digest: u64,
+pub(crate) struct EndpointDigests {
+    pub(crate) domain: Arc<str>,
+    /// The checksum of the numbering that the digests refer to.
+    pub(crate) checksum: u32,
+    /// The lower halves of the digests.
+    pub(crate) digests: Vec<Numbered<u32>>,
 }
 
 /// How an adapter changed at an endpoint.
@@ -123,7 +127,7 @@
         loads: Vec<EndpointLoad>,
     },
     /// The requests in progress, over all instances, at endpoints of a placer's failure domain.
-    LoadTotals(Vec<EndpointLoad>),
+    LoadTotals(totals::Message),
     /// The adapters that the sender's requests use.
     AdapterUses(Vec<AdapterUse>),
     /// Requests that the receiver, a placer, have an adapter loaded.
@@ -134,7 +138,7 @@
         adapters: Vec<ModelAdapters>,
     },
     /// Digests of the adapters that endpoints hold; a receiver with a different digest requests a report.
-    EndpointDigests(Vec<EndpointDigest>),
+    EndpointDigests(EndpointDigests),
     /// Requests reports of what these endpoints hold.
     EndpointReportRequest(Vec<Arc<str>>),
     /// Changes of adapters at endpoints, in order.
@@ -212,6 +216,36 @@
         }
     }
 
+    /// Returns the name of the kind of message, as used in metrics.
+    fn kind(&self) -> &'static str {
+        match self {
+            Self::Status { .. } => "status",
+            Self::LoadTotals(_) => "load_totals",
+            Self::AdapterUses(_) => "adapter_uses",
+            Self::LoadRequest { .. } => "load_request",
+            Self::EndpointReport { .. } => "endpoint_report",
+            Self::EndpointDigests(_) => "endpoint_digests",
+            Self::EndpointReportRequest(_) => "endpoint_report_request",
+            Self::Changes(_) => "changes",
+            Self::EndpointListUpdate { .. } => "endpoint_list_update",
+            Self::Records(_) => "records",
+            Self::TopicEnd { .. } => "topic_end",
+            Self::ProofRequest { .. } => "proof_request",
+            Self::Proof { .. } => "proof",
+            Self::QuotaLease { .. } => "quota_lease",
+            Self::QuotaGrants { .. } => "quota_grants",
+            Self::BaseLoad => "base_load",
+            Self::LeaseReleased => "lease_released",
+            Self::QuarantineEntries(_) => "quarantine_entries",
+            Self::EndpointLimitsRequest => "endpoint_limits_request",
+            Self::EndpointLimits(_) => "endpoint_limits",
+            Self::QuarantineDigests { .. } => "quarantine_digests",
+            Self::Draining(_) => "draining",
+            Self::Observations(_) => "observations",
+            Self::Figures(_) => "figures",
+        }
+    }
+
     /// Returns whether a placer relays this message from another failure domain to its own, so that information
     /// on endpoints crosses between two domains once instead of once per instance.
     pub(crate) fn is_relayed(&self) -> bool {
@@ -296,15 +330,15 @@
             }
         };
         if bytes.len() <= MAX_DATAGRAM_BYTES {
-            return self.send_datagram(&bytes, to);
+            return self.send_datagram(message.kind(), &bytes, to);
         }
         for part in parts::split(&bytes, MAX_DATAGRAM_BYTES) {
-            self.send_datagram(&part, to);
+            self.send_datagram(message.kind(), &part, to);
         }
     }
 
-    fn send_datagram(&self, bytes: &[u8], to: &[IpAddr]) {
-        metrics::datagrams(to.len(), bytes.len());
+    fn send_datagram(&self, kind: &'static str, bytes: &[u8], to: &[IpAddr]) {
+        metrics::datagrams(kind, to.len(), bytes.len());
         for ip in to {
             // A full send buffer drops the message, as the network may.
             if let Err(error) = self.socket.try_send_to(bytes, (*ip, self.port).into()) {
