Send peers only what they do not know of the endpoint list

When a fleet starts, each instance reads the list and sent it to all instances of its failure domain, as did each that took over from a failed reader. A reader now sends the differences from what it knew before it began to read.

--- a/crates/ploverwick_endpoints/src/lib.rs
+++ b/crates/ploverwick_endpoints/src/lib.rs
@@ -16,6 +16,7 @@
 mod interference;
 mod limit;
 mod limits;
+pub mod list_updates;
 mod load;
 pub mod numbering;
 mod pauses;
--- a/crates/ploverwick_gateway/src/controllers/endpoint_list.rs
+++ b/crates/ploverwick_gateway/src/controllers/endpoint_list.rs
@@ -1,9 +1,10 @@
 //! Follows the list of endpoints in the store.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
+use ploverwick_endpoints::list_updates::{self, Entries};
 use ploverwick_endpoints::{Absences, Entry, Heartbeat, Heartbeats, State as EndpointState};
 use ploverwick_platform::store::{Error, Record};
 use ploverwick_platform::{ENDPOINT_TOPIC, endpoint_list};
@@ -28,8 +29,7 @@
 struct Subscriber {
     shared: Arc<Shared>,
     absences: Absences,
-    /// The entries that were last sent to the peers of this failure domain.
-    sent: HashMap<Arc<str>, Entry>,
+    updates: list_updates::Sender,
     /// The newest heartbeat of each endpoint, by its platform ID. An older one may arrive later, even after
     /// its endpoint has left.
     heartbeats: Heartbeats,
@@ -68,7 +68,7 @@
     let mut subscriber = Subscriber {
         shared: Arc::clone(&shared),
         absences: Absences::default(),
-        sent: HashMap::new(),
+        updates: list_updates::Sender::default(),
         heartbeats: Heartbeats::default(),
     };
     let feed = Feed {
@@ -89,6 +89,9 @@
             tokio::time::sleep(RECHECK_INTERVAL).await;
             continue;
         }
+        if next.is_none() {
+            subscriber.start_reading();
+        }
         let mut handler = |update: Update<'_>| subscriber.handle_update(update);
         match feed::read(&shared, &feed, next, feed.wait, &mut handler).await {
             Ok(end) => {
@@ -147,6 +150,13 @@
         self.send_changes();
     }
 
+    /// Starts to read for the peers of this failure domain.
+    fn start_reading(&mut self) {
+        let state = self.shared.state();
+        let known = state.has_endpoint_list.then(|| entries(&state));
+        self.updates.start(known);
+    }
+
     /// Records the heartbeats before those on the list, to recognise late ones.
     fn apply_history(&mut self, records: &[Record]) {
         for record in records {
@@ -242,17 +252,10 @@
     /// whether their list is complete.
     fn send_changes(&mut self) {
         let state = self.shared.state();
-        let entries = state.fleet.entries().map(without_adapters);
-        let entries: HashMap<Arc<str>, Entry> = entries.map(|e| (Arc::clone(&e.id), e)).collect();
+        let entries = entries(&state);
         let digest = state.fleet.digest();
         drop(state);
-        let changed = entries
-            .values()
-            .filter(|e| self.sent.get(&e.id) != Some(*e));
-        let changed: Vec<Entry> = changed.cloned().collect();
-        let removed = self.sent.keys().filter(|id| !entries.contains_key(*id));
-        let removed: Vec<Arc<str>> = removed.cloned().collect();
-        self.sent = entries;
+        let list_updates::Update { changed, removed } = self.updates.update(entries);
         broadcast::send_endpoint_list_update(&self.shared, changed, removed, digest);
     }
 
@@ -325,6 +328,14 @@
     shared.placement_changed.notify_waiters();
 }
 
+/// Returns all entries of the list in the form in which they are sent to peers.
+fn entries(state: &State) -> Entries {
+    let entries = state.fleet.entries().map(without_adapters);
+    entries
+        .map(|entry| (Arc::clone(&entry.id), entry))
+        .collect()
+}
+
 /// Returns an entry without its adapters, whose changes placers broadcast themselves, and without its
 /// heartbeat number.
 fn without_adapters(entry: &Entry) -> Entry {
