Keep an endpoint whose answer is late until another one is certain

What callers saw: errors although the endpoint would have answered. A send without an answer was given up after its timeout, its prompt read in vain; then no other endpoint held the adapter, the retry budget refused, or the other one had too little time left.

The lateness still counts against the endpoint's health once. The start deadline of a replaced version still cuts a send.

--- a/crates/ploverwick_gateway/src/filters.rs
+++ b/crates/ploverwick_gateway/src/filters.rs
@@ -7,6 +7,7 @@
 mod activity_guard;
 mod admit;
 mod admitted_request;
+mod answer_wait;
 mod authenticate;
 mod event_splitter;
 mod forward;
--- a/crates/ploverwick_gateway/src/filters/forward.rs
+++ b/crates/ploverwick_gateway/src/filters/forward.rs
@@ -16,6 +16,7 @@
 use tokio::time::Instant;
 
 use super::admitted_request::AdmittedRequest;
+use super::answer_wait::AnswerWait;
 use super::event_splitter::EventSplitter;
 use super::in_flight::InFlight;
 use super::quarantine;
@@ -247,7 +248,8 @@
         let deadline = target.start_deadline.unwrap_or(request.deadline);
         let deadline = deadline.min(request.deadline);
         let after = self.splitter.as_ref().and_then(EventSplitter::last);
-        let mut send = pin!(send::run(&shared, &request, target, deadline, after));
+        let mut wait = AnswerWait::until(deadline);
+        let mut send = pin!(send::run(&shared, &request, target, &mut wait, after));
         let outcome = tokio::select! {
             biased;
             event = read(&mut self.source) => match event {
--- a/crates/ploverwick_gateway/src/filters/retry.rs
+++ b/crates/ploverwick_gateway/src/filters/retry.rs
@@ -11,6 +11,7 @@
 use tokio::time::Instant;
 
 use super::admitted_request::AdmittedRequest;
+use super::answer_wait::AnswerWait;
 use super::forward;
 use super::quarantine;
 use super::reply::{Body, Reply};
@@ -90,41 +91,35 @@
 pub(crate) async fn run(shared: &Arc<Shared>, request: AdmittedRequest) -> Response<Body> {
     let request = Arc::new(request);
     let mut history = History::default();
+    let mut replacement = None;
     loop {
         if history.runs > 0 && !quarantine::may_retry(shared, &request) {
             let reply = Reply::new(Code::Interrupted, "Endpoints crashed under the request.");
             return give_up(shared, &request, history, reply);
         }
-        let begun = Instant::now();
-        let selected = select::run(shared, &request, &history.excluded).await;
-        history.timings.placing += begun.elapsed();
+        let selected = match replacement.take() {
+            Some(target) => Ok(target),
+            None => select_target(shared, &request, &mut history).await,
+        };
         let target = match selected {
             Ok(target) => target,
             Err(reply) => return give_up(shared, &request, history, reply),
         };
-        if history.sent > 0 && !shared.may_retry(&request.info.id, &request.service) {
-            let reply = Reply::new(Code::EndpointRefused, "No repeat is left in the budget.");
-            return give_up(
-                shared,
-                &request,
-                history,
-                reply.retry_after(REFUSED_RETRY_AFTER),
-            );
-        }
         // The third crash may have been recorded while the request waited for its adapter.
         if let Some(refusal) = quarantine::refusal(shared, &request) {
             return give_up(shared, &request, history, refusal);
         }
-        let answer_deadline = answer_deadline(&request, &target, &history);
+        let mut wait = answer_wait(shared, &request, &target, &history);
         let begun = Instant::now();
         history.last_send = Some(LastSend {
             version: target.copy.as_ref().map(|copy| copy.version),
             replaced_since: target.replaced_since,
             sent_at: shared.now(),
-            timeout: answer_deadline.saturating_duration_since(begun),
+            timeout: wait.check_at().saturating_duration_since(begun),
             expected_wait: target.expected_wait,
         });
-        let outcome = send::run(shared, &request, &target, answer_deadline, None).await;
+        let outcome = send::run(shared, &request, &target, &mut wait, None).await;
+        replacement = wait.into_replacement();
         history.timings.answering = begun.elapsed();
         match handle_outcome(shared, &request, &target, &mut history, outcome).await {
             NextStep::Respond(response) => return response,
@@ -137,6 +132,23 @@
     }
 }
 
+/// Selects an endpoint, and charges the retry budget if the request was sent before.
+async fn select_target(
+    shared: &Arc<Shared>,
+    request: &AdmittedRequest,
+    history: &mut History,
+) -> Result<Target, Reply> {
+    let begun = Instant::now();
+    let selected = select::run(shared, request, &history.excluded).await;
+    history.timings.placing += begun.elapsed();
+    let target = selected?;
+    if history.sent > 0 && !shared.may_retry(&request.info.id, &request.service) {
+        let reply = Reply::new(Code::EndpointRefused, "No repeat is left in the budget.");
+        return Err(reply.retry_after(REFUSED_RETRY_AFTER));
+    }
+    Ok(target)
+}
+
 enum NextStep {
     Respond(Response<Body>),
     Retry(Duration),
@@ -250,18 +262,26 @@
     request.route.kind.may_retry() && runs < request.route.max_attempts
 }
 
-/// Returns the deadline for the head of an answer. It is earlier than the request's own deadline if the request
-/// may be retried or the adapter's version may be replaced in the meantime.
-fn answer_deadline(request: &AdmittedRequest, target: &Target, history: &History) -> Instant {
-    let latest = target
+/// Returns how long the head of an answer is awaited. If the request may be retried, another endpoint is sought once
+/// the answer is late.
+fn answer_wait<'a>(
+    shared: &'a Arc<Shared>,
+    request: &'a AdmittedRequest,
+    target: &Target,
+    history: &History,
+) -> AnswerWait<'a> {
+    let end = target
         .start_deadline
         .unwrap_or(request.deadline)
         .min(request.deadline);
+    let wait = AnswerWait::until(end);
     if !may_retry(request, history.runs + 1) {
-        return latest;
+        return wait;
     }
-    let timeout = answer_timeout(request.route.objective, target.expected_wait);
-    (Instant::now() + timeout).min(latest)
+    let late = Instant::now() + answer_timeout(request.route.objective, target.expected_wait);
+    let mut tried = history.excluded.clone();
+    tried.push(Arc::clone(&target.entry.id));
+    wait.replaceable_from(late, shared, request, tried)
 }
 
 fn give_up(
--- a/crates/ploverwick_gateway/src/filters/select.rs
+++ b/crates/ploverwick_gateway/src/filters/select.rs
@@ -121,6 +121,25 @@
     }
 }
 
+/// Selects an endpoint that can be used at once. If the adapter has to be loaded first, requests that.
+pub(super) fn try_select(
+    shared: &Arc<Shared>,
+    request: &AdmittedRequest,
+    except: &[Arc<str>],
+) -> Option<Target> {
+    let Some(key) = &request.info.adapter else {
+        return select_without_adapter(shared, request, except).ok();
+    };
+    match select_holder(shared, request, key, except) {
+        (Choice::Selected(target), _) => Some(*target),
+        (Choice::Wait, newest) => {
+            missing_adapter::request_load(shared, request, &newest);
+            None
+        }
+        (Choice::Full | Choice::Limited(_), _) => None,
+    }
+}
+
 enum Choice {
     Selected(Box<Target>),
     Full,
--- a/crates/ploverwick_gateway/src/filters/send.rs
+++ b/crates/ploverwick_gateway/src/filters/send.rs
@@ -14,6 +14,7 @@
 use tokio::time::Instant;
 
 use super::admitted_request::AdmittedRequest;
+use super::answer_wait::AnswerWait;
 use super::authenticate::{self, Caller};
 use super::in_flight::InFlight;
 use super::reply::Reply;
@@ -73,13 +74,12 @@
 
 /// Sends a request to its target.
 ///
-/// `answer_deadline` bounds the wait for the head of the answer. `after_event` is the event after which a stream
-/// resumes.
+/// `wait` bounds the wait for the head of the answer. `after_event` is the event after which a stream resumes.
 pub(crate) async fn run(
     shared: &Arc<Shared>,
     request: &AdmittedRequest,
     target: &Target,
-    answer_deadline: Instant,
+    wait: &mut AnswerWait<'_>,
     after_event: Option<u64>,
 ) -> SendOutcome {
     if request.remaining() < MIN_REMAINING {
@@ -101,23 +101,24 @@
     let mut in_flight = InFlight::start(shared, endpoint, target.copy.clone(), prompt);
     let begun = Instant::now();
     let message = build_message(request, target, &caller, after_event);
-    let (connection, result) =
-        match exchange(shared, request, target, answer_deadline, message).await {
-            Exchange::Unsent(cause) => {
-                record_not_run(request);
-                in_flight.set_outcome(Outcome::Broken);
-                return SendOutcome::Unsent(cause);
-            }
-            Exchange::TimedOut => {
-                in_flight.set_outcome(if is_past_start_deadline(shared, target) {
+    let (connection, result) = match exchange(shared, request, target, wait, message).await {
+        Exchange::Unsent(cause) => {
+            record_not_run(request);
+            in_flight.set_outcome(Outcome::Broken);
+            return SendOutcome::Unsent(cause);
+        }
+        Exchange::TimedOut => {
+            in_flight.set_outcome(
+                if wait.is_late() || is_past_start_deadline(shared, target) {
                     Outcome::Abandoned
                 } else {
                     Outcome::Broken
-                });
-                return SendOutcome::TimedOut;
-            }
-            Exchange::Done(connection, result) => (connection, result),
-        };
+                },
+            );
+            return SendOutcome::TimedOut;
+        }
+        Exchange::Done(connection, result) => (connection, result),
+    };
     let (parts, body) = match result {
         Ok(response) => response.into_parts(),
         Err(error) => {
@@ -189,14 +190,14 @@
     shared: &Shared,
     request: &AdmittedRequest,
     target: &Target,
-    answer_deadline: Instant,
+    wait: &mut AnswerWait<'_>,
     mut message: Request<Full<Bytes>>,
 ) -> Exchange {
     // A pooled connection may have been closed by the endpoint; hyper then returns the request unsent.
     let is_last = !request.route.kind.may_retry();
     while let Some(mut connection) = shared.pool.take(&target.entry.id, is_last) {
         let send = connection.sender.try_send_request(message);
-        match wait_for_answer(shared, target, answer_deadline, send).await {
+        match wait_for_answer(shared, target, wait, send).await {
             None => {
                 if !is_past_start_deadline(shared, target) {
                     // The other pooled connections may be unresponsive for the same reason.
@@ -216,7 +217,7 @@
         Err(cause) => return Exchange::Unsent(cause),
     };
     let send = connection.sender.send_request(message);
-    match wait_for_answer(shared, target, answer_deadline, send).await {
+    match wait_for_answer(shared, target, wait, send).await {
         None => Exchange::TimedOut,
         Some(result) => Exchange::Done(connection, result),
     }
@@ -235,24 +236,30 @@
         .any(|deadline| deadline <= now)
 }
 
-/// Waits for an answer to start; returns `None` on timeout. A version declaration received in the meantime moves
-/// the deadline forward, since the version may have been declared before the request was sent.
+/// Waits for an answer to start; returns `None` once it is no longer awaited. A version declaration received in the
+/// meantime moves the deadline forward, since the version may have been declared before the request was sent.
 async fn wait_for_answer<T>(
     shared: &Shared,
     target: &Target,
-    answer_deadline: Instant,
+    wait: &mut AnswerWait<'_>,
     answer: impl Future<Output = T>,
 ) -> Option<T> {
-    let Some(copy) = &target.copy else {
-        return tokio::time::timeout_at(answer_deadline, answer).await.ok();
-    };
     tokio::pin!(answer);
     loop {
         let declared = shared.version_declared.notified();
-        let start_deadline = select::start_deadline(shared, copy).unwrap_or(answer_deadline);
+        let copy = target.copy.as_ref();
+        let start_deadline = copy.and_then(|copy| select::start_deadline(shared, copy));
+        let check_at = wait.check_at();
+        let wake_at = start_deadline.map_or(check_at, |deadline| deadline.min(check_at));
         tokio::select! {
+            biased;
             answer = &mut answer => return Some(answer),
-            () = tokio::time::sleep_until(answer_deadline.min(start_deadline)) => return None,
+            () = tokio::time::sleep_until(wake_at) => {
+                let is_replaced = start_deadline.is_some_and(|at| at <= Instant::now());
+                if is_replaced || wait.is_over() {
+                    return None;
+                }
+            }
             () = declared => {}
         }
     }
--- a/crates/ploverwick_gateway/src/metrics.rs
+++ b/crates/ploverwick_gateway/src/metrics.rs
@@ -104,6 +104,11 @@
         .increment(1);
 }
 
+/// Counts a decision about a late answer.
+pub(crate) fn late_answer(decision: &'static str) {
+    counter!("ploverwick_late_answers_total", "decision" => decision).increment(1);
+}
+
 /// Counts a send to an endpoint that has set a limit.
 pub(crate) fn limited_send() {
     counter!("ploverwick_limited_sends_total").increment(1);
