Count a resumed stream's silence from its resumption

With three attempts on a route, a stream that was resumed after a pause sought a third endpoint at once, while the second read the prompt: its silence was counted from the last event. No test plays it.

The source of a stream has a module of its own, and its log lines name the endpoint that continues and the length of the pause in fields.

--- a/crates/ploverwick_gateway/src/filters.rs
+++ b/crates/ploverwick_gateway/src/filters.rs
@@ -21,6 +21,7 @@
 mod reuse;
 mod select;
 mod send;
+mod source;
 mod terms;
 
 use std::sync::Arc;
--- a/crates/ploverwick_gateway/src/filters/forward.rs
+++ b/crates/ploverwick_gateway/src/filters/forward.rs
@@ -10,7 +10,7 @@
 use http::{Response, StatusCode};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, StreamBody};
-use hyper::body::{Frame, Incoming};
+use hyper::body::Frame;
 use ploverwick_endpoints::{Outcome, Resumption, Step};
 use ploverwick_platform::answer::{self, Head, Statement};
 use tokio::time::Instant;
@@ -18,16 +18,15 @@
 use super::admitted_request::AdmittedRequest;
 use super::answer_wait::AnswerWait;
 use super::event_splitter::EventSplitter;
-use super::in_flight::InFlight;
 use super::quarantine;
 use super::reply::{Body, BrokenAnswer, full_body};
 use super::resume::{self, Cause, Found, Interruption};
 use super::reuse::keep;
 use super::select::Target;
 use super::send::{self, Answered, SendOutcome};
+use super::source::{Event, Source, read};
 use crate::controllers::crashes;
 use crate::metrics;
-use crate::pool::Connection;
 use crate::shared::Shared;
 
 /// How long a paused endpoint is kept after the request was sent to another one, which may refuse it at once.
@@ -96,6 +95,7 @@
         resumption: Resumption::new(route.event_timeout, max_runs, runs),
         excluded,
         seek_from: Instant::now(),
+        silent_since: Instant::now(),
         interruption: None,
     };
     let frames = stream::try_unfold(forwarded, |mut forwarded| async move {
@@ -122,54 +122,6 @@
     status
 }
 
-/// The answer of an endpoint that is being read.
-#[derive(Debug)]
-struct Source {
-    body: Incoming,
-    in_flight: InFlight,
-    connection: Connection,
-    head: Head,
-}
-
-impl From<Answered> for Source {
-    fn from(answered: Answered) -> Self {
-        Self {
-            body: answered.body,
-            in_flight: answered.in_flight,
-            connection: answered.connection,
-            head: answered.head,
-        }
-    }
-}
-
-/// What happened while a stream waited.
-#[derive(Debug)]
-enum Event {
-    Data(Bytes),
-    End,
-    Break(hyper::Error),
-    Found(Found),
-    Timeout,
-}
-
-/// Reads from an endpoint; never completes without one.
-async fn read(source: &mut Option<Source>) -> Event {
-    let Some(source) = source else {
-        return std::future::pending().await;
-    };
-    loop {
-        match source.body.frame().await {
-            None => return Event::End,
-            Some(Err(error)) => return Event::Break(error),
-            Some(Ok(frame)) => {
-                if let Ok(data) = frame.into_data() {
-                    return Event::Data(data);
-                }
-            }
-        }
-    }
-}
-
 /// A stream that is forwarded to a client.
 #[derive(Debug)]
 struct ForwardedStream {
@@ -184,6 +136,8 @@
     excluded: Vec<Arc<str>>,
     /// When another endpoint may be sought at the earliest.
     seek_from: Instant,
+    /// When the wait for the next event began.
+    silent_since: Instant,
     interruption: Option<Interruption>,
 }
 
@@ -193,10 +147,10 @@
         if self.is_complete {
             return Ok(None);
         }
-        let silent_since = Instant::now();
+        self.silent_since = Instant::now();
         loop {
             let has_source = self.source.is_some();
-            let silence = silent_since.elapsed();
+            let silence = self.silent_since.elapsed();
             let remaining = self.request.remaining();
             let step = self.resumption.next_step(has_source, silence, remaining);
             let mut event = match step {
@@ -205,11 +159,11 @@
                 Step::Fail => return Err(self.fail(remaining.is_zero())),
             };
             if let Event::Found(Found::Target(target)) = event {
-                event = self.resume(&target, silent_since).await;
+                event = self.resume(&target).await;
             }
             match event {
                 Event::Data(data) => {
-                    self.end_pause(silent_since);
+                    self.end_pause();
                     if let Some(bytes) = self.accept(data) {
                         return Ok(Some(bytes));
                     }
@@ -242,7 +196,7 @@
     /// Resumes the stream at another endpoint after the last complete event.
     ///
     /// The present endpoint is closed once the other one answers, or after [`MAX_OVERLAP`].
-    async fn resume(&mut self, target: &Target, silent_since: Instant) -> Event {
+    async fn resume(&mut self, target: &Target) -> Event {
         let shared = Arc::clone(&self.shared);
         let request = Arc::clone(&self.request);
         let deadline = target.start_deadline.unwrap_or(request.deadline);
@@ -269,23 +223,24 @@
                 send.await
             }
         };
-        self.handle_outcome(target, outcome, silent_since);
+        self.handle_outcome(target, outcome);
         Event::Timeout
     }
 
-    fn handle_outcome(&mut self, target: &Target, outcome: SendOutcome, silent_since: Instant) {
+    fn handle_outcome(&mut self, target: &Target, outcome: SendOutcome) {
         metrics::send(outcome.name());
         match outcome {
             SendOutcome::Answered(answered)
                 if answered.parts.status.is_success() && answered.head.is_signed =>
             {
-                self.log_resumed(target, silent_since);
                 self.close_source(Outcome::Broken);
-                self.source = Some(Source::from(*answered));
                 self.resumption.record_run();
                 if let Some(interruption) = self.interruption.take() {
+                    self.log("stream_resumed", &interruption.cause, &target.entry.id);
                     interruption.end_resumed();
                 }
+                self.source = Some(Source::from(*answered));
+                self.silent_since = Instant::now();
             }
             SendOutcome::Answered(mut answered) => {
                 answered.in_flight.set_outcome(Outcome::Error);
@@ -302,7 +257,7 @@
     }
 
     fn forbid(&mut self, cause: &str) {
-        self.log("stream_not_resumed", cause);
+        self.log("stream_not_resumed", cause, "-");
         self.resumption.forbid();
     }
 
@@ -326,16 +281,16 @@
     }
 
     /// Records that the endpoint continued by itself, if it had paused.
-    fn end_pause(&mut self, silent_since: Instant) {
+    fn end_pause(&mut self) {
         let Some(interruption) = self.interruption.take() else {
             return;
         };
-        interruption.end_kept();
         if let Some(source) = &mut self.source {
             source.in_flight.set_outcome(Outcome::Abandoned);
+            let endpoint = Arc::clone(&source.in_flight.endpoint);
+            self.log("stream_kept", &interruption.cause, &endpoint);
         }
-        let pause = silent_since.elapsed().as_millis();
-        self.log("stream_kept", format_args!("it continued after {pause} ms"));
+        interruption.end_kept();
     }
 
     /// Returns the bytes to forward. Incomplete events are buffered if the stream may be resumed at another
@@ -378,26 +333,20 @@
             Some(interruption) if !is_late => interruption.cause.to_string(),
             Some(_) | None => "the deadline passed".to_owned(),
         };
-        self.log("stream_broken", &cause);
+        self.log("stream_broken", &cause, "-");
         BrokenAnswer(cause)
     }
 
-    fn log_resumed(&self, target: &Target, silent_since: Instant) {
-        let cause = self.interruption.as_ref().map(|it| it.cause.to_string());
-        let cause = cause.unwrap_or_default();
-        let endpoint = &target.entry.id;
-        let pause = silent_since.elapsed().as_millis();
-        let detail = format_args!("{cause}, {endpoint} continues after {pause} ms");
-        self.log("stream_resumed", detail);
-    }
-
-    fn log(&self, event: &str, cause: impl std::fmt::Display) {
+    /// Logs an event; `endpoint` is the one that continues the stream.
+    fn log(&self, event: &str, cause: impl std::fmt::Display, endpoint: &str) {
         if self.shared.log_limiter.allow(self.shared.now()) {
             spdlog::info!(
-                "{} id={} route={} runs={} endpoints={:?} cause=\"{}\" left_ms={} ms={}",
+                "{} id={} route={} endpoint={} pause_ms={} runs={} endpoints={:?} cause=\"{}\" left_ms={} ms={}",
                 event,
                 self.request.info.id,
                 self.request.route.name,
+                endpoint,
+                self.silent_since.elapsed().as_millis(),
                 self.resumption.runs(),
                 self.excluded,
                 cause,
