--- a/crates/ploverwick_gateway/src/filters.rs
+++ b/crates/ploverwick_gateway/src/filters.rs
@@ -7,6 +7,7 @@
 mod activity_guard;
 mod admit;
 mod admitted_request;
+mod answer_wait;
 mod authenticate;
 mod copy_demand;
 mod event_splitter;
@@ -21,6 +22,7 @@
 mod reuse;
 mod select;
 mod send;
+mod source;
 mod stream_timing;
 mod terms;
 
