--- a/crates/ploverwick_gateway/src/filters/in_flight.rs
+++ b/crates/ploverwick_gateway/src/filters/in_flight.rs
@@ -89,7 +89,9 @@
         let prompt = std::mem::take(&mut self.unread_tokens);
         state.fleet.record_latency(&self.endpoint, taken);
         state.fleet.record_prompt_read(&self.endpoint, prompt);
-        if prompt > 0 && !self.was_full {
+        // The known prompts ahead are of some time ago. If they are most of the tokens, the time says little.
+        let is_mostly_own = self.queued_tokens <= prompt;
+        if prompt > 0 && is_mostly_own && !self.was_full {
             let tokens = self.queued_tokens.saturating_add(prompt);
             state
                 .fleet
