--- a/crates/ploverwick_endpoints/src/capacity/pace.rs
+++ b/crates/ploverwick_endpoints/src/capacity/pace.rs
@@ -21,7 +21,7 @@
 };
 /// The ratio to the expected time above which a time to the first event counts no more: the request waited for
 /// something else than reading.
-const MAX_SAMPLE_RATIO: f64 = 3.0;
+const MAX_SAMPLE_RATIO: f64 = 2.0;
 /// The age after which observations are not sent to the placer any more.
 const MAX_PENDING_AGE: Duration = Duration::from_secs(2);
 /// The ratio by which an estimate must differ from the last figure to be sent again ahead of others.
@@ -89,17 +89,24 @@
     /// Records the time to the first event of an answer before which `tokens` prompt tokens were read and `steps`
     /// steps taken.
     pub(crate) fn record_reading(&mut self, tokens: u32, steps: u32, taken: Duration) {
-        let Capacity { read_ms, step_ms } = self.capacity;
-        let expected_ms = f64::from(tokens) * read_ms + f64::from(steps) * step_ms;
-        let limit = Duration::from_secs_f64(MAX_SAMPLE_RATIO * expected_ms / 1_000.0);
+        let taken = match self.known() {
+            (Some(_), _) => taken.min(self.expected_time(tokens, steps).mul_f64(MAX_SAMPLE_RATIO)),
+            (None, _) => taken,
+        };
         self.record_own(Observations {
             read_tokens: tokens,
-            read_ms: whole_ms(taken.min(limit)),
+            read_ms: whole_ms(taken),
             read_steps: steps,
             ..Observations::default()
         });
     }
 
+    fn expected_time(&self, tokens: u32, steps: u32) -> Duration {
+        let Capacity { read_ms, step_ms } = self.capacity;
+        let ms = f64::from(tokens) * read_ms + f64::from(steps) * step_ms;
+        Duration::from_secs_f64(ms / 1_000.0)
+    }
+
     /// Records observations of this instance.
     pub(crate) fn record_own(&mut self, observed: Observations) {
         self.pending = self.pending + observed;
