Learn reading relative to the time of steps

A slow endpoint takes longer for both, so that its steps now tell at once and reading adds what differs lastingly.

--- a/crates/ploverwick_endpoints/src/capacity.rs
+++ b/crates/ploverwick_endpoints/src/capacity.rs
@@ -16,7 +16,7 @@
 
 pub use log_byte::LogByte;
 pub use observations::{EndpointKey, EndpointObservations, Figure, Observations};
-pub(crate) use pace::Pace;
+pub(crate) use pace::{Pace, slowness};
 pub use step_meter::StepMeter;
 
 /// The maximum number of endpoints in a round of messages whose observations an instance sends to placers, of about
--- a/crates/ploverwick_endpoints/src/capacity/observations.rs
+++ b/crates/ploverwick_endpoints/src/capacity/observations.rs
@@ -11,7 +11,7 @@
 use super::rate::Sums;
 
 /// The prompt tokens that say as much as one generation step.
-pub(crate) const TOKENS_PER_STEP: u32 = 10;
+const TOKENS_PER_STEP: u32 = 10;
 /// The unit of the rates in a figure, in milliseconds.
 const RATE_UNIT_MS: f64 = 1e-4;
 
--- a/crates/ploverwick_endpoints/src/capacity/pace.rs
+++ b/crates/ploverwick_endpoints/src/capacity/pace.rs
@@ -1,23 +1,28 @@
 //! The speed of one endpoint, learned from observations of several instances.
+//!
+//! An endpoint that is slow takes longer for both kinds of work. Steps are observed often and alone, but the time to
+//! read a prompt includes waits for prompts that no instance knows of. The time to read is therefore learned relative
+//! to the time of steps.
 
 use std::time::Duration;
 
-use super::observations::{EndpointKey, Figure, Observations, TOKENS_PER_STEP, whole_ms};
-use super::rate::{Rate, Weights};
+use super::observations::{EndpointKey, Figure, Observations, whole_ms};
+use super::rate::{Rate, Sums, Weights};
 use super::{Capacity, INITIAL};
 
-/// The weights for prompt tokens. A busy endpoint reads several thousand a second, which outweighs what was observed
-/// before. An instance that alone sends it a request in ten seconds relies on what the placer sends.
+/// The weights for prompt tokens, relative to the time of steps. Recent observations count for less than half at a busy
+/// endpoint, as some include waits that no instance knows of; a change of its speed shows in its steps at once.
 const READ_WEIGHTS: Weights = Weights {
     prior: 1_000.0,
-    lasting: 4_000.0,
+    lasting: 10_000.0,
     told: 8_000.0,
 };
-/// The weights for generation steps.
+/// The weights for generation steps. A busy endpoint takes some thousand a second, which outweighs what was observed
+/// before. An instance that alone sends it a request in ten seconds relies on what the placer sends.
 const STEP_WEIGHTS: Weights = Weights {
-    prior: READ_WEIGHTS.prior / TOKENS_PER_STEP as f64,
-    lasting: READ_WEIGHTS.lasting / TOKENS_PER_STEP as f64,
-    told: READ_WEIGHTS.told / TOKENS_PER_STEP as f64,
+    prior: 50.0,
+    lasting: 100.0,
+    told: 800.0,
 };
 /// The ratio to the expected time above which a time to the first event counts no more: the request waited for
 /// something else than reading.
@@ -72,7 +77,8 @@
         self.capacity.read_ms
     }
 
-    /// Returns the speed as far as enough was observed at this endpoint.
+    /// Returns the milliseconds per prompt token, relative to the slowness, and per step, as far as enough was observed
+    /// at this endpoint.
     pub(crate) fn known(&self) -> (Option<f64>, Option<f64>) {
         let step_ms = self.capacity.step_ms;
         (
@@ -115,14 +121,19 @@
 
     /// Records observations of this instance or of another one.
     pub(crate) fn record(&mut self, observed: Observations) {
-        self.read.record(observed.reads());
         self.step.record(observed.steps());
         self.update();
+        self.read.record(Sums {
+            units: f64::from(observed.read_tokens) * slowness(self.capacity),
+            ..observed.reads()
+        });
+        self.update();
     }
 
     /// Records the speed that the placer sent.
     pub(crate) fn record_told(&mut self, told: Capacity) {
-        self.read.set_told(told.read_ms, READ_WEIGHTS);
+        let read_ms = told.read_ms / slowness(told);
+        self.read.set_told(read_ms, READ_WEIGHTS);
         self.step.set_told(told.step_ms, STEP_WEIGHTS);
         self.update();
     }
@@ -184,13 +195,18 @@
 
     fn update(&mut self) {
         let step_ms = self.step.estimate(self.prior.step_ms, 0.0, STEP_WEIGHTS);
-        let read_ms = self
-            .read
-            .estimate(self.prior.read_ms, step_ms, READ_WEIGHTS);
-        self.capacity = Capacity { read_ms, step_ms };
+        self.capacity.step_ms = step_ms;
+        let prior = self.prior.read_ms / slowness(self.prior);
+        let relative_ms = self.read.estimate(prior, step_ms, READ_WEIGHTS);
+        self.capacity.read_ms = relative_ms * slowness(self.capacity);
     }
 }
 
+/// Returns how much longer a step takes than is assumed at first.
+pub(crate) fn slowness(capacity: Capacity) -> f64 {
+    capacity.step_ms / INITIAL.step_ms
+}
+
 fn ratio(a: f64, b: f64) -> f64 {
     (a / b).max(b / a)
 }
--- a/crates/ploverwick_endpoints/src/fleet/capacities.rs
+++ b/crates/ploverwick_endpoints/src/fleet/capacities.rs
@@ -8,7 +8,9 @@
 
 use super::{Fleet, Member};
 use crate::Load;
-use crate::capacity::{Capacity, EndpointKey, EndpointObservations, Figure, INITIAL, Observations};
+use crate::capacity::{
+    Capacity, EndpointKey, EndpointObservations, Figure, INITIAL, Observations, slowness,
+};
 
 /// The memory fill up to which an endpoint costs no more. The rest absorbs what is sent there before the load of
 /// this request is known.
@@ -91,11 +93,13 @@
             steps.extend(step);
         }
         let medians = known.into_iter().map(|(service, (reads, steps))| {
-            let capacity = Capacity {
-                read_ms: median(reads).unwrap_or(INITIAL.read_ms),
-                step_ms: median(steps).unwrap_or(INITIAL.step_ms),
-            };
-            (Arc::clone(service), capacity)
+            let mut typical = INITIAL;
+            if let Some(step_ms) = median(steps) {
+                typical.step_ms = step_ms;
+            }
+            let read_ms = median(reads).unwrap_or(INITIAL.read_ms);
+            typical.read_ms = read_ms * slowness(typical);
+            (Arc::clone(service), typical)
         });
         medians.collect()
     }
