--- a/crates/ploverwick_endpoints/src/capacity/step_meter.rs
+++ b/crates/ploverwick_endpoints/src/capacity/step_meter.rs
@@ -8,6 +8,9 @@
 const PAUSES_PER_OBSERVATION: usize = 9;
 /// The number of pauses that still do at the end of a stream.
 const MIN_PAUSES: usize = 3;
+/// The part of a pause that must have been spent waiting for the endpoint. During the rest, the client did not take
+/// what had arrived.
+const MIN_WAITED_RATIO: f64 = 0.9;
 
 /// Measures the generation steps of one stream.
 ///
@@ -19,9 +22,17 @@
 }
 
 impl StepMeter {
-    /// Records a pause between two events of `event_tokens` tokens, in which no prompt was known to be read.
-    /// Returns an observation after every few pauses.
-    pub fn record_pause(&mut self, pause: Duration, event_tokens: u32) -> Option<Observations> {
+    /// Records a pause between two events of `event_tokens` tokens, in which no prompt was known to be read and for
+    /// `waited` of which the endpoint was waited for. Returns an observation after every few pauses.
+    pub fn record_pause(
+        &mut self,
+        pause: Duration,
+        waited: Duration,
+        event_tokens: u32,
+    ) -> Option<Observations> {
+        if waited < pause.mul_f64(MIN_WAITED_RATIO) {
+            return None;
+        }
         self.pauses.push(pause);
         (self.pauses.len() >= PAUSES_PER_OBSERVATION).then(|| self.take(event_tokens))
     }
--- a/crates/ploverwick_endpoints/tests/learned_capacity.rs
+++ b/crates/ploverwick_endpoints/tests/learned_capacity.rs
@@ -81,7 +81,7 @@
         let steps = truth.step_ms * f64::from(EVENT_TOKENS) * random.random_range(0.9..1.1);
         let read = if random.random_bool(0.33) { 700.0 } else { 0.0 };
         let pause = ms(steps + read * truth.read_ms);
-        if let Some(observed) = meter.record_pause(pause, EVENT_TOKENS) {
+        if let Some(observed) = meter.record_pause(pause, pause, EVENT_TOKENS) {
             instance.record_observations(&id(endpoint), observed);
         }
     }
@@ -254,6 +254,23 @@
     expect_that!(after, gt(1.8 * before));
 }
 
+/// Guards against taking a client that reads slowly for a slow endpoint.
+#[googletest::test]
+fn slow_client_is_no_slow_endpoint() {
+    let mut meter = StepMeter::default();
+    let (pause, waited) = (ms(400.0), ms(1.0));
+    for _ in 0..20 {
+        expect_that!(meter.record_pause(pause, waited, EVENT_TOKENS), none());
+    }
+    expect_that!(meter.finish(EVENT_TOKENS), none());
+    let waited = ms(35.0);
+    for _ in 0..3 {
+        meter.record_pause(waited, waited, EVENT_TOKENS);
+    }
+    let observed = meter.finish(EVENT_TOKENS).map(|o| (o.steps, o.steps_ms));
+    expect_that!(observed, some(eq((21, 105))));
+}
+
 fn rank(fleet: &Fleet) -> Vec<Arc<str>> {
     let query = Query {
         service: "lm",
--- a/crates/ploverwick_gateway/src/filters/forward.rs
+++ b/crates/ploverwick_gateway/src/filters/forward.rs
@@ -147,6 +147,7 @@
 impl ForwardedStream {
     /// Returns the next bytes for the client; `None` at the end of the stream.
     async fn next(&mut self) -> Result<Option<Bytes>, BrokenAnswer> {
+        let awaited_at = Instant::now();
         loop {
             let deadline = self.read_deadline();
             let Some(source) = &mut self.source else {
@@ -163,7 +164,7 @@
                         .timing
                         .record_bytes(&source.in_flight.endpoint, &data, now)
                     {
-                        source.in_flight.record_event(now);
+                        source.in_flight.record_event(awaited_at, now);
                     }
                     if let Some(bytes) = self.accept(data) {
                         return Ok(Some(bytes));
--- a/crates/ploverwick_gateway/src/filters/in_flight.rs
+++ b/crates/ploverwick_gateway/src/filters/in_flight.rs
@@ -99,8 +99,9 @@
         }
     }
 
-    /// Records an event of the answer, to measure the generation steps between events.
-    pub(crate) fn record_event(&mut self, at: Instant) {
+    /// Records an event of the answer, to measure the generation steps between events. The endpoint was waited for
+    /// since `awaited_at`.
+    pub(crate) fn record_event(&mut self, awaited_at: Instant, at: Instant) {
         let Some(event_tokens) = self.event_tokens else {
             return;
         };
@@ -110,7 +111,9 @@
         let last = self.last_event.replace((at, is_undisturbed));
         if let Some((last_at, true)) = last
             && is_undisturbed
-            && let Some(observed) = self.steps.record_pause(at - last_at, event_tokens)
+            && let Some(observed) =
+                self.steps
+                    .record_pause(at - last_at, at - awaited_at, event_tokens)
         {
             state.fleet.record_observations(&self.endpoint, observed);
         }
