--- a/crates/ploverwick_gateway/src/filters/forward.rs
+++ b/crates/ploverwick_gateway/src/filters/forward.rs
@@ -151,7 +151,8 @@
         if self.is_complete {
             return Ok(None);
         }
-        self.silent_since = Instant::now();
+        let awaited_at = Instant::now();
+        self.silent_since = awaited_at;
         loop {
             let has_source = self.source.is_some();
             let silence = self.silent_since.elapsed();
@@ -168,7 +169,7 @@
             match event {
                 Event::Data(data) => {
                     self.end_pause();
-                    self.record_bytes(&data);
+                    self.record_bytes(&data, awaited_at);
                     if let Some(bytes) = self.accept(data) {
                         return Ok(Some(bytes));
                     }
@@ -298,15 +299,15 @@
         interruption.end_kept();
     }
 
-    /// Records when the events in `data` arrived.
-    fn record_bytes(&mut self, data: &[u8]) {
+    /// Records when the events in `data` arrived, which were waited for since `awaited_at`.
+    fn record_bytes(&mut self, data: &[u8], awaited_at: Instant) {
         let Some(source) = &mut self.source else {
             return;
         };
         let now = Instant::now();
         let endpoint = &source.in_flight.endpoint;
         if self.timing.record_bytes(endpoint, data, now) {
-            source.in_flight.record_event(now);
+            source.in_flight.record_event(awaited_at, now);
         }
     }
 
--- a/crates/ploverwick_gateway/src/filters/in_flight.rs
+++ b/crates/ploverwick_gateway/src/filters/in_flight.rs
@@ -89,7 +89,9 @@
         let prompt = std::mem::take(&mut self.unread_tokens);
         state.fleet.record_latency(&self.endpoint, taken);
         state.fleet.record_prompt_read(&self.endpoint, prompt);
-        if prompt > 0 && !self.was_full {
+        // The known prompts ahead are of some time ago. If they are most of the tokens, the time says little.
+        let is_mostly_own = self.queued_tokens <= prompt;
+        if prompt > 0 && is_mostly_own && !self.was_full {
             let tokens = self.queued_tokens.saturating_add(prompt);
             state
                 .fleet
@@ -97,8 +99,9 @@
         }
     }
 
-    /// Records an event of the answer, to measure the generation steps between events.
-    pub(crate) fn record_event(&mut self, at: Instant) {
+    /// Records an event of the answer, to measure the generation steps between events. The endpoint was waited for
+    /// since `awaited_at`.
+    pub(crate) fn record_event(&mut self, awaited_at: Instant, at: Instant) {
         let Some(event_tokens) = self.event_tokens else {
             return;
         };
@@ -108,7 +111,9 @@
         let last = self.last_event.replace((at, is_undisturbed));
         if let Some((last_at, true)) = last
             && is_undisturbed
-            && let Some(observed) = self.steps.record_pause(at - last_at, event_tokens)
+            && let Some(observed) =
+                self.steps
+                    .record_pause(at - last_at, at - awaited_at, event_tokens)
         {
             state.fleet.record_observations(&self.endpoint, observed);
         }
