--- a/crates/ploverwick_endpoints/tests/interference.rs
+++ b/crates/ploverwick_endpoints/tests/interference.rs
@@ -49,8 +49,9 @@
     fleet
 }
 
-/// Shows the fleet that an endpoint reads a token in `read_us` microseconds.
-fn learn(fleet: &mut Fleet, endpoint: &str, read_us: u32) {
+/// Shows the fleet that an endpoint reads a token in `read_us` microseconds, long after what it learned before.
+fn learn(fleet: &mut Fleet, endpoint: &str, read_us: u32, now: Moment) {
+    fleet.tick_capacities(now);
     let taken = Duration::from_micros(u64::from(read_us) * 4_000);
     for _ in 0..60 {
         fleet.record_reading(endpoint, 4_000, 0, taken);
@@ -74,8 +75,8 @@
 #[googletest::test]
 fn prompts_follow_reading_speed() {
     let mut fleet = fleet(2);
-    learn(&mut fleet, "i-0", 50);
-    learn(&mut fleet, "i-1", 20);
+    learn(&mut fleet, "i-0", 50, Moment(0));
+    learn(&mut fleet, "i-1", 20, Moment(0));
     let sent = send(&mut fleet, 14);
     expect_that!(sent[&id(1)], ge(9));
     expect_that!(sent.get(&id(0)), some(ge(&1)));
@@ -85,16 +86,16 @@
 #[googletest::test]
 fn slow_spell_is_avoided_until_it_ends() {
     let mut fleet = fleet(2);
-    learn(&mut fleet, "i-0", 50);
-    learn(&mut fleet, "i-1", 20);
+    learn(&mut fleet, "i-0", 50, Moment(0));
+    learn(&mut fleet, "i-1", 20, Moment(0));
     for _ in 0..3 {
         fleet.record_sent("i-1", 0);
     }
     let first = |fleet: &Fleet| fleet.rank(&QUERY, NOW).swap_remove(0).1;
     expect_that!(&*first(&fleet), eq("i-1"));
-    learn(&mut fleet, "i-1", 125);
+    learn(&mut fleet, "i-1", 125, Moment(60_000));
     expect_that!(&*first(&fleet), eq("i-0"));
-    learn(&mut fleet, "i-1", 20);
+    learn(&mut fleet, "i-1", 20, Moment(120_000));
     expect_that!(&*first(&fleet), eq("i-1"));
 }
 
