--- a/crates/ploverwick_adapters/src/placer.rs
+++ b/crates/ploverwick_adapters/src/placer.rs
@@ -100,11 +100,12 @@
         now: Moment,
     ) -> Option<Event> {
         let in_flight = self.loading();
+        let limit = self.window.size();
         let slots = self.endpoints.get_mut(endpoint)?;
         let load_started = slots.load_started(order);
         let event = slots.handle_answer(order, answer, now);
         if let (Some(started), Some(Event::Loaded(_))) = (load_started, &event) {
-            self.window.record_load(started, now, in_flight);
+            self.window.record_load(started, now, in_flight, limit);
         }
         event
     }
--- a/crates/ploverwick_adapters/src/slots/answers.rs
+++ b/crates/ploverwick_adapters/src/slots/answers.rs
@@ -8,11 +8,16 @@
 use super::{BaseState, Event, POLL_INTERVAL, REPORT_LAG, Slot, SlotState, Slots};
 use crate::{Answer, Copy, Op, Order, Report};
 
-/// The delay from a load order to its first poll. An adapter cached at the endpoint loads in about
-/// 25 ms.
+/// The delay from a load order to its first poll. An adapter cached at the endpoint loads in 25 to
+/// 30 ms.
 const FIRST_POLL_DELAY: Duration = Duration::from_millis(24);
-/// The delay from a load order to its second poll. A load from the weight store takes about 250 ms.
-const SECOND_POLL_DELAY: Duration = Duration::from_millis(236);
+/// How often a load is polled while it may come from the endpoint's cache.
+const CACHED_POLL_INTERVAL: Duration = Duration::from_millis(8);
+/// How long after a load order an adapter that the endpoint has cached may still be loading.
+const CACHED_LOAD_TIMEOUT: Duration = Duration::from_millis(40);
+/// The delay from a load order to the first poll of a load from the weight store, which takes 250
+/// to 300 ms.
+const STORE_POLL_DELAY: Duration = Duration::from_millis(236);
 /// How often the load of a base model, which takes hundreds of milliseconds, is polled.
 const BASE_POLL_INTERVAL: Duration = Duration::from_millis(80);
 /// The number of consecutive refused unloads that are attributed to adapters in use. The next one is
@@ -132,7 +137,11 @@
                     ordered_at,
                 } = &mut slot.state
                 {
-                    *poll_at = (now + POLL_INTERVAL).max(*ordered_at + SECOND_POLL_DELAY);
+                    *poll_at = if now.since(*ordered_at) < CACHED_LOAD_TIMEOUT {
+                        now + CACHED_POLL_INTERVAL
+                    } else {
+                        (now + POLL_INTERVAL).max(*ordered_at + STORE_POLL_DELAY)
+                    };
                 }
                 None
             }
--- a/crates/ploverwick_adapters/tests/load_window.rs
+++ b/crates/ploverwick_adapters/tests/load_window.rs
@@ -19,7 +19,7 @@
             let due: Vec<_> = loads.extract_if(.., |(_, ends)| *ends <= now).collect();
             let mut in_flight = loads.len() + due.len();
             for (began, _) in due {
-                window.record_load(began, now, in_flight);
+                window.record_load(began, now, in_flight, window.size());
                 in_flight -= 1;
             }
         }
@@ -56,7 +56,7 @@
     let mut window = Window::default();
     let before = window.size();
     for at in 0..100 {
-        window.record_load(Moment(at * 100), Moment(at * 100 + 25), 50);
+        window.record_load(Moment(at * 100), Moment(at * 100 + 25), 50, 3);
     }
     expect_that!(window.size(), eq(before));
 }
@@ -66,7 +66,7 @@
     let mut window = Window::default();
     let before = window.size();
     for at in 0..100 {
-        window.record_load(Moment(at * 300), Moment(at * 300 + FULL_SPEED_MS), 1);
+        window.record_load(Moment(at * 300), Moment(at * 300 + FULL_SPEED_MS), 1, 3);
     }
     expect_that!(window.size(), eq(before));
 }
