--- a/crates/ploverwick_adapters/src/directory.rs
+++ b/crates/ploverwick_adapters/src/directory.rs
@@ -11,8 +11,11 @@
 
 /// How long a placer's report takes precedence over the platform's list entry, which lags behind.
 const REPORT_PRECEDENCE: Duration = Duration::from_secs(4);
-/// How long to wait for an adapter that is being loaded before requesting it again.
+/// How long to wait for an adapter that is being loaded before requesting it elsewhere.
 const LOADING_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// The age from which the placement of an adapter is announced again, so that other instances know
+/// of it until the load completes.
+const ANNOUNCEMENT_AGE: Duration = Duration::from_millis(600);
 /// The number of adapters whose previous endpoints are kept.
 const MAX_PREVIOUS_ADAPTERS: usize = 8_192;
 /// The number of previous endpoints kept for each adapter.
@@ -54,14 +57,20 @@
         self.replace(endpoint, copies, Some(now));
     }
 
-    /// Records that an endpoint is loading an adapter.
-    pub fn mark_loading(&mut self, endpoint: &Arc<str>, copy: Copy, now: Moment) {
+    /// Records that an endpoint is loading an adapter or is about to. Returns whether other
+    /// instances should be told, because it is new or they were told some time ago.
+    pub fn mark_loading(&mut self, endpoint: &Arc<str>, copy: Copy, now: Moment) -> bool {
+        let known = self.loading.get(&copy);
+        if known.is_some_and(|(id, at)| id == endpoint && now.since(*at) < ANNOUNCEMENT_AGE) {
+            return false;
+        }
         self.loading
             .retain(|_, (_, at)| now.since(*at) < LOADING_TIMEOUT);
         self.loading.insert(copy, (Arc::clone(endpoint), now));
+        true
     }
 
-    /// Returns the endpoint that is loading an adapter.
+    /// Returns the endpoint that is loading an adapter or is about to.
     pub fn loading_on(&self, copy: &Copy, now: Moment) -> Option<&Arc<str>> {
         let (endpoint, at) = self.loading.get(copy)?;
         (now.since(*at) < LOADING_TIMEOUT).then_some(endpoint)
--- a/crates/ploverwick_adapters/src/lib.rs
+++ b/crates/ploverwick_adapters/src/lib.rs
@@ -4,12 +4,14 @@
 //! domain, one instance at a time is the placer: it holds the [`Lease`] that permits it to send
 //! orders to the endpoints of its domain, and keeps the [`Slots`] of each of them.
 
+mod budget;
 mod directory;
 mod domain;
 mod key;
 mod lease;
 mod load_limit;
 mod order;
+mod permit;
 mod placer;
 mod slots;
 mod staleness;
@@ -17,14 +19,16 @@
 mod watermark;
 mod window;
 
+pub use budget::{Budget, Demand};
 pub use directory::Directory;
 pub use domain::{Domain, choose_domain};
 pub use key::{Copy, Key};
 pub use lease::{Grant, Lease, LeasePolicy};
 pub use load_limit::{LoadLimit, LoadLimiter};
 pub use order::{Answer, Op, Order, Report};
-pub use placer::{Need, Placer, Target};
-pub use slots::{Event, Slots, Step};
+pub use permit::Permit;
+pub use placer::{Declined, Need, Placer, Target};
+pub use slots::{Event, Slots, Step, Wanted};
 pub use staleness::StalenessPolicy;
 pub use version_history::{Since, VersionHistory};
 pub use watermark::Watermark;
--- a/crates/ploverwick_adapters/src/placer.rs
+++ b/crates/ploverwick_adapters/src/placer.rs
@@ -8,7 +8,7 @@
 use ploverwick_placement::{Candidate, equally_weighted, rank, score};
 use serde::{Deserialize, Serialize};
 
-use crate::{Answer, Copy, Event, Order, Slots, Window};
+use crate::{Answer, Budget, Copy, Demand, Event, Order, Permit, Slots, Wanted, Window};
 
 /// The number of endpoints, by hash, among which an adapter is placed. It is small so that the
 /// adapter returns to an endpoint that has it cached, even after all instances were restarted.
@@ -41,6 +41,17 @@
     Another,
 }
 
+/// Why an adapter is not placed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Declined {
+    /// An endpoint already holds it or is about to load it.
+    Expected,
+    /// It would be a further copy, and adapters without any need the weight store.
+    NoRoom,
+    /// No endpoint can load it.
+    NoEndpoint,
+}
+
 /// An endpoint at which an adapter may be placed.
 #[derive(Debug, Clone)]
 pub struct Target {
@@ -55,6 +66,7 @@
 pub struct Placer {
     endpoints: HashMap<Arc<str>, Slots>,
     window: Window,
+    budget: Budget,
 }
 
 impl Placer {
@@ -70,9 +82,65 @@
         self.endpoints.remove(endpoint);
     }
 
-    /// Removes all endpoints.
-    pub fn clear(&mut self) {
+    /// Removes all endpoints, because another placer decided on them or will decide. The load
+    /// window starts anew at the size that other placers have learned.
+    pub fn clear(&mut self, now: Moment) {
         self.endpoints.clear();
+        self.window.restart(self.budget.mean_window(now));
+    }
+
+    /// Records the demand of another failure domain's placer.
+    pub fn record_demand(&mut self, domain: &Arc<str>, demand: Demand, now: Moment) {
+        self.budget.record_demand(domain, demand, now);
+    }
+
+    /// Returns this placer's demand for loads from the weight store.
+    pub fn demand(&self, now: Moment) -> Demand {
+        let pending = self.responsive().map(Slots::pending_store_loads);
+        let waiting = pending.map(|(first, further)| first + further).sum();
+        let load_time = self.window.load_time().unwrap_or_default();
+        let narrow = |count: usize| u16::try_from(count).unwrap_or(u16::MAX);
+        Demand {
+            window: narrow(self.window.size()),
+            in_flight: narrow(self.store_loads(now)),
+            waiting: narrow(waiting),
+            load_ms: u16::try_from(load_time.as_millis()).unwrap_or(u16::MAX),
+        }
+    }
+
+    /// Returns the number of loads from the weight store that may run at once.
+    pub fn load_limit(&self, now: Moment) -> usize {
+        self.budget.limit(self.demand(now), now)
+    }
+
+    /// Returns which loads may start at an endpoint. Loads at unresponsive endpoints, which may
+    /// have crashed, do not count.
+    pub fn permit(&self, endpoint: &str, now: Moment) -> Permit {
+        let Some(slots) = self.endpoints.get(endpoint).filter(|s| s.waiting() > 0) else {
+            return Permit::Cached;
+        };
+        let room = self.load_limit(now).saturating_sub(self.store_loads(now));
+        if room == 0 {
+            return Permit::Cached;
+        }
+        let own = slots.next_first_copy(now);
+        let others = self.endpoints.iter().filter(|(id, _)| &***id != endpoint);
+        let others = others.filter_map(|(id, slots)| Some((slots.next_first_copy(now)?, id)));
+        match own {
+            // The adapters that most requests wait for are loaded first.
+            Some(requests) => {
+                let before = others.filter(|(other, id)| {
+                    *other > requests || (*other == requests && &***id < endpoint)
+                });
+                if before.count() < room {
+                    Permit::First
+                } else {
+                    Permit::Cached
+                }
+            }
+            None if others.count() < room => Permit::All,
+            None => Permit::First,
+        }
     }
 
     /// Returns an endpoint's slots.
@@ -85,12 +153,6 @@
         self.endpoints.iter()
     }
 
-    /// Returns whether another load may start. Loads at unresponsive endpoints, which may have
-    /// crashed, do not count.
-    pub fn may_load(&self) -> bool {
-        self.loading() < self.window.size()
-    }
-
     /// Applies an endpoint's answer to an order.
     pub fn handle_answer(
         &mut self,
@@ -99,8 +161,8 @@
         answer: Answer,
         now: Moment,
     ) -> Option<Event> {
-        let in_flight = self.loading();
-        let limit = self.window.size();
+        let in_flight = self.store_loads(now);
+        let limit = self.load_limit(now);
         let slots = self.endpoints.get_mut(endpoint)?;
         let load_started = slots.load_started(order);
         let event = slots.handle_answer(order, answer, now);
@@ -110,17 +172,22 @@
         event
     }
 
-    /// Returns the number of running loads and the limit on them.
-    pub fn loads_in_flight(&self) -> (usize, usize) {
-        (self.loading(), self.window.size())
+    fn store_loads(&self, now: Moment) -> usize {
+        self.responsive().map(|slots| slots.store_loads(now)).sum()
     }
 
-    fn loading(&self) -> usize {
-        let answering = self
-            .endpoints
-            .values()
-            .filter(|slots| !slots.is_unresponsive());
-        answering.map(Slots::loading).sum()
+    /// Returns whether a further copy may be loaded from the weight store: no adapter without a
+    /// copy waits for the store, here or in another failure domain.
+    fn has_room_for_copy(&self, now: Moment) -> bool {
+        let mut demand = self.demand(now);
+        demand.waiting = demand.waiting.saturating_add(1);
+        let wanted = usize::from(demand.in_flight) + usize::from(demand.waiting);
+        wanted <= self.budget.limit(demand, now) && !self.budget.is_exceeded(now)
+    }
+
+    fn responsive(&self) -> impl Iterator<Item = &Slots> {
+        let slots = self.endpoints.values();
+        slots.filter(|slots| !slots.is_unresponsive())
     }
 
     /// Returns the number of adapters that wait for a slot or for their load to start.
@@ -130,8 +197,10 @@
 
     /// Places a requested adapter and returns the endpoint that is to load it.
     ///
-    /// `targets` are the endpoints that may serve it. Returns `None` if one of them already holds
-    /// or expects it, or if none can load it.
+    /// `targets` are the endpoints that may serve it.
+    ///
+    /// # Errors
+    /// Returns why the adapter is not placed.
     pub fn place(
         &mut self,
         copy: &Copy,
@@ -139,7 +208,7 @@
         need: Need,
         previous_holders: &[Arc<str>],
         now: Moment,
-    ) -> Option<Arc<str>> {
+    ) -> Result<Arc<str>, Declined> {
         let slots_of = |target: &Target| &self.endpoints[&target.endpoint];
         let has_slots = |target: &&Target| self.endpoints.contains_key(&target.endpoint);
         // Loads do not complete at an unresponsive endpoint. If all are unresponsive, this
@@ -167,9 +236,10 @@
             && expecting.count() + 1 >= max_expected
         {
             let endpoint = Arc::clone(&target.endpoint);
+            let wanted = wanted(copy, need, &endpoint, previous_holders);
             // Keeps the pending load from expiring while it is requested.
-            self.slots(&endpoint)?.request_load(copy.clone(), now);
-            return None;
+            self.request(&endpoint, wanted, now);
+            return Err(Declined::Expected);
         }
         if need == Need::Any
             && targets
@@ -177,14 +247,18 @@
                 .filter(known)
                 .any(|target| slots_of(target).holds(copy))
         {
-            return None;
+            return Err(Declined::Expected);
         }
+        let needs_cached = need == Need::Another && !self.has_room_for_copy(now);
+        let is_permitted =
+            |target: &&Target| !needs_cached || previous_holders.contains(&target.endpoint);
         let key = copy.key.to_string();
         let has_it =
             |target: &Target| slots_of(target).holds(copy) || slots_of(target).expects(copy);
         let can_load =
             |target: &&Target| slots_of(target).has_base(&copy.key.model) && !has_it(target);
-        let targets: Vec<&Target> = targets.iter().filter(known).filter(can_load).collect();
+        let targets = targets.iter().filter(known).filter(can_load);
+        let targets: Vec<&Target> = targets.filter(is_permitted).collect();
         let names = targets.iter().map(|target| &*target.endpoint);
         let preferred = rank(&key, &equally_weighted(names), PREFERRED_ENDPOINTS);
         let best = targets
@@ -198,10 +272,32 @@
                 let a = rating(a, slots_of(a), copy, &key, previous_holders, now);
                 let b = rating(b, slots_of(b), copy, &key, previous_holders, now);
                 a.total_cmp(&b)
-            })?;
+            });
+        let Some(best) = best else {
+            return Err(if needs_cached {
+                Declined::NoRoom
+            } else {
+                Declined::NoEndpoint
+            });
+        };
         let endpoint = Arc::clone(&best.endpoint);
-        self.slots(&endpoint)?.request_load(copy.clone(), now);
-        Some(endpoint)
+        let wanted = wanted(copy, need, &endpoint, previous_holders);
+        self.request(&endpoint, wanted, now);
+        Ok(endpoint)
+    }
+
+    fn request(&mut self, endpoint: &str, wanted: Wanted, now: Moment) {
+        if let Some(slots) = self.endpoints.get_mut(endpoint) {
+            slots.request(wanted, now);
+        }
+    }
+}
+
+fn wanted(copy: &Copy, need: Need, endpoint: &Arc<str>, previous_holders: &[Arc<str>]) -> Wanted {
+    Wanted {
+        copy: copy.clone(),
+        need,
+        is_cached: previous_holders.contains(endpoint),
     }
 }
 
--- a/crates/ploverwick_adapters/src/slots.rs
+++ b/crates/ploverwick_adapters/src/slots.rs
@@ -17,13 +17,21 @@
 
 use ploverwick_names::Moment;
 
-use crate::{Copy, Op, Order};
+use crate::{Copy, Need, Op, Order, Permit};
 
 /// How far an endpoint's report may lag behind its state, with some margin.
 const REPORT_LAG: Duration = Duration::from_millis(260);
 /// How often a pending order is polled for completion, by sending it again. A poll costs little
 /// more than the message.
 const POLL_INTERVAL: Duration = Duration::from_millis(18);
+/// How long after a load order an adapter that the endpoint has cached may still be loading.
+const CACHED_LOAD_TIMEOUT: Duration = Duration::from_millis(40);
+/// The number of loads that the platform allows an endpoint to run at once.
+const MAX_CONCURRENT_LOADS: usize = 4;
+/// How long a requested load stays pending. Requests that still wait ask again every 70 ms, so that
+/// four lost messages in a row do not drop the load, and an adapter that is no longer needed is not
+/// loaded.
+const PENDING_TTL: Duration = Duration::from_millis(350);
 /// How long an instance's statement that it uses an adapter is valid. Instances send it again every
 /// 150 ms, so that four lost messages in a row do not free an adapter, and a lost final message
 /// does not block its slot forever.
@@ -64,8 +72,15 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum SlotState {
     Held,
-    Loading { poll_at: Moment, ordered_at: Moment },
-    Unloading { poll_at: Moment },
+    Loading {
+        poll_at: Moment,
+        ordered_at: Moment,
+        /// Whether the endpoint is expected to have the adapter cached.
+        is_cached: bool,
+    },
+    Unloading {
+        poll_at: Moment,
+    },
 }
 
 /// The number of requests of one instance that use an adapter, as it last stated.
@@ -101,6 +116,19 @@
         }
     }
 
+    /// Returns whether the adapter is being loaded from the weight store. A load that takes longer
+    /// than one from the cache uses the store, whatever was expected.
+    fn uses_store(&self, now: Moment) -> bool {
+        match self.state {
+            SlotState::Loading {
+                ordered_at,
+                is_cached,
+                ..
+            } => !is_cached || now.since(ordered_at) >= CACHED_LOAD_TIMEOUT,
+            SlotState::Held | SlotState::Unloading { .. } => false,
+        }
+    }
+
     /// Returns the number of requests that use the adapter, ignoring expired statements.
     fn in_use(&self, now: Moment) -> u32 {
         let fresh = self.users.iter().filter(|u| now.since(u.at) < USE_TTL);
@@ -108,9 +136,31 @@
     }
 }
 
+/// An adapter that an endpoint should load.
+#[derive(Debug, Clone)]
+pub struct Wanted {
+    /// The adapter.
+    pub copy: Copy,
+    /// Why it is needed.
+    pub need: Need,
+    /// Whether the endpoint is expected to have it cached.
+    pub is_cached: bool,
+}
+
+impl Wanted {
+    /// Returns the permit that the load needs.
+    fn permit(&self) -> Permit {
+        match self.need {
+            _ if self.is_cached => Permit::Cached,
+            Need::Any => Permit::First,
+            Need::Another => Permit::All,
+        }
+    }
+}
+
 #[derive(Debug, Clone)]
 struct PendingLoad {
-    copy: Copy,
+    wanted: Wanted,
     at: Moment,
     /// How often the load was requested, which grows with the number of waiting requests.
     requests: u32,
@@ -200,7 +250,7 @@
             .by_copy
             .get(copy)
             .is_some_and(|slot| matches!(slot.state, SlotState::Loading { .. }));
-        is_loading || self.pending.iter().any(|wanted| wanted.copy == *copy)
+        is_loading || self.pending.iter().any(|load| load.wanted.copy == *copy)
     }
 
     /// Returns whether any version of an adapter has a slot at the endpoint.
@@ -253,6 +303,36 @@
             .count()
     }
 
+    /// Returns the number of running loads that use the weight store.
+    pub fn store_loads(&self, now: Moment) -> usize {
+        let slots = self.by_copy.values();
+        slots.filter(|slot| slot.uses_store(now)).count()
+    }
+
+    /// Returns the numbers of pending loads from the weight store of first copies and of further
+    /// copies.
+    pub fn pending_store_loads(&self) -> (usize, usize) {
+        let of = |permit| {
+            let pending = self.pending.iter();
+            pending.filter(move |load| load.wanted.permit() == permit)
+        };
+        (of(Permit::First).count(), of(Permit::All).count())
+    }
+
+    /// Returns how many requests were made for the pending first copy that would be loaded next;
+    /// `None` if there is none or it cannot start now.
+    pub fn next_first_copy(&self, now: Moment) -> Option<u32> {
+        let can_load = self.is_known()
+            && !self.is_unresponsive()
+            && self.unanswered.is_none()
+            && self.loading() < MAX_CONCURRENT_LOADS
+            && self.has_room(now);
+        let pending = self.pending.iter().filter(|load| {
+            load.wanted.permit() == Permit::First && now.since(load.at) < PENDING_TTL
+        });
+        pending.map(|load| load.requests).max().filter(|_| can_load)
+    }
+
     /// Returns whether a pending load could start soon: a slot is free or its adapter is unused.
     pub fn has_room(&self, now: Moment) -> bool {
         self.is_known() && (self.occupied() < self.capacity || self.victim(now).is_some())
@@ -277,19 +357,33 @@
         held.map(|(copy, _)| copy.clone()).collect()
     }
 
-    /// Requests that an adapter be loaded; the adapters requested most often are loaded first.
+    /// Requests that an adapter of which there is no copy be loaded.
     pub fn request_load(&mut self, copy: Copy, now: Moment) {
-        if let Some(slot) = self.by_copy.get_mut(&copy) {
+        let wanted = Wanted {
+            copy,
+            need: Need::Any,
+            is_cached: false,
+        };
+        self.request(wanted, now);
+    }
+
+    /// Requests that an adapter be loaded; the adapters requested most often are loaded first.
+    pub fn request(&mut self, wanted: Wanted, now: Moment) {
+        if let Some(slot) = self.by_copy.get_mut(&wanted.copy) {
             slot.last_used = now;
             return;
         }
-        match self.pending.iter_mut().find(|wanted| wanted.copy == copy) {
-            Some(wanted) => {
-                wanted.at = now;
-                wanted.requests += 1;
+        let mut pending = self.pending.iter_mut();
+        match pending.find(|load| load.wanted.copy == wanted.copy) {
+            Some(load) => {
+                load.at = now;
+                load.requests += 1;
+                if wanted.need == Need::Any {
+                    load.wanted.need = Need::Any;
+                }
             }
             None => self.pending.push_back(PendingLoad {
-                copy,
+                wanted,
                 at: now,
                 requests: 1,
             }),
--- a/crates/ploverwick_adapters/src/slots/answers.rs
+++ b/crates/ploverwick_adapters/src/slots/answers.rs
@@ -5,7 +5,10 @@
 
 use ploverwick_names::Moment;
 
-use super::{BaseState, Event, POLL_INTERVAL, REPORT_LAG, Slot, SlotState, Slots};
+use super::{
+    BaseState, CACHED_LOAD_TIMEOUT, Event, POLL_INTERVAL, REPORT_LAG, Slot, SlotState, Slots,
+    Wanted,
+};
 use crate::{Answer, Copy, Op, Order, Report};
 
 /// The delay from a load order to its first poll. An adapter cached at the endpoint loads in 25 to
@@ -13,8 +16,6 @@
 const FIRST_POLL_DELAY: Duration = Duration::from_millis(24);
 /// How often a load is polled while it may come from the endpoint's cache.
 const CACHED_POLL_INTERVAL: Duration = Duration::from_millis(8);
-/// How long after a load order an adapter that the endpoint has cached may still be loading.
-const CACHED_LOAD_TIMEOUT: Duration = Duration::from_millis(40);
 /// The delay from a load order to the first poll of a load from the weight store, which takes 250
 /// to 300 ms.
 const STORE_POLL_DELAY: Duration = Duration::from_millis(236);
@@ -97,6 +98,7 @@
         let loading = SlotState::Loading {
             poll_at: now,
             ordered_at: now,
+            is_cached: false,
         };
         for copy in &report.held {
             let (copy, slot) = slot(copy, SlotState::Held);
@@ -135,6 +137,7 @@
                 if let SlotState::Loading {
                     poll_at,
                     ordered_at,
+                    ..
                 } = &mut slot.state
                 {
                     *poll_at = if now.since(*ordered_at) < CACHED_LOAD_TIMEOUT {
@@ -147,10 +150,11 @@
             }
             (Op::Load, None) => {
                 self.advance();
-                self.pending.retain(|wanted| wanted.copy != copy);
+                let wanted = self.take_pending(&copy);
                 let loading = SlotState::Loading {
                     poll_at: now + FIRST_POLL_DELAY,
                     ordered_at: now,
+                    is_cached: wanted.is_some_and(|wanted| wanted.is_cached),
                 };
                 self.by_copy.insert(copy.clone(), Slot::new(loading, now));
                 Some(Event::Loading(copy))
@@ -179,7 +183,7 @@
         let copy = Copy::of(&order.model, adapter, version);
         match order.op {
             Op::Load => {
-                self.pending.retain(|wanted| wanted.copy != copy);
+                self.take_pending(&copy);
                 self.by_copy
                     .insert(copy.clone(), Slot::new(SlotState::Held, now));
                 Some(Event::Loaded(copy))
@@ -304,6 +308,12 @@
         self.require_report(now + REPORT_LAG);
     }
 
+    fn take_pending(&mut self, copy: &Copy) -> Option<Wanted> {
+        let mut pending = self.pending.iter();
+        let index = pending.position(|load| load.wanted.copy == *copy)?;
+        self.pending.remove(index).map(|load| load.wanted)
+    }
+
     fn slot_of(&mut self, order: &Order) -> Option<&mut Slot> {
         let (adapter, version) = order.adapter.clone()?;
         let copy = Copy::of(&order.model, adapter, version);
@@ -316,7 +326,7 @@
             return;
         };
         let copy = Copy::of(&order.model, adapter, version);
-        self.pending.retain(|wanted| wanted.copy != copy);
+        self.take_pending(&copy);
         self.by_copy.remove(&copy);
     }
 
--- a/crates/ploverwick_adapters/src/slots/plan.rs
+++ b/crates/ploverwick_adapters/src/slots/plan.rs
@@ -4,25 +4,22 @@
 
 use ploverwick_names::Moment;
 
-use super::{BaseState, POLL_INTERVAL, REPORT_LAG, Slot, SlotState, Slots, Step};
-use crate::{Copy, Order};
+use super::{
+    BaseState, MAX_CONCURRENT_LOADS, PENDING_TTL, POLL_INTERVAL, REPORT_LAG, Slot, SlotState,
+    Slots, Step,
+};
+use crate::{Copy, Order, Permit};
 
-/// The number of loads that the platform allows an endpoint to run at once.
-const MAX_CONCURRENT_LOADS: usize = 4;
 /// How long an adapter that was just loaded is protected from eviction: the request that waited for
 /// it is being sent, and the statement of its use arrives up to 150 ms later.
 const LOADED_GRACE: Duration = Duration::from_millis(350);
 /// How long an adapter is protected from eviction after its last use, as another request for it may
 /// be in transit.
 const USED_GRACE: Duration = Duration::from_millis(120);
-/// How long a requested load stays pending. Requests that still wait ask again every 70 ms, so that
-/// four lost messages in a row do not drop the load, and an adapter that is no longer needed is not
-/// loaded.
-const PENDING_TTL: Duration = Duration::from_millis(350);
 
 impl Slots {
-    /// Decides on the next step; `may_load` permits starting another load.
-    pub fn next_step(&mut self, now: Moment, may_load: bool) -> Step {
+    /// Decides on the next step; `permit` tells which loads may start.
+    pub fn next_step(&mut self, now: Moment, permit: Permit) -> Step {
         let Some(orders) = self.orders else {
             if now < self.report_at {
                 return Step::Wait(self.report_at);
@@ -41,7 +38,7 @@
         if let Some(order) = self.next_poll(orders, now) {
             return Step::Send(order);
         }
-        if may_load && let Some(order) = self.next_load(orders, now) {
+        if let Some(order) = self.next_load(orders, now, permit) {
             return Step::Send(order);
         }
         match self.next_poll_at() {
@@ -105,18 +102,17 @@
         self.assumed.as_ref() == Some(copy) && self.occupied() > self.capacity
     }
 
-    fn next_load(&mut self, orders: u64, now: Moment) -> Option<Order> {
+    fn next_load(&mut self, orders: u64, now: Moment, permit: Permit) -> Option<Order> {
         let slots = &self.by_copy;
-        self.pending.retain(|wanted| {
-            now.since(wanted.at) < PENDING_TTL && !slots.contains_key(&wanted.copy)
+        self.pending.retain(|load| {
+            now.since(load.at) < PENDING_TTL && !slots.contains_key(&load.wanted.copy)
         });
+        let permitted = self.pending.iter().rev();
+        let permitted = permitted.filter(|load| load.wanted.permit() <= permit);
         // Among equals the oldest comes first: `max_by_key` returns the last maximum.
-        let wanted = self
-            .pending
-            .iter()
-            .rev()
-            .max_by_key(|wanted| wanted.requests)?;
-        let wanted = wanted.copy.clone();
+        let next = permitted
+            .max_by_key(|load| (std::cmp::Reverse(load.wanted.permit()), load.requests))?;
+        let wanted = next.wanted.copy.clone();
         if self.loading() >= MAX_CONCURRENT_LOADS || !self.has_base(&wanted.key.model) {
             return None;
         }
--- a/crates/ploverwick_adapters/src/window.rs
+++ b/crates/ploverwick_adapters/src/window.rs
@@ -67,6 +67,12 @@
         self.size as usize
     }
 
+    /// Starts anew with a slow start, at `size` if it is known.
+    pub fn restart(&mut self, size: Option<f64>) {
+        self.size = size.unwrap_or(INITIAL_SIZE).clamp(MIN_SIZE, MAX_SIZE);
+        self.phase = Phase::SlowStart;
+    }
+
     /// Returns how long a load takes while the store is not overloaded; `None` before the first
     /// load from the store.
     pub fn load_time(&self) -> Option<Duration> {
--- a/crates/ploverwick_adapters/tests/copy_growth.rs
+++ b/crates/ploverwick_adapters/tests/copy_growth.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use ploverwick_adapters::{Copy, Key, Need, Placer, Report, Target};
+use ploverwick_adapters::{Copy, Demand, Key, Need, Placer, Report, Target};
 use ploverwick_names::Moment;
 
 const MODEL: &str = "base";
@@ -25,6 +25,12 @@
 /// Creates a placer and its targets, of which the first `holders` hold the adapter.
 fn placer(count: usize, holders: usize) -> (Placer, Vec<Target>) {
     let mut placer = Placer::default();
+    // The weight store bears more loads than one placer starts with.
+    let idle = Demand {
+        window: 40,
+        ..Demand::default()
+    };
+    placer.record_demand(&Arc::from("other"), idle, NOW);
     let mut targets = Vec::new();
     for n in 0..count {
         let endpoint: Arc<str> = Arc::from(format!("i-{n}").as_str());
@@ -49,7 +55,7 @@
 
 /// Requests the adapter as often as many concurrent requests do, and returns where it was placed.
 fn request_load(placer: &mut Placer, targets: &[Target], need: Need) -> HashSet<Arc<str>> {
-    let chosen = (0..50).filter_map(|_| placer.place(&hot(), targets, need, &[], NOW));
+    let chosen = (0..50).filter_map(|_| placer.place(&hot(), targets, need, &[], NOW).ok());
     chosen.collect()
 }
 
--- a/crates/ploverwick_adapters/tests/endpoint_choice.rs
+++ b/crates/ploverwick_adapters/tests/endpoint_choice.rs
@@ -57,7 +57,10 @@
     let previous_holders: Vec<Arc<str>> = is_cached.then(|| Arc::from("i-0")).into_iter().collect();
     let chosen = (0..100).filter_map(|n| {
         let wanted = copy(&format!("a{n}"));
-        placer(is_full).place(&wanted, &targets(waits), Need::Any, &previous_holders, NOW)
+        let mut placer = placer(is_full);
+        placer
+            .place(&wanted, &targets(waits), Need::Any, &previous_holders, NOW)
+            .ok()
     });
     chosen.filter(|id| **id == *"i-0").count()
 }
--- a/crates/ploverwick_adapters/tests/late_orders.rs
+++ b/crates/ploverwick_adapters/tests/late_orders.rs
@@ -21,7 +21,7 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use ploverwick_adapters::{Answer, Copy, Key, Op, Order, Report, Slots, Step};
+use ploverwick_adapters::{Answer, Copy, Key, Op, Order, Permit, Report, Slots, Step};
 use ploverwick_names::Moment;
 use proptest::prelude::*;
 
@@ -202,7 +202,7 @@
 
     /// Takes the next step; returns whether the endpoint has seen a higher token.
     fn take_step(&mut self, endpoint: &mut Endpoint, delivery: Delivery, now: Moment) -> bool {
-        match self.slots.next_step(now, true) {
+        match self.slots.next_step(now, Permit::All) {
             Step::Send(order) => {
                 let answer = send(endpoint, &order, self.token, delivery, now);
                 self.slots.handle_answer(&order, answer, now);
@@ -344,7 +344,7 @@
             self.now = self.now + Duration::from_millis(5);
             self.endpoint.step(self.now);
             self.run.slots.request_load(wanted.clone(), self.now);
-            match self.run.slots.next_step(self.now, true) {
+            match self.run.slots.next_step(self.now, Permit::All) {
                 Step::Send(order) => return Some(order),
                 Step::Report => {
                     let report = self.endpoint.report(self.now);
--- a/crates/ploverwick_adapters/tests/slot_limit.rs
+++ b/crates/ploverwick_adapters/tests/slot_limit.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use ploverwick_adapters::{Answer, Copy, Key, Op, Order, Report, Slots, Step};
+use ploverwick_adapters::{Answer, Copy, Key, Op, Order, Permit, Report, Slots, Step};
 use ploverwick_names::Moment;
 use proptest::prelude::*;
 
@@ -156,7 +156,7 @@
             endpoint.step(now);
             endpoint.in_use = vec![copy(version as u8, 1)];
             slots.request_load(copy(number, version), now);
-            match slots.next_step(now, true) {
+            match slots.next_step(now, Permit::All) {
                 Step::Send(order) => {
                     let answer = send(&mut endpoint, &order, delivery, now);
                     slots.handle_answer(&order, answer, now);
@@ -186,18 +186,21 @@
 fn unanswered_order_is_retried() {
     let mut slots = empty_slots();
     slots.request_load(copy(1, 1), Moment(1));
-    let Step::Send(order) = slots.next_step(Moment(1), true) else {
+    let Step::Send(order) = slots.next_step(Moment(1), Permit::All) else {
         panic!("an order was due");
     };
     slots.handle_answer(&order, Answer::Unknown, Moment(100));
-    expect_that!(slots.next_step(Moment(100), true), eq(&Step::Send(order)));
+    expect_that!(
+        slots.next_step(Moment(100), Permit::All),
+        eq(&Step::Send(order))
+    );
 }
 
 #[googletest::test]
 fn refused_retry_counts_as_accepted() {
     let mut slots = empty_slots();
     slots.request_load(copy(1, 1), Moment(1));
-    let Step::Send(order) = slots.next_step(Moment(1), true) else {
+    let Step::Send(order) = slots.next_step(Moment(1), Permit::All) else {
         panic!("an order was due");
     };
     slots.handle_answer(&order, Answer::Unknown, Moment(100));
@@ -234,7 +237,7 @@
         );
     }
     slots.request_load(copy(7, 1), Moment(600));
-    let Step::Send(order) = slots.next_step(Moment(600), true) else {
+    let Step::Send(order) = slots.next_step(Moment(600), Permit::All) else {
         panic!("an unload was due");
     };
     expect_that!(order.op, eq(Op::Unload));
@@ -251,7 +254,7 @@
     }
     slots.request_load(copy(7, 1), Moment(600));
     expect_that!(
-        slots.next_step(Moment(600), true),
+        slots.next_step(Moment(600), Permit::All),
         matches_pattern!(Step::Wait(_))
     );
 }
@@ -265,7 +268,7 @@
     }
     slots.request_load(copy(7, 1), Moment(1_100));
     expect_that!(
-        slots.next_step(Moment(1_100), true),
+        slots.next_step(Moment(1_100), Permit::All),
         matches_pattern!(Step::Send(_))
     );
 }
@@ -276,7 +279,7 @@
     slots.request_load(copy(1, 1), Moment(1));
     slots.request_load(copy(2, 1), Moment(2));
     slots.request_load(copy(2, 1), Moment(3));
-    let Step::Send(order) = slots.next_step(Moment(4), true) else {
+    let Step::Send(order) = slots.next_step(Moment(4), Permit::All) else {
         panic!("an order was due");
     };
     expect_that!(order.adapter, some(eq(&(Arc::from("a2"), 1))));
@@ -292,7 +295,7 @@
     };
     slots.handle_report(&report, Moment(0));
     slots.request_load(copy(1, 2), Moment(500));
-    let Step::Send(order) = slots.next_step(Moment(500), true) else {
+    let Step::Send(order) = slots.next_step(Moment(500), Permit::All) else {
         panic!("an order was due");
     };
     expect_that!(order.op, eq(Op::Unload));
@@ -310,11 +313,11 @@
     };
     slots.handle_report(&report, Moment(0));
     slots.request_load(copy(7, 1), Moment(1_000));
-    let Step::Send(first) = slots.next_step(Moment(1_000), true) else {
+    let Step::Send(first) = slots.next_step(Moment(1_000), Permit::All) else {
         panic!("an unload was due");
     };
     slots.handle_answer(&first, Answer::Conflict, Moment(1_003));
-    let Step::Send(second) = slots.next_step(Moment(1_003), true) else {
+    let Step::Send(second) = slots.next_step(Moment(1_003), Permit::All) else {
         panic!("another unload was due");
     };
     expect_that!(second.op, eq(Op::Unload));
@@ -331,7 +334,7 @@
         slots.record_use(&copy(number, 1), instance(1), 0, Moment(150));
     }
     slots.request_load(copy(7, 1), Moment(300));
-    let Step::Send(order) = slots.next_step(Moment(300), true) else {
+    let Step::Send(order) = slots.next_step(Moment(300), Permit::All) else {
         panic!("an unload was due");
     };
     expect_that!(order.adapter, some(not(eq(&(Arc::from("a3"), 1)))));
--- a/crates/ploverwick_adapters/tests/unresponsive_endpoint.rs
+++ b/crates/ploverwick_adapters/tests/unresponsive_endpoint.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use ploverwick_adapters::{Answer, Copy, Key, Need, Placer, Report, Step, Target};
+use ploverwick_adapters::{Answer, Copy, Key, Need, Permit, Placer, Report, Step, Target};
 use ploverwick_names::Moment;
 
 const MODEL: &str = "base";
@@ -50,9 +50,9 @@
 /// Sends the next orders to an endpoint, each with the same answer.
 fn orders(placer: &mut Placer, name: &str, answer: Answer, times: usize) {
     for _ in 0..times {
-        let may_load = placer.may_load();
+        let permit = placer.permit(name, Moment(1_000));
         let slots = placer.slots(name).expect("it was added");
-        match slots.next_step(Moment(1_000), may_load) {
+        match slots.next_step(Moment(1_000), permit) {
             Step::Send(order) => drop(slots.handle_answer(&order, answer, Moment(1_000))),
             Step::Report => slots.handle_missing_report(Moment(1_000)),
             Step::Wait(_) | Step::Idle => return,
@@ -77,7 +77,7 @@
     let first = first.expect("there are endpoints");
     orders(&mut placer, &first, Answer::Unknown, 4);
     let second = placer.place(&copy(1), &targets(&names), Need::Any, &[], at);
-    expect_that!(second, some(not(eq(&first))));
+    expect_that!(second, ok(not(eq(&first))));
 }
 
 #[googletest::test]
@@ -92,12 +92,14 @@
         }
         orders(&mut placer, name, Answer::Accepted, LOADS_PER_ENDPOINT);
     }
-    assert_that!(placer.may_load(), eq(false));
+    let waiting = placer.slots(&names[3]).expect("it was added");
+    waiting.request_load(copy(99), at);
+    assert_that!(placer.permit(&names[3], at), eq(Permit::Cached));
     let crashed = placer.slots(&names[0]).expect("it was added");
     for _ in 0..LOADS_PER_ENDPOINT {
         crashed.handle_missing_report(at);
     }
-    expect_that!(placer.may_load(), eq(true));
+    expect_that!(placer.permit(&names[3], at), eq(Permit::First));
 }
 
 #[googletest::test]
@@ -111,7 +113,7 @@
     }
     // This instance's own connection may be at fault.
     let chosen = placer.place(&copy(1), &targets(&names), Need::Any, &[], Moment(1_000));
-    expect_that!(chosen, some(anything()));
+    expect_that!(chosen, ok(anything()));
 }
 
 #[googletest::test]
--- a/crates/ploverwick_gateway/src/broadcast/periodic.rs
+++ b/crates/ploverwick_gateway/src/broadcast/periodic.rs
@@ -172,6 +172,7 @@
         capacity: shared.settings.capacity,
         placer_token,
         waiting: u32::try_from(state.placer.waiting()).unwrap_or(u32::MAX),
+        demand: placer_token.map(|_| state.placer.demand(shared.now())),
         read_states: state.read_states,
         loads: loads.collect(),
     }
--- a/crates/ploverwick_gateway/src/controllers/instances.rs
+++ b/crates/ploverwick_gateway/src/controllers/instances.rs
@@ -234,6 +234,7 @@
         last_seen: None,
         placer_token: None,
         waiting: 0,
+        demand: None,
         read_states: ReadStates::default(),
     });
     peer.ip = registration.ip;
--- a/crates/ploverwick_gateway/src/controllers/load_requests.rs
+++ b/crates/ploverwick_gateway/src/controllers/load_requests.rs
@@ -2,10 +2,11 @@
 
 use std::sync::Arc;
 
-use ploverwick_adapters::{Copy, Need, Target};
+use ploverwick_adapters::{Copy, Declined, Event, Need, Target};
 use ploverwick_endpoints::State as EndpointState;
 
 use crate::broadcast;
+use crate::metrics;
 use crate::shared::Shared;
 
 /// Requests the load of an adapter in a failure domain. Returns whether the domain has a placer to ask.
@@ -64,17 +65,42 @@
     let chosen = state
         .placer
         .place(copy, &targets, need, &previous_holders, now);
+    let is_news = chosen
+        .as_ref()
+        .is_ok_and(|endpoint| state.directory.mark_loading(endpoint, copy.clone(), now));
     drop(state);
-    if let Some(endpoint) = chosen {
-        spdlog::info!(
-            "adapter_placed adapter={} version={} endpoint={} need={:?} past={}",
-            copy.key,
-            copy.version,
-            endpoint,
-            need,
-            previous_holders.contains(&endpoint)
-        );
-        shared.orders_changed.notify_waiters();
+    if need == Need::Another {
+        metrics::adapter_copy(copy_outcome(&chosen));
+    }
+    match chosen {
+        Ok(endpoint) => {
+            spdlog::info!(
+                "adapter_placed adapter={} version={} endpoint={} need={:?} past={}",
+                copy.key,
+                copy.version,
+                endpoint,
+                need,
+                previous_holders.contains(&endpoint)
+            );
+            shared.orders_changed.notify_waiters();
+            // Instances that need it now ask for it here, not in another failure domain.
+            if is_news {
+                broadcast::send_event(shared, &endpoint, &Event::Loading(copy.clone()));
+            }
+        }
+        Err(Declined::NoRoom) => {
+            spdlog::debug!("copy_refused adapter={} version={}", copy.key, copy.version);
+        }
+        Err(Declined::Expected | Declined::NoEndpoint) => {}
+    }
+}
+
+fn copy_outcome(chosen: &Result<Arc<str>, Declined>) -> &'static str {
+    match chosen {
+        Ok(_) => "granted",
+        Err(Declined::Expected) => "expected",
+        Err(Declined::NoRoom) => "no_room",
+        Err(Declined::NoEndpoint) => "no_endpoint",
     }
 }
 
--- a/crates/ploverwick_gateway/src/controllers/orders.rs
+++ b/crates/ploverwick_gateway/src/controllers/orders.rs
@@ -130,10 +130,10 @@
     if let Some(wait) = state.pauses.wait(endpoint, now) {
         return Some((Step::Wait(now + wait), entry, token));
     }
-    let may_load = state.placer.may_load();
+    let permit = state.placer.permit(endpoint, now);
     let load_limit = load_limit(shared, &state, &entry);
     let slots = state.placer.slots(endpoint)?;
-    let step = slots.next_step(now, may_load);
+    let step = slots.next_step(now, permit);
     if let Step::Send(order) = &step
         && slots.starts_base_load(order)
     {
@@ -300,8 +300,9 @@
 fn apply_event(shared: &Arc<Shared>, endpoint: &Arc<str>, event: &Event) {
     let now = shared.now();
     let mut state = shared.state();
+    let mut is_news = true;
     match event {
-        Event::Loading(copy) => state.directory.mark_loading(endpoint, copy.clone(), now),
+        Event::Loading(copy) => is_news = state.directory.mark_loading(endpoint, copy.clone(), now),
         Event::Loaded(copy) => state.directory.mark_loaded(endpoint, copy.clone(), now),
         Event::Unloaded(copy) => state.directory.mark_unloaded(endpoint, copy),
         Event::Reported(copies) => state.directory.apply_report(endpoint, copies.clone(), now),
@@ -309,8 +310,10 @@
             spdlog::info!("base_loaded endpoint={} model={}", endpoint, model);
         }
     }
-    let (in_flight, window) = state.placer.loads_in_flight();
+    let demand = state.placer.demand(now);
+    let limit = state.placer.load_limit(now);
     drop(state);
+    metrics::adapter_loads(demand, limit);
     let log_event = match event {
         Event::Loading(copy) => Some(("adapter_ordered", copy)),
         Event::Loaded(copy) => Some(("adapter_loaded", copy)),
@@ -319,17 +322,21 @@
     };
     if let Some((event_name, copy)) = log_event {
         spdlog::info!(
-            "{} adapter={} version={} endpoint={} coming={} window={}",
+            "{} adapter={} version={} endpoint={} coming={} window={} limit={} waiting={}",
             event_name,
             copy.key,
             copy.version,
             endpoint,
-            in_flight,
-            window
+            demand.in_flight,
+            demand.window,
+            limit,
+            demand.waiting
         );
     }
     shared.placement_changed.notify_waiters();
-    broadcast::send_event(shared, endpoint, event);
+    if is_news {
+        broadcast::send_event(shared, endpoint, event);
+    }
 }
 
 /// Sends a request and reads the whole answer; returns `None` on an error or a timeout.
--- a/crates/ploverwick_gateway/src/controllers/placer_lease.rs
+++ b/crates/ploverwick_gateway/src/controllers/placer_lease.rs
@@ -125,7 +125,7 @@
         return;
     }
     // Another holder may have changed everything in the meantime.
-    state.placer.clear();
+    state.placer.clear(now);
     drop(state);
     spdlog::info!("tenure held={} grant={:?}", is_held, grant);
     shared.orders_changed.notify_waiters();
@@ -135,7 +135,7 @@
     let now = shared.now();
     let mut state = shared.state();
     state.placer_lease.release(now);
-    state.placer.clear();
+    state.placer.clear(now);
 }
 
 async fn leave(shared: &Shared, group: &str) {
--- a/crates/ploverwick_gateway/src/filters/missing_adapter.rs
+++ b/crates/ploverwick_gateway/src/filters/missing_adapter.rs
@@ -13,23 +13,36 @@
     let Some(domain) = choose_domain(shared, request, copy) else {
         return;
     };
-    // Endpoints that hold the adapter cannot be used: they are ejected or were tried already.
-    let holders = shared.state().directory.holders(&copy.key, copy.version);
-    let need = if holders.is_empty() {
-        Need::Any
-    } else {
+    load_requests::request_load(shared, &domain, copy, need(shared, copy));
+}
+
+/// Returns why a request needs the load: if an endpoint that holds the adapter is available, the request has tried
+/// it already.
+fn need(shared: &Shared, copy: &Copy) -> Need {
+    let now = shared.now();
+    let state = shared.state();
+    let holders = state.directory.holders(&copy.key, copy.version);
+    let is_available = |id: &Arc<str>| state.fleet.is_ready(id) && !state.fleet.is_ejected(id, now);
+    if holders.iter().any(is_available) {
         Need::Another
-    };
-    load_requests::request_load(shared, &domain, copy, need);
+    } else {
+        Need::Any
+    }
 }
 
-/// Chooses the failure domain that loads an adapter; `None` if it is being loaded already or no domain can load
-/// it.
+/// Chooses the failure domain that loads an adapter; `None` if no domain can load it.
 fn choose_domain(shared: &Shared, request: &AdmittedRequest, copy: &Copy) -> Option<Arc<str>> {
     let now = shared.now();
     let state = shared.state();
-    if state.directory.loading_on(copy, now).is_some() {
-        return None;
+    // Once an adapter is placed, all requests for it go to the same placer, so that it is loaded once.
+    if let Some(endpoint) = state.directory.loading_on(copy, now)
+        && let Some(entry) = state.fleet.entry(endpoint)
+        && !state.fleet.is_ejected(endpoint, now)
+        && state
+            .waiting_in(&entry.domain, &shared.settings, now)
+            .is_some()
+    {
+        return Some(Arc::clone(&entry.domain));
     }
     let names = shared.settings.domains.iter();
     let domains: Vec<Domain<'_>> = names
--- a/crates/ploverwick_gateway/src/listen.rs
+++ b/crates/ploverwick_gateway/src/listen.rs
@@ -56,6 +56,7 @@
             capacity,
             placer_token,
             waiting,
+            demand,
             read_states,
             loads,
         } => {
@@ -66,6 +67,7 @@
                 last_seen: Some(now),
                 placer_token,
                 waiting,
+                demand,
                 read_states,
             };
             handle_status(shared, instance, peer, loads);
@@ -143,6 +145,11 @@
     }
     let now = shared.now();
     let mut state = shared.state();
+    if let Some(demand) = peer.demand
+        && peer.domain != shared.settings.domain
+    {
+        state.placer.record_demand(&peer.domain, demand, now);
+    }
     state.peers.insert(Arc::clone(&instance), peer);
     shared.count_instances(&mut state);
     let loads = loads.into_iter().map(|load| {
@@ -186,7 +193,7 @@
             kind,
         } = change;
         match kind {
-            ChangeKind::Loading => state.directory.mark_loading(&endpoint, copy, now),
+            ChangeKind::Loading => drop(state.directory.mark_loading(&endpoint, copy, now)),
             ChangeKind::Loaded => state.directory.mark_loaded(&endpoint, copy, now),
             ChangeKind::Unloaded => state.directory.mark_unloaded(&endpoint, &copy),
         }
--- a/crates/ploverwick_gateway/src/messages.rs
+++ b/crates/ploverwick_gateway/src/messages.rs
@@ -6,7 +6,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex};
 
-use ploverwick_adapters::{Copy, Key, Need};
+use ploverwick_adapters::{Copy, Demand, Key, Need};
 use ploverwick_endpoints::{Entry, LimitUpdate};
 use ploverwick_names::Moment;
 use ploverwick_quarantine::DIGEST_BUCKETS;
@@ -73,7 +73,7 @@
 /// How an adapter changed at an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum ChangeKind {
-    /// The endpoint is loading it.
+    /// The endpoint is loading it or is about to.
     Loading,
     /// The endpoint now holds it.
     Loaded,
@@ -111,6 +111,8 @@
         placer_token: Option<u64>,
         /// The number of adapters that wait for placement, if it is the placer.
         waiting: u32,
+        /// Its demand for loads from the weight store, if it is the placer.
+        demand: Option<Demand>,
         /// How far it has read each topic of the store, and whether it reads for others.
         read_states: ReadStates,
         loads: Vec<EndpointLoad>,
--- a/crates/ploverwick_gateway/src/metrics.rs
+++ b/crates/ploverwick_gateway/src/metrics.rs
@@ -15,6 +15,7 @@
 use hyper_util::rt::TokioIo;
 use metrics::{counter, gauge, histogram};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use ploverwick_adapters::Demand;
 use ploverwick_codes::Code;
 use ploverwick_names::Moment;
 use ploverwick_quarantine::Diagnosis;
@@ -113,6 +114,19 @@
     counter!("ploverwick_endpoints_draining_total").increment(1);
 }
 
+/// Sets the gauges of loads from the weight store that this instance, a placer, runs or may run.
+pub(crate) fn adapter_loads(demand: Demand, limit: usize) {
+    gauge!("ploverwick_adapter_loads_in_flight").set(demand.in_flight);
+    gauge!("ploverwick_adapter_loads_waiting").set(demand.waiting);
+    gauge!("ploverwick_adapter_load_window").set(demand.window);
+    gauge!("ploverwick_adapter_load_limit").set(limit as f64);
+}
+
+/// Counts a requested copy of an adapter that is held already, by what the placer decided.
+pub(crate) fn adapter_copy(outcome: &'static str) {
+    counter!("ploverwick_adapter_copies_total", "outcome" => outcome).increment(1);
+}
+
 /// Counts a pause that an endpoint requested while it was not already pausing.
 pub(crate) fn endpoint_paused() {
     counter!("ploverwick_endpoint_pauses_total").increment(1);
--- a/crates/ploverwick_gateway/src/state.rs
+++ b/crates/ploverwick_gateway/src/state.rs
@@ -5,7 +5,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ploverwick_adapters::{Copy, Directory, Lease, LeasePolicy, LoadLimiter, Placer, Watermark};
+use ploverwick_adapters::{
+    Copy, Demand, Directory, Lease, LeasePolicy, LoadLimiter, Placer, Watermark,
+};
 use ploverwick_endpoints::{
     Balance, Budget, DrainingReports, Entry, Fleet, Held, InstanceCount, Limits, Pauses,
     RetryPolicy,
@@ -43,6 +45,8 @@
     pub(crate) placer_token: Option<u64>,
     /// The number of adapters that wait for placement in its failure domain, if it is the placer.
     pub(crate) waiting: u32,
+    /// Its demand for loads from the weight store, if it is the placer.
+    pub(crate) demand: Option<Demand>,
     /// How far it has read each topic of the store.
     pub(crate) read_states: ReadStates,
 }
