--- a/crates/ploverwick_adapters/src/placer.rs
+++ b/crates/ploverwick_adapters/src/placer.rs
@@ -13,6 +13,9 @@
 /// The number of endpoints, by hash, among which an adapter is placed. It is small so that the
 /// adapter returns to an endpoint that has it cached, even after all instances were restarted.
 const PREFERRED_ENDPOINTS: usize = 4;
+/// How long the plan of loads that may start is valid. Endpoints with pending loads ask for it every
+/// 18 ms.
+const PLAN_INTERVAL: Duration = Duration::from_millis(10);
 // Costs and bonuses of an endpoint, in tenths of a second until it can serve the adapter.
 
 /// The cost of each load running at the endpoint, which delays the next order.
@@ -61,12 +64,24 @@
     pub wait: Duration,
 }
 
+/// The loads that may start, computed at intervals because all endpoints take part.
+#[derive(Debug, Default)]
+struct Plan {
+    computed_at: Option<Moment>,
+    /// The number of loads that may start.
+    room: usize,
+    /// The endpoints with a first copy to load and how many requests were made for it, those with
+    /// the most first.
+    first_copies: Vec<(u32, Arc<str>)>,
+}
+
 /// Places adapters at the endpoints of one failure domain.
 #[derive(Debug, Default)]
 pub struct Placer {
     endpoints: HashMap<Arc<str>, Slots>,
     window: Window,
     budget: Budget,
+    plan: Plan,
 }
 
 impl Placer {
@@ -115,34 +130,41 @@
 
     /// Returns which loads may start at an endpoint. Loads at unresponsive endpoints, which may
     /// have crashed, do not count.
-    pub fn permit(&self, endpoint: &str, now: Moment) -> Permit {
-        let Some(slots) = self.endpoints.get(endpoint).filter(|s| s.waiting() > 0) else {
-            return Permit::Cached;
-        };
-        let room = self.load_limit(now).saturating_sub(self.store_loads(now));
-        if room == 0 {
+    pub fn permit(&mut self, endpoint: &str, now: Moment) -> Permit {
+        let slots = self.endpoints.get(endpoint);
+        if slots.is_none_or(|slots| slots.waiting() == 0) {
             return Permit::Cached;
         }
-        let own = slots.next_first_copy(now);
-        let others = self.endpoints.iter().filter(|(id, _)| &***id != endpoint);
-        let others = others.filter_map(|(id, slots)| Some((slots.next_first_copy(now)?, id)));
-        match own {
-            // The adapters that most requests wait for are loaded first.
-            Some(requests) => {
-                let before = others.filter(|(other, id)| {
-                    *other > requests || (*other == requests && &***id < endpoint)
-                });
-                if before.count() < room {
-                    Permit::First
-                } else {
-                    Permit::Cached
-                }
-            }
-            None if others.count() < room => Permit::All,
+        let computed_at = self.plan.computed_at;
+        if computed_at.is_none_or(|at| now.since(at) >= PLAN_INTERVAL) {
+            self.plan = self.make_plan(now);
+        }
+        let plan = &self.plan;
+        let mut first_copies = plan.first_copies.iter();
+        match first_copies.position(|(_, id)| **id == *endpoint) {
+            _ if plan.room == 0 => Permit::Cached,
+            Some(position) if position < plan.room => Permit::First,
+            Some(_) => Permit::Cached,
+            None if plan.first_copies.len() < plan.room => Permit::All,
             None => Permit::First,
         }
     }
 
+    fn make_plan(&self, now: Moment) -> Plan {
+        let first_copies = self.endpoints.iter().filter_map(|(id, slots)| {
+            let requests = slots.next_first_copy(now)?;
+            Some((requests, Arc::clone(id)))
+        });
+        let mut first_copies: Vec<(u32, Arc<str>)> = first_copies.collect();
+        // The adapters that most requests wait for are loaded first.
+        first_copies.sort_unstable_by(|a, b| b.cmp(a));
+        Plan {
+            computed_at: Some(now),
+            room: self.load_limit(now).saturating_sub(self.store_loads(now)),
+            first_copies,
+        }
+    }
+
     /// Returns an endpoint's slots.
     pub fn slots(&mut self, endpoint: &str) -> Option<&mut Slots> {
         self.endpoints.get_mut(endpoint)
@@ -169,6 +191,11 @@
         if let (Some(started), Some(Event::Loaded(_))) = (load_started, &event) {
             self.window.record_load(started, now, in_flight, limit);
         }
+        match &event {
+            Some(Event::Loading(_)) => self.plan.room = self.plan.room.saturating_sub(1),
+            Some(Event::Loaded(_)) => self.plan.computed_at = None,
+            _ => {}
+        }
         event
     }
 
--- a/crates/ploverwick_adapters/src/slots/answers.rs
+++ b/crates/ploverwick_adapters/src/slots/answers.rs
@@ -6,8 +6,8 @@
 use ploverwick_names::Moment;
 
 use super::{
-    BaseState, CACHED_LOAD_TIMEOUT, Event, POLL_INTERVAL, REPORT_LAG, Slot, SlotState, Slots,
-    Wanted,
+    BaseState, CACHED_LOAD_TIMEOUT, Event, MAX_MISSED_ANSWERS, POLL_INTERVAL, REPORT_LAG, Slot,
+    SlotState, Slots, Wanted,
 };
 use crate::{Answer, Copy, Op, Order, Report};
 
@@ -31,6 +31,9 @@
         let is_retry = self.unanswered.take().is_some();
         self.last_order = Some(now);
         self.record_contact(!matches!(answer, Answer::Unknown | Answer::Gone), now);
+        if answer == Answer::Gone {
+            self.record_gone();
+        }
         if self.is_presence_check(order) {
             return self.on_presence_answer(order, answer, now);
         }
@@ -353,6 +356,13 @@
         }
     }
 
+    /// Treats an endpoint that accepts no connection as unresponsive at once: nothing can be loaded
+    /// there until it has sent a report.
+    fn record_gone(&mut self) {
+        self.missed_answers = self.missed_answers.max(MAX_MISSED_ANSWERS);
+        self.pending.clear();
+    }
+
     fn require_report(&mut self, at: Moment) {
         self.unanswered = None;
         self.orders = None;
--- a/crates/ploverwick_gateway/src/filters/missing_adapter.rs
+++ b/crates/ploverwick_gateway/src/filters/missing_adapter.rs
@@ -1,6 +1,7 @@
 //! Requests the load of an adapter that no available endpoint holds.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use ploverwick_adapters::{Copy, Domain, Need};
 
@@ -8,12 +9,28 @@
 use crate::controllers::load_requests;
 use crate::shared::Shared;
 
-/// Requests the load of an adapter in the failure domain chosen for it.
-pub(super) fn request_load(shared: &Arc<Shared>, request: &AdmittedRequest, copy: &Copy) {
-    let Some(domain) = choose_domain(shared, request, copy) else {
-        return;
-    };
+/// Requests the load of an adapter in the failure domain chosen for it. Returns how long the load is expected to
+/// take if it is not running yet.
+pub(super) fn request_load(
+    shared: &Arc<Shared>,
+    request: &AdmittedRequest,
+    copy: &Copy,
+) -> Option<Duration> {
+    let domain = choose_domain(shared, request, copy)?;
+    let is_coming = is_coming(shared, copy);
     load_requests::request_load(shared, &domain, copy, need(shared, copy));
+    if is_coming {
+        return None;
+    }
+    let now = shared.now();
+    let state = shared.state();
+    state.expected_load_wait(&domain, &shared.settings, now)
+}
+
+/// Returns whether an adapter is being loaded or was placed recently.
+pub(super) fn is_coming(shared: &Shared, copy: &Copy) -> bool {
+    let now = shared.now();
+    shared.state().directory.loading_on(copy, now).is_some()
 }
 
 /// Returns why a request needs the load: if an endpoint that holds the adapter is available, the request has tried
--- a/crates/ploverwick_gateway/src/filters/select.rs
+++ b/crates/ploverwick_gateway/src/filters/select.rs
@@ -38,6 +38,9 @@
 /// The maximum `Retry-After` if no endpoint accepts requests from this instance. Other instances may still be able
 /// to send.
 const MAX_LIMITED_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// The number of load requests without effect after which a request may use an endpoint again that it has tried.
+/// A copy for a single request is loaded only while the weight store has room.
+const MAX_FUTILE_LOAD_REQUESTS: u32 = 2;
 /// The fraction of the time until the client disconnects for which a request waits for its adapter.
 const LOAD_WAIT_RATIO: f64 = 0.4;
 
@@ -73,9 +76,16 @@
         .saturating_duration_since(started);
     let deadline = started + timeout.mul_f64(LOAD_WAIT_RATIO);
     let mut load_requests = 0;
+    let mut expected = None;
     loop {
         let changed = shared.placement_changed.notified();
         let (choice, newest) = select_holder(shared, request, key, except);
+        let (choice, newest) = match choice {
+            Choice::Wait if may_reuse(shared, except, load_requests, &newest) => {
+                select_holder(shared, request, key, &[])
+            }
+            _ => (choice, newest),
+        };
         match choice {
             Choice::Selected(target) => {
                 metrics::adapter_wait(started.elapsed());
@@ -90,14 +100,19 @@
         let now = Instant::now();
         if now >= deadline {
             let detail = format!("adapter {key}, asked {load_requests} times");
-            return Err(Reply::new(Code::LoadFailed, detail).retry_after(NOT_LOADED_RETRY_AFTER));
+            let retry_after = expected.unwrap_or(NOT_LOADED_RETRY_AFTER);
+            return Err(Reply::new(Code::LoadFailed, detail).retry_after(retry_after));
         }
         // Every load of any adapter wakes this task, so load requests are paced separately.
         let request_at = started + LOAD_REQUEST_INTERVAL * load_requests;
         if now >= request_at {
-            missing_adapter::request_load(shared, request, &newest);
+            expected = missing_adapter::request_load(shared, request, &newest);
             load_requests += 1;
         }
+        if let Some(wait) = expected.filter(|wait| now + *wait > deadline) {
+            let detail = format!("adapter {key}, expected in {} ms", wait.as_millis());
+            return Err(Reply::new(Code::LoadFailed, detail).retry_after(wait));
+        }
         tokio::select! {
             () = changed => {}
             () = tokio::time::sleep_until(started + LOAD_REQUEST_INTERVAL * load_requests) => {}
@@ -105,6 +120,14 @@
     }
 }
 
+/// Returns whether a request may use an endpoint again that it has tried, because no other copy of its adapter is
+/// on its way.
+fn may_reuse(shared: &Shared, except: &[Arc<str>], load_requests: u32, newest: &Copy) -> bool {
+    !except.is_empty()
+        && load_requests >= MAX_FUTILE_LOAD_REQUESTS
+        && !missing_adapter::is_coming(shared, newest)
+}
+
 enum Choice {
     Selected(Box<Target>),
     Full,
--- a/crates/ploverwick_gateway/src/state.rs
+++ b/crates/ploverwick_gateway/src/state.rs
@@ -230,6 +230,22 @@
         is_alive.then_some(placer.waiting)
     }
 
+    /// Returns how long an adapter that is requested in a failure domain now takes to load; `None` if its
+    /// placer has not stated it.
+    pub(crate) fn expected_load_wait(
+        &self,
+        domain: &str,
+        settings: &Settings,
+        now: Moment,
+    ) -> Option<Duration> {
+        if *domain == *settings.domain && self.placer_lease.is_held(now) {
+            return self.placer.demand(now).expected_wait();
+        }
+        let ip = self.placer_of(domain, now)?;
+        let placer = self.peers.values().find(|peer| peer.ip == ip)?;
+        placer.demand?.expected_wait()
+    }
+
     /// Returns how many live instances of this failure domain rank before this one. The
     /// highest-ranked instances read the store for the others.
     pub(crate) fn rank(&self, settings: &Settings, now: Moment) -> usize {
