Load by weight of the waiting requests, and answer requests for adapters that are held

Requests for a load carry a weight by priority; of all endpoints of a domain, those with the greatest weight waiting load first. A placer that is asked for an adapter that is held tells the asker where, as the message on the load may have been lost.

--- a/crates/ploverwick_adapters/src/lib.rs
+++ b/crates/ploverwick_adapters/src/lib.rs
@@ -27,7 +27,7 @@
 pub use load_limit::{LoadLimit, LoadLimiter};
 pub use order::{Answer, Op, Order, Report};
 pub use permit::Permit;
-pub use placer::{Declined, Need, Placer, Target};
+pub use placer::{Declined, Need, Placer, Request, Target};
 pub use slots::{Event, Slots, Step, Wanted};
 pub use staleness::StalenessPolicy;
 pub use version_history::{Since, VersionHistory};
--- a/crates/ploverwick_adapters/src/placer.rs
+++ b/crates/ploverwick_adapters/src/placer.rs
@@ -44,10 +44,31 @@
     Another,
 }
 
+/// A request to have an adapter loaded.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Request {
+    /// The adapter.
+    pub copy: Copy,
+    /// Why it is requested.
+    pub need: Need,
+    /// How urgent it is: the number of requests of the lowest priority that it stands for.
+    pub weight: u32,
+}
+
+impl Request {
+    /// Creates a request of the lowest priority.
+    pub fn new(copy: Copy, need: Need) -> Self {
+        let weight = 1;
+        Self { copy, need, weight }
+    }
+}
+
 /// Why an adapter is not placed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Declined {
-    /// An endpoint already holds it or is about to load it.
+    /// An endpoint already holds it.
+    Held(Arc<str>),
+    /// An endpoint is about to load it.
     Expected,
     /// It would be a further copy, and adapters without any need the weight store.
     NoRoom,
@@ -70,8 +91,7 @@
     computed_at: Option<Moment>,
     /// The number of loads that may start.
     room: usize,
-    /// The endpoints with a first copy to load and how many requests were made for it, those with
-    /// the most first.
+    /// The endpoints with a first copy to load and its weight, the greatest first.
     first_copies: Vec<(u32, Arc<str>)>,
 }
 
@@ -152,11 +172,10 @@
 
     fn make_plan(&self, now: Moment) -> Plan {
         let first_copies = self.endpoints.iter().filter_map(|(id, slots)| {
-            let requests = slots.next_first_copy(now)?;
-            Some((requests, Arc::clone(id)))
+            let weight = slots.next_first_copy(now)?;
+            Some((weight, Arc::clone(id)))
         });
         let mut first_copies: Vec<(u32, Arc<str>)> = first_copies.collect();
-        // The adapters that most requests wait for are loaded first.
         first_copies.sort_unstable_by(|a, b| b.cmp(a));
         Plan {
             computed_at: Some(now),
@@ -230,12 +249,12 @@
     /// Returns why the adapter is not placed.
     pub fn place(
         &mut self,
-        copy: &Copy,
+        request: &Request,
         targets: &[Target],
-        need: Need,
         previous_holders: &[Arc<str>],
         now: Moment,
     ) -> Result<Arc<str>, Declined> {
+        let Request { copy, need, .. } = request;
         let slots_of = |target: &Target| &self.endpoints[&target.endpoint];
         let has_slots = |target: &&Target| self.endpoints.contains_key(&target.endpoint);
         // Loads do not complete at an unresponsive endpoint. If all are unresponsive, this
@@ -255,7 +274,7 @@
         let first = expecting.next();
         // As many copies may be loading as are held: the number of copies of a busy adapter
         // doubles.
-        let max_expected = match need {
+        let max_expected = match *need {
             Need::Any => 1,
             Need::Another => holding.count().max(1),
         };
@@ -263,20 +282,20 @@
             && expecting.count() + 1 >= max_expected
         {
             let endpoint = Arc::clone(&target.endpoint);
-            let wanted = wanted(copy, need, &endpoint, previous_holders);
+            let wanted = wanted(request, &endpoint, previous_holders);
             // Keeps the pending load from expiring while it is requested.
             self.request(&endpoint, wanted, now);
             return Err(Declined::Expected);
         }
-        if need == Need::Any
-            && targets
+        if *need == Need::Any
+            && let Some(target) = targets
                 .iter()
                 .filter(known)
-                .any(|target| slots_of(target).holds(copy))
+                .find(|target| slots_of(target).holds(copy))
         {
-            return Err(Declined::Expected);
+            return Err(Declined::Held(Arc::clone(&target.endpoint)));
         }
-        let needs_cached = need == Need::Another && !self.has_room_for_copy(now);
+        let needs_cached = *need == Need::Another && !self.has_room_for_copy(now);
         let is_permitted =
             |target: &&Target| !needs_cached || previous_holders.contains(&target.endpoint);
         let key = copy.key.to_string();
@@ -308,7 +327,7 @@
             });
         };
         let endpoint = Arc::clone(&best.endpoint);
-        let wanted = wanted(copy, need, &endpoint, previous_holders);
+        let wanted = wanted(request, &endpoint, previous_holders);
         self.request(&endpoint, wanted, now);
         Ok(endpoint)
     }
@@ -320,11 +339,12 @@
     }
 }
 
-fn wanted(copy: &Copy, need: Need, endpoint: &Arc<str>, previous_holders: &[Arc<str>]) -> Wanted {
+fn wanted(request: &Request, endpoint: &Arc<str>, previous_holders: &[Arc<str>]) -> Wanted {
     Wanted {
-        copy: copy.clone(),
-        need,
+        copy: request.copy.clone(),
+        need: request.need,
         is_cached: previous_holders.contains(endpoint),
+        weight: request.weight,
     }
 }
 
--- a/crates/ploverwick_adapters/src/slots.rs
+++ b/crates/ploverwick_adapters/src/slots.rs
@@ -145,6 +145,8 @@
     pub need: Need,
     /// Whether the endpoint is expected to have it cached.
     pub is_cached: bool,
+    /// How urgent the request for it is: how many requests of the lowest priority it stands for.
+    pub weight: u32,
 }
 
 impl Wanted {
@@ -162,8 +164,9 @@
 struct PendingLoad {
     wanted: Wanted,
     at: Moment,
-    /// How often the load was requested, which grows with the number of waiting requests.
-    requests: u32,
+    /// The sum of the weights with which the load was requested. Requests that wait ask again, so it
+    /// grows with their number.
+    weight: u32,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -319,8 +322,8 @@
         (of(Permit::First).count(), of(Permit::All).count())
     }
 
-    /// Returns how many requests were made for the pending first copy that would be loaded next;
-    /// `None` if there is none or it cannot start now.
+    /// Returns the weight of the pending first copy that would be loaded next; `None` if there is none
+    /// or it cannot start now.
     pub fn next_first_copy(&self, now: Moment) -> Option<u32> {
         let can_load = self.is_known()
             && !self.is_unresponsive()
@@ -330,7 +333,7 @@
         let pending = self.pending.iter().filter(|load| {
             load.wanted.permit() == Permit::First && now.since(load.at) < PENDING_TTL
         });
-        pending.map(|load| load.requests).max().filter(|_| can_load)
+        pending.map(|load| load.weight).max().filter(|_| can_load)
     }
 
     /// Returns whether a pending load could start soon: a slot is free or its adapter is unused.
@@ -363,11 +366,12 @@
             copy,
             need: Need::Any,
             is_cached: false,
+            weight: 1,
         };
         self.request(wanted, now);
     }
 
-    /// Requests that an adapter be loaded; the adapters requested most often are loaded first.
+    /// Requests that an adapter be loaded; those with the greatest weight are loaded first.
     pub fn request(&mut self, wanted: Wanted, now: Moment) {
         if let Some(slot) = self.by_copy.get_mut(&wanted.copy) {
             slot.last_used = now;
@@ -377,15 +381,15 @@
         match pending.find(|load| load.wanted.copy == wanted.copy) {
             Some(load) => {
                 load.at = now;
-                load.requests += 1;
+                load.weight = load.weight.saturating_add(wanted.weight);
                 if wanted.need == Need::Any {
                     load.wanted.need = Need::Any;
                 }
             }
             None => self.pending.push_back(PendingLoad {
+                weight: wanted.weight,
                 wanted,
                 at: now,
-                requests: 1,
             }),
         }
     }
--- a/crates/ploverwick_adapters/src/slots/plan.rs
+++ b/crates/ploverwick_adapters/src/slots/plan.rs
@@ -110,8 +110,8 @@
         let permitted = self.pending.iter().rev();
         let permitted = permitted.filter(|load| load.wanted.permit() <= permit);
         // Among equals the oldest comes first: `max_by_key` returns the last maximum.
-        let next = permitted
-            .max_by_key(|load| (std::cmp::Reverse(load.wanted.permit()), load.requests))?;
+        let next =
+            permitted.max_by_key(|load| (std::cmp::Reverse(load.wanted.permit()), load.weight))?;
         let wanted = next.wanted.copy.clone();
         if self.loading() >= MAX_CONCURRENT_LOADS || !self.has_base(&wanted.key.model) {
             return None;
--- a/crates/ploverwick_adapters/tests/copy_growth.rs
+++ b/crates/ploverwick_adapters/tests/copy_growth.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use ploverwick_adapters::{Copy, Demand, Key, Need, Placer, Report, Target};
+use ploverwick_adapters::{Copy, Demand, Key, Need, Placer, Report, Request, Target};
 use ploverwick_names::Moment;
 
 const MODEL: &str = "base";
@@ -55,7 +55,11 @@
 
 /// Requests the adapter as often as many concurrent requests do, and returns where it was placed.
 fn request_load(placer: &mut Placer, targets: &[Target], need: Need) -> HashSet<Arc<str>> {
-    let chosen = (0..50).filter_map(|_| placer.place(&hot(), targets, need, &[], NOW).ok());
+    let chosen = (0..50).filter_map(|_| {
+        placer
+            .place(&Request::new(hot(), need), targets, &[], NOW)
+            .ok()
+    });
     chosen.collect()
 }
 
--- a/crates/ploverwick_adapters/tests/endpoint_choice.rs
+++ b/crates/ploverwick_adapters/tests/endpoint_choice.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use ploverwick_adapters::{Copy, Key, Need, Placer, Report, Target};
+use ploverwick_adapters::{Copy, Key, Need, Placer, Report, Request, Target};
 use ploverwick_names::Moment;
 
 const MODEL: &str = "base";
@@ -59,7 +59,12 @@
         let wanted = copy(&format!("a{n}"));
         let mut placer = placer(is_full);
         placer
-            .place(&wanted, &targets(waits), Need::Any, &previous_holders, NOW)
+            .place(
+                &Request::new(wanted.clone(), Need::Any),
+                &targets(waits),
+                &previous_holders,
+                NOW,
+            )
             .ok()
     });
     chosen.filter(|id| **id == *"i-0").count()
--- a/crates/ploverwick_adapters/tests/load_budget.rs
+++ b/crates/ploverwick_adapters/tests/load_budget.rs
@@ -6,8 +6,8 @@
 
 use googletest::prelude::*;
 use ploverwick_adapters::{
-    Answer, Budget, Copy, Declined, Demand, Event, Need, Op, Order, Permit, Placer, Report, Step,
-    Target,
+    Answer, Budget, Copy, Declined, Demand, Event, Need, Op, Order, Permit, Placer, Report,
+    Request, Step, Target,
 };
 use ploverwick_names::Moment;
 
@@ -63,7 +63,7 @@
         let now = self.now;
         let (placer, targets) = &mut self.placers[domain];
         for copy in adapters {
-            let _ = placer.place(copy, targets, Need::Any, &[], now);
+            let _ = placer.place(&Request::new(copy.clone(), Need::Any), targets, &[], now);
         }
     }
 
@@ -270,16 +270,31 @@
     let now = Moment(10);
     for missing in adapters("missing", 3) {
         assert_that!(
-            placer.place(&missing, &targets, Need::Any, &[], now),
+            placer.place(
+                &Request::new(missing.clone(), Need::Any),
+                &targets,
+                &[],
+                now
+            ),
             ok(anything())
         );
     }
     let popular = copy("popular");
-    let further = placer.place(&popular, &targets, Need::Another, &[], now);
+    let further = placer.place(
+        &Request::new(popular.clone(), Need::Another),
+        &targets,
+        &[],
+        now,
+    );
     expect_that!(further, err(eq(&Declined::NoRoom)));
     // An endpoint that has it cached does not need the store.
     let cached = [Arc::clone(&targets[5].endpoint)];
-    let further = placer.place(&popular, &targets, Need::Another, &cached, now);
+    let further = placer.place(
+        &Request::new(popular.clone(), Need::Another),
+        &targets,
+        &cached,
+        now,
+    );
     expect_that!(further, ok(eq(&cached[0])));
     expect_that!(placer.permit(&cached[0], now), ge(Permit::Cached));
     let slots = placer.slots(&cached[0]).expect("it was added");
@@ -300,7 +315,12 @@
         load_ms: 288,
     };
     placer.record_demand(&other, behind, now);
-    let further = placer.place(&copy("popular"), &targets, Need::Another, &[], now);
+    let further = placer.place(
+        &Request::new(copy("popular"), Need::Another),
+        &targets,
+        &[],
+        now,
+    );
     expect_that!(further, err(eq(&Declined::NoRoom)));
     placer.record_demand(
         &other,
@@ -310,7 +330,12 @@
         },
         now,
     );
-    let further = placer.place(&copy("popular"), &targets, Need::Another, &[], now);
+    let further = placer.place(
+        &Request::new(copy("popular"), Need::Another),
+        &targets,
+        &[],
+        now,
+    );
     expect_that!(further, ok(anything()));
 }
 
@@ -331,12 +356,17 @@
     for copy in &missing {
         placed.push(
             placer
-                .place(copy, &targets, Need::Any, &[], now)
+                .place(&Request::new(copy.clone(), Need::Any), &targets, &[], now)
                 .expect("there is room"),
         );
     }
     for _ in 0..5 {
-        let _ = placer.place(&missing[5], &targets, Need::Any, &[], now);
+        let _ = placer.place(
+            &Request::new(missing[5].clone(), Need::Any),
+            &targets,
+            &[],
+            now,
+        );
     }
     let permitted = targets
         .iter()
@@ -354,7 +384,12 @@
     let previous = [Arc::clone(endpoint)];
     let mut now = Moment(10);
     placer
-        .place(&copy("a"), &targets, Need::Any, &previous, now)
+        .place(
+            &Request::new(copy("a"), Need::Any),
+            &targets,
+            &previous,
+            now,
+        )
         .expect("there is room");
     let ordered_at = now;
     while now.since(ordered_at) < Duration::from_millis(29) + Duration::from_millis(10) {
--- a/crates/ploverwick_adapters/tests/unresponsive_endpoint.rs
+++ b/crates/ploverwick_adapters/tests/unresponsive_endpoint.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use ploverwick_adapters::{Answer, Copy, Key, Need, Permit, Placer, Report, Step, Target};
+use ploverwick_adapters::{Answer, Copy, Key, Need, Permit, Placer, Report, Request, Step, Target};
 use ploverwick_names::Moment;
 
 const MODEL: &str = "base";
@@ -75,10 +75,10 @@
     let names = names(2);
     let mut placer = placer(&names);
     let at = Moment(1_000);
-    let first = placer.place(&copy(1), &targets(&names), Need::Any, &[], at);
+    let first = placer.place(&Request::new(copy(1), Need::Any), &targets(&names), &[], at);
     let first = first.expect("there are endpoints");
     orders(&mut placer, &first, Answer::Unknown, 4);
-    let second = placer.place(&copy(1), &targets(&names), Need::Any, &[], at);
+    let second = placer.place(&Request::new(copy(1), Need::Any), &targets(&names), &[], at);
     expect_that!(second, ok(not(eq(&first))));
 }
 
@@ -115,7 +115,12 @@
         orders(&mut placer, name, Answer::Unknown, 4);
     }
     // This instance's own connection may be at fault.
-    let chosen = placer.place(&copy(1), &targets(&names), Need::Any, &[], Moment(1_000));
+    let chosen = placer.place(
+        &Request::new(copy(1), Need::Any),
+        &targets(&names),
+        &[],
+        Moment(1_000),
+    );
     expect_that!(chosen, ok(anything()));
 }
 
--- a/crates/ploverwick_gateway/src/broadcast.rs
+++ b/crates/ploverwick_gateway/src/broadcast.rs
@@ -12,7 +12,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ploverwick_adapters::{Copy, Event, Need};
+use ploverwick_adapters::{Copy, Event, Request};
 use ploverwick_endpoints::{Entry, LimitUpdate, State as EndpointState};
 use ploverwick_names::Moment;
 use ploverwick_topics::Position;
@@ -34,12 +34,23 @@
 const MAX_PEERS_ASKED: usize = 4;
 
 /// Asks the instance at `ip` to have an adapter loaded.
-pub(crate) fn send_load_request(shared: &Shared, ip: IpAddr, copy: &Copy, need: Need) {
-    let message = Message::LoadRequest {
+pub(crate) fn send_load_request(shared: &Shared, ip: IpAddr, request: Request) {
+    shared
+        .peer_socket
+        .send(&Message::LoadRequest(request), &[ip]);
+}
+
+/// Tells the instance at `ip`, which asked for a load, that an endpoint holds the adapter already: the message on
+/// its completion may have been lost.
+pub(crate) fn send_holder(shared: &Shared, ip: IpAddr, endpoint: Arc<str>, copy: &Copy) {
+    let change = Change {
+        endpoint,
         copy: copy.clone(),
-        need,
+        kind: ChangeKind::Loaded,
     };
-    shared.peer_socket.send(&message, &[ip]);
+    shared
+        .peer_socket
+        .send(&Message::Changes(vec![change]), &[ip]);
 }
 
 /// Queues a change at an endpoint of this failure domain, and sends the pending changes to the domain's
--- a/crates/ploverwick_gateway/src/controllers/load_requests.rs
+++ b/crates/ploverwick_gateway/src/controllers/load_requests.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use ploverwick_adapters::{Copy, Declined, Event, Need, Target};
+use ploverwick_adapters::{Copy, Declined, Event, Need, Request, Target};
 use ploverwick_endpoints::State as EndpointState;
 
 use crate::broadcast;
@@ -10,28 +10,29 @@
 use crate::shared::Shared;
 
 /// Requests the load of an adapter in a failure domain. Returns whether the domain has a placer to ask.
-pub(crate) fn request_load(shared: &Arc<Shared>, domain: &str, copy: &Copy, need: Need) -> bool {
+pub(crate) fn request_load(shared: &Arc<Shared>, domain: &str, request: Request) -> bool {
     let now = shared.now();
     let state = shared.state();
     let is_own_placer = *domain == *shared.settings.domain && state.placer_lease.is_held(now);
     let placer = state.placer_of(domain, now);
     drop(state);
     if is_own_placer {
-        place_adapter(shared, copy, need);
+        place_adapter(shared, &request);
         return true;
     }
     if let Some(ip) = placer {
-        broadcast::send_load_request(shared, ip, copy, need);
+        broadcast::send_load_request(shared, ip, request);
     }
     placer.is_some()
 }
 
-/// Places an adapter that is needed, if this instance is the placer.
-pub(crate) fn place_adapter(shared: &Arc<Shared>, copy: &Copy, need: Need) {
+/// Places an adapter that is needed, if this instance is the placer. Returns an endpoint that already holds it.
+pub(crate) fn place_adapter(shared: &Arc<Shared>, request: &Request) -> Option<Arc<str>> {
+    let Request { copy, need, .. } = request;
     let now = shared.now();
     let mut state = shared.state();
     if !state.placer_lease.is_held(now) {
-        return;
+        return None;
     }
     let domain = &shared.settings.domain;
     let fleet = &state.fleet;
@@ -64,12 +65,12 @@
     let previous_holders = state.directory.previous_holders(copy).to_vec();
     let chosen = state
         .placer
-        .place(copy, &targets, need, &previous_holders, now);
+        .place(request, &targets, &previous_holders, now);
     let is_news = chosen
         .as_ref()
         .is_ok_and(|endpoint| state.directory.mark_loading(endpoint, copy.clone(), now));
     drop(state);
-    if need == Need::Another {
+    if *need == Need::Another {
         metrics::adapter_copy(copy_outcome(&chosen));
     }
     match chosen {
@@ -91,14 +92,16 @@
         Err(Declined::NoRoom) => {
             spdlog::debug!("copy_refused adapter={} version={}", copy.key, copy.version);
         }
+        Err(Declined::Held(holder)) => return Some(holder),
         Err(Declined::Expected | Declined::NoEndpoint) => {}
     }
+    None
 }
 
 fn copy_outcome(chosen: &Result<Arc<str>, Declined>) -> &'static str {
     match chosen {
         Ok(_) => "granted",
-        Err(Declined::Expected) => "expected",
+        Err(Declined::Held(_) | Declined::Expected) => "expected",
         Err(Declined::NoRoom) => "no_room",
         Err(Declined::NoEndpoint) => "no_endpoint",
     }
@@ -116,6 +119,6 @@
     drop(endpoints);
     drop(state);
     if is_held_locally {
-        place_adapter(shared, copy, Need::Any);
+        place_adapter(shared, &Request::new(copy.clone(), Need::Any));
     }
 }
--- a/crates/ploverwick_gateway/src/filters/missing_adapter.rs
+++ b/crates/ploverwick_gateway/src/filters/missing_adapter.rs
@@ -3,12 +3,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ploverwick_adapters::{Copy, Domain, Need};
+use ploverwick_adapters::{Copy, Domain, Need, Request};
 
 use super::admitted_request::AdmittedRequest;
 use crate::controllers::load_requests;
 use crate::shared::Shared;
 
+/// The weight of a request of the most urgent priority, 0. That of each further priority is half as great.
+const MAX_WEIGHT: u32 = 8;
+
 /// Requests the load of an adapter in the failure domain chosen for it. Returns how long the load is expected to
 /// take if it is not running yet.
 pub(super) fn request_load(
@@ -18,7 +21,8 @@
 ) -> Option<Duration> {
     let domain = choose_domain(shared, request, copy)?;
     let is_coming = is_coming(shared, copy);
-    load_requests::request_load(shared, &domain, copy, need(shared, copy));
+    let load = load_request(request, copy, need(shared, copy));
+    load_requests::request_load(shared, &domain, load);
     if is_coming {
         return None;
     }
@@ -27,6 +31,15 @@
     state.expected_load_wait(&domain, &shared.settings, now)
 }
 
+/// Returns the message that asks for a load on behalf of a request.
+pub(super) fn load_request(request: &AdmittedRequest, copy: &Copy, need: Need) -> Request {
+    Request {
+        copy: copy.clone(),
+        need,
+        weight: (MAX_WEIGHT >> request.terms.priority).max(1),
+    }
+}
+
 /// Returns whether an adapter is being loaded or was placed recently.
 pub(super) fn is_coming(shared: &Shared, copy: &Copy) -> bool {
     let now = shared.now();
--- a/crates/ploverwick_gateway/src/filters/select.rs
+++ b/crates/ploverwick_gateway/src/filters/select.rs
@@ -300,7 +300,8 @@
     drop(state);
     if is_older || is_busy {
         let need = if is_older { Need::Any } else { Need::Another };
-        load_requests::request_load(shared, &shared.settings.domain, &newest, need);
+        let load = missing_adapter::load_request(request, &newest, need);
+        load_requests::request_load(shared, &shared.settings.domain, load);
     }
     if fill >= max_fill(request) {
         return (Choice::Full, newest);
--- a/crates/ploverwick_gateway/src/listen.rs
+++ b/crates/ploverwick_gateway/src/listen.rs
@@ -74,8 +74,10 @@
         }
         Message::LoadTotals(loads) => handle_totals(shared, loads),
         Message::AdapterUses(list) => handle_uses(shared, &list, from),
-        Message::LoadRequest { copy, need } => {
-            load_requests::place_adapter(shared, &copy, need);
+        Message::LoadRequest(request) => {
+            if let Some(holder) = load_requests::place_adapter(shared, &request) {
+                broadcast::send_holder(shared, from, holder, &request.copy);
+            }
         }
         Message::EndpointReport { endpoint, adapters } => {
             let copies = messages::copies(adapters);
--- a/crates/ploverwick_gateway/src/messages.rs
+++ b/crates/ploverwick_gateway/src/messages.rs
@@ -6,7 +6,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex};
 
-use ploverwick_adapters::{Copy, Demand, Key, Need};
+use ploverwick_adapters::{Copy, Demand, Key, Request};
 use ploverwick_endpoints::{Entry, LimitUpdate};
 use ploverwick_names::Moment;
 use ploverwick_quarantine::DIGEST_BUCKETS;
@@ -122,7 +122,7 @@
     /// The adapters that the sender's requests use.
     AdapterUses(Vec<AdapterUse>),
     /// Requests that the receiver, a placer, have an adapter loaded.
-    LoadRequest { copy: Copy, need: Need },
+    LoadRequest(Request),
     /// The complete list of adapters that an endpoint holds.
     EndpointReport {
         endpoint: Arc<str>,
