--- a/crates/ploverwick_adapters/src/placer.rs
+++ b/crates/ploverwick_adapters/src/placer.rs
@@ -110,6 +110,7 @@
         self.endpoints
             .entry(Arc::clone(endpoint))
             .or_insert_with(|| Slots::new(capacity, now));
+        self.window.start_for(self.endpoints.len());
     }
 
     /// Removes an endpoint.
--- a/crates/ploverwick_adapters/src/window.rs
+++ b/crates/ploverwick_adapters/src/window.rs
@@ -14,6 +14,9 @@
 /// The initial window. It is small because each failure domain has its own, and a load beyond the
 /// store's capacity occupies a slot for longer without completing any load sooner.
 const INITIAL_SIZE: f64 = 3.0;
+/// The initial window for each endpoint of a failure domain, if that is more: a weight store that
+/// could not serve a third of its endpoints at once would hardly start them.
+const INITIAL_SIZE_PER_ENDPOINT: f64 = 0.33;
 /// The minimum window: one load can run while the result of the last one is being polled.
 const MIN_SIZE: f64 = 2.0;
 /// The maximum window, for a store that never slows down.
@@ -67,6 +70,14 @@
         self.size as usize
     }
 
+    /// Raises the initial window for a number of endpoints, before the first load from the store.
+    pub fn start_for(&mut self, endpoints: usize) {
+        if self.shortest.is_none() {
+            let size = endpoints as f64 * INITIAL_SIZE_PER_ENDPOINT;
+            self.size = self.size.max(size.min(MAX_SIZE));
+        }
+    }
+
     /// Starts anew with a slow start, at `size` if it is known.
     pub fn restart(&mut self, size: Option<f64>) {
         self.size = size.unwrap_or(INITIAL_SIZE).clamp(MIN_SIZE, MAX_SIZE);
--- a/crates/ploverwick_adapters/tests/load_budget.rs
+++ b/crates/ploverwick_adapters/tests/load_budget.rs
@@ -408,3 +408,85 @@
     let slots = placer.slots(endpoint).expect("it was added");
     expect_that!(slots.holds(&copy("a")), eq(true));
 }
+
+#[googletest::test]
+fn initial_window_fits_fleet() {
+    for (endpoints, window) in [(4, 3), (25, 8), (60, 19)] {
+        let (placer, _) = placer(0, endpoints);
+        expect_that!(placer.demand(Moment(0)).window, eq(window));
+    }
+}
+
+/// An endpoint that accepts no connection has crashed; what waited there is placed elsewhere at
+/// once, not after several missed answers.
+#[googletest::test]
+fn crashed_endpoint_avoided_at_once() {
+    let (mut placer, targets) = placer(0, 2);
+    let now = Moment(10);
+    let missing = Request::new(copy("missing"), Need::Any);
+    let first = placer
+        .place(&missing, &targets, &[], now)
+        .expect("there is room");
+    let slots = placer.slots(&first).expect("it was added");
+    let Step::Send(order) = slots.next_step(now, Permit::First) else {
+        panic!("no order");
+    };
+    placer.handle_answer(&first, &order, Answer::Gone, now);
+    let second = placer.place(&missing, &targets, &[], now);
+    expect_that!(second, ok(not(eq(&first))));
+}
+
+/// Requests of an urgent route weigh more than several that can wait.
+#[googletest::test]
+fn urgent_request_loaded_first() {
+    let (mut placer, targets) = placer(0, 1);
+    let now = Moment(10);
+    for _ in 0..3 {
+        let patient = Request::new(copy("patient"), Need::Any);
+        let _ = placer.place(&patient, &targets, &[], now);
+    }
+    let urgent = Request {
+        weight: 8,
+        ..Request::new(copy("urgent"), Need::Any)
+    };
+    let _ = placer.place(&urgent, &targets, &[], now);
+    let endpoint = &targets[0].endpoint;
+    let slots = placer.slots(endpoint).expect("it was added");
+    let Step::Send(order) = slots.next_step(now, Permit::First) else {
+        panic!("no order");
+    };
+    expect_that!(order.copy(), some(eq(&copy("urgent"))));
+}
+
+/// A load that no request asks for any more is dropped.
+#[googletest::test]
+fn abandoned_load_dropped() {
+    let (mut placer, targets) = placer(0, 1);
+    let missing = Request::new(copy("missing"), Need::Any);
+    let _ = placer.place(&missing, &targets, &[], Moment(10));
+    let later = Moment(400);
+    let endpoint = &targets[0].endpoint;
+    let slots = placer.slots(endpoint).expect("it was added");
+    expect_that!(
+        slots.next_step(later, Permit::All),
+        not(matches_pattern!(Step::Send(_)))
+    );
+    expect_that!(placer.demand(later).waiting, eq(0));
+}
+
+#[googletest::test]
+fn wait_grows_with_backlog() {
+    let mut demand = Demand {
+        window: 10,
+        in_flight: 10,
+        waiting: 0,
+        load_ms: 300,
+    };
+    expect_that!(demand.expected_wait(), some(eq(Duration::from_millis(300))));
+    demand.waiting = 40;
+    expect_that!(
+        demand.expected_wait(),
+        some(eq(Duration::from_millis(1_500)))
+    );
+    expect_that!(Demand::default().expected_wait(), none());
+}
