--- a/crates/ploverwick_gateway/src/filters/select.rs
+++ b/crates/ploverwick_gateway/src/filters/select.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ploverwick_adapters::{Copy, Key, Need, Since, StalenessPolicy};
+use ploverwick_adapters::{Copy, Key, LoadWait, Need, Since, StalenessPolicy};
 use ploverwick_codes::Code;
 use ploverwick_endpoints::{Cost, Entry, Load, Query};
 use ploverwick_names::Moment;
@@ -38,11 +38,6 @@
 /// The maximum `Retry-After` if no endpoint accepts requests from this instance. Other instances may still be able
 /// to send.
 const MAX_LIMITED_RETRY_AFTER: Duration = Duration::from_secs(1);
-/// The number of load requests without effect after which a request may use an endpoint again that it has tried.
-/// A copy for a single request is loaded only while the weight store has room.
-const MAX_FUTILE_LOAD_REQUESTS: u32 = 2;
-/// The fraction of the time until the client disconnects for which a request waits for its adapter.
-const LOAD_WAIT_RATIO: f64 = 0.4;
 
 /// The endpoint selected for a request.
 #[derive(Debug, Clone)]
@@ -74,16 +69,16 @@
     let timeout = request
         .first_event_deadline
         .saturating_duration_since(started);
-    let deadline = started + timeout.mul_f64(LOAD_WAIT_RATIO);
+    let wait = LoadWait::new(timeout);
     let mut load_requests = 0;
     let mut expected = None;
     loop {
         let changed = shared.placement_changed.notified();
         let (choice, newest) = select_holder(shared, request, key, except);
+        let is_coming = missing_adapter::is_coming(shared, &newest);
+        let may_reuse = !except.is_empty() && wait.may_reuse_tried(load_requests, is_coming);
         let (choice, newest) = match choice {
-            Choice::Wait if may_reuse(shared, except, load_requests, &newest) => {
-                select_holder(shared, request, key, &[])
-            }
+            Choice::Wait if may_reuse => select_holder(shared, request, key, &[]),
             _ => (choice, newest),
         };
         match choice {
@@ -98,7 +93,7 @@
             Choice::Wait => {}
         }
         let now = Instant::now();
-        if now >= deadline {
+        if wait.is_over(started.elapsed(), is_coming) {
             let detail = format!("adapter {key}, asked {load_requests} times");
             let retry_after = expected.unwrap_or(NOT_LOADED_RETRY_AFTER);
             return Err(Reply::new(Code::LoadFailed, detail).retry_after(retry_after));
@@ -109,9 +104,11 @@
             expected = missing_adapter::request_load(shared, request, &newest);
             load_requests += 1;
         }
-        if let Some(wait) = expected.filter(|wait| now + *wait > deadline) {
-            let detail = format!("adapter {key}, expected in {} ms", wait.as_millis());
-            return Err(Reply::new(Code::LoadFailed, detail).retry_after(wait));
+        if let Some(expected) = expected
+            && wait.is_futile(started.elapsed(), expected)
+        {
+            let detail = format!("adapter {key}, expected in {} ms", expected.as_millis());
+            return Err(Reply::new(Code::LoadFailed, detail).retry_after(expected));
         }
         tokio::select! {
             () = changed => {}
@@ -120,14 +117,6 @@
     }
 }
 
-/// Returns whether a request may use an endpoint again that it has tried, because no other copy of its adapter is
-/// on its way.
-fn may_reuse(shared: &Shared, except: &[Arc<str>], load_requests: u32, newest: &Copy) -> bool {
-    !except.is_empty()
-        && load_requests >= MAX_FUTILE_LOAD_REQUESTS
-        && !missing_adapter::is_coming(shared, newest)
-}
-
 enum Choice {
     Selected(Box<Target>),
     Full,
