--- a/crates/ploverwick_adapters/src/placer.rs
+++ b/crates/ploverwick_adapters/src/placer.rs
@@ -203,12 +203,12 @@
         answer: Answer,
         now: Moment,
     ) -> Option<Event> {
-        let in_flight = self.store_loads(now);
-        let limit = self.load_limit(now);
         let slots = self.endpoints.get_mut(endpoint)?;
         let load_started = slots.load_started(order);
         let event = slots.handle_answer(order, answer, now);
         if let (Some(started), Some(Event::Loaded(_))) = (load_started, &event) {
+            let in_flight = self.store_loads(now) + 1;
+            let limit = self.load_limit(now);
             self.window.record_load(started, now, in_flight, limit);
         }
         match &event {
--- a/crates/ploverwick_adapters/src/slots.rs
+++ b/crates/ploverwick_adapters/src/slots.rs
@@ -8,6 +8,7 @@
 //! endpoint may hold one adapter more than is known, and a slot is kept free for it.
 
 mod answers;
+mod pending;
 mod plan;
 
 use std::collections::{HashMap, VecDeque};
@@ -17,7 +18,10 @@
 
 use ploverwick_names::Moment;
 
-use crate::{Copy, Need, Op, Order, Permit};
+use crate::{Copy, Op, Order};
+
+use pending::PendingLoad;
+pub use pending::Wanted;
 
 /// How far an endpoint's report may lag behind its state, with some margin.
 const REPORT_LAG: Duration = Duration::from_millis(260);
@@ -28,10 +32,6 @@
 const CACHED_LOAD_TIMEOUT: Duration = Duration::from_millis(40);
 /// The number of loads that the platform allows an endpoint to run at once.
 const MAX_CONCURRENT_LOADS: usize = 4;
-/// How long a requested load stays pending. Requests that still wait ask again every 70 ms, so that
-/// four lost messages in a row do not drop the load, and an adapter that is no longer needed is not
-/// loaded.
-const PENDING_TTL: Duration = Duration::from_millis(350);
 /// How long an instance's statement that it uses an adapter is valid. Instances send it again every
 /// 150 ms, so that four lost messages in a row do not free an adapter, and a lost final message
 /// does not block its slot forever.
@@ -136,39 +136,6 @@
     }
 }
 
-/// An adapter that an endpoint should load.
-#[derive(Debug, Clone)]
-pub struct Wanted {
-    /// The adapter.
-    pub copy: Copy,
-    /// Why it is needed.
-    pub need: Need,
-    /// Whether the endpoint is expected to have it cached.
-    pub is_cached: bool,
-    /// How urgent the request for it is: how many requests of the lowest priority it stands for.
-    pub weight: u32,
-}
-
-impl Wanted {
-    /// Returns the permit that the load needs.
-    fn permit(&self) -> Permit {
-        match self.need {
-            _ if self.is_cached => Permit::Cached,
-            Need::Any => Permit::First,
-            Need::Another => Permit::All,
-        }
-    }
-}
-
-#[derive(Debug, Clone)]
-struct PendingLoad {
-    wanted: Wanted,
-    at: Moment,
-    /// The sum of the weights with which the load was requested. Requests that wait ask again, so it
-    /// grows with their number.
-    weight: u32,
-}
-
 #[derive(Debug, Clone, PartialEq, Eq)]
 enum BaseState {
     Held,
@@ -312,30 +279,6 @@
         slots.filter(|slot| slot.uses_store(now)).count()
     }
 
-    /// Returns the numbers of pending loads from the weight store of first copies and of further
-    /// copies.
-    pub fn pending_store_loads(&self) -> (usize, usize) {
-        let of = |permit| {
-            let pending = self.pending.iter();
-            pending.filter(move |load| load.wanted.permit() == permit)
-        };
-        (of(Permit::First).count(), of(Permit::All).count())
-    }
-
-    /// Returns the weight of the pending first copy that would be loaded next; `None` if there is none
-    /// or it cannot start now.
-    pub fn next_first_copy(&self, now: Moment) -> Option<u32> {
-        let can_load = self.is_known()
-            && !self.is_unresponsive()
-            && self.unanswered.is_none()
-            && self.loading() < MAX_CONCURRENT_LOADS
-            && self.has_room(now);
-        let pending = self.pending.iter().filter(|load| {
-            load.wanted.permit() == Permit::First && now.since(load.at) < PENDING_TTL
-        });
-        pending.map(|load| load.weight).max().filter(|_| can_load)
-    }
-
     /// Returns whether a pending load could start soon: a slot is free or its adapter is unused.
     pub fn has_room(&self, now: Moment) -> bool {
         self.is_known() && (self.occupied() < self.capacity || self.victim(now).is_some())
@@ -360,40 +303,6 @@
         held.map(|(copy, _)| copy.clone()).collect()
     }
 
-    /// Requests that an adapter of which there is no copy be loaded.
-    pub fn request_load(&mut self, copy: Copy, now: Moment) {
-        let wanted = Wanted {
-            copy,
-            need: Need::Any,
-            is_cached: false,
-            weight: 1,
-        };
-        self.request(wanted, now);
-    }
-
-    /// Requests that an adapter be loaded; those with the greatest weight are loaded first.
-    pub fn request(&mut self, wanted: Wanted, now: Moment) {
-        if let Some(slot) = self.by_copy.get_mut(&wanted.copy) {
-            slot.last_used = now;
-            return;
-        }
-        let mut pending = self.pending.iter_mut();
-        match pending.find(|load| load.wanted.copy == wanted.copy) {
-            Some(load) => {
-                load.at = now;
-                load.weight = load.weight.saturating_add(wanted.weight);
-                if wanted.need == Need::Any {
-                    load.wanted.need = Need::Any;
-                }
-            }
-            None => self.pending.push_back(PendingLoad {
-                weight: wanted.weight,
-                wanted,
-                at: now,
-            }),
-        }
-    }
-
     /// Requests that a base model be loaded.
     pub fn request_base(&mut self, model: Arc<str>) {
         self.models.entry(model).or_insert(BaseState::Missing);
--- a/crates/ploverwick_adapters/src/slots/answers.rs
+++ b/crates/ploverwick_adapters/src/slots/answers.rs
@@ -7,7 +7,7 @@
 
 use super::{
     BaseState, CACHED_LOAD_TIMEOUT, Event, MAX_MISSED_ANSWERS, POLL_INTERVAL, REPORT_LAG, Slot,
-    SlotState, Slots, Wanted,
+    SlotState, Slots,
 };
 use crate::{Answer, Copy, Op, Order, Report};
 
@@ -311,12 +311,6 @@
         self.require_report(now + REPORT_LAG);
     }
 
-    fn take_pending(&mut self, copy: &Copy) -> Option<Wanted> {
-        let mut pending = self.pending.iter();
-        let index = pending.position(|load| load.wanted.copy == *copy)?;
-        self.pending.remove(index).map(|load| load.wanted)
-    }
-
     fn slot_of(&mut self, order: &Order) -> Option<&mut Slot> {
         let (adapter, version) = order.adapter.clone()?;
         let copy = Copy::of(&order.model, adapter, version);
--- a/crates/ploverwick_adapters/src/slots/plan.rs
+++ b/crates/ploverwick_adapters/src/slots/plan.rs
@@ -4,9 +4,9 @@
 
 use ploverwick_names::Moment;
 
+use super::pending::PENDING_TTL;
 use super::{
-    BaseState, MAX_CONCURRENT_LOADS, PENDING_TTL, POLL_INTERVAL, REPORT_LAG, Slot, SlotState,
-    Slots, Step,
+    BaseState, MAX_CONCURRENT_LOADS, POLL_INTERVAL, REPORT_LAG, Slot, SlotState, Slots, Step,
 };
 use crate::{Copy, Order, Permit};
 
