--- a/crates/ploverwick_gateway/src/controllers/orders.rs
+++ b/crates/ploverwick_gateway/src/controllers/orders.rs
@@ -304,7 +304,11 @@
     match event {
         Event::Loading(copy) => is_news = state.directory.mark_loading(endpoint, copy.clone(), now),
         Event::Loaded(copy) => state.directory.mark_loaded(endpoint, copy.clone(), now),
-        Event::Unloaded(copy) => state.directory.mark_unloaded(endpoint, copy),
+        Event::Unloaded(copy) => {
+            let is_replaced = copy.version < state.directory.newest(&copy.key);
+            metrics::adapter_unloaded(if is_replaced { "replaced" } else { "room" });
+            state.directory.mark_unloaded(endpoint, copy);
+        }
         Event::Reported(copies) => state.directory.apply_report(endpoint, copies.clone(), now),
         Event::BaseLoaded(model) => {
             spdlog::info!("base_loaded endpoint={} model={}", endpoint, model);
--- a/crates/ploverwick_gateway/src/metrics.rs
+++ b/crates/ploverwick_gateway/src/metrics.rs
@@ -122,6 +122,11 @@
     gauge!("ploverwick_adapter_load_limit").set(limit as f64);
 }
 
+/// Counts an adapter that was unloaded, by cause: a newer version, or room for another adapter.
+pub(crate) fn adapter_unloaded(cause: &'static str) {
+    counter!("ploverwick_adapters_unloaded_total", "cause" => cause).increment(1);
+}
+
 /// Counts a requested copy of an adapter that is held already, by what the placer decided.
 pub(crate) fn adapter_copy(outcome: &'static str) {
     counter!("ploverwick_adapter_copies_total", "outcome" => outcome).increment(1);
