--- a/crates/ploverwick_adapters/tests/load_budget.rs
+++ b/crates/ploverwick_adapters/tests/load_budget.rs
@@ -202,8 +202,8 @@
     let before = simulation.loaded;
     let one = [adapters("lost", 200), Vec::new(), Vec::new(), Vec::new()];
     simulation.run(1_600, &one);
-    // With a quarter of the store, 67 would be loaded.
-    expect_that!(simulation.loaded - before, ge(130));
+    // The store could have loaded 267; without what the others leave, 168 are loaded.
+    expect_that!(simulation.loaded - before, ge(220));
 }
 
 /// The windows adapt to a store that turns slow, and to its recovery.
