Merge adapter loads as one budget over the fleet

A resumed stream seeks another endpoint until its own deadline and does not go back to one that it has tried.

--- a/crates/ploverwick_adapters/tests/endpoint_choice.rs
+++ b/crates/ploverwick_adapters/tests/endpoint_choice.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use ploverwick_adapters::{Copy, Key, Need, Placer, Report, Target};
+use ploverwick_adapters::{Copy, Key, Need, Placer, Report, Request, Target};
 use ploverwick_names::Moment;
 
 const MODEL: &str = "base";
@@ -58,7 +58,15 @@
     let previous_holders: Vec<Arc<str>> = is_cached.then(|| Arc::from("i-0")).into_iter().collect();
     let chosen = (0..100).filter_map(|n| {
         let wanted = copy(&format!("a{n}"));
-        placer(is_full).place(&wanted, &targets(waits), Need::Any, &previous_holders, NOW)
+        let mut placer = placer(is_full);
+        placer
+            .place(
+                &Request::new(wanted.clone(), Need::Any),
+                &targets(waits),
+                &previous_holders,
+                NOW,
+            )
+            .ok()
     });
     chosen.filter(|id| **id == *"i-0").count()
 }
@@ -75,7 +83,8 @@
     let chosen = (0..100).filter_map(|n| {
         let mut targets = targets([0, 0, 0]);
         targets[0].share = 0.125;
-        placer(false).place(&copy(&format!("a{n}")), &targets, Need::Any, &[], NOW)
+        let request = Request::new(copy(&format!("a{n}")), Need::Any);
+        placer(false).place(&request, &targets, &[], NOW).ok()
     });
     let to_slow = chosen.filter(|id| **id == *"i-0").count();
     expect_that!(to_slow, all![ge(1), le(12)]);
--- a/crates/ploverwick_adapters/tests/relief_copies.rs
+++ b/crates/ploverwick_adapters/tests/relief_copies.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use ploverwick_adapters::{Copy, Key, Need, Placer, Report, Target};
+use ploverwick_adapters::{Copy, Key, Need, Placer, Report, Request, Target};
 use ploverwick_names::Moment;
 
 const MODEL: &str = "base";
@@ -60,8 +60,10 @@
 /// Requests relief for a second and returns where copies were placed.
 fn request_relief(placer: &mut Placer, targets: &[Target], interval_ms: u64) -> Vec<Arc<str>> {
     let times = (1_000..2_000).step_by(usize::try_from(interval_ms).expect("a short interval"));
-    let copies = times
-        .filter_map(|at| placer.place(&copy("popular"), targets, Need::Relief, &[], Moment(at)));
+    let copies = times.filter_map(|at| {
+        let request = Request::new(copy("popular"), Need::Relief);
+        placer.place(&request, targets, &[], Moment(at)).ok()
+    });
     copies.collect()
 }
 
--- a/crates/ploverwick_gateway/src/filters/select.rs
+++ b/crates/ploverwick_gateway/src/filters/select.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ploverwick_adapters::{Copy, Key, Need, Since, StalenessPolicy};
+use ploverwick_adapters::{Copy, Key, LoadWait, Need, Since, StalenessPolicy};
 use ploverwick_codes::Code;
 use ploverwick_endpoints::{Cost, Entry, Load, Pacing, Query};
 use ploverwick_names::Moment;
@@ -32,8 +32,6 @@
 /// The maximum `Retry-After` if no endpoint accepts requests from this instance. Other instances may still be able
 /// to send.
 const MAX_LIMITED_RETRY_AFTER: Duration = Duration::from_secs(1);
-/// The fraction of the time until the client disconnects for which a request waits for its adapter.
-const LOAD_WAIT_RATIO: f64 = 0.4;
 
 /// The endpoint selected for a request.
 #[derive(Debug, Clone)]
@@ -62,30 +60,82 @@
     let timeout = request
         .first_event_deadline
         .saturating_duration_since(started);
-    run_until(
-        shared,
-        request,
-        except,
-        started + timeout.mul_f64(LOAD_WAIT_RATIO),
-    )
-    .await
+    let wait = AdapterWait::Request(LoadWait::new(timeout));
+    select_or_wait(shared, request, except, wait).await
 }
 
-/// Selects an endpoint. If the adapter has to be loaded first, waits until `deadline`.
+/// Selects an endpoint. If the adapter has to be loaded first, waits until `deadline`. Endpoints that were tried are
+/// not used again.
 pub(super) async fn run_until(
     shared: &Arc<Shared>,
     request: &AdmittedRequest,
     except: &[Arc<str>],
     deadline: Instant,
+) -> Result<Target, Reply> {
+    select_or_wait(shared, request, except, AdapterWait::Until(deadline)).await
+}
+
+/// How long a selection waits for an adapter that has to be loaded.
+#[derive(Debug, Clone, Copy)]
+enum AdapterWait {
+    /// As long as a new request may.
+    Request(LoadWait),
+    /// Until a deadline.
+    Until(Instant),
+}
+
+impl AdapterWait {
+    fn is_over(self, waited: Duration, is_coming: bool) -> bool {
+        match self {
+            Self::Request(wait) => wait.is_over(waited, is_coming),
+            Self::Until(deadline) => Instant::now() >= deadline,
+        }
+    }
+
+    fn is_futile(self, waited: Duration, expected: Duration) -> bool {
+        match self {
+            Self::Request(wait) => wait.is_futile(waited, expected),
+            Self::Until(_) => false,
+        }
+    }
+
+    /// Returns when to look again at the latest, after `next_request`.
+    fn recheck_at(self, next_request: Instant) -> Instant {
+        match self {
+            Self::Request(_) => next_request,
+            Self::Until(deadline) => next_request.min(deadline),
+        }
+    }
+
+    fn may_reuse_tried(self, requests: u32, is_coming: bool) -> bool {
+        match self {
+            Self::Request(wait) => wait.may_reuse_tried(requests, is_coming),
+            Self::Until(_) => false,
+        }
+    }
+}
+
+async fn select_or_wait(
+    shared: &Arc<Shared>,
+    request: &AdmittedRequest,
+    except: &[Arc<str>],
+    wait: AdapterWait,
 ) -> Result<Target, Reply> {
     let Some(key) = &request.info.adapter else {
         return select_without_adapter(shared, request, except);
     };
     let started = Instant::now();
     let mut load_requests = 0;
+    let mut expected = None;
     loop {
         let changed = shared.placement_changed.notified();
         let (choice, newest) = select_holder(shared, request, key, except);
+        let is_coming = missing_adapter::is_coming(shared, &newest);
+        let may_reuse = !except.is_empty() && wait.may_reuse_tried(load_requests, is_coming);
+        let (choice, newest) = match choice {
+            Choice::Wait if may_reuse => select_holder(shared, request, key, &[]),
+            _ => (choice, newest),
+        };
         match choice {
             Choice::Selected(target) => {
                 metrics::adapter_wait(started.elapsed());
@@ -98,19 +148,26 @@
             Choice::Wait => {}
         }
         let now = Instant::now();
-        if now >= deadline {
+        if wait.is_over(started.elapsed(), is_coming) {
             let detail = format!("adapter {key}, asked {load_requests} times");
-            return Err(Reply::new(Code::LoadFailed, detail).retry_after(NOT_LOADED_RETRY_AFTER));
+            let retry_after = expected.unwrap_or(NOT_LOADED_RETRY_AFTER);
+            return Err(Reply::new(Code::LoadFailed, detail).retry_after(retry_after));
         }
         // Every load of any adapter wakes this task, so load requests are paced separately.
         let request_at = started + LOAD_REQUEST_INTERVAL * load_requests;
         if now >= request_at {
-            missing_adapter::request_load(shared, request, &newest);
+            expected = missing_adapter::request_load(shared, request, &newest);
             load_requests += 1;
         }
+        if let Some(expected) = expected
+            && wait.is_futile(started.elapsed(), expected)
+        {
+            let detail = format!("adapter {key}, expected in {} ms", expected.as_millis());
+            return Err(Reply::new(Code::LoadFailed, detail).retry_after(expected));
+        }
         tokio::select! {
             () = changed => {}
-            () = tokio::time::sleep_until(started + LOAD_REQUEST_INTERVAL * load_requests) => {}
+            () = tokio::time::sleep_until(wait.recheck_at(started + LOAD_REQUEST_INTERVAL * load_requests)) => {}
         }
     }
 }
@@ -319,7 +376,8 @@
     let start_deadline = staleness_policy(shared).start_deadline(replaced_since, now);
     drop(state);
     if let Some(need) = need {
-        load_requests::request_load(shared, &shared.settings.domain, &newest, need);
+        let load = missing_adapter::load_request(request, &newest, need);
+        load_requests::request_load(shared, &shared.settings.domain, load);
     }
     if fill >= max_fill(request) {
         return (Choice::Full, newest);
--- a/crates/ploverwick_gateway/src/messages.rs
+++ b/crates/ploverwick_gateway/src/messages.rs
@@ -6,7 +6,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex};
 
-use ploverwick_adapters::{Copy, Key, Need};
+use ploverwick_adapters::{Copy, Demand, Key, Request};
 use ploverwick_endpoints::numbering::Numbered;
 use ploverwick_endpoints::{EndpointObservations, Entry, Figure, LimitUpdate, LogByte, totals};
 use ploverwick_names::Moment;
@@ -84,7 +84,7 @@
 /// How an adapter changed at an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum ChangeKind {
-    /// The endpoint is loading it.
+    /// The endpoint is loading it or is about to.
     Loading,
     /// The endpoint now holds it.
     Loaded,
@@ -122,6 +122,8 @@
         placer_token: Option<u64>,
         /// The number of adapters that wait for placement, if it is the placer.
         waiting: u32,
+        /// Its demand for loads from the weight store, if it is the placer.
+        demand: Option<Demand>,
         /// How far it has read each topic of the store, and whether it reads for others.
         read_states: ReadStates,
         loads: Vec<EndpointLoad>,
@@ -131,7 +133,7 @@
     /// The adapters that the sender's requests use.
     AdapterUses(Vec<AdapterUse>),
     /// Requests that the receiver, a placer, have an adapter loaded.
-    LoadRequest { copy: Copy, need: Need },
+    LoadRequest(Request),
     /// The complete list of adapters that an endpoint holds.
     EndpointReport {
         endpoint: Arc<str>,
--- a/crates/ploverwick_gateway/src/state.rs
+++ b/crates/ploverwick_gateway/src/state.rs
@@ -5,7 +5,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ploverwick_adapters::{Copy, Directory, Lease, LeasePolicy, LoadLimiter, Placer, Watermark};
+use ploverwick_adapters::{
+    Copy, Demand, Directory, Lease, LeasePolicy, LoadLimiter, Placer, Watermark,
+};
 use ploverwick_endpoints::{
     Balance, Budget, DrainingReports, Entry, Fleet, Held, InstanceCount, Limits, Pauses,
     RetryPolicy, totals,
@@ -43,6 +45,8 @@
     pub(crate) placer_token: Option<u64>,
     /// The number of adapters that wait for placement in its failure domain, if it is the placer.
     pub(crate) waiting: u32,
+    /// Its demand for loads from the weight store, if it is the placer.
+    pub(crate) demand: Option<Demand>,
     /// How far it has read each topic of the store.
     pub(crate) read_states: ReadStates,
 }
@@ -237,6 +241,22 @@
         is_alive.then_some(placer.waiting)
     }
 
+    /// Returns how long an adapter that is requested in a failure domain now takes to load; `None` if its
+    /// placer has not stated it.
+    pub(crate) fn expected_load_wait(
+        &self,
+        domain: &str,
+        settings: &Settings,
+        now: Moment,
+    ) -> Option<Duration> {
+        if *domain == *settings.domain && self.placer_lease.is_held(now) {
+            return self.placer.demand(now).expected_wait();
+        }
+        let ip = self.placer_of(domain, now)?;
+        let placer = self.peers.values().find(|peer| peer.ip == ip)?;
+        placer.demand?.expected_wait()
+    }
+
     /// Returns how many live instances of this failure domain rank before this one. The
     /// highest-ranked instances read the store for the others.
     pub(crate) fn rank(&self, settings: &Settings, now: Moment) -> usize {
