Describe when an endpoint is kept, and test a resumed stream's silence

The stand-in pauses for a given time, so that a test plays a second endpoint that needs a moment for its first event: without the reset of the silence a third one is sought.

--- a/crates/ploverwick_gateway/tests/stream_resumption.rs
+++ b/crates/ploverwick_gateway/tests/stream_resumption.rs
@@ -7,8 +7,13 @@
 use anyhow::Result;
 use common::{Gateway, HOST, count_runs};
 use googletest::prelude::*;
+use http::StatusCode;
 use ploverwick_platform_standin::client::{self, ClientRequest, ClientResponse};
 use ploverwick_platform_standin::endpoint::{Action, EVENTS, Endpoint};
+use ploverwick_platform_standin::settings;
+
+/// A pause of over half of the shortest time that clients wait for an event.
+const PAUSE_MS: u64 = 1_400;
 
 /// Two endpoints and a gateway after a first request for the adapter.
 struct Fleet {
@@ -34,6 +39,18 @@
         })
     }
 
+    /// Allows three attempts on the route `/resume/`.
+    async fn allow_three_attempts(&self) -> Result<()> {
+        let mut config = settings::config(2);
+        config["routes"][4]["max_attempts"] = 3.into();
+        settings::add_route(&mut config, "/new/");
+        self.gateway.store.configure(&config);
+        while self.gateway.request("warm", "/new/").await?.status == StatusCode::NOT_FOUND {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        Ok(())
+    }
+
     async fn stream(&self) -> Result<ClientResponse> {
         let request = ClientRequest::new("r1", HOST, "/resume/").model("base/a1");
         let request = request.timeout(Duration::from_secs(3));
@@ -66,7 +83,7 @@
 async fn paused_stream_without_budget() -> Result<()> {
     let fleet = Fleet::start(0.0).await?;
     fleet.other.set_busy(false);
-    fleet.holder.script(&[Action::Pause(1)]);
+    fleet.holder.script(&[Action::Pause(1, PAUSE_MS)]);
     assert_complete(&fleet.stream().await?);
     assert_that!(fleet.runs(), eq(1));
     Ok(())
@@ -76,7 +93,7 @@
 #[tokio::test]
 async fn paused_stream_without_other_holder() -> Result<()> {
     let fleet = Fleet::start(4.0).await?;
-    fleet.holder.script(&[Action::Pause(1)]);
+    fleet.holder.script(&[Action::Pause(1, PAUSE_MS)]);
     assert_complete(&fleet.stream().await?);
     assert_that!(fleet.runs(), eq(1));
     Ok(())
@@ -88,7 +105,7 @@
     let fleet = Fleet::start(4.0).await?;
     fleet.other.set_busy(false);
     fleet.other.script(&[Action::Refuse]);
-    fleet.holder.script(&[Action::Pause(1)]);
+    fleet.holder.script(&[Action::Pause(1, PAUSE_MS)]);
     assert_complete(&fleet.stream().await?);
     assert_that!(fleet.other.requests_received(), eq(1));
     assert_that!(fleet.runs(), eq(1));
@@ -105,6 +122,26 @@
     Ok(())
 }
 
+/// Guards against a third endpoint that is sought while the second one reads the prompt.
+#[tokio::test]
+async fn resumed_stream_is_kept() -> Result<()> {
+    let fleet = Fleet::start(4.0).await?;
+    fleet.allow_three_attempts().await?;
+    fleet.other.set_busy(false);
+    fleet.holder.script(&[Action::Stall(1)]);
+    fleet.other.script(&[Action::Pause(1, 600)]);
+    let third = Endpoint::start("i-c", "lm", Some("base"), "d1").await?;
+    let list_third = async {
+        wait_for_request(&fleet.other).await;
+        let store = &fleet.gateway.store;
+        store.list(third.id(), &third.entry("ready"));
+    };
+    let (got, ()) = tokio::join!(fleet.stream(), list_third);
+    assert_complete(&got?);
+    assert_that!(third.requests_received(), eq(0));
+    Ok(())
+}
+
 /// Guards against a stream that ends after one refusal because the refusal counted as a run.
 #[tokio::test]
 async fn broken_stream_refused_elsewhere() -> Result<()> {
