--- a/crates/ploverwick_gateway/tests/stream_resumption.rs
+++ b/crates/ploverwick_gateway/tests/stream_resumption.rs
@@ -13,7 +13,7 @@
 use ploverwick_platform_standin::settings;
 
 /// A pause of over half of the shortest time that clients wait for an event.
-const PAUSE_MS: u64 = 1_400;
+const PAUSE_MS: u32 = 1_400;
 
 /// Two endpoints and a gateway after a first request for the adapter.
 struct Fleet {
