--- a/crates/ploverwick_gateway/tests/stream_resumption.rs
+++ b/crates/ploverwick_gateway/tests/stream_resumption.rs
@@ -42,7 +42,7 @@
     /// Allows three attempts on the route `/resume/`.
     async fn allow_three_attempts(&self) -> Result<()> {
         let mut config = settings::config(2);
-        config["routes"][4]["max_attempts"] = 3.into();
+        settings::set_attempts(&mut config, "/resume/", 3);
         settings::add_route(&mut config, "/new/");
         self.gateway.store.configure(&config);
         while self.gateway.request("warm", "/new/").await?.status == StatusCode::NOT_FOUND {
