--- a/crates/ploverwick_adapters/src/slots.rs
+++ b/crates/ploverwick_adapters/src/slots.rs
@@ -8,6 +8,7 @@
 //! endpoint may hold one adapter more than is known, and a slot is kept free for it.
 
 mod answers;
+mod pending;
 mod plan;
 
 use std::collections::{HashMap, VecDeque};
@@ -19,11 +20,18 @@
 
 use crate::{Copy, Op, Order};
 
+use pending::PendingLoad;
+pub use pending::Wanted;
+
 /// How far an endpoint's report may lag behind its state, with some margin.
 const REPORT_LAG: Duration = Duration::from_millis(260);
 /// How often a pending order is polled for completion, by sending it again. A poll costs little
 /// more than the message.
 const POLL_INTERVAL: Duration = Duration::from_millis(18);
+/// How long after a load order an adapter that the endpoint has cached may still be loading.
+const CACHED_LOAD_TIMEOUT: Duration = Duration::from_millis(40);
+/// The number of loads that the platform allows an endpoint to run at once.
+const MAX_CONCURRENT_LOADS: usize = 4;
 /// How long an instance's statement that it uses an adapter is valid. Instances send it again every
 /// 150 ms, so that four lost messages in a row do not free an adapter, and a lost final message
 /// does not block its slot forever.
@@ -64,8 +72,15 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum SlotState {
     Held,
-    Loading { poll_at: Moment, ordered_at: Moment },
-    Unloading { poll_at: Moment },
+    Loading {
+        poll_at: Moment,
+        ordered_at: Moment,
+        /// Whether the endpoint is expected to have the adapter cached.
+        is_cached: bool,
+    },
+    Unloading {
+        poll_at: Moment,
+    },
 }
 
 /// The number of requests of one instance that use an adapter, as it last stated.
@@ -101,6 +116,19 @@
         }
     }
 
+    /// Returns whether the adapter is being loaded from the weight store. A load that takes longer
+    /// than one from the cache uses the store, whatever was expected.
+    fn uses_store(&self, now: Moment) -> bool {
+        match self.state {
+            SlotState::Loading {
+                ordered_at,
+                is_cached,
+                ..
+            } => !is_cached || now.since(ordered_at) >= CACHED_LOAD_TIMEOUT,
+            SlotState::Held | SlotState::Unloading { .. } => false,
+        }
+    }
+
     /// Returns the number of requests that use the adapter, ignoring expired statements.
     fn in_use(&self, now: Moment) -> u32 {
         let fresh = self.users.iter().filter(|u| now.since(u.at) < USE_TTL);
@@ -108,14 +136,6 @@
     }
 }
 
-#[derive(Debug, Clone)]
-struct PendingLoad {
-    copy: Copy,
-    at: Moment,
-    /// How often the load was requested, which grows with the number of waiting requests.
-    requests: u32,
-}
-
 #[derive(Debug, Clone, PartialEq, Eq)]
 enum BaseState {
     Held,
@@ -200,7 +220,7 @@
             .by_copy
             .get(copy)
             .is_some_and(|slot| matches!(slot.state, SlotState::Loading { .. }));
-        is_loading || self.pending.iter().any(|wanted| wanted.copy == *copy)
+        is_loading || self.pending.iter().any(|load| load.wanted.copy == *copy)
     }
 
     /// Returns whether any version of an adapter has a slot at the endpoint.
@@ -253,6 +273,12 @@
             .count()
     }
 
+    /// Returns the number of running loads that use the weight store.
+    pub fn store_loads(&self, now: Moment) -> usize {
+        let slots = self.by_copy.values();
+        slots.filter(|slot| slot.uses_store(now)).count()
+    }
+
     /// Returns whether a pending load could start soon: a slot is free or its adapter is unused.
     pub fn has_room(&self, now: Moment) -> bool {
         self.is_known() && (self.occupied() < self.capacity || self.victim(now).is_some())
@@ -277,25 +303,6 @@
         held.map(|(copy, _)| copy.clone()).collect()
     }
 
-    /// Requests that an adapter be loaded; the adapters requested most often are loaded first.
-    pub fn request_load(&mut self, copy: Copy, now: Moment) {
-        if let Some(slot) = self.by_copy.get_mut(&copy) {
-            slot.last_used = now;
-            return;
-        }
-        match self.pending.iter_mut().find(|wanted| wanted.copy == copy) {
-            Some(wanted) => {
-                wanted.at = now;
-                wanted.requests += 1;
-            }
-            None => self.pending.push_back(PendingLoad {
-                copy,
-                at: now,
-                requests: 1,
-            }),
-        }
-    }
-
     /// Requests that a base model be loaded.
     pub fn request_base(&mut self, model: Arc<str>) {
         self.models.entry(model).or_insert(BaseState::Missing);
--- a/crates/ploverwick_adapters/src/slots/answers.rs
+++ b/crates/ploverwick_adapters/src/slots/answers.rs
@@ -5,14 +5,20 @@
 
 use ploverwick_names::Moment;
 
-use super::{BaseState, Event, POLL_INTERVAL, REPORT_LAG, Slot, SlotState, Slots};
+use super::{
+    BaseState, CACHED_LOAD_TIMEOUT, Event, MAX_MISSED_ANSWERS, POLL_INTERVAL, REPORT_LAG, Slot,
+    SlotState, Slots,
+};
 use crate::{Answer, Copy, Op, Order, Report};
 
-/// The delay from a load order to its first poll. An adapter cached at the endpoint loads in about
-/// 25 ms.
+/// The delay from a load order to its first poll. An adapter cached at the endpoint loads in 25 to
+/// 30 ms.
 const FIRST_POLL_DELAY: Duration = Duration::from_millis(24);
-/// The delay from a load order to its second poll. A load from the weight store takes about 250 ms.
-const SECOND_POLL_DELAY: Duration = Duration::from_millis(236);
+/// How often a load is polled while it may come from the endpoint's cache.
+const CACHED_POLL_INTERVAL: Duration = Duration::from_millis(8);
+/// The delay from a load order to the first poll of a load from the weight store, which takes 250
+/// to 300 ms.
+const STORE_POLL_DELAY: Duration = Duration::from_millis(236);
 /// How often the load of a base model, which takes hundreds of milliseconds, is polled.
 const BASE_POLL_INTERVAL: Duration = Duration::from_millis(80);
 /// The number of consecutive refused unloads that are attributed to adapters in use. The next one is
@@ -25,6 +31,9 @@
         let is_retry = self.unanswered.take().is_some();
         self.last_order = Some(now);
         self.record_contact(!matches!(answer, Answer::Unknown | Answer::Gone), now);
+        if answer == Answer::Gone {
+            self.record_gone();
+        }
         if self.is_presence_check(order) {
             return self.on_presence_answer(order, answer, now);
         }
@@ -92,6 +101,7 @@
         let loading = SlotState::Loading {
             poll_at: now,
             ordered_at: now,
+            is_cached: false,
         };
         for copy in &report.held {
             let (copy, slot) = slot(copy, SlotState::Held);
@@ -130,18 +140,24 @@
                 if let SlotState::Loading {
                     poll_at,
                     ordered_at,
+                    ..
                 } = &mut slot.state
                 {
-                    *poll_at = (now + POLL_INTERVAL).max(*ordered_at + SECOND_POLL_DELAY);
+                    *poll_at = if now.since(*ordered_at) < CACHED_LOAD_TIMEOUT {
+                        now + CACHED_POLL_INTERVAL
+                    } else {
+                        (now + POLL_INTERVAL).max(*ordered_at + STORE_POLL_DELAY)
+                    };
                 }
                 None
             }
             (Op::Load, None) => {
                 self.advance();
-                self.pending.retain(|wanted| wanted.copy != copy);
+                let wanted = self.take_pending(&copy);
                 let loading = SlotState::Loading {
                     poll_at: now + FIRST_POLL_DELAY,
                     ordered_at: now,
+                    is_cached: wanted.is_some_and(|wanted| wanted.is_cached),
                 };
                 self.by_copy.insert(copy.clone(), Slot::new(loading, now));
                 Some(Event::Loading(copy))
@@ -170,7 +186,7 @@
         let copy = Copy::of(&order.model, adapter, version);
         match order.op {
             Op::Load => {
-                self.pending.retain(|wanted| wanted.copy != copy);
+                self.take_pending(&copy);
                 self.by_copy
                     .insert(copy.clone(), Slot::new(SlotState::Held, now));
                 Some(Event::Loaded(copy))
@@ -307,7 +323,7 @@
             return;
         };
         let copy = Copy::of(&order.model, adapter, version);
-        self.pending.retain(|wanted| wanted.copy != copy);
+        self.take_pending(&copy);
         self.by_copy.remove(&copy);
     }
 
@@ -334,6 +350,13 @@
         }
     }
 
+    /// Treats an endpoint that accepts no connection as unresponsive at once: nothing can be loaded
+    /// there until it has sent a report.
+    fn record_gone(&mut self) {
+        self.missed_answers = self.missed_answers.max(MAX_MISSED_ANSWERS);
+        self.pending.clear();
+    }
+
     fn require_report(&mut self, at: Moment) {
         self.unanswered = None;
         self.orders = None;
--- a/crates/ploverwick_adapters/tests/endpoint_choice.rs
+++ b/crates/ploverwick_adapters/tests/endpoint_choice.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use ploverwick_adapters::{Copy, Key, Need, Placer, Report, Target};
+use ploverwick_adapters::{Copy, Key, Need, Placer, Report, Request, Target};
 use ploverwick_names::Moment;
 
 const MODEL: &str = "base";
@@ -47,7 +47,8 @@
     let all = ["i-0", "i-1", "i-2"].into_iter().zip(waits);
     all.map(|(id, ms)| Target {
         endpoint: Arc::from(id),
-        wait: Duration::from_millis(ms),
+        pause: Duration::from_millis(ms),
+        share: 1.0,
     })
     .collect()
 }
@@ -57,7 +58,15 @@
     let previous_holders: Vec<Arc<str>> = is_cached.then(|| Arc::from("i-0")).into_iter().collect();
     let chosen = (0..100).filter_map(|n| {
         let wanted = copy(&format!("a{n}"));
-        placer(is_full).place(&wanted, &targets(waits), Need::Any, &previous_holders, NOW)
+        let mut placer = placer(is_full);
+        placer
+            .place(
+                &Request::new(wanted.clone(), Need::Any),
+                &targets(waits),
+                &previous_holders,
+                NOW,
+            )
+            .ok()
     });
     chosen.filter(|id| **id == *"i-0").count()
 }
@@ -67,6 +76,20 @@
     expect_that!(to_first(false, [0, 0, 0], false), all![ge(15), le(50)]);
 }
 
+/// Guards against a choice blind to speed: the third of the endpoints that read 2.4 times slower held a
+/// third of the adapters, and four of ten streams there paused for too long.
+#[googletest::test]
+fn slow_endpoint_gets_fewer_adapters() {
+    let chosen = (0..100).filter_map(|n| {
+        let mut targets = targets([0, 0, 0]);
+        targets[0].share = 0.125;
+        let request = Request::new(copy(&format!("a{n}")), Need::Any);
+        placer(false).place(&request, &targets, &[], NOW).ok()
+    });
+    let to_slow = chosen.filter(|id| **id == *"i-0").count();
+    expect_that!(to_slow, all![ge(1), le(12)]);
+}
+
 /// A summary request queued behind 13,000 prompt tokens while four of eleven endpoints were idle.
 #[googletest::test]
 fn endpoint_with_queued_prompts_avoided() {
--- a/crates/ploverwick_bench/src/decide.rs
+++ b/crates/ploverwick_bench/src/decide.rs
@@ -135,6 +135,7 @@
     peers: 26,
     bytes: 900,
     prompt: 700,
+    pacing: None,
     except: &[],
 };
 
@@ -158,6 +159,7 @@
             let load = Load {
                 requests: 1,
                 unread_tokens: 700,
+                held_tokens: 0,
             };
             (id((peer * 10 + n) % endpoints), load)
         });
--- a/crates/ploverwick_endpoints/src/fleet.rs
+++ b/crates/ploverwick_endpoints/src/fleet.rs
@@ -1,5 +1,7 @@
 //! The listed endpoints with their load and health, and the selection among them.
 
+mod capacities;
+
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -8,10 +10,11 @@
 use ploverwick_placement::{Candidate, score};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-use crate::capacity::Capacity;
-use crate::load::{Load, PromptPace};
+use crate::capacity::{EndpointKey, Pace};
+use crate::interference::Pacing;
+use crate::load::Load;
 use crate::peer_loads::{PeerLoad, PeerLoads};
-use crate::{Entry, Health, Outcome, State, peer_loads};
+use crate::{Entry, Health, Numbering, Outcome, State, totals};
 
 /// The cost of sending a request to an endpoint, comparable to milliseconds of latency.
 #[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
@@ -44,9 +47,13 @@
 /// same endpoint in the meantime. Each instance adds about half a request to an endpoint during that time.
 const JITTER_COST_PER_PEER: f64 = 1.2;
 
-/// The cost to each request in progress per millisecond spent reading the new prompt.
+/// The cost to each request in progress per millisecond spent reading the new prompt, if no pause is too long
+/// for it.
 const INTERFERENCE_FACTOR: f64 = 0.01;
 
+/// The range of pseudo-random jitter of the cost to running streams, as a fraction of that cost.
+const INTERFERENCE_JITTER: f64 = 1.0;
+
 /// The parameters of an endpoint selection.
 #[derive(Debug, Clone, Copy)]
 pub struct Query<'a> {
@@ -64,6 +71,8 @@
     pub bytes: usize,
     /// The number of prompt tokens.
     pub prompt: u32,
+    /// What the answer needs if it is a stream whose pauses must not be too long.
+    pub pacing: Option<Pacing>,
     /// The endpoints to exclude.
     pub except: &'a [Arc<str>],
 }
@@ -73,7 +82,7 @@
     entry: Entry,
     /// The load of this instance's own requests.
     own: Load,
-    pace: PromptPace,
+    pace: Pace,
     health: Health,
 }
 
@@ -108,9 +117,16 @@
     peer_loads: PeerLoads,
     /// The load of all instances at each endpoint as summed by its placer, and when the sum was received.
     totals: HashMap<Arc<str>, (Load, Moment)>,
+    /// The identifiers of the endpoints by the keys that stand for them in messages.
+    keys: HashMap<EndpointKey, Arc<str>>,
+    capacities_ticked_at: Option<Moment>,
+    /// The memory of the endpoints of each service, in tokens.
+    token_capacities: HashMap<Arc<str>, u64>,
     /// The sum of the hashes of all list entries, modulo 2^64. It is updated incrementally because each message
     /// about the list needs it, and hashing 3,000 entries takes 3 ms.
     digest: u64,
+    /// The numbered endpoints of each failure domain, computed when needed and dropped when one joins or leaves.
+    numberings: HashMap<Arc<str>, Numbering>,
 }
 
 impl Fleet {
@@ -123,18 +139,27 @@
                 if member.entry.state == State::Draining {
                     entry.state = State::Draining;
                 }
+                if member.entry.born != entry.born && entry.born != 0 {
+                    member.pace = Pace::new(&entry.id);
+                }
                 let before = std::mem::replace(&mut member.entry, entry);
+                if before.domain != member.entry.domain {
+                    self.numberings.clear();
+                }
                 self.digest = self.digest.wrapping_sub(entry_hash(&before));
                 self.digest = self.digest.wrapping_add(entry_hash(&member.entry));
             }
             None => {
                 self.digest = self.digest.wrapping_add(entry_hash(&entry));
+                self.numberings.remove(&entry.domain);
                 let member = Member {
-                    entry,
                     own: Load::default(),
-                    pace: PromptPace::default(),
+                    pace: Pace::new(&entry.id),
                     health: Health::default(),
+                    entry,
                 };
+                let id = Arc::clone(&member.entry.id);
+                self.keys.entry(member.pace.key()).or_insert(id);
                 self.members.insert(Arc::clone(&member.entry.id), member);
             }
         }
@@ -160,7 +185,12 @@
         self.totals.remove(id);
         let removed = self.members.remove(id);
         if let Some(member) = &removed {
+            self.numberings.remove(&member.entry.domain);
             self.digest = self.digest.wrapping_sub(entry_hash(&member.entry));
+            let key = member.pace.key();
+            if self.keys.get(&key).is_some_and(|listed| **listed == *id) {
+                self.keys.remove(&key);
+            }
         }
         removed.is_some()
     }
@@ -183,6 +213,18 @@
         self.digest
     }
 
+    /// Returns the numbering of the endpoints of a failure domain.
+    pub fn numbering(&mut self, domain: &Arc<str>) -> &Numbering {
+        let members = &self.members;
+        self.numberings
+            .entry(Arc::clone(domain))
+            .or_insert_with(|| {
+                let in_domain = members.values().map(|member| &member.entry);
+                let in_domain = in_domain.filter(|entry| entry.domain == *domain);
+                Numbering::of(in_domain.map(|entry| Arc::clone(&entry.id)))
+            })
+    }
+
     /// Returns whether an endpoint is listed as ready.
     pub fn is_ready(&self, id: &str) -> bool {
         self.entry(id).is_some_and(|e| e.state == State::Ready)
@@ -235,11 +277,9 @@
         }
     }
 
-    /// Records the time to the first byte of an answer. `tokens` is the number of prompt tokens that were to be
-    /// read before it, including those of other requests.
-    pub fn record_latency(&mut self, id: &str, tokens: u32, taken: Duration) {
+    /// Records the time to the first byte of an answer.
+    pub fn record_latency(&mut self, id: &str, taken: Duration) {
         if let Some(member) = self.members.get_mut(id) {
-            member.pace.record_answer(tokens, taken);
             member.health.record_latency(taken);
         }
     }
@@ -254,9 +294,12 @@
         self.peer_loads.add(peer, PeerLoad { at: now, loads }, now);
     }
 
-    /// Records the load of all instances at an endpoint, as summed by its placer.
-    pub fn record_total(&mut self, endpoint: Arc<str>, load: Load, now: Moment) {
-        self.totals.insert(endpoint, (load, now));
+    /// Records the load of all instances at endpoints, as summed by their placer.
+    pub fn record_totals(&mut self, message: &totals::Message, now: Moment) {
+        let loads = message.loads(self.numbering(&message.domain));
+        for (endpoint, load) in loads {
+            self.totals.insert(endpoint, (load, now));
+        }
     }
 
     /// Returns the load of this instance's own requests at each endpoint that has any.
@@ -271,7 +314,7 @@
     /// placer, which is more complete.
     pub fn load(&self, id: &str, now: Moment) -> Load {
         let total = self.totals.get(id);
-        let total = total.filter(|(_, at)| now.since(*at) <= peer_loads::MAX_PEER_LOAD_AGE);
+        let total = total.filter(|(_, at)| now.since(*at) <= totals::MAX_AGE);
         let total = total.map_or_else(Load::default, |(load, _)| *load);
         self.direct_load(id, now).max(total)
     }
@@ -295,12 +338,6 @@
         f64::from(ahead.saturating_add(prompt)) * member.pace.ms_per_token()
     }
 
-    /// Returns the learned speed of an endpoint; `None` if it is not listed.
-    pub fn capacity(&self, id: &str) -> Option<Capacity> {
-        let member = self.members.get(id)?;
-        Some(Capacity::with_read_ms(member.pace.ms_per_token()))
-    }
-
     /// Returns the ratio of requests to slots of an endpoint; 1 means that all slots are in use.
     pub fn fill(&self, id: &str, now: Moment) -> Option<f64> {
         let slots = self.members.get(id)?.entry.slots;
@@ -372,7 +409,8 @@
 
     fn cost(&self, member: &Member, query: &Query<'_>, median: Option<f64>, now: Moment) -> Cost {
         let entry = &member.entry;
-        let next = f64::from(self.load(&entry.id, now).requests + 1);
+        let load = self.load(&entry.id, now);
+        let next = f64::from(load.requests + 1);
         let fill = next / f64::from(entry.slots.max(1));
         let mut cost = FILL_COST * fill + OVERLOAD_COST * (fill - NEARLY_FULL_FILL).max(0.0);
         if &*entry.domain == query.domain {
@@ -381,8 +419,8 @@
             cost += REMOTE_COST + REMOTE_COST_PER_KB * query.bytes as f64 / 1_024.0;
         }
         cost += self.expected_ms(member, query.prompt, now);
-        let own_ms = f64::from(query.prompt) * member.pace.ms_per_token();
-        cost += INTERFERENCE_FACTOR * own_ms * (next - 1.0);
+        cost += interference(member, query, load);
+        cost += self.memory_cost(member, query.prompt, now);
         if member.health.is_full(now) {
             cost += REFUSAL_COST;
         }
@@ -413,6 +451,18 @@
     }
 }
 
+/// Returns the cost to the streams at an endpoint, with a jitter that spreads the concurrent choices of instances
+/// that know the same loads.
+fn interference(member: &Member, query: &Query<'_>, load: Load) -> f64 {
+    let capacity = member.pace.capacity();
+    let Some(pacing) = &query.pacing else {
+        let own_ms = f64::from(query.prompt) * capacity.read_ms;
+        return INTERFERENCE_FACTOR * own_ms * f64::from(load.requests);
+    };
+    let factor = 1.0 + INTERFERENCE_JITTER * jitter(query.id, &member.entry.id);
+    factor * pacing.cost(capacity, load, query.prompt)
+}
+
 /// Returns the hash of a list entry.
 fn entry_hash(entry: &Entry) -> u64 {
     let Entry {
--- a/crates/ploverwick_endpoints/src/lib.rs
+++ b/crates/ploverwick_endpoints/src/lib.rs
@@ -13,25 +13,37 @@
 mod health;
 mod heartbeats;
 mod instance_count;
+mod interference;
+mod late_answer;
 mod limit;
 mod limits;
+pub mod list_updates;
 mod load;
+pub mod numbering;
 mod pauses;
 mod peer_loads;
 mod resumption;
+pub mod service_rate;
+pub mod totals;
 
 pub use absences::Absences;
 pub use answer_timeout::answer_timeout;
 pub use budget::{Balance, Budget, RetryPolicy};
-pub use capacity::Capacity;
+pub use capacity::{
+    Capacity, EndpointKey, EndpointObservations, Figure, LogByte, MAX_CHANGED_FIGURES,
+    MAX_OBSERVED_ENDPOINTS, Observations, REFRESHED_FIGURES, StepMeter,
+};
 pub use draining_reports::DrainingReports;
 pub use entry::{Entry, Held, State};
 pub use fleet::{Cost, Fleet, Query};
 pub use health::{Health, Outcome};
 pub use heartbeats::{Heartbeat, Heartbeats};
 pub use instance_count::InstanceCount;
+pub use interference::Pacing;
+pub use late_answer::LateAnswer;
 pub use limit::{Limit, Share};
 pub use limits::{Change, LimitUpdate, Limits};
 pub use load::Load;
+pub use numbering::Numbering;
 pub use pauses::Pauses;
 pub use resumption::{Resumption, Step};
--- a/crates/ploverwick_gateway/src/filters.rs
+++ b/crates/ploverwick_gateway/src/filters.rs
@@ -7,7 +7,9 @@
 mod activity_guard;
 mod admit;
 mod admitted_request;
+mod answer_wait;
 mod authenticate;
+mod copy_demand;
 mod event_splitter;
 mod forward;
 mod in_flight;
@@ -20,6 +22,8 @@
 mod reuse;
 mod select;
 mod send;
+mod source;
+mod stream_timing;
 mod terms;
 
 use std::sync::Arc;
--- a/crates/ploverwick_gateway/src/filters/missing_adapter.rs
+++ b/crates/ploverwick_gateway/src/filters/missing_adapter.rs
@@ -1,36 +1,82 @@
 //! Requests the load of an adapter that no available endpoint holds.
 
 use std::sync::Arc;
+use std::time::Duration;
 
-use ploverwick_adapters::{Copy, Domain, Need};
+use ploverwick_adapters::{Copy, Domain, Need, Request};
+use ploverwick_endpoints::service_rate;
 
 use super::admitted_request::AdmittedRequest;
 use crate::controllers::load_requests;
 use crate::shared::Shared;
 
-/// Requests the load of an adapter in the failure domain chosen for it.
-pub(super) fn request_load(shared: &Arc<Shared>, request: &AdmittedRequest, copy: &Copy) {
-    let Some(domain) = choose_domain(shared, request, copy) else {
-        return;
-    };
-    // Endpoints that hold the adapter cannot be used: they are ejected or were tried already.
-    let holders = shared.state().directory.holders(&copy.key, copy.version);
-    let need = if holders.is_empty() {
-        Need::Any
-    } else {
+/// The weight of a request of the most urgent priority, 0. That of each further priority is half as great.
+const MAX_WEIGHT: u32 = 8;
+
+/// Requests the load of an adapter in the failure domain chosen for it. Returns how long the load is expected to
+/// take if it is not running yet.
+pub(super) fn request_load(
+    shared: &Arc<Shared>,
+    request: &AdmittedRequest,
+    copy: &Copy,
+) -> Option<Duration> {
+    let domain = choose_domain(shared, request, copy)?;
+    let is_coming = is_coming(shared, copy);
+    let load = load_request(request, copy, need(shared, copy));
+    load_requests::request_load(shared, &domain, load);
+    if is_coming {
+        return None;
+    }
+    let now = shared.now();
+    let state = shared.state();
+    state.expected_load_wait(&domain, &shared.settings, now)
+}
+
+/// Returns the message that asks for a load on behalf of a request.
+pub(super) fn load_request(request: &AdmittedRequest, copy: &Copy, need: Need) -> Request {
+    Request {
+        copy: copy.clone(),
+        need,
+        weight: (MAX_WEIGHT >> request.terms.priority).max(1),
+    }
+}
+
+/// Returns whether an adapter is being loaded or was placed recently.
+pub(super) fn is_coming(shared: &Shared, copy: &Copy) -> bool {
+    let now = shared.now();
+    shared.state().directory.loading_on(copy, now).is_some()
+}
+
+/// Returns why a request needs the load: if an endpoint that holds the adapter is available, the request has tried
+/// it already.
+fn need(shared: &Shared, copy: &Copy) -> Need {
+    let now = shared.now();
+    let state = shared.state();
+    let holders = state.directory.holders(&copy.key, copy.version);
+    let is_available = |id: &Arc<str>| state.fleet.is_ready(id) && !state.fleet.is_ejected(id, now);
+    if holders.iter().any(is_available) {
         Need::Another
-    };
-    load_requests::request_load(shared, &domain, copy, need);
+    } else {
+        Need::Any
+    }
 }
 
-/// Chooses the failure domain that loads an adapter; `None` if it is being loaded already or no domain can load
-/// it.
+/// Chooses the failure domain that loads an adapter; `None` if no domain can load it.
 fn choose_domain(shared: &Shared, request: &AdmittedRequest, copy: &Copy) -> Option<Arc<str>> {
     let now = shared.now();
     let state = shared.state();
-    if state.directory.loading_on(copy, now).is_some() {
-        return None;
+    // Once an adapter is placed, all requests for it go to the same placer, so that it is loaded once.
+    if let Some(endpoint) = state.directory.loading_on(copy, now)
+        && let Some(entry) = state.fleet.entry(endpoint)
+        && !state.fleet.is_ejected(endpoint, now)
+        && state
+            .waiting_in(&entry.domain, &shared.settings, now)
+            .is_some()
+    {
+        return Some(Arc::clone(&entry.domain));
     }
+    let capacities = service_rate::domain_capacities(&state.fleet, &request.service, now);
+    let capacity_of = |name: &str| capacities.get(name).copied().unwrap_or(1.0);
     let names = shared.settings.domains.iter();
     let domains: Vec<Domain<'_>> = names
         .filter_map(|name| {
@@ -39,6 +85,7 @@
             Some(Domain {
                 name,
                 endpoints,
+                capacity: capacity_of(name),
                 waiting,
             })
         })
--- a/crates/ploverwick_gateway/src/messages.rs
+++ b/crates/ploverwick_gateway/src/messages.rs
@@ -6,8 +6,9 @@
 use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex};
 
-use ploverwick_adapters::{Copy, Key, Need};
-use ploverwick_endpoints::{Entry, LimitUpdate};
+use ploverwick_adapters::{Copy, Demand, Key, Request};
+use ploverwick_endpoints::numbering::Numbered;
+use ploverwick_endpoints::{EndpointObservations, Entry, Figure, LimitUpdate, LogByte, totals};
 use ploverwick_names::Moment;
 use ploverwick_quarantine::DIGEST_BUCKETS;
 use ploverwick_quota::{Grant, Lease};
@@ -22,6 +23,9 @@
 /// The maximum size of a datagram; the network would fragment larger ones.
 const MAX_DATAGRAM_BYTES: usize = 1_300;
 
+/// The smallest number of held tokens that a message distinguishes from none.
+const HELD_TOKENS_UNIT: f64 = 16.0;
+
 /// An adapter at an endpoint and the number of the sender's requests that use it.
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) struct AdapterUse {
@@ -44,6 +48,8 @@
     pub(crate) requests: u32,
     /// The number of prompt tokens of requests whose answer has not begun.
     pub(crate) unread_tokens: u32,
+    /// The number of tokens that these requests are expected to hold, rounded.
+    held_tokens: LogByte,
 }
 
 impl EndpointLoad {
@@ -52,6 +58,7 @@
             endpoint,
             requests: load.requests,
             unread_tokens: load.unread_tokens,
+            held_tokens: LogByte::round(load.held_tokens.into(), HELD_TOKENS_UNIT),
         }
     }
 
@@ -59,21 +66,25 @@
         ploverwick_endpoints::Load {
             requests: self.requests,
             unread_tokens: self.unread_tokens,
+            held_tokens: self.held_tokens.value(HELD_TOKENS_UNIT) as u32,
         }
     }
 }
 
-/// The digest of the adapters that an endpoint holds.
+/// Digests of the adapters that endpoints of one failure domain hold.
 #[derive(Debug, Clone, Serialize, Deserialize)]
-pub(crate) struct EndpointDigest {
-    pub(crate) endpoint: Arc<str>,
-    pub(crate) digest: u64,
+pub(crate) struct EndpointDigests {
+    pub(crate) domain: Arc<str>,
+    /// The checksum of the numbering that the digests refer to.
+    pub(crate) checksum: u32,
+    /// The lower halves of the digests.
+    pub(crate) digests: Vec<Numbered<u32>>,
 }
 
 /// How an adapter changed at an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum ChangeKind {
-    /// The endpoint is loading it.
+    /// The endpoint is loading it or is about to.
     Loading,
     /// The endpoint now holds it.
     Loaded,
@@ -111,23 +122,25 @@
         placer_token: Option<u64>,
         /// The number of adapters that wait for placement, if it is the placer.
         waiting: u32,
+        /// Its demand for loads from the weight store, if it is the placer.
+        demand: Option<Demand>,
         /// How far it has read each topic of the store, and whether it reads for others.
         read_states: ReadStates,
         loads: Vec<EndpointLoad>,
     },
     /// The requests in progress, over all instances, at endpoints of a placer's failure domain.
-    LoadTotals(Vec<EndpointLoad>),
+    LoadTotals(totals::Message),
     /// The adapters that the sender's requests use.
     AdapterUses(Vec<AdapterUse>),
     /// Requests that the receiver, a placer, have an adapter loaded.
-    LoadRequest { copy: Copy, need: Need },
+    LoadRequest(Request),
     /// The complete list of adapters that an endpoint holds.
     EndpointReport {
         endpoint: Arc<str>,
         adapters: Vec<ModelAdapters>,
     },
     /// Digests of the adapters that endpoints hold; a receiver with a different digest requests a report.
-    EndpointDigests(Vec<EndpointDigest>),
+    EndpointDigests(EndpointDigests),
     /// Requests reports of what these endpoints hold.
     EndpointReportRequest(Vec<Arc<str>>),
     /// Changes of adapters at endpoints, in order.
@@ -178,6 +191,11 @@
     },
     /// Endpoints that have reported that they are leaving.
     Draining(Vec<Arc<str>>),
+    /// What the sender observed of the speed of endpoints of the receiver's failure domain. The receiver is its
+    /// placer.
+    Observations(Vec<EndpointObservations>),
+    /// The learned speed of endpoints of a placer's failure domain.
+    Figures(Vec<Figure>),
 }
 
 impl Message {
@@ -200,6 +218,36 @@
         }
     }
 
+    /// Returns the name of the kind of message, as used in metrics.
+    fn kind(&self) -> &'static str {
+        match self {
+            Self::Status { .. } => "status",
+            Self::LoadTotals(_) => "load_totals",
+            Self::AdapterUses(_) => "adapter_uses",
+            Self::LoadRequest { .. } => "load_request",
+            Self::EndpointReport { .. } => "endpoint_report",
+            Self::EndpointDigests(_) => "endpoint_digests",
+            Self::EndpointReportRequest(_) => "endpoint_report_request",
+            Self::Changes(_) => "changes",
+            Self::EndpointListUpdate { .. } => "endpoint_list_update",
+            Self::Records(_) => "records",
+            Self::TopicEnd { .. } => "topic_end",
+            Self::ProofRequest { .. } => "proof_request",
+            Self::Proof { .. } => "proof",
+            Self::QuotaLease { .. } => "quota_lease",
+            Self::QuotaGrants { .. } => "quota_grants",
+            Self::BaseLoad => "base_load",
+            Self::LeaseReleased => "lease_released",
+            Self::QuarantineEntries(_) => "quarantine_entries",
+            Self::EndpointLimitsRequest => "endpoint_limits_request",
+            Self::EndpointLimits(_) => "endpoint_limits",
+            Self::QuarantineDigests { .. } => "quarantine_digests",
+            Self::Draining(_) => "draining",
+            Self::Observations(_) => "observations",
+            Self::Figures(_) => "figures",
+        }
+    }
+
     /// Returns whether a placer relays this message from another failure domain to its own, so that information
     /// on endpoints crosses between two domains once instead of once per instance.
     pub(crate) fn is_relayed(&self) -> bool {
@@ -210,7 +258,8 @@
             | Self::Changes(_)
             | Self::EndpointLimits(_)
             | Self::Draining(_)
-            | Self::QuarantineEntries(_) => true,
+            | Self::QuarantineEntries(_)
+            | Self::Figures(_) => true,
             Self::Status { .. }
             | Self::AdapterUses(_)
             | Self::LoadRequest { .. }
@@ -225,6 +274,7 @@
             | Self::EndpointLimitsRequest
             | Self::BaseLoad
             | Self::LeaseReleased
+            | Self::Observations(_)
             | Self::QuarantineDigests { .. } => false,
         }
     }
@@ -282,15 +332,15 @@
             }
         };
         if bytes.len() <= MAX_DATAGRAM_BYTES {
-            return self.send_datagram(&bytes, to);
+            return self.send_datagram(message.kind(), &bytes, to);
         }
         for part in parts::split(&bytes, MAX_DATAGRAM_BYTES) {
-            self.send_datagram(&part, to);
+            self.send_datagram(message.kind(), &part, to);
         }
     }
 
-    fn send_datagram(&self, bytes: &[u8], to: &[IpAddr]) {
-        metrics::datagrams(to.len(), bytes.len());
+    fn send_datagram(&self, kind: &'static str, bytes: &[u8], to: &[IpAddr]) {
+        metrics::datagrams(kind, to.len(), bytes.len());
         for ip in to {
             // A full send buffer drops the message, as the network may.
             if let Err(error) = self.socket.try_send_to(bytes, (*ip, self.port).into()) {
--- a/crates/ploverwick_gateway/src/metrics.rs
+++ b/crates/ploverwick_gateway/src/metrics.rs
@@ -15,6 +15,7 @@
 use hyper_util::rt::TokioIo;
 use metrics::{counter, gauge, histogram};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use ploverwick_adapters::Demand;
 use ploverwick_codes::Code;
 use ploverwick_names::Moment;
 use ploverwick_quarantine::Diagnosis;
@@ -104,21 +105,62 @@
         .increment(1);
 }
 
+/// Counts a decision about a late answer.
+pub(crate) fn late_answer(decision: &'static str) {
+    counter!("ploverwick_late_answers_total", "decision" => decision).increment(1);
+}
+
 /// Counts a send to an endpoint that has set a limit.
 pub(crate) fn limited_send() {
     counter!("ploverwick_limited_sends_total").increment(1);
 }
 
+/// Counts a stream that was forwarded by whether its events came in time and how it ended, and records its longest
+/// pause between two events.
+pub(crate) fn stream(punctuality: &'static str, ending: &'static str, longest_pause: Duration) {
+    counter!("ploverwick_streams_total", "timing" => punctuality, "ending" => ending).increment(1);
+    histogram!("ploverwick_stream_pause_seconds").record(longest_pause.as_secs_f64());
+}
+
 /// Sets the number of endpoints that this instance knows to have set a limit.
 pub(crate) fn endpoint_limits(endpoints: usize) {
     gauge!("ploverwick_endpoint_limits").set(endpoints as f64);
 }
 
+/// Sets the number of endpoints of this failure domain whose speed this instance, their placer, has learned.
+pub(crate) fn known_capacities(endpoints: usize) {
+    gauge!("ploverwick_endpoint_capacities").set(endpoints as f64);
+}
+
+/// Sets the highest memory fill of the endpoints of this failure domain, as known to their placer. Above 1, an endpoint
+/// preempts requests.
+pub(crate) fn max_memory_fill(fill: f64) {
+    gauge!("ploverwick_endpoint_memory_fill_max").set(fill);
+}
+
 /// Counts an endpoint that an answer or another instance reported as leaving before the list did.
 pub(crate) fn endpoint_draining() {
     counter!("ploverwick_endpoints_draining_total").increment(1);
 }
 
+/// Sets the gauges of loads from the weight store that this instance, a placer, runs or may run.
+pub(crate) fn adapter_loads(demand: Demand, limit: usize) {
+    gauge!("ploverwick_adapter_loads_in_flight").set(demand.in_flight);
+    gauge!("ploverwick_adapter_loads_waiting").set(demand.waiting);
+    gauge!("ploverwick_adapter_load_window").set(demand.window);
+    gauge!("ploverwick_adapter_load_limit").set(limit as f64);
+}
+
+/// Counts an adapter that was unloaded, by cause: a newer version, or room for another adapter.
+pub(crate) fn adapter_unloaded(cause: &'static str) {
+    counter!("ploverwick_adapters_unloaded_total", "cause" => cause).increment(1);
+}
+
+/// Counts a requested copy of an adapter that is held already, by what the placer decided.
+pub(crate) fn adapter_copy(outcome: &'static str) {
+    counter!("ploverwick_adapter_copies_total", "outcome" => outcome).increment(1);
+}
+
 /// Counts a pause that an endpoint requested while it was not already pausing.
 pub(crate) fn endpoint_paused() {
     counter!("ploverwick_endpoint_pauses_total").increment(1);
@@ -197,10 +239,16 @@
     histogram!("ploverwick_adapter_wait_seconds").record(elapsed.as_secs_f64());
 }
 
-/// Counts datagrams sent to other instances.
-pub(crate) fn datagrams(count: usize, bytes: usize) {
-    counter!("ploverwick_datagrams_total").increment(count as u64);
-    counter!("ploverwick_datagram_bytes_total").increment((count * bytes) as u64);
+/// Counts a request that asked for another copy of its adapter, because its prompt pauses the streams at the best
+/// endpoint for too long.
+pub(crate) fn relief_request() {
+    counter!("ploverwick_relief_requests_total").increment(1);
+}
+
+/// Counts datagrams sent to other instances, by the kind of message.
+pub(crate) fn datagrams(kind: &'static str, count: usize, bytes: usize) {
+    counter!("ploverwick_datagrams_total", "kind" => kind).increment(count as u64);
+    counter!("ploverwick_datagram_bytes_total", "kind" => kind).increment((count * bytes) as u64);
 }
 
 /// Sets how far a topic has been read, when that was updated, and whether this instance reads it for others.
--- a/crates/ploverwick_gateway/src/state.rs
+++ b/crates/ploverwick_gateway/src/state.rs
@@ -5,10 +5,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ploverwick_adapters::{Copy, Directory, Lease, LeasePolicy, LoadLimiter, Placer, Watermark};
+use ploverwick_adapters::{
+    Copy, Demand, Directory, Lease, LeasePolicy, LoadLimiter, Placer, Watermark,
+};
 use ploverwick_endpoints::{
     Balance, Budget, DrainingReports, Entry, Fleet, Held, InstanceCount, Limits, Pauses,
-    RetryPolicy,
+    RetryPolicy, totals,
 };
 use ploverwick_limits::{PriorUse, RateLimiter};
 use ploverwick_names::Moment;
@@ -43,6 +45,8 @@
     pub(crate) placer_token: Option<u64>,
     /// The number of adapters that wait for placement in its failure domain, if it is the placer.
     pub(crate) waiting: u32,
+    /// Its demand for loads from the weight store, if it is the placer.
+    pub(crate) demand: Option<Demand>,
     /// How far it has read each topic of the store.
     pub(crate) read_states: ReadStates,
 }
@@ -77,6 +81,15 @@
     Listed,
 }
 
+/// The loads at the endpoints of this failure domain that were last sent, if this instance is the placer.
+#[derive(Debug, Default)]
+pub(crate) struct TotalsSenders {
+    /// To the instances of this failure domain.
+    pub(crate) local: totals::Sender,
+    /// To the placers of the other failure domains.
+    pub(crate) remote: totals::Sender,
+}
+
 /// The mutable state of the process.
 #[derive(Debug)]
 pub(crate) struct State {
@@ -91,6 +104,7 @@
     pub(crate) table: Option<Arc<Table>>,
     pub(crate) rate_limiter: RateLimiter,
     pub(crate) fleet: Fleet,
+    pub(crate) totals: TotalsSenders,
     /// The limits that overloaded endpoints have set.
     pub(crate) limits: Limits,
     /// The pauses that endpoints requested in their answers to this instance.
@@ -150,6 +164,7 @@
                 PriorUse::Unknown
             }),
             fleet: Fleet::default(),
+            totals: TotalsSenders::default(),
             limits: Limits::default(),
             pauses: Pauses::default(),
             draining_reports: DrainingReports::default(),
@@ -226,6 +241,22 @@
         is_alive.then_some(placer.waiting)
     }
 
+    /// Returns how long an adapter that is requested in a failure domain now takes to load; `None` if its
+    /// placer has not stated it.
+    pub(crate) fn expected_load_wait(
+        &self,
+        domain: &str,
+        settings: &Settings,
+        now: Moment,
+    ) -> Option<Duration> {
+        if *domain == *settings.domain && self.placer_lease.is_held(now) {
+            return self.placer.demand(now).expected_wait();
+        }
+        let ip = self.placer_of(domain, now)?;
+        let placer = self.peers.values().find(|peer| peer.ip == ip)?;
+        placer.demand?.expected_wait()
+    }
+
     /// Returns how many live instances of this failure domain rank before this one. The
     /// highest-ranked instances read the store for the others.
     pub(crate) fn rank(&self, settings: &Settings, now: Moment) -> usize {
