--- a/crates/ploverwick_adapters/src/crowding.rs
+++ b/crates/ploverwick_adapters/src/congestion.rs
@@ -1,4 +1,4 @@
-//! Decides when requests that crowd at the endpoints of an adapter justify another copy of it.
+//! Decides when the endpoints of an adapter are congested for long enough to justify another copy of it.
 //!
 //! A moment of load at an endpoint passes before a copy elsewhere is loaded. Only an adapter whose requests keep
 //! finding its endpoints loaded gains by another one.
@@ -31,13 +31,13 @@
     }
 }
 
-/// The requests that recently found the endpoints of their adapter crowded.
+/// The requests that recently found the endpoints of their adapter congested.
 #[derive(Debug, Default)]
-pub(crate) struct Crowding {
+pub(crate) struct Congestion {
     by_copy: HashMap<Copy, Demand>,
 }
 
-impl Crowding {
+impl Congestion {
     /// Records such a request. Returns whether the adapter should get another copy, after which as many requests
     /// are needed for the next one.
     pub(crate) fn record(&mut self, copy: &Copy, now: Moment) -> bool {
--- a/crates/ploverwick_adapters/src/directory.rs
+++ b/crates/ploverwick_adapters/src/directory.rs
@@ -58,7 +58,7 @@
     }
 
     /// Records that an endpoint is loading an adapter or is about to. Returns whether other
-    /// instances should be told, because it is new or they were told some time ago.
+    /// instances should be notified, because it is new or they were last notified some time ago.
     pub fn mark_loading(&mut self, endpoint: &Arc<str>, copy: Copy, now: Moment) -> bool {
         let known = self.loading.get(&copy);
         if known.is_some_and(|(id, at)| id == endpoint && now.since(*at) < ANNOUNCEMENT_AGE) {
--- a/crates/ploverwick_adapters/src/lib.rs
+++ b/crates/ploverwick_adapters/src/lib.rs
@@ -5,7 +5,7 @@
 //! orders to the endpoints of its domain, and keeps the [`Slots`] of each of them.
 
 mod budget;
-mod crowding;
+mod congestion;
 mod directory;
 mod domain;
 mod key;
--- a/crates/ploverwick_adapters/src/placer.rs
+++ b/crates/ploverwick_adapters/src/placer.rs
@@ -8,7 +8,7 @@
 use ploverwick_placement::{Candidate, rank, score};
 use serde::{Deserialize, Serialize};
 
-use crate::crowding::Crowding;
+use crate::congestion::Congestion;
 use crate::{Answer, Budget, Copy, Demand, Event, Order, Permit, Slots, Wanted, Window};
 
 /// The number of endpoints, by hash, among which an adapter is placed. It is small so that the
@@ -79,8 +79,8 @@
     Expected,
     /// It would be a further copy, and adapters without any need the weight store.
     NoRoom,
-    /// It would relieve endpoints that are crowded for a moment only.
-    Uncrowded,
+    /// It would relieve endpoints that are congested for a moment only.
+    Uncongested,
     /// No endpoint can load it.
     NoEndpoint,
 }
@@ -120,7 +120,7 @@
 pub struct Placer {
     endpoints: HashMap<Arc<str>, Slots>,
     window: Window,
-    crowding: Crowding,
+    congestion: Congestion,
     budget: Budget,
     plan: Plan,
 }
@@ -277,8 +277,8 @@
         now: Moment,
     ) -> Result<Arc<str>, Declined> {
         let Request { copy, need, .. } = request;
-        if *need == Need::Relief && !self.crowding.record(copy, now) {
-            return Err(Declined::Uncrowded);
+        if *need == Need::Relief && !self.congestion.record(copy, now) {
+            return Err(Declined::Uncongested);
         }
         let slots_of = |target: &Target| &self.endpoints[&target.endpoint];
         let has_slots = |target: &&Target| self.endpoints.contains_key(&target.endpoint);
--- a/crates/ploverwick_adapters/src/slots/plan.rs
+++ b/crates/ploverwick_adapters/src/slots/plan.rs
@@ -18,7 +18,7 @@
 const USED_GRACE: Duration = Duration::from_millis(120);
 
 impl Slots {
-    /// Decides on the next step; `permit` tells which loads may start.
+    /// Decides on the next step; `permit` determines which loads may start.
     pub fn next_step(&mut self, now: Moment, permit: Permit) -> Step {
         let Some(orders) = self.orders else {
             if now < self.report_at {
--- a/crates/ploverwick_gateway/src/controllers/load_requests.rs
+++ b/crates/ploverwick_gateway/src/controllers/load_requests.rs
@@ -94,7 +94,7 @@
             spdlog::debug!("copy_refused adapter={} version={}", copy.key, copy.version);
         }
         Err(Declined::Held(holder)) => return Some(holder),
-        Err(Declined::Expected | Declined::Uncrowded | Declined::NoEndpoint) => {}
+        Err(Declined::Expected | Declined::Uncongested | Declined::NoEndpoint) => {}
     }
     None
 }
@@ -104,7 +104,7 @@
         Ok(_) => "granted",
         Err(Declined::Held(_) | Declined::Expected) => "expected",
         Err(Declined::NoRoom) => "no_room",
-        Err(Declined::Uncrowded) => "uncrowded",
+        Err(Declined::Uncongested) => "uncongested",
         Err(Declined::NoEndpoint) => "no_endpoint",
     }
 }
--- a/crates/ploverwick_gateway/src/filters/copy_demand.rs
+++ b/crates/ploverwick_gateway/src/filters/copy_demand.rs
@@ -20,7 +20,7 @@
 const BUSY_FILL: f64 = 0.85;
 /// The expected pause of streams at the best endpoint that holds an adapter, as a fraction of the longest one
 /// allowed, above which another copy would relieve it. Prompts that arrive at the same time add to it.
-const CROWDED_PAUSE_RATIO: f64 = 0.4;
+const CONGESTED_PAUSE_RATIO: f64 = 0.4;
 
 /// Returns why the adapter of a request should be loaded at another endpoint, if it should. `endpoint` is the best
 /// one that holds it.
@@ -41,13 +41,13 @@
     let load = fleet.load(endpoint, now);
     let prompt = request.info.prompt_tokens;
     let pause_ratio = pacing?.pause_ratio(fleet.capacity(endpoint)?, load, prompt);
-    if pause_ratio <= CROWDED_PAUSE_RATIO {
+    if pause_ratio <= CONGESTED_PAUSE_RATIO {
         return None;
     }
     metrics::relief_request();
     if shared.log_limiter.allow(now) {
         spdlog::info!(
-            "endpoint_crowded id={} endpoint={} prompt={} pause_ratio={:.2}",
+            "endpoint_congested id={} endpoint={} prompt={} pause_ratio={:.2}",
             request.info.id,
             endpoint,
             prompt,
