Show in logs and metrics whether an instance reaches endpoints

The incident's hypotheses differ in the outcome of new connections, by endpoint and cause, at each instance. Neither logs nor metrics had it: sends that ended unsent were counted with those that found no time or a pause, connections of orders not at all.

New connections are counted by outcome; gauges say how many endpoints are listed, how many of them the last new connection did not reach, and how long ago any endpoint answered. One log line for each endpoint that becomes unreachable or reachable again. No decision changes.

--- a/crates/ploverwick_gateway/src/controllers.rs
+++ b/crates/ploverwick_gateway/src/controllers.rs
@@ -17,6 +17,7 @@
 pub(crate) mod placer_lease;
 pub(crate) mod quarantine;
 pub(crate) mod quotas;
+pub(crate) mod reachability;
 pub(crate) mod table;
 mod topic;
 
--- a/crates/ploverwick_gateway/src/controllers/orders.rs
+++ b/crates/ploverwick_gateway/src/controllers/orders.rs
@@ -15,10 +15,10 @@
 use ploverwick_names::Moment;
 use ploverwick_platform::{answer, endpoint_list, order};
 
-use super::draining;
+use super::{draining, reachability};
 use crate::broadcast;
 use crate::metrics;
-use crate::pool::{Connection, connect};
+use crate::pool::Connection;
 use crate::shared::Shared;
 use crate::state::State;
 /// The initial timeout of an order; endpoints of the same failure domain answer within about 3 ms. An
@@ -178,7 +178,7 @@
     let request = order::encode(order, &entry.id, &shared.settings.instance, token);
     let connection = match shared.pool.take(&entry.id, false) {
         Some(connection) => Ok(connection),
-        None => connect(entry.address).await,
+        None => reachability::connect(shared, entry).await,
     };
     // The lease may have ended while connecting.
     let is_held = shared.state().placer_lease.token(shared.now()) == Some(token);
@@ -245,7 +245,7 @@
 async fn fetch_report(shared: &Arc<Shared>, entry: &Entry) {
     let connection = match shared.pool.take(&entry.id, false) {
         Some(connection) => Some(connection),
-        None => connect(entry.address).await.ok(),
+        None => reachability::connect(shared, entry).await.ok(),
     };
     let report = match connection {
         Some(connection) => {
@@ -361,6 +361,7 @@
     match response {
         Ok(Ok(response)) => {
             shared.pool.keep(&entry.id, connection);
+            reachability::handle_answer(shared);
             let reported = answer::state(response.headers());
             draining::handle_answer(shared, &entry.id, reported, &"call");
             Some(response)
--- a/crates/ploverwick_gateway/src/daemon.rs
+++ b/crates/ploverwick_gateway/src/daemon.rs
@@ -11,7 +11,8 @@
 use tokio::task::JoinSet;
 
 use crate::controllers::{
-    endpoint_list, freshness, instances, operator, orders, placer_lease, quarantine, quotas, table,
+    endpoint_list, freshness, instances, operator, orders, placer_lease, quarantine, quotas,
+    reachability, table,
 };
 use crate::front::{self, OpenConnections};
 use crate::messages::PeerSocket;
@@ -25,7 +26,7 @@
 const MIN_STOP_DURATION: Duration = Duration::from_millis(2_700);
 /// How often a process that shuts down checks whether its connections are closed.
 const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(50);
-/// How often expired connections to endpoints and expired quarantine entries are removed.
+/// How often expired connections to endpoints and expired quarantine entries are removed, and gauges updated.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
 /// A daemon whose sockets are open.
@@ -181,6 +182,7 @@
     loop {
         tokio::time::sleep(SWEEP_INTERVAL).await;
         shared.pool.remove_expired();
+        reachability::update_gauges(&shared);
         quarantine::remove_expired(&shared);
     }
 }
--- a/crates/ploverwick_gateway/src/filters/send.rs
+++ b/crates/ploverwick_gateway/src/filters/send.rs
@@ -20,8 +20,8 @@
 use super::reply::Reply;
 use super::reuse;
 use super::select::{self, Target};
-use crate::controllers::{crashes, draining, limits, pauses};
-use crate::pool::{Connection, connect};
+use crate::controllers::{crashes, draining, limits, pauses, reachability};
+use crate::pool::Connection;
 use crate::shared::Shared;
 
 /// The remaining time below which a request is not sent, as the endpoint's work would be wasted.
@@ -128,6 +128,7 @@
             return SendOutcome::Lost(error.to_string());
         }
     };
+    reachability::handle_answer(shared);
     let head = answer::read(parts.status, &parts.headers, &request.info.id);
     if parts.status.is_success() {
         // Measure from the send, not from the client's request, which may have waited for an adapter load.
@@ -213,9 +214,9 @@
             },
         }
     }
-    let mut connection = match connect(target.entry.address).await {
+    let mut connection = match reachability::connect(shared, &target.entry).await {
         Ok(connection) => connection,
-        Err(cause) => return Exchange::Unsent(cause),
+        Err(error) => return Exchange::Unsent(error.to_string()),
     };
     let send = connection.sender.send_request(message);
     match wait_for_answer(shared, target, wait, send).await {
--- a/crates/ploverwick_gateway/src/metrics.rs
+++ b/crates/ploverwick_gateway/src/metrics.rs
@@ -99,6 +99,20 @@
     counter!("ploverwick_sends_total", "ending" => outcome).increment(1);
 }
 
+/// Counts a new connection to an endpoint by its outcome.
+pub(crate) fn endpoint_connection(outcome: &'static str) {
+    counter!("ploverwick_endpoint_connections_total", "outcome" => outcome).increment(1);
+}
+
+/// Sets the number of listed endpoints, of those to which the last new connection failed, and the time since any
+/// endpoint answered; `None` if none ever has.
+pub(crate) fn endpoints(listed: usize, unreachable: usize, answer_age: Option<Duration>) {
+    let seconds = answer_age.map_or(f64::INFINITY, |age| age.as_secs_f64());
+    gauge!("ploverwick_endpoints_listed").set(listed as f64);
+    gauge!("ploverwick_endpoints_unreachable").set(unreachable as f64);
+    gauge!("ploverwick_endpoint_answer_age_seconds").set(seconds);
+}
+
 /// Counts an interruption of a stream by its cause and by how it ended.
 pub(crate) fn stream_interruption(cause: &'static str, end: &'static str) {
     counter!("ploverwick_stream_interruptions_total", "cause" => cause, "ending" => end)
--- a/crates/ploverwick_gateway/src/pool.rs
+++ b/crates/ploverwick_gateway/src/pool.rs
@@ -1,6 +1,7 @@
 //! A pool of connections to endpoints.
 
 use std::collections::HashMap;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -118,16 +119,61 @@
     }
 }
 
-/// Opens a connection.
-pub(crate) async fn connect(address: SocketAddr) -> Result<Connection, String> {
-    let stream = match tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
-        Ok(stream) => stream.map_err(|error| error.to_string())?,
-        Err(_) => return Err(format!("no connection within {CONNECT_TIMEOUT:?}")),
-    };
+/// Why a connection could not be opened.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum ConnectError {
+    /// The address refused the connection.
+    #[error("{0}")]
+    Refused(io::Error),
+    /// The address did not answer in time.
+    #[error("no connection within {CONNECT_TIMEOUT:?}")]
+    Timeout,
+    /// Any other error.
+    #[error("{0}")]
+    Other(String),
+}
+
+impl ConnectError {
+    /// Returns the name used in logs and metrics.
+    pub(crate) fn name(&self) -> &'static str {
+        match self {
+            Self::Refused(_) => "refused",
+            Self::Timeout => "timeout",
+            Self::Other(_) => "other",
+        }
+    }
+}
+
+impl From<io::Error> for ConnectError {
+    fn from(error: io::Error) -> Self {
+        match error.kind() {
+            io::ErrorKind::ConnectionRefused => Self::Refused(error),
+            _ => Self::Other(error.to_string()),
+        }
+    }
+}
+
+/// Opens a TCP connection.
+///
+/// # Errors
+/// Fails if the address refuses it or does not answer in time.
+pub(crate) async fn dial(address: SocketAddr) -> Result<TcpStream, ConnectError> {
+    match tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+        Ok(stream) => Ok(stream?),
+        Err(_) => Err(ConnectError::Timeout),
+    }
+}
+
+/// Opens a connection for requests.
+///
+/// # Errors
+/// Fails like [`dial`].
+pub(crate) async fn connect(address: SocketAddr) -> Result<Connection, ConnectError> {
+    let stream = dial(address).await?;
     socket::detect_dead_peer(&stream);
     let (sender, connection) = http1::handshake(TokioIo::new(stream))
         .await
-        .map_err(|error| error.to_string())?;
+        .map_err(|error| ConnectError::Other(error.to_string()))?;
     // The task ends with the connection. The error is not handled here because the request that uses the
     // connection receives it too.
     tokio::spawn(async move { drop(connection.await) });
--- a/crates/ploverwick_gateway/src/state.rs
+++ b/crates/ploverwick_gateway/src/state.rs
@@ -10,7 +10,7 @@
 };
 use ploverwick_endpoints::{
     Balance, Budget, DrainingReports, Entry, Fleet, Held, InstanceCount, Limits, Pauses,
-    RetryPolicy, totals,
+    Reachability, RetryPolicy, totals,
 };
 use ploverwick_limits::{PriorUse, RateLimiter};
 use ploverwick_names::Moment;
@@ -104,6 +104,8 @@
     pub(crate) table: Option<Arc<Table>>,
     pub(crate) rate_limiter: RateLimiter,
     pub(crate) fleet: Fleet,
+    /// What this instance's connections to endpoints have shown.
+    pub(crate) reachability: Reachability,
     pub(crate) totals: TotalsSenders,
     /// The limits that overloaded endpoints have set.
     pub(crate) limits: Limits,
@@ -164,6 +166,7 @@
                 PriorUse::Unknown
             }),
             fleet: Fleet::default(),
+            reachability: Reachability::default(),
             totals: TotalsSenders::default(),
             limits: Limits::default(),
             pauses: Pauses::default(),
