Connect to endpoints from the instance's own address

Sends, orders and probes left from whatever address the system chose. Endpoints and what stands between know an instance by its address; on a machine with several the choice was the routing table's. With it a test can cut one of several instances off in one process. Crash probes use the same function.

--- a/crates/ploverwick_gateway/src/controllers/crashes.rs
+++ b/crates/ploverwick_gateway/src/controllers/crashes.rs
@@ -4,17 +4,16 @@
 //! endpoints that leave close theirs. If nothing listens at the address a moment later, the endpoint's
 //! process has ended.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use ploverwick_endpoints::{Entry, State};
 use ploverwick_quarantine::{Diagnosis, Finding, Suspect};
-use tokio::net::TcpStream;
 use tokio::time::Instant;
 
 use super::quarantine;
 use crate::metrics;
+use crate::pool::{ConnectError, dial};
 use crate::shared::Shared;
 
 /// The delays before each probe of the address. A process that ends closes its sockets one after the other,
@@ -24,8 +23,6 @@
     Duration::from_millis(100),
     Duration::from_secs(1),
 ];
-/// The timeout of a probe; a reachable endpoint answers within milliseconds.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 /// How long to watch the list of endpoints if the endpoint's machine does not answer. An endpoint is removed
 /// from it after three missed heartbeats of about 1.2 s each, and the list is read every 850 ms.
 const LIST_TIMEOUT: Duration = Duration::from_secs(6);
@@ -83,10 +80,10 @@
     let mut is_listening = false;
     for pause in PROBE_PAUSES {
         tokio::time::sleep(pause).await;
-        match probe(entry.address).await {
-            Probe::Refused => return Diagnosis::Refuses,
-            Probe::Accepted => is_listening = true,
-            Probe::Unanswered => {}
+        match dial(shared.settings.ip, entry.address).await {
+            Err(ConnectError::Refused(_)) => return Diagnosis::Refuses,
+            Ok(_) => is_listening = true,
+            Err(_) => {}
         }
     }
     if is_listening {
@@ -103,18 +100,3 @@
     }
     Diagnosis::Silent
 }
-
-/// The result of a probe.
-enum Probe {
-    Refused,
-    Accepted,
-    Unanswered,
-}
-
-async fn probe(address: SocketAddr) -> Probe {
-    match tokio::time::timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await {
-        Ok(Ok(_)) => Probe::Accepted,
-        Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => Probe::Refused,
-        Ok(Err(_)) | Err(_) => Probe::Unanswered,
-    }
-}
--- a/crates/ploverwick_gateway/src/controllers/reachability.rs
+++ b/crates/ploverwick_gateway/src/controllers/reachability.rs
@@ -11,7 +11,7 @@
 /// # Errors
 /// Fails if the endpoint refuses it or does not answer in time.
 pub(crate) async fn connect(shared: &Shared, entry: &Entry) -> Result<Connection, ConnectError> {
-    let result = pool::connect(entry.address).await;
+    let result = pool::connect(shared.settings.ip, entry.address).await;
     match &result {
         Ok(_) => handle_opened(shared, entry),
         Err(error) => handle_failure(shared, entry, error),
--- a/crates/ploverwick_gateway/src/pool.rs
+++ b/crates/ploverwick_gateway/src/pool.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -12,7 +12,7 @@
 use hyper_util::rt::TokioIo;
 use ploverwick_names::Moment;
 use ploverwick_platform::socket;
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 
 use crate::clock::Clock;
 
@@ -153,12 +153,14 @@
     }
 }
 
-/// Opens a TCP connection.
+/// Opens a TCP connection from the address `from`, by which the peer then knows this instance.
 ///
 /// # Errors
 /// Fails if the address refuses it or does not answer in time.
-pub(crate) async fn dial(address: SocketAddr) -> Result<TcpStream, ConnectError> {
-    match tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+pub(crate) async fn dial(from: Ipv4Addr, address: SocketAddr) -> Result<TcpStream, ConnectError> {
+    let socket = TcpSocket::new_v4()?;
+    socket.bind((from, 0).into())?;
+    match tokio::time::timeout(CONNECT_TIMEOUT, socket.connect(address)).await {
         Ok(stream) => Ok(stream?),
         Err(_) => Err(ConnectError::Timeout),
     }
@@ -168,8 +170,11 @@
 ///
 /// # Errors
 /// Fails like [`dial`].
-pub(crate) async fn connect(address: SocketAddr) -> Result<Connection, ConnectError> {
-    let stream = dial(address).await?;
+pub(crate) async fn connect(
+    from: Ipv4Addr,
+    address: SocketAddr,
+) -> Result<Connection, ConnectError> {
+    let stream = dial(from, address).await?;
     socket::detect_dead_peer(&stream);
     let (sender, connection) = http1::handshake(TokioIo::new(stream))
         .await
