Reach endpoints through another instance while the own links are down

Callers of an instance that had lost its links to all endpoints got 503 after up to 1.9 s, though everything else worked.

Cause: a fault of the instance's own links was attributed to the endpoints. Each was ejected for itself and tried again, 300 ms a connection; the instance stayed ready, and its links were the only way. Evidence: new connections from the three instances failed to all endpoints, those of the others to none; no send of theirs was answered from 5 to 17 s. Ruled out: too long a wait in each send alone (nothing is reached, however long), the loss of the placer alone (requests without adapters failed as well).

Change: an instance that does not reach an endpoint has another instance open the connection, which then only forwards bytes. Everything else stays where it was, so that each promise holds on the longer way as on the short one: at most once, keys, quotas, limits, versions, deadlines, resumption, accounting. Whether the link or the endpoint is at fault is decided by whether another instance reaches it at that moment (ploverwick_endpoints::reachability); who relays, by the connections open there and by what it replied before (relays). Answers that pass a relay are framed, so that one that breaks off never looks complete. Direct probes end the detour. The crash diagnosis asks another instance before a refused connection counts as a crash, since a cut that resets and refuses looked like one; a placer that reaches less than half of its engines leaves the group, as it blocked its domain for the whole cut.

--- a/crates/ploverwick_endpoints/src/fleet.rs
+++ b/crates/ploverwick_endpoints/src/fleet.rs
@@ -270,6 +270,13 @@
         }
     }
 
+    /// Forgets the failures of an endpoint, which turned out to be those of the link to it, and readmits it.
+    pub fn forget_failures(&mut self, id: &str) {
+        if let Some(member) = self.members.get_mut(id) {
+            member.health.forget_failures();
+        }
+    }
+
     /// Records a failure that does not end a request, such as a refused connection.
     pub fn record_failure(&mut self, id: &str, now: Moment) {
         if let Some(member) = self.members.get_mut(id) {
--- a/crates/ploverwick_endpoints/src/health.rs
+++ b/crates/ploverwick_endpoints/src/health.rs
@@ -132,4 +132,12 @@
         self.ejected_until = None;
         self.ejections = self.ejections.saturating_sub(1);
     }
+
+    /// Forgets all failures, which were not the endpoint's.
+    pub(crate) fn forget_failures(&mut self) {
+        *self = Self {
+            latency_ms: self.latency_ms,
+            ..Self::default()
+        };
+    }
 }
--- a/crates/ploverwick_gateway/src/controllers.rs
+++ b/crates/ploverwick_gateway/src/controllers.rs
@@ -18,6 +18,7 @@
 pub(crate) mod quarantine;
 pub(crate) mod quotas;
 pub(crate) mod reachability;
+pub(crate) mod relays;
 pub(crate) mod table;
 mod topic;
 
--- a/crates/ploverwick_gateway/src/controllers/crashes.rs
+++ b/crates/ploverwick_gateway/src/controllers/crashes.rs
@@ -11,7 +11,7 @@
 use ploverwick_quarantine::{Diagnosis, Finding, Suspect};
 use tokio::time::Instant;
 
-use super::quarantine;
+use super::{quarantine, relays};
 use crate::metrics;
 use crate::pool::{ConnectError, dial};
 use crate::shared::Shared;
@@ -76,12 +76,20 @@
     shared.state().broken_connections.remove(&entry.id);
 }
 
+/// Returns whether an endpoint accepts connections from another instance, so that this instance's link is what fails.
+async fn listens_elsewhere(shared: &Shared, entry: &Entry) -> bool {
+    relays::accepts_connection(shared, entry).await == Some(true)
+}
+
 async fn diagnose(shared: &Shared, entry: &Entry) -> Diagnosis {
     let mut is_listening = false;
     for pause in PROBE_PAUSES {
         tokio::time::sleep(pause).await;
         match dial(shared.settings.ip, entry.address).await {
-            Err(ConnectError::Refused(_)) => return Diagnosis::Refuses,
+            Err(ConnectError::Refused(_)) if !listens_elsewhere(shared, entry).await => {
+                return Diagnosis::Refuses;
+            }
+            Err(ConnectError::Refused(_)) => return Diagnosis::Listens,
             Ok(_) => is_listening = true,
             Err(_) => {}
         }
--- a/crates/ploverwick_gateway/src/controllers/instances.rs
+++ b/crates/ploverwick_gateway/src/controllers/instances.rs
@@ -170,6 +170,7 @@
                 let mut state = shared.state();
                 state.remove_peer(&record.key, &shared.settings, now);
                 drop(state);
+                shared.relayed_pool.remove_relay(&record.key);
                 spdlog::info!("instance_left instance={}", record.key);
             }
         }
--- a/crates/ploverwick_gateway/src/controllers/orders.rs
+++ b/crates/ploverwick_gateway/src/controllers/orders.rs
@@ -178,7 +178,7 @@
     let request = order::encode(order, &entry.id, &shared.settings.instance, token);
     let connection = match shared.pool.take(&entry.id, false) {
         Some(connection) => Ok(connection),
-        None => reachability::connect(shared, entry).await,
+        None => reachability::connect_directly(shared, entry).await,
     };
     // The lease may have ended while connecting.
     let is_held = shared.state().placer_lease.token(shared.now()) == Some(token);
@@ -245,7 +245,7 @@
 async fn fetch_report(shared: &Arc<Shared>, entry: &Entry) {
     let connection = match shared.pool.take(&entry.id, false) {
         Some(connection) => Some(connection),
-        None => reachability::connect(shared, entry).await.ok(),
+        None => reachability::connect_directly(shared, entry).await.ok(),
     };
     let report = match connection {
         Some(connection) => {
@@ -360,13 +360,14 @@
     let response = tokio::time::timeout(timeout, exchange).await;
     match response {
         Ok(Ok(response)) => {
+            reachability::handle_answer(shared, entry, &mut connection);
             shared.pool.keep(&entry.id, connection);
-            reachability::handle_answer(shared);
             let reported = answer::state(response.headers());
             draining::handle_answer(shared, &entry.id, reported, &"call");
             Some(response)
         }
         Ok(Err(error)) => {
+            reachability::handle_break(shared, entry, &connection);
             spdlog::debug!("call_failed endpoint={} cause=\"{}\"", entry.id, error);
             None
         }
--- a/crates/ploverwick_gateway/src/controllers/placer_lease.rs
+++ b/crates/ploverwick_gateway/src/controllers/placer_lease.rs
@@ -90,13 +90,17 @@
     }
 }
 
-/// Returns whether this instance should be a member of the group: it holds the lease, it ranks among the
-/// first instances of its failure domain, or the domain has had no placer for too long.
+/// Returns whether this instance should be a member of the group: it reaches the engines, and it holds the lease, ranks among
+/// the first instances of its failure domain, or the domain has had no placer for too long.
 ///
 /// The group decides who holds the lease. An unnecessary member costs calls but does no harm.
 fn should_join(shared: &Shared, placer_seen_at: &mut Moment) -> bool {
     let now = shared.now();
     let state = shared.state();
+    // Its orders would not arrive, and endpoints take orders through a relay for those of another holder.
+    if !state.reaches_engines(&shared.settings) {
+        return false;
+    }
     let domain = &shared.settings.domain;
     if state.placer_lease.is_held(now) || state.placer_of(domain, now).is_some() {
         *placer_seen_at = now;
--- /dev/null
+++ b/crates/ploverwick_gateway/src/controllers/relays.rs
@@ -0,0 +1,138 @@
+//! Opens connections to endpoints through other instances.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ploverwick_endpoints::relays::Refusal;
+use ploverwick_endpoints::{Entry, Links};
+use tokio::io::{AsyncRead, AsyncWrite};
+
+use crate::metrics;
+use crate::pool::{ConnectError, Connection, dial};
+use crate::relay::{Open, Reply, client};
+use crate::shared::Shared;
+
+/// The maximum number of instances that are tried for one connection.
+const MAX_ATTEMPTS: u32 = 3;
+/// The timeout for a connection to a relay; live instances accept one within milliseconds.
+const DIAL_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// An instance that may relay a connection.
+struct Relay {
+    name: Arc<str>,
+    domain: Arc<str>,
+    address: std::net::SocketAddr,
+}
+
+/// Opens a connection to an endpoint through another instance, on behalf of the request `id`.
+///
+/// # Errors
+/// Fails with [`ConnectError::NoRelay`] if no instance can help, or like a direct connection if a relay does not reach the
+/// endpoint.
+pub(crate) async fn connect(
+    shared: &Arc<Shared>,
+    entry: &Entry,
+    id: &str,
+) -> Result<Connection, ConnectError> {
+    let (relay, stream) = open(shared, entry, id).await?;
+    let on_close = {
+        let (shared, relay) = (Arc::clone(shared), Arc::clone(&relay));
+        move || shared.state().relays.record_closed(&relay)
+    };
+    shared.state().relays.record_opened(&relay);
+    Connection::over(stream, Some(relay), on_close).await
+}
+
+/// Returns whether an endpoint accepts a connection from another instance; `None` if none can tell.
+pub(crate) async fn accepts_connection(shared: &Shared, entry: &Entry) -> Option<bool> {
+    match open(shared, entry, "-").await {
+        Ok(_) => Some(true),
+        Err(ConnectError::NoRelay) => None,
+        Err(_) => Some(false),
+    }
+}
+
+async fn open(
+    shared: &Shared,
+    entry: &Entry,
+    id: &str,
+) -> Result<(Arc<str>, impl AsyncRead + AsyncWrite + Send + Unpin + use<>), ConnectError> {
+    let request = Open {
+        endpoint: Arc::clone(&entry.id),
+        instance: Arc::clone(&shared.settings.instance),
+        request: id.to_owned(),
+    };
+    let mut failure = ConnectError::NoRelay;
+    for _ in 0..MAX_ATTEMPTS {
+        let Some(relay) = choose(shared) else {
+            break;
+        };
+        let reply = request_from(shared, &relay, &request).await;
+        let name = match &reply {
+            Ok(Ok(_)) => Reply::Opened.name(),
+            Ok(Err(reply)) => reply.name(),
+            Err(_) => "none",
+        };
+        metrics::relay_reply(name);
+        let refusal = match reply {
+            Ok(Ok(stream)) => return Ok((relay.name, stream)),
+            Ok(Err(reply)) => reply.refusal(),
+            Err(_) => Some(Refusal::Unavailable),
+        };
+        spdlog::debug!(
+            "relay_refused id={} endpoint={} relay={} reply={}",
+            id,
+            entry.id,
+            relay.name,
+            name
+        );
+        if refusal.is_none() {
+            failure = ConnectError::Other(format!("{name} at a relay"));
+            if is_trusted(shared, &relay, entry) {
+                break;
+            }
+        }
+        let now = shared.now();
+        shared.state().relays.record_refusal(
+            &relay.name,
+            &relay.domain,
+            refusal.unwrap_or(Refusal::Partitioned),
+            now,
+        );
+    }
+    Err(failure)
+}
+
+async fn request_from(
+    shared: &Shared,
+    relay: &Relay,
+    request: &Open,
+) -> Result<Result<impl AsyncRead + AsyncWrite + Send + Unpin + use<>, Reply>, ConnectError> {
+    let dialled = dial(shared.settings.ip, relay.address);
+    let stream = match tokio::time::timeout(DIAL_TIMEOUT, dialled).await {
+        Ok(stream) => stream?,
+        Err(_) => return Err(ConnectError::Timeout),
+    };
+    Ok(client::open(stream, request).await?)
+}
+
+/// Returns whether a relay that did not reach an endpoint shows that the endpoint is down. While links to several endpoints
+/// fail here, those of a relay that has not proven itself may fail as well, without its knowledge.
+fn is_trusted(shared: &Shared, relay: &Relay, entry: &Entry) -> bool {
+    let state = shared.state();
+    let is_proven = state.relays.has_relayed(&relay.name);
+    is_proven || state.reachability.links(&entry.service) == Links::Up
+}
+
+fn choose(shared: &Shared) -> Option<Relay> {
+    let now = shared.now();
+    let state = shared.state();
+    let port = shared.settings.relay_port?;
+    let chosen = state.choose_relay(&shared.settings, now)?;
+    let (name, peer) = state.peers.get_key_value(chosen.name)?;
+    Some(Relay {
+        name: Arc::clone(name),
+        domain: Arc::clone(&peer.domain),
+        address: (peer.ip, port).into(),
+    })
+}
--- a/crates/ploverwick_gateway/src/daemon.rs
+++ b/crates/ploverwick_gateway/src/daemon.rs
@@ -17,7 +17,7 @@
 use crate::front::{self, OpenConnections};
 use crate::messages::PeerSocket;
 use crate::shared::Shared;
-use crate::{broadcast, listen, ready, snapshots};
+use crate::{broadcast, listen, ready, relay, snapshots};
 
 /// The margin between the end of the process and the time at which the platform kills it.
 const KILL_MARGIN: Duration = Duration::from_millis(400);
@@ -37,6 +37,8 @@
     ready: TcpListener,
     /// The listener for snapshot requests of peers that start.
     snapshots: Option<TcpListener>,
+    /// The listener for connections that are relayed for peers.
+    relay: Option<TcpListener>,
 }
 
 impl Daemon {
@@ -55,6 +57,14 @@
         let snapshots = bind((settings.ip, settings.peer_port).into(), "handover").await;
         let snapshots =
             snapshots.map_err(|error| spdlog::warn!("no_handover cause=\"{:#}\"", error));
+        // Without this socket, this instance does not relay for others.
+        let relay = match settings.relay_port {
+            Some(port) => bind((settings.ip, port).into(), "relay")
+                .await
+                .map_err(|error| spdlog::warn!("no_relay cause=\"{:#}\"", error))
+                .ok(),
+            None => None,
+        };
         spdlog::info!(
             "start instance={} domain={} front={} first_start={}",
             settings.instance,
@@ -67,6 +77,7 @@
             front,
             ready,
             snapshots: snapshots.ok(),
+            relay,
         })
     }
 
@@ -107,6 +118,10 @@
         if let Some(snapshots) = self.snapshots {
             tasks.spawn(snapshots::serve(Arc::clone(&shared), snapshots));
         }
+        if let Some(relay) = self.relay {
+            tasks.spawn(relay::server::serve(Arc::clone(&shared), relay));
+        }
+        tasks.spawn(reachability::run(Arc::clone(&shared)));
         tasks.spawn(ready::serve(Arc::clone(&shared), self.ready));
         tasks.spawn(sweep(Arc::clone(&shared)));
         let front = front::serve(Arc::clone(&shared), self.front, Arc::clone(&open));
@@ -158,7 +173,8 @@
             instances::deregister(shared).await;
             is_listed = false;
         }
-        let is_done = elapsed >= min_duration && open.count() == 0;
+        let in_use = open.count() + shared.relayed_connections.count();
+        let is_done = elapsed >= min_duration && in_use == 0;
         if is_done || elapsed >= max_duration {
             spdlog::info!("stop open={} after={:?}", open.count(), elapsed);
             return;
@@ -182,6 +198,7 @@
     loop {
         tokio::time::sleep(SWEEP_INTERVAL).await;
         shared.pool.remove_expired();
+        shared.relayed_pool.remove_expired();
         reachability::update_gauges(&shared);
         quarantine::remove_expired(&shared);
     }
--- a/crates/ploverwick_gateway/src/filters/reuse.rs
+++ b/crates/ploverwick_gateway/src/filters/reuse.rs
@@ -36,5 +36,9 @@
         return;
     }
     connection.idle_timeout = head.keep_alive.or(connection.idle_timeout);
-    shared.pool.keep(endpoint, connection);
+    let pool = match connection.relay {
+        None => &shared.pool,
+        Some(_) => &shared.relayed_pool,
+    };
+    pool.keep(endpoint, connection);
 }
--- a/crates/ploverwick_gateway/src/filters/select.rs
+++ b/crates/ploverwick_gateway/src/filters/select.rs
@@ -298,12 +298,12 @@
     request: &'a AdmittedRequest,
     except: &'a [Arc<str>],
 ) -> Query<'a> {
-    let domain = &shared.settings.domain;
-    let peers = state.peers.values().filter(|peer| peer.domain == *domain);
+    let domain = state.egress_domain(&request.service, &shared.settings, shared.now());
+    let peers = state.peers.values().filter(|peer| *peer.domain == *domain);
     let peers = peers.count();
     Query {
         service: &request.service,
-        domain: &shared.settings.domain,
+        domain,
         key: request
             .info
             .adapter
--- a/crates/ploverwick_gateway/src/filters/send.rs
+++ b/crates/ploverwick_gateway/src/filters/send.rs
@@ -102,7 +102,7 @@
     let mut in_flight = InFlight::start(shared, endpoint, target.copy.clone(), prompt, answer);
     let begun = Instant::now();
     let message = build_message(request, target, &caller, after_event);
-    let (connection, result) = match exchange(shared, request, target, wait, message).await {
+    let (mut connection, result) = match exchange(shared, request, target, wait, message).await {
         Exchange::Unsent(cause) => {
             record_not_run(request);
             in_flight.set_outcome(Outcome::Broken);
@@ -123,12 +123,13 @@
     let (parts, body) = match result {
         Ok(response) => response.into_parts(),
         Err(error) => {
+            reachability::handle_break(shared, &target.entry, &connection);
             in_flight.set_outcome(Outcome::Broken);
             crashes::handle_broken_connection(shared, endpoint, request.suspect());
             return SendOutcome::Lost(error.to_string());
         }
     };
-    reachability::handle_answer(shared);
+    reachability::handle_answer(shared, &target.entry, &mut connection);
     let head = answer::read(parts.status, &parts.headers, &request.info.id);
     if parts.status.is_success() {
         // Measure from the send, not from the client's request, which may have waited for an adapter load.
@@ -189,7 +190,7 @@
 }
 
 async fn exchange(
-    shared: &Shared,
+    shared: &Arc<Shared>,
     request: &AdmittedRequest,
     target: &Target,
     wait: &mut AnswerWait<'_>,
@@ -197,13 +198,15 @@
 ) -> Exchange {
     // A pooled connection may have been closed by the endpoint; hyper then returns the request unsent.
     let is_last = !request.route.kind.may_retry();
-    while let Some(mut connection) = shared.pool.take(&target.entry.id, is_last) {
+    let pool = reachability::pool(shared, &target.entry);
+    while let Some(mut connection) = pool.take(&target.entry.id, is_last) {
         let send = connection.sender.try_send_request(message);
+        let send = reachability::watch(shared, &target.entry, &connection, send);
         match wait_for_answer(shared, target, wait, send).await {
             None => {
                 if !is_past_start_deadline(shared, target) {
                     // The other pooled connections may be unresponsive for the same reason.
-                    shared.pool.remove(&target.entry.id);
+                    pool.remove(&target.entry.id);
                 }
                 return Exchange::TimedOut;
             }
@@ -214,11 +217,13 @@
             },
         }
     }
-    let mut connection = match reachability::connect(shared, &target.entry).await {
+    let id = &request.info.id;
+    let mut connection = match reachability::connect(shared, &target.entry, id).await {
         Ok(connection) => connection,
         Err(error) => return Exchange::Unsent(error.to_string()),
     };
     let send = connection.sender.send_request(message);
+    let send = reachability::watch(shared, &target.entry, &connection, send);
     match wait_for_answer(shared, target, wait, send).await {
         None => Exchange::TimedOut,
         Some(result) => Exchange::Done(connection, result),
--- a/crates/ploverwick_gateway/src/lib.rs
+++ b/crates/ploverwick_gateway/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod quarantine;
 mod quarantine_updates;
 mod ready;
+mod relay;
 mod shared;
 mod snapshots;
 mod state;
--- a/crates/ploverwick_gateway/src/metrics.rs
+++ b/crates/ploverwick_gateway/src/metrics.rs
@@ -113,6 +113,30 @@
     gauge!("ploverwick_endpoint_answer_age_seconds").set(seconds);
 }
 
+/// Sets the number of services to whose endpoints this instance's links are down, the number of single endpoints that only
+/// others reach, and the number of connections that others relay for it and that it relays for others.
+pub(crate) fn relayed(services_down: usize, detoured: usize, by_others: u32, for_others: usize) {
+    gauge!("ploverwick_services_detoured").set(services_down as f64);
+    gauge!("ploverwick_endpoints_detoured").set(detoured as f64);
+    gauge!("ploverwick_relayed_connections", "by" => "others").set(f64::from(by_others));
+    gauge!("ploverwick_relayed_connections", "by" => "self").set(for_others as f64);
+}
+
+/// Counts a connection that this instance requested from a relay, by the relay's reply.
+pub(crate) fn relay_reply(reply: &'static str) {
+    counter!("ploverwick_relay_replies_total", "reply" => reply).increment(1);
+}
+
+/// Counts a connection that another instance requested from this one, by this instance's reply.
+pub(crate) fn relayed_connection(reply: &'static str) {
+    counter!("ploverwick_relay_requests_total", "reply" => reply).increment(1);
+}
+
+/// Counts the bytes of answers that this instance relayed.
+pub(crate) fn relayed_bytes(bytes: u64) {
+    counter!("ploverwick_relayed_bytes_total").increment(bytes);
+}
+
 /// Counts an interruption of a stream by its cause and by how it ended.
 pub(crate) fn stream_interruption(cause: &'static str, end: &'static str) {
     counter!("ploverwick_stream_interruptions_total", "cause" => cause, "ending" => end)
--- a/crates/ploverwick_gateway/src/pool.rs
+++ b/crates/ploverwick_gateway/src/pool.rs
@@ -11,7 +11,7 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use ploverwick_names::Moment;
-use ploverwick_platform::socket;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpSocket, TcpStream};
 
 use crate::clock::Clock;
@@ -30,6 +30,10 @@
 #[derive(Debug)]
 pub(crate) struct Connection {
     pub(crate) sender: SendRequest<Full<Bytes>>,
+    /// Whether it has brought an answer.
+    pub(crate) is_proven: bool,
+    /// The instance that relays it, if it is not direct.
+    pub(crate) relay: Option<Arc<str>>,
     /// The endpoint's timeout for idle connections, if it stated one.
     pub(crate) idle_timeout: Option<Duration>,
 }
@@ -106,6 +110,14 @@
         idle.remove(endpoint);
     }
 
+    /// Closes the idle connections that an instance relays.
+    pub(crate) fn remove_relay(&self, name: &str) {
+        let mut idle = self.idle.lock().expect("no holder of the lock panics");
+        for list in idle.values_mut() {
+            list.retain(|idle| idle.connection.relay.as_deref() != Some(name));
+        }
+    }
+
     /// Closes connections that have been idle for too long.
     pub(crate) fn remove_expired(&self) {
         let now = self.clock.now();
@@ -128,6 +140,9 @@
     /// The address did not answer in time.
     #[error("no connection within {CONNECT_TIMEOUT:?}")]
     Timeout,
+    /// No other instance can relay the connection.
+    #[error("no instance relays connections")]
+    NoRelay,
     /// Any other error.
     #[error("{0}")]
     Other(String),
@@ -139,6 +154,7 @@
         match self {
             Self::Refused(_) => "refused",
             Self::Timeout => "timeout",
+            Self::NoRelay => "no_relay",
             Self::Other(_) => "other",
         }
     }
@@ -166,24 +182,33 @@
     }
 }
 
-/// Opens a connection for requests.
-///
-/// # Errors
-/// Fails like [`dial`].
-pub(crate) async fn connect(
-    from: Ipv4Addr,
-    address: SocketAddr,
-) -> Result<Connection, ConnectError> {
-    let stream = dial(from, address).await?;
-    socket::detect_dead_peer(&stream);
-    let (sender, connection) = http1::handshake(TokioIo::new(stream))
-        .await
-        .map_err(|error| ConnectError::Other(error.to_string()))?;
-    // The task ends with the connection. The error is not handled here because the request that uses the
-    // connection receives it too.
-    tokio::spawn(async move { drop(connection.await) });
-    Ok(Connection {
-        sender,
-        idle_timeout: None,
-    })
+impl Connection {
+    /// Prepares a stream to an endpoint for requests. `on_close` runs once the connection has ended.
+    ///
+    /// # Errors
+    /// Fails if the stream breaks.
+    pub(crate) async fn over<T>(
+        stream: T,
+        relay: Option<Arc<str>>,
+        on_close: impl FnOnce() + Send + 'static,
+    ) -> Result<Self, ConnectError>
+    where
+        T: AsyncRead + AsyncWrite + Send + Unpin + 'static,
+    {
+        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+            .await
+            .map_err(|error| ConnectError::Other(error.to_string()))?;
+        // The task ends with the connection. The error is not handled here because the request that uses the
+        // connection receives it too.
+        tokio::spawn(async move {
+            drop(connection.await);
+            on_close();
+        });
+        Ok(Self {
+            sender,
+            is_proven: false,
+            relay,
+            idle_timeout: None,
+        })
+    }
 }
--- a/crates/ploverwick_gateway/src/shared.rs
+++ b/crates/ploverwick_gateway/src/shared.rs
@@ -23,6 +23,7 @@
 use crate::outbox::Outbox;
 use crate::pool::Pool;
 use crate::quarantine_updates::QuarantineUpdates;
+use crate::relay::server::RelayedConnections;
 use crate::state::{InstanceListState, PEER_TIMEOUT, State, own_candidate};
 use crate::topics::{Inboxes, Topic};
 
@@ -50,6 +51,12 @@
     pub(crate) clock: Clock,
     pub(crate) store: Store,
     pub(crate) pool: Pool,
+    /// The connections to endpoints that other instances relay.
+    pub(crate) relayed_pool: Pool,
+    /// The connections that this instance relays for others.
+    pub(crate) relayed_connections: Arc<RelayedConnections>,
+    /// Signals that links to endpoints are suspected to be down, or are.
+    pub(crate) probes_needed: Notify,
     pub(crate) peer_socket: PeerSocket,
     pub(crate) outbox: Outbox,
     /// The quarantine entries whose changes have not been sent to peers yet.
@@ -99,6 +106,9 @@
             store: Store::new(settings.store, settings.partitions),
             settings,
             pool: Pool::new(clock.clone()),
+            relayed_pool: Pool::new(clock.clone()),
+            relayed_connections: Arc::default(),
+            probes_needed: Notify::new(),
             clock,
             peer_socket,
             outbox: Outbox::default(),
--- a/crates/ploverwick_gateway/src/state.rs
+++ b/crates/ploverwick_gateway/src/state.rs
@@ -9,8 +9,8 @@
     Copy, Demand, Directory, Lease, LeasePolicy, LoadLimiter, Placer, Watermark,
 };
 use ploverwick_endpoints::{
-    Balance, Budget, DrainingReports, Entry, Fleet, Held, InstanceCount, Limits, Pauses,
-    Reachability, RetryPolicy, totals,
+    Balance, Budget, DrainingReports, Entry, Fleet, Held, InstanceCount, Limits, Links, Pauses,
+    Reachability, Relays, RetryPolicy, State as EndpointState, relays, totals,
 };
 use ploverwick_limits::{PriorUse, RateLimiter};
 use ploverwick_names::Moment;
@@ -106,6 +106,8 @@
     pub(crate) fleet: Fleet,
     /// What this instance's connections to endpoints have shown.
     pub(crate) reachability: Reachability,
+    /// What this instance knows of others as relays of connections to endpoints.
+    pub(crate) relays: Relays,
     pub(crate) totals: TotalsSenders,
     /// The limits that overloaded endpoints have set.
     pub(crate) limits: Limits,
@@ -167,6 +169,7 @@
             }),
             fleet: Fleet::default(),
             reachability: Reachability::default(),
+            relays: Relays::default(),
             totals: TotalsSenders::default(),
             limits: Limits::default(),
             pauses: Pauses::default(),
@@ -209,6 +212,59 @@
         placers.max().map(|(_, ip)| ip)
     }
 
+    /// Chooses the instance that relays the next connection to an endpoint; `None` if none can be tried now.
+    ///
+    /// Instances of other failure domains send their status to few, so that their silence says nothing.
+    pub(crate) fn choose_relay(
+        &self,
+        settings: &Settings,
+        now: Moment,
+    ) -> Option<relays::Candidate<'_>> {
+        settings.relay_port?;
+        let peers = self.peers.iter().filter(|(_, peer)| {
+            let is_silent = peer.last_seen.is_none_or(|at| now.since(at) > PEER_TIMEOUT);
+            peer.domain != settings.domain || !is_silent
+        });
+        let candidates = peers.map(|(name, peer)| relays::Candidate {
+            name,
+            domain: &peer.domain,
+        });
+        self.relays
+            .choose(&settings.instance, &settings.domain, candidates, now)
+    }
+
+    /// Returns the failure domain from which connections to the endpoints of a service start: that of the relay if this
+    /// instance's own links to them are down.
+    pub(crate) fn egress_domain<'a>(
+        &self,
+        service: &str,
+        settings: &'a Settings,
+        now: Moment,
+    ) -> &'a str {
+        if self.reachability.links(service) == Links::Up {
+            return &settings.domain;
+        }
+        let relay = self.choose_relay(settings, now);
+        let mut domains = settings.domains.iter();
+        let domain = domains.find(|domain| relay.is_some_and(|relay| *relay.domain == ***domain));
+        domain.unwrap_or(&settings.domain)
+    }
+
+    /// Returns whether this instance reaches at least half of the engines of its failure domain directly.
+    pub(crate) fn reaches_engines(&self, settings: &Settings) -> bool {
+        let engines = self.fleet.entries().filter(|entry| {
+            entry.domain == settings.domain
+                && entry.state == EndpointState::Ready
+                && !entry.held.is_empty()
+        });
+        let (mut all, mut detoured) = (0, 0);
+        for engine in engines {
+            all += 1;
+            detoured += usize::from(self.reachability.is_detoured(engine));
+        }
+        detoured * 2 <= all
+    }
+
     /// Removes an instance that has left.
     pub(crate) fn remove_peer(&mut self, name: &str, settings: &Settings, now: Moment) {
         let removed = self.peers.remove(name);
--- a/crates/ploverwick_gateway/tests/endpoint_partition.rs
+++ b/crates/ploverwick_gateway/tests/endpoint_partition.rs
@@ -86,6 +86,7 @@
         }
         store.configure(&settings::config(1));
         let port = free_port()?;
+        let relay_port = free_port()?;
         let mut fronts = Vec::new();
         for (host, (name, domain)) in (11..).zip([
             ("one", "d1"),
@@ -97,6 +98,7 @@
             let ip = Ipv4Addr::new(127, 0, 0, host);
             let mut settings = settings::of(name, ip, port, store.address());
             settings.domain = Arc::from(domain);
+            settings.relay_port = Some(relay_port);
             let instance = Instance::start(settings).await?;
             fronts.push((IpAddr::V4(ip), instance.front));
         }
