Ask another instance before a refused connection counts as a crash

Cause: a probe that is refused counted as the end of the endpoint's process; a cut may refuse as well. Now a refusal counts only if repeated (100 ms later), if another instance finds the same then, and if the links of this one are not suspected; otherwise the list decides, as for a machine that does not answer. An instance without peers decides alone as before.

--- a/crates/ploverwick_gateway/src/controllers/crashes.rs
+++ b/crates/ploverwick_gateway/src/controllers/crashes.rs
@@ -1,19 +1,19 @@
 //! Determines whether an endpoint crashed when a connection to it broke under a request.
 //!
 //! A broken connection alone proves nothing: connections are reset, links fail, answers are lost, and
-//! endpoints that leave close theirs. If nothing listens at the address a moment later, the endpoint's
-//! process has ended.
+//! endpoints that leave close theirs. If nothing listens at the address a moment later, for this instance and for
+//! another one, the endpoint's process has ended.
 
 use std::sync::Arc;
 use std::time::Duration;
 
-use ploverwick_endpoints::{Entry, State};
+use ploverwick_endpoints::{Entry, Links, State};
 use ploverwick_quarantine::{Diagnosis, Finding, Suspect};
 use tokio::time::Instant;
 
-use super::{quarantine, relays};
+use super::{quarantine, reachability, relays};
 use crate::metrics;
-use crate::pool::{ConnectError, dial};
+use crate::pool::ConnectError;
 use crate::shared::Shared;
 
 /// The delays before each probe of the address. A process that ends closes its sockets one after the other,
@@ -76,20 +76,21 @@
     shared.state().broken_connections.remove(&entry.id);
 }
 
-/// Returns whether an endpoint accepts connections from another instance, so that this instance's link is what fails.
-async fn listens_elsewhere(shared: &Shared, entry: &Entry) -> bool {
-    relays::accepts_connection(shared, entry).await == Some(true)
-}
-
 async fn diagnose(shared: &Shared, entry: &Entry) -> Diagnosis {
     let mut is_listening = false;
+    let mut was_refused = false;
     for pause in PROBE_PAUSES {
         tokio::time::sleep(pause).await;
-        match dial(shared.settings.ip, entry.address).await {
-            Err(ConnectError::Refused(_)) if !listens_elsewhere(shared, entry).await => {
-                return Diagnosis::Refuses;
+        match reachability::dial(shared, entry).await {
+            Err(ConnectError::Refused(_)) => {
+                let observed = relays::ask_other(shared, entry).await;
+                let are_links_up = shared.state().reachability.links(&entry.service) == Links::Up;
+                let diagnosis = observed.diagnose_refusal(are_links_up, was_refused);
+                if let Some(diagnosis) = diagnosis {
+                    return diagnosis;
+                }
+                was_refused = true;
             }
-            Err(ConnectError::Refused(_)) => return Diagnosis::Listens,
             Ok(_) => is_listening = true,
             Err(_) => {}
         }
--- a/crates/ploverwick_gateway/src/controllers/relays.rs
+++ b/crates/ploverwick_gateway/src/controllers/relays.rs
@@ -5,6 +5,7 @@
 
 use ploverwick_endpoints::relays::Refusal;
 use ploverwick_endpoints::{Entry, Links};
+use ploverwick_quarantine::Observation;
 use tokio::io::{AsyncRead, AsyncWrite};
 
 use crate::metrics;
@@ -43,12 +44,15 @@
     Connection::over(stream, Some(relay), on_close).await
 }
 
-/// Returns whether an endpoint accepts a connection from another instance; `None` if none can tell.
-pub(crate) async fn accepts_connection(shared: &Shared, entry: &Entry) -> Option<bool> {
+/// Asks another instance whether an endpoint accepts connections.
+pub(crate) async fn ask_other(shared: &Shared, entry: &Entry) -> Observation {
+    if shared.settings.relay_port.is_none() || shared.state().peers.is_empty() {
+        return Observation::NoOther;
+    }
     match open(shared, entry, "-").await {
-        Ok(_) => Some(true),
-        Err(ConnectError::NoRelay) => None,
-        Err(_) => Some(false),
+        Ok(_) => Observation::Accepts,
+        Err(ConnectError::NoRelay) => Observation::Unknown,
+        Err(_) => Observation::Fails,
     }
 }
 
--- a/crates/ploverwick_quarantine/src/lib.rs
+++ b/crates/ploverwick_quarantine/src/lib.rs
@@ -7,10 +7,12 @@
 mod crash;
 mod entry;
 mod fingerprint;
+mod observation;
 mod quarantine;
 
 pub use broken_connections::{BrokenConnections, Diagnosis, Finding, Suspect};
 pub use crash::Crash;
 pub use entry::{CRASH_THRESHOLD, Entry};
 pub use fingerprint::{Fingerprint, InvalidFingerprint};
+pub use observation::Observation;
 pub use quarantine::{Change, DIGEST_BUCKETS, Quarantine, Status};
