Keep what is known of relays by service

Cause: a relay that is cut off from the endpoints of one service was not asked for those of the other either, for 2 s each time. Now the refusals count for the service. A connection that breaks while it is prepared no longer stays counted as open.

--- a/crates/ploverwick_endpoints/src/relays.rs
+++ b/crates/ploverwick_endpoints/src/relays.rs
@@ -54,7 +54,7 @@
     retry_at: Option<Moment>,
 }
 
-/// What this instance knows of others as relays.
+/// What this instance knows of others as relays to the endpoints of a service.
 #[derive(Debug, Default)]
 pub struct Relays {
     relays: HashMap<Arc<str>, Relay>,
--- a/crates/ploverwick_gateway/src/controllers/reachability.rs
+++ b/crates/ploverwick_gateway/src/controllers/reachability.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use futures_util::future::join_all;
-use ploverwick_endpoints::{Entry, Links, Reachability, State as EndpointState};
+use ploverwick_endpoints::{Entry, Links, Reachability, Relays, State as EndpointState};
 use ploverwick_names::Moment;
 use ploverwick_platform::{order, socket};
 use tokio::net::TcpStream;
@@ -388,7 +388,9 @@
         ..
     } = &mut *state;
     reachability.retain(|endpoint| fleet.entry(endpoint).is_some());
-    relays.retain(|name| peers.contains_key(name));
+    for relays in relays.values_mut() {
+        relays.retain(|name| peers.contains_key(name));
+    }
     metrics::endpoints(
         fleet.entries().count(),
         reachability.unreachable_count(),
@@ -397,7 +399,7 @@
     metrics::relayed(
         reachability.down_count(),
         reachability.detoured_count(),
-        relays.open_count(),
+        relays.values().map(Relays::open_count).sum(),
         shared.relayed_connections.count(),
     );
 }
--- a/crates/ploverwick_gateway/src/controllers/relays.rs
+++ b/crates/ploverwick_gateway/src/controllers/relays.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use ploverwick_endpoints::relays::Refusal;
-use ploverwick_endpoints::{Entry, Links};
+use ploverwick_endpoints::{Entry, Links, Relays};
 use ploverwick_quarantine::Observation;
 use tokio::io::{AsyncRead, AsyncWrite};
 
@@ -37,11 +37,20 @@
 ) -> Result<Connection, ConnectError> {
     let (relay, stream) = open(shared, entry, id).await?;
     let on_close = {
-        let (shared, relay) = (Arc::clone(shared), Arc::clone(&relay));
-        move || shared.state().relays.record_closed(&relay)
+        let shared = Arc::clone(shared);
+        let (service, relay) = (Arc::clone(&entry.service), Arc::clone(&relay));
+        move || update(&shared, &service, |relays| relays.record_closed(&relay))
     };
-    shared.state().relays.record_opened(&relay);
-    Connection::over(stream, Some(relay), on_close).await
+    update(shared, &entry.service, |relays| {
+        relays.record_opened(&relay);
+    });
+    let connection = Connection::over(stream, Some(Arc::clone(&relay)), on_close).await;
+    if connection.is_err() {
+        update(shared, &entry.service, |relays| {
+            relays.record_closed(&relay);
+        });
+    }
+    connection
 }
 
 /// Asks another instance whether an endpoint accepts connections.
@@ -68,7 +77,7 @@
     };
     let mut failure = ConnectError::NoRelay;
     for _ in 0..MAX_ATTEMPTS {
-        let Some(relay) = choose(shared) else {
+        let Some(relay) = choose(shared, &entry.service) else {
             break;
         };
         let reply = request_from(shared, &relay, &request).await;
@@ -97,12 +106,10 @@
             }
         }
         let now = shared.now();
-        shared.state().relays.record_refusal(
-            &relay.name,
-            &relay.domain,
-            refusal.unwrap_or(Refusal::Partitioned),
-            now,
-        );
+        let refusal = refusal.unwrap_or(Refusal::Partitioned);
+        update(shared, &entry.service, |relays| {
+            relays.record_refusal(&relay.name, &relay.domain, refusal, now);
+        });
     }
     Err(failure)
 }
@@ -124,15 +131,21 @@
 /// fail here, those of a relay that has not proven itself may fail as well, without its knowledge.
 fn is_trusted(shared: &Shared, relay: &Relay, entry: &Entry) -> bool {
     let state = shared.state();
-    let is_proven = state.relays.has_relayed(&relay.name);
+    let known = state.relays.get(&entry.service);
+    let is_proven = known.is_some_and(|relays| relays.has_relayed(&relay.name));
     is_proven || state.reachability.links(&entry.service) == Links::Up
 }
 
-fn choose(shared: &Shared) -> Option<Relay> {
+fn update(shared: &Shared, service: &Arc<str>, apply: impl FnOnce(&mut Relays)) {
+    let mut state = shared.state();
+    apply(state.relays.entry(Arc::clone(service)).or_default());
+}
+
+fn choose(shared: &Shared, service: &str) -> Option<Relay> {
     let now = shared.now();
     let state = shared.state();
     let port = shared.settings.relay_port?;
-    let chosen = state.choose_relay(&shared.settings, now)?;
+    let chosen = state.choose_relay(service, &shared.settings, now)?;
     let (name, peer) = state.peers.get_key_value(chosen.name)?;
     Some(Relay {
         name: Arc::clone(name),
--- a/crates/ploverwick_gateway/src/state.rs
+++ b/crates/ploverwick_gateway/src/state.rs
@@ -106,8 +106,8 @@
     pub(crate) fleet: Fleet,
     /// What this instance's connections to endpoints have shown.
     pub(crate) reachability: Reachability,
-    /// What this instance knows of others as relays of connections to endpoints.
-    pub(crate) relays: Relays,
+    /// What this instance knows of others as relays of connections to the endpoints of each service.
+    pub(crate) relays: HashMap<Arc<str>, Relays>,
     pub(crate) totals: TotalsSenders,
     /// The limits that overloaded endpoints have set.
     pub(crate) limits: Limits,
@@ -169,7 +169,7 @@
             }),
             fleet: Fleet::default(),
             reachability: Reachability::default(),
-            relays: Relays::default(),
+            relays: HashMap::new(),
             totals: TotalsSenders::default(),
             limits: Limits::default(),
             pauses: Pauses::default(),
@@ -212,11 +212,12 @@
         placers.max().map(|(_, ip)| ip)
     }
 
-    /// Chooses the instance that relays the next connection to an endpoint; `None` if none can be tried now.
+    /// Chooses the instance that relays the next connection to an endpoint of a service; `None` if none can be tried now.
     ///
     /// Instances of other failure domains send their status to few, so that their silence says nothing.
     pub(crate) fn choose_relay(
         &self,
+        service: &str,
         settings: &Settings,
         now: Moment,
     ) -> Option<relays::Candidate<'_>> {
@@ -229,8 +230,9 @@
             name,
             domain: &peer.domain,
         });
-        self.relays
-            .choose(&settings.instance, &settings.domain, candidates, now)
+        let none = Relays::default();
+        let known = self.relays.get(service).unwrap_or(&none);
+        known.choose(&settings.instance, &settings.domain, candidates, now)
     }
 
     /// Returns the failure domain from which connections to the endpoints of a service start: that of the relay if this
@@ -244,7 +246,7 @@
         if self.reachability.links(service) == Links::Up {
             return &settings.domain;
         }
-        let relay = self.choose_relay(settings, now);
+        let relay = self.choose_relay(service, settings, now);
         let mut domains = settings.domains.iter();
         let domain = domains.find(|domain| relay.is_some_and(|relay| *relay.domain == ***domain));
         domain.unwrap_or(&settings.domain)
