Pace orders whose connections break at once

An order whose connection was reset was sent again without a pause, hundreds of times a second: its answer counts as unknown, and only answers that take their whole time-out were slow enough. Found in the log of the test for resets; a placer whose links are reset does this for each engine. The next order now waits until the time-out of the last one is over (25 ms, doubling). broken_orders_are_paced fails before (over 80 connections a second to one endpoint) and passes now.

--- a/crates/ploverwick_gateway/src/controllers/orders.rs
+++ b/crates/ploverwick_gateway/src/controllers/orders.rs
@@ -14,6 +14,7 @@
 use ploverwick_endpoints::{Entry, State as EndpointState};
 use ploverwick_names::Moment;
 use ploverwick_platform::{answer, endpoint_list, order};
+use tokio::time::Instant;
 
 use super::{draining, reachability};
 use crate::broadcast;
@@ -108,8 +109,13 @@
             Step::Send(order) => {
                 let timeout = ORDER_TIMEOUT
                     * 2_u32.pow((unanswered / UNANSWERED_PER_DOUBLING).min(MAX_TIMEOUT_DOUBLINGS));
+                let sent_at = Instant::now();
                 match send_order(shared, &entry, &order, token, timeout).await {
-                    Some(Answer::Unknown) => unanswered += 1,
+                    Some(Answer::Unknown) => {
+                        unanswered += 1;
+                        // A connection that breaks at once would otherwise be tried again at once.
+                        tokio::time::sleep_until(sent_at + timeout).await;
+                    }
                     Some(_) => unanswered = 0,
                     None => {}
                 }
