Test what holds on relayed requests; a relay that is cut off unknowingly is left

Nine tests: at most once and a truthful status when the longer way breaks in the middle, the run ends with its client, whole or broken streams and their pauses, the direct way after the cut, all instances cut off, a whole failure domain (with one instance of the version before), a relay that is stopped, keys and quotas, leaving endpoints.

One failed: where a cut accepts connections and then resets them, a relay that was cut off too opened connections that broke before any answer, and was asked again with each request, for as long as the cut lasted. Such a connection now counts against the relay for its requester, and against the endpoint's link for the relay.

--- a/crates/ploverwick_gateway/src/controllers/reachability.rs
+++ b/crates/ploverwick_gateway/src/controllers/reachability.rs
@@ -184,13 +184,23 @@
     }
 }
 
-/// Handles a connection that broke under a request. If it never brought an answer, it counts as one that failed to open.
+/// Handles a connection that broke under a request. If it never brought an answer, it counts as one that failed to open,
+/// be it here or at its relay.
 pub(crate) fn handle_break(shared: &Shared, entry: &Entry, connection: &Connection) {
-    if connection.relay.is_none() && !connection.is_proven {
-        handle_failure(shared, entry, "closed");
+    if connection.is_proven {
+        return;
+    }
+    match &connection.relay {
+        None => handle_closed(shared, entry),
+        Some(relay) => relays::handle_break(shared, entry, relay),
     }
 }
 
+/// Handles a new direct connection that was closed before the endpoint sent anything.
+pub(crate) fn handle_closed(shared: &Shared, entry: &Entry) {
+    handle_failure(shared, entry, "closed");
+}
+
 /// Records that an endpoint sent an answer.
 pub(crate) fn handle_answer(shared: &Shared, entry: &Entry, connection: &mut Connection) {
     let is_first = !std::mem::replace(&mut connection.is_proven, true);
--- a/crates/ploverwick_gateway/src/controllers/relays.rs
+++ b/crates/ploverwick_gateway/src/controllers/relays.rs
@@ -53,6 +53,20 @@
     connection
 }
 
+/// Handles a relayed connection that broke before it brought an answer. The relay's links may be down without its
+/// knowledge.
+pub(crate) fn handle_break(shared: &Shared, entry: &Entry, relay: &Arc<str>) {
+    let now = shared.now();
+    let peer = shared.state().peers.get(relay).cloned();
+    let Some(peer) = peer else {
+        return;
+    };
+    update(shared, &entry.service, |relays| {
+        relays.record_refusal(relay, &peer.domain, Refusal::Partitioned, now);
+    });
+    shared.relayed_pool.remove_relay(relay);
+}
+
 /// Asks another instance whether an endpoint accepts connections.
 pub(crate) async fn ask_other(shared: &Shared, entry: &Entry) -> Observation {
     if shared.settings.relay_port.is_none() || shared.state().peers.is_empty() {
--- a/crates/ploverwick_gateway/src/relay/server.rs
+++ b/crates/ploverwick_gateway/src/relay/server.rs
@@ -8,6 +8,7 @@
 use anyhow::{Context, Result};
 use bytes::{Bytes, BytesMut};
 use futures_util::{SinkExt, StreamExt};
+use ploverwick_endpoints::Entry;
 use ploverwick_platform::socket;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -92,7 +93,7 @@
     metrics::relayed_connection(reply.name());
     let frame = Bytes::from(postcard::to_stdvec(&reply)?);
     requester.send(frame).await?;
-    let Ok(endpoint) = opened else {
+    let Ok((entry, endpoint)) = opened else {
         return Ok(());
     };
     let started_at = Instant::now();
@@ -105,7 +106,7 @@
     );
     let transferred = forward(requester, endpoint).await;
     spdlog::info!(
-        "relay_closed id={} from={} endpoint={} ending={} bytes={} ms={}",
+        "relay_closed id={} from={} endpoint={} ending={:?} bytes={} ms={}",
         open.request,
         open.instance,
         open.endpoint,
@@ -114,12 +115,15 @@
         started_at.elapsed().as_millis()
     );
     metrics::relayed_bytes(transferred.bytes);
+    if transferred.bytes == 0 && transferred.ending != Ending::Requester {
+        reachability::handle_closed(shared, &entry);
+    }
     drop(reservation);
     Ok(())
 }
 
 /// Connects to an endpoint directly. A relay whose own links are down says so at once.
-async fn connect(shared: &Arc<Shared>, open: &Open) -> Result<TcpStream, Reply> {
+async fn connect(shared: &Arc<Shared>, open: &Open) -> Result<(Entry, TcpStream), Reply> {
     let entry = {
         let state = shared.state();
         let entry = state.fleet.entry(&open.endpoint);
@@ -135,12 +139,23 @@
         ConnectError::Timeout | ConnectError::NoRelay | ConnectError::Other(_) => Reply::Timeout,
     })?;
     socket::detect_dead_peer(&stream);
-    Ok(stream)
+    Ok((entry, stream))
+}
+
+/// Why a relayed connection ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Ending {
+    /// The requester closed it.
+    Requester,
+    /// The endpoint closed it.
+    Endpoint,
+    /// It broke.
+    Broken,
 }
 
-/// What was transferred, and which side ended the connection.
+/// What was transferred, and why the connection ended.
 struct Transferred {
-    ending: &'static str,
+    ending: Ending,
     bytes: u64,
 }
 
@@ -155,10 +170,10 @@
     let to_requester = FramedWrite::new(to_requester, parts.codec);
     let mut bytes = 0;
     let ending = tokio::select! {
-        _ = send_to_endpoint(parts.read_buf, from_requester, to_endpoint) => "requester",
+        _ = send_to_endpoint(parts.read_buf, from_requester, to_endpoint) => Ending::Requester,
         result = send_to_requester(from_endpoint, to_requester, &mut bytes) => match result {
-            Ok(()) => "endpoint",
-            Err(_) => "broken",
+            Ok(()) => Ending::Endpoint,
+            Err(_) => Ending::Broken,
         }
     };
     Transferred { ending, bytes }
--- a/crates/ploverwick_gateway/tests/endpoint_partition.rs
+++ b/crates/ploverwick_gateway/tests/endpoint_partition.rs
@@ -1,20 +1,19 @@
 //! Instances whose links to the endpoints are cut, while clients, the store and other instances reach them.
 
 mod common;
+mod partitioned;
 
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
-use std::sync::Arc;
+use std::net::IpAddr;
 use std::time::Duration;
 
 use anyhow::Result;
-use common::{HOST, Instance, count_runs, free_port};
+use common::{HOST, count_runs};
 use googletest::prelude::*;
 use http::StatusCode;
+use partitioned::Deployment;
 use ploverwick_platform_standin::client::{self, ClientRequest};
 use ploverwick_platform_standin::endpoint::Endpoint;
-use ploverwick_platform_standin::proxy::{Cut, Proxy};
-use ploverwick_platform_standin::settings;
-use ploverwick_platform_standin::store::Store;
+use ploverwick_platform_standin::proxy::Cut;
 use tokio::task::JoinHandle;
 
 /// The time after the begin of a cut from which callers of all instances must be served alike.
@@ -25,8 +24,6 @@
 const REQUEST_INTERVAL: Duration = Duration::from_millis(10);
 /// The number of requests that are counted.
 const COUNTED: usize = 200;
-/// Long enough for instances to discover each other and the placers.
-const DISCOVERY: Duration = Duration::from_millis(2_500);
 
 /// First attempts and how many of them were served.
 #[derive(Debug, Default, Clone, Copy)]
@@ -54,80 +51,20 @@
     cut_off.served_ratio() >= others.served_ratio() * 2.0 / 3.0 || failed <= allowed
 }
 
-/// Instances of two failure domains before endpoints behind proxies.
-struct Deployment {
-    fronts: Vec<(IpAddr, SocketAddr)>,
-    endpoints: Vec<Endpoint>,
-    proxies: Vec<Proxy>,
+/// Requests to a deployment, numbered over the whole test.
+struct Load {
+    deployment: Deployment,
     sent: usize,
 }
 
-impl Deployment {
-    /// Starts three instances in failure domain `d1` and two in `d2`, three plain endpoints and two engines.
-    async fn start() -> Result<Self> {
-        let store = Store::start().await?;
-        let mut endpoints = Vec::new();
-        let mut proxies = Vec::new();
-        for (id, service, model, domain) in [
-            ("i-a", "app", None, "d1"),
-            ("i-b", "app", None, "d1"),
-            ("i-c", "app", None, "d2"),
-            ("i-d", "lm", Some("base"), "d1"),
-            ("i-e", "lm", Some("base"), "d2"),
-        ] {
-            let endpoint = Endpoint::start(id, service, model, domain).await?;
-            let mut entry = endpoint.entry("ready");
-            let address = entry["address"].as_str().unwrap_or_default().parse()?;
-            let proxy = Proxy::start(address).await?;
-            entry["address"] = proxy.address().to_string().into();
-            store.list(id, &entry);
-            endpoints.push(endpoint);
-            proxies.push(proxy);
-        }
-        store.configure(&settings::config(1));
-        let port = free_port()?;
-        let relay_port = free_port()?;
-        let mut fronts = Vec::new();
-        for (host, (name, domain)) in (11..).zip([
-            ("one", "d1"),
-            ("two", "d1"),
-            ("three", "d1"),
-            ("four", "d2"),
-            ("five", "d2"),
-        ]) {
-            let ip = Ipv4Addr::new(127, 0, 0, host);
-            let mut settings = settings::of(name, ip, port, store.address());
-            settings.domain = Arc::from(domain);
-            settings.relay_port = Some(relay_port);
-            let instance = Instance::start(settings).await?;
-            fronts.push((IpAddr::V4(ip), instance.front));
-        }
-        tokio::time::sleep(DISCOVERY).await;
-        let mut deployment = Self {
-            fronts,
-            endpoints,
-            proxies,
-            sent: 0,
-        };
-        deployment.send(COUNTED / 2, &[]).await?;
-        Ok(deployment)
-    }
-
-    /// Cuts the links of the first `count` instances to all endpoints.
-    fn cut(&self, count: usize, cut: Cut) {
-        for (ip, _) in &self.fronts[..count] {
-            for proxy in &self.proxies {
-                proxy.cut(*ip, cut);
-            }
-        }
-    }
-
+impl Load {
     /// Sends requests to all instances in turn, without waiting for their answers, and returns the results at the
     /// instances that are cut off and at the others.
     async fn send(&mut self, count: usize, cut_off: &[IpAddr]) -> Result<[Tally; 2]> {
+        let fronts = &self.deployment.fronts;
         let mut pending: Vec<(bool, JoinHandle<bool>)> = Vec::new();
         for _ in 0..count {
-            let (ip, front) = self.fronts[self.sent % self.fronts.len()];
+            let (ip, front) = fronts[self.sent % fronts.len()];
             let request = request(self.sent);
             self.sent += 1;
             let task = tokio::spawn(async move {
@@ -147,7 +84,7 @@
 
     /// Returns how many requests that may run once ran more often.
     fn repeated_runs(&self) -> usize {
-        let endpoints: Vec<&Endpoint> = self.endpoints.iter().collect();
+        let endpoints: Vec<&Endpoint> = self.deployment.endpoints.iter().collect();
         let ids = (0..self.sent).filter(|number| number % 3 == 1);
         ids.filter(|number| count_runs(&endpoints, &format!("r{number}")) > 1)
             .count()
@@ -167,26 +104,31 @@
 
 /// Cuts off the first `count` instances, and checks what callers get once the cut has lasted for [`STABLE`].
 async fn check_callers_of_cut_off_instances(count: usize, cut: Cut) -> Result<()> {
-    let mut deployment = Deployment::start().await?;
-    deployment.cut(count, cut);
-    if cut == Cut::RefuseNew {
-        // Until the connections that live on have been closed as idle.
-        tokio::time::sleep(IDLE).await;
-    }
+    let deployment = Deployment::start().await?;
     let cut_off: Vec<IpAddr> = deployment.fronts[..count]
         .iter()
         .map(|(ip, _)| *ip)
         .collect();
+    let mut load = Load {
+        deployment,
+        sent: 0,
+    };
+    load.send(COUNTED / 2, &[]).await?;
+    load.deployment.cut(0..count, cut);
+    if cut == Cut::RefuseNew {
+        // Until the connections that live on have been closed as idle.
+        tokio::time::sleep(IDLE).await;
+    }
     let before = STABLE.div_duration_f64(REQUEST_INTERVAL) as usize;
-    deployment.send(before, &cut_off).await?;
-    let [served, others] = deployment.send(COUNTED, &cut_off).await?;
+    load.send(before, &cut_off).await?;
+    let [served, others] = load.send(COUNTED, &cut_off).await?;
     expect_that!(others.served_ratio(), gt(0.9));
     expect_that!(
         is_recovered(served, others),
         eq(true),
         "cut off: {served:?}, others: {others:?}"
     );
-    expect_that!(deployment.repeated_runs(), eq(0));
+    expect_that!(load.repeated_runs(), eq(0));
     Ok(())
 }
 
--- /dev/null
+++ b/crates/ploverwick_gateway/tests/relayed_requests.rs
@@ -0,0 +1,264 @@
+//! What holds for requests that reach endpoints through another instance.
+
+mod common;
+mod partitioned;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use anyhow::Result;
+use common::{HOST, count_runs};
+use googletest::prelude::*;
+use http::StatusCode;
+use partitioned::Deployment;
+use ploverwick_platform_standin::client::{self, ClientRequest, ClientResponse};
+use ploverwick_platform_standin::endpoint::{Action, Endpoint};
+use ploverwick_platform_standin::proxy::Cut;
+use ploverwick_platform_standin::settings;
+use serde_json::json;
+
+/// The instance that is cut off in most tests.
+const ONE: usize = 0;
+/// The number of instances of the first failure domain.
+const DOMAIN_SIZE: usize = 3;
+
+async fn send(front: SocketAddr, id: &str, path: &str) -> Result<ClientResponse> {
+    client::send(front, &ClientRequest::new(id, HOST, path)).await
+}
+
+/// Starts a deployment in which the first instance is cut off and uses relays.
+async fn one_cut_off() -> Result<Deployment> {
+    let deployment = Deployment::start().await?;
+    deployment.cut(ONE..ONE + 1, Cut::Reset);
+    deployment.wait_until_served(ONE).await;
+    Ok(deployment)
+}
+
+fn script_apps(deployment: &Deployment, action: Action) {
+    for endpoint in &deployment.endpoints[..3] {
+        endpoint.script(&[action]);
+    }
+}
+
+fn runs(deployment: &Deployment, id: &str) -> usize {
+    let endpoints: Vec<&Endpoint> = deployment.endpoints.iter().collect();
+    count_runs(&endpoints, id)
+}
+
+/// Guards against claiming that a request did not run, or running it again, if the longer way breaks in the middle.
+#[gtest]
+#[tokio::test]
+async fn broken_relay_runs_request_once() -> Result<()> {
+    let deployment = one_cut_off().await?;
+    script_apps(&deployment, Action::Hang);
+    let front = deployment.fronts[ONE].1;
+    let pending = tokio::spawn(async move { send(front, "r1", "/once/x").await });
+    while runs(&deployment, "r1") == 0 {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    deployment.cut(ONE..deployment.fronts.len(), Cut::Reset);
+    let got = pending.await??;
+    expect_that!(got.status, eq(StatusCode::BAD_GATEWAY));
+    expect_that!(runs(&deployment, "r1"), eq(1));
+    Ok(())
+}
+
+/// Guards against a relayed request that goes on at the endpoint after its client has left.
+#[tokio::test]
+async fn disconnected_client_ends_run() -> Result<()> {
+    let deployment = one_cut_off().await?;
+    script_apps(&deployment, Action::Hang);
+    let front = deployment.fronts[ONE].1;
+    let pending = tokio::spawn(async move { send(front, "r1", "/once/x").await });
+    while runs(&deployment, "r1") == 0 {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    pending.abort();
+    let abandoned = || {
+        deployment
+            .endpoints
+            .iter()
+            .map(Endpoint::abandoned)
+            .sum::<usize>()
+    };
+    while abandoned() == 0 {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    Ok(())
+}
+
+/// Guards against passing a stream that breaks off behind the relay as complete, or cutting one that pauses.
+#[gtest]
+#[tokio::test]
+async fn streams_are_whole_or_broken() -> Result<()> {
+    let deployment = one_cut_off().await?;
+    let front = deployment.fronts[ONE].1;
+    let stream = |id: &str| ClientRequest::new(id, HOST, "/live/").model("base/a1");
+    while client::send(front, &stream("warm")).await?.status != StatusCode::OK {}
+    for engine in &deployment.endpoints[3..] {
+        engine.script(&[Action::Pause(0, 700)]);
+    }
+    expect_that!(client::send(front, &stream("r1")).await?.is_whole, eq(true));
+    for engine in &deployment.endpoints[3..] {
+        engine.script(&[Action::Truncate(1)]);
+    }
+    expect_that!(
+        client::send(front, &stream("r2")).await?.is_whole,
+        eq(false)
+    );
+    Ok(())
+}
+
+/// Guards against a detour that outlasts the cut: once the links are back, the instance serves by itself, and relays for
+/// those that are cut off next.
+#[gtest]
+#[tokio::test]
+async fn direct_way_is_used_again() -> Result<()> {
+    let deployment = one_cut_off().await?;
+    deployment.heal();
+    // The probes find out within half a second.
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    deployment.cut(ONE + 1..deployment.fronts.len(), Cut::Reset);
+    for number in 0..20 {
+        let got = send(deployment.fronts[ONE].1, &format!("r{number}"), "/once/x").await?;
+        expect_that!(got.status, eq(StatusCode::OK));
+    }
+    for instance in ONE + 1..deployment.fronts.len() {
+        deployment.wait_until_served(instance).await;
+    }
+    Ok(())
+}
+
+/// Guards against requests that go round between instances when no instance reaches an endpoint, and against a state that
+/// outlasts it.
+#[gtest]
+#[tokio::test]
+async fn all_cut_off_refuse_and_recover() -> Result<()> {
+    let deployment = Deployment::start().await?;
+    deployment.cut(ONE..deployment.fronts.len(), Cut::Reset);
+    for (number, (_, front)) in deployment.fronts.iter().cycle().take(20).enumerate() {
+        let got = send(*front, &format!("r{number}"), "/once/x").await?;
+        expect_that!(got.status, not(eq(StatusCode::OK)));
+        expect_that!(runs(&deployment, &format!("r{number}")), eq(0));
+    }
+    deployment.heal();
+    for instance in 0..deployment.fronts.len() {
+        deployment.wait_until_served(instance).await;
+    }
+    Ok(())
+}
+
+/// Guards against depending on instances of the own failure domain, all of which may be cut off, and on those that do not
+/// relay, as in the version before.
+#[gtest]
+#[tokio::test]
+async fn whole_domain_is_relayed_by_other() -> Result<()> {
+    let deployment = Deployment::with_settings(settings::config(1), |name, settings| {
+        if name == "five" {
+            settings.relay_port = None;
+        }
+    })
+    .await?;
+    deployment.cut(ONE..DOMAIN_SIZE, Cut::Reset);
+    for instance in ONE..DOMAIN_SIZE {
+        deployment.wait_until_served(instance).await;
+    }
+    for number in 0..60 {
+        let front = deployment.fronts[number % DOMAIN_SIZE].1;
+        let got = send(front, &format!("r{number}"), "/once/x").await?;
+        expect_that!(got.status, eq(StatusCode::OK));
+    }
+    Ok(())
+}
+
+/// Guards against losing requests when the instance that relays them is stopped: those under way end, and the others go
+/// through another instance.
+#[gtest]
+#[tokio::test]
+async fn stopped_relay_loses_no_request() -> Result<()> {
+    let mut deployment = one_cut_off().await?;
+    let front = deployment.fronts[ONE].1;
+    let mut served = Vec::new();
+    for number in 0..200 {
+        if number == 50 {
+            let stopped: Vec<_> = deployment.instances[1..DOMAIN_SIZE]
+                .iter_mut()
+                .filter_map(Option::take)
+                .map(common::Instance::stop)
+                .collect();
+            served.extend(stopped);
+        }
+        let got = send(front, &format!("r{number}"), "/once/x").await?;
+        expect_that!(got.status, eq(StatusCode::OK), "request {number}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    for task in served {
+        task.await?;
+    }
+    Ok(())
+}
+
+/// Guards against a key that reaches an endpoint or a relay, and a quota that is charged twice or not at all.
+#[gtest]
+#[tokio::test]
+async fn keys_and_quotas_hold() -> Result<()> {
+    let quota = json!({"rate_per_s": 500.0, "burst": 500.0, "unit": "tokens", "plain_tokens": 100});
+    let mut config = settings::config(1);
+    settings::add_organisations(&mut config, &[("org", &["the-key"], quota)]);
+    let deployment = Deployment::with_settings(config, |_, _| {}).await?;
+    deployment.cut(ONE..ONE + 1, Cut::Reset);
+    let front = deployment.fronts[ONE].1;
+    let request = |id: &str| {
+        let request = ClientRequest::new(id, HOST, "/once/x");
+        request.key("the-key").tokens(100, 0)
+    };
+    let mut ran = 0;
+    let mut refused = 0;
+    for number in 0..100 {
+        let got = client::send(front, &request(&format!("r{number}"))).await?;
+        ran += usize::from(got.status == StatusCode::OK);
+        refused += usize::from(got.status == StatusCode::TOO_MANY_REQUESTS);
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    expect_that!(ran, gt(0));
+    expect_that!(refused, gt(0));
+    let runs: Vec<_> = deployment
+        .endpoints
+        .iter()
+        .flat_map(Endpoint::runs)
+        .collect();
+    expect_that!(runs.len(), eq(ran));
+    for run in runs {
+        expect_that!(run.organisation.as_deref(), some(eq("org")));
+        expect_that!(run.key, none());
+    }
+    let unknown = ClientRequest::new("r-unknown", HOST, "/once/x").key("another");
+    expect_that!(
+        client::send(front, &unknown).await?.status,
+        eq(StatusCode::UNAUTHORIZED)
+    );
+    Ok(())
+}
+
+/// Guards against sending more requests to an endpoint that reports in a relayed answer that it is leaving.
+#[gtest]
+#[tokio::test]
+async fn leaving_endpoint_gets_nothing() -> Result<()> {
+    let deployment = one_cut_off().await?;
+    let front = deployment.fronts[ONE].1;
+    let leaving = &deployment.endpoints[0];
+    leaving.set_leaving();
+    let mut number = 0;
+    let before = leaving.requests_received();
+    while leaving.requests_received() == before {
+        send(front, &format!("w{number}"), "/once/x").await?;
+        number += 1;
+    }
+    let reported = leaving.requests_received();
+    for number in 0..30 {
+        let got = send(front, &format!("r{number}"), "/once/x").await?;
+        expect_that!(got.status, eq(StatusCode::OK));
+    }
+    expect_that!(leaving.requests_received(), eq(reported));
+    Ok(())
+}
