--- a/crates/ploverwick_gateway/src/relay.rs
+++ b/crates/ploverwick_gateway/src/relay.rs
@@ -9,6 +9,7 @@
 //! it the answer was cut off, be it at the endpoint or at the relay, even if the answer has no length of its own.
 
 pub(crate) mod client;
+pub(crate) mod connections;
 pub(crate) mod server;
 
 use std::sync::Arc;
--- a/crates/ploverwick_gateway/src/shared.rs
+++ b/crates/ploverwick_gateway/src/shared.rs
@@ -23,7 +23,7 @@
 use crate::outbox::Outbox;
 use crate::pool::Pool;
 use crate::quarantine_updates::QuarantineUpdates;
-use crate::relay::server::RelayedConnections;
+use crate::relay::connections::RelayedConnections;
 use crate::state::{InstanceListState, PEER_TIMEOUT, State, own_candidate};
 use crate::topics::{Inboxes, Topic};
 
