Put back the test of single endpoints behind a cut that accepts connections, as known red

Cause: a connection that is accepted and then reset is not compared with what a relay finds; endpoints of which only some are cut off so are ejected as before. Three doc comments are reworded.

--- a/crates/ploverwick_endpoints/src/reachability.rs
+++ b/crates/ploverwick_endpoints/src/reachability.rs
@@ -29,7 +29,7 @@
     /// They work, but for single ones.
     #[default]
     Up,
-    /// Several endpoints fail, and nothing tells whether the links or the endpoints are the cause.
+    /// Several endpoints fail, and it is not known whether the links or the endpoints are the cause.
     Suspected,
     /// Another instance reached an endpoint that this one does not reach.
     Down,
--- a/crates/ploverwick_gateway/src/controllers/reachability.rs
+++ b/crates/ploverwick_gateway/src/controllers/reachability.rs
@@ -159,8 +159,8 @@
     shared.state().reachability.needs_relay(entry)
 }
 
-/// Records that a new connection to an endpoint failed. Logs the first failure after a success, with what tells a fault of
-/// this instance's links from one of the endpoint.
+/// Records that a new connection to an endpoint failed. Logs the first failure after a success, with the figures that
+/// distinguish a fault of this instance's links from one of the endpoint.
 fn handle_failure(shared: &Shared, entry: &Entry, cause: &str) {
     let now = shared.now();
     let mut state = shared.state();
--- a/crates/ploverwick_gateway/tests/relayed_requests.rs
+++ b/crates/ploverwick_gateway/tests/relayed_requests.rs
@@ -3,7 +3,7 @@
 mod common;
 mod partitioned;
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use anyhow::Result;
@@ -262,3 +262,24 @@
     expect_that!(leaving.requests_received(), eq(reported));
     Ok(())
 }
+
+/// Guards against a cut that reaches only part of the endpoints: the others of the service answer, so that the links are
+/// not suspected as a whole.
+#[gtest]
+#[tokio::test]
+async fn single_endpoints_are_relayed() -> Result<()> {
+    let deployment = Deployment::start().await?;
+    let (ip, front): (IpAddr, SocketAddr) = deployment.fronts[ONE];
+    let stream = |id: &str| ClientRequest::new(id, HOST, "/live/").model("base/a1");
+    while client::send(front, &stream("warm")).await?.status != StatusCode::OK {}
+    for proxy in &deployment.proxies[..2] {
+        proxy.cut(ip, Cut::Reset);
+    }
+    let mut served = 0;
+    for number in 0..40 {
+        let got = send(front, &format!("r{number}"), "/safe/x").await?;
+        served += usize::from(got.status == StatusCode::OK);
+    }
+    expect_that!(served, ge(38));
+    Ok(())
+}
--- a/crates/ploverwick_quarantine/src/observation.rs
+++ b/crates/ploverwick_quarantine/src/observation.rs
@@ -16,7 +16,7 @@
 }
 
 impl Observation {
-    /// Diagnoses an endpoint that has refused a connection of this instance; `None` if that cannot be told yet.
+    /// Diagnoses an endpoint that has refused a connection of this instance; `None` if that is not known yet.
     ///
     /// A link that is cut may refuse connections like an endpoint whose process has ended. `are_links_up` is whether this
     /// instance's links to other endpoints work, and `is_repeated` whether the endpoint refused a connection some time
