Show in logs and metrics how endpoints frame answers and where streams end

On call it could not be told how an endpoint had marked the end of an answer, nor whether a stream ended inside an event: a stream that was broken off without a trace was logged as complete, and a break was not counted. `request_answered` and `stream_ended` now say `framing` (length, chunks, close), `stream_ended` also `position` (after_event, inside_event), and `ploverwick_stream_ends_total{framing,position}` counts both.

The position comes from a scanner of event ends that replaces two look-backs over the bytes (in the splitter of resumable streams and in the timing of all streams). It knows LF, CRLF and CR; pieces of any size give the same events (tests: event_scanner). No decision changes: what is forwarded and when is the same, but for events that end with CR alone, which were not recognised before.

--- a/crates/ploverwick_endpoints/src/lib.rs
+++ b/crates/ploverwick_endpoints/src/lib.rs
@@ -9,6 +9,7 @@
 mod capacity;
 mod draining_reports;
 mod entry;
+mod event_scanner;
 mod fleet;
 mod health;
 mod heartbeats;
@@ -37,6 +38,7 @@
 };
 pub use draining_reports::DrainingReports;
 pub use entry::{Entry, Held, State};
+pub use event_scanner::{EventScanner, Scan};
 pub use fleet::{Cost, Fleet, Query};
 pub use health::{Health, Outcome};
 pub use heartbeats::{Heartbeat, Heartbeats};
--- a/crates/ploverwick_gateway/src/filters/event_splitter.rs
+++ b/crates/ploverwick_gateway/src/filters/event_splitter.rs
@@ -10,12 +10,11 @@
 }
 
 impl EventSplitter {
-    /// Appends bytes and returns the complete events so far, if any.
-    pub(crate) fn push(&mut self, data: &[u8]) -> Option<Bytes> {
-        let from = self.pending.len().saturating_sub(3);
+    /// Appends bytes, in which the last event ends at `end`, and returns the complete events so far, if any.
+    pub(crate) fn push(&mut self, data: &[u8], end: Option<usize>) -> Option<Bytes> {
+        let end = end.map(|end| self.pending.len() + end);
         self.pending.extend_from_slice(data);
-        let end = event_end(&self.pending, from)?;
-        let events = self.pending.split_to(end).freeze();
+        let events = self.pending.split_to(end?).freeze();
         self.last = last_id(&events).or(self.last);
         Some(events)
     }
@@ -36,22 +35,8 @@
     }
 }
 
-/// Returns the end of the last complete event. An empty line ends an event.
-fn event_end(bytes: &[u8], from: usize) -> Option<usize> {
-    let mut end = None;
-    for at in from..bytes.len() {
-        let rest = &bytes[at..];
-        if rest.starts_with(b"\n\n") {
-            end = Some(at + 2);
-        } else if rest.starts_with(b"\n\r\n") {
-            end = Some(at + 3);
-        }
-    }
-    end
-}
-
 fn last_id(events: &[u8]) -> Option<u64> {
-    let mut lines = events.rsplit(|byte| *byte == b'\n');
+    let mut lines = events.rsplit(|byte| matches!(byte, b'\n' | b'\r'));
     let id = lines.find_map(|line| line.strip_prefix(b"id:"))?;
     std::str::from_utf8(id).ok()?.trim().parse().ok()
 }
--- a/crates/ploverwick_gateway/src/filters/forward.rs
+++ b/crates/ploverwick_gateway/src/filters/forward.rs
@@ -11,7 +11,7 @@
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
-use ploverwick_endpoints::{Outcome, Resumption, Step};
+use ploverwick_endpoints::{Outcome, Resumption, Scan, Step};
 use ploverwick_platform::answer::{self, Head, Statement};
 use tokio::time::Instant;
 
@@ -167,10 +167,10 @@
                 event = self.resume(&target).await;
             }
             match event {
-                Event::Data(data) => {
+                Event::Data(data, scan) => {
                     self.end_pause();
-                    self.record_bytes(&data, awaited_at);
-                    if let Some(bytes) = self.accept(data) {
+                    self.record_events(scan.events, awaited_at);
+                    if let Some(bytes) = self.accept(data, scan) {
                         return Ok(Some(bytes));
                     }
                 }
@@ -269,6 +269,7 @@
 
     fn handle_break(&mut self, error: &hyper::Error) {
         if let Some(source) = &self.source {
+            self.timing.record_end(source);
             let endpoint = &source.in_flight.endpoint;
             crashes::handle_broken_connection(&self.shared, endpoint, self.request.suspect());
         }
@@ -299,24 +300,26 @@
         interruption.end_kept();
     }
 
-    /// Records when the events in `data` arrived, which were waited for since `awaited_at`.
-    fn record_bytes(&mut self, data: &[u8], awaited_at: Instant) {
+    /// Records when events arrived, which were waited for since `awaited_at`.
+    fn record_events(&mut self, events: usize, awaited_at: Instant) {
         let Some(source) = &mut self.source else {
             return;
         };
+        if events == 0 {
+            return;
+        }
         let now = Instant::now();
         let endpoint = &source.in_flight.endpoint;
-        if self.timing.record_bytes(endpoint, data, now) {
-            source.in_flight.record_event(awaited_at, now);
-        }
+        self.timing.record_events(endpoint, events, now);
+        source.in_flight.record_event(awaited_at, now);
     }
 
     /// Returns the bytes to forward. Incomplete events are buffered if the stream may be resumed at another
     /// endpoint.
-    fn accept(&mut self, data: Bytes) -> Option<Bytes> {
+    fn accept(&mut self, data: Bytes, scan: Scan) -> Option<Bytes> {
         match &mut self.splitter {
             None => Some(data),
-            Some(splitter) => splitter.push(&data),
+            Some(splitter) => splitter.push(&data, scan.end),
         }
     }
 
@@ -325,6 +328,7 @@
         if let Some(mut source) = self.source.take() {
             source.in_flight.set_outcome(Outcome::Success);
             self.timing.set_ending(Ending::Complete);
+            self.timing.record_end(&source);
             quarantine::handle_success(&self.shared, &self.request);
             let endpoint = Arc::clone(&source.in_flight.endpoint);
             keep(&self.shared, &endpoint, source.connection, &source.head);
--- a/crates/ploverwick_gateway/src/filters/retry.rs
+++ b/crates/ploverwick_gateway/src/filters/retry.rs
@@ -6,8 +6,9 @@
 use http::{Response, StatusCode};
 use ploverwick_adapters::Since;
 use ploverwick_codes::Code;
-use ploverwick_endpoints::{Outcome, State as EndpointState, answer_timeout};
+use ploverwick_endpoints::{Outcome, answer_timeout};
 use ploverwick_names::Moment;
+use ploverwick_platform::answer::Head;
 use tokio::time::Instant;
 
 use super::admitted_request::AdmittedRequest;
@@ -205,13 +206,13 @@
     mut answered: Answered,
 ) -> NextStep {
     let status = answered.parts.status;
-    let state = answered.head.state;
+    let head = answered.head.clone();
     if status.is_success() && !answered.head.is_signed {
         answered.in_flight.set_outcome(Outcome::Broken);
         return retry_lost(request, target, history, "an answer without a signature");
     }
     if status.is_success() && request.route.kind.is_stream() {
-        log_answered(shared, request, target, history, status, state);
+        log_answered(shared, request, target, history, status, &head);
         let excluded = std::mem::take(&mut history.excluded);
         let response = forward::event_stream(shared, request, answered, history.runs + 1, excluded);
         return NextStep::Respond(response);
@@ -231,7 +232,7 @@
         history.error_response = Some(response);
         return NextStep::Retry(Duration::ZERO);
     }
-    log_answered(shared, request, target, history, status, state);
+    log_answered(shared, request, target, history, status, &head);
     NextStep::Respond(response)
 }
 
@@ -338,11 +339,11 @@
     target: &Target,
     history: &History,
     status: StatusCode,
-    state: EndpointState,
+    head: &Head,
 ) {
     if shared.log_limiter.allow(shared.now()) {
         spdlog::info!(
-            "request_answered id={} route={} config={} adapter={} {} endpoint={} domain={} cost={:.1} prompt={} load={} reading={} limit={:?} state={:?} sent={} status={} placing_ms={} in_vain_ms={} answering_ms={} ms={}",
+            "request_answered id={} route={} config={} adapter={} {} endpoint={} domain={} cost={:.1} prompt={} load={} reading={} limit={:?} state={:?} framing={} sent={} status={} placing_ms={} in_vain_ms={} answering_ms={} ms={}",
             request.info.id,
             request.route.name,
             request.config_version,
@@ -355,7 +356,8 @@
             target.load.requests,
             target.load.unread_tokens,
             shared.state().limits.get(&target.entry.id),
-            state,
+            head.state,
+            head.framing.name(),
             history.sent + 1,
             status.as_u16(),
             history.timings.placing.as_millis(),
--- a/crates/ploverwick_gateway/src/filters/source.rs
+++ b/crates/ploverwick_gateway/src/filters/source.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use ploverwick_endpoints::{EventScanner, Scan};
 use ploverwick_platform::answer::Head;
 
 use super::in_flight::InFlight;
@@ -14,6 +15,7 @@
 #[derive(Debug)]
 pub(super) struct Source {
     body: Incoming,
+    scanner: EventScanner,
     pub(super) in_flight: InFlight,
     pub(super) connection: Connection,
     pub(super) head: Head,
@@ -23,6 +25,7 @@
     fn from(answered: Answered) -> Self {
         Self {
             body: answered.body,
+            scanner: EventScanner::default(),
             in_flight: answered.in_flight,
             connection: answered.connection,
             head: answered.head,
@@ -30,10 +33,18 @@
     }
 }
 
+impl Source {
+    /// Returns whether the stream stands inside an event.
+    pub(super) fn is_inside_event(&self) -> bool {
+        self.scanner.is_inside_event()
+    }
+}
+
 /// What happened while a stream waited.
 #[derive(Debug)]
 pub(super) enum Event {
-    Data(Bytes),
+    /// The next piece of the stream, and the events in it.
+    Data(Bytes, Scan),
     End,
     Break(hyper::Error),
     Found(Found),
@@ -51,7 +62,8 @@
             Some(Err(error)) => return Event::Break(error),
             Some(Ok(frame)) => {
                 if let Ok(data) = frame.into_data() {
-                    return Event::Data(data);
+                    let scan = source.scanner.scan(&data);
+                    return Event::Data(data, scan);
                 }
             }
         }
--- a/crates/ploverwick_gateway/src/filters/stream_timing.rs
+++ b/crates/ploverwick_gateway/src/filters/stream_timing.rs
@@ -3,10 +3,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ploverwick_platform::answer::Framing;
 use ploverwick_routes::EventTimes;
 use tokio::time::Instant;
 
 use super::admitted_request::AdmittedRequest;
+use super::source::Source;
 use crate::metrics;
 use crate::shared::Shared;
 
@@ -31,6 +33,23 @@
     }
 }
 
+/// Where the answer of an endpoint ended.
+#[derive(Debug, Clone, Copy)]
+struct End {
+    framing: Framing,
+    is_inside_event: bool,
+}
+
+impl End {
+    fn position(self) -> &'static str {
+        if self.is_inside_event {
+            "inside_event"
+        } else {
+            "after_event"
+        }
+    }
+}
+
 /// The times of the events of one stream. It is logged and counted when dropped.
 #[derive(Debug)]
 pub(crate) struct StreamTiming {
@@ -40,6 +59,8 @@
     endpoint: Arc<str>,
     times: EventTimes,
     ending: Ending,
+    /// Where the last answer of an endpoint ended; `None` if none did.
+    end: Option<End>,
 }
 
 impl StreamTiming {
@@ -54,20 +75,24 @@
             endpoint: Arc::clone(endpoint),
             times: EventTimes::default(),
             ending: Ending::Abandoned,
+            end: None,
         }
     }
 
-    /// Records bytes from an endpoint; returns whether an event ends in them.
-    pub(crate) fn record_bytes(&mut self, endpoint: &Arc<str>, bytes: &[u8], now: Instant) -> bool {
-        let events = count_event_ends(bytes);
-        if events == 0 {
-            return false;
-        }
+    /// Records events that arrived from an endpoint.
+    pub(crate) fn record_events(&mut self, endpoint: &Arc<str>, events: usize, now: Instant) {
         if !Arc::ptr_eq(&self.endpoint, endpoint) {
             self.endpoint = Arc::clone(endpoint);
         }
         self.times.record(events, now - self.request.received);
-        true
+    }
+
+    /// Records where the answer of an endpoint ended, and how it was framed.
+    pub(super) fn record_end(&mut self, source: &Source) {
+        self.end = Some(End {
+            framing: source.head.framing,
+            is_inside_event: source.is_inside_event(),
+        });
     }
 
     /// Sets how the stream ended. If it is never set, the client disconnected: [`Ending::Abandoned`].
@@ -87,13 +112,20 @@
         let route = &self.request.route;
         let punctuality = self.times.punctuality(route).name();
         metrics::stream(punctuality, self.ending.name(), longest_pause);
+        let framing = self.end.map_or("-", |end| end.framing.name());
+        let position = self.end.map_or("-", End::position);
+        if let Some(end) = self.end {
+            metrics::stream_end(end.framing.name(), end.position());
+        }
         if self.shared.log_limiter.allow(self.shared.now()) {
             spdlog::info!(
-                "stream_ended id={} route={} endpoint={} ending={} timing={} events={} first_ms={} objective_ms={} pause_ms={} max_pause_ms={}",
+                "stream_ended id={} route={} endpoint={} ending={} framing={} position={} timing={} events={} first_ms={} objective_ms={} pause_ms={} max_pause_ms={}",
                 self.request.info.id,
                 route.name,
                 self.endpoint,
                 self.ending.name(),
+                framing,
+                position,
                 punctuality,
                 events,
                 format_optional(first_event),
@@ -108,13 +140,3 @@
 fn format_optional(time: Option<Duration>) -> String {
     time.map_or_else(|| "-".to_owned(), |time| time.as_millis().to_string())
 }
-
-/// Returns the number of events that end in `bytes`. An empty line ends an event.
-fn count_event_ends(bytes: &[u8]) -> usize {
-    let starts = 0..bytes.len();
-    let ends = starts.filter(|at| {
-        let rest = &bytes[*at..];
-        rest.starts_with(b"\n\n") || rest.starts_with(b"\n\r\n")
-    });
-    ends.count()
-}
--- a/crates/ploverwick_gateway/src/metrics.rs
+++ b/crates/ploverwick_gateway/src/metrics.rs
@@ -160,6 +160,12 @@
     histogram!("ploverwick_stream_pause_seconds").record(longest_pause.as_secs_f64());
 }
 
+/// Counts an answer of an endpoint that ended a stream, by how it was framed and whether it ended inside an event.
+pub(crate) fn stream_end(framing: &'static str, position: &'static str) {
+    counter!("ploverwick_stream_ends_total", "framing" => framing, "position" => position)
+        .increment(1);
+}
+
 /// Sets the number of endpoints that this instance knows to have set a limit.
 pub(crate) fn endpoint_limits(endpoints: usize) {
     gauge!("ploverwick_endpoint_limits").set(endpoints as f64);
