Take a stream that ends inside an event for a broken one

Callers got streams that their endpoint had broken off as complete ones: 200, the endpoint's signature, a last chunk, a short body.

Cause: the end of an endpoint's bytes was taken for the end of its answer. That holds for a length and for chunks. An answer with neither ends with its connection, and an endpoint that crashes closes the connection too. Streams that may be resumed even had the part of an event that was waiting for its rest sent at that moment.

Change: the source of a stream knows where the stream stands. The end of the bytes inside an event is a break, whatever the framing, and so is the end of an unframed answer before its first event. A break is then what it was before: counted as the endpoint's failure, a candidate crash, resumed at another endpoint after the last whole event, or passed on by closing the client's connection.

Why it works: a whole event ends with an empty line, so an end elsewhere proves the break.

The test of resumptions that are cut again gets a third endpoint, since one that was tried is not used again.

--- a/crates/ploverwick_gateway/src/filters/event_splitter.rs
+++ b/crates/ploverwick_gateway/src/filters/event_splitter.rs
@@ -29,7 +29,7 @@
         self.pending.clear();
     }
 
-    /// Returns the remaining bytes at the end of the stream.
+    /// Returns the remaining bytes at the end of the stream: an event whose last line end is a CR, which no byte follows.
     pub(crate) fn take_rest(&mut self) -> Bytes {
         self.pending.split().freeze()
     }
--- a/crates/ploverwick_gateway/src/filters/forward.rs
+++ b/crates/ploverwick_gateway/src/filters/forward.rs
@@ -24,7 +24,7 @@
 use super::reuse::keep;
 use super::select::Target;
 use super::send::{self, Answered, SendOutcome};
-use super::source::{Event, Source, read};
+use super::source::{Break, Event, Source, read};
 use super::stream_timing::{Ending, StreamTiming};
 use crate::controllers::crashes;
 use crate::metrics;
@@ -175,7 +175,7 @@
                     }
                 }
                 Event::End => return Ok(self.finish()),
-                Event::Break(error) => self.handle_break(&error),
+                Event::Break(cause) => self.handle_break(&cause),
                 Event::Found(Found::Forbidden(cause)) => self.forbid(&cause),
                 Event::Found(_) | Event::Timeout => {}
             }
@@ -213,8 +213,8 @@
         let outcome = tokio::select! {
             biased;
             event = read(&mut self.source) => match event {
-                Event::Break(error) => {
-                    self.handle_break(&error);
+                Event::Break(cause) => {
+                    self.handle_break(&cause);
                     send.await
                 }
                 event => {
@@ -267,7 +267,7 @@
         self.resumption.forbid();
     }
 
-    fn handle_break(&mut self, error: &hyper::Error) {
+    fn handle_break(&mut self, cause: &Break) {
         if let Some(source) = &self.source {
             self.timing.record_end(source);
             let endpoint = &source.in_flight.endpoint;
@@ -275,7 +275,7 @@
         }
         self.close_source(Outcome::Broken);
         self.interruption = None;
-        self.interrupt(Cause::Break(error.to_string()));
+        self.interrupt(Cause::Break(cause.to_string()));
     }
 
     /// Marks the stream as interrupted. If the client disconnects now, its endpoint is the cause.
--- a/crates/ploverwick_gateway/src/filters/source.rs
+++ b/crates/ploverwick_gateway/src/filters/source.rs
@@ -4,7 +4,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use ploverwick_endpoints::{EventScanner, Scan};
-use ploverwick_platform::answer::Head;
+use ploverwick_platform::answer::{Framing, Head};
 
 use super::in_flight::InFlight;
 use super::resume::Found;
@@ -16,6 +16,7 @@
 pub(super) struct Source {
     body: Incoming,
     scanner: EventScanner,
+    has_events: bool,
     pub(super) in_flight: InFlight,
     pub(super) connection: Connection,
     pub(super) head: Head,
@@ -26,6 +27,7 @@
         Self {
             body: answered.body,
             scanner: EventScanner::default(),
+            has_events: false,
             in_flight: answered.in_flight,
             connection: answered.connection,
             head: answered.head,
@@ -33,11 +35,36 @@
     }
 }
 
+/// Why a stream from an endpoint broke.
+#[derive(Debug, thiserror::Error)]
+pub(super) enum Break {
+    /// The connection failed, or it ended before the end that the framing marks.
+    #[error("{0}")]
+    Connection(#[from] hyper::Error),
+    /// The stream ended inside an event.
+    #[error("the stream ended inside an event")]
+    InsideEvent,
+    /// The connection ended before the first event of a stream that nothing else marks the end of.
+    #[error("the connection ended before the first event")]
+    NoEvent,
+}
+
 impl Source {
     /// Returns whether the stream stands inside an event.
     pub(super) fn is_inside_event(&self) -> bool {
         self.scanner.is_inside_event()
     }
+
+    /// Returns what the end of the bytes means.
+    fn end(&self) -> Event {
+        if self.is_inside_event() {
+            Event::Break(Break::InsideEvent)
+        } else if !self.has_events && self.head.framing == Framing::Close {
+            Event::Break(Break::NoEvent)
+        } else {
+            Event::End
+        }
+    }
 }
 
 /// What happened while a stream waited.
@@ -46,7 +73,7 @@
     /// The next piece of the stream, and the events in it.
     Data(Bytes, Scan),
     End,
-    Break(hyper::Error),
+    Break(Break),
     Found(Found),
     Timeout,
 }
@@ -58,11 +85,12 @@
     };
     loop {
         match source.body.frame().await {
-            None => return Event::End,
-            Some(Err(error)) => return Event::Break(error),
+            None => return source.end(),
+            Some(Err(error)) => return Event::Break(error.into()),
             Some(Ok(frame)) => {
                 if let Ok(data) = frame.into_data() {
                     let scan = source.scanner.scan(&data);
+                    source.has_events |= scan.events > 0;
                     return Event::Data(data, scan);
                 }
             }
--- a/crates/ploverwick_gateway/tests/truncated_answers.rs
+++ b/crates/ploverwick_gateway/tests/truncated_answers.rs
@@ -61,7 +61,7 @@
 /// The cut of each attempt, and the number of its runs.
 type Cuts = Arc<Mutex<HashMap<String, (Cut, Broken, usize)>>>;
 
-/// A gateway before two endpoints of the streaming service, whose answers have neither length nor chunks.
+/// A gateway before three endpoints of the streaming service, whose answers have neither length nor chunks.
 struct Fleet {
     gateway: Gateway,
     cuts: Cuts,
@@ -72,7 +72,7 @@
         let cuts = Cuts::default();
         let store = Store::start().await?;
         let gateway = Gateway::with_settings(store, |s| s.repeat_ratio = 10.0).await?;
-        for id in ["i-a", "i-b"] {
+        for id in ["i-a", "i-b", "i-c"] {
             let cuts = Arc::clone(&cuts);
             let endpoint =
                 RawEndpoint::start(id, "lm", move |request| answer(&cuts, request, framed)).await?;
