Fail streams of engines that end with their connection before their last event

Callers of the older daemon got a stream that its engine had broken off as a complete one, if the answer had neither a length nor chunks and the connection ended between two events or before the first one. Inside an event it looked broken already.

Change: an answer of an engine that ends with its connection has to end with the event that engines send last, `data: [DONE]`. Otherwise the run is interrupted: it is resumed if it is idempotent, and looks broken to its caller if not. Answers with a length or in chunks are as before. The stand-in engine gets such answers, cut at any byte.

--- a/crates/ploverwick_daemon/src/owner/send.rs
+++ b/crates/ploverwick_daemon/src/owner/send.rs
@@ -11,6 +11,7 @@
 use ploverwick_names::{Endpoint, Token};
 use ploverwick_ports::client::{CallError, read_body};
 use ploverwick_ports::engine::{self, Engine};
+use ploverwick_ports::truncation::Detector;
 use ploverwick_ports::{header, sse};
 use ploverwick_timeline::{Event, Kind};
 use ploverwick_wire::{Chunk, Frame, Head, Order, frame};
@@ -190,6 +191,7 @@
     if !push(run, frame::Part::Head(head)).await {
         return Forwarded::Disconnected;
     }
+    let mut detector = Detector::new(&response, engine::STREAM_ENDS);
     let mut body = response.into_body();
     let mut splitter = run.order.stream.then(sse::Splitter::default);
     loop {
@@ -202,6 +204,7 @@
             Some(Err(error)) => return Forwarded::Interrupted(error.to_string()),
             None => break,
         };
+        detector.push(&bytes);
         let part = match &mut splitter {
             Some(splitter) => match splitter.push(&bytes) {
                 Ok(Some(events)) => chunk(events.bytes, events.last_id),
@@ -218,7 +221,10 @@
         Some(splitter) if splitter.pending() > 0 => {
             Forwarded::Interrupted("the stream ended inside an event".to_owned())
         }
-        _ => Forwarded::Complete,
+        _ => match detector.finish() {
+            Ok(()) => Forwarded::Complete,
+            Err(error) => Forwarded::Interrupted(error.to_string()),
+        },
     }
 }
 
--- a/crates/ploverwick_ports/src/engine.rs
+++ b/crates/ploverwick_ports/src/engine.rs
@@ -16,6 +16,9 @@
 use crate::client::{CallError, Client};
 use crate::header;
 
+/// The event that ends a stream.
+pub const STREAM_ENDS: &[&[u8]] = &[b"data: [DONE]\n\n"];
+
 /// The state of an adapter slot.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/ploverwick_ports/src/lib.rs
+++ b/crates/ploverwick_ports/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod log;
 pub mod roster;
 pub mod sse;
+pub mod truncation;
--- a/crates/ploverwick_standin/src/engine.rs
+++ b/crates/ploverwick_standin/src/engine.rs
@@ -88,6 +88,9 @@
     pub cut_streams: u32,
     /// The number of run requests to abort before the response head.
     pub cut_heads: u32,
+    /// The number of bytes after which the body of the next run ends with its connection. It has neither a length nor
+    /// chunks.
+    pub end_body_after: Option<usize>,
     /// Whether every run is refused as not run.
     pub refuse_runs: bool,
     /// Whether reports say that the engine is about to shut down.
--- a/crates/ploverwick_standin/src/engine/http.rs
+++ b/crates/ploverwick_standin/src/engine/http.rs
@@ -235,7 +235,11 @@
         if let Ok(value) = HeaderValue::from_str(&reported_model) {
             headers.insert(header::MODEL, value);
         }
-        Ok(reply)
+        let end = lock(&self.faults).end_body_after.take();
+        Ok(match end {
+            Some(bytes) => host::end_with_connection(reply, bytes),
+            None => reply,
+        })
     }
 
     fn start_run(
--- a/crates/ploverwick_standin/src/host.rs
+++ b/crates/ploverwick_standin/src/host.rs
@@ -6,16 +6,18 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, StatusCode};
+use http::{Request, StatusCode, Version};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use ploverwick_serve::{
-    Bounds, Handler, Reply, Server, StopGuard, StopSignal, json, stop_channel, text,
+    Bounds, Handler, Reply, Server, StopGuard, StopSignal, json, stop_channel, stream, text,
 };
 use ploverwick_timeline::clock::Stamp;
 use ploverwick_timeline::{Event, Kind, Recorder};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::net::TcpListener;
+use tokio::sync::mpsc;
 
 const MAX_EVENTS: usize = 16384;
 const MAX_BODY_BYTES: usize = 64 << 20;
@@ -165,3 +167,25 @@
         available
     }
 }
+
+/// Returns a reply that has neither a length nor chunks and ends with its connection, after `bytes` bytes at most.
+pub(crate) fn end_with_connection(reply: Reply, bytes: usize) -> Reply {
+    let (head, mut body) = reply.into_parts();
+    let (sender, parts) = mpsc::channel(1);
+    tokio::spawn(async move {
+        let mut left = bytes;
+        while let Some(frame) = body.frame().await {
+            let data = frame.map(|frame| frame.into_data().unwrap_or_default());
+            let data = data.map(|data| data.slice(..data.len().min(left)));
+            left -= data.as_ref().map_or(0, Bytes::len);
+            if sender.send(data).await.is_err() || left == 0 {
+                return;
+            }
+        }
+    });
+    let mut reply = stream(head.status, "", parts);
+    *reply.headers_mut() = head.headers;
+    // A response of HTTP/1.1 without a length would be sent in chunks.
+    *reply.version_mut() = Version::HTTP_10;
+    reply
+}
