Fail completions of engines that end with their connection inside their document

A completion that is no stream and has neither a length nor chunks was delivered as complete wherever its engine's connection ended: the daemon collects it and sends it with a length of its own.

Change: such an answer has to be one whole JSON document, if its type says JSON. Otherwise the run is interrupted. Of other types nothing can be known; they are passed on as before. Documents of more than 16 MiB are not checked.

Tests: cut_completions_fail.

--- a/crates/ploverwick_demo/tests/truncated_answers.rs
+++ b/crates/ploverwick_demo/tests/truncated_answers.rs
@@ -90,3 +90,18 @@
         expect_that!(outcome.attempts.len(), eq(1), "cut after {cut} bytes");
     }
 }
+
+/// Guards against a truncated completion that is delivered as complete.
+#[gtest]
+#[tokio::test]
+async fn cut_completions_fail() {
+    let fleet = ready_fleet(plan(1, 1)).await;
+    end_next_run_after(&fleet, WHOLE).await;
+    let whole = run_once(&fleet, false).await;
+    let whole = whole.expect("the completion is whole");
+    for cut in (0..whole.len()).step_by(CUT_STEP) {
+        end_next_run_after(&fleet, cut).await;
+        let got = run_once(&fleet, false).await;
+        expect_that!(got, none(), "cut after {cut} bytes");
+    }
+}
--- a/crates/ploverwick_ports/src/truncation.rs
+++ b/crates/ploverwick_ports/src/truncation.rs
@@ -7,9 +7,12 @@
 use http::header::{CONTENT_TYPE, TRANSFER_ENCODING};
 use http::{HeaderMap, Response};
 use hyper::body::{Body, Incoming};
+use serde::de::IgnoredAny;
 
 /// The length of the longest end of a stream that can be checked.
 const MAX_END_BYTES: usize = 16;
+/// The largest JSON document that is checked, in bytes.
+const MAX_JSON_BYTES: usize = 16 << 20;
 
 /// A response ended with its connection before its content did.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
@@ -25,6 +28,7 @@
 enum Content {
     /// The framing or nothing shows the end.
     Unchecked,
+    Json(BytesMut),
     Events {
         last_bytes: BytesMut,
         ends: &'static [&'static [u8]],
@@ -42,6 +46,7 @@
         let content_type = text(headers, CONTENT_TYPE).unwrap_or_default();
         let media_type = content_type.split(';').next().unwrap_or_default().trim();
         Self(match media_type.to_ascii_lowercase().as_str() {
+            "application/json" => Content::Json(BytesMut::new()),
             "text/event-stream" => Content::Events {
                 last_bytes: BytesMut::new(),
                 ends: event_ends,
@@ -54,6 +59,10 @@
     pub fn push(&mut self, bytes: &Bytes) {
         match &mut self.0 {
             Content::Unchecked => {}
+            Content::Json(document) if document.len() + bytes.len() > MAX_JSON_BYTES => {
+                self.0 = Content::Unchecked;
+            }
+            Content::Json(document) => document.extend_from_slice(bytes),
             Content::Events { last_bytes, .. } => {
                 last_bytes.extend_from_slice(&bytes[bytes.len().saturating_sub(MAX_END_BYTES)..]);
                 let excess = last_bytes.len().saturating_sub(MAX_END_BYTES);
@@ -69,6 +78,7 @@
     pub fn finish(self) -> Result<(), Truncated> {
         let is_whole = match self.0 {
             Content::Unchecked => true,
+            Content::Json(document) => serde_json::from_slice::<IgnoredAny>(&document).is_ok(),
             Content::Events { last_bytes, ends } => {
                 ends.iter().any(|end| last_bytes.ends_with(end))
             }
