Keep framed documents on routes of streams whole

Since streams that end inside an event count as broken whatever their framing is, an answer on a route of streams that is no stream of events (a JSON document with a length, say) was broken off before its client: it holds no event, and so it ends inside one.

Change: an answer whose content type says that it is something other than `text/event-stream` ends where its length or its last chunk says. Without either nothing shows that it is whole, so it still has to end as a stream does; so does an answer without a content type.

Tests: framed_documents_stay_whole.

--- a/crates/ploverwick_gateway/src/filters/source.rs
+++ b/crates/ploverwick_gateway/src/filters/source.rs
@@ -1,6 +1,8 @@
 //! Reads a stream from an endpoint.
 
 use bytes::Bytes;
+use http::HeaderMap;
+use http::header::CONTENT_TYPE;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use ploverwick_endpoints::{EventScanner, Scan};
@@ -16,6 +18,7 @@
 pub(super) struct Source {
     body: Incoming,
     scanner: EventScanner,
+    is_document: bool,
     has_events: bool,
     pub(super) in_flight: InFlight,
     pub(super) connection: Connection,
@@ -27,6 +30,7 @@
         Self {
             body: answered.body,
             scanner: EventScanner::default(),
+            is_document: is_document(&answered.parts.headers),
             has_events: false,
             in_flight: answered.in_flight,
             connection: answered.connection,
@@ -57,7 +61,9 @@
 
     /// Returns what the end of the bytes means.
     fn end(&self) -> Event {
-        if self.is_inside_event() {
+        if self.is_document && self.head.framing != Framing::Close {
+            Event::End
+        } else if self.is_inside_event() {
             Event::Break(Break::InsideEvent)
         } else if !self.has_events && self.head.framing == Framing::Close {
             Event::Break(Break::NoEvent)
@@ -67,6 +73,16 @@
     }
 }
 
+/// Returns whether an answer states that it consists of something other than events.
+fn is_document(headers: &HeaderMap) -> bool {
+    let Some(content_type) = headers.get(CONTENT_TYPE) else {
+        return false;
+    };
+    let media_type = content_type.as_bytes().split(|byte| *byte == b';').next();
+    let media_type = media_type.unwrap_or_default().trim_ascii();
+    !media_type.eq_ignore_ascii_case(b"text/event-stream")
+}
+
 /// What happened while a stream waited.
 #[derive(Debug)]
 pub(super) enum Event {
--- a/crates/ploverwick_gateway/tests/truncated_answers.rs
+++ b/crates/ploverwick_gateway/tests/truncated_answers.rs
@@ -259,3 +259,30 @@
     }
     Ok(())
 }
+
+/// Guards against an answer other than a stream of events that looks broken, though its length shows that it is whole.
+#[gtest]
+#[tokio::test]
+async fn framed_documents_stay_whole() -> Result<()> {
+    const DOCUMENT: &str = r#"{"text":"the endpoint's bytes"}"#;
+    let gateway = Gateway::unconfigured().await?;
+    let endpoint = RawEndpoint::start("i-a", "lm", |_| {
+        let length = DOCUMENT.len().to_string();
+        let document = DOCUMENT.as_bytes();
+        RawAnswer::unframed("application/json", document, 7, Ending::Close)
+            .header("Content-Length", &length)
+    })
+    .await?;
+    gateway.store.list(endpoint.id(), &endpoint.entry());
+    gateway.store.configure(&settings::config(1));
+    gateway.wait_until_ready(true).await?;
+    while gateway.request("warm", "/live/").await.is_err() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    for path in ["/live/", "/resume/"] {
+        let got = gateway.request(path, path).await?;
+        expect_that!(got.body, eq(DOCUMENT), "{path}");
+        expect_that!(got.is_whole, eq(true), "{path}");
+    }
+    Ok(())
+}
