Test that a relayed answer keeps its reset

A relay ends what it passes on with an empty frame, but only if the endpoint closed the connection; after a reset the frames end without it. A new test shows this for answers without length and chunks, plain ones and streams: after a reset the client gets 502 or a broken stream, after a close the whole answer. No fault was found, so nothing changes in the gateway.

--- a/crates/ploverwick_gateway/tests/partitioned/mod.rs
+++ b/crates/ploverwick_gateway/tests/partitioned/mod.rs
@@ -1,6 +1,6 @@
 //! Instances of two failure domains whose links to the endpoints can be cut.
 
-#![expect(dead_code, reason = "each test file uses only some of the helpers")]
+#![allow(dead_code, reason = "each test file uses only some of the helpers")]
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Arc;
--- a/crates/ploverwick_gateway/tests/relayed_requests.rs
+++ b/crates/ploverwick_gateway/tests/relayed_requests.rs
@@ -13,9 +13,10 @@
 use partitioned::Deployment;
 use ploverwick_platform_standin::client::{self, ClientRequest, ClientResponse};
 use ploverwick_platform_standin::endpoint::{Action, Endpoint};
-use ploverwick_platform_standin::proxy::Cut;
+use ploverwick_platform_standin::proxy::{Cut, Proxy};
+use ploverwick_platform_standin::raw::{Ending, RawAnswer, RawEndpoint};
 use ploverwick_platform_standin::settings;
-use serde_json::json;
+use serde_json::{Value, json};
 
 /// The instance that is cut off in most tests.
 const ONE: usize = 0;
@@ -283,3 +284,57 @@
     expect_that!(served, ge(38));
     Ok(())
 }
+
+/// Guards against an answer that ends with its connection and looks whole after a reset, because a relay passes the reset
+/// on as an end.
+#[gtest]
+#[tokio::test]
+async fn relayed_reset_is_an_error() -> Result<()> {
+    let mut config = settings::config(1);
+    for (kind, prefix) in [("idempotent", "/raw/"), ("stream", "/rawlive/")] {
+        let mut route = config["routes"][0].clone();
+        route["name"] = prefix.into();
+        route["path_prefix"] = prefix.into();
+        route["kind"] = kind.into();
+        route["service"] = "raw".into();
+        route["max_attempts"] = 1.into();
+        push(&mut config["routes"], route);
+    }
+    let service = json!({"name": "raw", "health_path": "/health", "max_connections": 50});
+    push(&mut config["services"], service);
+    let deployment = Deployment::with_settings(config, |_, _| {}).await?;
+    let endpoint = RawEndpoint::start("i-raw", "raw", |request| {
+        let ending = if request.path.ends_with("reset") {
+            Ending::Reset
+        } else {
+            Ending::Close
+        };
+        RawAnswer::unframed("text/event-stream", b"id: 0\ndata: x\n\n", 4, ending)
+    })
+    .await?;
+    let mut entry = endpoint.entry();
+    let address = entry["address"].as_str().unwrap_or_default().parse()?;
+    let proxy = Proxy::start(address).await?;
+    entry["address"] = proxy.address().to_string().into();
+    deployment.store.list(endpoint.id(), &entry);
+    proxy.cut(deployment.fronts[ONE].0, Cut::Reset);
+    deployment.cut(ONE..ONE + 1, Cut::Reset);
+    deployment.wait_until_served(ONE).await;
+    let front = deployment.fronts[ONE].1;
+    for path in ["/raw/", "/rawlive/"] {
+        while send(front, &format!("{path}w"), path).await?.status != StatusCode::OK {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        let whole = send(front, &format!("{path}1"), path).await?;
+        expect_that!(whole.body, eq("id: 0\ndata: x\n\n"), "{path}");
+        expect_that!(whole.is_whole, eq(true), "{path}");
+        let reset = send(front, &format!("{path}2"), &format!("{path}reset")).await;
+        let looks_whole = reset.is_ok_and(|got| got.is_whole && got.status == StatusCode::OK);
+        expect_that!(looks_whole, eq(false), "{path}");
+    }
+    Ok(())
+}
+
+fn push(list: &mut Value, item: Value) {
+    list.as_array_mut().expect("it is a list").push(item);
+}
