Break answers of plain services that end with their connection inside their content

The older daemon passed an answer of a plain service that has neither a length nor chunks on as complete wherever its connection ended, with a last chunk.

Change: such an answer has to end after an event if it is a stream of events, and be one whole JSON document if its type says JSON. Otherwise the call is interrupted and looks broken to its caller. Of other types, and of a stream that ends after an event, nothing can be known; they are passed on as before. Answers with a length or in chunks are as before.

Tests: cut_service_answers_look_broken.

--- a/crates/ploverwick_daemon/src/service.rs
+++ b/crates/ploverwick_daemon/src/service.rs
@@ -19,6 +19,7 @@
 use ploverwick_ports::client::CallError;
 use ploverwick_ports::header;
 use ploverwick_ports::roster::EndpointEntry;
+use ploverwick_ports::truncation::{Detector, EVENT_ENDS};
 use ploverwick_serve::Reply;
 use ploverwick_settings::Service;
 use ploverwick_timeline::{Event, Kind};
@@ -301,13 +302,15 @@
     sink.send(Part::Head(first))
         .await
         .map_err(|_| disconnected())?;
+    let mut detector = Detector::new(&response, EVENT_ENDS);
     let mut body = response.into_body();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|error| lost(error.to_string()))?;
         if let Ok(bytes) = frame.into_data() {
+            detector.push(&bytes);
             let sent = sink.send(Part::Data(bytes, 0)).await;
             sent.map_err(|_| disconnected())?;
         }
     }
-    Ok(())
+    detector.finish().map_err(|error| lost(error.to_string()))
 }
--- a/crates/ploverwick_demo/tests/plain_service.rs
+++ b/crates/ploverwick_demo/tests/plain_service.rs
@@ -21,6 +21,7 @@
 async fn lose_responses(fleet: &Fleet, count: u32) {
     let faults = Faults {
         lose_answers: count,
+        ..Faults::default()
     };
     let service = fleet.service_address().expect("the fleet has a service");
     fleet
--- a/crates/ploverwick_demo/tests/refused_repeat.rs
+++ b/crates/ploverwick_demo/tests/refused_repeat.rs
@@ -114,6 +114,7 @@
     common::wait_until("the daemon has read the listing", || shows_leaving(&reader)).await;
     let lost = service::Faults {
         lose_answers: ALL_ANSWERS,
+        ..service::Faults::default()
     };
     let service = fleet.service_address().expect("the fleet has a service");
     fleet
--- a/crates/ploverwick_demo/tests/truncated_answers.rs
+++ b/crates/ploverwick_demo/tests/truncated_answers.rs
@@ -12,7 +12,7 @@
 use ploverwick_demo::fleet::Fleet;
 use ploverwick_demo::work::Work;
 use ploverwick_ports::client::Client;
-use ploverwick_standin::engine;
+use ploverwick_standin::{engine, service};
 
 /// The distance between two cuts, in bytes. It is no divisor of the length of an event.
 const CUT_STEP: usize = 23;
@@ -32,6 +32,18 @@
     injected.expect("the engine responds");
 }
 
+/// Ends the body of the next response of the service in the same way.
+async fn end_next_call_after(fleet: &Fleet, bytes: usize, content_type: Option<&str>) {
+    let faults = service::Faults {
+        end_body_after: Some(bytes),
+        content_type: content_type.map(str::to_owned),
+        ..service::Faults::default()
+    };
+    let address = fleet.service_address().expect("the fleet has a service");
+    let injected = fleet.inject_faults(address, &faults).await;
+    injected.expect("the service responds");
+}
+
 /// Sends a request and returns the body of the answer, unless it is an error or looks broken off.
 async fn send_once(address: SocketAddr, path: &str, body: String) -> Option<String> {
     let request = Request::post(format!("http://{address}{path}"))
@@ -105,3 +117,34 @@
         expect_that!(got, none(), "cut after {cut} bytes");
     }
 }
+
+/// Guards against a truncated answer of a plain service that is delivered as complete though its content shows the cut.
+#[gtest]
+#[tokio::test]
+async fn cut_service_answers_look_broken() {
+    const EVENTS: &str = "data: a\n\ndata: b\r\n\r\n";
+    const DOCUMENT: &str = r#"{"text":"a"}"#;
+    let fleet = ready_fleet(plan(1, 1)).await;
+    let address = fleet.caller_addresses()[0];
+    let call = async |content_type, content: &str, end| {
+        end_next_call_after(&fleet, end, Some(content_type)).await;
+        send_once(address, "/apps/transcripts/x", content.to_owned()).await
+    };
+    for (content_type, content) in [
+        ("text/event-stream; charset=utf-8", EVENTS),
+        ("application/json", DOCUMENT),
+        ("text/plain", "a text"),
+    ] {
+        let got = call(content_type, content, WHOLE).await;
+        expect_that!(got, some(eq(content)), "{content_type}");
+    }
+    let after_event = EVENTS.find("\n\n").map(|at| at + 2);
+    for end in (0..EVENTS.len()).filter(|end| Some(*end) != after_event) {
+        let got = call("text/event-stream", EVENTS, end).await;
+        expect_that!(got, none(), "cut after {end} bytes");
+    }
+    for end in 0..DOCUMENT.len() {
+        let got = call("application/json", DOCUMENT, end).await;
+        expect_that!(got, none(), "cut after {end} bytes");
+    }
+}
--- a/crates/ploverwick_ports/src/truncation.rs
+++ b/crates/ploverwick_ports/src/truncation.rs
@@ -9,6 +9,8 @@
 use hyper::body::{Body, Incoming};
 use serde::de::IgnoredAny;
 
+/// The ends of a stream that ends after an event.
+pub const EVENT_ENDS: &[&[u8]] = &[b"\n\n", b"\n\r\n", b"\r\r"];
 /// The length of the longest end of a stream that can be checked.
 const MAX_END_BYTES: usize = 16;
 /// The largest JSON document that is checked, in bytes.
--- a/crates/ploverwick_standin/src/service.rs
+++ b/crates/ploverwick_standin/src/service.rs
@@ -6,10 +6,12 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use http::{Request, StatusCode};
+use bytes::Bytes;
+use http::header::CONTENT_TYPE;
+use http::{HeaderValue, Request, StatusCode};
 use hyper::body::Incoming;
 use ploverwick_ports::header;
-use ploverwick_serve::{Handler, Reply, json};
+use ploverwick_serve::{Handler, Reply, bytes, json};
 use ploverwick_timeline::{Event, Kind, Recorder};
 use serde::{Deserialize, Serialize};
 
@@ -35,6 +37,11 @@
 pub struct Faults {
     /// The number of calls that take effect but whose responses are dropped.
     pub lose_answers: u32,
+    /// The number of bytes after which the body of the next response ends with its connection. It has neither a length
+    /// nor chunks.
+    pub end_body_after: Option<usize>,
+    /// The content type of that response, whose body is then the request's.
+    pub content_type: Option<String>,
 }
 
 /// The calls that the service has received.
@@ -118,7 +125,28 @@
             path,
             body: String::from_utf8_lossy(&body).into_owned(),
         };
-        Ok(json(StatusCode::OK, &echo))
+        Ok(self.fault_end(json(StatusCode::OK, &echo), body))
+    }
+
+    /// Applies the fault that ends a response with its connection.
+    fn fault_end(&self, reply: Reply, request_body: Bytes) -> Reply {
+        let (end, content_type) = {
+            let mut faults = lock(&self.faults);
+            (faults.end_body_after.take(), faults.content_type.take())
+        };
+        let content_type = content_type.and_then(|name| HeaderValue::from_str(&name).ok());
+        let reply = match content_type {
+            Some(content_type) => {
+                let mut reply = bytes(StatusCode::OK, "", request_body);
+                reply.headers_mut().insert(CONTENT_TYPE, content_type);
+                reply
+            }
+            None => reply,
+        };
+        match end {
+            Some(bytes) => host::end_with_connection(reply, bytes),
+            None => reply,
+        }
     }
 
     fn consume_response_fault(&self) -> bool {
