Prove the end of a topic by what the store says, not by the last record read

A response of the store to a read that holds fewer records than the topic has was taken for its end: the read counted as proof that the instance knows every record that was acknowledged before. The store truncates responses at 1 MiB, and one without length and chunks could be cut between two records. The operator's topic says which keys are revoked: an instance took itself for fresh, answered peers who asked for a proof, and went on serving a revoked key for as long as its reads stayed short, while the bound is 5 s.

Cause: the end of the bytes was taken for the end of the topic, though each response states the topic's end first.

Change: a read returns the position to continue from and the end that the store states. The proof is of the latter, so it holds only once the records up to it are known; the end that peers reported is lowered to it and no further; a look for missed records looks again if its response was short.

Tests: short_reads_prove_nothing (the stand-in store returns a topic's end without its records).

--- a/crates/ploverwick_gateway/src/controllers/endpoint_list.rs
+++ b/crates/ploverwick_gateway/src/controllers/endpoint_list.rs
@@ -94,8 +94,8 @@
         }
         let mut handler = |update: Update<'_>| subscriber.handle_update(update);
         match feed::read(&shared, &feed, next, feed.wait, &mut handler).await {
-            Ok(end) => {
-                next = Some(end);
+            Ok(progress) => {
+                next = Some(progress.next);
                 outage.record_success();
                 shared.store_unavailable.send_replace(false);
                 tokio::time::sleep(feed.delay).await;
--- a/crates/ploverwick_gateway/src/controllers/feed.rs
+++ b/crates/ploverwick_gateway/src/controllers/feed.rs
@@ -73,14 +73,23 @@
     ReadFailed,
 }
 
-/// Reads once and returns the position to continue from.
+/// How far a read got. The store truncates long responses, so that a read may end before its topic does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Progress {
+    /// The position to continue from.
+    pub(super) next: Position,
+    /// The end of the topic.
+    pub(super) end: Position,
+}
+
+/// Reads once.
 pub(super) async fn read(
     shared: &Shared,
     feed: &Feed<'_>,
     next: Option<Position>,
     wait: Duration,
     handler: &mut impl FnMut(Update<'_>),
-) -> Result<Position, Error> {
+) -> Result<Progress, Error> {
     handler(Update::ReadStarted);
     let Some(from) = next else {
         let Snapshot { records, end } = shared.store.newest(feed.topic).await?;
@@ -90,7 +99,7 @@
         }
         let records = &records;
         handler(Update::Snapshot { records });
-        return Ok(end);
+        return Ok(Progress { next: end, end });
     };
     let long_poll = shared.store.read(feed.topic, from, wait);
     if wait.is_zero() {
@@ -131,8 +140,8 @@
         .ok()
 }
 
-/// Passes records to the handler and returns the position to continue from.
-fn deliver(batch: &Batch, was_woken: bool, handler: &mut impl FnMut(Update<'_>)) -> Position {
+/// Passes records to the handler.
+fn deliver(batch: &Batch, was_woken: bool, handler: &mut impl FnMut(Update<'_>)) -> Progress {
     let records = &batch.records;
     let end = batch.next;
     handler(Update::Records {
@@ -140,7 +149,10 @@
         end,
         was_woken,
     });
-    end
+    Progress {
+        next: end,
+        end: batch.end,
+    }
 }
 
 /// Reads without waiting, after a long poll was abandoned.
@@ -154,7 +166,7 @@
     handler(Update::ReadStarted);
     let batch = shared.store.read(feed.topic, from, Duration::ZERO).await?;
     if let Some(reported_end) = feed.reported_end
-        && batch.next == from
+        && batch.end <= from
     {
         // The reported end was wrong. Lower it, so that it does not cause reads forever.
         reported_end.send_modify(|end| *end = from.min(*end));
@@ -168,7 +180,10 @@
     loop {
         tokio::time::sleep(delay).await;
         match shared.store.read(topic, from, Duration::ZERO).await {
-            Ok(batch) if batch.next == from => std::future::pending().await,
+            Ok(batch) if batch.end <= from => std::future::pending().await,
+            Ok(batch) if batch.next == from => {
+                spdlog::debug!("look_short topic={} offset={}", topic, from);
+            }
             Ok(batch) => {
                 spdlog::info!("record_missed topic={} offset={}", topic, from);
                 return batch;
--- a/crates/ploverwick_gateway/src/controllers/topic.rs
+++ b/crates/ploverwick_gateway/src/controllers/topic.rs
@@ -9,7 +9,7 @@
 use ploverwick_topics::{Fit, Position, Reading, Role, Step, Subscription};
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::feed::{self, Update};
+use super::feed::{self, Progress, Update};
 use super::{Backoff, bootstrap, wait_for_store};
 use crate::broadcast;
 use crate::logging::Outage;
@@ -172,13 +172,17 @@
                 broadcast::send_records(shared, topic, from, end, records);
             }
         };
-        let next = feed::read(shared, &self.feed, from, wait, &mut relay).await?;
+        let Progress { next, end } = feed::read(shared, &self.feed, from, wait, &mut relay).await?;
         self.subscription.finish_read(next);
         if topic == Topic::Operator {
-            let proof = Proof::new(next, started_at);
+            let proof = Proof::new(end, started_at);
             shared.state().freshness.add_proof(proof);
         }
-        shared.inboxes.of(topic).truncate_end(next);
+        let inbox = shared.inboxes.of(topic);
+        inbox.truncate_end(end);
+        if end > next {
+            inbox.observe_end(end);
+        }
         self.has_failed = false;
         self.publish_reading(if is_reader {
             Reading::Reads
--- a/crates/ploverwick_gateway/tests/key_revocation.rs
+++ b/crates/ploverwick_gateway/tests/key_revocation.rs
@@ -95,6 +95,26 @@
     Ok(())
 }
 
+/// Guards against a response of the store that ends before its records and is taken for the end of the topic, so that a
+/// revoked key is accepted for longer than the bound.
+#[gtest]
+#[tokio::test]
+async fn short_reads_prove_nothing() -> Result<()> {
+    let endpoint = Endpoint::start("i-a", "app", None, "d1").await?;
+    let gateway = start_gateway(&endpoint).await?;
+    while status(&gateway, "/safe/").await? != StatusCode::OK {}
+    gateway.store.withhold_records(OPERATOR_TOPIC);
+    gateway.store.configure(&settings::config(2));
+    let until = Instant::now() + BOUND * 5;
+    let mut last = StatusCode::OK;
+    while last == StatusCode::OK && Instant::now() < until {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        last = status(&gateway, "/safe/").await?;
+    }
+    expect_that!(last, eq(StatusCode::SERVICE_UNAVAILABLE));
+    Ok(())
+}
+
 /// Guards against idle client connections that stay open during an outage, which would keep clients from sending their
 /// next request to another instance.
 #[gtest]
