Build a test's service in the platform's stand-ins

The route and the service are made by ploverwick_platform_standin::settings now.

Tests: platform_names fails before, passes now; relayed_reset_is_an_error passes.

--- a/crates/ploverwick_gateway/tests/relayed_requests.rs
+++ b/crates/ploverwick_gateway/tests/relayed_requests.rs
@@ -16,7 +16,7 @@
 use ploverwick_platform_standin::proxy::{Cut, Proxy};
 use ploverwick_platform_standin::raw::{Ending, RawAnswer, RawEndpoint};
 use ploverwick_platform_standin::settings;
-use serde_json::{Value, json};
+use serde_json::json;
 
 /// The instance that is cut off in most tests.
 const ONE: usize = 0;
@@ -291,17 +291,8 @@
 #[tokio::test]
 async fn relayed_reset_is_an_error() -> Result<()> {
     let mut config = settings::config(1);
-    for (kind, prefix) in [("idempotent", "/raw/"), ("stream", "/rawlive/")] {
-        let mut route = config["routes"][0].clone();
-        route["name"] = prefix.into();
-        route["path_prefix"] = prefix.into();
-        route["kind"] = kind.into();
-        route["service"] = "raw".into();
-        route["max_attempts"] = 1.into();
-        push(&mut config["routes"], route);
-    }
-    let service = json!({"name": "raw", "health_path": "/health", "max_connections": 50});
-    push(&mut config["services"], service);
+    let routes = [("/raw/", "idempotent"), ("/rawlive/", "stream")];
+    settings::add_service(&mut config, "raw", &routes);
     let deployment = Deployment::with_settings(config, |_, _| {}).await?;
     let endpoint = RawEndpoint::start("i-raw", "raw", |request| {
         let ending = if request.path.ends_with("reset") {
@@ -334,7 +325,3 @@
     }
     Ok(())
 }
-
-fn push(list: &mut Value, item: Value) {
-    list.as_array_mut().expect("it is a list").push(item);
-}
