Show in logs and metrics at which software version streams begin and go on

The hypotheses on the streams of two builds could not be told apart: no line named a software version, and an attempt that takes a stream up looked like a new one. The entry of an endpoint now holds the version as listed (`Entry::software`, and `Entry::build()`, a hash of service and version). `endpoint_listed` and `request_answered` name it, `request_answered` also the attempt that is taken up (`resumes`) and the client's last event, `stream_resumed` the endpoints and versions that began the stream and go on; `ploverwick_stream_resumptions_total{build}` counts `same` and `other`.

The digest of the endpoint list covers the version too, so that an instance that missed a change notices. Instances of builds of ours before and after this commit do not confirm each other's lists; each domain of them then reads the list itself, as it does without a reader. No decision changes.

--- a/crates/ploverwick_bench/src/decide.rs
+++ b/crates/ploverwick_bench/src/decide.rs
@@ -147,6 +147,7 @@
             service: Arc::from("lm"),
             address: "127.0.0.1:80".parse().expect("invalid address"),
             domain: Arc::from(format!("d{}", number % 3)),
+            software: Arc::from("v1"),
             slots: 12,
             state: State::Ready,
             held: Vec::new(),
--- a/crates/ploverwick_endpoints/src/entry.rs
+++ b/crates/ploverwick_endpoints/src/entry.rs
@@ -5,6 +5,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::Build;
+
 /// Whether an endpoint accepts new requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum State {
@@ -35,6 +37,8 @@
     pub address: SocketAddr,
     /// The failure domain of the endpoint.
     pub domain: Arc<str>,
+    /// The version of its software; empty if not reported.
+    pub software: Arc<str>,
     /// The number of requests that the endpoint processes concurrently; at least 1.
     pub slots: u32,
     /// Whether the endpoint accepts new requests.
@@ -47,3 +51,10 @@
     #[serde(skip)]
     pub beat: u64,
 }
+
+impl Entry {
+    /// Returns the build that the endpoint runs.
+    pub fn build(&self) -> Build {
+        Build::of(&self.service, &self.software)
+    }
+}
--- a/crates/ploverwick_endpoints/src/fleet.rs
+++ b/crates/ploverwick_endpoints/src/fleet.rs
@@ -205,7 +205,7 @@
         self.members.values().map(|member| &member.entry)
     }
 
-    /// Returns a digest of the identifier, service, address and state of each list entry.
+    /// Returns a digest of the identifier, service, address, software and state of each list entry.
     ///
     /// Instances compare their digests, so the algorithm is part of the protocol between them: the sum of the
     /// 64-bit XXH3 hashes of all entries, modulo 2^64.
@@ -476,10 +476,11 @@
         id,
         service,
         address,
+        software,
         state,
         ..
     } = entry;
-    xxh3_64(format!("{id} {service} {address} {state:?}").as_bytes())
+    xxh3_64(format!("{id} {service} {address} {software} {state:?}").as_bytes())
 }
 
 /// Returns a pseudo-random number between -0.5 and 0.5 that is determined by the request and the endpoint.
--- a/crates/ploverwick_endpoints/src/lib.rs
+++ b/crates/ploverwick_endpoints/src/lib.rs
@@ -6,6 +6,7 @@
 mod absences;
 mod answer_timeout;
 mod budget;
+mod build;
 mod capacity;
 mod draining_reports;
 mod entry;
@@ -32,6 +33,7 @@
 pub use absences::Absences;
 pub use answer_timeout::answer_timeout;
 pub use budget::{Balance, Budget, RetryPolicy};
+pub use build::Build;
 pub use capacity::{
     Capacity, EndpointKey, EndpointObservations, Figure, LogByte, MAX_CHANGED_FIGURES,
     MAX_OBSERVED_ENDPOINTS, Observations, REFRESHED_FIGURES, StepMeter,
--- a/crates/ploverwick_endpoints/tests/draining_reports.rs
+++ b/crates/ploverwick_endpoints/tests/draining_reports.rs
@@ -14,6 +14,7 @@
         service: Arc::from("app"),
         address: SocketAddr::from(([127, 0, 0, 1], 80)),
         domain: Arc::from("d1"),
+        software: Arc::from("v1"),
         slots: 4,
         state: State::Ready,
         held: Vec::new(),
--- a/crates/ploverwick_endpoints/tests/endpoint_choice.rs
+++ b/crates/ploverwick_endpoints/tests/endpoint_choice.rs
@@ -14,6 +14,7 @@
         service: Arc::from("app"),
         address: "127.0.0.1:80".parse().expect("an address"),
         domain: Arc::from(domain),
+        software: Arc::from("v1"),
         slots: 4,
         state: State::Ready,
         held: Vec::new(),
--- a/crates/ploverwick_endpoints/tests/interference.rs
+++ b/crates/ploverwick_endpoints/tests/interference.rs
@@ -39,6 +39,7 @@
             service: Arc::from("lm"),
             address: "127.0.0.1:80".parse().expect("invalid address"),
             domain: Arc::from("d1"),
+            software: Arc::from("v1"),
             slots: 32,
             state: State::Ready,
             held: Vec::new(),
--- a/crates/ploverwick_endpoints/tests/learned_capacity.rs
+++ b/crates/ploverwick_endpoints/tests/learned_capacity.rs
@@ -40,6 +40,7 @@
         service: Arc::from("lm"),
         address: "127.0.0.1:80".parse().expect("an address"),
         domain: Arc::from(domain(number)),
+        software: Arc::from("v1"),
         slots: 10,
         state: State::Ready,
         held: Vec::new(),
--- a/crates/ploverwick_endpoints/tests/list_updates.rs
+++ b/crates/ploverwick_endpoints/tests/list_updates.rs
@@ -12,6 +12,7 @@
         service: Arc::from("lm"),
         address: "127.0.0.1:80".parse().expect("an address"),
         domain: Arc::from("d1"),
+        software: Arc::from("v1"),
         slots: 32,
         state,
         held: Vec::new(),
--- a/crates/ploverwick_endpoints/tests/many_endpoints.rs
+++ b/crates/ploverwick_endpoints/tests/many_endpoints.rs
@@ -26,6 +26,7 @@
         service: Arc::from("lm"),
         address: "127.0.0.1:80".parse().expect("an address"),
         domain: Arc::from(format!("d{}", number % 3)),
+        software: Arc::from("v1"),
         slots: 12,
         state: if number.is_multiple_of(50) {
             State::Draining
--- a/crates/ploverwick_endpoints/tests/reachability.rs
+++ b/crates/ploverwick_endpoints/tests/reachability.rs
@@ -15,6 +15,7 @@
         service: Arc::from(service),
         address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
         domain: Arc::from("d1"),
+        software: Arc::from("v1"),
         slots: 4,
         state: State::Ready,
         held: Vec::new(),
--- a/crates/ploverwick_gateway/src/controllers/endpoint_list.rs
+++ b/crates/ploverwick_gateway/src/controllers/endpoint_list.rs
@@ -372,9 +372,10 @@
     // A snapshot is logged as a count only, because one line per entry would slow down the start.
     if before != Some(entry.state) && state.has_endpoint_list {
         spdlog::info!(
-            "endpoint_listed endpoint={} service={} address={} domain={} state={:?}",
+            "endpoint_listed endpoint={} service={} software={} address={} domain={} state={:?}",
             entry.id,
             entry.service,
+            entry.software,
             entry.address,
             entry.domain,
             entry.state
--- a/crates/ploverwick_gateway/src/filters/forward.rs
+++ b/crates/ploverwick_gateway/src/filters/forward.rs
@@ -11,7 +11,7 @@
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
-use ploverwick_endpoints::{Outcome, Resumption, Scan, Step};
+use ploverwick_endpoints::{Entry, Outcome, Resumption, Scan, Step};
 use ploverwick_platform::answer::{self, Head, Statement};
 use tokio::time::Instant;
 
@@ -48,6 +48,7 @@
         body,
         mut in_flight,
         connection,
+        ..
     } = answered;
     let body = match tokio::time::timeout_at(request.deadline, body.collect()).await {
         Ok(Ok(body)) => body.to_bytes(),
@@ -99,6 +100,7 @@
         seek_from: Instant::now(),
         silent_since: Instant::now(),
         interruption: None,
+        origin: None,
         timing,
     };
     let frames = stream::try_unfold(forwarded, |mut forwarded| async move {
@@ -142,6 +144,8 @@
     /// When the wait for the next event began.
     silent_since: Instant,
     interruption: Option<Interruption>,
+    /// The endpoint that the first event came from.
+    origin: Option<Entry>,
     timing: StreamTiming,
 }
 
@@ -171,6 +175,7 @@
                     self.end_pause();
                     self.record_events(scan.events, awaited_at);
                     if let Some(bytes) = self.accept(data, scan) {
+                        self.record_origin(scan);
                         return Ok(Some(bytes));
                     }
                 }
@@ -242,7 +247,8 @@
                 self.close_source(Outcome::Broken);
                 self.resumption.record_run();
                 if let Some(interruption) = self.interruption.take() {
-                    self.log("stream_resumed", &interruption.cause, &target.entry.id);
+                    self.log("stream_resumed", &interruption.cause, Some(&target.entry));
+                    metrics::stream_resumption(self.compare_origin(&target.entry));
                     interruption.end_resumed();
                 }
                 self.source = Some(Source::from(*answered));
@@ -263,7 +269,7 @@
     }
 
     fn forbid(&mut self, cause: &str) {
-        self.log("stream_not_resumed", cause, "-");
+        self.log("stream_not_resumed", cause, None);
         self.resumption.forbid();
     }
 
@@ -294,8 +300,8 @@
         };
         if let Some(source) = &mut self.source {
             source.in_flight.set_outcome(Outcome::Abandoned);
-            let endpoint = Arc::clone(&source.in_flight.endpoint);
-            self.log("stream_kept", &interruption.cause, &endpoint);
+            let entry = source.entry.clone();
+            self.log("stream_kept", &interruption.cause, Some(&entry));
         }
         interruption.end_kept();
     }
@@ -323,6 +329,13 @@
         }
     }
 
+    /// Records the endpoint that the first event comes from.
+    fn record_origin(&mut self, scan: Scan) {
+        if scan.events > 0 && self.origin.is_none() {
+            self.origin = self.source.as_ref().map(|source| source.entry.clone());
+        }
+    }
+
     fn finish(&mut self) -> Option<Bytes> {
         self.is_complete = true;
         if let Some(mut source) = self.source.take() {
@@ -357,19 +370,29 @@
             Some(interruption) if !is_late => interruption.cause.to_string(),
             Some(_) | None => "the deadline passed".to_owned(),
         };
-        self.log("stream_broken", &cause, "-");
+        self.log("stream_broken", &cause, None);
         BrokenAnswer(cause)
     }
 
+    /// Returns whether an endpoint runs the software version that began the stream.
+    fn compare_origin(&self, entry: &Entry) -> &'static str {
+        match &self.origin {
+            None => "none",
+            Some(origin) if origin.build() == entry.build() => "same",
+            Some(_) => "other",
+        }
+    }
+
     /// Logs an event; `endpoint` is the one that continues the stream.
-    fn log(&self, event: &str, cause: impl std::fmt::Display, endpoint: &str) {
+    fn log(&self, event: &str, cause: impl std::fmt::Display, endpoint: Option<&Entry>) {
         if self.shared.log_limiter.allow(self.shared.now()) {
             spdlog::info!(
-                "{} id={} route={} endpoint={} pause_ms={} runs={} endpoints={:?} cause=\"{}\" left_ms={} ms={}",
+                "{} id={} route={} endpoint={} began_at={} pause_ms={} runs={} endpoints={:?} cause=\"{}\" left_ms={} ms={}",
                 event,
                 self.request.info.id,
                 self.request.route.name,
-                endpoint,
+                format_endpoint(endpoint),
+                format_endpoint(self.origin.as_ref()),
                 self.silent_since.elapsed().as_millis(),
                 self.resumption.runs(),
                 self.excluded,
@@ -380,3 +403,11 @@
         }
     }
 }
+
+/// Formats an endpoint and the version of its software.
+fn format_endpoint(entry: Option<&Entry>) -> String {
+    entry.map_or_else(
+        || "-".to_owned(),
+        |entry| format!("{}@{}", entry.id, entry.software),
+    )
+}
--- a/crates/ploverwick_gateway/src/filters/retry.rs
+++ b/crates/ploverwick_gateway/src/filters/retry.rs
@@ -9,6 +9,7 @@
 use ploverwick_endpoints::{Outcome, answer_timeout};
 use ploverwick_names::Moment;
 use ploverwick_platform::answer::Head;
+use ploverwick_platform::request::Origin;
 use tokio::time::Instant;
 
 use super::admitted_request::AdmittedRequest;
@@ -328,6 +329,20 @@
     adapter.map_or_else(|| "-".to_owned(), ToString::to_string)
 }
 
+/// Formats the attempt that began the stream which a request takes up again.
+fn format_resumed(request: &AdmittedRequest) -> &str {
+    match &request.info.origin {
+        Origin::Attempt(id) => id,
+        Origin::Malformed => "malformed",
+        Origin::Unnamed => "-",
+    }
+}
+
+fn format_last_event(request: &AdmittedRequest) -> String {
+    let event = request.info.last_event;
+    event.map_or_else(|| "-".to_owned(), |event| event.to_string())
+}
+
 fn format_last_send(history: &History) -> String {
     let last_send = history.last_send.as_ref();
     last_send.map_or_else(|| "version=0".to_owned(), ToString::to_string)
@@ -343,13 +358,16 @@
 ) {
     if shared.log_limiter.allow(shared.now()) {
         spdlog::info!(
-            "request_answered id={} route={} config={} adapter={} {} endpoint={} domain={} cost={:.1} prompt={} load={} reading={} limit={:?} state={:?} framing={} sent={} status={} placing_ms={} in_vain_ms={} answering_ms={} ms={}",
+            "request_answered id={} resumes={} after_event={} route={} config={} adapter={} {} endpoint={} software={} domain={} cost={:.1} prompt={} load={} reading={} limit={:?} state={:?} framing={} sent={} status={} placing_ms={} in_vain_ms={} answering_ms={} ms={}",
             request.info.id,
+            format_resumed(request),
+            format_last_event(request),
             request.route.name,
             request.config_version,
             format_adapter(request),
             format_last_send(history),
             target.entry.id,
+            target.entry.software,
             target.entry.domain,
             target.cost.0,
             request.info.prompt_tokens,
--- a/crates/ploverwick_gateway/src/filters/send.rs
+++ b/crates/ploverwick_gateway/src/filters/send.rs
@@ -8,7 +8,7 @@
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use ploverwick_endpoints::Outcome;
+use ploverwick_endpoints::{Entry, Outcome};
 use ploverwick_platform::answer::{self, Head, Statement};
 use ploverwick_platform::request::{self, Addition};
 use tokio::time::Instant;
@@ -67,6 +67,8 @@
 pub(crate) struct Answered {
     pub(crate) parts: Parts,
     pub(crate) head: Head,
+    /// The endpoint, as listed when the request was sent.
+    pub(crate) entry: Entry,
     pub(crate) body: Incoming,
     pub(crate) in_flight: InFlight,
     pub(crate) connection: Connection,
@@ -171,6 +173,7 @@
     SendOutcome::Answered(Box::new(Answered {
         parts,
         head,
+        entry: target.entry.clone(),
         body,
         in_flight,
         connection,
--- a/crates/ploverwick_gateway/src/filters/source.rs
+++ b/crates/ploverwick_gateway/src/filters/source.rs
@@ -5,7 +5,7 @@
 use http::header::CONTENT_TYPE;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use ploverwick_endpoints::{EventScanner, Scan};
+use ploverwick_endpoints::{Entry, EventScanner, Scan};
 use ploverwick_platform::answer::{Framing, Head};
 
 use super::in_flight::InFlight;
@@ -20,6 +20,7 @@
     scanner: EventScanner,
     is_document: bool,
     has_events: bool,
+    pub(super) entry: Entry,
     pub(super) in_flight: InFlight,
     pub(super) connection: Connection,
     pub(super) head: Head,
@@ -32,6 +33,7 @@
             scanner: EventScanner::default(),
             is_document: is_document(&answered.parts.headers),
             has_events: false,
+            entry: answered.entry,
             in_flight: answered.in_flight,
             connection: answered.connection,
             head: answered.head,
--- a/crates/ploverwick_gateway/src/metrics.rs
+++ b/crates/ploverwick_gateway/src/metrics.rs
@@ -143,6 +143,12 @@
         .increment(1);
 }
 
+/// Counts a stream that another endpoint continues, by whether that one runs the software version that began it: `same`,
+/// `other`, or `none` if no event was forwarded before.
+pub(crate) fn stream_resumption(build: &'static str) {
+    counter!("ploverwick_stream_resumptions_total", "build" => build).increment(1);
+}
+
 /// Counts a decision about a late answer.
 pub(crate) fn late_answer(decision: &'static str) {
     counter!("ploverwick_late_answers_total", "decision" => decision).increment(1);
