Remember which builds of a service served lately

A stream may go on only at the build that began it. While one build alone served for as long as any client takes a stream up again, that build began every stream of the service; otherwise origins must be exchanged. Nothing knew which builds had served.

Change: BuildHistory counts the listed endpoints of each build and remembers a build for RETENTION after its last one left. An instance that started less than RETENTION ago says so (OnlySinceStart), unless no stream can be older than its process. A service is forgotten with its last remembered build; that happens as builds leave, so the memory is bounded by the list and what left it within RETENTION. Nothing calls it yet.

--- /dev/null
+++ b/crates/ploverwick_endpoints/src/build_history.rs
@@ -0,0 +1,126 @@
+//! Tracks which builds of each service serve, or lately did.
+//!
+//! While only one build served for as long as any stream may last, that build began every stream of the service.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ploverwick_names::Moment;
+use serde::{Deserialize, Serialize};
+
+use crate::Build;
+
+/// How long a build that is no longer listed is remembered. A client may take a stream up again until its own time
+/// limit, which must be shorter.
+pub const RETENTION: Duration = Duration::from_secs(30);
+
+/// What an instance knows of the builds of a service that serve, or did within [`RETENTION`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Serving {
+    /// No endpoint of the service is or was listed.
+    Nothing,
+    /// One build, and no other one over the whole retention.
+    Only(Build),
+    /// One build, but the instance started less than the retention ago, so there may have been another one.
+    OnlySinceStart(Build),
+    /// Two or more builds.
+    Several,
+}
+
+/// One build in the endpoint list.
+#[derive(Debug)]
+struct Listing {
+    build: Build,
+    /// The number of its endpoints that are listed.
+    endpoints: usize,
+    /// When its last endpoint left the list; only of use without endpoints.
+    left_at: Moment,
+}
+
+impl Listing {
+    fn is_remembered(&self, now: Moment) -> bool {
+        self.endpoints > 0 || now.since(self.left_at) < RETENTION
+    }
+}
+
+/// The builds of each service that are listed, or were within [`RETENTION`].
+#[derive(Debug)]
+pub struct BuildHistory {
+    /// From when on the history covers the whole retention.
+    complete_at: Moment,
+    services: HashMap<Arc<str>, Vec<Listing>>,
+}
+
+impl BuildHistory {
+    /// Creates an empty history of a process that starts to read the endpoint list.
+    ///
+    /// `is_first_start` is whether no stream can be older than the process.
+    pub fn new(is_first_start: bool, now: Moment) -> Self {
+        let complete_at = if is_first_start { now } else { now + RETENTION };
+        Self {
+            complete_at,
+            services: HashMap::new(),
+        }
+    }
+
+    /// Records that one more endpoint of a build is listed.
+    pub fn add(&mut self, service: &Arc<str>, build: Build) {
+        let listings = self.services.entry(Arc::clone(service)).or_default();
+        match listings.iter_mut().find(|listing| listing.build == build) {
+            Some(listing) => listing.endpoints += 1,
+            None => listings.push(Listing {
+                build,
+                endpoints: 1,
+                left_at: Moment::default(),
+            }),
+        }
+    }
+
+    /// Records that one endpoint of a build is no longer listed. Without a listed one, it does nothing.
+    pub fn remove(&mut self, service: &str, build: Build, now: Moment) {
+        let listings = self.services.get_mut(service).into_iter().flatten();
+        let mut listed = listings.filter(|listing| listing.build == build && listing.endpoints > 0);
+        let Some(listing) = listed.next() else {
+            return;
+        };
+        listing.endpoints -= 1;
+        if listing.endpoints == 0 {
+            listing.left_at = now;
+            self.remove_expired(now);
+        }
+    }
+
+    fn remove_expired(&mut self, now: Moment) {
+        self.services.retain(|_, listings| {
+            listings.retain(|listing| listing.is_remembered(now));
+            !listings.is_empty()
+        });
+    }
+
+    /// Returns what is known of the builds of a service.
+    pub fn serving(&self, service: &str, now: Moment) -> Serving {
+        let listings = self.services.get(service).into_iter().flatten();
+        let mut remembered = listings.filter(|listing| listing.is_remembered(now));
+        match (remembered.next(), remembered.next()) {
+            (None, _) => Serving::Nothing,
+            (Some(_), Some(_)) => Serving::Several,
+            (Some(only), None) if now >= self.complete_at => Serving::Only(only.build),
+            (Some(only), None) => Serving::OnlySinceStart(only.build),
+        }
+    }
+
+    /// Returns whether streams of the service may have begun at different builds, so that other instances must be
+    /// told where each one began.
+    pub fn is_mixed(&self, service: &str, now: Moment) -> bool {
+        matches!(
+            self.serving(service, now),
+            Serving::Several | Serving::OnlySinceStart(_)
+        )
+    }
+
+    /// Returns the number of services that are remembered.
+    pub fn service_count(&self) -> usize {
+        self.services.len()
+    }
+}
--- a/crates/ploverwick_endpoints/src/lib.rs
+++ b/crates/ploverwick_endpoints/src/lib.rs
@@ -7,6 +7,7 @@
 mod answer_timeout;
 mod budget;
 mod build;
+pub mod build_history;
 mod capacity;
 mod draining_reports;
 mod entry;
@@ -34,6 +35,7 @@
 pub use answer_timeout::answer_timeout;
 pub use budget::{Balance, Budget, RetryPolicy};
 pub use build::Build;
+pub use build_history::{BuildHistory, Serving};
 pub use capacity::{
     Capacity, EndpointKey, EndpointObservations, Figure, LogByte, MAX_CHANGED_FIGURES,
     MAX_OBSERVED_ENDPOINTS, Observations, REFRESHED_FIGURES, StepMeter,
