--- a/crates/ploverwick_endpoints/src/build_history.rs
+++ b/crates/ploverwick_endpoints/src/build_history.rs
@@ -28,6 +28,23 @@
     Several,
 }
 
+impl Serving {
+    /// Combines what two instances know; the order does not matter.
+    #[must_use]
+    pub(crate) fn merge(self, other: Self) -> Self {
+        match (self, other) {
+            (Self::Nothing, known) | (known, Self::Nothing) => known,
+            (Self::OnlySinceStart(a), Self::OnlySinceStart(b)) if a == b => Self::OnlySinceStart(a),
+            (Self::Only(a) | Self::OnlySinceStart(a), Self::Only(b) | Self::OnlySinceStart(b))
+                if a == b =>
+            {
+                Self::Only(a)
+            }
+            _ => Self::Several,
+        }
+    }
+}
+
 /// One build in the endpoint list.
 #[derive(Debug)]
 struct Listing {
