Let a query name the only build that may serve its request

A stream may go on only at the build that began it, and selection knew no builds: it took the cheapest endpoint of the service.

`Query::build` limits selection to the endpoints of one build; each member keeps the hash of its entry's build, so that a query without one adds a comparison with `None`. Ejected endpoints of the build are used only if all of the build are ejected, whatever the health of others. `Fleet::has_ready`, `runs` and `count_usable`, and `domain_capacities` count by build for what follows. No caller names a build yet.

--- a/crates/ploverwick_bench/src/decide.rs
+++ b/crates/ploverwick_bench/src/decide.rs
@@ -136,6 +136,7 @@
     bytes: 900,
     prompt: 700,
     pacing: None,
+    build: None,
     except: &[],
 };
 
--- a/crates/ploverwick_endpoints/src/fleet.rs
+++ b/crates/ploverwick_endpoints/src/fleet.rs
@@ -14,7 +14,7 @@
 use crate::interference::Pacing;
 use crate::load::Load;
 use crate::peer_loads::{PeerLoad, PeerLoads};
-use crate::{Entry, Health, Numbering, Outcome, State, totals};
+use crate::{Build, Entry, Health, Numbering, Outcome, State, totals};
 
 /// The cost of sending a request to an endpoint, comparable to milliseconds of latency.
 #[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
@@ -73,6 +73,8 @@
     pub prompt: u32,
     /// What the answer needs if it is a stream whose pauses must not be too long.
     pub pacing: Option<Pacing>,
+    /// The only build that may serve the request; `None` if any may.
+    pub build: Option<Build>,
     /// The endpoints to exclude.
     pub except: &'a [Arc<str>],
 }
@@ -80,6 +82,8 @@
 #[derive(Debug)]
 struct Member {
     entry: Entry,
+    /// The build of the entry, kept because selections compare it and hashing takes longer.
+    build: Build,
     /// The load of this instance's own requests.
     own: Load,
     pace: Pace,
@@ -87,11 +91,20 @@
 }
 
 impl Member {
-    /// Returns whether the endpoint is ready, belongs to the service and is not excluded.
+    /// Returns whether the endpoint is ready, belongs to the service, runs a build that may serve the request and is
+    /// not excluded.
     fn accepts(&self, query: &Query<'_>) -> bool {
         let is_ready = self.entry.state == State::Ready;
         let is_of_service = &*self.entry.service == query.service;
-        is_ready && is_of_service && !query.except.contains(&self.entry.id)
+        is_ready
+            && is_of_service
+            && self.is_of(query.build)
+            && !query.except.contains(&self.entry.id)
+    }
+
+    /// Returns whether the endpoint runs the build, if one is given.
+    fn is_of(&self, build: Option<Build>) -> bool {
+        build.is_none_or(|build| build == self.build)
     }
 }
 
@@ -143,6 +156,7 @@
                     member.pace = Pace::new(&entry.id);
                 }
                 let before = std::mem::replace(&mut member.entry, entry);
+                member.build = member.entry.build();
                 if before.domain != member.entry.domain {
                     self.numberings.clear();
                 }
@@ -156,6 +170,7 @@
                     own: Load::default(),
                     pace: Pace::new(&entry.id),
                     health: Health::default(),
+                    build: entry.build(),
                     entry,
                 };
                 let id = Arc::clone(&member.entry.id);
@@ -236,14 +251,33 @@
         member.is_some_and(|member| member.health.is_ejected(now))
     }
 
-    /// Returns the number of endpoints of a service in a failure domain that are ready and not ejected.
-    pub fn count_usable(&self, service: &str, domain: &str, now: Moment) -> usize {
+    /// Returns whether an endpoint is listed and runs a build.
+    pub fn runs(&self, id: &str, build: Build) -> bool {
+        let member = self.members.get(id);
+        member.is_some_and(|member| member.build == build)
+    }
+
+    /// Returns whether an endpoint of a service that runs a build is listed as ready, ejected or not.
+    pub fn has_ready(&self, service: &str, build: Build) -> bool {
+        let mut of_build = self.members.values().filter(|m| m.build == build);
+        of_build.any(|m| m.entry.state == State::Ready && *m.entry.service == *service)
+    }
+
+    /// Returns the number of endpoints of a service in a failure domain that are ready and not ejected, and run the
+    /// build if one is given.
+    pub fn count_usable(
+        &self,
+        service: &str,
+        domain: &str,
+        build: Option<Build>,
+        now: Moment,
+    ) -> usize {
         let in_domain = self.members.values();
         let in_domain =
             in_domain.filter(|m| *m.entry.service == *service && *m.entry.domain == *domain);
         let ready =
             in_domain.filter(|m| m.entry.state == State::Ready && !m.health.is_ejected(now));
-        ready.count()
+        ready.filter(|m| m.is_of(build)).count()
     }
 
     /// Records that a request with `prompt` tokens was sent to an endpoint.
@@ -353,7 +387,7 @@
 
     /// Ranks the eligible endpoints for a request, cheapest first.
     ///
-    /// Ejected endpoints are eligible only if there are no others.
+    /// Ejected endpoints are eligible only if there are no others that the query accepts.
     pub fn rank(&self, query: &Query<'_>, now: Moment) -> Vec<(Cost, Arc<str>)> {
         let eligibility = self.eligibility(query, now);
         let is_eligible =
--- a/crates/ploverwick_endpoints/src/service_rate.rs
+++ b/crates/ploverwick_endpoints/src/service_rate.rs
@@ -5,7 +5,7 @@
 
 use ploverwick_names::Moment;
 
-use crate::{Capacity, Fleet, State};
+use crate::{Build, Capacity, Fleet, State};
 
 /// The limit on how much faster or slower than a typical endpoint one counts.
 const MAX_RATIO: f64 = 4.0;
@@ -47,11 +47,18 @@
     speed(capacity, typical).powi(2)
 }
 
-/// Returns the capacity of the usable endpoints of a service in each failure domain, in typical endpoints.
-pub fn domain_capacities(fleet: &Fleet, service: &str, now: Moment) -> HashMap<Arc<str>, f64> {
+/// Returns the capacity of the usable endpoints of a service in each failure domain, in typical endpoints; only of
+/// those that run the build if one is given.
+pub fn domain_capacities(
+    fleet: &Fleet,
+    service: &str,
+    build: Option<Build>,
+    now: Moment,
+) -> HashMap<Arc<str>, f64> {
     let usable = fleet.entries().filter(|entry| {
         let is_ready = entry.state == State::Ready && !fleet.is_ejected(&entry.id, now);
-        *entry.service == *service && is_ready
+        let may_serve = build.is_none_or(|build| fleet.runs(&entry.id, build));
+        *entry.service == *service && is_ready && may_serve
     });
     let usable: Vec<(&Arc<str>, Capacity)> = usable
         .filter_map(|entry| Some((&entry.domain, fleet.capacity(&entry.id)?)))
--- a/crates/ploverwick_endpoints/tests/endpoint_choice.rs
+++ b/crates/ploverwick_endpoints/tests/endpoint_choice.rs
@@ -40,6 +40,7 @@
     bytes: 500,
     prompt: 0,
     pacing: None,
+    build: None,
     except: &[],
 };
 
--- a/crates/ploverwick_endpoints/tests/interference.rs
+++ b/crates/ploverwick_endpoints/tests/interference.rs
@@ -24,6 +24,7 @@
     bytes: 4_000,
     prompt: PROMPT,
     pacing: Some(PACING),
+    build: None,
     except: &[],
 };
 
--- a/crates/ploverwick_endpoints/tests/learned_capacity.rs
+++ b/crates/ploverwick_endpoints/tests/learned_capacity.rs
@@ -282,6 +282,7 @@
         bytes: 0,
         prompt: 1_000,
         pacing: None,
+        build: None,
         except: &[],
     };
     let ranked = fleet.rank(&query, Moment(1_000));
--- a/crates/ploverwick_endpoints/tests/many_endpoints.rs
+++ b/crates/ploverwick_endpoints/tests/many_endpoints.rs
@@ -49,6 +49,7 @@
         bytes: 900,
         prompt: 700,
         pacing: None,
+        build: None,
         except,
     }
 }
--- a/crates/ploverwick_gateway/src/filters/missing_adapter.rs
+++ b/crates/ploverwick_gateway/src/filters/missing_adapter.rs
@@ -75,13 +75,13 @@
     {
         return Some(Arc::clone(&entry.domain));
     }
-    let capacities = service_rate::domain_capacities(&state.fleet, &request.service, now);
+    let capacities = service_rate::domain_capacities(&state.fleet, &request.service, None, now);
     let capacity_of = |name: &str| capacities.get(name).copied().unwrap_or(1.0);
     let names = shared.settings.domains.iter();
     let domains: Vec<Domain<'_>> = names
         .filter_map(|name| {
             let waiting = state.waiting_in(name, &shared.settings, now)?;
-            let endpoints = state.fleet.count_usable(&request.service, name, now);
+            let endpoints = state.fleet.count_usable(&request.service, name, None, now);
             Some(Domain {
                 name,
                 endpoints,
--- a/crates/ploverwick_gateway/src/filters/select.rs
+++ b/crates/ploverwick_gateway/src/filters/select.rs
@@ -314,6 +314,7 @@
         bytes: request.cross_domain_bytes(),
         prompt: request.info.prompt_tokens,
         pacing: pacing(state, request),
+        build: None,
         except,
     }
 }
