Keep the loads of an adapter at several endpoints apart

`Directory::loading_on` knew one endpoint for each adapter: the latest announced. A load at another endpoint, or its completion, hid one that a request of a given build waits for, so that the request would have given up early or asked for a second load.

The announcements move into a module of their own and are kept by endpoint; `loading_among` returns the latest among the accepted ones. `loading_on` and the notices to other instances are as before: only the current announcement counts for them.

--- a/crates/ploverwick_adapters/src/directory.rs
+++ b/crates/ploverwick_adapters/src/directory.rs
@@ -7,15 +7,11 @@
 use ploverwick_names::Moment;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::announcements::Announcements;
 use crate::{Copy, Key, Since, VersionHistory};
 
 /// How long a placer's report takes precedence over the platform's list entry, which lags behind.
 const REPORT_PRECEDENCE: Duration = Duration::from_secs(4);
-/// How long to wait for an adapter that is being loaded before requesting it elsewhere.
-const LOADING_TIMEOUT: Duration = Duration::from_millis(1_200);
-/// The age from which the placement of an adapter is announced again, so that other instances know
-/// of it until the load completes.
-const ANNOUNCEMENT_AGE: Duration = Duration::from_millis(600);
 /// The number of adapters whose previous endpoints are kept.
 const MAX_PREVIOUS_ADAPTERS: usize = 8_192;
 /// The number of previous endpoints kept for each adapter.
@@ -36,7 +32,7 @@
     previous_holders: HashMap<Copy, Vec<Arc<str>>>,
     insertion_order: VecDeque<Copy>,
     histories: HashMap<Key, VersionHistory>,
-    loading: HashMap<Copy, (Arc<str>, Moment)>,
+    loading: Announcements,
 }
 
 impl Directory {
@@ -60,27 +56,31 @@
     /// Records that an endpoint is loading an adapter or is about to. Returns whether other
     /// instances should be notified, because it is new or they were last notified some time ago.
     pub fn mark_loading(&mut self, endpoint: &Arc<str>, copy: Copy, now: Moment) -> bool {
-        let known = self.loading.get(&copy);
-        if known.is_some_and(|(id, at)| id == endpoint && now.since(*at) < ANNOUNCEMENT_AGE) {
-            return false;
-        }
-        self.loading
-            .retain(|_, (_, at)| now.since(*at) < LOADING_TIMEOUT);
-        self.loading.insert(copy, (Arc::clone(endpoint), now));
-        true
+        self.loading.add(endpoint, copy, now)
     }
 
-    /// Returns the endpoint that is loading an adapter or is about to.
+    /// Returns the endpoint that is loading an adapter or is about to, if no other one has loaded
+    /// it since.
     pub fn loading_on(&self, copy: &Copy, now: Moment) -> Option<&Arc<str>> {
-        let (endpoint, at) = self.loading.get(copy)?;
-        (now.since(*at) < LOADING_TIMEOUT).then_some(endpoint)
+        self.loading.loading_on(copy, now)
+    }
+
+    /// Returns an endpoint that is loading an adapter or is about to, among the accepted ones:
+    /// loads at others neither hide nor replace it.
+    pub fn loading_among(
+        &self,
+        copy: &Copy,
+        now: Moment,
+        accepts: impl Fn(&str) -> bool,
+    ) -> Option<&Arc<str>> {
+        self.loading.loading_among(copy, now, accepts)
     }
 
     /// Records that an endpoint now holds an adapter.
     pub fn mark_loaded(&mut self, endpoint: &Arc<str>, copy: Copy, now: Moment) {
         let state = self.endpoints.entry(Arc::clone(endpoint)).or_default();
         state.reported_at = Some(now);
-        self.loading.remove(&copy);
+        self.loading.complete(endpoint, &copy);
         if state.copies.insert(copy.clone()) {
             let list = self.holders.entry(copy.key).or_default();
             list.push((copy.version, Arc::clone(endpoint)));
--- a/crates/ploverwick_adapters/src/lib.rs
+++ b/crates/ploverwick_adapters/src/lib.rs
@@ -4,6 +4,7 @@
 //! domain, one instance at a time is the placer: it holds the [`Lease`] that permits it to send
 //! orders to the endpoints of its domain, and keeps the [`Slots`] of each of them.
 
+mod announcements;
 mod budget;
 mod congestion;
 mod directory;
