Select only endpoints of the build that began a stream

`AdmittedRequest::build` holds the build that began the stream, once that is fixed. Selection then uses endpoints of this build only: the query carries it, and the wait that limits and pauses impose is that of its endpoints. If none of them is listed as ready, the request is refused at once with the new code StreamBuildGone, without Retry-After, instead of waiting for its adapter: with and without an adapter, and alike when an endpoint is sought within an answer. Nothing sets the build yet, so that all requests are served as before.

--- a/crates/ploverwick_gateway/src/filters/admit.rs
+++ b/crates/ploverwick_gateway/src/filters/admit.rs
@@ -74,6 +74,7 @@
         first_event_deadline: first_event_deadline.min(deadline),
         config_version: config.version,
         fingerprint: OnceLock::new(),
+        build: OnceLock::new(),
         charge: None,
     };
     if let Some(refusal) = quarantine::refusal(shared, &admitted) {
--- a/crates/ploverwick_gateway/src/filters/admitted_request.rs
+++ b/crates/ploverwick_gateway/src/filters/admitted_request.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
+use ploverwick_endpoints::Build;
 use ploverwick_platform::request::{self, RequestInfo};
 use ploverwick_quarantine::{Fingerprint, Suspect};
 use ploverwick_routes::{Organisation, Route};
@@ -61,6 +62,8 @@
     /// The version of the configuration that chose the route.
     pub(crate) config_version: u64,
     pub(crate) fingerprint: OnceLock<Fingerprint>,
+    /// The build that began the stream, once that is fixed: nothing else may continue it.
+    pub(crate) build: OnceLock<Build>,
     /// The quota units charged to its organisation.
     pub(crate) charge: Option<Charge>,
 }
--- a/crates/ploverwick_gateway/src/filters/select.rs
+++ b/crates/ploverwick_gateway/src/filters/select.rs
@@ -145,6 +145,7 @@
                 return Err(Reply::new(Code::Overloaded, "").retry_after(FULL_RETRY_AFTER));
             }
             Choice::Limited(wait) => return Err(limited_reply(wait)),
+            Choice::BuildGone => return Err(build_gone_reply()),
             Choice::Wait => {}
         }
         let now = Instant::now();
@@ -187,7 +188,7 @@
             missing_adapter::request_load(shared, request, &newest);
             None
         }
-        (Choice::Full | Choice::Limited(_), _) => None,
+        (Choice::Full | Choice::Limited(_) | Choice::BuildGone, _) => None,
     }
 }
 
@@ -196,6 +197,8 @@
     Full,
     /// No endpoint of the service accepts a request from this instance for this long.
     Limited(Duration),
+    /// No endpoint of the build that began the stream is listed as ready.
+    BuildGone,
     Wait,
 }
 
@@ -204,6 +207,17 @@
     Reply::new(Code::Overloaded, detail).retry_after(wait.min(MAX_LIMITED_RETRY_AFTER))
 }
 
+fn build_gone_reply() -> Reply {
+    Reply::new(Code::StreamBuildGone, "")
+}
+
+/// Returns whether only one build may serve a request, and no endpoint of it is listed as ready. Those that drain
+/// never become ready again, so there is nothing to wait for.
+fn is_build_gone(state: &State, request: &AdmittedRequest) -> bool {
+    let build = request.build.get();
+    build.is_some_and(|build| !state.fleet.has_ready(&request.service, *build))
+}
+
 /// Returns the endpoints excluded for a request, including those to which this instance must not send now.
 fn excluded_endpoints<'a>(
     state: &State,
@@ -217,18 +231,21 @@
     Cow::Owned([except, &closed].concat())
 }
 
-/// Returns how long limits and pauses prevent this instance from sending to any ready endpoint of the request's
-/// service; `None` if it may send to one now, or if there is no such endpoint.
+/// Returns how long limits and pauses prevent this instance from sending to any ready endpoint that may serve the
+/// request; `None` if it may send to one now, or if there is no such endpoint.
 fn min_send_wait(state: &State, request: &AdmittedRequest, now: Moment) -> Option<Duration> {
     if state.limits.active_count() == 0 && state.pauses.is_empty() {
         return None;
     }
-    let of_service = state
+    let build = request.build.get().copied();
+    let ready = state
         .fleet
         .entries()
         .filter(|entry| entry.service == request.service && state.fleet.is_ready(&entry.id));
+    let may_serve =
+        ready.filter(|entry| build.is_none_or(|build| state.fleet.runs(&entry.id, build)));
     let mut min_wait = None;
-    for entry in of_service {
+    for entry in may_serve {
         let wait = state.send_wait(&entry.id, now)?;
         min_wait = Some(min_wait.map_or(wait, |min_wait: Duration| min_wait.min(wait)));
     }
@@ -257,6 +274,9 @@
     };
     let best = ranked.into_iter().find(|(_, id)| holds(id));
     let Some((cost, id)) = best else {
+        if is_build_gone(&state, request) {
+            return Err(build_gone_reply());
+        }
         return Err(match min_send_wait(&state, request, now) {
             Some(wait) => limited_reply(wait),
             None => Reply::new(Code::NoEndpoint, "").retry_after(NO_ENDPOINT_RETRY_AFTER),
@@ -314,7 +334,7 @@
         bytes: request.cross_domain_bytes(),
         prompt: request.info.prompt_tokens,
         pacing: pacing(state, request),
-        build: None,
+        build: request.build.get().copied(),
         except,
     }
 }
@@ -357,6 +377,9 @@
         best.take_if(|(_, id)| !starts_in_time(shared, &state, request, &held, id, now));
     }
     let Some((cost, id)) = best else {
+        if is_build_gone(&state, request) {
+            return (Choice::BuildGone, newest);
+        }
         let choice = min_send_wait(&state, request, now).map_or(Choice::Wait, Choice::Limited);
         return (choice, newest);
     };
