Ask for the load of a missing adapter at the build of the stream

An adapter that is held or being loaded at another build does not help a request which only one build may serve, but it counted: the request would have waited for a load that it can't use, or asked a failure domain without an endpoint of its build.

The request now regards only endpoints of its build: those that hold the adapter, that load it (and do not drain), that had it, and the number and capacity by which a failure domain is chosen. The load request carries the build, and the placer considers only its endpoints. It goes in a new message, BuildLoadRequest, after all others: LoadRequest is unchanged, so that instances of an earlier version still read it, and requests without a build send what they sent before.

Nothing sets the build yet.

--- a/crates/ploverwick_gateway/src/broadcast.rs
+++ b/crates/ploverwick_gateway/src/broadcast.rs
@@ -14,7 +14,7 @@
 use std::time::Duration;
 
 use ploverwick_adapters::{Copy, Event, Request};
-use ploverwick_endpoints::{Entry, LimitUpdate, State as EndpointState};
+use ploverwick_endpoints::{Build, Entry, LimitUpdate, State as EndpointState};
 use ploverwick_names::Moment;
 use ploverwick_topics::Position;
 
@@ -34,11 +34,18 @@
 /// it starts.
 const MAX_PEERS_ASKED: usize = 4;
 
-/// Asks the instance at `ip` to have an adapter loaded.
-pub(crate) fn send_load_request(shared: &Shared, ip: IpAddr, request: Request) {
-    shared
-        .peer_socket
-        .send(&Message::LoadRequest(request), &[ip]);
+/// Asks the instance at `ip` to have an adapter loaded, at an endpoint of the build if one is given.
+pub(crate) fn send_load_request(
+    shared: &Shared,
+    ip: IpAddr,
+    request: Request,
+    build: Option<Build>,
+) {
+    let message = match build {
+        None => Message::LoadRequest(request),
+        Some(build) => Message::BuildLoadRequest { request, build },
+    };
+    shared.peer_socket.send(&message, &[ip]);
 }
 
 /// Tells the instance at `ip`, which asked for a load, that an endpoint holds the adapter already: the message on
--- a/crates/ploverwick_gateway/src/controllers/load_requests.rs
+++ b/crates/ploverwick_gateway/src/controllers/load_requests.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use ploverwick_adapters::{Copy, Declined, Event, Need, Request, Target};
-use ploverwick_endpoints::{Capacity, Entry, Fleet, State as EndpointState, service_rate};
+use ploverwick_endpoints::{Build, Capacity, Entry, Fleet, State as EndpointState, service_rate};
 use ploverwick_names::Moment;
 
 use crate::broadcast;
@@ -14,25 +14,36 @@
 /// The length of the prompt by whose pause endpoints are compared, in tokens.
 const COMPARED_PROMPT_TOKENS: u32 = 1_000;
 
-/// Requests the load of an adapter in a failure domain. Returns whether the domain has a placer to ask.
-pub(crate) fn request_load(shared: &Arc<Shared>, domain: &str, request: Request) -> bool {
+/// Requests the load of an adapter in a failure domain, at an endpoint of the build if one is given. Returns whether
+/// the domain has a placer to ask.
+pub(crate) fn request_load(
+    shared: &Arc<Shared>,
+    domain: &str,
+    request: Request,
+    build: Option<Build>,
+) -> bool {
     let now = shared.now();
     let state = shared.state();
     let is_own_placer = *domain == *shared.settings.domain && state.placer_lease.is_held(now);
     let placer = state.placer_of(domain, now);
     drop(state);
     if is_own_placer {
-        place_adapter(shared, &request);
+        place_adapter(shared, &request, build);
         return true;
     }
     if let Some(ip) = placer {
-        broadcast::send_load_request(shared, ip, request);
+        broadcast::send_load_request(shared, ip, request, build);
     }
     placer.is_some()
 }
 
-/// Places an adapter that is needed, if this instance is the placer. Returns an endpoint that already holds it.
-pub(crate) fn place_adapter(shared: &Arc<Shared>, request: &Request) -> Option<Arc<str>> {
+/// Places an adapter that is needed, if this instance is the placer. Returns an endpoint that already holds it. Only
+/// endpoints of the build count if one is given.
+pub(crate) fn place_adapter(
+    shared: &Arc<Shared>,
+    request: &Request,
+    build: Option<Build>,
+) -> Option<Arc<str>> {
     let Request { copy, need, .. } = request;
     let now = shared.now();
     let mut state = shared.state();
@@ -43,6 +54,7 @@
     let fleet = &state.fleet;
     let entries = fleet.entries();
     let entries = entries.filter(|e| e.domain == *domain && e.state == EndpointState::Ready);
+    let entries = entries.filter(|e| build.is_none_or(|build| fleet.runs(&e.id, build)));
     let mut targets: Vec<Target> = entries.map(|entry| target(&state, entry, now)).collect();
     assign_shares(fleet, &mut targets);
     // An adapter at an ejected endpoint serves no requests.
@@ -151,6 +163,6 @@
     drop(endpoints);
     drop(state);
     if is_held_locally {
-        place_adapter(shared, &Request::new(copy.clone(), Need::Any));
+        place_adapter(shared, &Request::new(copy.clone(), Need::Any), None);
     }
 }
--- a/crates/ploverwick_gateway/src/filters/admitted_request.rs
+++ b/crates/ploverwick_gateway/src/filters/admitted_request.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
-use ploverwick_endpoints::Build;
+use ploverwick_endpoints::{Build, Fleet};
 use ploverwick_platform::request::{self, RequestInfo};
 use ploverwick_quarantine::{Fingerprint, Suspect};
 use ploverwick_routes::{Organisation, Route};
@@ -74,6 +74,12 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// Returns whether the build that an endpoint runs may serve the request.
+    pub(super) fn accepts_build_at(&self, endpoint: &str, fleet: &Fleet) -> bool {
+        let build = self.build.get();
+        build.is_none_or(|build| fleet.runs(endpoint, *build))
+    }
+
     /// Returns the fingerprint that identifies repeated submissions of this request by the same caller. It is
     /// computed lazily, as most requests never need it.
     ///
--- a/crates/ploverwick_gateway/src/filters/missing_adapter.rs
+++ b/crates/ploverwick_gateway/src/filters/missing_adapter.rs
@@ -5,10 +5,12 @@
 
 use ploverwick_adapters::{Copy, Domain, Need, Request};
 use ploverwick_endpoints::service_rate;
+use ploverwick_names::Moment;
 
 use super::admitted_request::AdmittedRequest;
 use crate::controllers::load_requests;
 use crate::shared::Shared;
+use crate::state::State;
 
 /// The weight of a request of the most urgent priority, 0. That of each further priority is half as great.
 const MAX_WEIGHT: u32 = 8;
@@ -21,9 +23,9 @@
     copy: &Copy,
 ) -> Option<Duration> {
     let domain = choose_domain(shared, request, copy)?;
-    let is_coming = is_coming(shared, copy);
-    let load = load_request(request, copy, need(shared, copy));
-    load_requests::request_load(shared, &domain, load);
+    let is_coming = is_coming(shared, request, copy);
+    let load = load_request(request, copy, need(shared, request, copy));
+    load_requests::request_load(shared, &domain, load, request.build.get().copied());
     if is_coming {
         return None;
     }
@@ -41,19 +43,38 @@
     }
 }
 
-/// Returns whether an adapter is being loaded or was placed recently.
-pub(super) fn is_coming(shared: &Shared, copy: &Copy) -> bool {
+/// Returns whether an adapter is being loaded or was placed recently, at an endpoint that may serve the request.
+pub(super) fn is_coming(shared: &Shared, request: &AdmittedRequest, copy: &Copy) -> bool {
     let now = shared.now();
-    shared.state().directory.loading_on(copy, now).is_some()
+    loading_on(&shared.state(), request, copy, now).is_some()
+}
+
+/// Returns the endpoint that is loading an adapter or is about to. If only one build may serve the request, this is
+/// a ready endpoint of that build: while a build is being replaced, its endpoints drain one after the other.
+fn loading_on<'a>(
+    state: &'a State,
+    request: &AdmittedRequest,
+    copy: &Copy,
+    now: Moment,
+) -> Option<&'a Arc<str>> {
+    let Some(build) = request.build.get() else {
+        return state.directory.loading_on(copy, now);
+    };
+    let may_serve = |id: &str| state.fleet.is_ready(id) && state.fleet.runs(id, *build);
+    state.directory.loading_among(copy, now, may_serve)
 }
 
 /// Returns why a request needs the load: if an endpoint that holds the adapter is available, the request has tried
 /// it already.
-fn need(shared: &Shared, copy: &Copy) -> Need {
+fn need(shared: &Shared, request: &AdmittedRequest, copy: &Copy) -> Need {
     let now = shared.now();
     let state = shared.state();
     let holders = state.directory.holders(&copy.key, copy.version);
-    let is_available = |id: &Arc<str>| state.fleet.is_ready(id) && !state.fleet.is_ejected(id, now);
+    let is_available = |id: &Arc<str>| {
+        state.fleet.is_ready(id)
+            && !state.fleet.is_ejected(id, now)
+            && request.accepts_build_at(id, &state.fleet)
+    };
     if holders.iter().any(is_available) {
         Need::Another
     } else {
@@ -66,7 +87,7 @@
     let now = shared.now();
     let state = shared.state();
     // Once an adapter is placed, all requests for it go to the same placer, so that it is loaded once.
-    if let Some(endpoint) = state.directory.loading_on(copy, now)
+    if let Some(endpoint) = loading_on(&state, request, copy, now)
         && let Some(entry) = state.fleet.entry(endpoint)
         && !state.fleet.is_ejected(endpoint, now)
         && state
@@ -75,13 +96,14 @@
     {
         return Some(Arc::clone(&entry.domain));
     }
-    let capacities = service_rate::domain_capacities(&state.fleet, &request.service, None, now);
+    let build = request.build.get().copied();
+    let capacities = service_rate::domain_capacities(&state.fleet, &request.service, build, now);
     let capacity_of = |name: &str| capacities.get(name).copied().unwrap_or(1.0);
     let names = shared.settings.domains.iter();
     let domains: Vec<Domain<'_>> = names
         .filter_map(|name| {
             let waiting = state.waiting_in(name, &shared.settings, now)?;
-            let endpoints = state.fleet.count_usable(&request.service, name, None, now);
+            let endpoints = state.fleet.count_usable(&request.service, name, build, now);
             Some(Domain {
                 name,
                 endpoints,
@@ -91,6 +113,7 @@
         })
         .collect();
     let previous = state.directory.previous_holders(copy).iter();
+    let previous = previous.filter(|endpoint| request.accepts_build_at(endpoint, &state.fleet));
     let previous = previous.filter_map(|endpoint| state.fleet.entry(endpoint));
     let mut cached_in: Vec<&str> = previous.map(|entry| &*entry.domain).collect();
     // Prefer this instance's own failure domain among those that have the adapter cached.
--- a/crates/ploverwick_gateway/src/filters/select.rs
+++ b/crates/ploverwick_gateway/src/filters/select.rs
@@ -130,7 +130,7 @@
     loop {
         let changed = shared.placement_changed.notified();
         let (choice, newest) = select_holder(shared, request, key, except);
-        let is_coming = missing_adapter::is_coming(shared, &newest);
+        let is_coming = missing_adapter::is_coming(shared, request, &newest);
         let may_reuse = !except.is_empty() && wait.may_reuse_tried(load_requests, is_coming);
         let (choice, newest) = match choice {
             Choice::Wait if may_reuse => select_holder(shared, request, key, &[]),
@@ -237,13 +237,11 @@
     if state.limits.active_count() == 0 && state.pauses.is_empty() {
         return None;
     }
-    let build = request.build.get().copied();
     let ready = state
         .fleet
         .entries()
         .filter(|entry| entry.service == request.service && state.fleet.is_ready(&entry.id));
-    let may_serve =
-        ready.filter(|entry| build.is_none_or(|build| state.fleet.runs(&entry.id, build)));
+    let may_serve = ready.filter(|entry| request.accepts_build_at(&entry.id, &state.fleet));
     let mut min_wait = None;
     for entry in may_serve {
         let wait = state.send_wait(&entry.id, now)?;
@@ -401,7 +399,8 @@
     drop(state);
     if let Some(need) = need {
         let load = missing_adapter::load_request(request, &newest, need);
-        load_requests::request_load(shared, &shared.settings.domain, load);
+        let domain = &shared.settings.domain;
+        load_requests::request_load(shared, domain, load, request.build.get().copied());
     }
     if fill >= max_fill(request) {
         return (Choice::Full, newest);
--- a/crates/ploverwick_gateway/src/listen.rs
+++ b/crates/ploverwick_gateway/src/listen.rs
@@ -4,8 +4,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::broadcast;
+use ploverwick_adapters::Request;
+use ploverwick_endpoints::Build;
 
+use crate::broadcast;
 use crate::controllers::{
     draining, endpoint_list, freshness, limits, load_requests, quarantine, quotas,
 };
@@ -74,10 +76,9 @@
         }
         Message::LoadTotals(totals) => shared.state().fleet.record_totals(&totals, now),
         Message::AdapterUses(list) => handle_uses(shared, &list, from),
-        Message::LoadRequest(request) => {
-            if let Some(holder) = load_requests::place_adapter(shared, &request) {
-                broadcast::send_holder(shared, from, holder, &request.copy);
-            }
+        Message::LoadRequest(request) => handle_load_request(shared, &request, None, from),
+        Message::BuildLoadRequest { request, build } => {
+            handle_load_request(shared, &request, Some(build), from);
         }
         Message::EndpointReport { endpoint, adapters } => {
             let copies = messages::copies(adapters);
@@ -167,6 +168,18 @@
         .record_peer_loads(instance, loads.collect(), now);
 }
 
+/// Places the adapter that the instance at `from` asks for, or tells it which endpoint holds it.
+fn handle_load_request(
+    shared: &Arc<Shared>,
+    request: &Request,
+    build: Option<Build>,
+    from: IpAddr,
+) {
+    if let Some(holder) = load_requests::place_adapter(shared, request, build) {
+        broadcast::send_holder(shared, from, holder, &request.copy);
+    }
+}
+
 /// Records which adapters a peer's requests use.
 fn handle_uses(shared: &Shared, list: &[AdapterUse], from: IpAddr) {
     let now = shared.now();
--- a/crates/ploverwick_gateway/src/messages.rs
+++ b/crates/ploverwick_gateway/src/messages.rs
@@ -8,7 +8,9 @@
 
 use ploverwick_adapters::{Copy, Demand, Key, Request};
 use ploverwick_endpoints::numbering::Numbered;
-use ploverwick_endpoints::{EndpointObservations, Entry, Figure, LimitUpdate, LogByte, totals};
+use ploverwick_endpoints::{
+    Build, EndpointObservations, Entry, Figure, LimitUpdate, LogByte, totals,
+};
 use ploverwick_names::Moment;
 use ploverwick_quarantine::DIGEST_BUCKETS;
 use ploverwick_quota::{Grant, Lease};
@@ -132,7 +134,7 @@
     LoadTotals(totals::Message),
     /// The adapters that the sender's requests use.
     AdapterUses(Vec<AdapterUse>),
-    /// Requests that the receiver, a placer, have an adapter loaded.
+    /// Requests that the receiver, a placer, have an adapter loaded at an endpoint of any build.
     LoadRequest(Request),
     /// The complete list of adapters that an endpoint holds.
     EndpointReport {
@@ -196,6 +198,9 @@
     Observations(Vec<EndpointObservations>),
     /// The learned speed of endpoints of a placer's failure domain.
     Figures(Vec<Figure>),
+    /// Requests that the receiver, a placer, have an adapter loaded at an endpoint of a build. It is not a field of
+    /// `LoadRequest` because instances of an earlier version must still be able to read that.
+    BuildLoadRequest { request: Request, build: Build },
 }
 
 impl Message {
@@ -245,6 +250,7 @@
             Self::Draining(_) => "draining",
             Self::Observations(_) => "observations",
             Self::Figures(_) => "figures",
+            Self::BuildLoadRequest { .. } => "build_load_request",
         }
     }
 
@@ -263,6 +269,7 @@
             Self::Status { .. }
             | Self::AdapterUses(_)
             | Self::LoadRequest { .. }
+            | Self::BuildLoadRequest { .. }
             | Self::EndpointReportRequest(_)
             | Self::EndpointListUpdate { .. }
             | Self::Records(_)
