Infer a stream's build only from lists that are up to date, and tell it from one that is known

An instance whose endpoint list is out of date may not know a build that serves, and a build may have come and gone while the list could not be read: `Serving::Recently` stands for one build without the whole retention (after a start, a gap, or with an outdated list), and silence of the others confirms nothing then.

An origin that is recorded again expires later, since each attempt of a client has its own limit.

--- a/crates/ploverwick_endpoints/src/lookup.rs
+++ b/crates/ploverwick_endpoints/src/lookup.rs
@@ -30,8 +30,10 @@
 /// The result of a lookup.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
-    /// The stream began at this build.
-    Build(Build),
+    /// The stream began at this build, as an instance knows.
+    Began(Build),
+    /// The stream began at this build, as no other one served. No instance knows the stream.
+    Inferred(Build),
     /// The stream may have begun at any build.
     Unknown,
 }
@@ -50,7 +52,6 @@
 /// A question to other instances where a stream began, with their replies.
 #[derive(Debug, Clone)]
 pub struct Lookup {
-    is_list_current: bool,
     asked: usize,
     /// When the question is repeated, unless it was.
     repeat_at: Option<Moment>,
@@ -62,13 +63,9 @@
 }
 
 impl Lookup {
-    /// Creates a lookup that asks `asked` instances now.
-    ///
-    /// `own` is what this instance knows of the builds of the service, and `is_list_current` whether its endpoint list
-    /// is up to date.
-    pub fn new(own: Serving, is_list_current: bool, asked: usize, now: Moment) -> Self {
+    /// Creates a lookup that asks `asked` instances now. `own` is what this instance knows of the builds of the service.
+    pub fn new(own: Serving, asked: usize, now: Moment) -> Self {
         Self {
-            is_list_current,
             asked,
             repeat_at: Some(now + REPEAT_DELAY),
             deadline: now + REPLY_TIMEOUT,
@@ -88,7 +85,7 @@
     }
 
     fn record_origin(&mut self, build: Build) {
-        let reported = Verdict::Build(build);
+        let reported = Verdict::Began(build);
         self.origin = match self.origin {
             Some(known) if known != reported => Some(Verdict::Unknown),
             _ => Some(reported),
@@ -116,13 +113,8 @@
     /// Infers the build from those that served.
     fn infer(&self) -> Verdict {
         match self.serving {
-            Serving::Only(build) if self.is_confirmed() => Verdict::Build(build),
-            _ => Verdict::Unknown,
+            Serving::Only(build) => Verdict::Inferred(build),
+            Serving::Nothing | Serving::Recently(_) | Serving::Several => Verdict::Unknown,
         }
     }
-
-    /// Returns whether the build can be relied on: after no reply, that takes a list that is up to date.
-    fn is_confirmed(&self) -> bool {
-        self.asked == 0 || !self.replied.is_empty() || self.is_list_current
-    }
 }
--- a/crates/ploverwick_endpoints/src/origins.rs
+++ b/crates/ploverwick_endpoints/src/origins.rs
@@ -46,14 +46,21 @@
 }
 
 impl Origins {
-    /// Adds the origin of an attempt until it expires. An origin that is already known is kept as it is.
+    /// Adds the origin of an attempt until it expires. If the attempt has an origin, that stays, and expires later if this is
+    /// the same one.
     ///
     /// If there are too many, removes the one that expires first, which may be the new one.
     pub fn insert(&mut self, attempt: Attempt, build: Build, expires: Moment, now: Moment) {
-        if expires <= now || self.get(attempt, now).is_some() {
+        if expires <= now {
             return;
         }
         self.remove_expired(now);
+        if let Some(known) = self.origins.get(&attempt) {
+            if known.build != build || known.expires >= expires {
+                return;
+            }
+            self.by_expiry.remove(&(known.expires, attempt));
+        }
         self.origins.insert(attempt, Origin { build, expires });
         self.by_expiry.insert((expires, attempt));
         if self.by_expiry.len() > MAX_ORIGINS {
--- a/crates/ploverwick_endpoints/tests/stream_origins.rs
+++ b/crates/ploverwick_endpoints/tests/stream_origins.rs
@@ -28,6 +28,19 @@
     expect_that!(hash, eq(0x2d06_8005_38d3_94c2));
 }
 
+#[gtest]
+fn known_origin_expires_later() {
+    let mut origins = Origins::default();
+    origins.insert(attempt(1), build("a"), Moment(200), NOW);
+    origins.insert(attempt(1), build("a"), Moment(300), NOW);
+    origins.insert(attempt(1), build("a"), Moment(250), NOW);
+    expect_that!(origins.get(attempt(1), Moment(299)), some(eq(build("a"))));
+    expect_that!(origins.get(attempt(1), Moment(300)), none());
+    expect_that!(origins.live(NOW).count(), eq(1));
+    origins.remove_expired(Moment(300));
+    expect_that!(origins.is_empty(), eq(true));
+}
+
 #[gtest]
 fn first_live_origin_is_kept() {
     let mut origins = Origins::default();
