Let a stream go on only at the build that began it

Callers got streams whose events come from two software versions of a service (a build each), within one answer and over their attempts.

Cause: nothing that chooses an endpoint knew builds, and nothing knew at which one a stream had begun.

Change: the first whole event that is forwarded fixes the build of a request, and each later selection for it uses that build. Each instance keeps the origins of its streams until the client's own limit. While several builds may serve (two listed within 30 s, a list that is out of date, a start or a gap within 30 s, a route over several services) each origin is sent to four other instances, by rendezvous hash of the attempt, over the failure domains, before its first event goes to the client. An instance at which a stream is taken up looks in its own memory, then asks these (all, where there are eight or fewer). If nobody knows, the build is inferred only where all that is known names one. Otherwise the request is refused at once with 503 (PW3017), and with PW3016 where no endpoint of the build serves. A route over several services takes the one of the build.

Ruled out: a store call or a coordinator on the path; choosing the build by a hash of the attempt (the choice would move with each endpoint that is replaced); guessing (a wrong guess is what callers can't see).

While one build serves nothing is sent ahead; a stream that is taken up costs one question to the others.

--- a/crates/ploverwick_endpoints/src/fleet.rs
+++ b/crates/ploverwick_endpoints/src/fleet.rs
@@ -257,10 +257,14 @@
         member.is_some_and(|member| member.build == build)
     }
 
-    /// Returns whether an endpoint of a service that runs a build is listed as ready, ejected or not.
-    pub fn has_ready(&self, service: &str, build: Build) -> bool {
+    /// Returns whether an endpoint of a service that runs a build is listed as ready, ejected or not. Those in `except` do not
+    /// count.
+    pub fn has_ready(&self, service: &str, build: Build, except: &[Arc<str>]) -> bool {
         let mut of_build = self.members.values().filter(|m| m.build == build);
-        of_build.any(|m| m.entry.state == State::Ready && *m.entry.service == *service)
+        of_build.any(|m| {
+            let entry = &m.entry;
+            entry.state == State::Ready && *entry.service == *service && !except.contains(&entry.id)
+        })
     }
 
     /// Returns the number of endpoints of a service in a failure domain that are ready and not ejected, and run the
--- a/crates/ploverwick_endpoints/tests/build_choice.rs
+++ b/crates/ploverwick_endpoints/tests/build_choice.rs
@@ -168,21 +168,21 @@
     let mut fleet = fleet();
     eject(&mut fleet, "old-0");
     drain(&mut fleet, "old-1");
-    expect_that!(fleet.has_ready("app", old()), eq(true));
+    expect_that!(fleet.has_ready("app", old(), &[]), eq(true));
     drain(&mut fleet, "old-0");
-    expect_that!(fleet.has_ready("app", old()), eq(false));
-    expect_that!(fleet.has_ready("app", new()), eq(true));
+    expect_that!(fleet.has_ready("app", old(), &[]), eq(false));
+    expect_that!(fleet.has_ready("app", new(), &[]), eq(true));
     fleet.remove("new-0");
     fleet.remove("new-1");
-    expect_that!(fleet.has_ready("app", new()), eq(false));
+    expect_that!(fleet.has_ready("app", new(), &[]), eq(false));
 }
 
 #[googletest::test]
 fn build_belongs_to_one_service() {
     let fleet = fleet();
-    expect_that!(fleet.has_ready("search", old()), eq(false));
+    expect_that!(fleet.has_ready("search", old(), &[]), eq(false));
     expect_that!(
-        fleet.has_ready("search", Build::of("search", "v1")),
+        fleet.has_ready("search", Build::of("search", "v1"), &[]),
         eq(true)
     );
 }
--- a/crates/ploverwick_gateway/src/controllers.rs
+++ b/crates/ploverwick_gateway/src/controllers.rs
@@ -13,6 +13,7 @@
 pub(crate) mod load_requests;
 pub(crate) mod operator;
 pub(crate) mod orders;
+pub(crate) mod origins;
 pub(crate) mod pauses;
 pub(crate) mod placer_lease;
 pub(crate) mod quarantine;
--- a/crates/ploverwick_gateway/src/controllers/endpoint_list.rs
+++ b/crates/ploverwick_gateway/src/controllers/endpoint_list.rs
@@ -5,7 +5,10 @@
 use std::time::Duration;
 
 use ploverwick_endpoints::list_updates::{self, Entries};
-use ploverwick_endpoints::{Absences, Entry, Heartbeat, Heartbeats, State as EndpointState};
+use ploverwick_endpoints::{
+    Absences, Entry, Heartbeat, Heartbeats, Serving, State as EndpointState,
+};
+use ploverwick_names::Moment;
 use ploverwick_platform::store::{Error, Record};
 use ploverwick_platform::{ENDPOINT_TOPIC, endpoint_list};
 use ploverwick_topics::Position;
@@ -96,6 +99,8 @@
         match feed::read(&shared, &feed, next, feed.wait, &mut handler).await {
             Ok(progress) => {
                 next = Some(progress.next);
+                let now = shared.now();
+                shared.state().record_current_endpoint_list(now);
                 outage.record_success();
                 shared.store_unavailable.send_replace(false);
                 tokio::time::sleep(feed.delay).await;
@@ -294,6 +299,7 @@
     // If the list was never read or a message was lost, this instance reads the list itself.
     if state.has_endpoint_list && state.fleet.digest() == digest {
         state.endpoint_list_confirmed_at = Some(now);
+        state.record_current_endpoint_list(now);
     }
     drop(state);
     shared.orders_changed.notify_waiters();
@@ -323,6 +329,7 @@
     let mut state = shared.state();
     state.has_endpoint_list = true;
     state.endpoint_list_confirmed_at = Some(now);
+    state.record_current_endpoint_list(now);
     drop(state);
     shared.orders_changed.notify_waiters();
     shared.placement_changed.notify_waiters();
@@ -365,7 +372,11 @@
         return;
     }
     let id = Arc::clone(&entry.id);
-    let before = state.fleet.entry(&id).map(|entry| entry.state);
+    let listed = state.fleet.entry(&id).cloned();
+    let before = listed.as_ref().map(|entry| entry.state);
+    if record_build(&mut state, listed.as_ref(), Some(&entry), shared.now()) {
+        shared.build_added.notify_one();
+    }
     state.incarnations.add(&id);
     state.fleet.put(entry);
     let entry = state.fleet.entry(&id).expect("the entry was just added");
@@ -386,6 +397,33 @@
     }
 }
 
+/// Records that an endpoint was added, changed or removed in the history of builds. Returns whether its service now has
+/// several builds and had not before.
+fn record_build(
+    state: &mut State,
+    before: Option<&Entry>,
+    after: Option<&Entry>,
+    now: Moment,
+) -> bool {
+    let key = |entry: &Entry| (Arc::clone(&entry.service), entry.build());
+    let (before, after) = (before.map(key), after.map(key));
+    if before == after {
+        return false;
+    }
+    let is_several = |state: &State| {
+        let service = after.as_ref().map(|(service, _)| service);
+        service.is_some_and(|service| state.serving(service, now) == Serving::Several)
+    };
+    let was_several = is_several(state);
+    if let Some((service, build)) = &before {
+        state.builds.remove(service, *build, now);
+    }
+    if let Some((service, build)) = &after {
+        state.builds.add(service, *build);
+    }
+    !was_several && is_several(state)
+}
+
 /// Returns whether a later incarnation of the endpoint is known, because a delayed message of a peer may be
 /// about an earlier one.
 fn is_superseded(state: &State, entry: &Entry) -> bool {
@@ -398,10 +436,13 @@
 }
 
 fn remove(shared: &Shared, id: &Arc<str>) {
+    let now = shared.now();
     let mut state = shared.state();
+    let listed = state.fleet.entry(id).cloned();
     if !state.fleet.remove(id) {
         return;
     }
+    record_build(&mut state, listed.as_ref(), None, now);
     state.limits.remove(id);
     state.pauses.remove(id);
     state.draining_reports.remove(id);
--- a/crates/ploverwick_gateway/src/daemon.rs
+++ b/crates/ploverwick_gateway/src/daemon.rs
@@ -11,8 +11,8 @@
 use tokio::task::JoinSet;
 
 use crate::controllers::{
-    endpoint_list, freshness, instances, operator, orders, placer_lease, quarantine, quotas,
-    reachability, table,
+    endpoint_list, freshness, instances, operator, orders, origins, placer_lease, quarantine,
+    quotas, reachability, table,
 };
 use crate::front::{self, OpenConnections};
 use crate::messages::PeerSocket;
@@ -111,6 +111,7 @@
         tasks.spawn(quotas::run(Arc::clone(&shared)));
         tasks.spawn(join(Arc::clone(&shared)));
         tasks.spawn(orders::run(Arc::clone(&shared)));
+        tasks.spawn(origins::run(Arc::clone(&shared)));
         tasks.spawn(broadcast::run(Arc::clone(&shared)));
         tasks.spawn(broadcast::run_outbox(Arc::clone(&shared)));
         tasks.spawn(broadcast::quarantine::run(Arc::clone(&shared)));
@@ -201,6 +202,7 @@
         shared.relayed_pool.remove_expired();
         reachability::update_gauges(&shared);
         quarantine::remove_expired(&shared);
+        origins::remove_expired(&shared);
     }
 }
 
--- a/crates/ploverwick_gateway/src/filters.rs
+++ b/crates/ploverwick_gateway/src/filters.rs
@@ -1,7 +1,8 @@
 //! The filter chain that processes a request from a client.
 //!
 //! `admit` reads the request and finds its route, `authenticate` identifies the caller, `terms` applies the
-//! operators' table, `quota` charges the organisation's quota, `select` chooses an endpoint, `send` sends the
+//! operators' table, `quota` charges the organisation's quota, `origin` finds
+//! the build that may continue a stream, `select` chooses an endpoint, `send` sends the
 //! request to it, `forward` forwards the answer, and `retry` retries the last three steps where that is safe.
 
 mod activity_guard;
@@ -14,6 +15,7 @@
 mod forward;
 mod in_flight;
 mod missing_adapter;
+mod origin;
 mod quarantine;
 mod quota;
 mod reply;
@@ -49,7 +51,10 @@
     tokio::task::yield_now().await;
     let started = Instant::now();
     let mut response = match admit::run(&shared, request).await {
-        Ok(request) => retry::run(&shared, request).await,
+        Ok(mut request) => match origin::run(&shared, &mut request).await {
+            Ok(()) => retry::run(&shared, request).await,
+            Err(reply) => reply.into_response(),
+        },
         Err(reply) => reply.into_response(),
     };
     metrics::request(response.status(), started.elapsed());
--- a/crates/ploverwick_gateway/src/filters/admitted_request.rs
+++ b/crates/ploverwick_gateway/src/filters/admitted_request.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
+use ploverwick_endpoints::origins::Attempt;
 use ploverwick_endpoints::{Build, Fleet};
 use ploverwick_platform::request::{self, RequestInfo};
 use ploverwick_quarantine::{Fingerprint, Suspect};
@@ -13,6 +14,7 @@
 
 use super::authenticate::Caller;
 use super::quota::Charge;
+use crate::controllers::origins::Scope;
 
 /// The highest priority value, which is the most urgent in the table. The platform uses the reverse order, in
 /// which 0 is the most urgent.
@@ -64,6 +66,9 @@
     pub(crate) fingerprint: OnceLock<Fingerprint>,
     /// The build that began the stream, once that is fixed: nothing else may continue it.
     pub(crate) build: OnceLock<Build>,
+    /// The attempt under which the origin of the stream is recorded; `None` if its origin is not known for certain, or if the
+    /// request is for no stream that may be resumed.
+    pub(crate) origin: Option<Attempt>,
     /// The quota units charged to its organisation.
     pub(crate) charge: Option<Charge>,
 }
@@ -74,6 +79,14 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// Returns the services that the request may be sent to, for the origin of its stream.
+    pub(super) fn scope(&self) -> Scope<'_> {
+        Scope {
+            service: &self.service,
+            is_shared: self.route.services().count() > 1,
+        }
+    }
+
     /// Returns whether the build that an endpoint runs may serve the request.
     pub(super) fn accepts_build_at(&self, endpoint: &str, fleet: &Fleet) -> bool {
         let build = self.build.get();
--- a/crates/ploverwick_gateway/src/filters/forward.rs
+++ b/crates/ploverwick_gateway/src/filters/forward.rs
@@ -26,12 +26,14 @@
 use super::send::{self, Answered, SendOutcome};
 use super::source::{Break, Event, Source, read};
 use super::stream_timing::{Ending, StreamTiming};
-use crate::controllers::crashes;
+use crate::controllers::{crashes, origins};
 use crate::metrics;
 use crate::shared::Shared;
 
 /// How long a paused endpoint is kept after the request was sent to another one, which may refuse it at once.
 const MAX_OVERLAP: Duration = Duration::from_millis(100);
+/// How long the origin of a stream is kept beyond the client's time limit, for an attempt that was sent just before it.
+const RETRY_MARGIN: Duration = Duration::from_secs(1);
 
 /// Reads a complete answer and builds the response from it.
 ///
@@ -329,11 +331,26 @@
         }
     }
 
-    /// Records the endpoint that the first event comes from.
+    /// Fixes the build with the first event that is forwarded: only that build may continue the stream, here or where the
+    /// client takes it up again.
     fn record_origin(&mut self, scan: Scan) {
-        if scan.events > 0 && self.origin.is_none() {
-            self.origin = self.source.as_ref().map(|source| source.entry.clone());
+        let Some(source) = self.source.as_ref().filter(|_| scan.events > 0) else {
+            return;
+        };
+        if self.splitter.is_none() || self.origin.is_some() {
+            return;
+        }
+        let entry = source.entry.clone();
+        self.request.build.get_or_init(|| entry.build());
+        if let Some(attempt) = self.request.origin {
+            let timeout = self.request.info.timeout;
+            let timeout = timeout.unwrap_or(self.request.route.timeout);
+            let remaining = timeout.saturating_sub(self.request.received.elapsed());
+            let lifetime = remaining.saturating_add(RETRY_MARGIN);
+            let scope = self.request.scope();
+            origins::record(&self.shared, scope, attempt, &entry, lifetime);
         }
+        self.origin = Some(entry);
     }
 
     fn finish(&mut self) -> Option<Bytes> {
--- a/crates/ploverwick_gateway/src/filters/resume.rs
+++ b/crates/ploverwick_gateway/src/filters/resume.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ploverwick_endpoints::Serving;
 use tokio::time::Instant;
 
 use super::admitted_request::AdmittedRequest;
@@ -38,6 +39,11 @@
         if !quarantine::may_retry(shared, request) {
             return Found::Forbidden("endpoints crashed under it".to_owned());
         }
+        if is_build_exhausted(shared, request, excluded) {
+            return Found::Forbidden(
+                "no other endpoint runs the software version that began it".to_owned(),
+            );
+        }
         let selected = select::run_until(shared, request, excluded, end).await;
         // A crash may have been recorded while the adapter was loaded.
         if let Some(refusal) = quarantine::refusal(shared, request) {
@@ -53,6 +59,21 @@
     Found::Nothing
 }
 
+/// Returns whether no endpoint outside `excluded` can continue the stream. While a single build serves, further endpoints of
+/// it may still be listed; one that is being replaced gets no more.
+fn is_build_exhausted(shared: &Shared, request: &AdmittedRequest, excluded: &[Arc<str>]) -> bool {
+    let Some(build) = request.build.get() else {
+        return false;
+    };
+    let (service, now) = (&request.service, shared.now());
+    let state = shared.state();
+    let is_single = match state.serving(service, now) {
+        Serving::Only(only) | Serving::Recently(only) => only == *build,
+        Serving::Nothing | Serving::Several => false,
+    };
+    !is_single && !state.fleet.has_ready(service, *build, excluded)
+}
+
 /// Why a stream was interrupted.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) enum Cause {
--- a/crates/ploverwick_gateway/src/filters/select.rs
+++ b/crates/ploverwick_gateway/src/filters/select.rs
@@ -215,7 +215,7 @@
 /// never become ready again, so there is nothing to wait for.
 fn is_build_gone(state: &State, request: &AdmittedRequest) -> bool {
     let build = request.build.get();
-    build.is_some_and(|build| !state.fleet.has_ready(&request.service, *build))
+    build.is_some_and(|build| !state.fleet.has_ready(&request.service, *build, &[]))
 }
 
 /// Returns the endpoints excluded for a request, including those to which this instance must not send now.
--- a/crates/ploverwick_gateway/src/lib.rs
+++ b/crates/ploverwick_gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod logging;
 mod messages;
 pub mod metrics;
+mod origin_lookups;
 mod outbox;
 mod pool;
 pub mod quarantine;
--- a/crates/ploverwick_gateway/src/listen.rs
+++ b/crates/ploverwick_gateway/src/listen.rs
@@ -9,7 +9,7 @@
 
 use crate::broadcast;
 use crate::controllers::{
-    draining, endpoint_list, freshness, limits, load_requests, quarantine, quotas,
+    draining, endpoint_list, freshness, limits, load_requests, origins, quarantine, quotas,
 };
 use crate::messages::{
     self, AdapterUse, Change, ChangeKind, EndpointDigests, EndpointLoad, Message,
@@ -133,6 +133,15 @@
             shared.state().fleet.record_peer_observations(&observed);
         }
         Message::Figures(figures) => shared.state().fleet.record_figures(&figures),
+        Message::Origins(records) => origins::handle_records(shared, &records),
+        Message::OriginQuery {
+            id,
+            service,
+            attempt,
+        } => origins::handle_query(shared, from, id, &service, attempt),
+        Message::OriginReply { id, reply } => {
+            shared.origin_lookups.handle_reply(id, from, reply);
+        }
         Message::QuarantineDigests {
             digests,
             wants_reply,
--- a/crates/ploverwick_gateway/src/messages.rs
+++ b/crates/ploverwick_gateway/src/messages.rs
@@ -8,8 +8,9 @@
 
 use ploverwick_adapters::{Copy, Demand, Key, Request};
 use ploverwick_endpoints::numbering::Numbered;
+use ploverwick_endpoints::origins::Attempt;
 use ploverwick_endpoints::{
-    Build, EndpointObservations, Entry, Figure, LimitUpdate, LogByte, totals,
+    Build, EndpointObservations, Entry, Figure, LimitUpdate, LogByte, lookup, totals,
 };
 use ploverwick_names::Moment;
 use ploverwick_quarantine::DIGEST_BUCKETS;
@@ -111,6 +112,26 @@
     pub(crate) sent_at: Moment,
 }
 
+/// The build that began the stream of an attempt.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub(crate) struct OriginRecord {
+    pub(crate) attempt: Attempt,
+    pub(crate) build: Build,
+    /// How long a client may still take the stream up.
+    pub(crate) remaining_ms: u32,
+}
+
+impl OriginRecord {
+    pub(crate) fn new(attempt: Attempt, build: Build, expires: Moment, now: Moment) -> Self {
+        let remaining = expires.since(now).as_millis();
+        Self {
+            attempt,
+            build,
+            remaining_ms: u32::try_from(remaining).unwrap_or(u32::MAX),
+        }
+    }
+}
+
 /// A message from one instance to another.
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) enum Message {
@@ -201,6 +222,16 @@
     /// Requests that the receiver, a placer, have an adapter loaded at an endpoint of a build. It is not a field of
     /// `LoadRequest` because instances of an earlier version must still be able to read that.
     BuildLoadRequest { request: Request, build: Build },
+    /// The builds that began streams of the sender. The receiver keeps them.
+    Origins(Vec<OriginRecord>),
+    /// Asks which build began the stream of an attempt, or else which builds of the service serve.
+    OriginQuery {
+        id: u64,
+        service: Arc<str>,
+        attempt: Option<Attempt>,
+    },
+    /// Answers `OriginQuery`.
+    OriginReply { id: u64, reply: lookup::Reply },
 }
 
 impl Message {
@@ -251,6 +282,9 @@
             Self::Observations(_) => "observations",
             Self::Figures(_) => "figures",
             Self::BuildLoadRequest { .. } => "build_load_request",
+            Self::Origins(_) => "origins",
+            Self::OriginQuery { .. } => "origin_query",
+            Self::OriginReply { .. } => "origin_reply",
         }
     }
 
@@ -282,6 +316,9 @@
             | Self::BaseLoad
             | Self::LeaseReleased
             | Self::Observations(_)
+            | Self::Origins(_)
+            | Self::OriginQuery { .. }
+            | Self::OriginReply { .. }
             | Self::QuarantineDigests { .. } => false,
         }
     }
--- a/crates/ploverwick_gateway/src/metrics.rs
+++ b/crates/ploverwick_gateway/src/metrics.rs
@@ -149,6 +149,11 @@
     counter!("ploverwick_stream_resumptions_total", "build" => build).increment(1);
 }
 
+/// Counts a stream that a client takes up again, by whether the build that began it is known.
+pub(crate) fn stream_origin(outcome: &'static str) {
+    counter!("ploverwick_stream_origins_total", "outcome" => outcome).increment(1);
+}
+
 /// Counts a decision about a late answer.
 pub(crate) fn late_answer(decision: &'static str) {
     counter!("ploverwick_late_answers_total", "decision" => decision).increment(1);
--- a/crates/ploverwick_gateway/src/shared.rs
+++ b/crates/ploverwick_gateway/src/shared.rs
@@ -20,6 +20,7 @@
 use crate::logging::LogLimiter;
 use crate::messages::{CorrelationId, PeerSocket};
 use crate::metrics;
+use crate::origin_lookups::OriginLookups;
 use crate::outbox::Outbox;
 use crate::pool::Pool;
 use crate::quarantine_updates::QuarantineUpdates;
@@ -59,6 +60,10 @@
     pub(crate) probes_needed: Notify,
     pub(crate) peer_socket: PeerSocket,
     pub(crate) outbox: Outbox,
+    /// The lookups of stream origins that wait for replies.
+    pub(crate) origin_lookups: OriginLookups,
+    /// Signals that a service has a second build, so that the origins of running streams are sent too.
+    pub(crate) build_added: Notify,
     /// The quarantine entries whose changes have not been sent to peers yet.
     pub(crate) quarantine_updates: QuarantineUpdates,
     pub(crate) log_limiter: LogLimiter,
@@ -112,6 +117,8 @@
             clock,
             peer_socket,
             outbox: Outbox::default(),
+            origin_lookups: OriginLookups::new(rand::random()),
+            build_added: Notify::new(),
             quarantine_updates: QuarantineUpdates::default(),
             log_limiter: LogLimiter::default(),
             placement_changed: Notify::new(),
--- a/crates/ploverwick_gateway/src/state.rs
+++ b/crates/ploverwick_gateway/src/state.rs
@@ -8,9 +8,11 @@
 use ploverwick_adapters::{
     Copy, Demand, Directory, Lease, LeasePolicy, LoadLimiter, Placer, Watermark,
 };
+use ploverwick_endpoints::origins::Origins;
 use ploverwick_endpoints::{
-    Balance, Budget, DrainingReports, Entry, Fleet, Held, InstanceCount, Limits, Links, Pauses,
-    Reachability, Relays, RetryPolicy, State as EndpointState, relays, totals,
+    Balance, Budget, BuildHistory, DrainingReports, Entry, Fleet, Held, InstanceCount, Limits,
+    Links, Pauses, Reachability, Relays, RetryPolicy, Serving, State as EndpointState, relays,
+    totals,
 };
 use ploverwick_limits::{PriorUse, RateLimiter};
 use ploverwick_names::Moment;
@@ -32,6 +34,10 @@
 /// How long after its last message a peer still counts as alive.
 pub(crate) const PEER_TIMEOUT: Duration = Duration::from_millis(2_500);
 
+/// The age up to which the list of endpoints counts as current: two intervals between reads and the time of a slow one. A
+/// build that this instance does not know may serve by then.
+const MAX_ENDPOINT_LIST_AGE: Duration = Duration::from_secs(2);
+
 /// What this instance knows of another instance.
 #[derive(Debug, Clone)]
 pub(crate) struct Peer {
@@ -98,6 +104,14 @@
     pub(crate) has_endpoint_list: bool,
     /// When a peer last sent a digest of the list of endpoints that matched this instance's list.
     pub(crate) endpoint_list_confirmed_at: Option<Moment>,
+    /// When this instance last read the list of endpoints, or a peer confirmed it.
+    endpoint_list_current_at: Option<Moment>,
+    /// Which builds of each service serve, or lately did.
+    pub(crate) builds: BuildHistory,
+    /// The builds that began this instance's streams.
+    pub(crate) own_origins: Origins,
+    /// The builds that began streams of other instances, kept for them.
+    pub(crate) kept_origins: Origins,
     /// Whether this process has read the table's topic, so that a missing table means that there is none.
     pub(crate) has_table: bool,
     /// The operators' table; `None` until one is published.
@@ -160,6 +174,10 @@
             config: None,
             has_endpoint_list: false,
             endpoint_list_confirmed_at: None,
+            endpoint_list_current_at: None,
+            builds: BuildHistory::new(settings.first_start, now),
+            own_origins: Origins::default(),
+            kept_origins: Origins::default(),
             has_table: false,
             table: None,
             rate_limiter: RateLimiter::new(if settings.first_start {
@@ -200,6 +218,23 @@
         }
     }
 
+    /// Records that the list of endpoints was read, or that a peer confirmed it.
+    pub(crate) fn record_current_endpoint_list(&mut self, now: Moment) {
+        let last = self.endpoint_list_current_at.replace(now);
+        if last.is_some_and(|at| now.since(at) > MAX_ENDPOINT_LIST_AGE) {
+            self.builds.record_gap(now);
+        }
+    }
+
+    /// Returns what this instance knows of the builds of a service.
+    pub(crate) fn serving(&self, service: &str, now: Moment) -> Serving {
+        let serving = self.builds.serving(service, now);
+        match self.endpoint_list_current_at {
+            Some(at) if now.since(at) <= MAX_ENDPOINT_LIST_AGE => serving,
+            Some(_) | None => serving.outdated(),
+        }
+    }
+
     /// Returns the address of a failure domain's placer, unless it is this instance.
     pub(crate) fn placer_of(&self, domain: &str, now: Moment) -> Option<IpAddr> {
         let peers = self.peers.values().filter(|peer| {
--- a/crates/ploverwick_routes/src/route.rs
+++ b/crates/ploverwick_routes/src/route.rs
@@ -73,6 +73,11 @@
 }
 
 impl Route {
+    /// Iterates over the services that share its requests.
+    pub fn services(&self) -> impl Iterator<Item = &Arc<str>> {
+        self.shares.iter().map(|share| &share.service)
+    }
+
     /// Chooses the service for a request.
     ///
     /// `fraction` is in [0, 1) and should be evenly distributed over the requests.
