Simulate how often the build that began a stream is found

`ploverwick_bench origins` compares ways to keep origins on the types that the gateway uses (origins, lookup, build history), seeded and without a network: 6, 74 and 330 instances in 3 failure domains, messages lost, and instances lost within 20 ms of a stream's first event. It prints the share of streams whose build is found, those continued at a wrong build, messages and bytes, and what is kept.

--- a/crates/ploverwick_bench/src/main.rs
+++ b/crates/ploverwick_bench/src/main.rs
@@ -8,6 +8,7 @@
 mod capacity;
 mod decide;
 mod fit;
+mod origins;
 mod plot;
 mod recovery;
 mod relay;
@@ -16,6 +17,7 @@
 
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
 
 use anyhow::Result;
 
@@ -54,6 +56,13 @@
                 /// The number of iterations per decision; 20000 by default.
                 optional --times number: u32
             }
+            /// Simulates how often the build that began a stream is found, and what it costs.
+            cmd origins {
+                /// The number of streams in each cell of the tables; 1000 by default.
+                optional --times number: u64
+                /// How long origins are collected into one message, in milliseconds; 10 by default.
+                optional --delay number: u64
+            }
             /// Measures how control traffic scales and updates the capacity page.
             cmd capacity {
                 /// The page whose generated section is replaced.
@@ -96,6 +105,11 @@
             decide::run(flags.times.unwrap_or(20_000));
             Ok(())
         }
+        PloverwickBenchCmd::Origins(flags) => {
+            let batch_delay = Duration::from_millis(flags.delay.unwrap_or(10));
+            origins::run(flags.times.unwrap_or(1_000), batch_delay);
+            Ok(())
+        }
         PloverwickBenchCmd::Capacity(flags) => {
             let page = flags
                 .page
