Continue streams where one build is known though the whole retention is not

Cause: a start within 30 s, a list that is out of date and a route over several services all counted as "several builds may have begun it".

Change: a list that is out of date (`Serving::Outdated`) is told apart from one that is up to date at an instance that started lately (`Serving::Recently`), from which the only build is inferred. What is not known of the time before is read: the history of the list, which a reader reads at its start anyway, adds the builds that were listed lately. A build is the version alone; services that share a route count together, so that equal versions continue each other's streams. Clients that name no attempt are served from the list as it is.

What it gives up: a build that left the list longer before a restart of all instances than its history reaches (four heartbeats of each endpoint) is not known to anyone after it.

--- a/crates/ploverwick_bench/src/origins.rs
+++ b/crates/ploverwick_bench/src/origins.rs
@@ -80,7 +80,7 @@
 }
 
 fn build(is_new: bool) -> Build {
-    Build::of(SERVICE, if is_new { "v2" } else { "v1" })
+    Build::of(if is_new { "v2" } else { "v1" })
 }
 
 fn names(count: usize) -> Vec<(String, String)> {
--- a/crates/ploverwick_endpoints/src/build.rs
+++ b/crates/ploverwick_endpoints/src/build.rs
@@ -1,25 +1,22 @@
-//! Software versions of the endpoints of a service.
+//! Software versions of endpoints.
 
 use std::fmt;
 
 use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+use xxhash_rust::xxh3::xxh3_64;
 
-/// One software version of the endpoints of a service.
+/// A software version of endpoints.
 ///
-/// What two builds of a service write does not fit together, so a stream continues only at the build that began it.
-/// Instances exchange builds, so the algorithm is part of the protocol between them: the 64-bit XXH3 hash of the
-/// version, seeded with that of the service.
+/// What two builds write does not fit together, so a stream continues only at the build that began it. Services that share a
+/// route run the same build if their versions are equal. Instances exchange builds, so the algorithm is part of the
+/// protocol between them: the 64-bit XXH3 hash of the version.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Build(u64);
 
 impl Build {
-    /// Returns the build of a service with this version.
-    pub fn of(service: &str, version: &str) -> Self {
-        Self(xxh3_64_with_seed(
-            version.as_bytes(),
-            xxh3_64(service.as_bytes()),
-        ))
+    /// Returns the build of this version.
+    pub fn of(version: &str) -> Self {
+        Self(xxh3_64(version.as_bytes()))
     }
 }
 
--- a/crates/ploverwick_endpoints/src/entry.rs
+++ b/crates/ploverwick_endpoints/src/entry.rs
@@ -55,6 +55,6 @@
 impl Entry {
     /// Returns the build that the endpoint runs.
     pub fn build(&self) -> Build {
-        Build::of(&self.service, &self.software)
+        Build::of(&self.software)
     }
 }
--- a/crates/ploverwick_endpoints/src/lookup.rs
+++ b/crates/ploverwick_endpoints/src/lookup.rs
@@ -113,8 +113,8 @@
     /// Infers the build from those that served.
     fn infer(&self) -> Verdict {
         match self.serving {
-            Serving::Only(build) => Verdict::Inferred(build),
-            Serving::Nothing | Serving::Recently(_) | Serving::Several => Verdict::Unknown,
+            Serving::Only(build) | Serving::Recently(build) => Verdict::Inferred(build),
+            Serving::Nothing | Serving::Outdated(_) | Serving::Several => Verdict::Unknown,
         }
     }
 }
--- a/crates/ploverwick_gateway/src/controllers/endpoint_list.rs
+++ b/crates/ploverwick_gateway/src/controllers/endpoint_list.rs
@@ -174,6 +174,11 @@
                 let platform_id = Arc::from(&*record.key);
                 self.heartbeats
                     .record(&platform_id, heartbeat(&entry), true);
+                let now = self.shared.now();
+                let mut state = self.shared.state();
+                state
+                    .builds
+                    .record_earlier(&entry.service, entry.build(), now);
             }
         }
     }
--- a/crates/ploverwick_gateway/src/controllers/origins.rs
+++ b/crates/ploverwick_gateway/src/controllers/origins.rs
@@ -13,6 +13,7 @@
 use ploverwick_endpoints::origins::{self, Attempt, Candidate};
 use ploverwick_endpoints::{Build, Entry, Serving};
 use ploverwick_names::Moment;
+use ploverwick_routes::Route;
 
 use crate::messages::{Message, OriginRecord};
 use crate::shared::Shared;
@@ -24,22 +25,26 @@
 /// instance that does not know of a second build sends no origins.
 const MAX_ALL_ASKED: usize = 8;
 
-/// What a route's requests may be sent to.
+/// The route of a stream, and the service that its request was assigned to.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Scope<'a> {
-    /// The service of the request.
+    pub(crate) route: &'a Route,
     pub(crate) service: &'a str,
-    /// Whether the route shares its requests among several services, whose builds differ.
-    pub(crate) is_shared: bool,
 }
 
 impl Scope<'_> {
+    /// Returns what this instance knows of the builds of all services that share the route.
     fn serving(self, state: &State, now: Moment) -> Serving {
-        if self.is_shared {
-            Serving::Several
-        } else {
-            state.serving(self.service, now)
-        }
+        let services = self.route.services();
+        let serving = services.map(|service| state.serving(service, now));
+        serving.fold(Serving::Nothing, Serving::merge)
+    }
+
+    /// Returns the same for the list as it is, even if it is out of date.
+    fn listed(self, state: &State, now: Moment) -> Serving {
+        let services = self.route.services();
+        let serving = services.map(|service| state.builds.serving(service, now));
+        serving.fold(Serving::Nothing, Serving::merge)
     }
 }
 
@@ -136,7 +141,10 @@
     state.kept_origins.remove_expired(now);
 }
 
-/// Looks up the build that began the stream of an attempt. Without an attempt, it can only be inferred.
+/// Looks up the build that began the stream of an attempt.
+///
+/// Without an attempt, it can only be inferred. Clients that name none do not know of builds, and are served as long as no
+/// instance knows of a second one.
 pub(crate) async fn look_up(
     shared: &Shared,
     scope: Scope<'_>,
@@ -178,7 +186,10 @@
     let now = shared.now();
     let state = shared.state();
     let to = asked(shared, &state, attempt);
-    let own = scope.serving(&state, now);
+    let own = match attempt {
+        Some(_) => scope.serving(&state, now),
+        None => scope.listed(&state, now),
+    };
     (Lookup::new(own, to.len(), now), to)
 }
 
--- a/crates/ploverwick_gateway/src/filters/admitted_request.rs
+++ b/crates/ploverwick_gateway/src/filters/admitted_request.rs
@@ -79,11 +79,11 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
-    /// Returns the services that the request may be sent to, for the origin of its stream.
+    /// Returns the services that may continue its stream.
     pub(super) fn scope(&self) -> Scope<'_> {
         Scope {
+            route: &self.route,
             service: &self.service,
-            is_shared: self.route.services().count() > 1,
         }
     }
 
--- a/crates/ploverwick_gateway/src/filters/resume.rs
+++ b/crates/ploverwick_gateway/src/filters/resume.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ploverwick_endpoints::Serving;
 use tokio::time::Instant;
 
 use super::admitted_request::AdmittedRequest;
@@ -67,10 +66,7 @@
     };
     let (service, now) = (&request.service, shared.now());
     let state = shared.state();
-    let is_single = match state.serving(service, now) {
-        Serving::Only(only) | Serving::Recently(only) => only == *build,
-        Serving::Nothing | Serving::Several => false,
-    };
+    let is_single = state.serving(service, now).single() == Some(*build);
     !is_single && !state.fleet.has_ready(service, *build, excluded)
 }
 
