Send the origins of running streams when the list of endpoints goes out of date

A stream that its client took up again during an outage of the store was refused (PW3017), although one build served all the while.

Cause: while an instance knows one build only, it keeps the origins of its streams to itself, as the others infer them. Once no list can be read, or was not for a while, they infer nothing. If the first instance had ended, nobody knew the stream; among more than eight instances nobody asks it, so there its end isn't needed.

Change: an instance that no longer knows all builds sends the origins of its running streams, as it does at a second build. It looks every 250 ms; nothing is sent while the list is up to date.

Tests: stream_builds, stream_before_an_outage_of_the_store (4 s without a store, then the first instance is killed), fails before (503, 3017), passes now, four times of four; 7 of 7 once (18 s).

--- a/crates/ploverwick_endpoints/src/build_history.rs
+++ b/crates/ploverwick_endpoints/src/build_history.rs
@@ -147,6 +147,11 @@
         });
     }
 
+    /// Returns whether the history covers the whole retention.
+    pub fn is_complete(&self, now: Moment) -> bool {
+        now >= self.complete_at
+    }
+
     /// Returns what is known of the builds of a service.
     pub fn serving(&self, service: &str, now: Moment) -> Serving {
         let listings = self.services.get(service).into_iter().flatten();
@@ -154,7 +159,7 @@
         match (remembered.next(), remembered.next()) {
             (None, _) => Serving::Nothing,
             (Some(_), Some(_)) => Serving::Several,
-            (Some(only), None) if now >= self.complete_at => Serving::Only(only.build),
+            (Some(only), None) if self.is_complete(now) => Serving::Only(only.build),
             (Some(only), None) => Serving::Recently(only.build),
         }
     }
--- a/crates/ploverwick_gateway/src/controllers/origins.rs
+++ b/crates/ploverwick_gateway/src/controllers/origins.rs
@@ -25,6 +25,9 @@
 /// instance that does not know of a second build sends no origins.
 const MAX_ALL_ASKED: usize = 8;
 
+/// How often this instance checks whether it still knows all builds.
+const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
 /// The route of a stream, and the service that its request was assigned to.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Scope<'a> {
@@ -74,11 +77,18 @@
         .send(&Message::Origins(vec![record]), &to);
 }
 
-/// Sends the origins of running streams whenever a service has a second build, for as long as the process runs.
+/// Sends the origins of running streams whenever others can no longer infer them, for as long as the process runs: a service has
+/// a second build, or this instance does not know all builds, as the others may not either.
 pub(crate) async fn run(shared: Arc<Shared>) {
+    let mut knew_builds = false;
     loop {
-        shared.build_added.notified().await;
-        send_own(&shared);
+        let added = tokio::time::timeout(CHECK_INTERVAL, shared.build_added.notified()).await;
+        let now = shared.now();
+        let knows_builds = shared.state().knows_builds(now);
+        if added.is_ok() || (knew_builds && !knows_builds) {
+            send_own(&shared);
+        }
+        knew_builds = knows_builds;
     }
 }
 
--- a/crates/ploverwick_gateway/src/state.rs
+++ b/crates/ploverwick_gateway/src/state.rs
@@ -229,12 +229,23 @@
     /// Returns what this instance knows of the builds of a service.
     pub(crate) fn serving(&self, service: &str, now: Moment) -> Serving {
         let serving = self.builds.serving(service, now);
-        match self.endpoint_list_current_at {
-            Some(at) if now.since(at) <= MAX_ENDPOINT_LIST_AGE => serving,
-            Some(_) | None => serving.outdated(),
+        if self.is_endpoint_list_current(now) {
+            serving
+        } else {
+            serving.outdated()
         }
     }
 
+    /// Returns whether this instance knows all builds that serve or lately did.
+    pub(crate) fn knows_builds(&self, now: Moment) -> bool {
+        self.is_endpoint_list_current(now) && self.builds.is_complete(now)
+    }
+
+    fn is_endpoint_list_current(&self, now: Moment) -> bool {
+        let at = self.endpoint_list_current_at;
+        at.is_some_and(|at| now.since(at) <= MAX_ENDPOINT_LIST_AGE)
+    }
+
     /// Returns the address of a failure domain's placer, unless it is this instance.
     pub(crate) fn placer_of(&self, domain: &str, now: Moment) -> Option<IpAddr> {
         let peers = self.peers.values().filter(|peer| {
--- a/crates/ploverwick_gateway/tests/stream_builds.rs
+++ b/crates/ploverwick_gateway/tests/stream_builds.rs
@@ -27,6 +27,8 @@
 const DISCOVERY: Duration = Duration::from_millis(2_500);
 /// Long enough for instances to tell each other of a stream.
 const EXCHANGE: Duration = Duration::from_millis(500);
+/// Long enough for an instance to regard its list of endpoints as out of date.
+const OUTAGE: Duration = Duration::from_secs(4);
 /// So short that instances may use the allowance of retries once they have discovered each other.
 const RETRY_WINDOW: Duration = Duration::from_secs(1);
 /// The number of streams, one of which begins at each build.
@@ -518,3 +520,26 @@
     expect_that!(builds.len(), eq(2));
     Ok(())
 }
+
+/// Guards against losing the beginning of a stream with its first instance while the list of endpoints cannot be read, so that
+/// nothing can be inferred.
+#[gtest]
+#[tokio::test]
+async fn stream_before_an_outage_of_the_store() -> Result<()> {
+    let mut fleet = Fleet::start(3, 1).await?;
+    let b = fleet.old[1].clone();
+    fleet.add(&b).await?;
+    fleet.script(&[Action::Truncate(0)]);
+    let got = send(fleet.fronts[0], &stream("r1")).await?;
+    expect_that!(events(&got).first(), some(eq(&0)), "{got:?}");
+    fleet.script(&[]);
+    fleet.store.set_unavailable(true);
+    tokio::time::sleep(OUTAGE).await;
+    let ended = fleet.instances[0].take().expect("it is running");
+    ended.served.abort();
+    wait_until_closed(ended.front).await;
+    let next = stream("r1-next").resumes("r1").after_event(0);
+    let got = send(fleet.fronts[2], &next).await?;
+    expect_complete(&got, 1, "r1-next");
+    Ok(())
+}
