Check an endpoint that closed a new connection before sending to it

Cause: only a connection that does not open is tried through a relay beside it. One that is accepted and reset counts as open; the request goes out on it and is lost. Trace of the test: r0 and r1 are lost at i-a (`endpoint_unreachable cause=closed`), r2 at i-b, which makes the links `suspected`; the probe of i-c is answered 3 ms later, so that they are `up`, rightly, and nothing is left of what was seen at i-a and i-b. r3 and r4 are lost at i-b; then the retry budget has earned a repeat and i-a and i-b are ejected. No `endpoint_detoured` at all.

Change: `Reachability` keeps which endpoints closed their last new connection before any answer (`needs_check`). Before the next new connection to one of these, the controller probes: directly, through another instance, directly once more. Both direct ones closed and the other answered: the endpoint is detoured, and the links of its service are suspected, since another instance has just proven that one of them is down; the probes refute or confirm that as before. An answer to a direct probe ends it without a relay. If nobody is answered, nothing is sent: the request ends as unsent and goes to another endpoint. A refused connection (a process that ended) goes the old way.

At most once: the lost request is not sent again unless it may be, as before; probes are reports, which run nothing.

--- a/crates/ploverwick_endpoints/src/reachability.rs
+++ b/crates/ploverwick_endpoints/src/reachability.rs
@@ -4,6 +4,10 @@
 //! another instance reaches the endpoint at the same time: the endpoint is then used through a relay until a direct probe
 //! succeeds.
 //!
+//! Something between an instance and an endpoint may accept connections and then close them, which costs the request that
+//! was sent. After one that was closed so, the endpoint is checked before the next request is sent. A sound endpoint that
+//! closed a single connection passes the check and is not relayed.
+//!
 //! If several endpoints of a service fail and none answers, the links to all of them are suspected, so that not each request
 //! finds out anew. Probes on new connections refute the suspicion or leave it standing, and it is confirmed like a single
 //! link. Open connections may live on while new ones are refused, so an answer on an earlier connection refutes nothing.
@@ -65,12 +69,18 @@
         self.silent.clear();
     }
 
-    fn suspect(&mut self, failed: usize, listed: usize, now: Moment) {
+    /// Suspects the links if enough of the listed endpoints have failed.
+    fn suspect_if_enough(&mut self, failed: usize, listed: usize, now: Moment) {
+        if failed >= MIN_FAILED_ENDPOINTS.min(listed.max(1)) {
+            self.suspect(now);
+        }
+    }
+
+    fn suspect(&mut self, now: Moment) {
         let is_recently_refuted = self
             .refuted_at
             .is_some_and(|at| now.since(at) < REFUTED_TTL);
-        let is_enough = failed >= MIN_FAILED_ENDPOINTS.min(listed.max(1));
-        if self.links == Links::Up && is_enough && !is_recently_refuted {
+        if self.links == Links::Up && !is_recently_refuted {
             self.links = Links::Suspected;
         }
     }
@@ -83,6 +93,8 @@
     evidence: HashMap<Arc<str>, Evidence>,
     /// The endpoints to which the last new connection failed.
     unreachable: HashSet<Arc<str>>,
+    /// Those of them whose last new connection was opened, and closed before any answer.
+    closed: HashSet<Arc<str>>,
     /// The endpoints that only other instances reach.
     detoured: HashSet<Arc<str>>,
     /// When a relay failed to reach an endpoint.
@@ -107,6 +119,11 @@
         self.detoured.contains(&entry.id) || self.links(&entry.service) == Links::Down
     }
 
+    /// Returns whether an endpoint is to be checked before a request is sent to it directly.
+    pub fn needs_check(&self, entry: &Entry) -> bool {
+        self.closed.contains(&entry.id) && !self.needs_relay(entry)
+    }
+
     /// Returns whether a relay may be tried for an endpoint that this instance does not reach.
     pub fn may_try_relay(&self, endpoint: &str, now: Moment) -> bool {
         let failed_at = self.down.get(endpoint);
@@ -135,6 +152,7 @@
             evidence.refuted_at = Some(now);
         }
         self.detoured.remove(&entry.id);
+        self.closed.remove(&entry.id);
         self.unreachable.remove(&entry.id)
     }
 
@@ -144,15 +162,24 @@
         evidence.record_answer(now);
     }
 
-    /// Records that a new connection to an endpoint failed, or broke before any answer. `listed` is the number of listed
-    /// endpoints of its service. Returns whether the endpoint was reachable before.
+    /// Records that a new connection to an endpoint was opened, and closed before any answer. `listed` is the number of
+    /// listed endpoints of its service. Returns whether the endpoint was reachable before.
+    pub fn record_closed(&mut self, entry: &Entry, listed: usize, now: Moment) -> bool {
+        let was_reachable = self.record_failure(entry, listed, now);
+        self.closed.insert(Arc::clone(&entry.id));
+        was_reachable
+    }
+
+    /// Records that a new connection to an endpoint was not opened, or brought no answer in time. `listed` is the number of
+    /// listed endpoints of its service. Returns whether the endpoint was reachable before.
     pub fn record_failure(&mut self, entry: &Entry, listed: usize, now: Moment) -> bool {
         // A single link that is known to be down says nothing of the others.
         if !self.detoured.contains(&entry.id) {
             let evidence = self.evidence.entry(Arc::clone(&entry.service)).or_default();
             evidence.failed.insert(Arc::clone(&entry.id));
-            evidence.suspect(evidence.failed.len(), listed, now);
+            evidence.suspect_if_enough(evidence.failed.len(), listed, now);
         }
+        self.closed.remove(&entry.id);
         self.unreachable.insert(Arc::clone(&entry.id))
     }
 
@@ -164,7 +191,14 @@
             return;
         }
         evidence.silent.insert(Arc::clone(&entry.id));
-        evidence.suspect(evidence.silent.len(), listed, now);
+        evidence.suspect_if_enough(evidence.silent.len(), listed, now);
+    }
+
+    /// Records that a check found an endpoint that only other instances reach. The links to the others of its service are
+    /// then suspected, so that each does not cost a request.
+    pub fn record_failed_check(&mut self, entry: &Entry, now: Moment) {
+        let evidence = self.evidence.entry(Arc::clone(&entry.service)).or_default();
+        evidence.suspect(now);
     }
 
     /// Records that another instance reached an endpoint of a service right before a probe of this one failed to, which
@@ -180,6 +214,7 @@
     /// Forgets the endpoints that are not listed.
     pub fn retain(&mut self, is_listed: impl Fn(&str) -> bool) {
         self.unreachable.retain(|endpoint| is_listed(endpoint));
+        self.closed.retain(|endpoint| is_listed(endpoint));
         self.detoured.retain(|endpoint| is_listed(endpoint));
         self.down.retain(|endpoint, _| is_listed(endpoint));
         for evidence in self.evidence.values_mut() {
--- a/crates/ploverwick_endpoints/tests/reachability.rs
+++ b/crates/ploverwick_endpoints/tests/reachability.rs
@@ -132,11 +132,59 @@
     expect_that!(reachability.detoured_count(), eq(1));
 }
 
+/// Guards against sending one request after the other to an endpoint whose connections are accepted and closed, while others
+/// of its service answer.
+#[gtest]
+fn closed_connection_needs_check() {
+    let mut reachability = Reachability::default();
+    reachability.record_closed(&entry("a", "lm"), LISTED, Moment(0));
+    reachability.record_first_answer(&entry("c", "lm"), Moment(1));
+    expect_that!(reachability.needs_check(&entry("a", "lm")), eq(true));
+    expect_that!(reachability.needs_check(&entry("b", "lm")), eq(false));
+    reachability.record_detour(&Arc::from("a"));
+    expect_that!(reachability.needs_check(&entry("a", "lm")), eq(false));
+    expect_that!(reachability.needs_relay(&entry("a", "lm")), eq(true));
+    reachability.record_first_answer(&entry("a", "lm"), Moment(2));
+    expect_that!(reachability.needs_check(&entry("a", "lm")), eq(false));
+    expect_that!(reachability.needs_relay(&entry("a", "lm")), eq(false));
+}
+
+/// Guards against losing a request at each endpoint of a service to none of which the links work.
+#[gtest]
+fn failed_check_raises_suspicion() {
+    let mut reachability = Reachability::default();
+    reachability.record_closed(&entry("a", "lm"), LISTED, Moment(0));
+    reachability.record_detour(&Arc::from("a"));
+    reachability.record_failed_check(&entry("a", "lm"), Moment(1));
+    expect_that!(reachability.links("lm"), eq(Links::Suspected));
+    reachability.record_first_answer(&entry("c", "lm"), Moment(2));
+    expect_that!(reachability.links("lm"), eq(Links::Up));
+    expect_that!(reachability.needs_relay(&entry("a", "lm")), eq(true));
+}
+
+/// Guards against relaying or checking a sound endpoint that closed single connections, or one whose process has ended.
+#[gtest]
+fn answer_or_refusal_ends_check() {
+    let mut reachability = Reachability::default();
+    for ms in 0..10 {
+        reachability.record_closed(&entry("a", "lm"), LISTED, Moment(ms));
+        expect_that!(reachability.needs_relay(&entry("a", "lm")), eq(false));
+    }
+    reachability.record_first_answer(&entry("a", "lm"), Moment(10));
+    expect_that!(reachability.needs_check(&entry("a", "lm")), eq(false));
+    reachability.record_closed(&entry("a", "lm"), LISTED, Moment(11));
+    reachability.record_failure(&entry("a", "lm"), LISTED, Moment(12));
+    expect_that!(reachability.needs_check(&entry("a", "lm")), eq(false));
+}
+
 #[gtest]
 fn unlisted_endpoints_are_forgotten() {
     let mut reachability = suspected(Moment(0));
+    reachability.record_closed(&entry("c", "lm"), LISTED, Moment(1));
     reachability.record_detour(&Arc::from("a"));
     reachability.retain(|_| false);
+    reachability.record_first_answer(&entry("d", "lm"), Moment(2));
+    expect_that!(reachability.needs_check(&entry("c", "lm")), eq(false));
     expect_that!(reachability.unreachable_count(), eq(0));
     expect_that!(reachability.detoured_count(), eq(0));
 }
--- a/crates/ploverwick_gateway/src/controllers/reachability.rs
+++ b/crates/ploverwick_gateway/src/controllers/reachability.rs
@@ -39,6 +39,9 @@
     entry: &Entry,
     id: &str,
 ) -> Result<Connection, ConnectError> {
+    if needs_check(shared, entry) && !check(shared, entry).await {
+        return Err(ConnectError::Closed);
+    }
     if !needs_relay(shared, entry) {
         return connect_with_fallback(shared, entry, id).await;
     }
@@ -91,6 +94,36 @@
     relayed
 }
 
+/// Checks an endpoint that closed the last new connection, and records a detour if another instance reaches it while this
+/// one does not. Returns whether a connection may be opened.
+async fn check(shared: &Arc<Shared>, entry: &Entry) -> bool {
+    probe(shared, entry).await;
+    if !needs_check(shared, entry) {
+        return true;
+    }
+    let now = shared.now();
+    if !shared.state().reachability.may_try_relay(&entry.id, now) {
+        return false;
+    }
+    if !is_reached_by_other(shared, entry).await {
+        record_down(shared, entry);
+        return false;
+    }
+    // The endpoint may have closed single connections, and accept others in the meantime.
+    probe(shared, entry).await;
+    if needs_check(shared, entry) {
+        handle_detour(shared, entry);
+        let now = shared.now();
+        update(
+            shared,
+            &mut shared.state(),
+            &entry.service,
+            |reachability| reachability.record_failed_check(entry, now),
+        );
+    }
+    true
+}
+
 fn record_down(shared: &Shared, entry: &Entry) {
     let now = shared.now();
     shared.state().reachability.record_down(&entry.id, now);
@@ -159,14 +192,28 @@
     shared.state().reachability.needs_relay(entry)
 }
 
-/// Records that a new connection to an endpoint failed. Logs the first failure after a success, with the figures that
-/// distinguish a fault of this instance's links from one of the endpoint.
+fn needs_check(shared: &Shared, entry: &Entry) -> bool {
+    shared.state().reachability.needs_check(entry)
+}
+
+/// Records that a new connection to an endpoint was not opened, or brought no answer in time.
 fn handle_failure(shared: &Shared, entry: &Entry, cause: &str) {
+    record_and_log(shared, entry, cause, Reachability::record_failure);
+}
+
+/// Records how a new connection to an endpoint failed. Logs the first failure after a success, with the figures that
+/// distinguish a fault of this instance's links from one of the endpoint.
+fn record_and_log(
+    shared: &Shared,
+    entry: &Entry,
+    cause: &str,
+    record: impl FnOnce(&mut Reachability, &Entry, usize, Moment) -> bool,
+) {
     let now = shared.now();
     let mut state = shared.state();
     let listed = count_listed(&state, &entry.service);
     let was_reachable = update(shared, &mut state, &entry.service, |reachability| {
-        reachability.record_failure(entry, listed, now)
+        record(reachability, entry, listed, now)
     });
     let unreachable = state.reachability.unreachable_count();
     let answer_age = state.reachability.answer_age(now);
@@ -198,7 +245,7 @@
 
 /// Handles a new direct connection that was closed before the endpoint sent anything.
 pub(crate) fn handle_closed(shared: &Shared, entry: &Entry) {
-    handle_failure(shared, entry, "closed");
+    record_and_log(shared, entry, "closed", Reachability::record_closed);
 }
 
 /// Records that an endpoint sent an answer.
--- a/crates/ploverwick_gateway/src/pool.rs
+++ b/crates/ploverwick_gateway/src/pool.rs
@@ -140,6 +140,9 @@
     /// The address did not answer in time.
     #[error("no connection within {CONNECT_TIMEOUT:?}")]
     Timeout,
+    /// The address accepts connections and closes them.
+    #[error("connections are closed before any answer")]
+    Closed,
     /// No other instance can relay the connection.
     #[error("no instance relays connections")]
     NoRelay,
@@ -154,6 +157,7 @@
         match self {
             Self::Refused(_) => "refused",
             Self::Timeout => "timeout",
+            Self::Closed => "closed",
             Self::NoRelay => "no_relay",
             Self::Other(_) => "other",
         }
--- a/crates/ploverwick_gateway/src/relay/server.rs
+++ b/crates/ploverwick_gateway/src/relay/server.rs
@@ -103,7 +103,10 @@
     let stream = reachability::dial(shared, &entry).await;
     let stream = stream.map_err(|error| match error {
         ConnectError::Refused(_) => Reply::Refused,
-        ConnectError::Timeout | ConnectError::NoRelay | ConnectError::Other(_) => Reply::Timeout,
+        ConnectError::Timeout
+        | ConnectError::Closed
+        | ConnectError::NoRelay
+        | ConnectError::Other(_) => Reply::Timeout,
     })?;
     socket::detect_dead_peer(&stream);
     Ok((entry, stream))
--- a/crates/ploverwick_gateway/tests/relayed_requests.rs
+++ b/crates/ploverwick_gateway/tests/relayed_requests.rs
@@ -325,3 +325,33 @@
     }
     Ok(())
 }
+
+/// Guards against relaying a sound endpoint because it reset single connections.
+#[gtest]
+#[tokio::test]
+async fn single_resets_are_not_relayed() -> Result<()> {
+    let deployment = Deployment::start().await?;
+    let (ip, front): (IpAddr, SocketAddr) = deployment.fronts[ONE];
+    let (endpoint, proxy) = (&deployment.endpoints[0], &deployment.proxies[0]);
+    for round in 0..5 {
+        proxy.cut(ip, Cut::Reset);
+        let accepted = proxy.accepted_from(ip);
+        let mut number = 0;
+        while proxy.accepted_from(ip) == accepted {
+            send(front, &format!("w{round}-{number}"), "/once/x").await?;
+            number += 1;
+        }
+        proxy.heal();
+        let received = endpoint.requests_received();
+        let mut number = 0;
+        while endpoint.requests_received() == received {
+            let got = send(front, &format!("r{round}-{number}"), "/once/x").await?;
+            expect_that!(got.status, eq(StatusCode::OK));
+            number += 1;
+        }
+    }
+    for (other, _) in &deployment.fronts[ONE + 1..] {
+        expect_that!(proxy.accepted_from(*other), eq(0));
+    }
+    Ok(())
+}
