Name the first attempt of a stream, its first endpoint and unconfirmed builds apart

'origin' stood for a client's header, an attempt and an endpoint: FirstAttempt, origin_attempt, first_endpoint. Serving::Recently read as 'served recently': Unconfirmed. The attempt that a client names is quoted in logs, as it may hold spaces. No decision changes.

--- a/crates/ploverwick_endpoints/src/build_history.rs
+++ b/crates/ploverwick_endpoints/src/build_history.rs
@@ -23,7 +23,7 @@
     /// One build, and no other one over the whole retention.
     Only(Build),
     /// One build as far as the instance knows, but it started, or could not read the list for a while, within the retention.
-    Recently(Build),
+    Unconfirmed(Build),
     /// One build in a list that is out of date. Others may serve by now.
     Outdated(Build),
     /// Two or more builds.
@@ -35,14 +35,17 @@
     #[must_use]
     pub fn outdated(self) -> Self {
         match self {
-            Self::Only(build) | Self::Recently(build) => Self::Outdated(build),
+            Self::Only(build) | Self::Unconfirmed(build) => Self::Outdated(build),
             Self::Nothing | Self::Outdated(_) | Self::Several => self,
         }
     }
 
     /// Returns whether streams may have begun at different builds, so that other instances must know where each one began.
     pub fn is_mixed(self) -> bool {
-        matches!(self, Self::Several | Self::Recently(_) | Self::Outdated(_))
+        matches!(
+            self,
+            Self::Several | Self::Unconfirmed(_) | Self::Outdated(_)
+        )
     }
 
     /// Combines what is known from two sources; the order does not matter.
@@ -52,7 +55,9 @@
             (Self::Nothing, known) | (known, Self::Nothing) => known,
             (a, b) if a.single().is_none() || a.single() != b.single() => Self::Several,
             (Self::Only(build), _) | (_, Self::Only(build)) => Self::Only(build),
-            (Self::Recently(build), _) | (_, Self::Recently(build)) => Self::Recently(build),
+            (Self::Unconfirmed(build), _) | (_, Self::Unconfirmed(build)) => {
+                Self::Unconfirmed(build)
+            }
             (outdated, _) => outdated,
         }
     }
@@ -60,7 +65,7 @@
     /// Returns the only build that is known.
     pub fn single(self) -> Option<Build> {
         match self {
-            Self::Only(build) | Self::Recently(build) | Self::Outdated(build) => Some(build),
+            Self::Only(build) | Self::Unconfirmed(build) | Self::Outdated(build) => Some(build),
             Self::Nothing | Self::Several => None,
         }
     }
@@ -160,7 +165,7 @@
             (None, _) => Serving::Nothing,
             (Some(_), Some(_)) => Serving::Several,
             (Some(only), None) if self.is_complete(now) => Serving::Only(only.build),
-            (Some(only), None) => Serving::Recently(only.build),
+            (Some(only), None) => Serving::Unconfirmed(only.build),
         }
     }
 
--- a/crates/ploverwick_endpoints/src/lookup.rs
+++ b/crates/ploverwick_endpoints/src/lookup.rs
@@ -113,7 +113,7 @@
     /// Infers the build from those that served.
     fn infer(&self) -> Verdict {
         match self.serving {
-            Serving::Only(build) | Serving::Recently(build) => Verdict::Inferred(build),
+            Serving::Only(build) | Serving::Unconfirmed(build) => Verdict::Inferred(build),
             Serving::Nothing | Serving::Outdated(_) | Serving::Several => Verdict::Unknown,
         }
     }
--- a/crates/ploverwick_endpoints/tests/build_history.rs
+++ b/crates/ploverwick_endpoints/tests/build_history.rs
@@ -75,15 +75,15 @@
 fn restarted_instance_is_not_sure() {
     let (a, last) = (build("a"), START + RETENTION - MILLISECOND);
     let cases = [
-        (false, START, Serving::Recently(a)),
-        (false, last, Serving::Recently(a)),
+        (false, START, Serving::Unconfirmed(a)),
+        (false, last, Serving::Unconfirmed(a)),
         (false, START + RETENTION, Serving::Only(a)),
         (true, START, Serving::Only(a)),
     ];
     for (is_first_start, now, expected) in cases {
         let history = history(is_first_start, &[Add("a")]);
         expect_that!(history.serving("chat", now), eq(expected));
-        let is_mixed = expected == Serving::Recently(a);
+        let is_mixed = expected == Serving::Unconfirmed(a);
         expect_that!(history.serving("chat", now).is_mixed(), eq(is_mixed));
     }
     let history = history(false, &[Add("a"), Add("b")]);
@@ -101,7 +101,7 @@
     );
     history.record_gap(START + MILLISECOND);
     let last = START + RETENTION;
-    expect_that!(history.serving("chat", last), eq(Serving::Recently(a)));
+    expect_that!(history.serving("chat", last), eq(Serving::Unconfirmed(a)));
     expect_that!(
         history.serving("chat", last + MILLISECOND),
         eq(Serving::Only(a))
@@ -115,7 +115,7 @@
     history.record_earlier(&Arc::from("chat"), build("a"), START);
     expect_that!(
         history.serving("chat", START),
-        eq(Serving::Recently(build("a")))
+        eq(Serving::Unconfirmed(build("a")))
     );
     history.record_earlier(&Arc::from("chat"), build("b"), START);
     expect_that!(history.serving("chat", START), eq(Serving::Several));
--- a/crates/ploverwick_endpoints/tests/origin_lookup.rs
+++ b/crates/ploverwick_endpoints/tests/origin_lookup.rs
@@ -19,8 +19,8 @@
     Serving::Only(build(version))
 }
 
-fn recently(version: &str) -> Serving {
-    Serving::Recently(build(version))
+fn unconfirmed(version: &str) -> Serving {
+    Serving::Unconfirmed(build(version))
 }
 
 fn outdated(version: &str) -> Serving {
@@ -81,14 +81,19 @@
         // One build over the whole retention, as this instance or another one knows.
         (only("a"), only("a"), only("a"), Some("a")),
         (only("a"), nothing, nothing, Some("a")),
-        (only("a"), recently("a"), recently("a"), Some("a")),
+        (only("a"), unconfirmed("a"), unconfirmed("a"), Some("a")),
         (nothing, only("a"), nothing, Some("a")),
-        (recently("a"), recently("a"), only("a"), Some("a")),
-        (recently("a"), only("a"), recently("a"), Some("a")),
+        (unconfirmed("a"), unconfirmed("a"), only("a"), Some("a")),
+        (unconfirmed("a"), only("a"), unconfirmed("a"), Some("a")),
         // All have started lately, and their lists are up to date.
-        (recently("a"), recently("a"), recently("a"), Some("a")),
-        (recently("a"), outdated("a"), nothing, Some("a")),
-        (outdated("a"), recently("a"), nothing, Some("a")),
+        (
+            unconfirmed("a"),
+            unconfirmed("a"),
+            unconfirmed("a"),
+            Some("a"),
+        ),
+        (unconfirmed("a"), outdated("a"), nothing, Some("a")),
+        (outdated("a"), unconfirmed("a"), nothing, Some("a")),
         (outdated("a"), only("a"), outdated("a"), Some("a")),
         // Nobody has a list that is up to date.
         (nothing, nothing, nothing, None),
@@ -99,9 +104,9 @@
         (only("a"), only("a"), Serving::Several, None),
         (only("a"), Serving::Several, only("a"), None),
         (only("a"), only("b"), only("a"), None),
-        (only("a"), only("a"), recently("b"), None),
-        (recently("b"), only("a"), only("a"), None),
-        (recently("a"), recently("b"), only("a"), None),
+        (only("a"), only("a"), unconfirmed("b"), None),
+        (unconfirmed("b"), only("a"), only("a"), None),
+        (unconfirmed("a"), unconfirmed("b"), only("a"), None),
     ];
     for (own, first, second, expected) in cases {
         let replies = [(1, Reply::Unknown(first)), (2, Reply::Unknown(second))];
@@ -117,7 +122,7 @@
     let cases = [
         // All are silent.
         (only("a"), None, Some("a")),
-        (recently("a"), None, Some("a")),
+        (unconfirmed("a"), None, Some("a")),
         (outdated("a"), None, None),
         (Serving::Nothing, None, None),
         (Serving::Several, None, None),
@@ -126,7 +131,7 @@
         (outdated("a"), reply(Serving::Nothing), None),
         (outdated("a"), reply(only("a")), Some("a")),
         (outdated("a"), reply(outdated("a")), None),
-        (outdated("a"), reply(recently("b")), None),
+        (outdated("a"), reply(unconfirmed("b")), None),
         (only("a"), reply(only("b")), None),
         (only("a"), reply(Serving::Several), None),
     ];
@@ -144,7 +149,7 @@
 fn nobody_is_awaited_without_other_instances() {
     let cases = [
         (only("a"), Some("a")),
-        (recently("a"), Some("a")),
+        (unconfirmed("a"), Some("a")),
         (outdated("a"), None),
         (Serving::Several, None),
         (Serving::Nothing, None),
--- a/crates/ploverwick_gateway/src/filters/admit.rs
+++ b/crates/ploverwick_gateway/src/filters/admit.rs
@@ -75,7 +75,7 @@
         config_version: config.version,
         fingerprint: OnceLock::new(),
         build: OnceLock::new(),
-        origin: None,
+        origin_attempt: None,
         charge: None,
     };
     if let Some(refusal) = quarantine::refusal(shared, &admitted) {
--- a/crates/ploverwick_gateway/src/filters/admitted_request.rs
+++ b/crates/ploverwick_gateway/src/filters/admitted_request.rs
@@ -68,7 +68,7 @@
     pub(crate) build: OnceLock<Build>,
     /// The attempt under which the origin of the stream is recorded; `None` if its origin is not known for certain, or if the
     /// request is for no stream that may be resumed.
-    pub(crate) origin: Option<Attempt>,
+    pub(crate) origin_attempt: Option<Attempt>,
     /// The quota units charged to its organisation.
     pub(crate) charge: Option<Charge>,
 }
--- a/crates/ploverwick_gateway/src/filters/forward.rs
+++ b/crates/ploverwick_gateway/src/filters/forward.rs
@@ -102,7 +102,7 @@
         seek_from: Instant::now(),
         silent_since: Instant::now(),
         interruption: None,
-        origin: None,
+        first_endpoint: None,
         timing,
     };
     let frames = stream::try_unfold(forwarded, |mut forwarded| async move {
@@ -147,7 +147,7 @@
     silent_since: Instant,
     interruption: Option<Interruption>,
     /// The endpoint that the first event came from.
-    origin: Option<Entry>,
+    first_endpoint: Option<Entry>,
     timing: StreamTiming,
 }
 
@@ -177,7 +177,7 @@
                     self.end_pause();
                     self.record_events(scan.events, awaited_at);
                     if let Some(bytes) = self.accept(data, scan) {
-                        self.record_origin(scan);
+                        self.fix_build(scan);
                         return Ok(Some(bytes));
                     }
                 }
@@ -250,7 +250,7 @@
                 self.resumption.record_run();
                 if let Some(interruption) = self.interruption.take() {
                     self.log("stream_resumed", &interruption.cause, Some(&target.entry));
-                    metrics::stream_resumption(self.compare_origin(&target.entry));
+                    metrics::stream_resumption(self.compare_build(&target.entry));
                     interruption.end_resumed();
                 }
                 self.source = Some(Source::from(*answered));
@@ -333,16 +333,16 @@
 
     /// Fixes the build with the first event that is forwarded: only that build may continue the stream, here or where the
     /// client takes it up again.
-    fn record_origin(&mut self, scan: Scan) {
+    fn fix_build(&mut self, scan: Scan) {
         let Some(source) = self.source.as_ref().filter(|_| scan.events > 0) else {
             return;
         };
-        if self.splitter.is_none() || self.origin.is_some() {
+        if self.splitter.is_none() || self.first_endpoint.is_some() {
             return;
         }
         let entry = source.entry.clone();
         self.request.build.get_or_init(|| entry.build());
-        if let Some(attempt) = self.request.origin {
+        if let Some(attempt) = self.request.origin_attempt {
             let timeout = self.request.info.timeout;
             let timeout = timeout.unwrap_or(self.request.route.timeout);
             let remaining = timeout.saturating_sub(self.request.received.elapsed());
@@ -350,7 +350,7 @@
             let scope = self.request.scope();
             origins::record(&self.shared, scope, attempt, &entry, lifetime);
         }
-        self.origin = Some(entry);
+        self.first_endpoint = Some(entry);
     }
 
     fn finish(&mut self) -> Option<Bytes> {
@@ -392,10 +392,10 @@
     }
 
     /// Returns whether an endpoint runs the software version that began the stream.
-    fn compare_origin(&self, entry: &Entry) -> &'static str {
-        match &self.origin {
+    fn compare_build(&self, entry: &Entry) -> &'static str {
+        match &self.first_endpoint {
             None => "none",
-            Some(origin) if origin.build() == entry.build() => "same",
+            Some(first) if first.build() == entry.build() => "same",
             Some(_) => "other",
         }
     }
@@ -409,7 +409,7 @@
                 self.request.info.id,
                 self.request.route.name,
                 format_endpoint(endpoint),
-                format_endpoint(self.origin.as_ref()),
+                format_endpoint(self.first_endpoint.as_ref()),
                 self.silent_since.elapsed().as_millis(),
                 self.resumption.runs(),
                 self.excluded,
--- a/crates/ploverwick_gateway/src/filters/origin.rs
+++ b/crates/ploverwick_gateway/src/filters/origin.rs
@@ -6,7 +6,7 @@
 use ploverwick_endpoints::Build;
 use ploverwick_endpoints::lookup::Verdict;
 use ploverwick_endpoints::origins::Attempt;
-use ploverwick_platform::request::Origin;
+use ploverwick_platform::request::FirstAttempt;
 
 use super::admitted_request::AdmittedRequest;
 use super::reply::Reply;
@@ -27,13 +27,13 @@
     }
     if !request.info.is_resumption {
         let id = &request.info.id;
-        request.origin = (!id.is_empty()).then(|| Attempt::of(id));
+        request.origin_attempt = (!id.is_empty()).then(|| Attempt::of(id));
         return Ok(());
     }
-    let attempt = match &request.info.origin {
-        Origin::Attempt(id) => Some(Attempt::of(id)),
-        Origin::Unnamed => None,
-        Origin::Malformed => {
+    let attempt = match &request.info.first_attempt {
+        FirstAttempt::Named(id) => Some(Attempt::of(id)),
+        FirstAttempt::Unnamed => None,
+        FirstAttempt::Malformed => {
             let detail = "The attempt that began the stream must be named once.";
             return Err(Reply::new(Code::HeaderMalformed, detail));
         }
@@ -42,7 +42,7 @@
     log(shared, request, verdict);
     match verdict {
         Verdict::Began(build) => {
-            request.origin = attempt;
+            request.origin_attempt = attempt;
             continue_at(shared, request, build);
         }
         Verdict::Inferred(build) => continue_at(shared, request, build),
@@ -71,9 +71,9 @@
     metrics::stream_origin(outcome);
     if shared.log_limiter.allow(shared.now()) {
         spdlog::info!(
-            "stream_origin id={} origin={:?} service={} outcome={} build={} ms={}",
+            "stream_origin id={} resumes={:?} service={} outcome={} build={} ms={}",
             request.info.id,
-            request.info.origin,
+            request.info.first_attempt,
             request.service,
             outcome,
             build,
--- a/crates/ploverwick_gateway/src/filters/retry.rs
+++ b/crates/ploverwick_gateway/src/filters/retry.rs
@@ -9,7 +9,7 @@
 use ploverwick_endpoints::{Outcome, answer_timeout};
 use ploverwick_names::Moment;
 use ploverwick_platform::answer::Head;
-use ploverwick_platform::request::Origin;
+use ploverwick_platform::request::FirstAttempt;
 use tokio::time::Instant;
 
 use super::admitted_request::AdmittedRequest;
@@ -330,11 +330,11 @@
 }
 
 /// Formats the attempt that began the stream which a request takes up again.
-fn format_resumed(request: &AdmittedRequest) -> &str {
-    match &request.info.origin {
-        Origin::Attempt(id) => id,
-        Origin::Malformed => "malformed",
-        Origin::Unnamed => "-",
+fn format_resumed(request: &AdmittedRequest) -> String {
+    match &request.info.first_attempt {
+        FirstAttempt::Named(id) => format!("{id:?}"),
+        FirstAttempt::Malformed => "malformed".to_owned(),
+        FirstAttempt::Unnamed => "-".to_owned(),
     }
 }
 
