--- a/crates/ploverwick_gateway/src/controllers/endpoint_list.rs
+++ b/crates/ploverwick_gateway/src/controllers/endpoint_list.rs
@@ -6,7 +6,7 @@
 
 use ploverwick_endpoints::list_updates::{self, Entries};
 use ploverwick_endpoints::{
-    Absences, Entry, Heartbeat, Heartbeats, Serving, State as EndpointState,
+    Absences, Build, Entry, Heartbeat, Heartbeats, Serving, State as EndpointState,
 };
 use ploverwick_names::Moment;
 use ploverwick_platform::store::{Error, Record};
@@ -377,9 +377,10 @@
         return;
     }
     let id = Arc::clone(&entry.id);
-    let listed = state.fleet.entry(&id).cloned();
-    let before = listed.as_ref().map(|entry| entry.state);
-    if record_build(&mut state, listed.as_ref(), Some(&entry), shared.now()) {
+    let listed = state.fleet.entry(&id);
+    let before = listed.map(|entry| entry.state);
+    let change = (listed.map(ServiceBuild::of), Some(ServiceBuild::of(&entry)));
+    if record_build(&mut state, change, shared.now()) {
         shared.build_added.notify_one();
     }
     state.incarnations.add(&id);
@@ -402,29 +403,43 @@
     }
 }
 
-/// Records that an endpoint was added, changed or removed in the history of builds. Returns whether its service now has
-/// several builds and had not before.
+/// The service and the build of an endpoint.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct ServiceBuild {
+    service: Arc<str>,
+    build: Build,
+}
+
+impl ServiceBuild {
+    fn of(entry: &Entry) -> Self {
+        Self {
+            service: Arc::clone(&entry.service),
+            build: entry.build(),
+        }
+    }
+}
+
+/// Records how an endpoint changed in the history of builds: what it was before, and what it is now. Returns whether its
+/// service now has several builds and had not before.
 fn record_build(
     state: &mut State,
-    before: Option<&Entry>,
-    after: Option<&Entry>,
+    change: (Option<ServiceBuild>, Option<ServiceBuild>),
     now: Moment,
 ) -> bool {
-    let key = |entry: &Entry| (Arc::clone(&entry.service), entry.build());
-    let (before, after) = (before.map(key), after.map(key));
+    let (before, after) = change;
     if before == after {
         return false;
     }
     let is_several = |state: &State| {
-        let service = after.as_ref().map(|(service, _)| service);
+        let service = after.as_ref().map(|after| &after.service);
         service.is_some_and(|service| state.serving(service, now) == Serving::Several)
     };
     let was_several = is_several(state);
-    if let Some((service, build)) = &before {
-        state.builds.remove(service, *build, now);
+    if let Some(before) = &before {
+        state.builds.remove(&before.service, before.build, now);
     }
-    if let Some((service, build)) = &after {
-        state.builds.add(service, *build);
+    if let Some(after) = &after {
+        state.builds.add(&after.service, after.build);
     }
     !was_several && is_several(state)
 }
@@ -443,11 +458,11 @@
 fn remove(shared: &Shared, id: &Arc<str>) {
     let now = shared.now();
     let mut state = shared.state();
-    let listed = state.fleet.entry(id).cloned();
+    let listed = state.fleet.entry(id).map(ServiceBuild::of);
     if !state.fleet.remove(id) {
         return;
     }
-    record_build(&mut state, listed.as_ref(), None, now);
+    record_build(&mut state, (listed, None), now);
     state.limits.remove(id);
     state.pauses.remove(id);
     state.draining_reports.remove(id);
