Take the ports of test instances from outside the range of connections

Nine of some seventeen later logs say `no_relay` or `no_handover`, "Address already in use": the port was asked for at 127.0.0.1 over UDP, and then used at 127.0.0.11 to 15 over TCP, where connections of instances leave from, each with a port of the same range. An instance without its relay port relays for nobody, and the tests wait for that.

Ports are now taken below that range, and are free for both protocols at all addresses.

--- a/crates/ploverwick_gateway/tests/common/mod.rs
+++ b/crates/ploverwick_gateway/tests/common/mod.rs
@@ -2,10 +2,11 @@
 
 #![expect(dead_code, reason = "each test file uses only some of the helpers")]
 
-use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
-use anyhow::Result;
+use anyhow::{Result, bail};
 use ploverwick_gateway::Daemon;
 use ploverwick_platform::settings::Settings;
 use ploverwick_platform_standin::client::{self, ClientRequest, ClientResponse};
@@ -163,10 +164,25 @@
     }
 }
 
-/// Finds a free port for messages between instances. All instances use the same port at different IP addresses.
+/// Finds a port that is free for both protocols at all addresses. All instances use the same port at different IP addresses.
+///
+/// The ports that the system gives to connections are left out: instances connect from their own addresses, where such a
+/// connection would take the port that another instance is about to listen on.
 pub fn free_port() -> Result<u16> {
-    let socket = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0))?;
-    Ok(socket.local_addr()?.port())
+    const FIRST: u16 = 10_000;
+    const COUNT: u32 = 20_000;
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    // Test programs that run at the same time begin at different ports.
+    let offset = std::process::id().wrapping_mul(101);
+    for _ in 0..COUNT {
+        let number = NEXT.fetch_add(1, Ordering::Relaxed).wrapping_add(offset) % COUNT;
+        let port = FIRST + u16::try_from(number)?;
+        let address = (Ipv4Addr::UNSPECIFIED, port);
+        if UdpSocket::bind(address).is_ok() && TcpListener::bind(address).is_ok() {
+            return Ok(port);
+        }
+    }
+    bail!("no port is free")
 }
 
 /// Starts two endpoints of the service `app`, which runs no models.
