Bound opening a connection by the deadline of its request

Cause: a send waited for its connection without regard to the deadline. Through relays that accept and do not reply, a request to an endpoint that is down asked three of them, one after the other, with 400 ms each, although its route allows 300 ms.

Change: the wait ends when the remaining time is what a send needs at least. Nothing was sent, so the request ends as not run. Where the deadline left less than 100 ms for it, this does not count against the endpoint.

Measured: `silent_relays_end_at_deadline` counts the relays that were asked when the answer is there: 3 before, 1 now.

Once each, all passed: `endpoint_partition`, `at_most_once`, `fatal_request`, `broken_order_connections`, `silent_connections`.

--- a/crates/ploverwick_gateway/src/filters/send.rs
+++ b/crates/ploverwick_gateway/src/filters/send.rs
@@ -26,6 +26,8 @@
 
 /// The remaining time below which a request is not sent, as the endpoint's work would be wasted.
 const MIN_REMAINING: Duration = Duration::from_millis(20);
+/// How long a connection that the deadline cuts short must have been awaited to count against the endpoint.
+const SLOW_CONNECT: Duration = Duration::from_millis(100);
 
 /// The outcome of sending a request.
 #[derive(Debug)]
@@ -105,9 +107,9 @@
     let begun = Instant::now();
     let message = build_message(request, target, &caller, after_event);
     let (mut connection, result) = match exchange(shared, request, target, wait, message).await {
-        Exchange::Unsent(cause) => {
+        Exchange::Unsent(cause, outcome) => {
             record_not_run(request);
-            in_flight.set_outcome(Outcome::Broken);
+            in_flight.set_outcome(outcome);
             return SendOutcome::Unsent(cause);
         }
         Exchange::TimedOut => {
@@ -187,7 +189,8 @@
 }
 
 enum Exchange {
-    Unsent(String),
+    /// No connection was opened, for this cause and with this outcome for the endpoint.
+    Unsent(String, Outcome),
     TimedOut,
     Done(Connection, Result<Response<Incoming>, hyper::Error>),
 }
@@ -221,9 +224,20 @@
         }
     }
     let id = &request.info.id;
-    let mut connection = match reachability::connect(shared, &target.entry, id).await {
-        Ok(connection) => connection,
-        Err(error) => return Exchange::Unsent(error.to_string()),
+    let limit = request.remaining().saturating_sub(MIN_REMAINING);
+    let opened = reachability::connect(shared, &target.entry, id);
+    let mut connection = match tokio::time::timeout(limit, opened).await {
+        Ok(Ok(connection)) => connection,
+        Ok(Err(error)) => return Exchange::Unsent(error.to_string(), Outcome::Broken),
+        Err(_) => {
+            let is_slow = limit >= SLOW_CONNECT;
+            let outcome = if is_slow {
+                Outcome::Broken
+            } else {
+                Outcome::Abandoned
+            };
+            return Exchange::Unsent("no time is left".to_owned(), outcome);
+        }
     };
     let send = connection.sender.send_request(message);
     let send = reachability::watch(shared, &target.entry, &connection, send);
--- a/crates/ploverwick_gateway/tests/endpoint_partition.rs
+++ b/crates/ploverwick_gateway/tests/endpoint_partition.rs
@@ -1,6 +1,7 @@
 //! Instances whose links to the endpoints are cut, while clients, the store and other instances reach them.
 
 mod common;
+#[expect(dead_code, reason = "each test file uses only some of the helpers")]
 mod partitioned;
 
 use std::net::IpAddr;
--- a/crates/ploverwick_gateway/tests/partitioned/mod.rs
+++ b/crates/ploverwick_gateway/tests/partitioned/mod.rs
@@ -1,7 +1,5 @@
 //! Instances of two failure domains whose links to the endpoints can be cut.
 
-#![allow(dead_code, reason = "each test file uses only some of the helpers")]
-
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/ploverwick_gateway/tests/relayed_requests.rs
+++ b/crates/ploverwick_gateway/tests/relayed_requests.rs
@@ -4,6 +4,8 @@
 mod partitioned;
 
 use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use anyhow::Result;
@@ -17,6 +19,7 @@
 use ploverwick_platform_standin::raw::{Ending, RawAnswer, RawEndpoint};
 use ploverwick_platform_standin::settings;
 use serde_json::json;
+use tokio::net::TcpListener;
 
 /// The instance that is cut off in most tests.
 const ONE: usize = 0;
@@ -355,3 +358,43 @@
     }
     Ok(())
 }
+
+/// Accepts connections and holds them open, and counts them.
+async fn hold_connections(listener: TcpListener, accepted: Arc<AtomicUsize>) {
+    let mut held = Vec::new();
+    while let Ok((stream, _)) = listener.accept().await {
+        accepted.fetch_add(1, Ordering::Relaxed);
+        held.push(stream);
+    }
+}
+
+/// Guards against asking one relay after the other, none of which replies, when the deadline of the request has passed.
+#[gtest]
+#[tokio::test]
+async fn silent_relays_end_at_deadline() -> Result<()> {
+    let accepted = Arc::new(AtomicUsize::new(0));
+    let deployment = Deployment::with_settings(settings::config(1), |name, settings| {
+        if name == "one" {
+            return;
+        }
+        let port = settings.relay_port.take().expect("a relay port is set");
+        let listener = std::net::TcpListener::bind((settings.ip, port)).expect("it is free");
+        listener.set_nonblocking(true).expect("it is a socket");
+        let listener = TcpListener::from_std(listener).expect("it is nonblocking");
+        tokio::spawn(hold_connections(listener, Arc::clone(&accepted)));
+    })
+    .await?;
+    // Nothing listens at the address of this endpoint.
+    let unused = TcpListener::bind("127.0.0.1:0").await?.local_addr()?;
+    let mut entry = deployment.endpoints[0].entry("ready");
+    entry["address"] = unused.to_string().into();
+    deployment.store.list("i-x", &entry);
+    let front = deployment.fronts[ONE].1;
+    let mut number = 0;
+    while accepted.load(Ordering::Relaxed) == 0 {
+        send(front, &format!("r{number}"), "/slow/x").await?;
+        number += 1;
+    }
+    expect_that!(accepted.load(Ordering::Relaxed), eq(1));
+    Ok(())
+}
