--- a/crates/ploverwick_gateway/src/listen.rs
+++ b/crates/ploverwick_gateway/src/listen.rs
@@ -177,7 +177,7 @@
         .record_peer_loads(instance, loads.collect(), now);
 }
 
-/// Places the adapter that the instance at `from` asks for, or tells it which endpoint holds it.
+/// Places the adapter that the instance at `from` asks for, or replies with the endpoint that holds it.
 fn handle_load_request(
     shared: &Arc<Shared>,
     request: &Request,
