Add a failing test of an instance that does not know of a build yet

What callers see: a stream that began at one software version goes on at another, when the instance that began it is lost and its client comes to one that has not read of the new version yet and reaches no other instance.

--- a/crates/ploverwick_gateway/tests/stream_builds.rs
+++ b/crates/ploverwick_gateway/tests/stream_builds.rs
@@ -11,13 +11,16 @@
 use common::{HOST, Instance, count_runs, free_port};
 use googletest::prelude::*;
 use http::StatusCode;
+use ploverwick_platform::settings::Settings;
 use ploverwick_platform_standin::client::{self, ClientRequest, ClientResponse};
 use ploverwick_platform_standin::endpoint::{Action, EVENTS, Endpoint};
+use ploverwick_platform_standin::proxy::{Cut, Proxy};
 use ploverwick_platform_standin::settings;
 use ploverwick_platform_standin::store::Store;
 use serde_json::Value;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
+use tokio::time::Instant;
 
 /// The time limit of the streams, and of their clients.
 const TIMEOUT: Duration = Duration::from_secs(20);
@@ -55,7 +58,21 @@
     /// Starts instances, and three endpoints of each build, of which the first old one is listed. A stream may be sent
     /// `attempts` times within an answer.
     async fn start(instances: usize, attempts: u64) -> Result<Self> {
+        let port = free_port()?;
         let store = Store::start().await?;
+        Self::start_with(store, instances, attempts, |settings| {
+            settings.peer_port = port;
+        })
+        .await
+    }
+
+    /// Starts the same with a store and settings modified by `change`.
+    async fn start_with(
+        store: Store,
+        instances: usize,
+        attempts: u64,
+        mut change: impl FnMut(&mut Settings),
+    ) -> Result<Self> {
         store.configure(&config(attempts));
         let mut fleet = Self {
             store,
@@ -66,13 +83,13 @@
             probes: 0,
         };
         fleet.list(&fleet.old[0]);
-        let port = free_port()?;
         let names = [("one", "d1"), ("two", "d1"), ("three", "d2")];
         for (host, (name, domain)) in (11..).zip(names).take(instances) {
             let ip = Ipv4Addr::new(127, 0, 0, host);
-            let mut settings = settings::of(name, ip, port, fleet.store.address());
+            let mut settings = settings::of(name, ip, 0, fleet.store.address());
             settings.domain = Arc::from(domain);
             settings.repeat_window = RETRY_WINDOW;
+            change(&mut settings);
             let instance = Instance::start(settings).await?;
             fleet.fronts.push(instance.front);
             fleet.instances.push(Some(instance));
@@ -95,27 +112,30 @@
 
     async fn wait_until_used(&mut self, endpoint: &Endpoint) -> Result<()> {
         for number in 0..self.fronts.len() {
-            if self.instances[number].is_none() {
-                continue;
+            if self.instances[number].is_some() {
+                self.wait_until_used_by(number, endpoint).await?;
             }
-            let is_used = |id: &str| count_runs(&[endpoint], id) > 0;
-            tokio::time::timeout(HANG_LIMIT, async {
-                loop {
-                    self.probes += 1;
-                    let id = format!("probe-{}", self.probes);
-                    let request = ClientRequest::new(&id, HOST, "/live/");
-                    client::send(self.fronts[number], &request).await?;
-                    if is_used(&id) {
-                        return anyhow::Ok(());
-                    }
-                    tokio::time::sleep(Duration::from_millis(5)).await;
-                }
-            })
-            .await??;
         }
         Ok(())
     }
 
+    async fn wait_until_used_by(&mut self, instance: usize, endpoint: &Endpoint) -> Result<()> {
+        let is_used = |id: &str| count_runs(&[endpoint], id) > 0;
+        tokio::time::timeout(HANG_LIMIT, async {
+            loop {
+                self.probes += 1;
+                let id = format!("probe-{}", self.probes);
+                let request = ClientRequest::new(&id, HOST, "/live/");
+                client::send(self.fronts[instance], &request).await?;
+                if is_used(&id) {
+                    return Ok(());
+                }
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        })
+        .await?
+    }
+
     fn endpoints(&self) -> impl Iterator<Item = &Endpoint> {
         self.old.iter().chain(&self.new)
     }
@@ -148,19 +168,28 @@
         pending
     }
 
-    /// Sends streams, which break off after the first event, until one runs at the old build, and returns its identifier.
-    async fn begin_at_old(&self, front: SocketAddr, request: ClientRequest) -> Result<String> {
-        for number in 0..MAX_STREAMS {
+    /// Sends streams, which break off after the first event, until one runs at a build, and returns its identifier.
+    async fn begin_at(
+        &self,
+        software: &str,
+        front: SocketAddr,
+        request: ClientRequest,
+    ) -> Result<String> {
+        let until = Instant::now() + HANG_LIMIT;
+        for number in 0.. {
             let mut request = request.clone();
             request.id = format!("{}-{number}", request.id);
             self.script(&[Action::Truncate(0)]);
             send(front, &request).await?;
-            if self.software(&request.id).contains(&Arc::from("v1")) {
+            if self.software(&request.id).contains(&Arc::from(software)) {
                 self.script(&[]);
                 return Ok(request.id);
             }
+            if Instant::now() >= until {
+                break;
+            }
         }
-        bail!("no stream began at the old build")
+        bail!("no stream began at {software}")
     }
 
     /// Sends a request whose endpoint sends one event and then breaks the stream off, or stalls; so do those at which it
@@ -412,10 +441,9 @@
 
     // No endpoint of the build is left. The endpoint listed last shows that the others are gone from the instance's list.
     fleet.add(&a).await?;
-    let plain = fleet.begin_at_old(three, stream("old-plain")).await?;
-    let adapter = fleet
-        .begin_at_old(three, stream("old-adapter").model("base/a1"))
-        .await?;
+    let plain = fleet.begin_at("v1", three, stream("old-plain")).await?;
+    let adapter = stream("old-adapter").model("base/a1");
+    let adapter = fleet.begin_at("v1", three, adapter).await?;
     fleet.store.unlist(a.id());
     fleet.store.unlist(b.id());
     fleet.add(&z).await?;
@@ -543,3 +571,37 @@
     expect_complete(&got, 1, "r1-next");
     Ok(())
 }
+
+/// Guards against an instance that does not know of a build yet and cannot ask others, and continues the stream of a client
+/// at the only build that it knows.
+#[gtest]
+#[tokio::test]
+async fn stream_at_a_cut_off_instance() -> Result<()> {
+    let store = Store::start().await?;
+    let path = Proxy::start(store.address()).await?;
+    // Each instance listens at another port than the others send to.
+    let mut fleet = Fleet::start_with(store, 2, 1, |settings| {
+        settings.peer_port = free_port().expect("a port is free");
+        if &*settings.instance == "two" {
+            settings.store = path.address();
+        }
+    })
+    .await?;
+    let x = fleet.new[0].clone();
+    path.cut(Ipv4Addr::LOCALHOST.into(), Cut::Silent);
+    fleet.list(&x);
+    fleet.wait_until_used_by(0, &x).await?;
+    let id = &fleet
+        .begin_at("v1.1", fleet.fronts[0], stream("r1"))
+        .await?;
+    let next = stream("next").resumes(id).after_event(0);
+    let got = send(fleet.fronts[1], &next).await?;
+    expect_refused(&got, StatusCode::SERVICE_UNAVAILABLE, BUILD_UNKNOWN, "next");
+    expect_that!(
+        fleet.runs("next"),
+        eq(0),
+        "ran at {:?}",
+        fleet.software("next")
+    );
+    Ok(())
+}
