Divide a quota's window into slots that follow from its length

Cause: a pool sums what was leased and granted in slots of 100 ms, whatever the window. The slot of now is incomplete, so a window of 1 s held 0.900 to 0.999 s, and a pool of all shares allowed 6,912 to 7,672 of 8,000 units, by the millisecond of the slot: a request of 7,000 was refused in the first 12 ms of each slot. It also took the window for one that was still filling for most of each slot (below 0.98), so that Retry-After told when the limit would have grown, which it does not. A window that is no multiple of 100 ms lost the rest as well (8.09 s: up to 0.19 s). This is what made instances_share_one_quota flaky.

The test stays as it is.

Change: a slot is the longest divisor of the window in whole ms that is at most 100 ms and an 80th of the window: 100 ms for 8 s as before, 10 ms for 1 s. A window of a prime number of ms has slots of 1 ms. Time that has left the window is no longer walked through slot by slot after a pause, as there may be more slots now.

short_windows failed on the code before: refused in 12 of 100 ms at a window of 1 s and in 86 at 971 ms; delays that end before units leave in 100 of 100 ms at 1 s and 971 ms, 95 at 1.5 s, 29 at 8.09 s and 1 at 5 s, none at 8 s. It passes now. Fleets of fleet_simulation and pool_failure (8 s) print the same 23 lines of figures as before. All tests of ploverwick_quota and the four of organisation_quotas pass.

--- a/crates/ploverwick_quota/src/pool.rs
+++ b/crates/ploverwick_quota/src/pool.rs
@@ -9,7 +9,7 @@
 use ploverwick_routes::Quota;
 
 use crate::retry_after;
-use crate::sliding_window::{self, SlidingWindow};
+use crate::sliding_window::SlidingWindow;
 use crate::{Grant, GrantRequest, Lease, PREFETCH_DURATION};
 
 /// The fraction of a window's limit that must stay free when units are granted in advance. With less headroom the
@@ -48,7 +48,7 @@
 }
 
 /// The units granted to and refused for one organisation.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Account {
     granted: SlidingWindow,
     /// The refused units as of `refused_at`, less those for which there was room since they were refused.
@@ -82,7 +82,7 @@
         Self {
             window,
             lenders: BTreeMap::new(),
-            leased: SlidingWindow::default(),
+            leased: SlidingWindow::new(window),
             accumulated_until: Moment(0),
             accounts: HashMap::new(),
         }
@@ -119,7 +119,8 @@
         self.advance_to(now);
         let limits = self.limits(quota, now);
         let name = Arc::clone(&request.organisation);
-        let account = self.accounts.entry(name).or_default();
+        let account = self.accounts.entry(name);
+        let account = account.or_insert_with(|| Account::new(self.window));
         let mut usage = Usage::of(account, &limits, now);
         let mut shortfall: Option<Shortfall> = None;
         for cost in &request.costs {
@@ -157,7 +158,7 @@
         let window_s = self.window.as_secs_f64();
         // The burst may be used once per window, so this is the sustained rate per second.
         let whole = quota.rate + quota.burst / window_s;
-        let leased = self.leased.sum(self.window, now);
+        let leased = self.leased.sum(now);
         Limits {
             window_len: self.window,
             window: whole * leased * GRANTABLE_FRACTION,
@@ -186,10 +187,12 @@
 
     fn accumulate(&mut self, until: Moment) {
         let share = self.share();
-        self.leased.evict(self.window, until);
-        // A long pause is split by slot, so that each part of it leaves the window at its own time.
+        self.leased.evict(until);
+        // Earlier shares have left the window.
+        self.accumulated_until = self.accumulated_until.max(until - self.window);
+        // A pause is split by slot, so that each part of it leaves the window at its own time.
         while self.accumulated_until < until {
-            let next = SlidingWindow::end(self.accumulated_until).min(until);
+            let next = self.leased.end(self.accumulated_until).min(until);
             let seconds = next.since(self.accumulated_until).as_secs_f64();
             self.leased.add(share * seconds, self.accumulated_until);
             self.accumulated_until = next;
@@ -244,7 +247,7 @@
 impl Usage {
     fn of(account: &mut Account, limits: &Limits, now: Moment) -> Self {
         Self {
-            window: account.granted.sum(limits.window_len, now),
+            window: account.granted.sum(now),
             second: account.granted.sum_of_last(PACING_WINDOW, now),
             recent: account.granted.sum_of_last(PREFETCH_DURATION, now),
             lead: account
@@ -305,6 +308,14 @@
 }
 
 impl Account {
+    fn new(window: Duration) -> Self {
+        Self {
+            granted: SlidingWindow::new(window),
+            refused: 0.0,
+            refused_at: Moment(0),
+        }
+    }
+
     /// Returns the time until a refused request fits, after those that were refused before it.
     fn retry_after(&self, shortfall: Shortfall, limits: &Limits, now: Moment) -> Duration {
         if shortfall.window <= 0.0 {
@@ -317,7 +328,7 @@
             // The lead is measured in whole slots, so it may take up to one slot longer to be made up.
             let lead = lead
                 .unwrap_or(Duration::MAX)
-                .saturating_add(sliding_window::SLOT_DURATION);
+                .saturating_add(self.granted.slot_duration());
             second.max(retry_after::clamp(lead))
         } else if limits.is_filling {
             retry_after::from_secs_f64((shortfall.window + self.refused) / limits.rate)
