Let requests fund retries for a fraction of the budget's window

Cause: a request could fund retries for 1.5 s, whatever the window of the budget (`bounds.budget_window_s`). The safety factor of 0.85 makes up for 1.5 s beside 10 s, but not beside windows under 8.5 s.

Change: a request funds retries for 0.15 of the window and at most 1.5 s, in six buckets: 1.5 s and 250 ms as before from 10 s on. Buckets of the allowance have the same width. A service with few requests and a short window has more of its retries charged to the allowance than before.

--- a/crates/ploverwick_endpoints/src/budget.rs
+++ b/crates/ploverwick_endpoints/src/budget.rs
@@ -19,14 +19,15 @@
 
 use crate::InstanceCount;
 
-/// The time span that one bucket counts.
-const BUCKET_WIDTH: Duration = Duration::from_millis(250);
-
-/// How long a request can fund retries. With this value, the retries in a window of ten seconds can use
-/// what 11.5 seconds of requests earned; [`SAFETY_FACTOR`] compensates for the difference.
-const EARNING_WINDOW: Duration = Duration::from_millis(1_500);
-
-/// The fraction of the bound that is used: 0.85 of 11.5 seconds is less than ten seconds. The remainder
+/// The fraction of the window for which a request can fund retries. The retries in a window can then use what 1.15
+/// windows of requests earned; [`SAFETY_FACTOR`] compensates for the difference.
+const EARNING_FRACTION: f64 = 0.15;
+/// The maximum time for which a request can fund retries.
+const MAX_EARNING_WINDOW: Duration = Duration::from_millis(1_500);
+/// The number of buckets in the time for which a request can fund retries.
+const EARNING_BUCKETS: u32 = 6;
+
+/// The fraction of the bound that is used: 0.85 of 1.15 windows is less than a window. The remainder
 /// covers retries that arrive some time after they were sent.
 const SAFETY_FACTOR: f64 = 0.85;
 
@@ -41,6 +42,19 @@
     pub window: Duration,
 }
 
+impl RetryPolicy {
+    /// Returns how long a request can fund retries.
+    fn earning_window(&self) -> Duration {
+        let earning_window = self.window.mul_f64(EARNING_FRACTION);
+        earning_window.min(MAX_EARNING_WINDOW)
+    }
+
+    /// Returns the time span that one bucket counts.
+    fn bucket_width(&self) -> Duration {
+        self.earning_window() / EARNING_BUCKETS
+    }
+}
+
 /// The state of a budget when a retry was decided on, in retries.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Balance {
@@ -65,7 +79,7 @@
     }
 }
 
-/// An amount counted over [`BUCKET_WIDTH`].
+/// An amount counted over [`RetryPolicy::bucket_width`].
 #[derive(Debug, Clone, Copy)]
 struct Bucket {
     start: Moment,
@@ -83,9 +97,9 @@
 
 impl Budget {
     /// Counts a request.
-    pub fn record_request(&mut self, now: Moment) {
-        self.drop_expired(now);
-        add(&mut self.requests, 1.0, now);
+    pub fn record_request(&mut self, policy: RetryPolicy, now: Moment) {
+        self.drop_expired(policy, now);
+        add(&mut self.requests, 1.0, policy.bucket_width(), now);
     }
 
     /// Charges a retry to the budget if one is available, and returns the balance before the charge.
@@ -97,9 +111,10 @@
         instance_count: &InstanceCount,
         now: Moment,
     ) -> Balance {
-        self.drop_expired(now);
+        self.drop_expired(policy, now);
         // Keep a bucket until its last possible retry has left the window.
-        drop_before(&mut self.spent, now - policy.window - BUCKET_WIDTH);
+        let bucket_width = policy.bucket_width();
+        drop_before(&mut self.spent, now - policy.window - bucket_width);
         let balance = Balance {
             earned: SAFETY_FACTOR * policy.ratio * sum(&self.requests),
             spent: sum(&self.spent),
@@ -111,14 +126,14 @@
                 self.consume((1.0 - missing) / (SAFETY_FACTOR * policy.ratio));
             }
             if missing > 0.0 {
-                add(&mut self.spent, missing, now);
+                add(&mut self.spent, missing, bucket_width, now);
             }
         }
         balance
     }
 
-    fn drop_expired(&mut self, now: Moment) {
-        drop_before(&mut self.requests, now - EARNING_WINDOW);
+    fn drop_expired(&mut self, policy: RetryPolicy, now: Moment) {
+        drop_before(&mut self.requests, now - policy.earning_window());
     }
 
     /// Consumes earned requests, the oldest first.
@@ -142,9 +157,9 @@
     }
 }
 
-fn add(buckets: &mut VecDeque<Bucket>, amount: f64, now: Moment) {
+fn add(buckets: &mut VecDeque<Bucket>, amount: f64, bucket_width: Duration, now: Moment) {
     match buckets.back_mut() {
-        Some(last) if now.since(last.start) < BUCKET_WIDTH => last.amount += amount,
+        Some(last) if now.since(last.start) < bucket_width => last.amount += amount,
         Some(_) | None => buckets.push_back(Bucket { start: now, amount }),
     }
 }
--- a/crates/ploverwick_endpoints/tests/budget_restart.rs
+++ b/crates/ploverwick_endpoints/tests/budget_restart.rs
@@ -130,7 +130,7 @@
                 * REQUESTS_PER_STEP
                 + number;
             let process = &mut *running[turn % count];
-            process.budget.record_request(now);
+            process.budget.record_request(POLICY, now);
             self.requests.push(at);
             for _ in 0..retries_wanted {
                 let balance = process
--- a/crates/ploverwick_endpoints/tests/retry_budget.rs
+++ b/crates/ploverwick_endpoints/tests/retry_budget.rs
@@ -42,7 +42,7 @@
     let instance_count = known_instances(6);
     let mut budget = Budget::default();
     for _ in 0..500 {
-        budget.record_request(AFTER_WINDOW);
+        budget.record_request(POLICY, AFTER_WINDOW);
     }
     let granted = (0..500)
         .filter(|_| {
@@ -68,7 +68,7 @@
     for at in (0..60_000).step_by(50) {
         let busy = (at / 7_000) % 2 == 0;
         if busy {
-            budget.record_request(Moment(at));
+            budget.record_request(POLICY, Moment(at));
         }
         if budget
             .try_retry(POLICY, &instance_count, Moment(at))
@@ -84,3 +84,29 @@
         expect_that!(count, le(100));
     }
 }
+
+/// Guards against more retries than the bound in a window that is shorter than the usual one: a request could fund
+/// retries for longer than the window.
+#[googletest::test]
+fn short_windows_are_within_bound() {
+    const START: u64 = 5_000;
+    for window_s in [1, 2, 5, 8, 10, 20] {
+        let policy = RetryPolicy {
+            ratio: 0.2,
+            allowance: 0.0,
+            window: Duration::from_secs(window_s),
+        };
+        let mut budget = Budget::default();
+        let mut granted = 0;
+        for at in 0..START + window_s * 1_000 {
+            budget.record_request(policy, Moment(at));
+            let has_retry = at >= START
+                && budget
+                    .try_retry(policy, &InstanceCount::default(), Moment(at))
+                    .allows_retry();
+            granted += u64::from(has_retry);
+        }
+        expect_that!(granted, le(200 * window_s), "{window_s} s");
+        expect_that!(granted, ge(160 * window_s), "{window_s} s");
+    }
+}
--- a/crates/ploverwick_gateway/src/filters/admit.rs
+++ b/crates/ploverwick_gateway/src/filters/admit.rs
@@ -105,5 +105,5 @@
     let now = shared.now();
     let mut state = shared.state();
     let budget = state.retry_budgets.entry(Arc::clone(service)).or_default();
-    budget.record_request(now);
+    budget.record_request(shared.retry_policy(), now);
 }
--- a/crates/ploverwick_gateway/src/shared.rs
+++ b/crates/ploverwick_gateway/src/shared.rs
@@ -282,7 +282,7 @@
     }
 
     /// Returns the limit on retries.
-    fn retry_policy(&self) -> RetryPolicy {
+    pub(crate) fn retry_policy(&self) -> RetryPolicy {
         RetryPolicy {
             ratio: self.settings.repeat_ratio,
             allowance: self.settings.repeat_allowance,
