Let full endpoints leave streams to a build that is avoided

What callers saw: for 3.6 s after a new build was listed, new streams were refused although its endpoints were idle, wherever the endpoints of the other builds were full: 429 Overloaded from this instance (2.5 requests for each slot), or 503 EndpointRefused after four tries at an endpoint that refused for lack of room. A full fleet is just when endpoints are added.

Cause: avoided builds ranked behind all endpoints of other builds, whatever their cost. The selection refuses if the first endpoint is full, and a refusal only adds to the cost, so that each try came to the same endpoint.

Change: only endpoints that have room rank before those of avoided builds (Query::max_fill, and no refusal lately); full ones and avoided ones follow by cost, as before builds were avoided.

--- a/crates/ploverwick_bench/src/decide.rs
+++ b/crates/ploverwick_bench/src/decide.rs
@@ -138,6 +138,7 @@
     pacing: None,
     build: None,
     avoided_builds: &[],
+    max_fill: 2.5,
     except: &[],
 };
 
--- a/crates/ploverwick_endpoints/src/fleet.rs
+++ b/crates/ploverwick_endpoints/src/fleet.rs
@@ -75,8 +75,10 @@
     pub pacing: Option<Pacing>,
     /// The only build that may serve the request; `None` if any may.
     pub build: Option<Build>,
-    /// The builds that are used only if no endpoint of another build can serve the request.
+    /// The builds that are avoided while an endpoint of another build has room for the request.
     pub avoided_builds: &'a [Build],
+    /// The ratio of requests to slots at which an endpoint has no room for the request.
+    pub max_fill: f64,
     /// The endpoints to exclude.
     pub except: &'a [Arc<str>],
 }
@@ -391,7 +393,8 @@
         Some(f64::from(self.load(id, now).requests) / f64::from(slots.max(1)))
     }
 
-    /// Ranks the eligible endpoints for a request, cheapest first, those of avoided builds last.
+    /// Ranks the eligible endpoints for a request, cheapest first. If builds are avoided, the endpoints of other builds that
+    /// have room come before all others.
     ///
     /// Ejected endpoints are eligible only if there are no others that the query accepts.
     pub fn rank(&self, query: &Query<'_>, now: Moment) -> Vec<(Cost, Arc<str>)> {
@@ -449,9 +452,9 @@
             .then(|| self.median_latency(query.service))
             .flatten();
         let costs = members.map(|m| {
-            let is_avoided = query.avoided_builds.contains(&m.build);
+            let comes_last = self.comes_last(m, query, now);
             let cost = self.cost(m, query, median, now);
-            (is_avoided, cost, Arc::clone(&m.entry.id))
+            (comes_last, cost, Arc::clone(&m.entry.id))
         });
         let mut ranked: Vec<(bool, Cost, Arc<str>)> = costs.collect();
         ranked.sort_by(|a, b| {
@@ -462,6 +465,18 @@
         ranked.map(|(_, cost, id)| (cost, id)).collect()
     }
 
+    /// Returns whether an endpoint ranks behind those of builds that are not avoided. The full ones do, too: a request had better
+    /// run at an avoided build than not at all.
+    fn comes_last(&self, member: &Member, query: &Query<'_>, now: Moment) -> bool {
+        if query.avoided_builds.is_empty() {
+            return false;
+        }
+        let fill = self.fill(&member.entry.id, now);
+        let has_room =
+            fill.is_some_and(|fill| fill < query.max_fill) && !member.health.is_full(now);
+        !has_room || query.avoided_builds.contains(&member.build)
+    }
+
     fn cost(&self, member: &Member, query: &Query<'_>, median: Option<f64>, now: Moment) -> Cost {
         let entry = &member.entry;
         let load = self.load(&entry.id, now);
--- a/crates/ploverwick_endpoints/tests/interference.rs
+++ b/crates/ploverwick_endpoints/tests/interference.rs
@@ -26,6 +26,7 @@
     pacing: Some(PACING),
     build: None,
     avoided_builds: &[],
+    max_fill: 2.5,
     except: &[],
 };
 
--- a/crates/ploverwick_endpoints/tests/learned_capacity.rs
+++ b/crates/ploverwick_endpoints/tests/learned_capacity.rs
@@ -284,6 +284,7 @@
         pacing: None,
         build: None,
         avoided_builds: &[],
+        max_fill: 2.5,
         except: &[],
     };
     let ranked = fleet.rank(&query, Moment(1_000));
--- a/crates/ploverwick_endpoints/tests/many_endpoints.rs
+++ b/crates/ploverwick_endpoints/tests/many_endpoints.rs
@@ -51,6 +51,7 @@
         pacing: None,
         build: None,
         avoided_builds: &[],
+        max_fill: 2.5,
         except,
     }
 }
--- a/crates/ploverwick_gateway/src/filters/select.rs
+++ b/crates/ploverwick_gateway/src/filters/select.rs
@@ -269,7 +269,7 @@
     let state = shared.state();
     let excluded = excluded_endpoints(&state, except, now);
     let avoided = avoided_builds(&state, request, now);
-    let query = query(shared, &state, request, &avoided, &excluded);
+    let query = query(shared, &state, request, (&avoided, MAX_FILL), &excluded);
     let ranked = state.fleet.rank(&query, now);
     let holds = |id: &str| match &request.info.model {
         None => true,
@@ -319,11 +319,12 @@
     (MAX_FILL * request.terms.weight).clamp(1.0, 2.0 * MAX_FILL)
 }
 
+/// Returns the query for a request, with the builds that it avoids and the fill up to which endpoints accept it.
 fn query<'a>(
     shared: &'a Shared,
     state: &State,
     request: &'a AdmittedRequest,
-    avoided_builds: &'a [Build],
+    (avoided_builds, max_fill): (&'a [Build], f64),
     except: &'a [Arc<str>],
 ) -> Query<'a> {
     let domain = state.egress_domain(&request.service, &shared.settings, shared.now());
@@ -344,6 +345,7 @@
         pacing: pacing(state, request),
         build: request.build.get().copied(),
         avoided_builds,
+        max_fill,
         except,
     }
 }
@@ -376,7 +378,8 @@
     };
     let excluded = excluded_endpoints(&state, except, now);
     let avoided = avoided_builds(&state, request, now);
-    let query = query(shared, &state, request, &avoided, &excluded);
+    let max_fill = max_fill(request);
+    let query = query(shared, &state, request, (&avoided, max_fill), &excluded);
     let mut held = newest.clone();
     let mut best = cheapest_holder(&state, &query, &held, now);
     if best.is_none()
@@ -414,7 +417,7 @@
         let domain = &shared.settings.domain;
         load_requests::request_load(shared, domain, load, request.build.get().copied());
     }
-    if fill >= max_fill(request) {
+    if fill >= max_fill {
         return (Choice::Full, newest);
     }
     let target = Target {
--- /dev/null
+++ b/crates/ploverwick_gateway/tests/new_builds.rs
@@ -0,0 +1,105 @@
+//! Streams while endpoints of a second build have just been listed.
+
+mod common;
+
+use std::time::Duration;
+
+use anyhow::Result;
+use common::{Gateway, HOST, count_runs};
+use googletest::prelude::*;
+use http::StatusCode;
+use ploverwick_platform_standin::client::{self, ClientRequest};
+use ploverwick_platform_standin::endpoint::{Action, Endpoint};
+use ploverwick_platform_standin::settings;
+use ploverwick_platform_standin::store::Store;
+
+/// Ends a test that would hang.
+const HANG_LIMIT: Duration = Duration::from_secs(10);
+/// The number of requests at which an endpoint with four slots takes no more.
+const FULL: usize = 10;
+/// The time limit of the streams.
+const TIMEOUT: Duration = Duration::from_secs(20);
+
+fn stream(id: &str) -> ClientRequest {
+    ClientRequest::new(id, HOST, "/resume/").timeout(TIMEOUT)
+}
+
+async fn endpoint(id: &str, software: &str) -> Result<Endpoint> {
+    let endpoint = Endpoint::start(id, "lm", Some("base"), "d1").await?;
+    endpoint.set_software(software);
+    Ok(endpoint)
+}
+
+/// Starts a gateway with one endpoint, for streams that last.
+async fn start(old: &Endpoint) -> Result<Gateway> {
+    let store = Store::start().await?;
+    let mut config = settings::config(1);
+    settings::set_timeout(&mut config, "/resume/", TIMEOUT);
+    store.configure(&config);
+    store.list(old.id(), &old.entry("ready"));
+    let gateway = Gateway::start(store, true).await?;
+    gateway.wait_until_ready(true).await?;
+    wait_until_used(&gateway, old).await?;
+    Ok(gateway)
+}
+
+/// Sends requests that streams of new builds do not concern until an endpoint has run one.
+async fn wait_until_used(gateway: &Gateway, endpoint: &Endpoint) -> Result<()> {
+    tokio::time::timeout(HANG_LIMIT, async {
+        for number in 0.. {
+            let id = format!("probe-{}-{number}", endpoint.id());
+            gateway.request(&id, "/live/").await?;
+            if count_runs(&[endpoint], &id) > 0 {
+                break;
+            }
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        Ok(())
+    })
+    .await?
+}
+
+/// Guards against refusing streams because the endpoints of the other build are full, while those of a new build are idle.
+#[gtest]
+#[tokio::test]
+async fn full_endpoints_leave_streams_to_a_new_build() -> Result<()> {
+    let (old, new) = (endpoint("i-a", "v1").await?, endpoint("i-x", "v2").await?);
+    let gateway = start(&old).await?;
+    old.script(&[Action::Stall(0); FULL]);
+    let mut held = Vec::new();
+    for number in 0..FULL {
+        let id = format!("held-{number}");
+        let (front, request) = (gateway.front, stream(&id));
+        held.push(tokio::spawn(
+            async move { client::send(front, &request).await },
+        ));
+        tokio::time::timeout(HANG_LIMIT, async {
+            while count_runs(&[&old], &id) == 0 {
+                tokio::time::sleep(Duration::from_millis(2)).await;
+            }
+        })
+        .await?;
+    }
+    gateway.store.list(new.id(), &new.entry("ready"));
+    wait_until_used(&gateway, &new).await?;
+    let got = client::send(gateway.front, &stream("r1")).await?;
+    expect_that!(got.status, eq(StatusCode::OK), "{got:?}");
+    expect_that!(count_runs(&[&new], "r1"), eq(1));
+    held.iter().for_each(tokio::task::JoinHandle::abort);
+    Ok(())
+}
+
+/// Guards against refusing streams because the endpoints of the other build refuse them, while those of a new build are idle.
+#[gtest]
+#[tokio::test]
+async fn refusing_endpoints_leave_streams_to_a_new_build() -> Result<()> {
+    let (old, new) = (endpoint("i-a", "v1").await?, endpoint("i-x", "v2").await?);
+    let gateway = start(&old).await?;
+    gateway.store.list(new.id(), &new.entry("ready"));
+    wait_until_used(&gateway, &new).await?;
+    old.script(&[Action::Refuse; FULL]);
+    let got = client::send(gateway.front, &stream("r1")).await?;
+    expect_that!(got.status, eq(StatusCode::OK), "{got:?}");
+    expect_that!(count_runs(&[&new], "r1"), eq(1));
+    Ok(())
+}
