Count a list as current only if its read reached the end of the topic

What callers saw: a stream that is taken up again went on at an older build, which the instance took for the only one, although the entries of a newer one were in the store.

Cause: the store truncates responses at 1 MiB, from the oldest record on, and states the end of the topic in each. A read that did not reach that end counted as current all the same, here and, by the message that confirms the list, at the other instances of the failure domain. That new builds settle relies on what counts as current.

Change: such a read is neither recorded as current nor confirmed; the changes that it brought are sent with the next complete one. The instances that are not confirmed read themselves after 1.2 s, as they do when a reader falls silent. The delay between reads stays.

How often the platform's store truncates reads of the list was not measured.

--- a/crates/ploverwick_gateway/src/controllers/endpoint_list.rs
+++ b/crates/ploverwick_gateway/src/controllers/endpoint_list.rs
@@ -106,7 +106,11 @@
         match feed::read(&shared, &feed, next, feed.wait, &mut handler).await {
             Ok(progress) => {
                 next = Some(progress.next);
-                subscriber.record_current();
+                // The store truncates long responses; the records that are missing may be of other endpoints.
+                if progress.next >= progress.end {
+                    subscriber.record_current();
+                    subscriber.send_changes();
+                }
                 outage.record_success();
                 shared.store_unavailable.send_replace(false);
                 tokio::time::sleep(feed.delay).await;
@@ -160,10 +164,9 @@
             }
         }
         self.remove_expired();
-        self.send_changes();
     }
 
-    /// Records that the list was current when the read started.
+    /// Records that the list was current when the read started, which reached the end of the topic.
     fn record_current(&self) {
         let now = self.shared.now();
         let mut state = self.shared.state();
--- a/crates/ploverwick_gateway/tests/new_builds.rs
+++ b/crates/ploverwick_gateway/tests/new_builds.rs
@@ -2,12 +2,14 @@
 
 mod common;
 
+use std::net::Ipv4Addr;
 use std::time::Duration;
 
 use anyhow::Result;
-use common::{Gateway, HOST, count_runs};
+use common::{Gateway, HOST, Instance, count_runs, free_port};
 use googletest::prelude::*;
 use http::StatusCode;
+use ploverwick_platform::ENDPOINT_TOPIC;
 use ploverwick_platform_standin::client::{self, ClientRequest};
 use ploverwick_platform_standin::endpoint::{Action, Endpoint};
 use ploverwick_platform_standin::settings;
@@ -15,6 +17,10 @@
 
 /// Ends a test that would hang.
 const HANG_LIMIT: Duration = Duration::from_secs(10);
+/// Long enough for instances to discover each other.
+const DISCOVERY: Duration = Duration::from_millis(2_500);
+/// Long enough for an instance to regard its list of endpoints as out of date.
+const OUTAGE: Duration = Duration::from_secs(4);
 /// The number of requests at which an endpoint with four slots takes no more.
 const FULL: usize = 10;
 /// The time limit of the streams.
@@ -103,3 +109,34 @@
     expect_that!(count_runs(&[&new], "r1"), eq(1));
     Ok(())
 }
+
+/// Guards against taking a response of the store that holds fewer records than the topic has for the whole list, and so an older
+/// build for the only one: at the instance that reads the list, and at the one that it sends the list to.
+#[gtest]
+#[tokio::test]
+async fn short_reads_infer_nothing() -> Result<()> {
+    let (old, new) = (endpoint("i-a", "v1").await?, endpoint("i-x", "v2").await?);
+    let store = Store::start().await?;
+    store.configure(&settings::config(1));
+    store.list(old.id(), &old.entry("ready"));
+    let port = free_port()?;
+    let mut instances = Vec::new();
+    for (host, name) in (11..).zip(["one", "two"]) {
+        let ip = Ipv4Addr::new(127, 0, 0, host);
+        let settings = settings::of(name, ip, port, store.address());
+        instances.push(Instance::start(settings).await?);
+    }
+    tokio::time::sleep(DISCOVERY).await;
+    store.withhold_records(ENDPOINT_TOPIC);
+    store.list(new.id(), &new.entry("ready"));
+    tokio::time::sleep(OUTAGE).await;
+    for (number, instance) in instances.iter().enumerate() {
+        let id = format!("next-{number}");
+        let next = stream(&id).resumes("begun-elsewhere").after_event(0);
+        let got = client::send(instance.front, &next).await?;
+        expect_that!(got.status, eq(StatusCode::SERVICE_UNAVAILABLE), "{got:?}");
+        expect_that!(got.code.as_deref(), some(eq("3017")));
+        expect_that!(count_runs(&[&old, &new], &id), eq(0));
+    }
+    Ok(())
+}
