Infer nothing from one's own list before there is anyone to ask

What callers saw: a stream that had begun at one build went on at another, at an instance that had just started. It was ready without the list of instances, knew nobody to ask, and took the only build that it knew for that of the stream, while the instance that knew better was running.

Cause: a lookup that asks nobody is decided at once by what this instance knows, and an empty list of instances counts as read. A fresh instance knows nothing of a build that left the list before it started, if the store has forgotten the history.

Change: until the list of instances was read, the own list counts as out of date for lookups of a named attempt. Replies still decide.

Clients that name no attempt are served as before. While the list of instances cannot be read after a start, take-ups whose origin the instance does not know are refused.

--- a/crates/ploverwick_gateway/src/controllers/origins.rs
+++ b/crates/ploverwick_gateway/src/controllers/origins.rs
@@ -17,7 +17,7 @@
 
 use crate::messages::{Message, OriginRecord};
 use crate::shared::Shared;
-use crate::state::State;
+use crate::state::{InstanceListState, State};
 
 /// The maximum number of origins in one message.
 const MAX_RECORDS_PER_MESSAGE: usize = 48;
@@ -197,6 +197,10 @@
     let state = shared.state();
     let to = asked(shared, &state, attempt);
     let own = match attempt {
+        // That nobody can be asked yet confirms nothing.
+        Some(_) if state.instance_list == InstanceListState::Unread => {
+            scope.serving(&state, now).outdated()
+        }
         Some(_) => scope.serving(&state, now),
         None => scope.listed(&state, now),
     };
--- a/crates/ploverwick_gateway/tests/new_builds.rs
+++ b/crates/ploverwick_gateway/tests/new_builds.rs
@@ -9,7 +9,7 @@
 use common::{Gateway, HOST, Instance, count_runs, free_port};
 use googletest::prelude::*;
 use http::StatusCode;
-use ploverwick_platform::ENDPOINT_TOPIC;
+use ploverwick_platform::{ENDPOINT_TOPIC, INSTANCE_TOPIC};
 use ploverwick_platform_standin::client::{self, ClientRequest};
 use ploverwick_platform_standin::endpoint::{Action, Endpoint};
 use ploverwick_platform_standin::settings;
@@ -140,3 +140,29 @@
     }
     Ok(())
 }
+
+/// Guards against taking it for agreement that nobody could be asked, as the list of instances was not read yet.
+#[gtest]
+#[tokio::test]
+async fn unread_instances_are_not_agreement() -> Result<()> {
+    let (old, new) = (endpoint("i-a", "v1").await?, endpoint("i-x", "v2").await?);
+    let gateway = start(&old).await?;
+    let got = client::send(gateway.front, &stream("r1")).await?;
+    expect_that!(got.status, eq(StatusCode::OK), "{got:?}");
+    gateway.store.list(new.id(), &new.entry("ready"));
+    gateway.store.unlist(old.id());
+    wait_until_used(&gateway, &new).await?;
+    // An instance that starts now finds nothing of the older build.
+    gateway.store.compact();
+    gateway.store.set_unreadable(INSTANCE_TOPIC, true);
+    let ip = Ipv4Addr::new(127, 0, 0, 12);
+    let mut settings = settings::of("two", ip, free_port()?, gateway.store.address());
+    settings.first_start = false;
+    let second = Instance::start(settings).await?;
+    let next = stream("next").resumes("r1").after_event(0);
+    let got = client::send(second.front, &next).await?;
+    expect_that!(got.status, eq(StatusCode::SERVICE_UNAVAILABLE), "{got:?}");
+    expect_that!(got.code.as_deref(), some(eq("3017")));
+    expect_that!(count_runs(&[&new], "next"), eq(0));
+    Ok(())
+}
