--- a/crates/ploverwick_gateway/tests/new_builds.rs
+++ b/crates/ploverwick_gateway/tests/new_builds.rs
@@ -65,6 +65,28 @@
     .await?
 }
 
+/// Guards against keeping requests that nobody takes up again from the endpoints of a new build.
+#[gtest]
+#[tokio::test]
+async fn other_requests_reach_a_new_build_at_once() -> Result<()> {
+    let (old, new) = (endpoint("i-a", "v1").await?, endpoint("i-x", "v2").await?);
+    let gateway = start(&old).await?;
+    gateway.store.list(new.id(), &new.entry("ready"));
+    wait_until_used(&gateway, &new).await?;
+    // The build has not settled yet.
+    let ids: Vec<String> = (0..FULL / 2).map(|number| format!("r{number}")).collect();
+    let streams = ids
+        .iter()
+        .map(|id| async { client::send(gateway.front, &stream(id)).await });
+    for got in futures_util::future::try_join_all(streams).await? {
+        expect_that!(got.status, eq(StatusCode::OK), "{got:?}");
+    }
+    for id in &ids {
+        expect_that!(count_runs(&[&old], id), eq(1), "{id}");
+    }
+    Ok(())
+}
+
 /// Guards against refusing streams because the endpoints of the other build are full, while those of a new build are idle.
 #[gtest]
 #[tokio::test]
