Keep a build settled when its only endpoint starts again

Cause: an endpoint that starts again is removed from the list and added under its new identifier. For a build with one endpoint that counted as leaving the list, so that the build had to settle anew; if another build was settling too, no build was preferred, and streams began at the one that others may not know yet.

Change: a build that leaves and returns in the same update keeps its state; removal and addition take one moment.

Result: the last part of build_settles failed without the change and passes with it; it asks for the same as before of a build that was gone for a millisecond. build_history 6, new_builds 4, stream_builds 3, resumed_builds 5, endpoint_restart 1, shared_endpoint_list 3, late_heartbeats 3 passed.

--- a/crates/ploverwick_gateway/src/controllers/endpoint_list.rs
+++ b/crates/ploverwick_gateway/src/controllers/endpoint_list.rs
@@ -230,6 +230,7 @@
     }
 
     fn apply_entry(&mut self, platform_id: &str, value: &[u8]) {
+        let now = self.shared.now();
         let entry = match endpoint_list::decode_entry(platform_id, value) {
             Ok(entry) => entry,
             Err(error) => return self.log_malformed(platform_id, &error),
@@ -247,15 +248,14 @@
         for earlier in incarnations(&self.shared, &platform_id) {
             if earlier != entry.id {
                 self.absences.record_listed(&earlier);
-                remove(&self.shared, &earlier);
+                remove(&self.shared, &earlier, now);
             }
         }
-        let now = self.shared.now();
         let copies = endpoint_list::copies(&entry.held);
         let mut state = self.shared.state();
         state.directory.apply_list_entry(&entry.id, copies, now);
         drop(state);
-        put(&self.shared, entry);
+        put(&self.shared, entry, now);
     }
 
     /// Logs a malformed entry of another writer. The other entries remain valid.
@@ -294,14 +294,14 @@
     fn handle_missing(&mut self, id: &Arc<str>) {
         let now = self.shared.now();
         if self.absences.record_missing(id, now) {
-            remove(&self.shared, id);
+            remove(&self.shared, id, now);
         }
     }
 
     fn remove_expired(&mut self) {
         let now = self.shared.now();
         for id in self.absences.remove_expired(now) {
-            remove(&self.shared, &id);
+            remove(&self.shared, &id, now);
         }
     }
 }
@@ -314,13 +314,13 @@
     removed: &[Arc<str>],
     digest: u64,
 ) {
+    let now = shared.now();
     for entry in changed {
-        put(shared, entry);
+        put(shared, entry, now);
     }
     for id in removed {
-        remove(shared, id);
+        remove(shared, id, now);
     }
-    let now = shared.now();
     let mut state = shared.state();
     // If the list was never read or a message was lost, this instance reads the list itself.
     if state.has_endpoint_list && state.fleet.digest() == digest {
@@ -350,7 +350,7 @@
             .state()
             .directory
             .apply_list_entry(&entry.id, copies, now);
-        put(shared, entry);
+        put(shared, entry, now);
     }
     let mut state = shared.state();
     state.has_endpoint_list = true;
@@ -392,7 +392,7 @@
     }
 }
 
-fn put(shared: &Shared, entry: Entry) {
+fn put(shared: &Shared, entry: Entry, now: Moment) {
     let mut state = shared.state();
     if is_superseded(&state, &entry) {
         return;
@@ -401,7 +401,7 @@
     let listed = state.fleet.entry(&id);
     let before = listed.map(|entry| entry.state);
     let change = (listed.map(ServiceBuild::of), Some(ServiceBuild::of(&entry)));
-    if record_build(&mut state, change, shared.now()) {
+    if record_build(&mut state, change, now) {
         shared.build_added.notify_one();
     }
     state.incarnations.add(&id);
@@ -477,8 +477,7 @@
     incarnations.any(|other| other.born > entry.born)
 }
 
-fn remove(shared: &Shared, id: &Arc<str>) {
-    let now = shared.now();
+fn remove(shared: &Shared, id: &Arc<str>, now: Moment) {
     let mut state = shared.state();
     let listed = state.fleet.entry(id).map(ServiceBuild::of);
     if !state.fleet.remove(id) {
