Read an answer that was sent before its request was

Callers got 502 PW4000 ("may have run") where an endpoint had answered and closed before it had read a long request body, also where the answer said that the request had not run, so that it could have been tried elsewhere.

Cause: the bytes that arrive after the close make the endpoint's system reset the connection. The write of the rest of the body then fails, and hyper ends the connection with that error, without reading the answer that has arrived ("error writing a body to connection").

Change: a stream to an endpoint, direct or relayed, discards what can no longer be written and is read to its end. The end then becomes the error of the write: the system reports a reset once, so that an answer that ends with its connection would look whole after a reset.

--- a/crates/ploverwick_gateway/src/lib.rs
+++ b/crates/ploverwick_gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod connection;
 mod controllers;
 mod daemon;
+mod early_answer;
 mod filters;
 mod front;
 mod incarnations;
--- a/crates/ploverwick_gateway/src/pool.rs
+++ b/crates/ploverwick_gateway/src/pool.rs
@@ -15,6 +15,7 @@
 use tokio::net::{TcpSocket, TcpStream};
 
 use crate::clock::Clock;
+use crate::early_answer;
 
 /// The timeout for a new connection; a reachable endpoint answers within milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -199,9 +200,10 @@
     where
         T: AsyncRead + AsyncWrite + Send + Unpin + 'static,
     {
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
-            .await
-            .map_err(|error| ConnectError::Other(error.to_string()))?;
+        let (sender, connection) =
+            http1::handshake(TokioIo::new(early_answer::Stream::new(stream)))
+                .await
+                .map_err(|error| ConnectError::Other(error.to_string()))?;
         // The task ends with the connection. The error is not handled here because the request that uses the
         // connection receives it too.
         tokio::spawn(async move {
--- /dev/null
+++ b/crates/ploverwick_gateway/tests/early_answers.rs
@@ -0,0 +1,101 @@
+//! An answer that is sent and followed by a close before the whole request body was read reaches the client.
+
+mod common;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use anyhow::Result;
+use bytes::Bytes;
+use common::{Gateway, HOST};
+use googletest::prelude::*;
+use http::StatusCode;
+use ploverwick_platform_standin::client::{self, ClientRequest, ClientResponse};
+use ploverwick_platform_standin::raw::{Ending, RawAnswer, RawEndpoint, RawRequest};
+use ploverwick_platform_standin::settings;
+use ploverwick_platform_standin::store::Store;
+use serde_json::Value;
+
+/// More than the buffers of a connection hold whose peer does not read.
+const BODY_BYTES: usize = 8 * 1_024 * 1_024;
+/// Long enough for such a body on a busy machine.
+const TIMEOUT: Duration = Duration::from_secs(20);
+const REQUESTS: usize = 20;
+const LONG_ANSWER_BYTES: usize = 4 * 1_024 * 1_024;
+const SHORT_ANSWER_BYTES: usize = 100;
+
+fn config() -> Value {
+    let mut config = settings::config(1);
+    config["limits"]["max_body_bytes"] = (2 * BODY_BYTES).into();
+    settings::add_service(&mut config, "raw", &[("/raw/", "non_idempotent")]);
+    settings::set_timeout(&mut config, "/raw/", TIMEOUT);
+    config
+}
+
+/// Answers with what the path names. An endpoint that closes at once only has time for a short answer.
+fn answer(request: &RawRequest) -> RawAnswer {
+    let path = request.path.as_str();
+    if path.ends_with("reset") {
+        return RawAnswer::unframed("text/plain", b"cut off", 3, Ending::Reset);
+    }
+    let (ending, length) = if path.ends_with("drain") {
+        (Ending::Drain, LONG_ANSWER_BYTES)
+    } else {
+        (Ending::Close, SHORT_ANSWER_BYTES)
+    };
+    let mut answer = RawAnswer::unframed("text/plain", &vec![b'x'; length], 16 * 1_024, ending)
+        .header("Content-Length", &length.to_string())
+        .header("Connection", "close");
+    if path.contains("failure") {
+        answer.head = answer
+            .head
+            .replacen("200 OK", "500 Internal Server Error", 1);
+    }
+    if path.contains("refusal") {
+        answer = answer.not_executed();
+    }
+    answer
+}
+
+async fn send(front: SocketAddr, id: &str, path: &str, bytes: usize) -> Result<ClientResponse> {
+    let request = ClientRequest::new(id, HOST, path).body(Bytes::from(vec![b'x'; bytes]));
+    client::send(front, &request.timeout(TIMEOUT)).await
+}
+
+/// Sends requests that the endpoint answers early. Expects that all answers arrive, and that none that was cut off looks
+/// whole.
+async fn expect_answers(front: SocketAddr) -> Result<()> {
+    while send(front, "warm", "/raw/warm", 1).await?.status != StatusCode::OK {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let failure = (StatusCode::INTERNAL_SERVER_ERROR, None);
+    let refusal = (StatusCode::SERVICE_UNAVAILABLE, Some("3008"));
+    let cut_off = (StatusCode::OK, None);
+    for (path, (status, code), expected) in [
+        ("/raw/failure-drain", failure, REQUESTS),
+        ("/raw/failure-close", failure, REQUESTS),
+        ("/raw/refusal-close", refusal, REQUESTS),
+        ("/raw/reset", cut_off, 0),
+    ] {
+        let mut count = 0;
+        for number in 0..REQUESTS {
+            let got = send(front, &format!("{path}{number}"), path, BODY_BYTES).await?;
+            let is_expected = got.status == status && got.code.as_deref() == code;
+            count += usize::from(is_expected && got.is_whole);
+        }
+        expect_that!(count, eq(expected), "{path}");
+    }
+    Ok(())
+}
+
+/// Guards against losing an answer because the rest of its request can no longer be written.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn direct_answers_arrive() -> Result<()> {
+    let gateway = Gateway::start(Store::start().await?, true).await?;
+    let endpoint = RawEndpoint::start_early("i-raw", "raw", answer).await?;
+    gateway.store.list(endpoint.id(), &endpoint.entry());
+    gateway.store.configure(&config());
+    gateway.wait_until_ready(true).await?;
+    expect_answers(gateway.front).await
+}
