Keep a relayed connection until its answer has been read

Through a relay most answers were lost that an endpoint gave before it had read the whole request: callers got 502 PW4000 for them.

Cause: the relay ended a connection, both directions at once, when a write to the endpoint failed, and when the endpoint had ended its answer. In the first case the answer was not read. In the second the relay closed a socket at which bytes of the request were still arriving: the system then resets the connection and throws away what the requester had not received yet.

Change: what the endpoint does not read is discarded and its answer is forwarded to its end, by the same stream as on direct connections, so that a reset of the endpoint stays one. The relay then closes its direction, and reads until the requester has closed its own, for a second at most.

--- a/crates/ploverwick_gateway/src/relay.rs
+++ b/crates/ploverwick_gateway/src/relay.rs
@@ -7,6 +7,9 @@
 //! The requester sends one [`Open`] frame and receives one [`Reply`] frame. After [`Reply::Opened`], its bytes follow
 //! unframed. The endpoint's bytes come in frames, and an empty frame marks that the endpoint closed the connection. Without
 //! it the answer was cut off, be it at the endpoint or at the relay, even if the answer has no length of its own.
+//!
+//! An answer may end before its request was sent. The relay discards what the endpoint does not read, and leaves it to the
+//! requester to close the connection first.
 
 pub(crate) mod client;
 pub(crate) mod connections;
--- a/crates/ploverwick_gateway/src/relay/server.rs
+++ b/crates/ploverwick_gateway/src/relay/server.rs
@@ -1,6 +1,7 @@
 //! Relays connections for other instances.
 
 use std::net::IpAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -9,19 +10,22 @@
 use futures_util::{SinkExt, StreamExt};
 use ploverwick_endpoints::Entry;
 use ploverwick_platform::socket;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::codec::{Framed, FramedWrite, LengthDelimitedCodec};
 
 use super::{MAX_FRAME_BYTES, Open, Reply, codec};
 use crate::controllers::reachability;
+use crate::early_answer;
 use crate::metrics;
 use crate::pool::ConnectError;
 use crate::shared::Shared;
 
 /// How long the first frame may take to arrive.
 const OPEN_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long a requester may take to close its side once it was sent the end of an answer.
+const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
 /// The delay after a connection could not be accepted.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -129,30 +133,39 @@
     bytes: u64,
 }
 
-/// Forwards bytes until either side closes the connection or it breaks, then closes both sides.
+/// Forwards bytes until the requester closes the connection or the endpoint has ended its answer, then closes both sides.
 async fn forward(
     requester: Framed<TcpStream, LengthDelimitedCodec>,
     endpoint: TcpStream,
 ) -> Transferred {
     let parts = requester.into_parts();
     let (from_requester, to_requester) = parts.io.into_split();
-    let (from_endpoint, to_endpoint) = endpoint.into_split();
+    let (from_endpoint, to_endpoint) = tokio::io::split(early_answer::Stream::new(endpoint));
     let to_requester = FramedWrite::new(to_requester, parts.codec);
     let mut bytes = 0;
+    let mut requester_closed = pin!(send_to_endpoint(
+        parts.read_buf,
+        from_requester,
+        to_endpoint
+    ));
     let ending = tokio::select! {
-        _ = send_to_endpoint(parts.read_buf, from_requester, to_endpoint) => Ending::Requester,
+        _ = &mut requester_closed => Ending::Requester,
         result = send_to_requester(from_endpoint, to_requester, &mut bytes) => match result {
             Ok(()) => Ending::Endpoint,
             Err(_) => Ending::Broken,
         }
     };
+    if ending != Ending::Requester {
+        // Bytes that arrive after the close would reset the connection before the requester has read the answer.
+        drop(tokio::time::timeout(LINGER_TIMEOUT, requester_closed).await);
+    }
     Transferred { ending, bytes }
 }
 
 async fn send_to_endpoint(
     first: BytesMut,
     mut from: OwnedReadHalf,
-    mut to: OwnedWriteHalf,
+    mut to: impl AsyncWrite + Unpin,
 ) -> std::io::Result<u64> {
     to.write_all(&first).await?;
     tokio::io::copy(&mut from, &mut to).await
@@ -160,7 +173,7 @@
 
 /// Sends the endpoint's bytes in frames, and an empty frame once the endpoint has closed the connection.
 async fn send_to_requester(
-    mut from: OwnedReadHalf,
+    mut from: impl AsyncRead + Unpin,
     mut to: FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>,
     transferred: &mut u64,
 ) -> std::io::Result<()> {
--- a/crates/ploverwick_gateway/tests/early_answers.rs
+++ b/crates/ploverwick_gateway/tests/early_answers.rs
@@ -1,6 +1,8 @@
 //! An answer that is sent and followed by a close before the whole request body was read reaches the client.
 
 mod common;
+#[expect(dead_code, reason = "each test file uses only some of the helpers")]
+mod partitioned;
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -10,6 +12,7 @@
 use common::{Gateway, HOST};
 use googletest::prelude::*;
 use http::StatusCode;
+use partitioned::Deployment;
 use ploverwick_platform_standin::client::{self, ClientRequest, ClientResponse};
 use ploverwick_platform_standin::raw::{Ending, RawAnswer, RawEndpoint, RawRequest};
 use ploverwick_platform_standin::settings;
@@ -99,3 +102,15 @@
     gateway.wait_until_ready(true).await?;
     expect_answers(gateway.front).await
 }
+
+/// Guards against a relay that closes a connection while the requester still sends, or before it has read the answer.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn relayed_answers_arrive() -> Result<()> {
+    let deployment = Deployment::with_settings(config(), |_, _| {}).await?;
+    let endpoint = RawEndpoint::start_early("i-raw", "raw", answer).await?;
+    let (ip, front) = deployment.fronts[0];
+    endpoint.cut(ip);
+    deployment.store.list(endpoint.id(), &endpoint.entry());
+    expect_answers(front).await
+}
