Let clients finish sending what was refused unread

A client that sends a request whole before it reads saw a reset in place of the refusal, where the request was refused before its body was read: a body over the limit (413), an unknown path (404), a key that is not known. What the refusal says (not run, do not send it again like this) was lost.

Cause: hyper closes the connection after such a response. Bytes of the body were still arriving, so that the system reset the connection, and the client's system discarded the reply or failed its writes.

Change: where a body was left unread, this side is closed first, and what arrives is discarded until the client closes, for 2 s at most. The connection counts against the limit for as long.

--- a/crates/ploverwick_gateway/src/filters.rs
+++ b/crates/ploverwick_gateway/src/filters.rs
@@ -32,7 +32,7 @@
 use std::time::Instant;
 
 use http::{HeaderValue, Request, Response, header};
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 
 use crate::connection::Activity;
 use crate::metrics;
@@ -46,11 +46,12 @@
     request: Request<Incoming>,
 ) -> Response<Body> {
     activity.begin();
+    activity.set_unread_body(!request.body().is_end_stream());
     // If the process was suspended, the client may have closed the connection after sending the request.
     // Yield once so that the connection is read again before any work is done for a disconnected client.
     tokio::task::yield_now().await;
     let started = Instant::now();
-    let mut response = match admit::run(&shared, request).await {
+    let mut response = match admit::run(&shared, &activity, request).await {
         Ok(mut request) => match origin::run(&shared, &mut request).await {
             Ok(()) => retry::run(&shared, request).await,
             Err(reply) => reply.into_response(),
--- a/crates/ploverwick_gateway/src/filters/admit.rs
+++ b/crates/ploverwick_gateway/src/filters/admit.rs
@@ -17,6 +17,7 @@
 use super::quota;
 use super::reply::Reply;
 use super::terms;
+use crate::connection::Activity;
 use crate::shared::Shared;
 
 /// The `Retry-After` of an instance that has no configuration yet.
@@ -27,6 +28,7 @@
 /// Admits a request, or returns the reply that refuses it.
 pub(crate) async fn run(
     shared: &Arc<Shared>,
+    activity: &Activity,
     request: Request<Incoming>,
 ) -> Result<AdmittedRequest, Reply> {
     let received = Instant::now();
@@ -46,6 +48,7 @@
     let caller = authenticate::run(shared, &config, &route, &info.id, &head.headers)?;
     let timeout = info.timeout.unwrap_or(route.timeout).min(route.timeout);
     let body = read_body(body, config.limits.body_bytes).await?;
+    activity.set_unread_body(false);
     let service = route.service(rand::random::<f64>());
     let service = Arc::clone(service.expect("a route has a service"));
     record_request(shared, &service);
--- a/crates/ploverwick_gateway/src/front.rs
+++ b/crates/ploverwick_gateway/src/front.rs
@@ -1,6 +1,7 @@
 //! Accepts and serves client connections.
 
 use std::convert::Infallible;
+use std::io;
 use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -11,6 +12,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use ploverwick_platform::settings::Settings;
 use ploverwick_platform::socket;
+use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::connection::Activity;
@@ -24,6 +26,9 @@
 const ACCEPT_AFTER_STOP: Duration = Duration::from_millis(2_600);
 /// The delay after a connection could not be accepted, most likely because descriptors ran out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+/// How long a client may go on sending a request that was refused before its body was read. The connection counts as open
+/// until then.
+const LINGER_TIMEOUT: Duration = Duration::from_secs(2);
 /// How often a connection is checked for being idle.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -89,8 +94,23 @@
 }
 
 /// Serves one connection until it closes.
-async fn serve_connection(shared: Arc<Shared>, stream: TcpStream) {
+async fn serve_connection(shared: Arc<Shared>, mut stream: TcpStream) {
     socket::detect_dead_client(&stream);
+    let activity = Activity::new(shared.now());
+    serve_requests(&shared, &mut stream, &activity).await;
+    if activity.has_unread_body() {
+        // Bytes that arrive after the close would reset the connection before the client has read the refusal.
+        drop(tokio::time::timeout(LINGER_TIMEOUT, discard_rest(&mut stream)).await);
+    }
+}
+
+/// Closes this side of a connection, and discards what arrives until the client has closed the other.
+async fn discard_rest(stream: &mut TcpStream) -> io::Result<u64> {
+    stream.shutdown().await?;
+    tokio::io::copy(stream, &mut tokio::io::sink()).await
+}
+
+async fn serve_requests(shared: &Arc<Shared>, stream: &mut TcpStream, activity: &Activity) {
     let limits = {
         let state = shared.state();
         state
@@ -98,9 +118,8 @@
             .as_ref()
             .map_or_else(Default::default, |config| config.limits)
     };
-    let activity = Activity::new(shared.now());
     let service = service_fn(|request| {
-        let shared = Arc::clone(&shared);
+        let shared = Arc::clone(shared);
         let activity = activity.clone();
         async move { Ok::<_, Infallible>(filters::run(shared, activity, request).await) }
     });
--- a/crates/ploverwick_gateway/tests/early_answers.rs
+++ b/crates/ploverwick_gateway/tests/early_answers.rs
@@ -18,6 +18,8 @@
 use ploverwick_platform_standin::settings;
 use ploverwick_platform_standin::store::Store;
 use serde_json::Value;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 /// More than the buffers of a connection hold whose peer does not read.
 const BODY_BYTES: usize = 8 * 1_024 * 1_024;
@@ -114,3 +116,31 @@
     deployment.store.list(endpoint.id(), &endpoint.entry());
     expect_answers(front).await
 }
+
+/// Sends a request whose body is too large, whole, before it reads the reply.
+async fn send_whole(front: SocketAddr, path: &str) -> std::io::Result<String> {
+    let mut stream = TcpStream::connect(front).await?;
+    let head =
+        format!("POST {path} HTTP/1.1\r\nHost: {HOST}\r\nContent-Length: {BODY_BYTES}\r\n\r\n");
+    stream.write_all(head.as_bytes()).await?;
+    stream.write_all(&vec![b'x'; BODY_BYTES]).await?;
+    let mut reply = String::new();
+    stream.read_to_string(&mut reply).await?;
+    Ok(reply)
+}
+
+/// Guards against a connection that is closed on a client that still sends a refused request, which then sees a reset.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn refusals_reach_clients() -> Result<()> {
+    let gateway = Gateway::with_endpoints(&[]).await?;
+    for (path, status) in [("/safe/x", "HTTP/1.1 413"), ("/unknown/x", "HTTP/1.1 404")] {
+        let mut count = 0;
+        for _ in 0..REQUESTS {
+            let reply = send_whole(gateway.front, path).await;
+            count += usize::from(reply.is_ok_and(|reply| reply.starts_with(status)));
+        }
+        expect_that!(count, eq(REQUESTS), "{path}");
+    }
+    Ok(())
+}
