Don't hold a stream that its client did not read against its endpoint

Callers: a client that stops reading holds up the answer of its endpoint, which cuts off what remains unread for some seconds. The break counted as the endpoint's failure, and a resumable stream was sent to another endpoint.

Cause: forward.rs took each break of its source as the endpoint's, also right after the client had not asked for the next bytes for seconds.

Change: ploverwick_endpoints::Backpressure adds up for how long the client held the stream up since the endpoint was last waited for; from 1 s on it explains a break. Such a stream ends at the client, without effect on health, without a retry and a second run (stream_ended ending=unread). The probe of the address, which tells a crash, stays.

--- a/crates/ploverwick_gateway/src/filters/forward.rs
+++ b/crates/ploverwick_gateway/src/filters/forward.rs
@@ -11,7 +11,7 @@
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
-use ploverwick_endpoints::{Entry, Outcome, Resumption, Scan, Step};
+use ploverwick_endpoints::{Backpressure, Entry, Outcome, Resumption, Scan, Step};
 use ploverwick_platform::answer::{self, Head, Statement};
 use tokio::time::Instant;
 
@@ -103,6 +103,8 @@
         silent_since: Instant::now(),
         interruption: None,
         first_endpoint: None,
+        handed_over: None,
+        backpressure: Backpressure::default(),
         timing,
     };
     let frames = stream::try_unfold(forwarded, |mut forwarded| async move {
@@ -148,12 +150,32 @@
     interruption: Option<Interruption>,
     /// The endpoint that the first event came from.
     first_endpoint: Option<Entry>,
+    /// When bytes were handed over that the client has not taken yet.
+    handed_over: Option<Instant>,
+    backpressure: Backpressure,
     timing: StreamTiming,
 }
 
 impl ForwardedStream {
     /// Returns the next bytes for the client; `None` at the end of the stream.
+    ///
+    /// It is called once the client has taken the previous bytes, except for what the connection buffers.
     async fn next(&mut self) -> Result<Option<Bytes>, BrokenAnswer> {
+        self.record_stall();
+        let bytes = self.read_next().await?;
+        self.handed_over = bytes.is_some().then(Instant::now);
+        Ok(bytes)
+    }
+
+    /// Records how long the client has not taken the previous bytes.
+    fn record_stall(&mut self) {
+        if let Some(since) = self.handed_over.take() {
+            let stall = since.elapsed();
+            self.backpressure.record_stall(stall);
+        }
+    }
+
+    async fn read_next(&mut self) -> Result<Option<Bytes>, BrokenAnswer> {
         if self.is_complete {
             return Ok(None);
         }
@@ -163,6 +185,7 @@
             let has_source = self.source.is_some();
             let silence = self.silent_since.elapsed();
             let remaining = self.request.remaining();
+            let step_begun = Instant::now();
             let step = self.resumption.next_step(has_source, silence, remaining);
             let mut event = match step {
                 Step::Wait(time) => self.wait(time).await,
@@ -172,6 +195,7 @@
             if let Event::Found(Found::Target(target)) = event {
                 event = self.resume(&target).await;
             }
+            self.backpressure.record_wait(step_begun.elapsed());
             match event {
                 Event::Data(data, scan) => {
                     self.end_pause();
@@ -182,6 +206,9 @@
                     }
                 }
                 Event::End => return Ok(self.finish()),
+                Event::Break(cause) if self.backpressure.explains_break() => {
+                    return Err(self.end_unread(&cause));
+                }
                 Event::Break(cause) => self.handle_break(&cause),
                 Event::Found(Found::Forbidden(cause)) => self.forbid(&cause),
                 Event::Found(_) | Event::Timeout => {}
@@ -275,12 +302,27 @@
         self.resumption.forbid();
     }
 
-    fn handle_break(&mut self, cause: &Break) {
+    /// Handles a break that the client explains: the stream is neither held against the endpoint nor resumed.
+    fn end_unread(&mut self, cause: &Break) -> BrokenAnswer {
+        // Only a probe of its address shows whether the endpoint crashed meanwhile.
+        self.diagnose_break();
+        self.timing.set_ending(Ending::Unread);
+        self.close_source(Outcome::Abandoned);
+        let cause = format!("the client did not read: {cause}");
+        self.log("stream_broken", &cause, None);
+        BrokenAnswer(cause)
+    }
+
+    fn diagnose_break(&mut self) {
         if let Some(source) = &self.source {
             self.timing.record_end(source);
             let endpoint = &source.in_flight.endpoint;
             crashes::handle_broken_connection(&self.shared, endpoint, self.request.suspect());
         }
+    }
+
+    fn handle_break(&mut self, cause: &Break) {
+        self.diagnose_break();
         self.close_source(Outcome::Broken);
         self.interruption = None;
         self.interrupt(Cause::Break(cause.to_string()));
@@ -421,6 +463,18 @@
     }
 }
 
+impl Drop for ForwardedStream {
+    fn drop(&mut self) {
+        if self.handed_over.is_none() || self.is_complete {
+            return;
+        }
+        self.record_stall();
+        if self.backpressure.explains_break() {
+            self.timing.set_ending(Ending::Unread);
+        }
+    }
+}
+
 /// Formats an endpoint and the version of its software.
 fn format_endpoint(entry: Option<&Entry>) -> String {
     entry.map_or_else(
--- a/crates/ploverwick_gateway/src/filters/stream_timing.rs
+++ b/crates/ploverwick_gateway/src/filters/stream_timing.rs
@@ -21,6 +21,8 @@
     Broken,
     /// The client disconnected before the end.
     Abandoned,
+    /// The client did not read the stream before it was cut off.
+    Unread,
 }
 
 impl Ending {
@@ -29,6 +31,7 @@
             Self::Complete => "complete",
             Self::Broken => "broken",
             Self::Abandoned => "abandoned",
+            Self::Unread => "unread",
         }
     }
 }
--- a/crates/ploverwick_gateway/tests/truncated_answers.rs
+++ b/crates/ploverwick_gateway/tests/truncated_answers.rs
@@ -217,6 +217,7 @@
                 Bytes::from_static(b"bytes"),
             ],
             ending,
+            unread_timeout: None,
         }
     })
     .await?;
