End a stream that its client does not read at the deadline

Callers: an endpoint stayed busy for a client whose time was over, if that client read a little now and then; others waited for the slot.

Cause: the deadline of a stream was looked at only when its client had taken the previous bytes, and then hyper asks for more.

Change: a response that is forwarded as it arrives carries its deadline; the connection records that bytes were handed over and not yet taken, and is closed once the deadline has passed, so that its client sees a break.

--- a/crates/ploverwick_gateway/src/connection.rs
+++ b/crates/ploverwick_gateway/src/connection.rs
@@ -8,26 +8,54 @@
 /// Marks a connection with a request in progress.
 const BUSY: u64 = u64::MAX;
 
-/// When a connection became idle, or that it is busy.
+/// Marks a connection without bytes that its client has to read by a deadline.
+const READ: u64 = u64::MAX;
+
+/// When a connection became idle, or that it is busy, and by when its client has to read.
 #[derive(Debug, Clone)]
-pub(crate) struct Activity(Arc<AtomicU64>);
+pub(crate) struct Activity(Arc<Times>);
+
+#[derive(Debug)]
+struct Times {
+    idle_since: AtomicU64,
+    read_deadline: AtomicU64,
+}
 
 impl Activity {
     pub(crate) fn new(now: Moment) -> Self {
-        Self(Arc::new(AtomicU64::new(now.0)))
+        Self(Arc::new(Times {
+            idle_since: AtomicU64::new(now.0),
+            read_deadline: AtomicU64::new(READ),
+        }))
     }
 
     pub(crate) fn begin(&self) {
-        self.0.store(BUSY, Ordering::Relaxed);
+        self.0.idle_since.store(BUSY, Ordering::Relaxed);
     }
 
     pub(crate) fn end(&self, now: Moment) {
-        self.0.store(now.0, Ordering::Relaxed);
+        self.set_read();
+        self.0.idle_since.store(now.0, Ordering::Relaxed);
+    }
+
+    /// Records that bytes were handed over, which the client has to read by `deadline`.
+    pub(crate) fn set_unread(&self, deadline: Moment) {
+        self.0.read_deadline.store(deadline.0, Ordering::Relaxed);
+    }
+
+    /// Records that the client has read what was handed over, except for what the connection buffers.
+    pub(crate) fn set_read(&self) {
+        self.0.read_deadline.store(READ, Ordering::Relaxed);
+    }
+
+    /// Returns whether the client has not read in time.
+    pub(crate) fn is_read_overdue(&self, now: Moment) -> bool {
+        now.0 > self.0.read_deadline.load(Ordering::Relaxed)
     }
 
     /// Returns since when the connection has been idle; `None` while a request is in progress.
     pub(crate) fn idle_since(&self) -> Option<Moment> {
-        match self.0.load(Ordering::Relaxed) {
+        match self.0.idle_since.load(Ordering::Relaxed) {
             BUSY => None,
             ms => Some(Moment(ms)),
         }
--- a/crates/ploverwick_gateway/src/filters.rs
+++ b/crates/ploverwick_gateway/src/filters.rs
@@ -37,7 +37,7 @@
 use crate::connection::Activity;
 use crate::metrics;
 use crate::shared::Shared;
-use reply::Body;
+use reply::{Body, ReadDeadline};
 
 /// Serves one request.
 pub(crate) async fn run(
@@ -62,6 +62,7 @@
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
-    let guard = activity_guard::ActivityGuard::new(activity, shared.clock.clone());
+    let read_deadline = response.extensions_mut().remove::<ReadDeadline>();
+    let guard = activity_guard::ActivityGuard::new(activity, shared.clock.clone(), read_deadline);
     response.map(|body| activity_guard::guarded(body, guard))
 }
--- a/crates/ploverwick_gateway/src/filters/activity_guard.rs
+++ b/crates/ploverwick_gateway/src/filters/activity_guard.rs
@@ -1,4 +1,4 @@
-//! Marks client connections as idle at the end of an answer.
+//! Marks client connections as idle at the end of an answer, and as unread while the client does not take it.
 
 use std::pin::Pin;
 use std::task::{Context, Poll};
@@ -6,8 +6,10 @@
 use bytes::Bytes;
 use http_body_util::combinators::UnsyncBoxBody;
 use hyper::body::{Frame, SizeHint};
+use ploverwick_names::Moment;
+use tokio::time::Instant;
 
-use super::reply::{Body, BrokenAnswer};
+use super::reply::{Body, BrokenAnswer, ReadDeadline};
 use crate::clock::Clock;
 use crate::connection::Activity;
 
@@ -16,11 +18,22 @@
 pub(crate) struct ActivityGuard {
     activity: Activity,
     clock: Clock,
+    read_deadline: Option<Moment>,
 }
 
 impl ActivityGuard {
-    pub(crate) fn new(activity: Activity, clock: Clock) -> Self {
-        Self { activity, clock }
+    pub(crate) fn new(
+        activity: Activity,
+        clock: Clock,
+        read_deadline: Option<ReadDeadline>,
+    ) -> Self {
+        let read_deadline = read_deadline
+            .map(|ReadDeadline(at)| clock.now() + at.saturating_duration_since(Instant::now()));
+        Self {
+            activity,
+            clock,
+            read_deadline,
+        }
     }
 }
 
@@ -32,15 +45,12 @@
 
 /// Wraps a body so that `guard` is dropped with it.
 pub(crate) fn guarded(body: Body, guard: ActivityGuard) -> Body {
-    UnsyncBoxBody::new(GuardedBody {
-        body,
-        _guard: guard,
-    })
+    UnsyncBoxBody::new(GuardedBody { body, guard })
 }
 
 struct GuardedBody {
     body: Body,
-    _guard: ActivityGuard,
+    guard: ActivityGuard,
 }
 
 impl hyper::body::Body for GuardedBody {
@@ -51,7 +61,14 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BrokenAnswer>>> {
-        Pin::new(&mut self.body).poll_frame(context)
+        self.guard.activity.set_read();
+        let poll = Pin::new(&mut self.body).poll_frame(context);
+        if let Poll::Ready(Some(Ok(_))) = poll
+            && let Some(deadline) = self.guard.read_deadline
+        {
+            self.guard.activity.set_unread(deadline);
+        }
+        poll
     }
 
     fn is_end_stream(&self) -> bool {
--- a/crates/ploverwick_gateway/src/filters/forward.rs
+++ b/crates/ploverwick_gateway/src/filters/forward.rs
@@ -19,7 +19,7 @@
 use super::answer_wait::AnswerWait;
 use super::event_splitter::EventSplitter;
 use super::quarantine;
-use super::reply::{Body, BrokenAnswer, full_body};
+use super::reply::{Body, BrokenAnswer, ReadDeadline, full_body};
 use super::resume::{self, Cause, Found, Interruption};
 use super::reuse::keep;
 use super::select::Target;
@@ -111,7 +111,10 @@
         let bytes = forwarded.next().await?;
         Ok::<_, BrokenAnswer>(bytes.map(|bytes| (Frame::data(bytes), forwarded)))
     });
-    build_response(&parts, &head, UnsyncBoxBody::new(StreamBody::new(frames)))
+    let mut response = build_response(&parts, &head, UnsyncBoxBody::new(StreamBody::new(frames)));
+    let read_deadline = ReadDeadline(request.deadline);
+    response.extensions_mut().insert(read_deadline);
+    response
 }
 
 fn build_response(parts: &Parts, head: &Head, body: Body) -> Response<Body> {
--- a/crates/ploverwick_gateway/src/front.rs
+++ b/crates/ploverwick_gateway/src/front.rs
@@ -24,7 +24,7 @@
 const ACCEPT_AFTER_STOP: Duration = Duration::from_millis(2_600);
 /// The delay after a connection could not be accepted, most likely because descriptors ran out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
-/// How often a connection is checked for being idle.
+/// How often a connection is checked for being idle or unread.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
 /// The number of open client connections.
@@ -133,6 +133,9 @@
                 connection.as_mut().graceful_shutdown();
             }
             () = tokio::time::sleep(IDLE_CHECK_INTERVAL) => {
+                if activity.is_read_overdue(shared.now()) {
+                    return;
+                }
                 let idle = activity.idle_since().map(|since| shared.now().since(since));
                 // Other instances may serve requests that this one would refuse.
                 let max_idle = if shared.is_stale() {
--- a/crates/ploverwick_gateway/tests/slow_readers.rs
+++ b/crates/ploverwick_gateway/tests/slow_readers.rs
@@ -166,3 +166,18 @@
     assert_that!(fleet.runs_at("next", "i-a"), gt(0));
     Ok(())
 }
+
+/// Guards against an unread stream that keeps its endpoint busy after the client's deadline.
+#[tokio::test]
+async fn unread_stream_ends_at_deadline() -> Result<()> {
+    // Far less than what the client must read for its connection to take further bytes.
+    const MAX_RECEIVED: usize = 200 * 1_024;
+    let fleet = Fleet::start(&[("i-a", None)]).await?;
+    let mut reader = fleet.open("long", "/live/", Duration::from_secs(1)).await?;
+    // A client that reads nothing at all is disconnected by the operating system.
+    while fleet.endpoints[0].disconnects() == 0 {
+        assert_that!(reader.read_some(1_024).await?, lt(MAX_RECEIVED));
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    Ok(())
+}
