Don't count the time that a client does not read as a pause of its stream

Cause: a pause was the time between two arrivals, also if the client had not asked for the next bytes meanwhile. Logs and metrics then showed late streams where the endpoint had sent in time (pause_ms=1523 for a stream that was not read for 1.5 s).

Change: EventTimes is told of the stalls. Before, the test stall_of_client_is_no_pause would not build, as there was no such call.

--- a/crates/ploverwick_gateway/src/filters/forward.rs
+++ b/crates/ploverwick_gateway/src/filters/forward.rs
@@ -175,6 +175,7 @@
         if let Some(since) = self.handed_over.take() {
             let stall = since.elapsed();
             self.backpressure.record_stall(stall);
+            self.timing.record_stall(stall);
         }
     }
 
--- a/crates/ploverwick_gateway/src/filters/stream_timing.rs
+++ b/crates/ploverwick_gateway/src/filters/stream_timing.rs
@@ -90,6 +90,11 @@
         self.times.record(events, now - self.request.received);
     }
 
+    /// Records that the client did not take the next bytes for a while.
+    pub(crate) fn record_stall(&mut self, stall: Duration) {
+        self.times.record_stall(stall);
+    }
+
     /// Records where the answer of an endpoint ended, and how it was framed.
     pub(super) fn record_end(&mut self, source: &Source) {
         self.end = Some(End {
--- a/crates/ploverwick_routes/src/punctuality.rs
+++ b/crates/ploverwick_routes/src/punctuality.rs
@@ -50,6 +50,11 @@
         self.events += events;
     }
 
+    /// Records that the client did not take the next bytes for a while, which is no pause of the stream.
+    pub fn record_stall(&mut self, stall: Duration) {
+        self.last += stall;
+    }
+
     /// Returns how the events so far met the objectives of a route.
     pub fn punctuality(&self, route: &Route) -> Punctuality {
         match self.first_event {
--- a/crates/ploverwick_routes/tests/stream_punctuality.rs
+++ b/crates/ploverwick_routes/tests/stream_punctuality.rs
@@ -46,6 +46,15 @@
     expect_that!(times.events, eq(3));
 }
 
+/// Guards against a slow client whose stream counts as late by a pause.
+#[googletest::test]
+fn stall_of_client_is_no_pause() {
+    let mut times = times(&[400, 500]);
+    times.record_stall(Duration::from_secs(2));
+    times.record(1, Duration::from_millis(2_600));
+    expect_that!(times.longest_pause, eq(Duration::from_millis(100)));
+}
+
 /// Guards against counting pauses where the operator declares none.
 #[googletest::test]
 fn undeclared_pause_is_unlimited() {
