--- a/crates/ploverwick_gateway/src/filters/stream_timing.rs
+++ b/crates/ploverwick_gateway/src/filters/stream_timing.rs
@@ -21,6 +21,8 @@
     Broken,
     /// The client disconnected before the end.
     Abandoned,
+    /// The client did not read the stream before it was cut off.
+    Unread,
 }
 
 impl Ending {
@@ -29,6 +31,7 @@
             Self::Complete => "complete",
             Self::Broken => "broken",
             Self::Abandoned => "abandoned",
+            Self::Unread => "unread",
         }
     }
 }
@@ -87,6 +90,11 @@
         self.times.record(events, now - self.request.received);
     }
 
+    /// Records that the client did not take the next bytes for a while.
+    pub(crate) fn record_stall(&mut self, stall: Duration) {
+        self.times.record_stall(stall);
+    }
+
     /// Records where the answer of an endpoint ended, and how it was framed.
     pub(super) fn record_end(&mut self, source: &Source) {
         self.end = Some(End {
--- a/crates/ploverwick_gateway/src/front.rs
+++ b/crates/ploverwick_gateway/src/front.rs
@@ -29,7 +29,7 @@
 /// How long a client may go on sending a request that was refused before its body was read. The connection counts as open
 /// until then.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(2);
-/// How often a connection is checked for being idle.
+/// How often a connection is checked for being idle or unread.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
 /// The number of open client connections.
@@ -152,6 +152,9 @@
                 connection.as_mut().graceful_shutdown();
             }
             () = tokio::time::sleep(IDLE_CHECK_INTERVAL) => {
+                if activity.is_read_overdue(shared.now()) {
+                    return;
+                }
                 let idle = activity.idle_since().map(|since| shared.now().since(since));
                 // Other instances may serve requests that this one would refuse.
                 let max_idle = if shared.is_stale() {
