Close idle connections without lingering

Callers: none. An instance that stops stays up to 2 s longer, and a connection that is closed for being idle keeps its place among the open ones as long, if the last request on it was refused but its body was read all the same.

Cause: the mark of an unread body is set when a request begins, and cleared only where admission reads the body to its end. After a refusal, hyper reads the rest itself if it has arrived, and keeps the connection. The mark stayed.

Change: a connection that has been idle for a second has no unread body, as hyper would have closed it.

--- a/crates/ploverwick_gateway/src/front.rs
+++ b/crates/ploverwick_gateway/src/front.rs
@@ -156,6 +156,10 @@
                     return;
                 }
                 let idle = activity.idle_since().map(|since| shared.now().since(since));
+                if idle.is_some_and(|idle| idle >= IDLE_CHECK_INTERVAL) {
+                    // hyper would have closed the connection if it had not found the end of the body.
+                    activity.set_unread_body(false);
+                }
                 // Other instances may serve requests that this one would refuse.
                 let max_idle = if shared.is_stale() {
                     Duration::ZERO
--- a/crates/ploverwick_gateway/tests/early_answers.rs
+++ b/crates/ploverwick_gateway/tests/early_answers.rs
@@ -144,3 +144,29 @@
     }
     Ok(())
 }
+
+/// Guards against an instance that lingers for a client whose request it has read to the end, as long as that client keeps
+/// its connection.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn idle_connections_close_at_once() -> Result<()> {
+    let mut gateway = Gateway::with_endpoints(&[]).await?;
+    let mut stream = TcpStream::connect(gateway.front).await?;
+    let request = format!("POST /unknown/x HTTP/1.1\r\nHost: {HOST}\r\nContent-Length: 1\r\n\r\nx");
+    for _ in 0..2 {
+        // The second request shows that the connection is kept.
+        stream.write_all(request.as_bytes()).await?;
+        let mut reply = [0; 1_024];
+        assert_that!(stream.read(&mut reply).await?, gt(0));
+    }
+    gateway.stop();
+    let mut rest = Vec::new();
+    stream.read_to_end(&mut rest).await?;
+    let mut is_closed = false;
+    for _ in 0..20 {
+        is_closed |= stream.write_all(b"x").await.is_err();
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    assert_that!(is_closed, eq(true));
+    Ok(())
+}
