Bound what an instance holds for its clients by its memory limit

Callers: an instance read plain answers as a whole for clients that do not read, and request bodies without a bound on their sum. One that exceeds its memory limit is killed, and the requests of all its clients are lost.

Change: limits.memory_mb of the settings is read. A quarter of it may be held for clients, one 64th of that of one answer (ploverwick_limits::memory::ClientMemory). A body without room is refused at once with PW3018 (503, not run, Retry-After 0.5 s). A plain answer without room is forwarded as its client reads it; a stream waits. Settings without a memory limit change nothing.

Left: bytes held at an endpoint, socket buffers to endpoints, an event without end.

--- a/crates/ploverwick_codes/src/code.rs
+++ b/crates/ploverwick_codes/src/code.rs
@@ -119,6 +119,7 @@
     3015 QuotaUnknown NotRun 503 14 Yes "The instance that counts the organisations' use could not be asked in time." "Repeat after the hint.";
     3016 StreamBuildGone NotRun 503 14 AfterChange "No endpoint of the software version that began the stream serves any more." "Send the request again without Last-Event-ID, to begin anew.";
     3017 StreamOriginUnknown NotRun 503 14 AfterChange "No instance that could be asked knows which software version began the stream." "Send the request again without Last-Event-ID, to begin anew.";
+    3018 MemoryFull NotRun 503 14 Yes "This instance holds as many bytes of requests and answers as its memory allows." "Repeat after the hint; other instances may have room.";
     4000 Interrupted MayHaveRun 502 14 IfIdempotent "The answer broke off and cannot be resumed." "Repeat the request if it is idempotent.";
     4001 DeadlineWhileRunning MayHaveRun 504 4 IfIdempotent "The deadline passed while the request was with an endpoint." "Allow more time.";
     4002 OutcomeUnknown MayHaveRun 409 9 IfIdempotent "The request with this key was started by an instance that is gone; its outcome is not known." "Do not repeat it under a new key before checking its effect.";
--- a/crates/ploverwick_gateway/src/controllers/reachability.rs
+++ b/crates/ploverwick_gateway/src/controllers/reachability.rs
@@ -448,6 +448,7 @@
     for relays in relays.values_mut() {
         relays.retain(|name| peers.contains_key(name));
     }
+    shared.memory.report();
     metrics::endpoints(
         fleet.entries().count(),
         reachability.unreachable_count(),
--- a/crates/ploverwick_gateway/src/filters/admit.rs
+++ b/crates/ploverwick_gateway/src/filters/admit.rs
@@ -3,10 +3,10 @@
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{Request, header};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
 use ploverwick_codes::Code;
 use ploverwick_platform::request;
 use tokio::time::Instant;
@@ -45,7 +45,7 @@
     let info = request::read(&head.headers);
     let caller = authenticate::run(shared, &config, &route, &info.id, &head.headers)?;
     let timeout = info.timeout.unwrap_or(route.timeout).min(route.timeout);
-    let body = read_body(body, config.limits.body_bytes).await?;
+    let body = read_body(shared, body, config.limits.body_bytes).await?;
     let service = route.service(rand::random::<f64>());
     let service = Arc::clone(service.expect("a route has a service"));
     record_request(shared, &service);
@@ -86,16 +86,40 @@
     Ok(admitted)
 }
 
-/// Reads a body of at most `max_bytes` bytes.
-async fn read_body(body: Incoming, max_bytes: usize) -> Result<Bytes, Reply> {
-    let body = Limited::new(body, max_bytes).collect();
-    match tokio::time::timeout(BODY_TIMEOUT, body).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            let detail = format!("The limit is {max_bytes} bytes.");
-            Err(Reply::new(Code::BodyTooLarge, detail))
+/// Reads a body of at most `max_bytes` bytes, which is held until the last reference to it is dropped.
+async fn read_body(shared: &Shared, mut body: Incoming, max_bytes: usize) -> Result<Bytes, Reply> {
+    let too_large = || {
+        let detail = format!("The limit is {max_bytes} bytes.");
+        Reply::new(Code::BodyTooLarge, detail)
+    };
+    let no_room = |delay| {
+        let reply = Reply::new(Code::MemoryFull, "");
+        reply.closing().retry_after(delay)
+    };
+    let announced = body.size_hint().lower();
+    if announced > max_bytes as u64 {
+        return Err(too_large());
+    }
+    // Refuses at once what cannot be held, rather than after it has arrived.
+    let mut held = shared.memory.admit(announced).map_err(no_room)?;
+    let read = async {
+        let mut bytes = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|e| Reply::new(Code::BodyMalformed, e.to_string()))?;
+            let data = frame.into_data().unwrap_or_default();
+            if bytes.len() + data.len() > max_bytes {
+                return Err(too_large());
+            }
+            bytes.extend_from_slice(&data);
+            let unannounced = (bytes.len() as u64).saturating_sub(held.bytes());
+            if unannounced > 0 {
+                held.admit(unannounced).map_err(no_room)?;
+            }
         }
-        Ok(Err(error)) => Err(Reply::new(Code::BodyMalformed, error.to_string())),
+        Ok(bytes.freeze())
+    };
+    match tokio::time::timeout(BODY_TIMEOUT, read).await {
+        Ok(bytes) => Ok(held.attach(bytes?)),
         Err(_) => Err(Reply::new(Code::BodySlow, "")),
     }
 }
--- a/crates/ploverwick_gateway/src/filters/forward.rs
+++ b/crates/ploverwick_gateway/src/filters/forward.rs
@@ -4,13 +4,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures_util::stream;
 use http::response::Parts;
 use http::{Response, StatusCode};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, StreamBody};
-use hyper::body::Frame;
+use hyper::body::{Frame, Incoming};
 use ploverwick_endpoints::{Backpressure, Entry, Outcome, Resumption, Scan, Step};
 use ploverwick_platform::answer::{self, Head, Statement};
 use tokio::time::Instant;
@@ -27,6 +27,7 @@
 use super::source::{Break, Event, Source, read};
 use super::stream_timing::{Ending, StreamTiming};
 use crate::controllers::{crashes, origins};
+use crate::memory::Answer;
 use crate::metrics;
 use crate::shared::Shared;
 
@@ -35,35 +36,47 @@
 /// How long the origin of a stream is kept beyond the client's time limit, for an attempt that was sent just before it.
 const RETRY_MARGIN: Duration = Duration::from_secs(1);
 
-/// Reads a complete answer and builds the response from it.
+/// Reads a complete answer and builds the response from it. What there is no room for is forwarded as the client reads it.
 ///
 /// # Errors
 /// Fails with the cause if the answer is interrupted or late. Nothing has been sent to the client then.
 pub(crate) async fn whole(
     shared: &Arc<Shared>,
-    request: &AdmittedRequest,
-    answered: Answered,
+    request: &Arc<AdmittedRequest>,
+    mut answered: Answered,
 ) -> Result<Response<Body>, String> {
-    let Answered {
-        parts,
-        head,
-        body,
-        mut in_flight,
-        connection,
-        ..
-    } = answered;
-    let body = match tokio::time::timeout_at(request.deadline, body.collect()).await {
-        Ok(Ok(body)) => body.to_bytes(),
+    let collected = collect(shared, &mut answered.body);
+    let body = match tokio::time::timeout_at(request.deadline, collected).await {
+        Ok(Ok(Collected::Whole(bytes))) => bytes,
+        Ok(Ok(Collected::Part(bytes))) if answered.parts.status.is_success() => {
+            let resumption = Resumption::new(None, 1, 1);
+            let (parts, head) = (answered.parts.clone(), answered.head.clone());
+            let mut forwarded = ForwardedStream::new(shared, request, answered, resumption);
+            forwarded.collected = Some(bytes);
+            return Ok(forwarded.into_response(&parts, &head));
+        }
+        Ok(Ok(Collected::Part(_))) => {
+            answered.in_flight.set_outcome(Outcome::Error);
+            return Err("there is no room for the error answer".to_owned());
+        }
         Ok(Err(error)) => {
-            in_flight.set_outcome(Outcome::Broken);
-            crashes::handle_broken_connection(shared, &in_flight.endpoint, request.suspect());
+            answered.in_flight.set_outcome(Outcome::Broken);
+            let endpoint = &answered.in_flight.endpoint;
+            crashes::handle_broken_connection(shared, endpoint, request.suspect());
             return Err(error.to_string());
         }
         Err(_) => {
-            in_flight.set_outcome(Outcome::Broken);
+            answered.in_flight.set_outcome(Outcome::Broken);
             return Err("the answer was not complete in time".to_owned());
         }
     };
+    let Answered {
+        parts,
+        head,
+        mut in_flight,
+        connection,
+        ..
+    } = answered;
     in_flight.set_outcome(if parts.status.is_server_error() {
         Outcome::Error
     } else {
@@ -73,6 +86,29 @@
     Ok(build_response(&parts, &head, full_body(body)))
 }
 
+/// What was read of a plain answer.
+enum Collected {
+    Whole(Bytes),
+    /// There is no room for the rest.
+    Part(Bytes),
+}
+
+/// Reads an answer up to its end, or as far as there is room.
+async fn collect(shared: &Shared, body: &mut Incoming) -> Result<Collected, hyper::Error> {
+    let answer = Answer::default();
+    let mut held = shared.memory.hold(0, &answer);
+    let mut bytes = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let data = frame?.into_data().unwrap_or_default();
+        held.extend(data.len() as u64);
+        bytes.extend_from_slice(&data);
+        if !shared.memory.may_read(&answer) {
+            return Ok(Collected::Part(held.attach(bytes.freeze())));
+        }
+    }
+    Ok(Collected::Whole(held.attach(bytes.freeze())))
+}
+
 /// Forwards a stream of events as it arrives.
 ///
 /// `runs` is the number of sends that may have run, and `excluded` are the endpoints that are not tried again.
@@ -83,38 +119,16 @@
     runs: u32,
     mut excluded: Vec<Arc<str>>,
 ) -> Response<Body> {
-    let parts = answered.parts.clone();
-    let head = answered.head.clone();
-    let source = Source::from(answered);
-    excluded.push(Arc::clone(&source.in_flight.endpoint));
-    let timing = StreamTiming::start(shared, request, &source.in_flight.endpoint);
+    excluded.push(Arc::clone(&answered.in_flight.endpoint));
+    let (parts, head) = (answered.parts.clone(), answered.head.clone());
     let route = &request.route;
     let may_resume = route.kind.may_retry();
     let max_runs = if may_resume { route.max_attempts } else { 1 };
-    let forwarded = ForwardedStream {
-        shared: Arc::clone(shared),
-        request: Arc::clone(request),
-        source: Some(source),
-        splitter: may_resume.then(EventSplitter::default),
-        is_complete: false,
-        resumption: Resumption::new(route.event_timeout, max_runs, runs),
-        excluded,
-        seek_from: Instant::now(),
-        silent_since: Instant::now(),
-        interruption: None,
-        first_endpoint: None,
-        handed_over: None,
-        backpressure: Backpressure::default(),
-        timing,
-    };
-    let frames = stream::try_unfold(forwarded, |mut forwarded| async move {
-        let bytes = forwarded.next().await?;
-        Ok::<_, BrokenAnswer>(bytes.map(|bytes| (Frame::data(bytes), forwarded)))
-    });
-    let mut response = build_response(&parts, &head, UnsyncBoxBody::new(StreamBody::new(frames)));
-    let read_deadline = ReadDeadline(request.deadline);
-    response.extensions_mut().insert(read_deadline);
-    response
+    let resumption = Resumption::new(route.event_timeout, max_runs, runs);
+    let mut forwarded = ForwardedStream::new(shared, request, answered, resumption);
+    forwarded.splitter = may_resume.then(EventSplitter::default);
+    forwarded.excluded = excluded;
+    forwarded.into_response(&parts, &head)
 }
 
 fn build_response(parts: &Parts, head: &Head, body: Body) -> Response<Body> {
@@ -153,6 +167,10 @@
     interruption: Option<Interruption>,
     /// The endpoint that the first event came from.
     first_endpoint: Option<Entry>,
+    /// What was read before the answer was forwarded.
+    collected: Option<Bytes>,
+    /// The bytes that are held of the answer.
+    answer: Answer,
     /// When bytes were handed over that the client has not taken yet.
     handed_over: Option<Instant>,
     backpressure: Backpressure,
@@ -160,14 +178,67 @@
 }
 
 impl ForwardedStream {
+    /// Creates a stream that is not resumed.
+    fn new(
+        shared: &Arc<Shared>,
+        request: &Arc<AdmittedRequest>,
+        answered: Answered,
+        resumption: Resumption,
+    ) -> Self {
+        let source = Source::from(answered);
+        Self {
+            shared: Arc::clone(shared),
+            request: Arc::clone(request),
+            timing: StreamTiming::start(shared, request, &source.in_flight.endpoint),
+            source: Some(source),
+            splitter: None,
+            is_complete: false,
+            resumption,
+            excluded: Vec::new(),
+            seek_from: Instant::now(),
+            silent_since: Instant::now(),
+            interruption: None,
+            first_endpoint: None,
+            collected: None,
+            answer: Answer::default(),
+            handed_over: None,
+            backpressure: Backpressure::default(),
+        }
+    }
+
+    fn into_response(self, parts: &Parts, head: &Head) -> Response<Body> {
+        let deadline = self.request.deadline;
+        let frames = stream::try_unfold(self, |mut forwarded| async move {
+            let bytes = forwarded.next().await?;
+            Ok::<_, BrokenAnswer>(bytes.map(|bytes| (Frame::data(bytes), forwarded)))
+        });
+        let body = UnsyncBoxBody::new(StreamBody::new(frames));
+        let mut response = build_response(parts, head, body);
+        response.extensions_mut().insert(ReadDeadline(deadline));
+        response
+    }
+
     /// Returns the next bytes for the client; `None` at the end of the stream.
     ///
     /// It is called once the client has taken the previous bytes, except for what the connection buffers.
     async fn next(&mut self) -> Result<Option<Bytes>, BrokenAnswer> {
+        let room = self.shared.memory.wait_to_read(&self.answer);
+        // Past the deadline, the next step breaks the stream off.
+        drop(tokio::time::timeout_at(self.request.deadline, room).await);
         self.record_stall();
+        if let Some(bytes) = self.collected.take() {
+            if let Some(source) = &mut self.source {
+                source.scan(&bytes);
+            }
+            self.handed_over = Some(Instant::now());
+            return Ok(Some(bytes));
+        }
         let bytes = self.read_next().await?;
         self.handed_over = bytes.is_some().then(Instant::now);
-        Ok(bytes)
+        Ok(bytes.map(|bytes| {
+            let held = self.shared.memory.hold(bytes.len() as u64, &self.answer);
+            held.attach(bytes)
+        }))
     }
 
     /// Records how long the client has not taken the previous bytes.
--- a/crates/ploverwick_gateway/src/filters/source.rs
+++ b/crates/ploverwick_gateway/src/filters/source.rs
@@ -56,6 +56,13 @@
 }
 
 impl Source {
+    /// Scans the next bytes of the stream.
+    pub(super) fn scan(&mut self, data: &[u8]) -> Scan {
+        let scan = self.scanner.scan(data);
+        self.has_events |= scan.events > 0;
+        scan
+    }
+
     /// Returns whether the stream stands inside an event.
     pub(super) fn is_inside_event(&self) -> bool {
         self.scanner.is_inside_event()
@@ -107,8 +114,7 @@
             Some(Err(error)) => return Event::Break(error.into()),
             Some(Ok(frame)) => {
                 if let Ok(data) = frame.into_data() {
-                    let scan = source.scanner.scan(&data);
-                    source.has_events |= scan.events > 0;
+                    let scan = source.scan(&data);
                     return Event::Data(data, scan);
                 }
             }
--- a/crates/ploverwick_gateway/src/lib.rs
+++ b/crates/ploverwick_gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod incarnations;
 mod listen;
 mod logging;
+mod memory;
 mod messages;
 pub mod metrics;
 mod origin_lookups;
--- a/crates/ploverwick_gateway/src/metrics.rs
+++ b/crates/ploverwick_gateway/src/metrics.rs
@@ -177,6 +177,17 @@
         .increment(1);
 }
 
+/// Sets the bytes that this instance holds for its clients, and the most that it may hold.
+pub(crate) fn client_memory(held: u64, limit: u64) {
+    gauge!("ploverwick_client_memory_bytes").set(held as f64);
+    gauge!("ploverwick_client_memory_limit_bytes").set(limit as f64);
+}
+
+/// Counts a request that was refused because there is no room to hold its body.
+pub(crate) fn memory_refused() {
+    counter!("ploverwick_memory_refused_total").increment(1);
+}
+
 /// Sets the number of endpoints that this instance knows to have set a limit.
 pub(crate) fn endpoint_limits(endpoints: usize) {
     gauge!("ploverwick_endpoint_limits").set(endpoints as f64);
--- a/crates/ploverwick_gateway/src/shared.rs
+++ b/crates/ploverwick_gateway/src/shared.rs
@@ -18,6 +18,7 @@
 
 use crate::clock::Clock;
 use crate::logging::LogLimiter;
+use crate::memory::Memory;
 use crate::messages::{CorrelationId, PeerSocket};
 use crate::metrics;
 use crate::origin_lookups::OriginLookups;
@@ -67,6 +68,8 @@
     /// The quarantine entries whose changes have not been sent to peers yet.
     pub(crate) quarantine_updates: QuarantineUpdates,
     pub(crate) log_limiter: LogLimiter,
+    /// The bytes held for clients.
+    pub(crate) memory: Arc<Memory>,
     /// Whether client connections can be accepted.
     is_accepting: AtomicBool,
     /// Whether the placer's fencing token is stored, so that the next process of this instance knows it.
@@ -109,6 +112,7 @@
             is_accepting: AtomicBool::new(true),
             persists_token: lease_policy.waits_after_restart(),
             store: Store::new(settings.store, settings.partitions),
+            memory: Memory::new(settings.memory),
             settings,
             pool: Pool::new(clock.clone()),
             relayed_pool: Pool::new(clock.clone()),
--- a/crates/ploverwick_limits/src/lib.rs
+++ b/crates/ploverwick_limits/src/lib.rs
@@ -1,9 +1,11 @@
-//! Token buckets and per-instance shares of the rate limits in the table.
+//! Token buckets and per-instance shares of the rate limits in the table, and the bound on memory held for clients.
 //!
 //! Each fleet-wide limit is split evenly over the instances that accept work. This needs no messages between
 //! instances; in return, an instance with more than its share of the traffic refuses requests while
 //! another one has spare capacity. `docs/LIMITS.md` states the bounds.
 
+pub mod memory;
+
 use std::collections::HashMap;
 use std::time::Duration;
 
