Limit the unsent bytes in the socket of each client

Callers: as before; the system holds megabytes for a client that does not read, beside what the process counts.

Cause: the send buffer grows to 4 MB whatever the client reads.

Change: where settings state a memory limit, TCP_NOTSENT_LOWAT of a client's socket is what may be held of one answer.

--- a/crates/ploverwick_gateway/src/front.rs
+++ b/crates/ploverwick_gateway/src/front.rs
@@ -91,6 +91,9 @@
 /// Serves one connection until it closes.
 async fn serve_connection(shared: Arc<Shared>, stream: TcpStream) {
     socket::detect_dead_client(&stream);
+    if let Some(bytes) = shared.memory.client_limit() {
+        socket::limit_unsent(&stream, bytes);
+    }
     let limits = {
         let state = shared.state();
         state
--- a/crates/ploverwick_gateway/src/memory.rs
+++ b/crates/ploverwick_gateway/src/memory.rs
@@ -31,6 +31,11 @@
         Some(bound.lock().expect("no holder of the lock panics"))
     }
 
+    /// Returns the maximum number of bytes of one answer, if there is one.
+    pub(crate) fn client_limit(&self) -> Option<u64> {
+        self.lock().map(|bound| bound.client_limit())
+    }
+
     /// Holds bytes of a request.
     ///
     /// # Errors
