Merge the bound on memory held for clients

Both sides changed how a connection is served and how a body is read: the bound is applied first, then the rest of a refused body is discarded.

--- a/crates/ploverwick_gateway/src/front.rs
+++ b/crates/ploverwick_gateway/src/front.rs
@@ -96,6 +96,9 @@
 /// Serves one connection until it closes.
 async fn serve_connection(shared: Arc<Shared>, mut stream: TcpStream) {
     socket::detect_dead_client(&stream);
+    if let Some(bytes) = shared.memory.client_limit() {
+        socket::limit_unsent(&stream, bytes);
+    }
     let activity = Activity::new(shared.now());
     serve_requests(&shared, &mut stream, &activity).await;
     if activity.has_unread_body() {
