Test that a stream is resumed once its client has caught up

Cause: nothing in the gateway's tests noticed if the wait for an endpoint was not recorded, so that a stall earlier in a stream would explain each later failure of its endpoint. The unit tests cover only the decision.

Change: a test, and an endpoint that resets a stream after a pause.

--- a/crates/ploverwick_gateway/tests/slow_readers.rs
+++ b/crates/ploverwick_gateway/tests/slow_readers.rs
@@ -22,6 +22,9 @@
 /// How long an endpoint keeps an answer that remains unread.
 const UNREAD_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// How long an endpoint that is about to break a stream pauses: long enough that its client has caught up.
+const PAUSE: Duration = Duration::from_secs(1);
+
 /// The number of clients that read at the same time.
 const READERS: usize = 8;
 
@@ -33,14 +36,20 @@
     format!("id: {number}\ndata: {data}\n\n")
 }
 
-/// Answers with one event, or with a long stream if the attempt identifier says so.
+/// Answers with one event, or with a long stream if the attempt identifier says so, which breaks halfway in the first run of
+/// a request with `broken` in its identifier.
 fn answer(request: &RawRequest, unread_timeout: Option<Duration>) -> RawAnswer {
     let from = request.after_event.map_or(0, |event| event + 1);
     let is_long = request.id.starts_with("long");
     let next = if is_long { EVENTS } else { from + 1 };
     let body: String = (from..next).map(event).collect();
     let (body, length) = (body.as_bytes(), body.len().to_string());
-    let answer = RawAnswer::unframed("text/event-stream", body, EVENT_BYTES, Ending::Keep);
+    let (body, ending) = if request.id.contains("broken") && from == 0 {
+        (&body[..body.len() / 2], Ending::PauseAndReset(PAUSE))
+    } else {
+        (body, Ending::Keep)
+    };
+    let answer = RawAnswer::unframed("text/event-stream", body, EVENT_BYTES, ending);
     let answer = answer.header("Content-Length", &length);
     match unread_timeout {
         Some(timeout) => answer.cut_off_after(timeout),
@@ -134,6 +143,23 @@
     Ok(())
 }
 
+/// Guards against a stream that is not resumed after a failure of its endpoint, as its client did not read earlier on.
+#[tokio::test]
+async fn stream_of_client_that_caught_up_is_resumed() -> Result<()> {
+    let fleet = Fleet::start(&[("i-a", None), ("i-b", None)]).await?;
+    let reader = fleet.open("long-broken", "/resume/", Duration::from_secs(30));
+    let mut reader = reader.await?;
+    tokio::time::sleep(UNREAD_TIMEOUT).await;
+    let (mut received, mut before) = (1, 0);
+    while received > before && received < EVENTS * EVENT_BYTES {
+        before = received;
+        received = reader.read_some(EVENT_BYTES as u64).await?;
+    }
+    assert_that!(received, ge(EVENTS * EVENT_BYTES));
+    assert_that!(fleet.runs("long"), eq(2));
+    Ok(())
+}
+
 /// Guards against an endpoint that is ejected because clients did not read its streams.
 #[tokio::test]
 async fn unread_streams_do_not_eject() -> Result<()> {
