Count each refused request once in the time that others are told

Cause: `Pool::grant` recorded a refusal before it computed the delay, so the request's own cost counted twice. That hid three faults the other way, as counting it once alone shows (4 of the tests of `retry_after`, among them `new_pool_delay_is_short`: the retry at the told time is refused): - refused units decayed with the rate while the same room also reduced the shortfall of later requests, so room counted twice; - a window that fills grows by the grantable 0.96 of the rate, not by all; - the delay was rounded down to whole milliseconds.

Change: refused units are kept until the end of the slot in which their request may be retried, and nothing is granted ahead until then. A delay counts those refused before and still expected, and the own shortfall. It is computed after the grants of the same message.

The new tests before the change: 200, 800 and 1,500 units that fit 182, 737 and 1,386 ms later were told 352, 1,418 and 2,663 ms; three requests of 600 units in one grant 796 ms; in a full window 1.6 s where 0.6 s is enough; 217 units were granted ahead while a refused request had been told to return.

Not changed: refusals by the pace or the lead count nobody else.

--- a/crates/ploverwick_quota/src/lib.rs
+++ b/crates/ploverwick_quota/src/lib.rs
@@ -13,6 +13,7 @@
 mod allocation;
 mod demand;
 mod pool;
+mod refused_units;
 mod retry_after;
 mod sliding_window;
 mod unspent;
--- a/crates/ploverwick_quota/src/pool.rs
+++ b/crates/ploverwick_quota/src/pool.rs
@@ -8,6 +8,7 @@
 use ploverwick_names::Moment;
 use ploverwick_routes::Quota;
 
+use crate::refused_units::RefusedUnits;
 use crate::retry_after;
 use crate::sliding_window::SlidingWindow;
 use crate::{Grant, GrantRequest, Lease, PREFETCH_DURATION};
@@ -40,6 +41,7 @@
 /// The limit of the refused units that are expected to be retried, in seconds at the organisation's rate. Most
 /// clients wait no longer.
 const MAX_REFUSED_SECS: f64 = 3.0;
+const NANOS_PER_MILLI: u128 = 1_000_000;
 
 #[derive(Debug, Clone, Copy)]
 struct Lender {
@@ -51,9 +53,7 @@
 #[derive(Debug)]
 struct Account {
     granted: SlidingWindow,
-    /// The refused units as of `refused_at`, less those for which there was room since they were refused.
-    refused: f64,
-    refused_at: Moment,
+    refused: RefusedUnits,
 }
 
 /// Pools the shares that instances lease to this one, and grants units from them.
@@ -122,29 +122,33 @@
         let account = self.accounts.entry(name);
         let account = account.or_insert_with(|| Account::new(self.window));
         let mut usage = Usage::of(account, &limits, now);
-        let mut shortfall: Option<Shortfall> = None;
+        let mut refused = Vec::new();
         for cost in &request.costs {
             let cost = f64::from(*cost);
             if usage.allows(cost, &limits) {
                 usage.grant(cost);
             } else {
-                let request_shortfall = usage.shortfall(cost, &limits);
-                shortfall =
-                    Some(shortfall.map_or(request_shortfall, |known| known.max(request_shortfall)));
-                account.record_refusal(cost, limits.rate, now);
+                refused.push(cost);
             }
         }
         // Retries of refused requests take precedence over grants in advance. Otherwise a request that needs an
         // empty window would never find one.
-        let prefetch = if account.decayed_refused(limits.rate, now) > 0.0 {
+        let prefetch = if !refused.is_empty() || account.refused.sum(now) > 0.0 {
             0.0
         } else {
             f64::from(request.prefetch).min(usage.prefetch_room(&limits))
         };
         usage.grant(prefetch.max(0.0).floor());
         account.granted.add(usage.granted, now);
-        let wait = shortfall.map(|shortfall| account.retry_after(shortfall, &limits, now));
-        let wait_ms = wait.unwrap_or_default().as_millis();
+        // The grant carries one delay, so the longest one applies to all of its refused requests.
+        let mut wait = Duration::ZERO;
+        for cost in refused {
+            let shortfall = usage.shortfall(cost, &limits);
+            wait = wait.max(account.retry_after(shortfall, &limits, now));
+            account.record_refusal(cost, limits.rate, now + wait, now);
+        }
+        // Rounded up, since the requests do not fit any earlier.
+        let wait_ms = wait.as_nanos().div_ceil(NANOS_PER_MILLI);
         Grant {
             organisation: Arc::clone(&request.organisation),
             units: usage.granted as u32,
@@ -297,27 +301,17 @@
     lead: f64,
 }
 
-impl Shortfall {
-    fn max(self, other: Self) -> Self {
-        Self {
-            window: self.window.max(other.window),
-            second: self.second.max(other.second),
-            lead: self.lead.max(other.lead),
-        }
-    }
-}
-
 impl Account {
     fn new(window: Duration) -> Self {
         Self {
             granted: SlidingWindow::new(window),
-            refused: 0.0,
-            refused_at: Moment(0),
+            refused: RefusedUnits::default(),
         }
     }
 
-    /// Returns the time until a refused request fits, after those that were refused before it.
-    fn retry_after(&self, shortfall: Shortfall, limits: &Limits, now: Moment) -> Duration {
+    /// Returns the time until a refused request fits. If it exceeds the window's limit, it fits after those that were
+    /// refused before it.
+    fn retry_after(&mut self, shortfall: Shortfall, limits: &Limits, now: Moment) -> Duration {
         if shortfall.window <= 0.0 {
             let second = self
                 .granted
@@ -331,23 +325,18 @@
                 .saturating_add(self.granted.slot_duration());
             second.max(retry_after::clamp(lead))
         } else if limits.is_filling {
-            retry_after::from_secs_f64((shortfall.window + self.refused) / limits.rate)
+            let shortfall = shortfall.window + self.refused.sum(now);
+            retry_after::from_secs_f64(shortfall / (limits.rate * GRANTABLE_FRACTION))
         } else {
-            let shortfall = shortfall.window + self.refused;
+            let shortfall = shortfall.window + self.refused.sum(now);
             self.granted
                 .time_until_freed(shortfall, limits.window_len, now)
         }
     }
 
-    /// Returns the refused units, less those for which there was room since.
-    fn decayed_refused(&self, rate: f64, now: Moment) -> f64 {
-        let since = now.since(self.refused_at).as_secs_f64();
-        (self.refused - since * rate).max(0.0)
-    }
-
-    fn record_refusal(&mut self, cost: f64, rate: f64, now: Moment) {
-        let left = self.decayed_refused(rate, now);
-        self.refused = (left + cost).min(rate * MAX_REFUSED_SECS);
-        self.refused_at = now;
+    /// Records a refused request that may be retried at `retry_at`.
+    fn record_refusal(&mut self, cost: f64, rate: f64, retry_at: Moment, now: Moment) {
+        let room = rate * MAX_REFUSED_SECS - self.refused.sum(now);
+        self.refused.add(cost.min(room), self.granted.end(retry_at));
     }
 }
--- a/crates/ploverwick_quota/tests/retry_after.rs
+++ b/crates/ploverwick_quota/tests/retry_after.rs
@@ -29,14 +29,46 @@
 }
 
 fn request(pool: &mut Pool, cost: u32, now: Moment) -> Grant {
+    request_all(pool, &[cost], now)
+}
+
+fn request_all(pool: &mut Pool, costs: &[u32], now: Moment) -> Grant {
     let request = GrantRequest {
         organisation: Arc::from("one"),
-        costs: vec![cost],
+        costs: costs.to_vec(),
         prefetch: 0,
     };
     pool.grant(&request, &QUOTA, now)
 }
 
+/// Returns a pool that has held a lease for 800 ms and has granted what its window allows, and the time now.
+fn used_up_new_pool() -> (Pool, Moment) {
+    let (mut pool, now) = leased_pool(Duration::from_millis(800));
+    // 800 ms at the sustained rate of 1,125 units a second times the grantable 0.96, less 4 units.
+    expect_that!(request(&mut pool, 860, now).units, eq(860));
+    (pool, now)
+}
+
+/// Expects requests of `costs` to be refused, and returns the delay.
+fn expect_refusal(pool: &mut Pool, costs: &[u32], now: Moment) -> Duration {
+    let grant = request_all(pool, costs, now);
+    expect_that!(grant.units, eq(0), "{costs:?}");
+    Duration::from_millis(grant.wait_ms.into())
+}
+
+/// Expects a request that was refused at `at` with the delay `wait` to fit then, and not over a slot earlier than that if
+/// the window of a new pool must grow by `units` for it.
+fn expect_fits_after(pool: &mut Pool, cost: u32, at: Moment, wait: Duration, units: u32) {
+    let growth = Duration::from_secs_f64(f64::from(units) / 1_080.0);
+    expect_that!(
+        wait,
+        le(growth + Duration::from_millis(100)),
+        "{cost} units"
+    );
+    let retry = request(pool, cost, at + wait);
+    expect_that!(retry.units, eq(cost), "after {wait:?}");
+}
+
 /// Sends requests until one is refused, and checks that its retry succeeds. Returns the delay before the retry.
 fn expect_retry_succeeds(pool: &mut Pool, cost: u32, now: Moment, max_attempts: u32) -> Duration {
     for _ in 0..max_attempts {
@@ -76,6 +108,53 @@
     expect_that!(wait, le(Duration::from_millis(1_500)));
 }
 
+/// Guards against delays that count the cost of a request twice: 200 units that fit after 182 ms were told 352 ms.
+#[gtest]
+fn cost_counts_once() {
+    for cost in [200, 800, 1_500] {
+        let (mut pool, now) = used_up_new_pool();
+        let wait = expect_refusal(&mut pool, &[cost], now);
+        expect_fits_after(&mut pool, cost, now, wait, cost);
+    }
+}
+
+/// Requests that are refused in one grant carry one delay, after which all of them fit.
+#[gtest]
+fn requests_of_one_grant_fit_together() {
+    let (mut pool, now) = used_up_new_pool();
+    let wait = expect_refusal(&mut pool, &[300, 200, 100], now);
+    expect_fits_after(&mut pool, 600, now, wait, 600);
+}
+
+/// Room that becomes available after a refusal is counted once for the requests that are refused later.
+#[gtest]
+fn later_refusal_fits_after_earlier_one() {
+    let (mut pool, first) = used_up_new_pool();
+    let first_wait = expect_refusal(&mut pool, &[400], first);
+    let second = first + Duration::from_millis(200);
+    let second_wait = expect_refusal(&mut pool, &[400], second);
+    expect_fits_after(&mut pool, 400, first, first_wait, 400);
+    // Of the 800 units 216 have become available by the second refusal.
+    expect_fits_after(&mut pool, 400, second, second_wait, 584);
+}
+
+/// Room for refused requests is not granted in advance before they may be retried.
+#[gtest]
+fn refused_request_precedes_grants_in_advance() {
+    let (mut pool, now) = used_up_new_pool();
+    let wait = expect_refusal(&mut pool, &[400], now);
+    let prefetch = GrantRequest {
+        organisation: Arc::from("one"),
+        costs: Vec::new(),
+        prefetch: 1_000,
+    };
+    for step in 1..=3 {
+        let grant = pool.grant(&prefetch, &QUOTA, now + wait * step / 4);
+        expect_that!(grant.units, eq(0));
+    }
+    expect_fits_after(&mut pool, 400, now, wait, 400);
+}
+
 /// A full window has room when earlier grants leave it.
 #[gtest]
 fn full_window_delay() {
@@ -88,6 +167,30 @@
     expect_that!(wait, le(WINDOW));
 }
 
+/// Requests refused one after the other while the window is full fit one after the other, as earlier grants leave it.
+#[gtest]
+fn full_window_delays_follow_each_other() {
+    let (mut pool, start) = leased_pool(WINDOW * 2);
+    for second in 0..8 {
+        let grant = request(&mut pool, 1_060, start + Duration::from_secs(second));
+        expect_that!(grant.units, eq(1_060));
+    }
+    let first = start + Duration::from_millis(7_500);
+    let first_wait = expect_refusal(&mut pool, &[1_000], first);
+    let second = start + Duration::from_millis(7_900);
+    let second_wait = expect_refusal(&mut pool, &[1_000], second);
+    expect_that!(first_wait, le(Duration::from_millis(500 + 100)));
+    expect_that!(
+        request(&mut pool, 1_000, first + first_wait).units,
+        eq(1_000)
+    );
+    expect_that!(second_wait, le(Duration::from_millis(1_100 + 100)));
+    expect_that!(
+        request(&mut pool, 1_000, second + second_wait).units,
+        eq(1_000)
+    );
+}
+
 /// A quota of zero grants nothing.
 #[gtest]
 fn zero_quota_grants_nothing() {
