Count stalls of a client anew when its stream goes on at another endpoint

Stalls before a break counted against the endpoint that took the stream over, until it was waited for 250 ms; a break within that time ended the stream though the endpoint was at fault. Found by review, from the code; a test would rest on tight timing, so there is none.

--- a/crates/ploverwick_gateway/src/filters/forward.rs
+++ b/crates/ploverwick_gateway/src/filters/forward.rs
@@ -356,6 +356,7 @@
                     interruption.end_resumed();
                 }
                 self.source = Some(Source::from(*answered));
+                self.backpressure = Backpressure::default();
                 self.silent_since = Instant::now();
             }
             SendOutcome::Answered(mut answered) => {
