Log which prompt parts the requests at a crashed endpoint had in common

The logs named each request by a hash of its whole content, so that 152 of 157 recorded crashes looked like the first of their kind, and nothing told whether the requests had a part of their prompts in common. No decision changes. Tests: prompt_parts, shared_prompt_parts_are_read.

--- a/crates/ploverwick_gateway/src/controllers/quarantine.rs
+++ b/crates/ploverwick_gateway/src/controllers/quarantine.rs
@@ -9,7 +9,7 @@
 use ploverwick_platform::QUARANTINE_TOPIC;
 use ploverwick_platform::quarantine::{decode, encode};
 use ploverwick_platform::store::Record;
-use ploverwick_quarantine::{Change, Crash, Entry, Fingerprint, Suspect};
+use ploverwick_quarantine::{Change, Crash, Entry, Fingerprint, Suspect, Tally};
 
 use super::feed::{Feed, Update};
 use super::{Backoff, topic};
@@ -25,6 +25,12 @@
 pub(super) fn record_crash(shared: &Arc<Shared>, endpoint: &Arc<str>, suspects: &[Suspect]) {
     let crash = Crash::of(endpoint);
     let now = shared.now();
+    spdlog::info!(
+        "crash_parts endpoint={} requests={} parts={}",
+        endpoint,
+        suspects.len(),
+        Tally::of(suspects)
+    );
     for suspect in suspects {
         let (change, entry) =
             shared
@@ -32,9 +38,12 @@
                 .quarantine
                 .record_crash(suspect.fingerprint, crash, now);
         spdlog::info!(
-            "crash_recorded fingerprint={} id={} endpoint={} crashes={} change={:?}",
+            "crash_recorded fingerprint={} id={} route={} adapter={} parts={} endpoint={} crashes={} change={:?}",
             suspect.fingerprint,
             suspect.id,
+            suspect.route,
+            suspect.adapter,
+            Tally::of(std::slice::from_ref(suspect)),
             endpoint,
             entry.crashes.len(),
             change
--- a/crates/ploverwick_gateway/src/filters/admit.rs
+++ b/crates/ploverwick_gateway/src/filters/admit.rs
@@ -77,6 +77,7 @@
         first_event_deadline: first_event_deadline.min(deadline),
         config_version: config.version,
         fingerprint: OnceLock::new(),
+        prompt_parts: OnceLock::new(),
         build: OnceLock::new(),
         origin_attempt: None,
         charge: None,
--- a/crates/ploverwick_gateway/src/filters/admitted_request.rs
+++ b/crates/ploverwick_gateway/src/filters/admitted_request.rs
@@ -8,7 +8,7 @@
 use ploverwick_endpoints::origins::Attempt;
 use ploverwick_endpoints::{Build, Fleet};
 use ploverwick_platform::request::{self, RequestInfo};
-use ploverwick_quarantine::{Fingerprint, Suspect};
+use ploverwick_quarantine::{Fingerprint, MAX_PARTS, Part, Suspect};
 use ploverwick_routes::{Organisation, Route};
 use tokio::time::Instant;
 
@@ -64,6 +64,7 @@
     /// The version of the configuration that chose the route.
     pub(crate) config_version: u64,
     pub(crate) fingerprint: OnceLock<Fingerprint>,
+    pub(crate) prompt_parts: OnceLock<Arc<[Part]>>,
     /// The build that began the stream, once that is fixed: nothing else may continue it.
     pub(crate) build: OnceLock<Build>,
     /// The attempt under which the origin of the stream is recorded; `None` if its origin is not known for certain, or if the
@@ -109,6 +110,15 @@
         })
     }
 
+    /// Returns the parts of its prompt that other requests may share.
+    pub(crate) fn prompt_parts(&self) -> &Arc<[Part]> {
+        self.prompt_parts.get_or_init(|| {
+            let ids = request::shared_prompt_parts(&self.headers);
+            let parts = ids.into_iter().take(MAX_PARTS).map(Part::of);
+            parts.collect()
+        })
+    }
+
     /// Returns what identifies the caller in the fingerprint. If the organisation is known, data supplied by the
     /// client is ignored, since a client could use it to impersonate another caller or appear as a new one each
     /// time.
@@ -123,10 +133,18 @@
     pub(crate) fn suspect(&self) -> Suspect {
         Suspect {
             fingerprint: self.fingerprint(),
+            parts: Arc::clone(self.prompt_parts()),
             id: Arc::from(&*self.info.id),
+            route: Arc::clone(&self.route.name),
+            adapter: self.adapter_name(),
         }
     }
 
+    fn adapter_name(&self) -> Arc<str> {
+        let adapter = self.info.adapter.as_ref();
+        adapter.map_or_else(Arc::default, |key| Arc::clone(&key.adapter))
+    }
+
     /// Estimates the number of bytes transferred if the request is sent to another failure domain.
     pub(crate) fn cross_domain_bytes(&self) -> usize {
         /// The headers of request and answer.
--- a/crates/ploverwick_quarantine/src/broken_connections.rs
+++ b/crates/ploverwick_quarantine/src/broken_connections.rs
@@ -4,7 +4,7 @@
 use std::collections::hash_map::Entry;
 use std::sync::Arc;
 
-use crate::Fingerprint;
+use crate::{Fingerprint, Part};
 
 /// The most suspects kept per endpoint: more than an instance has in flight to one.
 const MAX_SUSPECTS: usize = 512;
@@ -14,8 +14,14 @@
 pub struct Suspect {
     /// Identifies the request across attempts.
     pub fingerprint: Fingerprint,
+    /// The parts of its prompt that other requests may share.
+    pub parts: Arc<[Part]>,
     /// The identifier of the attempt, for the log.
     pub id: Arc<str>,
+    /// The route, for the log.
+    pub route: Arc<str>,
+    /// The adapter, for the log; empty if the request names none.
+    pub adapter: Arc<str>,
 }
 
 /// The diagnosed state of an endpoint whose connections broke.
--- a/crates/ploverwick_quarantine/src/fingerprint.rs
+++ b/crates/ploverwick_quarantine/src/fingerprint.rs
@@ -35,6 +35,11 @@
         Self(bytes)
     }
 
+    /// Returns the fingerprint as a number.
+    pub(crate) fn number(self) -> u128 {
+        u128::from_be_bytes(self.0)
+    }
+
     /// Returns which of `count` buckets the fingerprint belongs to.
     pub(crate) fn bucket(self, count: usize) -> usize {
         usize::from(self.0[0]) % count
