Refuse requests that share a prompt part under which endpoints crash

Cause: the quarantine compares whole requests. Change: crashes are counted against each part of a prompt but the last, in rounds: one more than the highest round that was known when the answer began. Endpoints that end together are one round, however many. A success of any request that shares a part clears it; the third round refuses it, at all instances, in the store, and to operators as `part/ID` beside whole requests. A part that was in the same crashes as a refused one that the request does not share is explained by it, so that a common first part is not blamed with the fatal one. Crashes under a single caller are no evidence against others. What instances exchange of whole requests is unchanged; `Ledger` holds what both kinds of entry have in common.

--- a/crates/ploverwick_codes/src/code.rs
+++ b/crates/ploverwick_codes/src/code.rs
@@ -99,7 +99,7 @@
     2011 ModelUnknown NotRun 404 5 AfterChange "The table has no row for this adapter and no row for all adapters." "Publish a table with a row for the adapter or for '*'.";
     2012 ResumeUnknown NotRun 409 9 AfterChange "The answer to resume is not held here and the request may not be run again for it." "Send the request again without Last-Event-ID.";
     2013 BodySlow NotRun 408 4 Yes "The body did not arrive in time." "Send the request again over a faster link.";
-    2014 CrashesEndpoints NotRun 400 3 AfterChange "Endpoints crashed while they ran this request, three of them; it is not run any more." "Change the request; an operator can let it through again.";
+    2014 CrashesEndpoints NotRun 400 3 AfterChange "Endpoints crashed three times while they ran this request, or others that share a part of its prompt; it is not run any more." "Change the request; an operator can let it through again.";
     2015 KeyUnknown NotRun 401 16 AfterChange "The request carries no API key, more than one, or one that no organisation holds." "Send one valid key in the header for keys; an operator adds keys with a new configuration.";
     3000 Draining NotRun 503 14 Yes "This instance is leaving and takes no new requests." "Repeat the request; the balancer sends it elsewhere.";
     3001 NoTable NotRun 503 14 Yes "No table is in force yet." "Publish a first table; repeat after the hint.";
--- a/crates/ploverwick_gateway/src/broadcast/periodic.rs
+++ b/crates/ploverwick_gateway/src/broadcast/periodic.rs
@@ -9,7 +9,7 @@
 use ploverwick_endpoints::numbering;
 use ploverwick_names::Moment;
 
-use super::{capacities, domain_peers, remote_relays};
+use super::{capacities, domain_peers, quarantine, remote_relays};
 use crate::controllers::limits;
 use crate::messages::{AdapterUse, EndpointDigests, EndpointLoad, Message};
 use crate::shared::Shared;
@@ -95,19 +95,13 @@
             .recent(INTERVAL * DIGEST_INTERVAL_ROUNDS, now);
         push_chunks(draining, &to, Message::Draining, &mut messages);
     }
-    if round.is_multiple_of(DIGEST_INTERVAL_ROUNDS) && !state.quarantine.is_empty() {
+    if round.is_multiple_of(DIGEST_INTERVAL_ROUNDS) {
         let mut to = status_recipients(shared, &state, round, now);
         if placer_token.is_some() {
             to.extend(remote_relays(shared, &state, now));
         }
-        let digests = state.quarantine.digests();
-        messages.push((
-            Message::QuarantineDigests {
-                digests,
-                wants_reply: true,
-            },
-            to,
-        ));
+        let digests = quarantine::digests(&state);
+        messages.extend(digests.map(|message| (message, to.clone())));
     }
     report_uses(shared.settings.ip.into(), &mut state, now, &mut messages);
     if is_remote_round {
--- a/crates/ploverwick_gateway/src/broadcast/quarantine.rs
+++ b/crates/ploverwick_gateway/src/broadcast/quarantine.rs
@@ -1,15 +1,16 @@
-//! Messages about requests that crash endpoints.
+//! Messages about requests and parts of prompts that crash endpoints.
 
-use std::collections::HashSet;
 use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use ploverwick_quarantine::{DIGEST_BUCKETS, Entry, Fingerprint};
+use ploverwick_quarantine::{DIGEST_BUCKETS, Evidence, Ledger, prompt};
 
 use super::{domain_peers, remote_relays};
 use crate::messages::Message;
+use crate::quarantine_updates::Subjects;
 use crate::shared::Shared;
+use crate::state::State;
 
 /// How long changes are collected into one message. If many endpoints crash at once, an instance of a large
 /// fleet would otherwise send one message per crash to each peer, at a time when requests need the processor.
@@ -32,35 +33,60 @@
     }
 }
 
-async fn resend(shared: Arc<Shared>, fingerprints: HashSet<Fingerprint>) {
+async fn resend(shared: Arc<Shared>, subjects: Subjects) {
     tokio::time::sleep(RESEND_DELAY).await;
-    broadcast_entries(&shared, &fingerprints);
+    broadcast_entries(&shared, &subjects);
 }
 
-/// Sends the entries of some requests to all instances; returns the fingerprints of those to send again.
-fn broadcast_entries(shared: &Shared, fingerprints: &HashSet<Fingerprint>) -> HashSet<Fingerprint> {
+/// Sends the entries of some subjects to all instances; returns those to send again.
+fn broadcast_entries(shared: &Shared, subjects: &Subjects) -> Subjects {
     let now = shared.now();
     let state = shared.state();
-    let entries = fingerprints
-        .iter()
-        .map(|fingerprint| state.quarantine.entry(fingerprint, now));
-    let entries: Vec<Entry> = entries.collect();
+    let requests = subjects.requests.iter();
+    let requests: Vec<_> = requests
+        .map(|fingerprint| state.quarantine.entry(fingerprint, now))
+        .collect();
+    let parts = subjects.parts.iter();
+    let parts: Vec<_> = parts
+        .map(|part| state.prompt_quarantine.entry(part, now))
+        .collect();
     let mut to = domain_peers(shared, &state);
     to.extend(remote_relays(shared, &state, now));
     drop(state);
-    send(shared, &entries, &to);
-    let urgent = entries.iter().filter(|entry| entry.is_near_threshold());
-    urgent.map(|entry| entry.fingerprint).collect()
+    send(shared, &requests, &to, Message::QuarantineEntries);
+    send(shared, &parts, &to, Message::PromptEntries);
+    let requests = requests.iter().filter(|entry| entry.is_near_threshold());
+    let parts = parts.iter().filter(|entry| entry.is_near_threshold());
+    Subjects {
+        requests: requests.map(|entry| entry.fingerprint).collect(),
+        parts: parts.map(|entry| entry.part).collect(),
+    }
 }
 
-fn send(shared: &Shared, entries: &[Entry], to: &[IpAddr]) {
+fn send<E: Evidence>(
+    shared: &Shared,
+    entries: &[E],
+    to: &[IpAddr],
+    message: impl Fn(Vec<E>) -> Message,
+) {
     for part in entries.chunks(MAX_ENTRIES_PER_MESSAGE) {
-        shared
-            .peer_socket
-            .send(&Message::QuarantineEntries(part.to_vec()), to);
+        shared.peer_socket.send(&message(part.to_vec()), to);
     }
 }
 
+/// Returns the messages that ask peers to compare what they track with what this instance tracks.
+pub(super) fn digests(state: &State) -> impl Iterator<Item = Message> + use<> {
+    let requests = (!state.quarantine.is_empty()).then(|| Message::QuarantineDigests {
+        digests: state.quarantine.digests(),
+        wants_reply: true,
+    });
+    let parts = (!state.prompt_quarantine.is_empty()).then(|| Message::PromptDigests {
+        digests: state.prompt_quarantine.digests(),
+        wants_reply: true,
+    });
+    requests.into_iter().chain(parts)
+}
+
 /// Sends the instance at `ip` the entries that differ from its own, and, if it asked for a comparison, this
 /// instance's digests, so that it sends its differing entries in return.
 pub(crate) fn handle_digests(
@@ -69,12 +95,8 @@
     digests: &[u64; DIGEST_BUCKETS],
     wants_reply: bool,
 ) {
-    let now = shared.now();
-    let state = shared.state();
-    let own = state.quarantine.digests();
-    let differing = state.quarantine.differing(digests, now);
-    drop(state);
-    send(shared, &differing, &[ip]);
+    let (differing, own) = compare(shared, digests, |state| &state.quarantine);
+    send(shared, &differing, &[ip], Message::QuarantineEntries);
     if wants_reply && own != *digests {
         let message = Message::QuarantineDigests {
             digests: own,
@@ -83,3 +105,34 @@
         shared.peer_socket.send(&message, &[ip]);
     }
 }
+
+/// Like [`handle_digests`], for parts of prompts.
+pub(crate) fn handle_prompt_digests(
+    shared: &Shared,
+    ip: IpAddr,
+    digests: &[u64; DIGEST_BUCKETS],
+    wants_reply: bool,
+) {
+    let (differing, own): (Vec<prompt::Entry>, _) =
+        compare(shared, digests, |state| &state.prompt_quarantine);
+    send(shared, &differing, &[ip], Message::PromptEntries);
+    if wants_reply && own != *digests {
+        let message = Message::PromptDigests {
+            digests: own,
+            wants_reply: false,
+        };
+        shared.peer_socket.send(&message, &[ip]);
+    }
+}
+
+/// Returns the entries that differ from those with these digests, and this instance's digests.
+fn compare<E: Evidence>(
+    shared: &Shared,
+    digests: &[u64; DIGEST_BUCKETS],
+    ledger: impl Fn(&State) -> &Ledger<E>,
+) -> (Vec<E>, [u64; DIGEST_BUCKETS]) {
+    let now = shared.now();
+    let state = shared.state();
+    let ledger = ledger(&state);
+    (ledger.differing(digests, now), ledger.digests())
+}
--- a/crates/ploverwick_gateway/src/controllers/quarantine.rs
+++ b/crates/ploverwick_gateway/src/controllers/quarantine.rs
@@ -1,15 +1,16 @@
-//! Tracks the requests that crash endpoints, in agreement with all instances.
+//! Tracks the requests and the parts of prompts that crash endpoints, in agreement with all instances.
 //!
-//! A crash is broadcast at once, because any instance may receive the next attempt. Refused requests are also
+//! A crash is broadcast at once, because any instance may receive the next attempt. What is refused is also
 //! written to the store, for instances that start while no other one runs, and for operators.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use ploverwick_platform::QUARANTINE_TOPIC;
-use ploverwick_platform::quarantine::{decode, encode};
+use ploverwick_platform::quarantine::{Stored, decode, encode};
 use ploverwick_platform::store::Record;
-use ploverwick_quarantine::{Change, Crash, Entry, Fingerprint, Suspect, Tally};
+use ploverwick_quarantine::prompt::{self, Part, Tally};
+use ploverwick_quarantine::{Change, Crash, Entry, Fingerprint, Suspect};
 
 use super::feed::{Feed, Update};
 use super::{Backoff, topic};
@@ -50,14 +51,61 @@
         );
         if change == Change::Refused {
             update_metric(shared);
-            publish(shared, &entry);
+            publish(shared, &Stored::Request(entry));
         }
         if change != Change::Unchanged {
             shared.quarantine_updates.add(suspect.fingerprint);
         }
+        for part in suspect.parts.iter() {
+            record_prompt_crash(shared, suspect, *part, crash);
+        }
     }
 }
 
+/// Records that an endpoint crashed while it ran a request that shares a part of its prompt.
+fn record_prompt_crash(shared: &Arc<Shared>, suspect: &Suspect, part: Part, crash: Crash) {
+    let now = shared.now();
+    let (change, entry) = shared.state().prompt_quarantine.record_crash(
+        part,
+        &suspect.known,
+        crash,
+        suspect.caller,
+        now,
+    );
+    if change == Change::Unchanged {
+        return;
+    }
+    shared.quarantine_updates.add_part(part);
+    // The first round is in `crash_parts`. It is common, as each crash has bystanders.
+    if entry.is_near_threshold() {
+        log_part(shared, &entry, suspect, change);
+    }
+    if change == Change::Refused {
+        update_metric(shared);
+        publish(shared, &Stored::Part(entry));
+    }
+}
+
+fn log_part(shared: &Shared, entry: &prompt::Entry, suspect: &Suspect, change: Change) {
+    let now = shared.now();
+    let state = shared.state();
+    let explanation = state
+        .prompt_quarantine
+        .explanation(&entry.part, &[entry.part], now);
+    spdlog::info!(
+        "part_suspected part={} id={} route={} adapter={} round={} crashes={} callers={} change={:?} explained_by={}",
+        entry.part,
+        suspect.id,
+        suspect.route,
+        suspect.adapter,
+        entry.round(),
+        entry.crashes.len(),
+        entry.callers(),
+        change,
+        explanation.map_or_else(|| "-".to_owned(), |part| part.to_string())
+    );
+}
+
 /// Handles the success of a request, which clears the crashes counted against it.
 pub(crate) fn handle_success(shared: &Arc<Shared>, fingerprint: &Fingerprint, id: &str) {
     let now = shared.now();
@@ -73,11 +121,40 @@
     );
     if change == Change::Released {
         update_metric(shared);
-        publish(shared, &entry);
+        publish(shared, &Stored::Request(entry));
     }
     shared.quarantine_updates.add(*fingerprint);
 }
 
+/// Handles the success of a request, which clears the crashes counted against the parts of its prompt.
+pub(crate) fn handle_prompt_success(shared: &Arc<Shared>, parts: &[Part], id: &str) {
+    let now = shared.now();
+    for part in parts {
+        let mut state = shared.state();
+        let before = state.prompt_quarantine.entry(part, now);
+        let cleared = state.prompt_quarantine.reset(part, now);
+        drop(state);
+        let Some((change, entry)) = cleared else {
+            continue;
+        };
+        metrics::part_cleared();
+        if before.is_near_threshold() {
+            spdlog::info!(
+                "part_cleared part={} id={} round={} change={:?}",
+                part,
+                id,
+                before.round(),
+                change
+            );
+        }
+        if change == Change::Released {
+            update_metric(shared);
+            publish(shared, &Stored::Part(entry));
+        }
+        shared.quarantine_updates.add_part(*part);
+    }
+}
+
 /// Applies entries from another instance or from the store; `source` identifies the sender in the log.
 pub(crate) fn apply_entries(
     shared: &Arc<Shared>,
@@ -106,7 +183,40 @@
         // Instances that observed a crash write the entry to the store. Writing it more than once has no
         // effect.
         if change == Change::Refused && is_observed_locally {
-            publish(shared, &entry);
+            publish(shared, &Stored::Request(entry));
+        }
+    }
+}
+
+/// Like [`apply_entries`], for parts of prompts.
+pub(crate) fn apply_prompt_entries(
+    shared: &Arc<Shared>,
+    entries: &[prompt::Entry],
+    source: &dyn std::fmt::Display,
+) {
+    let now = shared.now();
+    for entry in entries {
+        let mut state = shared.state();
+        let change = state.prompt_quarantine.merge(entry, now);
+        let is_observed_locally = state.prompt_quarantine.is_observed_locally(&entry.part);
+        let entry = state.prompt_quarantine.entry(&entry.part, now);
+        drop(state);
+        match change {
+            Change::Unchanged | Change::Updated => continue,
+            Change::Refused | Change::Released => {}
+        }
+        spdlog::info!(
+            "part_told part={} change={:?} round={} crashes={} callers={} by={}",
+            entry.part,
+            change,
+            entry.round(),
+            entry.crashes.len(),
+            entry.callers(),
+            source
+        );
+        update_metric(shared);
+        if change == Change::Refused && is_observed_locally {
+            publish(shared, &Stored::Part(entry));
         }
     }
 }
@@ -114,31 +224,37 @@
 /// Removes expired entries.
 pub(crate) fn remove_expired(shared: &Shared) {
     let now = shared.now();
-    let expired = shared.state().quarantine.remove_expired(now);
-    for fingerprint in &expired {
+    let mut state = shared.state();
+    let requests = state.quarantine.remove_expired(now);
+    let parts = state.prompt_quarantine.remove_expired(now);
+    drop(state);
+    for fingerprint in &requests {
         spdlog::info!("quarantine_lapsed fingerprint={}", fingerprint);
     }
-    if !expired.is_empty() {
+    for part in &parts {
+        spdlog::info!("quarantine_lapsed part={}", part);
+    }
+    if !requests.is_empty() || !parts.is_empty() {
         update_metric(shared);
     }
 }
 
 fn update_metric(shared: &Shared) {
-    metrics::quarantined(shared.state().quarantine.refused());
+    let state = shared.state();
+    metrics::quarantined(
+        state.quarantine.refused(),
+        state.prompt_quarantine.refused(),
+    );
 }
 
 /// Writes an entry to the store in the background, and retries while the store is unavailable.
-fn publish(shared: &Arc<Shared>, entry: &Entry) {
+fn publish(shared: &Arc<Shared>, entry: &Stored) {
     let shared = Arc::clone(shared);
     let (key, value) = encode(entry, unix_ms());
     tokio::spawn(async move {
         let mut backoff = Backoff::new();
         while let Err(error) = shared.store.put(QUARANTINE_TOPIC, &key, Some(&value)).await {
-            spdlog::warn!(
-                "quarantine_unwritten fingerprint={} cause=\"{}\"",
-                key,
-                error
-            );
+            spdlog::warn!("quarantine_unwritten key={} cause=\"{}\"", key, error);
             backoff.pause(&shared).await;
         }
     });
@@ -166,10 +282,13 @@
 
 fn handle_records(shared: &Arc<Shared>, records: &[Record]) {
     let now_ms = unix_ms();
-    let mut entries = Vec::new();
+    let mut requests = Vec::new();
+    let mut parts = Vec::new();
     for record in records {
         match decode(record, now_ms) {
-            Ok(entry) => entries.extend(entry),
+            Ok(Some(Stored::Request(entry))) => requests.push(entry),
+            Ok(Some(Stored::Part(entry))) => parts.push(entry),
+            Ok(None) => {}
             Err(error) => {
                 spdlog::warn!(
                     "quarantine_malformed key={} cause=\"{}\"",
@@ -179,5 +298,6 @@
             }
         }
     }
-    apply_entries(shared, &entries, &"store");
+    apply_entries(shared, &requests, &"store");
+    apply_prompt_entries(shared, &parts, &"store");
 }
--- a/crates/ploverwick_gateway/src/filters/admitted_request.rs
+++ b/crates/ploverwick_gateway/src/filters/admitted_request.rs
@@ -8,7 +8,8 @@
 use ploverwick_endpoints::origins::Attempt;
 use ploverwick_endpoints::{Build, Fleet};
 use ploverwick_platform::request::{self, RequestInfo};
-use ploverwick_quarantine::{Fingerprint, MAX_PARTS, Part, Suspect};
+use ploverwick_quarantine::prompt::{self, Knowledge, MAX_PARTS, Part};
+use ploverwick_quarantine::{Fingerprint, Suspect};
 use ploverwick_routes::{Organisation, Route};
 use tokio::time::Instant;
 
@@ -119,6 +120,11 @@
         })
     }
 
+    /// Returns the caller as it is compared between requests that share a part of their prompts.
+    pub(super) fn prompt_caller(&self) -> prompt::Caller {
+        prompt::Caller::of(self.caller_identity())
+    }
+
     /// Returns what identifies the caller in the fingerprint. If the organisation is known, data supplied by the
     /// client is ignored, since a client could use it to impersonate another caller or appear as a new one each
     /// time.
@@ -129,11 +135,14 @@
         }
     }
 
-    /// Returns the record of this request as a possible cause of an endpoint's crash.
-    pub(crate) fn suspect(&self) -> Suspect {
+    /// Returns the record of this request as a possible cause of an endpoint's crash. `known` is what was known of the
+    /// parts of its prompt when the answer began.
+    pub(crate) fn suspect(&self, known: &Knowledge) -> Suspect {
         Suspect {
             fingerprint: self.fingerprint(),
             parts: Arc::clone(self.prompt_parts()),
+            known: known.clone(),
+            caller: self.prompt_caller(),
             id: Arc::from(&*self.info.id),
             route: Arc::clone(&self.route.name),
             adapter: self.adapter_name(),
--- a/crates/ploverwick_gateway/src/filters/forward.rs
+++ b/crates/ploverwick_gateway/src/filters/forward.rs
@@ -62,7 +62,8 @@
         Ok(Err(error)) => {
             answered.in_flight.set_outcome(Outcome::Broken);
             let endpoint = &answered.in_flight.endpoint;
-            crashes::handle_broken_connection(shared, endpoint, request.suspect());
+            let suspect = request.suspect(&answered.known);
+            crashes::handle_broken_connection(shared, endpoint, suspect);
             return Err(error.to_string());
         }
         Err(_) => {
@@ -393,7 +394,8 @@
         if let Some(source) = &self.source {
             self.timing.record_end(source);
             let endpoint = &source.in_flight.endpoint;
-            crashes::handle_broken_connection(&self.shared, endpoint, self.request.suspect());
+            let suspect = self.request.suspect(&source.known);
+            crashes::handle_broken_connection(&self.shared, endpoint, suspect);
         }
     }
 
@@ -477,7 +479,7 @@
             source.in_flight.set_outcome(Outcome::Success);
             self.timing.set_ending(Ending::Complete);
             self.timing.record_end(&source);
-            quarantine::handle_success(&self.shared, &self.request);
+            quarantine::handle_success(&self.shared, &self.request, source.head.framing);
             let endpoint = Arc::clone(&source.in_flight.endpoint);
             keep(&self.shared, &endpoint, source.connection, &source.head);
         }
--- a/crates/ploverwick_gateway/src/filters/send.rs
+++ b/crates/ploverwick_gateway/src/filters/send.rs
@@ -11,12 +11,14 @@
 use ploverwick_endpoints::{Entry, Outcome};
 use ploverwick_platform::answer::{self, Head, Statement};
 use ploverwick_platform::request::{self, Addition};
+use ploverwick_quarantine::prompt::Knowledge;
 use tokio::time::Instant;
 
 use super::admitted_request::AdmittedRequest;
 use super::answer_wait::AnswerWait;
 use super::authenticate::{self, Caller};
 use super::in_flight::InFlight;
+use super::quarantine;
 use super::reply::Reply;
 use super::reuse;
 use super::select::{self, Target};
@@ -74,6 +76,8 @@
     pub(crate) body: Incoming,
     pub(crate) in_flight: InFlight,
     pub(crate) connection: Connection,
+    /// What was known of the parts of the prompt when the answer began.
+    pub(crate) known: Knowledge,
 }
 
 /// Sends a request to its target.
@@ -104,6 +108,7 @@
     }
     let answer = request.info.expected_answer_tokens;
     let mut in_flight = InFlight::start(shared, endpoint, target.copy.clone(), prompt, answer);
+    let known = quarantine::known(shared, request);
     let begun = Instant::now();
     let message = build_message(request, target, &caller, after_event);
     let (mut connection, result) = match exchange(shared, request, target, wait, message).await {
@@ -129,7 +134,7 @@
         Err(error) => {
             reachability::handle_break(shared, &target.entry, &connection);
             in_flight.set_outcome(Outcome::Broken);
-            crashes::handle_broken_connection(shared, endpoint, request.suspect());
+            crashes::handle_broken_connection(shared, endpoint, request.suspect(&known));
             return SendOutcome::Lost(error.to_string());
         }
     };
@@ -179,6 +184,7 @@
         body,
         in_flight,
         connection,
+        known: quarantine::known(shared, request),
     }))
 }
 
--- a/crates/ploverwick_gateway/src/filters/source.rs
+++ b/crates/ploverwick_gateway/src/filters/source.rs
@@ -7,6 +7,7 @@
 use hyper::body::Incoming;
 use ploverwick_endpoints::{Entry, EventScanner, Scan};
 use ploverwick_platform::answer::{Framing, Head};
+use ploverwick_quarantine::prompt::Knowledge;
 
 use super::in_flight::InFlight;
 use super::resume::Found;
@@ -24,6 +25,7 @@
     pub(super) in_flight: InFlight,
     pub(super) connection: Connection,
     pub(super) head: Head,
+    pub(super) known: Knowledge,
 }
 
 impl From<Answered> for Source {
@@ -37,6 +39,7 @@
             in_flight: answered.in_flight,
             connection: answered.connection,
             head: answered.head,
+            known: answered.known,
         }
     }
 }
--- a/crates/ploverwick_gateway/src/listen.rs
+++ b/crates/ploverwick_gateway/src/listen.rs
@@ -123,6 +123,9 @@
         Message::BaseLoad => shared.state().base_load_limiter.record_load(now),
         Message::LeaseReleased => shared.lease_released.notify_one(),
         Message::QuarantineEntries(entries) => quarantine::apply_entries(shared, &entries, &from),
+        Message::PromptEntries(entries) => {
+            quarantine::apply_prompt_entries(shared, &entries, &from);
+        }
         Message::EndpointLimitsRequest => {
             broadcast::send_all_limits(shared, from);
             broadcast::send_all_draining(shared, from);
@@ -148,6 +151,12 @@
         } => {
             broadcast::quarantine::handle_digests(shared, from, &digests, wants_reply);
         }
+        Message::PromptDigests {
+            digests,
+            wants_reply,
+        } => {
+            broadcast::quarantine::handle_prompt_digests(shared, from, &digests, wants_reply);
+        }
     }
 }
 
--- a/crates/ploverwick_gateway/src/main.rs
+++ b/crates/ploverwick_gateway/src/main.rs
@@ -47,13 +47,12 @@
     match command {
         QuarantineCmd::List(flags) => {
             for entry in quarantine::list(flags.store).await? {
-                println!("{} refused {} s ago", entry.fingerprint, entry.age_s);
+                println!("{} refused {} s ago", entry.key(), entry.age_s());
             }
         }
         QuarantineCmd::Release(flags) => {
-            let fingerprint = flags.fingerprint.parse()?;
-            quarantine::release(flags.store, fingerprint).await?;
-            println!("released {fingerprint}");
+            quarantine::release(flags.store, &flags.key).await?;
+            println!("released {}", flags.key);
         }
     }
     Ok(())
@@ -90,17 +89,17 @@
                 /// Serves metrics on this port of the instance's address.
                 optional --metrics port: u16
             }
-            /// Lists or releases requests that are refused because endpoints crashed on them.
+            /// Lists or releases requests and prompt parts that are refused because endpoints crashed on them.
             cmd quarantine {
-                /// Prints the refused requests, the most recent first.
+                /// Prints the refused requests and prompt parts, the most recent first.
                 cmd list {
                     /// The store, as IP:PORT.
                     required --store store: SocketAddr
                 }
-                /// Releases a request, after it or the endpoints were fixed.
+                /// Releases a request or a part, after it or the endpoints were fixed.
                 cmd release {
-                    /// The fingerprint, as printed by the list and in the log.
-                    required fingerprint: String
+                    /// The fingerprint of the request, or `part/` and the part, as printed by the list.
+                    required key: String
                     /// The store, as IP:PORT.
                     required --store store: SocketAddr
                 }
--- a/crates/ploverwick_gateway/src/messages.rs
+++ b/crates/ploverwick_gateway/src/messages.rs
@@ -13,7 +13,7 @@
     Build, EndpointObservations, Entry, Figure, LimitUpdate, LogByte, lookup, totals,
 };
 use ploverwick_names::Moment;
-use ploverwick_quarantine::DIGEST_BUCKETS;
+use ploverwick_quarantine::{DIGEST_BUCKETS, prompt};
 use ploverwick_quota::{Grant, Lease};
 use ploverwick_topics::Position;
 use ploverwick_topics::parts::{self, Reassembler};
@@ -232,6 +232,13 @@
     },
     /// Answers `OriginQuery`.
     OriginReply { id: u64, reply: lookup::Reply },
+    /// The crashes that are counted against parts of prompts.
+    PromptEntries(Vec<prompt::Entry>),
+    /// Digests of all crashes that the sender counts against parts of prompts, as in `QuarantineDigests`.
+    PromptDigests {
+        digests: [u64; DIGEST_BUCKETS],
+        wants_reply: bool,
+    },
 }
 
 impl Message {
@@ -285,6 +292,8 @@
             Self::Origins(_) => "origins",
             Self::OriginQuery { .. } => "origin_query",
             Self::OriginReply { .. } => "origin_reply",
+            Self::PromptEntries(_) => "prompt_entries",
+            Self::PromptDigests { .. } => "prompt_digests",
         }
     }
 
@@ -299,6 +308,7 @@
             | Self::EndpointLimits(_)
             | Self::Draining(_)
             | Self::QuarantineEntries(_)
+            | Self::PromptEntries(_)
             | Self::Figures(_) => true,
             Self::Status { .. }
             | Self::AdapterUses(_)
@@ -319,7 +329,8 @@
             | Self::Origins(_)
             | Self::OriginQuery { .. }
             | Self::OriginReply { .. }
-            | Self::QuarantineDigests { .. } => false,
+            | Self::QuarantineDigests { .. }
+            | Self::PromptDigests { .. } => false,
         }
     }
 }
--- a/crates/ploverwick_gateway/src/metrics.rs
+++ b/crates/ploverwick_gateway/src/metrics.rs
@@ -244,9 +244,14 @@
         .increment(requests as u64);
 }
 
-/// Counts a request that was refused because endpoints crash on it.
-pub(crate) fn fatal_refused() {
-    counter!("ploverwick_fatal_refused_total").increment(1);
+/// Counts a request that was refused because endpoints crash on it, or on a part of its prompt.
+pub(crate) fn fatal_refused(cause: &'static str) {
+    counter!("ploverwick_fatal_refused_total", "cause" => cause).increment(1);
+}
+
+/// Counts a prompt part whose crashes were reset because a request that shares it succeeded.
+pub(crate) fn part_cleared() {
+    counter!("ploverwick_parts_cleared_total").increment(1);
 }
 
 /// Sets the proven maximum age of the configuration; `None` if there is no proof.
@@ -290,9 +295,10 @@
     gauge!("ploverwick_quota_pool_lenders").set(lenders as f64);
 }
 
-/// Sets the number of requests that are refused because endpoints crash on them.
-pub(crate) fn quarantined(requests: usize) {
+/// Sets the numbers of requests and of prompt parts that are refused because endpoints crash on them.
+pub(crate) fn quarantined(requests: usize, parts: usize) {
     gauge!("ploverwick_quarantined").set(requests as f64);
+    gauge!("ploverwick_quarantined_parts").set(parts as f64);
 }
 
 /// Counts an order by the endpoint's answer.
--- a/crates/ploverwick_gateway/src/quarantine.rs
+++ b/crates/ploverwick_gateway/src/quarantine.rs
@@ -1,50 +1,49 @@
-//! The operators' commands for refused requests, which use the platform's store directly.
+//! The operators' commands for refused requests and prompt parts, which use the platform's store directly.
 
 use std::net::SocketAddr;
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use anyhow::{Context, Result, bail};
 use ploverwick_platform::QUARANTINE_TOPIC;
-use ploverwick_platform::quarantine::{decode, encode};
+use ploverwick_platform::quarantine::{Stored, decode, encode};
 use ploverwick_platform::store::Store;
-use ploverwick_quarantine::{Entry, Fingerprint};
 
 /// The quarantine topic has a single partition.
 const PARTITIONS: u32 = 1;
 
-/// Returns the requests that are refused because endpoints crashed on them, the most recent first.
+/// Returns the requests and prompt parts that are refused because endpoints crashed on them, the most recent first.
 ///
 /// # Errors
 /// Fails if the store does not answer.
-pub async fn list(store: SocketAddr) -> Result<Vec<Entry>> {
+pub async fn list(store: SocketAddr) -> Result<Vec<Stored>> {
     let entries = read(&Store::new(store, PARTITIONS)).await?;
-    let refused = entries.into_iter().filter(Entry::is_refused);
-    let mut refused: Vec<Entry> = refused.collect();
-    refused.sort_by_key(|entry| entry.age_s);
+    let refused = entries.into_iter().filter(Stored::is_refused);
+    let mut refused: Vec<Stored> = refused.collect();
+    refused.sort_by_key(Stored::age_s);
     Ok(refused)
 }
 
-/// Releases a request from quarantine; instances learn of it within one to two seconds. If it crashes three
-/// more endpoints, it is refused again.
+/// Releases the request or prompt part with this key, as listed; instances learn of it within one to two seconds. If it
+/// crashes three more endpoints, it is refused again.
 ///
 /// # Errors
-/// Fails if the request is not refused, or if the store does not answer; in the last case it may have been
+/// Fails if it is not refused, or if the store does not answer; in the last case it may have been
 /// released anyway.
-pub async fn release(store: SocketAddr, fingerprint: Fingerprint) -> Result<()> {
+pub async fn release(store: SocketAddr, key: &str) -> Result<()> {
     let store = Store::new(store, PARTITIONS);
     let entries = read(&store).await?;
     let entry = entries
         .iter()
-        .find(|entry| entry.fingerprint == fingerprint && entry.is_refused());
+        .find(|entry| entry.key() == key && entry.is_refused());
     let Some(entry) = entry else {
-        bail!("{fingerprint} is not refused; `quarantine list` shows what is");
+        bail!("{key} is not refused; `quarantine list` shows what is");
     };
     let (key, value) = encode(&entry.after_reset(), unix_ms());
     let written = store.put(QUARANTINE_TOPIC, &key, Some(&value)).await;
-    written.context("release the request; check with `quarantine list` before trying again")
+    written.context("release it; check with `quarantine list` before trying again")
 }
 
-async fn read(store: &Store) -> Result<Vec<Entry>> {
+async fn read(store: &Store) -> Result<Vec<Stored>> {
     let now_ms = unix_ms();
     let snapshot = store.newest(QUARANTINE_TOPIC).await?;
     let mut entries = Vec::new();
--- a/crates/ploverwick_gateway/src/state.rs
+++ b/crates/ploverwick_gateway/src/state.rs
@@ -18,7 +18,7 @@
 use ploverwick_limits::{PriorUse, RateLimiter};
 use ploverwick_names::Moment;
 use ploverwick_platform::settings::Settings;
-use ploverwick_quarantine::{BrokenConnections, Quarantine};
+use ploverwick_quarantine::{BrokenConnections, Quarantine, prompt};
 use ploverwick_quota::{Allocation, Pool};
 use ploverwick_routes::Config;
 use ploverwick_table::Table;
@@ -162,6 +162,7 @@
     pub(crate) broken_connections: BrokenConnections,
     /// The requests that endpoints crashed on.
     pub(crate) quarantine: Quarantine,
+    pub(crate) prompt_quarantine: prompt::Quarantine,
 }
 
 impl State {
@@ -212,6 +213,7 @@
             quota_pool: Pool::new(settings.quota_window),
             broken_connections: BrokenConnections::default(),
             quarantine: Quarantine::default(),
+            prompt_quarantine: prompt::Quarantine::default(),
         }
     }
 
--- a/crates/ploverwick_gateway/tests/fatal_prompt_part.rs
+++ b/crates/ploverwick_gateway/tests/fatal_prompt_part.rs
@@ -8,9 +8,11 @@
 
 use anyhow::Result;
 use common::HOST;
-use crashing::{ATTEMPT_INTERVAL, Deployment};
+use crashing::{ATTEMPT_INTERVAL, Deployment, INSTANCES, SETTLED};
 use googletest::prelude::*;
 use http::StatusCode;
+use ploverwick_gateway::quarantine;
+use ploverwick_platform::quarantine::Stored;
 use ploverwick_platform_standin::client::ClientRequest;
 use ploverwick_platform_standin::crashing::FATAL_PART;
 
@@ -53,3 +55,73 @@
     assert_that!(deployment.crashes(), all![ge(3), le(MAX_CRASHES)]);
     Ok(())
 }
+
+/// Guards against crashes caused by streams that the gateway resumes at another endpoint.
+#[tokio::test]
+async fn resumed_streams_crash_few_endpoints() -> Result<()> {
+    let deployment = Deployment::start("lm").await?;
+    send_in_turn(&deployment, "/resume/", 16).await?;
+    assert_that!(deployment.crashes(), all![ge(3), le(MAX_CRASHES)]);
+    Ok(())
+}
+
+/// Guards against refusing sound requests that share the first part with the fatal ones: all are served once the fatal part
+/// is known, also if none came while it was not.
+#[tokio::test]
+async fn sound_requests_are_served() -> Result<()> {
+    let deployment = Deployment::start("lm").await?;
+    for number in 0..8 {
+        let fatal = request(&format!("alone-{number}"), "/live/", &[FIRST, FATAL_PART]);
+        deployment.send(number % INSTANCES.len(), &fatal).await?;
+        tokio::time::sleep(ATTEMPT_INTERVAL).await;
+    }
+    let before = deployment.runs_sharing(FATAL_PART);
+    let served = send_in_turn(&deployment, "/live/", 9).await?;
+    assert_that!(served, eq(9));
+    assert_that!(deployment.runs_sharing(FATAL_PART), eq(before));
+    for instance in 0..INSTANCES.len() {
+        let fatal = request("same", "/live/", &[FATAL_PART]);
+        let got = deployment.send(instance, &fatal).await?;
+        assert_that!(got.status, eq(StatusCode::BAD_REQUEST));
+        assert_that!(got.retry_after, none());
+        assert_that!(
+            got.body,
+            all![starts_with("PW2014"), contains_substring(FATAL_PART)]
+        );
+    }
+    // The last part belongs to the request itself.
+    let last = request("last", "/live/", &[]).parts(&[FIRST, FATAL_PART]);
+    let got = deployment.send(0, &last).await?;
+    assert_that!(got.status, eq(StatusCode::OK));
+    Ok(())
+}
+
+/// Guards against a refusal that is lost when all instances restart, or that an operator cannot lift.
+#[tokio::test]
+async fn refused_part_outlasts_restart() -> Result<()> {
+    let mut deployment = Deployment::start("lm").await?;
+    send_in_turn(&deployment, "/live/", 8).await?;
+    let before = deployment.runs_sharing(FATAL_PART);
+    while !deployment.instances.is_empty() {
+        deployment.kill(0);
+    }
+    deployment.start_all(false).await?;
+    let fatal = request("after", "/live/", &[FIRST, FATAL_PART]);
+    let got = deployment.send(0, &fatal).await?;
+    assert_that!(got.status, eq(StatusCode::BAD_REQUEST));
+    let store = deployment.store.address();
+    let refused: Vec<String> = quarantine::list(store)
+        .await?
+        .iter()
+        .map(Stored::key)
+        .collect();
+    assert_that!(refused, elements_are![eq(&format!("part/{FATAL_PART}"))]);
+    quarantine::release(store, &refused[0]).await?;
+    assert_that!(quarantine::list(store).await?, is_empty());
+    tokio::time::sleep(SETTLED).await;
+    assert_that!(deployment.runs_sharing(FATAL_PART), eq(before));
+    let released = request("released", "/live/", &[FIRST, FATAL_PART]);
+    deployment.send(1, &released).await?;
+    assert_that!(deployment.runs_sharing(FATAL_PART), eq(before + 1));
+    Ok(())
+}
--- a/crates/ploverwick_gateway/tests/fatal_request.rs
+++ b/crates/ploverwick_gateway/tests/fatal_request.rs
@@ -147,14 +147,14 @@
     let store = deployment.store.address();
     let refused = quarantine::list(store).await?;
     assert_that!(refused, len(eq(1)));
-    quarantine::release(store, refused[0].fingerprint).await?;
+    quarantine::release(store, &refused[0].key()).await?;
     assert_that!(quarantine::list(store).await?, is_empty());
     tokio::time::sleep(SETTLED).await;
     deployment
         .send(1, &request("released", "/live/", FATAL))
         .await?;
     assert_that!(deployment.runs(FATAL), eq(before + 1));
-    let again = quarantine::release(store, refused[0].fingerprint).await;
+    let again = quarantine::release(store, &refused[0].key()).await;
     assert_that!(
         again,
         err(displays_as(contains_substring("is not refused")))
--- a/crates/ploverwick_quarantine/src/broken_connections.rs
+++ b/crates/ploverwick_quarantine/src/broken_connections.rs
@@ -4,7 +4,8 @@
 use std::collections::hash_map::Entry;
 use std::sync::Arc;
 
-use crate::{Fingerprint, Part};
+use crate::Fingerprint;
+use crate::prompt::{Caller, Knowledge, Part};
 
 /// The most suspects kept per endpoint: more than an instance has in flight to one.
 const MAX_SUSPECTS: usize = 512;
@@ -16,6 +17,10 @@
     pub fingerprint: Fingerprint,
     /// The parts of its prompt that other requests may share.
     pub parts: Arc<[Part]>,
+    /// What was known of these parts when the answer began, or when the request was sent if it had not begun.
+    pub known: Knowledge,
+    /// Who sent the request.
+    pub caller: Caller,
     /// The identifier of the attempt, for the log.
     pub id: Arc<str>,
     /// The route, for the log.
--- a/crates/ploverwick_quarantine/src/entry.rs
+++ b/crates/ploverwick_quarantine/src/entry.rs
@@ -5,7 +5,8 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::{Crash, Fingerprint};
+use crate::ledger::Evidence;
+use crate::{Crash, Fingerprint, Status};
 
 /// The number of crashes after which a request is refused. One or two may be coincidence if endpoints crash for
 /// other reasons while it runs; a third without a success in between is not (see [`crate::Quarantine`]).
@@ -61,18 +62,43 @@
         let age = Duration::from_secs(self.age_s.into());
         self.is_at_threshold() && age < self.ttl()
     }
+}
+
+impl Evidence for Entry {
+    type Subject = Fingerprint;
+
+    fn new(subject: Fingerprint) -> Self {
+        Self::new(subject)
+    }
 
-    /// Returns the entry that results from resetting its crashes now.
-    #[must_use]
-    pub fn after_reset(&self) -> Self {
+    fn subject(&self) -> Fingerprint {
+        self.fingerprint
+    }
+
+    fn age(&self) -> Duration {
+        Duration::from_secs(self.age_s.into())
+    }
+
+    fn with_age(&self, age: Duration) -> Self {
         Self {
-            resets: self.resets + 1,
-            ..Self::new(self.fingerprint)
+            age_s: u32::try_from(age.as_secs()).unwrap_or(u32::MAX),
+            ..self.clone()
         }
     }
 
-    /// Returns how long the entry is valid after its last change.
-    pub(crate) fn ttl(&self) -> Duration {
+    fn level(&self) -> usize {
+        self.crashes.len()
+    }
+
+    fn status(&self, _age: Duration) -> Status {
+        match self.crashes.len() {
+            0 => Status::Clear,
+            crashes if crashes < CRASH_THRESHOLD => Status::Suspected(crashes),
+            _ => Status::Refused,
+        }
+    }
+
+    fn ttl(&self) -> Duration {
         if self.is_at_threshold() {
             REFUSAL_TTL
         } else {
@@ -80,8 +106,18 @@
         }
     }
 
-    /// Merges another entry of the same request; returns whether this one has changed.
-    pub(crate) fn merge(&mut self, other: &Self) -> bool {
+    fn resets(&self) -> u32 {
+        self.resets
+    }
+
+    fn after_reset(&self) -> Self {
+        Self {
+            resets: self.resets + 1,
+            ..Self::new(self.fingerprint)
+        }
+    }
+
+    fn merge(&mut self, other: &Self) -> bool {
         if other.resets < self.resets {
             return false;
         }
@@ -99,11 +135,14 @@
         is_newer || self.crashes != before
     }
 
-    /// Returns a hash of the entry without its age.
-    pub(crate) fn digest(&self) -> u64 {
+    fn digest(&self) -> u64 {
         let crashes: Vec<String> = self.crashes.iter().map(ToString::to_string).collect();
         let crashes = crashes.join(" ");
         let text = format!("{} {} {crashes}", self.fingerprint, self.resets);
         xxh3_64(text.as_bytes())
     }
+
+    fn bucket(subject: Fingerprint, count: usize) -> usize {
+        subject.bucket(count)
+    }
 }
--- a/crates/ploverwick_quarantine/src/tally.rs
+++ b/crates/ploverwick_quarantine/src/prompt/tally.rs
@@ -3,7 +3,8 @@
 use std::collections::HashMap;
 use std::fmt;
 
-use crate::{Part, Suspect};
+use super::Part;
+use crate::Suspect;
 
 /// The most parts that are written.
 const MAX_WRITTEN: usize = 8;
--- a/crates/ploverwick_quarantine/tests/prompt_parts.rs
+++ b/crates/ploverwick_quarantine/tests/prompt_parts.rs
@@ -3,12 +3,15 @@
 use std::sync::Arc;
 
 use googletest::prelude::*;
-use ploverwick_quarantine::{Fingerprint, InvalidPart, Part, Suspect, Tally};
+use ploverwick_quarantine::prompt::{Caller, InvalidPart, Knowledge, Part, Tally};
+use ploverwick_quarantine::{Fingerprint, Suspect};
 
 fn suspect(id: &str, parts: &[&str]) -> Suspect {
     Suspect {
         fingerprint: Fingerprint::of([id.as_bytes()]),
         parts: parts.iter().map(|part| Part::of(part)).collect(),
+        known: Knowledge::default(),
+        caller: Caller::of([]),
         id: Arc::from(id),
         route: Arc::from("/live/"),
         adapter: Arc::default(),
