Make the digests of quarantine messages one type

They are now a Comparison, encoded as before (a newtype of a struct and a struct variant are the same bytes in postcard), with one function that compares. fatal_request and fatal_prompt_part pass.

--- a/crates/ploverwick_gateway/src/broadcast/quarantine.rs
+++ b/crates/ploverwick_gateway/src/broadcast/quarantine.rs
@@ -4,10 +4,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ploverwick_quarantine::{DIGEST_BUCKETS, Evidence, Ledger, prompt};
+use ploverwick_quarantine::{DIGEST_BUCKETS, Evidence, Ledger};
 
 use super::{domain_peers, remote_relays};
-use crate::messages::Message;
+use crate::messages::{Comparison, Message};
 use crate::quarantine_updates::Subjects;
 use crate::shared::Shared;
 use crate::state::State;
@@ -76,63 +76,52 @@
 
 /// Returns the messages that ask peers to compare what they track with what this instance tracks.
 pub(super) fn digests(state: &State) -> impl Iterator<Item = Message> + use<> {
-    let requests = (!state.quarantine.is_empty()).then(|| Message::QuarantineDigests {
-        digests: state.quarantine.digests(),
-        wants_reply: true,
-    });
-    let parts = (!state.prompt_quarantine.is_empty()).then(|| Message::PromptDigests {
-        digests: state.prompt_quarantine.digests(),
-        wants_reply: true,
-    });
+    let requests = (!state.quarantine.is_empty())
+        .then(|| Message::QuarantineDigests(comparison(state.quarantine.digests(), true)));
+    let parts = (!state.prompt_quarantine.is_empty())
+        .then(|| Message::PromptDigests(comparison(state.prompt_quarantine.digests(), true)));
     requests.into_iter().chain(parts)
 }
 
+fn comparison(digests: [u64; DIGEST_BUCKETS], wants_reply: bool) -> Comparison {
+    Comparison {
+        digests,
+        wants_reply,
+    }
+}
+
 /// Sends the instance at `ip` the entries that differ from its own, and, if it asked for a comparison, this
 /// instance's digests, so that it sends its differing entries in return.
-pub(crate) fn handle_digests(
-    shared: &Shared,
-    ip: IpAddr,
-    digests: &[u64; DIGEST_BUCKETS],
-    wants_reply: bool,
-) {
-    let (differing, own) = compare(shared, digests, |state| &state.quarantine);
+pub(crate) fn handle_digests(shared: &Shared, ip: IpAddr, theirs: &Comparison) {
+    let (differing, reply) = compare(shared, theirs, |state| &state.quarantine);
     send(shared, &differing, &[ip], Message::QuarantineEntries);
-    if wants_reply && own != *digests {
-        let message = Message::QuarantineDigests {
-            digests: own,
-            wants_reply: false,
-        };
+    if let Some(reply) = reply {
+        let message = Message::QuarantineDigests(reply);
         shared.peer_socket.send(&message, &[ip]);
     }
 }
 
 /// Like [`handle_digests`], for parts of prompts.
-pub(crate) fn handle_prompt_digests(
-    shared: &Shared,
-    ip: IpAddr,
-    digests: &[u64; DIGEST_BUCKETS],
-    wants_reply: bool,
-) {
-    let (differing, own): (Vec<prompt::Entry>, _) =
-        compare(shared, digests, |state| &state.prompt_quarantine);
+pub(crate) fn handle_prompt_digests(shared: &Shared, ip: IpAddr, theirs: &Comparison) {
+    let (differing, reply) = compare(shared, theirs, |state| &state.prompt_quarantine);
     send(shared, &differing, &[ip], Message::PromptEntries);
-    if wants_reply && own != *digests {
-        let message = Message::PromptDigests {
-            digests: own,
-            wants_reply: false,
-        };
+    if let Some(reply) = reply {
+        let message = Message::PromptDigests(reply);
         shared.peer_socket.send(&message, &[ip]);
     }
 }
 
-/// Returns the entries that differ from those with these digests, and this instance's digests.
+/// Returns the entries that differ from those of another instance, and this instance's digests if the other one needs them.
 fn compare<E: Evidence>(
     shared: &Shared,
-    digests: &[u64; DIGEST_BUCKETS],
+    theirs: &Comparison,
     ledger: impl Fn(&State) -> &Ledger<E>,
-) -> (Vec<E>, [u64; DIGEST_BUCKETS]) {
+) -> (Vec<E>, Option<Comparison>) {
     let now = shared.now();
     let state = shared.state();
     let ledger = ledger(&state);
-    (ledger.differing(digests, now), ledger.digests())
+    let own = ledger.digests();
+    let needs_reply = theirs.wants_reply && own != theirs.digests;
+    let reply = needs_reply.then(|| comparison(own, false));
+    (ledger.differing(&theirs.digests, now), reply)
 }
--- a/crates/ploverwick_gateway/src/listen.rs
+++ b/crates/ploverwick_gateway/src/listen.rs
@@ -12,7 +12,7 @@
     draining, endpoint_list, freshness, limits, load_requests, origins, quarantine, quotas,
 };
 use crate::messages::{
-    self, AdapterUse, Change, ChangeKind, EndpointDigests, EndpointLoad, Message,
+    self, AdapterUse, Change, ChangeKind, EndpointDigests, EndpointLoad, Message, ModelAdapters,
 };
 use crate::shared::Shared;
 use crate::state::{Peer, State};
@@ -81,12 +81,7 @@
             handle_load_request(shared, &request, Some(build), from);
         }
         Message::EndpointReport { endpoint, adapters } => {
-            let copies = messages::copies(adapters);
-            shared
-                .state()
-                .directory
-                .apply_report(&endpoint, copies, now);
-            shared.placement_changed.notify_waiters();
+            handle_report(shared, &endpoint, adapters);
         }
         Message::EndpointDigests(digests) => handle_digests(shared, &digests, from),
         Message::EndpointReportRequest(endpoints) => {
@@ -145,21 +140,23 @@
         Message::OriginReply { id, reply } => {
             shared.origin_lookups.handle_reply(id, from, reply);
         }
-        Message::QuarantineDigests {
-            digests,
-            wants_reply,
-        } => {
-            broadcast::quarantine::handle_digests(shared, from, &digests, wants_reply);
+        Message::QuarantineDigests(theirs) => {
+            broadcast::quarantine::handle_digests(shared, from, &theirs);
         }
-        Message::PromptDigests {
-            digests,
-            wants_reply,
-        } => {
-            broadcast::quarantine::handle_prompt_digests(shared, from, &digests, wants_reply);
+        Message::PromptDigests(theirs) => {
+            broadcast::quarantine::handle_prompt_digests(shared, from, &theirs);
         }
     }
 }
 
+/// Records the adapters that an endpoint holds.
+fn handle_report(shared: &Shared, endpoint: &Arc<str>, adapters: Vec<ModelAdapters>) {
+    let copies = messages::copies(adapters);
+    let now = shared.now();
+    shared.state().directory.apply_report(endpoint, copies, now);
+    shared.placement_changed.notify_waiters();
+}
+
 /// Records that a peer is alive, how far it has read, and its requests in progress.
 fn handle_status(shared: &Shared, instance: Arc<str>, peer: Peer, loads: Vec<EndpointLoad>) {
     for topic in Topic::ALL {
--- a/crates/ploverwick_gateway/src/messages.rs
+++ b/crates/ploverwick_gateway/src/messages.rs
@@ -84,6 +84,13 @@
     pub(crate) digests: Vec<Numbered<u32>>,
 }
 
+/// The digests of what the sender tracks, which a receiver compares with its own.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub(crate) struct Comparison {
+    pub(crate) digests: [u64; DIGEST_BUCKETS],
+    pub(crate) wants_reply: bool,
+}
+
 /// How an adapter changed at an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum ChangeKind {
@@ -208,10 +215,7 @@
     EndpointLimits(Vec<LimitUpdate>),
     /// Digests of all crashes that the sender counts against requests. A receiver whose digests differ sends
     /// the differing entries and, if `wants_reply`, its own digests.
-    QuarantineDigests {
-        digests: [u64; DIGEST_BUCKETS],
-        wants_reply: bool,
-    },
+    QuarantineDigests(Comparison),
     /// Endpoints that have reported that they are leaving.
     Draining(Vec<Arc<str>>),
     /// What the sender observed of the speed of endpoints of the receiver's failure domain. The receiver is its
@@ -235,10 +239,7 @@
     /// The crashes that are counted against parts of prompts.
     PromptEntries(Vec<prompt::Entry>),
     /// Digests of all crashes that the sender counts against parts of prompts, as in `QuarantineDigests`.
-    PromptDigests {
-        digests: [u64; DIGEST_BUCKETS],
-        wants_reply: bool,
-    },
+    PromptDigests(Comparison),
 }
 
 impl Message {
@@ -284,7 +285,7 @@
             Self::QuarantineEntries(_) => "quarantine_entries",
             Self::EndpointLimitsRequest => "endpoint_limits_request",
             Self::EndpointLimits(_) => "endpoint_limits",
-            Self::QuarantineDigests { .. } => "quarantine_digests",
+            Self::QuarantineDigests(_) => "quarantine_digests",
             Self::Draining(_) => "draining",
             Self::Observations(_) => "observations",
             Self::Figures(_) => "figures",
@@ -293,7 +294,7 @@
             Self::OriginQuery { .. } => "origin_query",
             Self::OriginReply { .. } => "origin_reply",
             Self::PromptEntries(_) => "prompt_entries",
-            Self::PromptDigests { .. } => "prompt_digests",
+            Self::PromptDigests(_) => "prompt_digests",
         }
     }
 
@@ -329,8 +330,8 @@
             | Self::Origins(_)
             | Self::OriginQuery { .. }
             | Self::OriginReply { .. }
-            | Self::QuarantineDigests { .. }
-            | Self::PromptDigests { .. } => false,
+            | Self::QuarantineDigests(_)
+            | Self::PromptDigests(_) => false,
         }
     }
 }
