Withdraw requests that wait at endpoints once they are refused

Cause: a refusal was looked up before a send only. Change: while the head of an answer is awaited, a new refusal of the request or of a part of its prompt closes the connection; the caller gets 502, as the request may have run. An answer that has begun is not touched. The endpoint is not held to account for it. Result: queued_requests_are_withdrawn failed before (the queued request ended a fourth endpoint, 1.5 s later), and passes.

--- a/crates/ploverwick_gateway/src/controllers/quarantine.rs
+++ b/crates/ploverwick_gateway/src/controllers/quarantine.rs
@@ -50,7 +50,7 @@
             change
         );
         if change == Change::Refused {
-            update_metric(shared);
+            handle_refusal(shared);
             publish(shared, &Stored::Request(entry));
         }
         if change != Change::Unchanged {
@@ -81,7 +81,7 @@
         log_part(shared, &entry, suspect, change);
     }
     if change == Change::Refused {
-        update_metric(shared);
+        handle_refusal(shared);
         publish(shared, &Stored::Part(entry));
     }
 }
@@ -179,7 +179,7 @@
             entry.crashes.len(),
             source
         );
-        update_metric(shared);
+        handle_refusal(shared);
         // Instances that observed a crash write the entry to the store. Writing it more than once has no
         // effect.
         if change == Change::Refused && is_observed_locally {
@@ -214,7 +214,7 @@
             entry.callers(),
             source
         );
-        update_metric(shared);
+        handle_refusal(shared);
         if change == Change::Refused && is_observed_locally {
             publish(shared, &Stored::Part(entry));
         }
@@ -239,6 +239,12 @@
     }
 }
 
+/// Handles a change of what is refused.
+fn handle_refusal(shared: &Shared) {
+    update_metric(shared);
+    shared.refusal_added.notify_waiters();
+}
+
 fn update_metric(shared: &Shared) {
     let state = shared.state();
     metrics::quarantined(
--- a/crates/ploverwick_gateway/src/filters/forward.rs
+++ b/crates/ploverwick_gateway/src/filters/forward.rs
@@ -366,6 +366,7 @@
             }
             SendOutcome::Lost(_) | SendOutcome::TimedOut => self.resumption.record_run(),
             SendOutcome::Revoked(reply) => self.forbid(reply.code.name()),
+            SendOutcome::Withdrawn => self.forbid("endpoints crashed under it elsewhere"),
             SendOutcome::Unsent(_) | SendOutcome::NotRun { .. } => {
                 let backoff = self.resumption.record_refusal();
                 self.seek_from = Instant::now() + backoff;
--- a/crates/ploverwick_gateway/src/filters/quarantine.rs
+++ b/crates/ploverwick_gateway/src/filters/quarantine.rs
@@ -34,6 +34,12 @@
     Some(Reply::new(Code::CrashesEndpoints, detail))
 }
 
+/// Returns whether a request may not be sent because of the crashes recorded for it or for a part of its prompt.
+pub(super) fn is_refused(shared: &Shared, request: &AdmittedRequest) -> bool {
+    let statuses = [status(shared, request), verdict(shared, request).status()];
+    statuses.contains(&Status::Refused)
+}
+
 fn log_refusal(shared: &Shared, request: &AdmittedRequest, cause: &str) {
     if shared.log_limiter.allow(shared.now()) {
         spdlog::info!(
--- a/crates/ploverwick_gateway/src/filters/retry.rs
+++ b/crates/ploverwick_gateway/src/filters/retry.rs
@@ -187,6 +187,12 @@
             retry_refused(history, "no room", REFUSAL_BACKOFF * history.refusals)
         }
         SendOutcome::Lost(cause) => retry_lost(request, target, history, &cause),
+        SendOutcome::Withdrawn => {
+            history.sent += 1;
+            history.runs += 1;
+            let detail = "Endpoints crashed under it elsewhere.";
+            NextStep::GiveUp(Reply::new(Code::Interrupted, detail))
+        }
         SendOutcome::TimedOut => {
             if request.remaining().is_zero() {
                 return NextStep::GiveUp(Reply::new(Code::DeadlineWhileRunning, ""));
--- a/crates/ploverwick_gateway/src/filters/send.rs
+++ b/crates/ploverwick_gateway/src/filters/send.rs
@@ -49,6 +49,8 @@
     Lost(String),
     /// The answer did not start in time. The request may have run.
     TimedOut,
+    /// Endpoints crashed on the request, or on a part of its prompt, while it was awaited elsewhere. It may have run.
+    Withdrawn,
 }
 
 impl SendOutcome {
@@ -62,6 +64,7 @@
             Self::Unsent(_) => "unsent",
             Self::Lost(_) => "lost",
             Self::TimedOut => "silent",
+            Self::Withdrawn => "withdrawn",
         }
     }
 }
@@ -127,6 +130,10 @@
             );
             return SendOutcome::TimedOut;
         }
+        Exchange::Withdrawn => {
+            in_flight.set_outcome(Outcome::Abandoned);
+            return SendOutcome::Withdrawn;
+        }
         Exchange::Done(connection, result) => (connection, result),
     };
     let (parts, body) = match result {
@@ -198,6 +205,7 @@
     /// No connection was opened, for this cause and with this outcome for the endpoint.
     Unsent(String, Outcome),
     TimedOut,
+    Withdrawn,
     Done(Connection, Result<Response<Incoming>, hyper::Error>),
 }
 
@@ -214,16 +222,17 @@
     while let Some(mut connection) = pool.take(&target.entry.id, is_last) {
         let send = connection.sender.try_send_request(message);
         let send = reachability::watch(shared, &target.entry, &connection, send);
-        match wait_for_answer(shared, target, wait, send).await {
-            None => {
+        match wait_for_answer(shared, request, target, wait, send).await {
+            Awaited::Withdrawn => return Exchange::Withdrawn,
+            Awaited::Late => {
                 if !is_past_start_deadline(shared, target) {
                     // The other pooled connections may be unresponsive for the same reason.
                     pool.remove(&target.entry.id);
                 }
                 return Exchange::TimedOut;
             }
-            Some(Ok(response)) => return Exchange::Done(connection, Ok(response)),
-            Some(Err(mut failed)) => match failed.take_message() {
+            Awaited::Answer(Ok(response)) => return Exchange::Done(connection, Ok(response)),
+            Awaited::Answer(Err(mut failed)) => match failed.take_message() {
                 Some(unsent) => message = unsent,
                 None => return Exchange::Done(connection, Err(failed.into_error())),
             },
@@ -247,9 +256,10 @@
     };
     let send = connection.sender.send_request(message);
     let send = reachability::watch(shared, &target.entry, &connection, send);
-    match wait_for_answer(shared, target, wait, send).await {
-        None => Exchange::TimedOut,
-        Some(result) => Exchange::Done(connection, result),
+    match wait_for_answer(shared, request, target, wait, send).await {
+        Awaited::Withdrawn => Exchange::Withdrawn,
+        Awaited::Late => Exchange::TimedOut,
+        Awaited::Answer(result) => Exchange::Done(connection, result),
     }
 }
 
@@ -266,31 +276,46 @@
         .any(|deadline| deadline <= now)
 }
 
-/// Waits for an answer to start; returns `None` once it is no longer awaited. A version declaration received in the
-/// meantime moves the deadline forward, since the version may have been declared before the request was sent.
+/// The end of the wait for an answer.
+enum Awaited<T> {
+    Answer(T),
+    /// It is no longer awaited.
+    Late,
+    /// The request is refused by now.
+    Withdrawn,
+}
+
+/// Waits for an answer to start. A version declaration received in the meantime moves the deadline forward, since the
+/// version may have been declared before the request was sent. A request that crashes endpoints is withdrawn, since one
+/// that is queued has not crashed this endpoint yet.
 async fn wait_for_answer<T>(
     shared: &Shared,
+    request: &AdmittedRequest,
     target: &Target,
     wait: &mut AnswerWait<'_>,
     answer: impl Future<Output = T>,
-) -> Option<T> {
+) -> Awaited<T> {
     tokio::pin!(answer);
     loop {
         let declared = shared.version_declared.notified();
+        let refused = shared.refusal_added.notified();
         let copy = target.copy.as_ref();
         let start_deadline = copy.and_then(|copy| select::start_deadline(shared, copy));
         let check_at = wait.check_at();
         let wake_at = start_deadline.map_or(check_at, |deadline| deadline.min(check_at));
         tokio::select! {
             biased;
-            answer = &mut answer => return Some(answer),
+            answer = &mut answer => return Awaited::Answer(answer),
             () = tokio::time::sleep_until(wake_at) => {
                 let is_replaced = start_deadline.is_some_and(|at| at <= Instant::now());
                 if is_replaced || wait.is_over() {
-                    return None;
+                    return Awaited::Late;
                 }
             }
             () = declared => {}
+            () = refused => if quarantine::is_refused(shared, request) {
+                return Awaited::Withdrawn;
+            }
         }
     }
 }
--- a/crates/ploverwick_gateway/src/shared.rs
+++ b/crates/ploverwick_gateway/src/shared.rs
@@ -82,6 +82,8 @@
     pub(crate) store_unavailable: watch::Sender<bool>,
     /// Wakes requests in progress when an adapter version is declared.
     pub(crate) version_declared: Notify,
+    /// Wakes requests in progress when a request or a prompt part is refused because endpoints crash on it.
+    pub(crate) refusal_added: Notify,
     /// Signals that the placer of this failure domain has released its lease.
     pub(crate) lease_released: Notify,
     /// Wakes the tasks that send orders to endpoints.
@@ -129,6 +131,7 @@
             inboxes: Inboxes::default(),
             store_unavailable: watch::Sender::new(false),
             version_declared: Notify::new(),
+            refusal_added: Notify::new(),
             lease_released: Notify::new(),
             orders_changed: Notify::new(),
             quota_requested: Notify::new(),
--- a/crates/ploverwick_gateway/tests/fatal_prompt_part.rs
+++ b/crates/ploverwick_gateway/tests/fatal_prompt_part.rs
@@ -14,7 +14,7 @@
 use ploverwick_gateway::quarantine;
 use ploverwick_platform::quarantine::Stored;
 use ploverwick_platform_standin::client::ClientRequest;
-use ploverwick_platform_standin::crashing::FATAL_PART;
+use ploverwick_platform_standin::crashing::{FATAL_PART, QUEUED};
 
 /// The crashes that prove that a part is fatal, and those that may happen before all instances know it.
 const MAX_CRASHES: u64 = 3 + 3;
@@ -125,3 +125,21 @@
     assert_that!(deployment.runs_sharing(FATAL_PART), eq(before + 1));
     Ok(())
 }
+
+/// Guards against crashes under requests that were sent before their part was refused and wait at endpoints.
+#[tokio::test]
+async fn queued_requests_are_withdrawn() -> Result<()> {
+    let deployment = Deployment::start("lm").await?;
+    let queued = request("queued", "/live/", &[FIRST, FATAL_PART]).body(QUEUED);
+    let (got, served) = tokio::join!(
+        deployment.send(0, &queued),
+        send_in_turn(&deployment, "/live/", 3)
+    );
+    let got = got?;
+    assert_that!(got.status, eq(StatusCode::BAD_GATEWAY));
+    assert_that!(got.is_signed, eq(false));
+    assert_that!(served?, eq(3));
+    tokio::time::sleep(SETTLED).await;
+    assert_that!(deployment.crashes(), eq(3));
+    Ok(())
+}
