--- a/crates/ploverwick_bench/src/main.rs
+++ b/crates/ploverwick_bench/src/main.rs
@@ -10,6 +10,7 @@
 mod fit;
 mod origins;
 mod plot;
+mod prompts;
 mod recovery;
 mod relay;
 mod streams;
@@ -63,6 +64,11 @@
                 /// How long origins are collected into one message, in milliseconds; 0 by default, as the gateway sends them at once.
                 optional --delay number: u64
             }
+            /// Simulates how many endpoints a fatal part of prompts crashes, and what sound requests it costs.
+            cmd prompts {
+                /// The number of simulations in each cell of the tables; 20 by default.
+                optional --times number: u64
+            }
             /// Measures how control traffic scales and updates the capacity page.
             cmd capacity {
                 /// The page whose generated section is replaced.
@@ -110,6 +116,10 @@
             origins::run(flags.times.unwrap_or(1_000), batch_delay);
             Ok(())
         }
+        PloverwickBenchCmd::Prompts(flags) => {
+            prompts::run(flags.times.unwrap_or(20));
+            Ok(())
+        }
         PloverwickBenchCmd::Capacity(flags) => {
             let page = flags
                 .page
