Let answers that end with their connection clear prompt parts

Callers: where endpoints frame their answers by the end of the connection alone, no success cleared a part, since such an end may also be a crash between two events; three crashes that had nothing to do with a common first part would have refused all requests that share it. Change: a moment after such an answer the endpoint is probed, only if one of the request's parts is suspected; if it accepts a connection, the answer was a success. Result: unframed_answers_clear_parts failed before (the third sound request got 400) and passes.

--- a/crates/ploverwick_gateway/src/controllers/crashes.rs
+++ b/crates/ploverwick_gateway/src/controllers/crashes.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use ploverwick_endpoints::{Entry, Links, State};
+use ploverwick_quarantine::prompt::Part;
 use ploverwick_quarantine::{Diagnosis, Finding, Suspect};
 use tokio::time::Instant;
 
@@ -23,6 +24,8 @@
     Duration::from_millis(100),
     Duration::from_secs(1),
 ];
+/// The delay after which an endpoint is probed that ended an answer by closing its connection.
+const UNFRAMED_PAUSE: Duration = Duration::from_millis(100);
 /// How long to watch the list of endpoints if the endpoint's machine does not answer. An endpoint is removed
 /// from it after three missed heartbeats of about 1.2 s each, and the list is read every 850 ms.
 const LIST_TIMEOUT: Duration = Duration::from_secs(6);
@@ -52,6 +55,24 @@
     }
 }
 
+/// Handles an answer that ended with its connection, as it also does when the endpoint crashes between two events. It is a
+/// success if the endpoint still accepts connections a moment later.
+pub(crate) fn handle_unframed_success(
+    shared: &Arc<Shared>,
+    endpoint: &Entry,
+    parts: &Arc<[Part]>,
+    id: &str,
+) {
+    let (shared, endpoint) = (Arc::clone(shared), endpoint.clone());
+    let (parts, id) = (Arc::clone(parts), id.to_owned());
+    tokio::spawn(async move {
+        tokio::time::sleep(UNFRAMED_PAUSE).await;
+        if reachability::dial(&shared, &endpoint).await.is_ok() {
+            quarantine::handle_prompt_success(&shared, &parts, &id);
+        }
+    });
+}
+
 /// Diagnoses what happened to an endpoint, and counts a crash against the requests that it ran.
 async fn resolve(shared: Arc<Shared>, entry: Entry) {
     let started_at = Instant::now();
--- a/crates/ploverwick_gateway/src/filters/forward.rs
+++ b/crates/ploverwick_gateway/src/filters/forward.rs
@@ -480,7 +480,8 @@
             source.in_flight.set_outcome(Outcome::Success);
             self.timing.set_ending(Ending::Complete);
             self.timing.record_end(&source);
-            quarantine::handle_success(&self.shared, &self.request, source.head.framing);
+            let framing = source.head.framing;
+            quarantine::handle_success(&self.shared, &self.request, &source.entry, framing);
             let endpoint = Arc::clone(&source.in_flight.endpoint);
             keep(&self.shared, &endpoint, source.connection, &source.head);
         }
--- a/crates/ploverwick_gateway/src/filters/quarantine.rs
+++ b/crates/ploverwick_gateway/src/filters/quarantine.rs
@@ -3,13 +3,14 @@
 use std::sync::Arc;
 
 use ploverwick_codes::Code;
+use ploverwick_endpoints::Entry;
 use ploverwick_platform::answer::Framing;
 use ploverwick_quarantine::Status;
 use ploverwick_quarantine::prompt::{Knowledge, Part, Verdict};
 
 use super::admitted_request::AdmittedRequest;
 use super::reply::Reply;
-use crate::controllers::quarantine;
+use crate::controllers::{crashes, quarantine};
 use crate::metrics;
 use crate::shared::Shared;
 
@@ -69,13 +70,22 @@
 }
 
 /// Clears the crashes recorded for a request and for the parts of its prompt after a complete, successful answer.
-pub(super) fn handle_success(shared: &Arc<Shared>, request: &AdmittedRequest, framing: Framing) {
+pub(super) fn handle_success(
+    shared: &Arc<Shared>,
+    request: &AdmittedRequest,
+    endpoint: &Entry,
+    framing: Framing,
+) {
     if status(shared, request) != Status::Clear {
         quarantine::handle_success(shared, &request.fingerprint(), &request.info.id);
     }
-    // An answer that ends with its connection may have been cut short by a crash.
-    if framing != Framing::Close && verdict(shared, request) != Verdict::Clear {
-        quarantine::handle_prompt_success(shared, request.prompt_parts(), &request.info.id);
+    if verdict(shared, request) == Verdict::Clear {
+        return;
+    }
+    let (parts, id) = (request.prompt_parts(), &request.info.id);
+    match framing {
+        Framing::Length | Framing::Chunks => quarantine::handle_prompt_success(shared, parts, id),
+        Framing::Close => crashes::handle_unframed_success(shared, endpoint, parts, id),
     }
 }
 
--- a/crates/ploverwick_gateway/src/filters/retry.rs
+++ b/crates/ploverwick_gateway/src/filters/retry.rs
@@ -229,7 +229,7 @@
         Err(cause) => return retry_lost(request, target, history, &cause),
     };
     if status.is_success() {
-        quarantine::handle_success(shared, request, head.framing);
+        quarantine::handle_success(shared, request, &target.entry, head.framing);
     }
     let is_failure = status.is_server_error();
     if is_failure && may_retry(request, history.runs + 1) {
--- a/crates/ploverwick_gateway/tests/fatal_prompt_part.rs
+++ b/crates/ploverwick_gateway/tests/fatal_prompt_part.rs
@@ -14,7 +14,7 @@
 use ploverwick_gateway::quarantine;
 use ploverwick_platform::quarantine::Stored;
 use ploverwick_platform_standin::client::ClientRequest;
-use ploverwick_platform_standin::crashing::{FATAL_PART, QUEUED};
+use ploverwick_platform_standin::crashing::{FATAL, FATAL_PART, QUEUED, UNFRAMED};
 
 /// The crashes that prove that a part is fatal, and those that may happen before all instances know it.
 const MAX_CRASHES: u64 = 3 + 3;
@@ -143,3 +143,23 @@
     assert_that!(deployment.crashes(), eq(3));
     Ok(())
 }
+
+/// Guards against blaming a common part where sound answers end with their connections, as crashes may.
+#[tokio::test]
+async fn unframed_answers_clear_parts() -> Result<()> {
+    let deployment = Deployment::start("lm").await?;
+    for number in 0..5 {
+        let own_fault = request(&format!("crash-{number}"), "/live/", &[FIRST]);
+        let own_fault = own_fault.body(format!("{FATAL} {number}"));
+        deployment
+            .send(number % INSTANCES.len(), &own_fault)
+            .await?;
+        tokio::time::sleep(ATTEMPT_INTERVAL).await;
+        let sound = request(&format!("sound-{number}"), "/live/", &[FIRST]).body(UNFRAMED);
+        let got = deployment.send(0, &sound).await?;
+        assert_that!(got.status, eq(StatusCode::OK), "{number}");
+        tokio::time::sleep(ATTEMPT_INTERVAL).await;
+    }
+    assert_that!(deployment.crashes(), eq(5));
+    Ok(())
+}
