Spare brittle endpoints requests that they would turn away

Callers: endpoints that say `Server-Brittle` crash if they turn more than so many requests away in a second, with all answers that they write. The header was not read: two full endpoints with four slots each turned 259 requests away in a second under 32 clients of two instances. Cause: instances fill endpoints to two and a half times their slots, and a refusal is a matter of the instance that got it. Change: while a service's answers say so (10 s from the last), its endpoints get no more requests than they have slots; one that turns a request away pauses at all instances for 2 s divided by the refusals that it bears, a second at most. The pauses are a message of their own after the earlier ones.

--- a/crates/ploverwick_endpoints/src/lib.rs
+++ b/crates/ploverwick_endpoints/src/lib.rs
@@ -6,6 +6,7 @@
 mod absences;
 mod answer_timeout;
 mod backpressure;
+mod brittleness;
 mod budget;
 mod build;
 pub mod build_history;
@@ -37,6 +38,7 @@
 pub use absences::Absences;
 pub use answer_timeout::answer_timeout;
 pub use backpressure::Backpressure;
+pub use brittleness::Brittleness;
 pub use budget::{Balance, Budget, RetryPolicy};
 pub use build::Build;
 pub use build_history::{BuildHistory, Serving};
--- a/crates/ploverwick_endpoints/src/pauses.rs
+++ b/crates/ploverwick_endpoints/src/pauses.rs
@@ -1,6 +1,7 @@
-//! Tracks the pauses that endpoints requested in their answers to this instance.
+//! Tracks the pauses of endpoints.
 //!
-//! A pause applies only to the instance that got the answer, so other instances are not notified.
+//! A pause that an endpoint requested applies only to the instance that got the answer, so other instances are not notified. One
+//! after a refusal by a brittle endpoint applies to all instances.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -15,7 +16,7 @@
 }
 
 impl Pauses {
-    /// Records that an endpoint requested a pause at `now`. Returns whether it was not already pausing.
+    /// Records that an endpoint pauses from `now` on. Returns whether it was not already pausing.
     ///
     /// A later answer never shortens a pause, because answers may arrive out of order.
     pub fn record(&mut self, endpoint: &Arc<str>, pause: Duration, now: Moment) -> bool {
--- a/crates/ploverwick_gateway/src/broadcast.rs
+++ b/crates/ploverwick_gateway/src/broadcast.rs
@@ -18,7 +18,7 @@
 use ploverwick_names::Moment;
 use ploverwick_topics::Position;
 
-use crate::messages::{Change, ChangeKind, Message};
+use crate::messages::{Change, ChangeKind, EndpointPause, Message};
 use crate::outbox;
 use crate::shared::Shared;
 use crate::state::State;
@@ -161,6 +161,17 @@
     shared.peer_socket.send(&Message::Draining(endpoints), &to);
 }
 
+/// Notifies all instances of endpoints that get no requests for a while.
+pub(crate) fn send_pauses(shared: &Shared, pauses: Vec<EndpointPause>) {
+    let now = shared.now();
+    let state = shared.state();
+    let mut to = domain_peers(shared, &state);
+    to.extend(remote_relays(shared, &state, now));
+    drop(state);
+    let message = Message::EndpointPauses(pauses);
+    shared.peer_socket.send(&message, &to);
+}
+
 /// Sends the instance at `ip` all endpoints that this instance knows to be draining.
 pub(crate) fn send_all_draining(shared: &Shared, ip: IpAddr) {
     let state = shared.state();
--- a/crates/ploverwick_gateway/src/controllers.rs
+++ b/crates/ploverwick_gateway/src/controllers.rs
@@ -3,6 +3,7 @@
 
 mod bootstrap;
 
+pub(crate) mod brittleness;
 pub(crate) mod crashes;
 pub(crate) mod draining;
 pub(crate) mod endpoint_list;
--- a/crates/ploverwick_gateway/src/filters/select.rs
+++ b/crates/ploverwick_gateway/src/filters/select.rs
@@ -27,6 +27,8 @@
 /// The ratio of requests to slots of an endpoint at which further requests are refused, since they would wait
 /// longer than their latency objective.
 const MAX_FILL: f64 = 2.5;
+/// The fill up to which brittle endpoints get requests: none has to wait for a slot.
+const BRITTLE_MAX_FILL: f64 = 1.0;
 /// How often the load of an adapter is requested again while a request waits for it, as messages may be lost.
 const LOAD_REQUEST_INTERVAL: Duration = Duration::from_millis(70);
 /// The maximum `Retry-After` if no endpoint accepts requests from this instance. Other instances may still be able
@@ -269,7 +271,8 @@
     let state = shared.state();
     let excluded = excluded_endpoints(&state, except, now);
     let avoided = avoided_builds(&state, request, now);
-    let query = query(shared, &state, request, (&avoided, MAX_FILL), &excluded);
+    let max_fill = max_fill(&state, request, now).min(MAX_FILL);
+    let query = query(shared, &state, request, (&avoided, max_fill), &excluded);
     let ranked = state.fleet.rank(&query, now);
     let holds = |id: &str| match &request.info.model {
         None => true,
@@ -292,7 +295,7 @@
     if state
         .fleet
         .fill(&id, now)
-        .is_some_and(|fill| fill >= MAX_FILL)
+        .is_some_and(|fill| fill >= max_fill)
     {
         return Err(Reply::new(Code::Overloaded, "").retry_after(FULL_RETRY_AFTER));
     }
@@ -315,7 +318,10 @@
 }
 
 /// Returns the fill up to which an endpoint accepts a request. A lower weight leaves capacity for other requests.
-fn max_fill(request: &AdmittedRequest) -> f64 {
+fn max_fill(state: &State, request: &AdmittedRequest, now: Moment) -> f64 {
+    if state.brittleness.is_brittle(&request.service, now) {
+        return BRITTLE_MAX_FILL;
+    }
     (MAX_FILL * request.terms.weight).clamp(1.0, 2.0 * MAX_FILL)
 }
 
@@ -378,7 +384,7 @@
     };
     let excluded = excluded_endpoints(&state, except, now);
     let avoided = avoided_builds(&state, request, now);
-    let max_fill = max_fill(request);
+    let max_fill = max_fill(&state, request, now);
     let query = query(shared, &state, request, (&avoided, max_fill), &excluded);
     let mut held = newest.clone();
     let mut best = cheapest_holder(&state, &query, &held, now);
--- a/crates/ploverwick_gateway/src/filters/send.rs
+++ b/crates/ploverwick_gateway/src/filters/send.rs
@@ -9,6 +9,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use ploverwick_endpoints::{Entry, Outcome};
+use ploverwick_names::Moment;
 use ploverwick_platform::answer::{self, Head, Statement};
 use ploverwick_platform::request::{self, Addition};
 use ploverwick_quarantine::prompt::Knowledge;
@@ -22,7 +23,7 @@
 use super::reply::Reply;
 use super::reuse;
 use super::select::{self, Target};
-use crate::controllers::{crashes, draining, limits, pauses, reachability};
+use crate::controllers::{brittleness, crashes, draining, limits, pauses, reachability};
 use crate::pool::Connection;
 use crate::shared::Shared;
 
@@ -156,19 +157,7 @@
         in_flight.set_outcome(Outcome::Error);
         return SendOutcome::Lost("the answer is another request's".to_owned());
     }
-    limits::handle_answer(shared, endpoint, &request.info.id, &head, sent);
-    let source = format_args!("answer id={}", request.info.id);
-    draining::handle_answer(shared, endpoint, head.state, &source);
-    pauses::handle_answer(shared, endpoint, &request.info.id, head.retry_after);
-    if parts.status == StatusCode::SERVICE_UNAVAILABLE && shared.log_limiter.allow(shared.now()) {
-        spdlog::info!(
-            "send_refused id={} endpoint={} statement={:?} retry_after={:?}",
-            request.info.id,
-            endpoint,
-            head.statement,
-            head.retry_after
-        );
-    }
+    handle_reports(shared, request, &target.entry, (parts.status, &head), sent);
     if head.statement != Statement::Nothing {
         record_not_run(request);
         let misdirected = head.statement == Statement::Misdirected;
@@ -195,6 +184,32 @@
     }))
 }
 
+/// Handles what the head of an answer says of its endpoint; the request was sent at `sent`.
+fn handle_reports(
+    shared: &Shared,
+    request: &AdmittedRequest,
+    entry: &Entry,
+    (status, head): (StatusCode, &Head),
+    sent: Moment,
+) {
+    let (endpoint, id) = (&entry.id, &request.info.id);
+    limits::handle_answer(shared, endpoint, id, head, sent);
+    let source = format_args!("answer id={id}");
+    draining::handle_answer(shared, endpoint, head.state, &source);
+    pauses::handle_answer(shared, endpoint, id, head.retry_after);
+    let is_refusal = head.statement == Statement::NotRun;
+    brittleness::handle_answer(shared, entry, id, head.max_refusals, is_refusal);
+    if status == StatusCode::SERVICE_UNAVAILABLE && shared.log_limiter.allow(shared.now()) {
+        spdlog::info!(
+            "send_refused id={} endpoint={} statement={:?} retry_after={:?}",
+            id,
+            endpoint,
+            head.statement,
+            head.retry_after
+        );
+    }
+}
+
 fn record_not_run(request: &AdmittedRequest) {
     if let Some(charge) = &request.charge {
         charge.record_not_run();
--- a/crates/ploverwick_gateway/src/listen.rs
+++ b/crates/ploverwick_gateway/src/listen.rs
@@ -9,7 +9,8 @@
 
 use crate::broadcast;
 use crate::controllers::{
-    draining, endpoint_list, freshness, limits, load_requests, origins, quarantine, quotas,
+    brittleness, draining, endpoint_list, freshness, limits, load_requests, origins, quarantine,
+    quotas,
 };
 use crate::messages::{
     self, AdapterUse, Change, ChangeKind, EndpointDigests, EndpointLoad, Message, ModelAdapters,
@@ -127,6 +128,7 @@
         }
         Message::EndpointLimits(list) => limits::handle_updates(shared, &list, from),
         Message::Draining(endpoints) => draining::handle_message(shared, &endpoints, from),
+        Message::EndpointPauses(pauses) => brittleness::handle_message(shared, &pauses, from),
         Message::Observations(observed) => {
             shared.state().fleet.record_peer_observations(&observed);
         }
--- a/crates/ploverwick_gateway/src/messages.rs
+++ b/crates/ploverwick_gateway/src/messages.rs
@@ -5,6 +5,7 @@
 
 use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use ploverwick_adapters::{Copy, Demand, Key, Request};
 use ploverwick_endpoints::numbering::Numbered;
@@ -84,6 +85,24 @@
     pub(crate) digests: Vec<Numbered<u32>>,
 }
 
+/// A pause of an endpoint, from when the message is received.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct EndpointPause {
+    pub(crate) endpoint: Arc<str>,
+    ms: u16,
+}
+
+impl EndpointPause {
+    pub(crate) fn new(endpoint: Arc<str>, duration: Duration) -> Self {
+        let ms = u16::try_from(duration.as_millis()).unwrap_or(u16::MAX);
+        Self { endpoint, ms }
+    }
+
+    pub(crate) fn duration(&self) -> Duration {
+        Duration::from_millis(self.ms.into())
+    }
+}
+
 /// The digests of what the sender tracks, which a receiver compares with its own.
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 pub(crate) struct Comparison {
@@ -240,6 +259,8 @@
     PromptEntries(Vec<prompt::Entry>),
     /// Digests of all crashes that the sender counts against parts of prompts, as in `QuarantineDigests`.
     PromptDigests(Comparison),
+    /// Endpoints that get no requests for a while because they turned one away and are brittle.
+    EndpointPauses(Vec<EndpointPause>),
 }
 
 impl Message {
@@ -295,6 +316,7 @@
             Self::OriginReply { .. } => "origin_reply",
             Self::PromptEntries(_) => "prompt_entries",
             Self::PromptDigests(_) => "prompt_digests",
+            Self::EndpointPauses(_) => "endpoint_pauses",
         }
     }
 
@@ -310,6 +332,7 @@
             | Self::Draining(_)
             | Self::QuarantineEntries(_)
             | Self::PromptEntries(_)
+            | Self::EndpointPauses(_)
             | Self::Figures(_) => true,
             Self::Status { .. }
             | Self::AdapterUses(_)
--- a/crates/ploverwick_gateway/src/state.rs
+++ b/crates/ploverwick_gateway/src/state.rs
@@ -11,9 +11,9 @@
 use ploverwick_endpoints::build_history::MAX_LIST_AGE;
 use ploverwick_endpoints::origins::Origins;
 use ploverwick_endpoints::{
-    Balance, Budget, BuildHistory, DrainingReports, Entry, Fleet, Held, InstanceCount, Limits,
-    Links, Pauses, Reachability, Relays, RetryPolicy, Serving, State as EndpointState, relays,
-    totals,
+    Balance, Brittleness, Budget, BuildHistory, DrainingReports, Entry, Fleet, Held, InstanceCount,
+    Limits, Links, Pauses, Reachability, Relays, RetryPolicy, Serving, State as EndpointState,
+    relays, totals,
 };
 use ploverwick_limits::{PriorUse, RateLimiter};
 use ploverwick_names::Moment;
@@ -124,6 +124,8 @@
     pub(crate) limits: Limits,
     /// The pauses that endpoints requested in their answers to this instance.
     pub(crate) pauses: Pauses,
+    /// The services whose endpoints crash if they have to turn many requests away.
+    pub(crate) brittleness: Brittleness,
     /// The endpoints whose answers to this instance reported that they are leaving.
     pub(crate) draining_reports: DrainingReports,
     /// The incarnations of the endpoints in `fleet`.
@@ -189,6 +191,7 @@
             totals: TotalsSenders::default(),
             limits: Limits::default(),
             pauses: Pauses::default(),
+            brittleness: Brittleness::default(),
             draining_reports: DrainingReports::default(),
             incarnations: Incarnations::default(),
             directory: Directory::default(),
--- /dev/null
+++ b/crates/ploverwick_gateway/tests/brittle_endpoints.rs
@@ -0,0 +1,117 @@
+//! Endpoints that crash if they have to turn many requests away, and say so.
+
+mod common;
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::{Duration, Instant};
+
+use anyhow::Result;
+use common::{HOST, Instance, free_port};
+use googletest::prelude::*;
+use http::StatusCode;
+use ploverwick_platform_standin::client::{self, ClientRequest};
+use ploverwick_platform_standin::endpoint::{Action, DELAY, Endpoint};
+use ploverwick_platform_standin::settings;
+use ploverwick_platform_standin::store::Store;
+
+/// The refusals in a second that an endpoint bears.
+const MAX_REFUSALS: u32 = 3;
+/// The slots of an endpoint in its entry in the list; brittle endpoints let no request wait.
+const SLOTS: usize = 4;
+/// The clients of each instance, together more than there are slots.
+const CLIENTS: usize = 16;
+/// More than the requests that a test sends.
+const RUNS: usize = 1_000;
+/// How long clients send; the first second is for the instances to learn that the endpoints are brittle.
+const CROWD: Duration = Duration::from_secs(4);
+const LEARNING: Duration = Duration::from_secs(1);
+
+/// Starts two instances of a failure domain that know the endpoints.
+async fn start(endpoints: &[&Endpoint]) -> Result<Vec<Instance>> {
+    let store = Store::start().await?;
+    store.configure(&settings::config(1));
+    for endpoint in endpoints {
+        store.list(endpoint.id(), &endpoint.entry("ready"));
+    }
+    let port = free_port()?;
+    let mut instances = Vec::new();
+    for (number, name) in [(1, "a"), (2, "b")] {
+        let ip = Ipv4Addr::new(127, 0, 0, number);
+        let mut settings = settings::of(name, ip, port, store.address());
+        settings.repeat_ratio = 1.0;
+        instances.push(Instance::start(settings).await?);
+    }
+    for instance in &instances {
+        for endpoint in endpoints {
+            let before = endpoint.requests_received();
+            let mut number = 0;
+            while endpoint.requests_received() == before {
+                number += 1;
+                let id = format!("warm-{}-{number}", endpoint.id());
+                let request = ClientRequest::new(&id, HOST, "/safe/warm");
+                client::send(instance.front, &request).await?;
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        }
+    }
+    Ok(instances)
+}
+
+/// Returns the most events in any second, from `start` on.
+fn most_in_a_second(events: &[Instant], start: Instant) -> usize {
+    let events: Vec<Instant> = events.iter().copied().filter(|at| *at >= start).collect();
+    let windows = events.iter().enumerate().map(|(first, begin)| {
+        let within = |at: &&Instant| at.duration_since(*begin) < Duration::from_secs(1);
+        events[first..].iter().take_while(within).count()
+    });
+    windows.max().unwrap_or(0)
+}
+
+/// Sends requests one after the other until `end`; returns how many were served.
+async fn send_until(front: SocketAddr, client: usize, end: Instant) -> Result<usize> {
+    let mut served = 0;
+    let mut number = 0;
+    while Instant::now() < end {
+        number += 1;
+        let request = ClientRequest::new(&format!("r{client}-{number}"), HOST, "/safe/");
+        let got = client::send(front, &request).await?;
+        if got.status == StatusCode::OK {
+            served += 1;
+        } else {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+    Ok(served)
+}
+
+/// Guards against endpoints that crash because all of them are full and instances keep offering them requests.
+#[tokio::test]
+async fn full_endpoints_refuse_rarely() -> Result<()> {
+    let one = Endpoint::start("i-a", "app", None, "d1").await?;
+    let other = Endpoint::start("i-b", "app", None, "d1").await?;
+    let endpoints = [&one, &other];
+    let instances = start(&endpoints).await?;
+    for endpoint in endpoints {
+        endpoint.set_brittle(MAX_REFUSALS);
+        endpoint.set_room(SLOTS);
+        endpoint.script(&[Action::Delay; RUNS]);
+    }
+    let start = Instant::now();
+    let clients = (0..2 * CLIENTS).map(|client| {
+        let front = instances[client % instances.len()].front;
+        tokio::spawn(send_until(front, client, start + CROWD))
+    });
+    let clients: Vec<_> = clients.collect();
+    let mut served = 0;
+    for client in clients {
+        served += client.await??;
+    }
+    for endpoint in endpoints {
+        let most = most_in_a_second(&endpoint.refusals(), start + LEARNING);
+        assert_that!(most, le(MAX_REFUSALS as usize));
+    }
+    // Half of what the slots could serve.
+    let rounds = CROWD.as_millis() / DELAY.as_millis();
+    assert_that!(served, ge(SLOTS * endpoints.len() * rounds as usize / 2));
+    Ok(())
+}
