--- a/crates/ploverwick_bench/src/prompts/fleet.rs
+++ b/crates/ploverwick_bench/src/prompts/fleet.rs
@@ -63,7 +63,7 @@
         crash: Crash,
         suspects: Vec<Suspect>,
     },
-    Told {
+    UpdatesArrive {
         to: usize,
         updates: Rc<[Update]>,
     },
@@ -217,7 +217,7 @@
                     self.record(at, crash, &suspects);
                 }
             }
-            Event::Told { to, updates } => self.merge(to, &updates),
+            Event::UpdatesArrive { to, updates } => self.merge(to, &updates),
             Event::EndpointUp(endpoint) => self.endpoints[endpoint].is_down = false,
             Event::Lose(share) => {
                 for endpoint in 0..self.size.endpoints {
@@ -404,7 +404,7 @@
         }
     }
 
-    /// Tells all other instances, and once more what is urgent. A refusal and its release also pass through the store.
+    /// Sends updates to all other instances, the urgent ones twice. A refusal and its release also pass through the store.
     fn broadcast(&mut self, from: usize, updates: Vec<Update>) {
         if updates.is_empty() || self.way == Way::WholeRequests {
             return;
@@ -413,24 +413,24 @@
         let stored: Rc<[Update]> = updates.iter().filter(|u| u.is_refusal()).cloned().collect();
         let updates: Rc<[Update]> = updates.into();
         for to in (0..self.size.instances).filter(|to| *to != from) {
-            self.tell(to, &updates, BATCH_MS);
-            self.tell(to, &urgent, BATCH_MS + RESEND_MS);
+            self.send_update(to, &updates, BATCH_MS);
+            self.send_update(to, &urgent, BATCH_MS + RESEND_MS);
             if !stored.is_empty() {
                 let at = self.now + self.random.random_range(STORE_MS);
                 let updates = Rc::clone(&stored);
-                self.schedule(at, Event::Told { to, updates });
+                self.schedule(at, Event::UpdatesArrive { to, updates });
             }
         }
         self.store.extend(stored.iter().cloned());
     }
 
-    fn tell(&mut self, to: usize, updates: &Rc<[Update]>, delay: u64) {
+    fn send_update(&mut self, to: usize, updates: &Rc<[Update]>, delay: u64) {
         if updates.is_empty() || self.random.random_bool(MESSAGE_LOSS) {
             return;
         }
         let at = self.now + delay + self.random.random_range(MESSAGE_MS);
         let updates = Rc::clone(updates);
-        self.schedule(at, Event::Told { to, updates });
+        self.schedule(at, Event::UpdatesArrive { to, updates });
     }
 
     fn kill(&mut self, number: usize) {
--- a/crates/ploverwick_bench/src/prompts/tracker.rs
+++ b/crates/ploverwick_bench/src/prompts/tracker.rs
@@ -21,7 +21,7 @@
     Cancelled,
 }
 
-/// What an instance tells the others.
+/// An entry that instances exchange.
 #[derive(Debug, Clone)]
 pub(super) enum Update {
     Crashes(Entry),
--- a/crates/ploverwick_quarantine/src/prompt.rs
+++ b/crates/ploverwick_quarantine/src/prompt.rs
@@ -11,8 +11,8 @@
 //!
 //! A part that is common, such as the first of all prompts, stands in each of these crashes too. Usually other
 //! requests that share it succeed between two of them. If there are few, both parts reach the threshold with the same
-//! crashes. Then only requests that share both are refused, and the next request that shares one of them tells them
-//! apart: its success clears a part that is sound, and its crash is one that the other part does not explain.
+//! crashes. Then only requests that share both are refused, and the next request that shares one of them distinguishes
+//! them: its success clears a part that is sound, and its crash is one that the other part does not explain.
 
 mod caller;
 mod entry;
--- a/crates/ploverwick_quarantine/src/prompt/part.rs
+++ b/crates/ploverwick_quarantine/src/prompt/part.rs
@@ -18,17 +18,17 @@
 pub struct Part(u128);
 
 impl Part {
-    /// Returns which of `count` buckets the part belongs to.
-    pub(crate) fn bucket(self, count: usize) -> usize {
-        usize::from(self.0.to_le_bytes()[0]) % count
-    }
-
     /// Identifies a part by the identifier that requests state: a hexadecimal number. Longer identifiers and those
     /// that are no number are hashed.
     pub fn of(id: &str) -> Self {
         id.parse()
             .unwrap_or_else(|_| Self(Fingerprint::of([id.as_bytes()]).number()))
     }
+
+    /// Returns which of `count` buckets the part belongs to.
+    pub(crate) fn bucket(self, count: usize) -> usize {
+        usize::from(self.0.to_le_bytes()[0]) % count
+    }
 }
 
 impl fmt::Display for Part {
--- a/crates/ploverwick_quarantine/tests/prompt_parts.rs
+++ b/crates/ploverwick_quarantine/tests/prompt_parts.rs
@@ -28,7 +28,7 @@
     expect_that!("".parse::<Part>(), err(eq(&InvalidPart)));
 }
 
-/// Identifiers that are no number, or too long for one, are told apart all the same.
+/// Identifiers that are no number, or too long for one, are distinguished too.
 #[gtest]
 fn unusual_identifiers_differ() {
     let long = "1".repeat(33);
--- a/crates/ploverwick_quarantine/tests/prompt_quarantine.rs
+++ b/crates/ploverwick_quarantine/tests/prompt_quarantine.rs
@@ -148,7 +148,7 @@
 
 /// Of two parts that were always together, the one under which another endpoint crashes is blamed alone.
 #[gtest]
-fn crash_tells_parts_apart() {
+fn crash_distinguishes_parts() {
     let mut one = Instance::default();
     for number in 0..3 {
         one.crash(number, &["first", "fatal"]);
