Broadcast further crashes of a prompt part that is refused already

Callers: a part that was refused to one caller because of its crashes alone stayed open to others at all instances but the one that saw the second caller's crash, until digests were compared (2.1 s) and for good at instances that started from the store; likewise the crash that another part does not explain. Cause: a merge from refused to refused counted as no change, as it is for whole requests, which keep three crashes. Change: such a merge is an update; the observer broadcasts and stores it, and others wake the requests that wait. Result: further_crashes_are_updates failed before (Unchanged twice) and passes.

--- a/crates/ploverwick_gateway/src/controllers/quarantine.rs
+++ b/crates/ploverwick_gateway/src/controllers/quarantine.rs
@@ -80,7 +80,8 @@
     if entry.is_near_threshold() {
         log_part(shared, &entry, suspect, change);
     }
-    if change == Change::Refused {
+    if entry.is_refused() {
+        // A further crash may concern more callers, or be one that no other part explains.
         handle_refusal(shared);
         publish(shared, &Stored::Part(entry));
     }
@@ -201,9 +202,13 @@
         let is_observed_locally = state.prompt_quarantine.is_observed_locally(&entry.part);
         let entry = state.prompt_quarantine.entry(&entry.part, now);
         drop(state);
-        match change {
-            Change::Unchanged | Change::Updated => continue,
-            Change::Refused | Change::Released => {}
+        let is_relevant = match change {
+            Change::Unchanged => false,
+            Change::Updated => entry.is_refused(),
+            Change::Refused | Change::Released => true,
+        };
+        if !is_relevant {
+            continue;
         }
         spdlog::info!(
             "part_told part={} change={:?} round={} crashes={} callers={} by={}",
--- a/crates/ploverwick_quarantine/src/ledger.rs
+++ b/crates/ploverwick_quarantine/src/ledger.rs
@@ -218,9 +218,8 @@
         }
         self.evict_excess();
         match (before, self.status(&subject, now)) {
-            (Status::Refused, Status::Refused) => Change::Unchanged,
-            (_, Status::Refused) => Change::Refused,
-            (Status::Refused, _) => Change::Released,
+            (before, Status::Refused) if before != Status::Refused => Change::Refused,
+            (Status::Refused, after) if after != Status::Refused => Change::Released,
             _ if has_changed => Change::Updated,
             _ => Change::Unchanged,
         }
--- a/crates/ploverwick_quarantine/tests/prompt_quarantine.rs
+++ b/crates/ploverwick_quarantine/tests/prompt_quarantine.rs
@@ -187,6 +187,27 @@
     }
 }
 
+/// Guards against evidence that no other instance gets because the part is refused already: a second caller, or a crash that
+/// another part does not explain.
+#[gtest]
+fn further_crashes_are_updates() {
+    let mut one = Instance::default();
+    for number in 0..3 {
+        one.crash(number, &["f"]);
+    }
+    let ids = parts(&["f"]);
+    let known = one.0.known(&ids, START);
+    let mut record = |number, by: &str| {
+        let recorded = one
+            .0
+            .record_crash(ids[0], &known, crash(number), caller(by), START);
+        recorded.0
+    };
+    expect_that!(record(2, "b"), eq(Change::Updated));
+    expect_that!(record(3, "a"), eq(Change::Updated));
+    expect_that!(record(3, "a"), eq(Change::Unchanged));
+}
+
 /// A part that was refused is let through after an hour, and the next crash refuses it again.
 #[gtest]
 fn refusal_lapses() {
