--- a/crates/ploverwick_gateway/src/controllers/quarantine.rs
+++ b/crates/ploverwick_gateway/src/controllers/quarantine.rs
@@ -239,9 +239,7 @@
     for part in &parts {
         spdlog::info!("quarantine_lapsed part={}", part);
     }
-    if !requests.is_empty() || !parts.is_empty() {
-        update_metric(shared);
-    }
+    update_metric(shared);
 }
 
 /// Handles a change of what is refused.
@@ -251,11 +249,10 @@
 }
 
 fn update_metric(shared: &Shared) {
+    let now = shared.now();
     let state = shared.state();
-    metrics::quarantined(
-        state.quarantine.refused(),
-        state.prompt_quarantine.refused(),
-    );
+    let parts = state.prompt_quarantine.refused(now);
+    metrics::quarantined(state.quarantine.refused(now), parts);
 }
 
 /// Writes an entry to the store in the background, and retries while the store is unavailable.
--- a/crates/ploverwick_quarantine/src/ledger.rs
+++ b/crates/ploverwick_quarantine/src/ledger.rs
@@ -159,10 +159,8 @@
     }
 
     /// Returns the number of refused subjects.
-    pub fn refused(&self) -> usize {
-        let entries = self.entries.values();
-        let refused = entries.filter(|tracked| tracked.entry.level() >= CRASH_THRESHOLD);
-        refused.count()
+    pub fn refused(&self, now: Moment) -> usize {
+        self.refused_entries(now).count()
     }
 
     /// Returns the status of a subject.
--- a/crates/ploverwick_quarantine/tests/entry_merge.rs
+++ b/crates/ploverwick_quarantine/tests/entry_merge.rs
@@ -53,7 +53,7 @@
         expect_that!(changed, eq(change));
     }
     expect_that!(status(&quarantine), eq(Status::Refused));
-    expect_that!(quarantine.refused(), eq(1));
+    expect_that!(quarantine.refused(START), eq(1));
     let other = quarantine.status(&request(1), START);
     expect_that!(other, eq(Status::Clear));
 }
@@ -279,7 +279,7 @@
                     break;
                 }
             }
-            refused += quarantine.refused();
+            refused += quarantine.refused(START);
         }
         expect_that!(
             refused as f64 / requests as f64,
