Log why a request was sent to a brittle endpoint that had no room

Change: endpoint_refusal with what the sender knew and how old it was, ploverwick_endpoint_refusals_total by cause, refusals= in endpoint_broke; at most one line for each refusal, within the limit of lines about requests. No decision reads any of it.

--- a/crates/ploverwick_endpoints/src/fleet.rs
+++ b/crates/ploverwick_endpoints/src/fleet.rs
@@ -368,10 +368,19 @@
         self.direct_load(id, now).max(total)
     }
 
+    /// Returns the load of this instance's own requests at an endpoint.
+    pub fn own_load(&self, id: &str) -> Load {
+        self.members.get(id).map_or_else(Load::default, |m| m.own)
+    }
+
     /// Returns the load of this instance and of the peers that send theirs to it directly.
     pub fn direct_load(&self, id: &str, now: Moment) -> Load {
-        let own = self.members.get(id).map_or_else(Load::default, |m| m.own);
-        own + self.peer_loads.load(id, now)
+        self.own_load(id) + self.peer_loads.load(id, now)
+    }
+
+    /// Returns the age of the oldest load of a peer; `None` if none is known.
+    pub fn peer_load_age(&self, now: Moment) -> Option<Duration> {
+        self.peer_loads.age(now)
     }
 
     /// Returns the expected time to the first event of an answer: the time to read the queued prompts and the
--- a/crates/ploverwick_endpoints/src/pauses.rs
+++ b/crates/ploverwick_endpoints/src/pauses.rs
@@ -9,6 +9,9 @@
 
 use ploverwick_names::Moment;
 
+/// How long the end of a pause is remembered.
+const RETENTION: Duration = Duration::from_secs(1);
+
 /// The time at which the pause of each endpoint ends.
 #[derive(Debug, Default)]
 pub struct Pauses {
@@ -20,15 +23,19 @@
     ///
     /// A later answer never shortens a pause, because answers may arrive out of order.
     pub fn record(&mut self, endpoint: &Arc<str>, pause: Duration, now: Moment) -> bool {
-        self.until.retain(|_, until| *until > now);
+        self.until.retain(|_, until| *until + RETENTION > now);
         let until = now + pause;
-        let current = self.until.get_mut(endpoint);
-        if let Some(current) = current {
-            *current = until.max(*current);
-            return false;
-        }
+        let previous = self.until.get(endpoint).copied();
+        let previous = previous.filter(|previous| *previous > now);
+        let until = previous.map_or(until, |previous| previous.max(until));
         self.until.insert(Arc::clone(endpoint), until);
-        true
+        previous.is_none()
+    }
+
+    /// Returns the time since the endpoint's pause ended; `None` if it is pausing, or if that is long ago.
+    pub fn since_end(&self, endpoint: &str, now: Moment) -> Option<Duration> {
+        let until = *self.until.get(endpoint)?;
+        (until <= now).then(|| now.since(until))
     }
 
     /// Returns the time left until the endpoint's pause ends; `None` if it is not pausing.
--- a/crates/ploverwick_endpoints/src/peer_loads.rs
+++ b/crates/ploverwick_endpoints/src/peer_loads.rs
@@ -62,6 +62,12 @@
         }
     }
 
+    /// Returns the age of the oldest load that is in use; `None` if there is none.
+    pub(crate) fn age(&self, now: Moment) -> Option<Duration> {
+        let ages = self.by_peer.values().map(|load| now.since(load.at));
+        ages.filter(|age| *age <= MAX_PEER_LOAD_AGE).max()
+    }
+
     /// Returns the load of all peers at an endpoint. An expired load counts until the next one arrives, but
     /// none counts once the latest one has expired.
     pub(crate) fn load(&self, endpoint: &str, now: Moment) -> Load {
--- a/crates/ploverwick_gateway/src/controllers/brittleness.rs
+++ b/crates/ploverwick_gateway/src/controllers/brittleness.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ploverwick_endpoints::{Brittleness, Entry};
+use ploverwick_endpoints::{Brittleness, Entry, Evidence};
 
 use crate::broadcast;
 use crate::messages::EndpointPause;
@@ -43,10 +43,45 @@
     }
 }
 
+/// Records that an endpoint turned the request `id` away, and why it was sent there.
+pub(crate) fn handle_refusal(shared: &Shared, endpoint: &Arc<str>, id: &str, evidence: &Evidence) {
+    let now = shared.now();
+    let mut state = shared.state();
+    state.refusals.record(endpoint, now);
+    let recent = state.refusals.count(endpoint, now);
+    drop(state);
+    let cause = evidence.cause().name();
+    metrics::endpoint_refusal(cause);
+    if shared.log_limiter.allow(now) {
+        spdlog::info!(
+            "endpoint_refusal id={} endpoint={} cause={} slots={} own={} known={} age_ms={} since_pause_ms={} earlier_sends={} recent={}",
+            id,
+            endpoint,
+            cause,
+            evidence.slots,
+            evidence.own,
+            evidence.known,
+            format_ms(evidence.age),
+            format_ms(evidence.since_pause),
+            evidence.earlier_sends,
+            recent
+        );
+    }
+}
+
+fn format_ms(duration: Option<Duration>) -> String {
+    duration.map_or_else(
+        || "-".to_owned(),
+        |duration| duration.as_millis().to_string(),
+    )
+}
+
 /// Handles a message from another instance about endpoints that turned requests away.
 pub(crate) fn handle_message(shared: &Shared, pauses: &[EndpointPause], from: IpAddr) {
     for pause in pauses {
         let source = format_args!("instance from={from}");
+        let now = shared.now();
+        shared.state().refusals.record(&pause.endpoint, now);
         record_pause(shared, &pause.endpoint, pause.duration(), &source);
     }
 }
--- a/crates/ploverwick_gateway/src/controllers/crashes.rs
+++ b/crates/ploverwick_gateway/src/controllers/crashes.rs
@@ -76,6 +76,7 @@
 /// Diagnoses what happened to an endpoint, and counts a crash against the requests that it ran.
 async fn resolve(shared: Arc<Shared>, entry: Entry) {
     let started_at = Instant::now();
+    let refusals = shared.state().refusals.count(&entry.id, shared.now());
     let diagnosis = diagnose(&shared, &entry).await;
     let suspects = shared
         .state()
@@ -83,11 +84,12 @@
         .resolve(&entry.id, diagnosis);
     metrics::broken(diagnosis, suspects.len());
     spdlog::info!(
-        "endpoint_broke endpoint={} service={} diagnosis={} requests={} ms={}",
+        "endpoint_broke endpoint={} service={} diagnosis={} requests={} refusals={} ms={}",
         entry.id,
         entry.service,
         diagnosis.name(),
         suspects.len(),
+        refusals,
         started_at.elapsed().as_millis()
     );
     if diagnosis.is_crash() {
--- a/crates/ploverwick_gateway/src/filters/admit.rs
+++ b/crates/ploverwick_gateway/src/filters/admit.rs
@@ -1,5 +1,6 @@
 //! Reads and validates a request and finds its route.
 
+use std::sync::atomic::AtomicU32;
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
@@ -81,6 +82,7 @@
         build: OnceLock::new(),
         origin_attempt: None,
         charge: None,
+        sends: AtomicU32::new(0),
     };
     if let Some(refusal) = quarantine::refusal(shared, &admitted) {
         return Err(refusal);
--- a/crates/ploverwick_gateway/src/filters/admitted_request.rs
+++ b/crates/ploverwick_gateway/src/filters/admitted_request.rs
@@ -1,5 +1,6 @@
 //! A request that passed admission.
 
+use std::sync::atomic::AtomicU32;
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
@@ -73,6 +74,8 @@
     pub(crate) origin_attempt: Option<Attempt>,
     /// The quota units charged to its organisation.
     pub(crate) charge: Option<Charge>,
+    /// How many times it was sent to endpoints.
+    pub(crate) sends: AtomicU32,
 }
 
 impl AdmittedRequest {
--- a/crates/ploverwick_gateway/src/filters/send.rs
+++ b/crates/ploverwick_gateway/src/filters/send.rs
@@ -1,6 +1,7 @@
 //! Sends a request to an endpoint and reads the head of its answer.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -8,7 +9,7 @@
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use ploverwick_endpoints::{Entry, Outcome};
+use ploverwick_endpoints::{Entry, Evidence, Outcome};
 use ploverwick_names::Moment;
 use ploverwick_platform::answer::{self, Head, Statement};
 use ploverwick_platform::request::{self, Addition};
@@ -111,6 +112,7 @@
         charge.record_sent();
     }
     let answer = request.info.expected_answer_tokens;
+    let evidence = evidence(shared, request, &target.entry, sent);
     let mut in_flight = InFlight::start(shared, endpoint, target.copy.clone(), prompt, answer);
     let known = quarantine::known(shared, request);
     let begun = Instant::now();
@@ -158,6 +160,9 @@
         return SendOutcome::Lost("the answer is another request's".to_owned());
     }
     handle_reports(shared, request, &target.entry, (parts.status, &head), sent);
+    if head.statement == Statement::NotRun && head.max_refusals.is_some() {
+        brittleness::handle_refusal(shared, endpoint, &request.info.id, &evidence);
+    }
     if head.statement != Statement::Nothing {
         record_not_run(request);
         let misdirected = head.statement == Statement::Misdirected;
@@ -184,6 +189,19 @@
     }))
 }
 
+/// Returns what this instance knows of an endpoint to which it is about to send a request.
+fn evidence(shared: &Shared, request: &AdmittedRequest, entry: &Entry, now: Moment) -> Evidence {
+    let state = shared.state();
+    Evidence {
+        slots: entry.slots,
+        own: state.fleet.own_load(&entry.id).requests,
+        known: state.fleet.load(&entry.id, now).requests,
+        age: state.fleet.peer_load_age(now),
+        since_pause: state.pauses.since_end(&entry.id, now),
+        earlier_sends: request.sends.fetch_add(1, Ordering::Relaxed),
+    }
+}
+
 /// Handles what the head of an answer says of its endpoint; the request was sent at `sent`.
 fn handle_reports(
     shared: &Shared,
--- a/crates/ploverwick_gateway/src/metrics.rs
+++ b/crates/ploverwick_gateway/src/metrics.rs
@@ -232,6 +232,11 @@
     counter!("ploverwick_endpoint_pauses_total").increment(1);
 }
 
+/// Counts a request that a brittle endpoint turned away, by why it was sent there.
+pub(crate) fn endpoint_refusal(cause: &'static str) {
+    counter!("ploverwick_endpoint_refusals_total", "cause" => cause).increment(1);
+}
+
 /// Counts a requested retry by whether the budget allowed it.
 pub(crate) fn retry(is_granted: bool) {
     let outcome = if is_granted { "granted" } else { "refused" };
--- a/crates/ploverwick_gateway/src/state.rs
+++ b/crates/ploverwick_gateway/src/state.rs
@@ -12,8 +12,8 @@
 use ploverwick_endpoints::origins::Origins;
 use ploverwick_endpoints::{
     Balance, Brittleness, Budget, BuildHistory, DrainingReports, Entry, Fleet, Held, InstanceCount,
-    Limits, Links, Pauses, Reachability, Relays, RetryPolicy, Serving, State as EndpointState,
-    relays, totals,
+    Limits, Links, Pauses, Reachability, Refusals, Relays, RetryPolicy, Serving,
+    State as EndpointState, relays, totals,
 };
 use ploverwick_limits::{PriorUse, RateLimiter};
 use ploverwick_names::Moment;
@@ -126,6 +126,8 @@
     pub(crate) pauses: Pauses,
     /// The services whose endpoints crash if they have to turn many requests away.
     pub(crate) brittleness: Brittleness,
+    /// The requests that brittle endpoints turned away.
+    pub(crate) refusals: Refusals,
     /// The endpoints whose answers to this instance reported that they are leaving.
     pub(crate) draining_reports: DrainingReports,
     /// The incarnations of the endpoints in `fleet`.
@@ -192,6 +194,7 @@
             limits: Limits::default(),
             pauses: Pauses::default(),
             brittleness: Brittleness::default(),
+            refusals: Refusals::default(),
             draining_reports: DrainingReports::default(),
             incarnations: Incarnations::default(),
             directory: Directory::default(),
