--- a/crates/ploverwick_gateway/tests/brittle_endpoints.rs
+++ b/crates/ploverwick_gateway/tests/brittle_endpoints.rs
@@ -1,14 +1,17 @@
 //! Endpoints that crash if they have to turn many requests away, and say so.
 
+mod brittle;
 mod common;
 
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::{Duration, Instant};
 
 use anyhow::Result;
+use brittle::{Crowd, FULL, LIGHT};
 use common::{HOST, Instance, free_port};
 use googletest::prelude::*;
 use http::StatusCode;
+use ploverwick_platform_standin::brittle::Behaviour;
 use ploverwick_platform_standin::client::{self, ClientRequest};
 use ploverwick_platform_standin::endpoint::{Action, DELAY, Endpoint};
 use ploverwick_platform_standin::settings;
@@ -115,3 +118,45 @@
     assert_that!(served, ge(SLOTS * endpoints.len() * rounds as usize / 2));
     Ok(())
 }
+
+/// Guards against endpoints that crash, and requests that are refused, although there is room for all.
+#[tokio::test(flavor = "multi_thread")]
+async fn room_for_all_is_used() -> Result<()> {
+    let got = brittle::run(LIGHT).await?;
+    assert_that!(got.crashes, le(got.max_crashes), "{got:?}");
+    assert_that!(got.served as f64, ge(0.98 * got.tries as f64), "{got:?}");
+    Ok(())
+}
+
+/// Guards against endpoints that bear a single refusal and crash one after the other under more clients than they have slots.
+#[tokio::test(flavor = "multi_thread")]
+async fn full_endpoints_rarely_crash() -> Result<()> {
+    let crowd = Crowd {
+        behaviour: Behaviour {
+            max_refusals: 1,
+            ..FULL.behaviour
+        },
+        ..FULL
+    };
+    let got = brittle::run(crowd).await?;
+    assert_that!(got.crashes, le(got.max_crashes), "{got:?}");
+    assert_that!(got.slot_use, ge(0.9), "{got:?}");
+    Ok(())
+}
+
+/// Guards against instances that start, know nothing of the requests in progress, and fill endpoints that are in use.
+#[tokio::test(flavor = "multi_thread")]
+async fn restarted_instances_crash_no_endpoints() -> Result<()> {
+    let crowd = Crowd {
+        behaviour: Behaviour {
+            max_refusals: 3,
+            ..FULL.behaviour
+        },
+        clients: 72,
+        restarts: 4,
+        ..FULL
+    };
+    let got = brittle::run(crowd).await?;
+    assert_that!(got.crashes, le(got.max_crashes), "{got:?}");
+    Ok(())
+}
