Divide the slots of brittle endpoints among the instances

Callers: brittle endpoints crashed one after the other and most tries were refused, with room for all as under a crowd. Cause: a bound over the fleet that each instance kept by itself from late news. Instances filled endpoints to their slots by loads that are up to 150 ms old, and a refusal closed the endpoint for all until the same moment, after which all sent to it: two bursts in each second that counts. Change: each slot belongs to one instance by hash of endpoint and instance; a request needs an own slot or one that another instance lends (slots, sharers). Requests wait at the instance, 1.5 for each own slot, and then are refused at once with a Retry-After of 250 to 750 ms. Loans lapse after 0.9 s unless renewed; a slot that moves is left for 1 s, one whose request has no known end for 0.5 s; an instance that hears few others takes nothing over for 10 s; one that starts asks which services are brittle before it sends. All instances learn of the first statement, which holds for 30 s or until answers no longer say so (it was 10 s without a way to end it; the test of brittleness now has both).

--- a/crates/ploverwick_endpoints/src/lib.rs
+++ b/crates/ploverwick_endpoints/src/lib.rs
@@ -6,7 +6,7 @@
 mod absences;
 mod answer_timeout;
 mod backpressure;
-mod brittleness;
+pub mod brittleness;
 mod budget;
 mod build;
 pub mod build_history;
@@ -34,12 +34,14 @@
 pub mod relays;
 mod resumption;
 pub mod service_rate;
+pub mod sharers;
+pub mod slots;
 pub mod totals;
 
 pub use absences::Absences;
 pub use answer_timeout::answer_timeout;
 pub use backpressure::Backpressure;
-pub use brittleness::Brittleness;
+pub use brittleness::{BrittleService, Brittleness};
 pub use budget::{Balance, Budget, RetryPolicy};
 pub use build::Build;
 pub use build_history::{BuildHistory, Serving};
--- a/crates/ploverwick_gateway/src/broadcast.rs
+++ b/crates/ploverwick_gateway/src/broadcast.rs
@@ -9,22 +9,24 @@
 mod periodic;
 pub(crate) mod quarantine;
 
+use std::collections::HashMap;
 use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use ploverwick_adapters::{Copy, Event, Request};
-use ploverwick_endpoints::{Build, Entry, LimitUpdate, State as EndpointState};
+use ploverwick_endpoints::slots::Outgoing;
+use ploverwick_endpoints::{BrittleService, Build, Entry, LimitUpdate, State as EndpointState};
 use ploverwick_names::Moment;
 use ploverwick_topics::Position;
 
-use crate::messages::{Change, ChangeKind, EndpointPause, Message};
+use crate::messages::{Change, ChangeKind, EndpointPause, Message, SlotNotice};
 use crate::outbox;
 use crate::shared::Shared;
 use crate::state::State;
 use crate::topics::{RelayedRecord, Topic};
 
-pub(crate) use periodic::run;
+pub(crate) use periodic::{run, status_interval};
 
 /// How long changes at endpoints are collected into one message. It adds to the latency of a request that
 /// waits for a load in another failure domain, which is about 260 ms.
@@ -172,6 +174,59 @@
     shared.peer_socket.send(&message, &to);
 }
 
+/// Notifies all instances of brittle services.
+pub(crate) fn send_brittle_services(shared: &Shared, services: Vec<BrittleService>) {
+    let now = shared.now();
+    let state = shared.state();
+    let mut to = domain_peers(shared, &state);
+    to.extend(remote_relays(shared, &state, now));
+    drop(state);
+    let message = Message::BrittleServices(services);
+    shared.peer_socket.send(&message, &to);
+}
+
+/// Asks some peers which services are brittle. Returns whether there is one to ask.
+pub(crate) fn request_brittle_services(shared: &Shared) -> bool {
+    let to = some_peers(shared);
+    shared
+        .peer_socket
+        .send(&Message::BrittleServicesRequest, &to);
+    !to.is_empty()
+}
+
+/// Sends the instance at `ip` the services that this instance knows to be brittle.
+pub(crate) fn reply_brittle_services(shared: &Shared, ip: IpAddr) {
+    let now = shared.now();
+    let services = shared.state().brittleness.messages(Duration::MAX, now);
+    let message = Message::BrittleServices(services);
+    shared.peer_socket.send(&message, &[ip]);
+}
+
+/// Sends notices on loans of slots.
+pub(crate) fn send_slot_notices(shared: &Shared, outgoing: Vec<Outgoing>) {
+    let mut by_receiver: HashMap<IpAddr, Vec<SlotNotice>> = HashMap::new();
+    for Outgoing {
+        to,
+        notice,
+        endpoint,
+        id,
+    } in outgoing
+    {
+        let notice = SlotNotice {
+            notice,
+            endpoint,
+            id,
+        };
+        by_receiver.entry(to).or_default().push(notice);
+    }
+    for (to, notices) in by_receiver {
+        for part in notices.chunks(periodic::MAX_ITEMS_PER_MESSAGE / 2) {
+            let message = Message::SlotNotices(part.to_vec());
+            shared.peer_socket.send(&message, &[to]);
+        }
+    }
+}
+
 /// Sends the instance at `ip` all endpoints that this instance knows to be draining.
 pub(crate) fn send_all_draining(shared: &Shared, ip: IpAddr) {
     let state = shared.state();
@@ -191,16 +246,9 @@
 /// An instance that has just started knows no limits. Without asking, it would send at an unlimited rate
 /// until the next answer or the next periodic update from a peer.
 pub(crate) fn request_limits(shared: &Shared) -> bool {
-    let now = shared.now();
-    let state = shared.state();
-    let mut to = domain_peers(shared, &state);
-    to.truncate(MAX_PEERS_ASKED);
-    if to.is_empty() {
-        to = remote_relays(shared, &state, now);
-    }
+    let to = some_peers(shared);
     // Limits of endpoints that are not on the list yet would be dropped.
-    let can_ask = state.has_endpoint_list && !to.is_empty();
-    drop(state);
+    let can_ask = shared.state().has_endpoint_list && !to.is_empty();
     if can_ask {
         shared
             .peer_socket
@@ -209,6 +257,18 @@
     can_ask
 }
 
+/// Returns some peers to ask after a start, of this failure domain if there are any.
+fn some_peers(shared: &Shared) -> Vec<IpAddr> {
+    let now = shared.now();
+    let state = shared.state();
+    let mut peers = domain_peers(shared, &state);
+    peers.truncate(MAX_PEERS_ASKED);
+    if peers.is_empty() {
+        peers = remote_relays(shared, &state, now);
+    }
+    peers
+}
+
 /// Sends the instance at `ip` all limits of endpoints that this instance knows.
 pub(crate) fn send_all_limits(shared: &Shared, ip: IpAddr) {
     let now = shared.now();
--- a/crates/ploverwick_gateway/src/broadcast/periodic.rs
+++ b/crates/ploverwick_gateway/src/broadcast/periodic.rs
@@ -10,7 +10,7 @@
 use ploverwick_names::Moment;
 
 use super::{capacities, domain_peers, quarantine, remote_relays};
-use crate::controllers::limits;
+use crate::controllers::{limits, slots};
 use crate::messages::{AdapterUse, EndpointDigests, EndpointLoad, Message};
 use crate::shared::Shared;
 use crate::state::{State, TotalsSenders};
@@ -52,6 +52,7 @@
         for (message, to) in outgoing {
             shared.peer_socket.send(&message, &to);
         }
+        slots::tick(&shared);
     }
 }
 
@@ -61,6 +62,7 @@
     // A gap between ticks that exceeds the interval reveals that the process was suspended.
     state.watermark.tick(now);
     limits::assign_shares(shared, &mut state, now);
+    state.divide_slots(&shared.settings, now);
     state.fleet.tick_capacities(now);
     let placer_token = state.placer_lease.token(now);
     let is_remote_round = round.is_multiple_of(REMOTE_INTERVAL_ROUNDS);
@@ -94,6 +96,10 @@
             .draining_reports
             .recent(INTERVAL * DIGEST_INTERVAL_ROUNDS, now);
         push_chunks(draining, &to, Message::Draining, &mut messages);
+        let brittle = state
+            .brittleness
+            .messages(INTERVAL * DIGEST_INTERVAL_ROUNDS, now);
+        push_chunks(brittle, &to, Message::BrittleServices, &mut messages);
     }
     if round.is_multiple_of(DIGEST_INTERVAL_ROUNDS) {
         let mut to = status_recipients(shared, &state, round, now);
@@ -123,6 +129,12 @@
     }
 }
 
+/// Returns how often each of `peers` instances of a failure domain sends its status to each of the others.
+pub(crate) fn status_interval(peers: usize) -> Duration {
+    let rounds = peers.div_ceil(MAX_STATUS_RECIPIENTS).max(1);
+    INTERVAL.saturating_mul(u32::try_from(rounds).unwrap_or(u32::MAX))
+}
+
 /// Returns the peers of this failure domain that receive the status in this round. The placer always does.
 fn status_recipients(shared: &Shared, state: &State, round: u32, now: Moment) -> Vec<IpAddr> {
     let mut local = domain_peers(shared, state);
--- a/crates/ploverwick_gateway/src/controllers.rs
+++ b/crates/ploverwick_gateway/src/controllers.rs
@@ -21,6 +21,7 @@
 pub(crate) mod quotas;
 pub(crate) mod reachability;
 pub(crate) mod relays;
+pub(crate) mod slots;
 pub(crate) mod table;
 mod topic;
 
--- a/crates/ploverwick_gateway/src/controllers/brittleness.rs
+++ b/crates/ploverwick_gateway/src/controllers/brittleness.rs
@@ -1,50 +1,113 @@
-//! Keeps refusals at brittle endpoints rare: they crash if they have to turn many requests away.
+//! Follows which services are brittle: their endpoints crash if they have to turn many requests away.
 
 use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use ploverwick_endpoints::{Brittleness, Entry, Evidence};
+use ploverwick_endpoints::brittleness::Statement;
+use ploverwick_endpoints::{BrittleService, Brittleness, Entry, Evidence};
+use ploverwick_names::Moment;
+use ploverwick_platform::answer::{self, Head};
+use tokio::time::Instant;
 
 use crate::broadcast;
 use crate::messages::EndpointPause;
 use crate::metrics;
 use crate::shared::Shared;
+use crate::state::InstanceListState;
 
-/// Handles the answer of an endpoint that is brittle if `max_refusals` is stated; `is_refusal` is whether it turned the
-/// request `id` away.
-pub(crate) fn handle_answer(
-    shared: &Shared,
-    entry: &Entry,
-    id: &str,
-    max_refusals: Option<u32>,
-    is_refusal: bool,
-) {
-    let Some(max_refusals) = max_refusals else {
-        return;
+/// How long an instance that has just started waits for its peers to say which services are brittle.
+const LEARNING_TIMEOUT: Duration = Duration::from_millis(500);
+/// How often it asks them.
+const ASK_INTERVAL: Duration = Duration::from_millis(30);
+
+/// Handles what the head of an answer says of its endpoint; the request was sent at `sent_at`.
+pub(crate) fn handle_answer(shared: &Shared, entry: &Entry, head: &Head, sent_at: Moment) {
+    let is_authentic = head.is_signed || head.statement != answer::Statement::Nothing;
+    let statement = match head.max_refusals {
+        Some(max_refusals) => Statement::Brittle { max_refusals },
+        None if is_authentic => Statement::Sound,
+        None => return,
     };
+    let service = &entry.service;
     let now = shared.now();
-    let is_new = shared.state().brittleness.record(&entry.service, now);
-    if is_new {
-        spdlog::info!(
-            "service_brittle service={} endpoint={} max_refusals={}",
-            entry.service,
-            entry.id,
-            max_refusals
-        );
-    }
-    if !is_refusal {
+    let mut state = shared.state();
+    if !state
+        .brittleness
+        .record_answer(service, statement, sent_at, now)
+    {
         return;
     }
-    let pause = Brittleness::pause(max_refusals);
-    if record_pause(shared, &entry.id, pause, &format_args!("answer id={id}")) {
-        let pause = EndpointPause::new(Arc::clone(&entry.id), pause);
-        broadcast::send_pauses(shared, vec![pause]);
+    state.divide_slots(&shared.settings, now);
+    let messages = state.brittleness.messages(Duration::ZERO, now);
+    drop(state);
+    log_brittle(
+        service,
+        head.max_refusals,
+        &format_args!("answer endpoint={}", entry.id),
+    );
+    broadcast::send_brittle_services(shared, messages);
+}
+
+/// Handles a message from another instance about brittle services.
+pub(crate) fn handle_services(shared: &Shared, services: &[BrittleService], from: IpAddr) {
+    let now = shared.now();
+    let mut state = shared.state();
+    let mut is_new = false;
+    for service in services {
+        if state.brittleness.apply(service, now) {
+            is_new = true;
+            let by = format_args!("instance from={from}");
+            log_brittle(&service.service, Some(service.max_refusals), &by);
+        }
     }
+    if is_new {
+        state.divide_slots(&shared.settings, now);
+    }
+    drop(state);
+    shared.brittleness_known.send_replace(true);
+    shared.slots_changed.notify_waiters();
+}
+
+fn log_brittle(service: &str, max_refusals: Option<u32>, by: &dyn std::fmt::Display) {
+    let max_refusals = max_refusals.unwrap_or_default();
+    spdlog::info!(
+        "service_brittle service={} max_refusals={} by={}",
+        service,
+        max_refusals,
+        by
+    );
+}
+
+/// Asks the peers of an instance that has just started which services are brittle, until one replies.
+pub(crate) async fn learn(shared: Arc<Shared>) {
+    let deadline = Instant::now() + LEARNING_TIMEOUT;
+    while !*shared.brittleness_known.borrow() && Instant::now() < deadline {
+        let has_peers = broadcast::request_brittle_services(&shared);
+        let is_listed = shared.state().instance_list != InstanceListState::Unread;
+        if is_listed && !has_peers {
+            break;
+        }
+        tokio::time::sleep(ASK_INTERVAL).await;
+    }
+    shared.brittleness_known.send_replace(true);
 }
 
-/// Records that an endpoint turned the request `id` away, and why it was sent there.
-pub(crate) fn handle_refusal(shared: &Shared, endpoint: &Arc<str>, id: &str, evidence: &Evidence) {
+/// Waits until this instance knows which services are brittle.
+pub(crate) async fn wait_until_known(shared: &Shared) {
+    let mut known = shared.brittleness_known.subscribe();
+    // The sender lives as long as the process.
+    drop(known.wait_for(|is_known| *is_known).await);
+}
+
+/// Handles an answer in which a brittle endpoint turned the request `id` away, and records why it was sent there.
+pub(crate) fn handle_refusal(
+    shared: &Shared,
+    endpoint: &Arc<str>,
+    id: &str,
+    evidence: &Evidence,
+    max_refusals: u32,
+) {
     let now = shared.now();
     let mut state = shared.state();
     state.refusals.record(endpoint, now);
@@ -67,6 +130,10 @@
             recent
         );
     }
+    let pause = Brittleness::pause(max_refusals);
+    record_pause(shared, endpoint, pause, &format_args!("answer id={id}"));
+    let pause = EndpointPause::new(Arc::clone(endpoint), pause);
+    broadcast::send_pauses(shared, vec![pause]);
 }
 
 fn format_ms(duration: Option<Duration>) -> String {
@@ -77,7 +144,7 @@
 }
 
 /// Handles a message from another instance about endpoints that turned requests away.
-pub(crate) fn handle_message(shared: &Shared, pauses: &[EndpointPause], from: IpAddr) {
+pub(crate) fn handle_pauses(shared: &Shared, pauses: &[EndpointPause], from: IpAddr) {
     for pause in pauses {
         let source = format_args!("instance from={from}");
         let now = shared.now();
@@ -86,13 +153,12 @@
     }
 }
 
-/// Records a pause; returns whether the endpoint was not pausing.
 fn record_pause(
     shared: &Shared,
     endpoint: &Arc<str>,
     pause: Duration,
     source: &dyn std::fmt::Display,
-) -> bool {
+) {
     let now = shared.now();
     let mut state = shared.state();
     // The endpoint may have been removed from the list before its answer arrived.
@@ -109,5 +175,4 @@
             );
         }
     }
-    is_new
 }
--- a/crates/ploverwick_gateway/src/daemon.rs
+++ b/crates/ploverwick_gateway/src/daemon.rs
@@ -11,8 +11,8 @@
 use tokio::task::JoinSet;
 
 use crate::controllers::{
-    endpoint_list, freshness, instances, operator, orders, origins, placer_lease, quarantine,
-    quotas, reachability, table,
+    brittleness, endpoint_list, freshness, instances, operator, orders, origins, placer_lease,
+    quarantine, quotas, reachability, table,
 };
 use crate::front::{self, OpenConnections};
 use crate::messages::PeerSocket;
@@ -116,6 +116,7 @@
         tasks.spawn(broadcast::run_outbox(Arc::clone(&shared)));
         tasks.spawn(broadcast::quarantine::run(Arc::clone(&shared)));
         tasks.spawn(listen::run(Arc::clone(&shared)));
+        tasks.spawn(brittleness::learn(Arc::clone(&shared)));
         if let Some(snapshots) = self.snapshots {
             tasks.spawn(snapshots::serve(Arc::clone(&shared), snapshots));
         }
--- a/crates/ploverwick_gateway/src/filters/in_flight.rs
+++ b/crates/ploverwick_gateway/src/filters/in_flight.rs
@@ -4,9 +4,11 @@
 use std::time::Duration;
 
 use ploverwick_adapters::Copy;
+use ploverwick_endpoints::slots::{Ending, Permit};
 use ploverwick_endpoints::{Outcome, StepMeter};
 use tokio::time::Instant;
 
+use crate::controllers::slots;
 use crate::metrics;
 use crate::shared::Shared;
 use crate::state::State;
@@ -35,18 +37,30 @@
     last_event: Option<(Instant, bool)>,
     steps: StepMeter,
     outcome: Outcome,
+    ending: Ending,
+    /// The slot that it uses at a brittle endpoint.
+    permit: Option<Permit>,
 }
 
 impl InFlight {
+    /// Starts the accounting; returns `None` if the endpoint is brittle and this instance has no slot of it.
     pub(crate) fn start(
         shared: &Arc<Shared>,
         endpoint: &Arc<str>,
         copy: Option<Copy>,
         prompt: u32,
         answer: u32,
-    ) -> Self {
+    ) -> Option<Self> {
         let now = shared.now();
         let mut state = shared.state();
+        let lacks_slot = state
+            .fleet
+            .entry(endpoint)
+            .is_some_and(|entry| state.lacks_slot(entry, now));
+        if lacks_slot {
+            return None;
+        }
+        let permit = state.slots.acquire(endpoint, now);
         let queued_tokens = state.fleet.load(endpoint, now).unread_tokens;
         let was_full = state
             .fleet
@@ -63,7 +77,7 @@
             state.record_use(endpoint, copy, true);
         }
         drop(state);
-        Self {
+        Some(Self {
             shared: Arc::clone(shared),
             endpoint: Arc::clone(endpoint),
             copy,
@@ -75,12 +89,27 @@
             last_event: None,
             steps: StepMeter::default(),
             outcome: Outcome::Abandoned,
+            ending: Ending::Unknown,
+            permit,
+        })
+    }
+
+    /// Records that the endpoint has not run the request.
+    pub(crate) fn set_not_run(&mut self, is_misdirected: bool) {
+        self.ending = Ending::Known;
+        // The addressed endpoint is not the one that answered, or does not hold the adapter.
+        if !is_misdirected {
+            self.outcome = Outcome::Refused;
         }
     }
 
     /// Sets the outcome of the request. If it is never set, the client disconnected: [`Outcome::Abandoned`].
     pub(crate) fn set_outcome(&mut self, outcome: Outcome) {
         self.outcome = outcome;
+        self.ending = match outcome {
+            Outcome::Success | Outcome::Refused | Outcome::Error => Ending::Known,
+            Outcome::Broken | Outcome::Abandoned => Ending::Unknown,
+        };
     }
 
     /// Records the time to the head of the answer.
@@ -146,5 +175,7 @@
         if let Some(copy) = &self.copy {
             state.record_use(&self.endpoint, copy, false);
         }
+        drop(state);
+        slots::release(&self.shared, &self.endpoint, self.permit, self.ending);
     }
 }
--- a/crates/ploverwick_gateway/src/filters/select.rs
+++ b/crates/ploverwick_gateway/src/filters/select.rs
@@ -12,8 +12,9 @@
 
 use super::admitted_request::AdmittedRequest;
 use super::reply::Reply;
+use super::slot_wait::{self, SlotWait};
 use super::{copy_demand, missing_adapter};
-use crate::controllers::load_requests;
+use crate::controllers::{brittleness, load_requests};
 use crate::metrics;
 use crate::shared::Shared;
 use crate::state::State;
@@ -27,8 +28,8 @@
 /// The ratio of requests to slots of an endpoint at which further requests are refused, since they would wait
 /// longer than their latency objective.
 const MAX_FILL: f64 = 2.5;
-/// The fill up to which brittle endpoints get requests: none has to wait for a slot.
-const BRITTLE_MAX_FILL: f64 = 1.0;
+/// The number of endpoints whose slots are borrowed for a request.
+const MAX_LACKING: usize = 3;
 /// How often the load of an adapter is requested again while a request waits for it, as messages may be lost.
 const LOAD_REQUEST_INTERVAL: Duration = Duration::from_millis(70);
 /// The maximum `Retry-After` if no endpoint accepts requests from this instance. Other instances may still be able
@@ -101,6 +102,14 @@
         }
     }
 
+    /// Returns whether no selection is wanted any more.
+    fn has_ended(self) -> bool {
+        match self {
+            Self::Request(_) => false,
+            Self::Until(deadline) => Instant::now() >= deadline,
+        }
+    }
+
     /// Returns when to look again at the latest, after `next_request`.
     fn recheck_at(self, next_request: Instant) -> Instant {
         match self {
@@ -117,14 +126,49 @@
     }
 }
 
+/// Selects an endpoint. If it is brittle and this instance has no slot of it, waits for one.
 async fn select_or_wait(
     shared: &Arc<Shared>,
     request: &AdmittedRequest,
     except: &[Arc<str>],
     wait: AdapterWait,
 ) -> Result<Target, Reply> {
+    brittleness::wait_until_known(shared).await;
+    let mut slot_wait = None;
+    loop {
+        let changed = shared.slots_changed.notified();
+        let lacking = match select_or_load(shared, request, except, wait).await? {
+            Selection::Target(target) => return Ok(*target),
+            Selection::NoSlot(lacking) => lacking,
+        };
+        let slot_wait = slot_wait.get_or_insert_with(|| SlotWait::start(shared, request));
+        slot_wait.borrow(&lacking);
+        if wait.has_ended() || slot_wait.is_over() {
+            return Err(slot_wait::no_slot_reply());
+        }
+        tokio::select! {
+            () = changed => {}
+            () = tokio::time::sleep_until(slot_wait.recheck_at()) => {}
+        }
+    }
+}
+
+/// The result of a selection that waited for the adapter.
+enum Selection {
+    Target(Box<Target>),
+    /// This instance has no slot of the endpoints that may serve the request, of which these are the best.
+    NoSlot(Vec<Arc<str>>),
+}
+
+/// Selects an endpoint. Waits if the adapter has to be loaded first.
+async fn select_or_load(
+    shared: &Arc<Shared>,
+    request: &AdmittedRequest,
+    except: &[Arc<str>],
+    wait: AdapterWait,
+) -> Result<Selection, Reply> {
     let Some(key) = &request.info.adapter else {
-        return select_without_adapter(shared, request, except);
+        return select_without_adapter(shared, request, except).into_selection();
     };
     let started = Instant::now();
     let mut load_requests = 0;
@@ -139,16 +183,13 @@
             _ => (choice, newest),
         };
         match choice {
-            Choice::Selected(target) => {
-                metrics::adapter_wait(started.elapsed());
-                return Ok(*target);
-            }
-            Choice::Full => {
-                return Err(Reply::new(Code::Overloaded, "").retry_after(FULL_RETRY_AFTER));
-            }
-            Choice::Limited(wait) => return Err(limited_reply(wait)),
-            Choice::BuildGone => return Err(build_gone_reply()),
             Choice::Wait => {}
+            choice => {
+                if matches!(choice, Choice::Selected(_)) {
+                    metrics::adapter_wait(started.elapsed());
+                }
+                return choice.into_selection();
+            }
         }
         let now = Instant::now();
         if wait.is_over(started.elapsed(), is_coming) {
@@ -181,29 +222,50 @@
     request: &AdmittedRequest,
     except: &[Arc<str>],
 ) -> Option<Target> {
-    let Some(key) = &request.info.adapter else {
-        return select_without_adapter(shared, request, except).ok();
+    let choice = match &request.info.adapter {
+        None => select_without_adapter(shared, request, except),
+        Some(key) => match select_holder(shared, request, key, except) {
+            (Choice::Wait, newest) => {
+                missing_adapter::request_load(shared, request, &newest);
+                Choice::Wait
+            }
+            (choice, _) => choice,
+        },
     };
-    match select_holder(shared, request, key, except) {
-        (Choice::Selected(target), _) => Some(*target),
-        (Choice::Wait, newest) => {
-            missing_adapter::request_load(shared, request, &newest);
-            None
-        }
-        (Choice::Full | Choice::Limited(_) | Choice::BuildGone, _) => None,
+    match choice {
+        Choice::Selected(target) => Some(*target),
+        _ => None,
     }
 }
 
 enum Choice {
     Selected(Box<Target>),
     Full,
+    /// This instance has no slot of the endpoints that may serve the request, of which these are the best.
+    NoSlot(Vec<Arc<str>>),
     /// No endpoint of the service accepts a request from this instance for this long.
     Limited(Duration),
     /// No endpoint of the build that began the stream is listed as ready.
     BuildGone,
+    /// No endpoint holds the adapter, or none is available.
     Wait,
 }
 
+impl Choice {
+    fn into_selection(self) -> Result<Selection, Reply> {
+        match self {
+            Self::Selected(target) => Ok(Selection::Target(target)),
+            Self::NoSlot(lacking) => Ok(Selection::NoSlot(lacking)),
+            Self::Full => Err(Reply::new(Code::Overloaded, "").retry_after(FULL_RETRY_AFTER)),
+            Self::Limited(wait) => Err(limited_reply(wait)),
+            Self::BuildGone => Err(build_gone_reply()),
+            Self::Wait => {
+                Err(Reply::new(Code::NoEndpoint, "").retry_after(NO_ENDPOINT_RETRY_AFTER))
+            }
+        }
+    }
+}
+
 fn limited_reply(wait: Duration) -> Reply {
     let detail = "No endpoint takes a request from this instance now.";
     Reply::new(Code::Overloaded, detail).retry_after(wait.min(MAX_LIMITED_RETRY_AFTER))
@@ -233,6 +295,14 @@
     Cow::Owned([except, &closed].concat())
 }
 
+/// Returns `excluded` and the endpoints of which this instance lacks a slot.
+fn with_slotless<'a>(excluded: &'a [Arc<str>], slotless: &[Arc<str>]) -> Cow<'a, [Arc<str>]> {
+    if slotless.is_empty() {
+        return Cow::Borrowed(excluded);
+    }
+    Cow::Owned([excluded, slotless].concat())
+}
+
 /// Returns the builds at which a request had better not begin its stream: an instance that does not know one of them yet could
 /// continue the stream at another build.
 fn avoided_builds(state: &State, request: &AdmittedRequest, now: Moment) -> Vec<Build> {
@@ -266,14 +336,15 @@
     shared: &Shared,
     request: &AdmittedRequest,
     except: &[Arc<str>],
-) -> Result<Target, Reply> {
+) -> Choice {
     let now = shared.now();
     let state = shared.state();
-    let excluded = excluded_endpoints(&state, except, now);
+    let closed = excluded_endpoints(&state, except, now);
+    let slotless = state.without_slot(&request.service, now);
+    let excluded = with_slotless(&closed, &slotless);
     let avoided = avoided_builds(&state, request, now);
-    let max_fill = max_fill(&state, request, now).min(MAX_FILL);
+    let max_fill = max_fill(request).min(MAX_FILL);
     let query = query(shared, &state, request, (&avoided, max_fill), &excluded);
-    let ranked = state.fleet.rank(&query, now);
     let holds = |id: &str| match &request.info.model {
         None => true,
         Some(model) => {
@@ -282,22 +353,28 @@
             entry.is_some_and(|e| e.held.is_empty() || e.held.iter().any(|h| h.model == *model))
         }
     };
-    let best = ranked.into_iter().find(|(_, id)| holds(id));
-    let Some((cost, id)) = best else {
+    let rank = |query| {
+        let ranked = state.fleet.rank(query, now).into_iter();
+        ranked.filter(|(_, id)| holds(id))
+    };
+    let Some((cost, id)) = rank(&query).next() else {
+        let query = Query {
+            except: &closed,
+            ..query
+        };
+        let lacking = rank(&query).map(|(_, id)| id).take(MAX_LACKING);
+        let lacking: Vec<Arc<str>> = lacking.collect();
+        if !slotless.is_empty() && !lacking.is_empty() {
+            return Choice::NoSlot(lacking);
+        }
         if is_build_gone(&state, request) {
-            return Err(build_gone_reply());
+            return Choice::BuildGone;
         }
-        return Err(match min_send_wait(&state, request, now) {
-            Some(wait) => limited_reply(wait),
-            None => Reply::new(Code::NoEndpoint, "").retry_after(NO_ENDPOINT_RETRY_AFTER),
-        });
+        return min_send_wait(&state, request, now).map_or(Choice::Wait, Choice::Limited);
     };
-    if state
-        .fleet
-        .fill(&id, now)
-        .is_some_and(|fill| fill >= max_fill)
-    {
-        return Err(Reply::new(Code::Overloaded, "").retry_after(FULL_RETRY_AFTER));
+    let fill = state.fleet.fill(&id, now);
+    if fill.is_some_and(|fill| fill >= max_fill) {
+        return Choice::Full;
     }
     let entry = state.fleet.entry(&id).expect("it was ranked").clone();
     let load = state.fleet.load(&id, now);
@@ -306,7 +383,7 @@
         .fleet
         .expected_wait(&id, prompt, now)
         .unwrap_or_default();
-    Ok(Target {
+    Choice::Selected(Box::new(Target {
         entry,
         copy: None,
         start_deadline: None,
@@ -314,14 +391,11 @@
         cost,
         load,
         expected_wait,
-    })
+    }))
 }
 
 /// Returns the fill up to which an endpoint accepts a request. A lower weight leaves capacity for other requests.
-fn max_fill(state: &State, request: &AdmittedRequest, now: Moment) -> f64 {
-    if state.brittleness.is_brittle(&request.service, now) {
-        return BRITTLE_MAX_FILL;
-    }
+fn max_fill(request: &AdmittedRequest) -> f64 {
     (MAX_FILL * request.terms.weight).clamp(1.0, 2.0 * MAX_FILL)
 }
 
@@ -382,12 +456,23 @@
         key: key.clone(),
         version,
     };
-    let excluded = excluded_endpoints(&state, except, now);
+    let closed = excluded_endpoints(&state, except, now);
+    let slotless = state.without_slot(&request.service, now);
+    let excluded = with_slotless(&closed, &slotless);
     let avoided = avoided_builds(&state, request, now);
-    let max_fill = max_fill(&state, request, now);
+    let max_fill = max_fill(request);
     let query = query(shared, &state, request, (&avoided, max_fill), &excluded);
     let mut held = newest.clone();
     let mut best = cheapest_holder(&state, &query, &held, now);
+    if best.is_none() && !slotless.is_empty() {
+        let query = Query {
+            except: &closed,
+            ..query
+        };
+        if let Some((_, id)) = cheapest_holder(&state, &query, &held, now) {
+            return (Choice::NoSlot(vec![id]), newest);
+        }
+    }
     if best.is_none()
         && let Some(older) = usable_older_version(shared, &state, &newest, now)
     {
--- a/crates/ploverwick_gateway/src/filters/send.rs
+++ b/crates/ploverwick_gateway/src/filters/send.rs
@@ -108,12 +108,15 @@
         return SendOutcome::Unsent("it takes no request from here now".to_owned());
     }
     let prompt = request.info.prompt_tokens;
+    let answer = request.info.expected_answer_tokens;
+    let evidence = evidence(shared, request, &target.entry, sent);
+    let in_flight = InFlight::start(shared, endpoint, target.copy.clone(), prompt, answer);
+    let Some(mut in_flight) = in_flight else {
+        return SendOutcome::Unsent("this instance has no slot of it".to_owned());
+    };
     if let Some(charge) = &request.charge {
         charge.record_sent();
     }
-    let answer = request.info.expected_answer_tokens;
-    let evidence = evidence(shared, request, &target.entry, sent);
-    let mut in_flight = InFlight::start(shared, endpoint, target.copy.clone(), prompt, answer);
     let known = quarantine::known(shared, request);
     let begun = Instant::now();
     let message = build_message(request, target, &caller, after_event);
@@ -160,8 +163,10 @@
         return SendOutcome::Lost("the answer is another request's".to_owned());
     }
     handle_reports(shared, request, &target.entry, (parts.status, &head), sent);
-    if head.statement == Statement::NotRun && head.max_refusals.is_some() {
-        brittleness::handle_refusal(shared, endpoint, &request.info.id, &evidence);
+    if head.statement == Statement::NotRun
+        && let Some(max_refusals) = head.max_refusals
+    {
+        brittleness::handle_refusal(shared, endpoint, &request.info.id, &evidence, max_refusals);
     }
     if head.statement != Statement::Nothing {
         record_not_run(request);
@@ -170,11 +175,7 @@
             // The directory is wrong: the endpoint does not hold the adapter.
             shared.state().directory.mark_unloaded(endpoint, copy);
         }
-        in_flight.set_outcome(if misdirected {
-            Outcome::Abandoned
-        } else {
-            Outcome::Refused
-        });
+        in_flight.set_not_run(misdirected);
         reuse::drain(shared, endpoint, connection, head, body);
         return SendOutcome::NotRun { misdirected };
     }
@@ -215,8 +216,7 @@
     let source = format_args!("answer id={id}");
     draining::handle_answer(shared, endpoint, head.state, &source);
     pauses::handle_answer(shared, endpoint, id, head.retry_after);
-    let is_refusal = head.statement == Statement::NotRun;
-    brittleness::handle_answer(shared, entry, id, head.max_refusals, is_refusal);
+    brittleness::handle_answer(shared, entry, head, sent);
     if status == StatusCode::SERVICE_UNAVAILABLE && shared.log_limiter.allow(shared.now()) {
         spdlog::info!(
             "send_refused id={} endpoint={} statement={:?} retry_after={:?}",
--- a/crates/ploverwick_gateway/src/listen.rs
+++ b/crates/ploverwick_gateway/src/listen.rs
@@ -10,7 +10,7 @@
 use crate::broadcast;
 use crate::controllers::{
     brittleness, draining, endpoint_list, freshness, limits, load_requests, origins, quarantine,
-    quotas,
+    quotas, slots,
 };
 use crate::messages::{
     self, AdapterUse, Change, ChangeKind, EndpointDigests, EndpointLoad, Message, ModelAdapters,
@@ -119,16 +119,17 @@
         Message::BaseLoad => shared.state().base_load_limiter.record_load(now),
         Message::LeaseReleased => shared.lease_released.notify_one(),
         Message::QuarantineEntries(entries) => quarantine::apply_entries(shared, &entries, &from),
-        Message::PromptEntries(entries) => {
-            quarantine::apply_prompt_entries(shared, &entries, &from);
-        }
+        Message::PromptEntries(list) => quarantine::apply_prompt_entries(shared, &list, &from),
         Message::EndpointLimitsRequest => {
             broadcast::send_all_limits(shared, from);
             broadcast::send_all_draining(shared, from);
         }
         Message::EndpointLimits(list) => limits::handle_updates(shared, &list, from),
         Message::Draining(endpoints) => draining::handle_message(shared, &endpoints, from),
-        Message::EndpointPauses(pauses) => brittleness::handle_message(shared, &pauses, from),
+        Message::EndpointPauses(pauses) => brittleness::handle_pauses(shared, &pauses, from),
+        Message::BrittleServices(list) => brittleness::handle_services(shared, &list, from),
+        Message::BrittleServicesRequest => broadcast::reply_brittle_services(shared, from),
+        Message::SlotNotices(notices) => slots::handle_notices(shared, notices, from),
         Message::Observations(observed) => {
             shared.state().fleet.record_peer_observations(&observed);
         }
--- a/crates/ploverwick_gateway/src/messages.rs
+++ b/crates/ploverwick_gateway/src/messages.rs
@@ -10,8 +10,10 @@
 use ploverwick_adapters::{Copy, Demand, Key, Request};
 use ploverwick_endpoints::numbering::Numbered;
 use ploverwick_endpoints::origins::Attempt;
+use ploverwick_endpoints::slots::{LoanId, Notice};
 use ploverwick_endpoints::{
-    Build, EndpointObservations, Entry, Figure, LimitUpdate, LogByte, lookup, totals,
+    BrittleService, Build, EndpointObservations, Entry, Figure, LimitUpdate, LogByte, lookup,
+    totals,
 };
 use ploverwick_names::Moment;
 use ploverwick_quarantine::{DIGEST_BUCKETS, prompt};
@@ -103,6 +105,14 @@
     }
 }
 
+/// A notice on the loan of a slot.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct SlotNotice {
+    pub(crate) notice: Notice,
+    pub(crate) endpoint: Arc<str>,
+    pub(crate) id: LoanId,
+}
+
 /// The digests of what the sender tracks, which a receiver compares with its own.
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 pub(crate) struct Comparison {
@@ -261,6 +271,12 @@
     PromptDigests(Comparison),
     /// Endpoints that get no requests for a while because they turned one away and are brittle.
     EndpointPauses(Vec<EndpointPause>),
+    /// Services whose endpoints are brittle.
+    BrittleServices(Vec<BrittleService>),
+    /// Requests the services that the receiver knows to be brittle. The reply may be empty.
+    BrittleServicesRequest,
+    /// Notices on loans of slots.
+    SlotNotices(Vec<SlotNotice>),
 }
 
 impl Message {
@@ -317,6 +333,9 @@
             Self::PromptEntries(_) => "prompt_entries",
             Self::PromptDigests(_) => "prompt_digests",
             Self::EndpointPauses(_) => "endpoint_pauses",
+            Self::BrittleServices(_) => "brittle_services",
+            Self::BrittleServicesRequest => "brittle_services_request",
+            Self::SlotNotices(_) => "slot_notices",
         }
     }
 
@@ -333,6 +352,7 @@
             | Self::QuarantineEntries(_)
             | Self::PromptEntries(_)
             | Self::EndpointPauses(_)
+            | Self::BrittleServices(_)
             | Self::Figures(_) => true,
             Self::Status { .. }
             | Self::AdapterUses(_)
@@ -354,7 +374,9 @@
             | Self::OriginQuery { .. }
             | Self::OriginReply { .. }
             | Self::QuarantineDigests(_)
-            | Self::PromptDigests(_) => false,
+            | Self::PromptDigests(_)
+            | Self::BrittleServicesRequest
+            | Self::SlotNotices(_) => false,
         }
     }
 }
--- a/crates/ploverwick_gateway/src/metrics.rs
+++ b/crates/ploverwick_gateway/src/metrics.rs
@@ -237,6 +237,15 @@
     counter!("ploverwick_endpoint_refusals_total", "cause" => cause).increment(1);
 }
 
+/// Sets the numbers of slots of brittle endpoints that belong to this instance, that it lent and that it borrowed, and of the
+/// requests that wait for one.
+pub(crate) fn slots(own: u32, lent: usize, borrowed: usize, waiting: usize) {
+    gauge!("ploverwick_slots", "kind" => "own").set(f64::from(own));
+    gauge!("ploverwick_slots", "kind" => "lent").set(lent as f64);
+    gauge!("ploverwick_slots", "kind" => "borrowed").set(borrowed as f64);
+    gauge!("ploverwick_slot_waits").set(waiting as f64);
+}
+
 /// Counts a requested retry by whether the budget allowed it.
 pub(crate) fn retry(is_granted: bool) {
     let outcome = if is_granted { "granted" } else { "refused" };
--- a/crates/ploverwick_gateway/src/shared.rs
+++ b/crates/ploverwick_gateway/src/shared.rs
@@ -84,6 +84,10 @@
     pub(crate) version_declared: Notify,
     /// Wakes requests in progress when a request or a prompt part is refused because endpoints crash on it.
     pub(crate) refusal_added: Notify,
+    /// Whether this instance knows which services are brittle.
+    pub(crate) brittleness_known: watch::Sender<bool>,
+    /// Wakes requests that wait for a slot of a brittle endpoint.
+    pub(crate) slots_changed: Notify,
     /// Signals that the placer of this failure domain has released its lease.
     pub(crate) lease_released: Notify,
     /// Wakes the tasks that send orders to endpoints.
@@ -110,6 +114,7 @@
             min_stable: settings.calm,
         };
         let state = State::new(&settings, lease_policy, clock.now());
+        let first_start = settings.first_start;
         Self {
             is_accepting: AtomicBool::new(true),
             persists_token: lease_policy.waits_after_restart(),
@@ -132,6 +137,8 @@
             store_unavailable: watch::Sender::new(false),
             version_declared: Notify::new(),
             refusal_added: Notify::new(),
+            brittleness_known: watch::Sender::new(first_start),
+            slots_changed: Notify::new(),
             lease_released: Notify::new(),
             orders_changed: Notify::new(),
             quota_requested: Notify::new(),
--- a/crates/ploverwick_gateway/src/state.rs
+++ b/crates/ploverwick_gateway/src/state.rs
@@ -1,5 +1,7 @@
 //! The mutable state of the process, guarded by one lock.
 
+mod slot_owners;
+
 use std::collections::HashMap;
 use std::net::IpAddr;
 use std::sync::Arc;
@@ -13,7 +15,7 @@
 use ploverwick_endpoints::{
     Balance, Brittleness, Budget, BuildHistory, DrainingReports, Entry, Fleet, Held, InstanceCount,
     Limits, Links, Pauses, Reachability, Refusals, Relays, RetryPolicy, Serving,
-    State as EndpointState, relays, totals,
+    State as EndpointState, relays, slots, totals,
 };
 use ploverwick_limits::{PriorUse, RateLimiter};
 use ploverwick_names::Moment;
@@ -126,6 +128,10 @@
     pub(crate) pauses: Pauses,
     /// The services whose endpoints crash if they have to turn many requests away.
     pub(crate) brittleness: Brittleness,
+    /// The slots of the endpoints of brittle services.
+    pub(crate) slots: slots::Ledger,
+    /// The number of requests that wait for a slot, by service.
+    pub(crate) slot_waits: HashMap<Arc<str>, usize>,
     /// The requests that brittle endpoints turned away.
     pub(crate) refusals: Refusals,
     /// The endpoints whose answers to this instance reported that they are leaving.
@@ -194,6 +200,8 @@
             limits: Limits::default(),
             pauses: Pauses::default(),
             brittleness: Brittleness::default(),
+            slots: slots::Ledger::new(rand::random(), settings.first_start, now),
+            slot_waits: HashMap::new(),
             refusals: Refusals::default(),
             draining_reports: DrainingReports::default(),
             incarnations: Incarnations::default(),
--- a/crates/ploverwick_gateway/tests/brittle/mod.rs
+++ b/crates/ploverwick_gateway/tests/brittle/mod.rs
@@ -12,6 +12,7 @@
 use ploverwick_platform_standin::client::{ClientRequest, Connection};
 use ploverwick_platform_standin::settings;
 use ploverwick_platform_standin::store::Store;
+use tokio::runtime::Runtime;
 use tokio::task::JoinSet;
 
 use super::common::{HOST, Instance, free_port};
@@ -100,6 +101,36 @@
     failures: BTreeMap<String, usize>,
 }
 
+/// An instance with a runtime of its own, so that killing it closes all its connections.
+struct Process {
+    front: SocketAddr,
+    runtime: Option<Runtime>,
+}
+
+impl Process {
+    async fn start(settings: Settings) -> Result<Self> {
+        let mut builder = tokio::runtime::Builder::new_multi_thread();
+        let runtime = builder.worker_threads(1).enable_all().build()?;
+        let instance = runtime.spawn(Instance::start(settings)).await??;
+        Ok(Self {
+            front: instance.front,
+            runtime: Some(runtime),
+        })
+    }
+
+    fn kill(&mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
 struct Run {
     crowd: Crowd,
     fronts: Mutex<Vec<SocketAddr>>,
@@ -191,7 +222,7 @@
     let mut instances = Vec::new();
     for number in 0..crowd.instances {
         let settings = instance_settings(number, number + 1, port, &store)?;
-        instances.push(Instance::start(settings).await?);
+        instances.push(Process::start(settings).await?);
     }
     let run = Arc::new(Run {
         crowd,
@@ -223,20 +254,20 @@
 /// Kills instances and starts them again at other addresses, as the platform does.
 async fn restart_instances(
     run: &Run,
-    instances: &mut [Instance],
+    instances: &mut [Process],
     port: u16,
     store: &Store,
 ) -> Result<()> {
     let count = instances.len();
     let restarted = &mut instances[..run.crowd.restarts];
-    for instance in &*restarted {
-        instance.served.abort();
+    for instance in &mut *restarted {
+        instance.kill();
     }
     tokio::time::sleep(RESTART_TIME).await;
     for (number, instance) in restarted.iter_mut().enumerate() {
         let mut settings = instance_settings(number, count + number + 1, port, store)?;
         settings.first_start = false;
-        *instance = Instance::start(settings).await?;
+        *instance = Process::start(settings).await?;
         run.set_front(number, instance.front);
     }
     Ok(())
