--- a/crates/ploverwick_bench/src/main.rs
+++ b/crates/ploverwick_bench/src/main.rs
@@ -13,6 +13,7 @@
 mod prompts;
 mod recovery;
 mod relay;
+mod slots;
 mod streams;
 mod system;
 
@@ -69,6 +70,11 @@
                 /// The number of simulations in each cell of the tables; 20 by default.
                 optional --times number: u64
             }
+            /// Simulates how many requests brittle endpoints turn away, and how much of their slots is used.
+            cmd slots {
+                /// The number of simulations in each cell of the tables; 5 by default.
+                optional --times number: u64
+            }
             /// Measures how control traffic scales and updates the capacity page.
             cmd capacity {
                 /// The page whose generated section is replaced.
@@ -120,6 +126,10 @@
             prompts::run(flags.times.unwrap_or(20));
             Ok(())
         }
+        PloverwickBenchCmd::Slots(flags) => {
+            slots::run(flags.times.unwrap_or(5));
+            Ok(())
+        }
         PloverwickBenchCmd::Capacity(flags) => {
             let page = flags
                 .page
