Blame no request for a crash under refusals

Callers: sound requests were refused with PW2014 at all instances after they had run at three endpoints that crashed because they had to turn other requests away. Cause: the quarantine took each crash for one under a request that ran. Change: a crash of a brittle endpoint that turned requests away in the 1.5 s before, as far as this instance knows (each refusal is broadcast), is diagnosed as overloaded and counted against nothing. A crash without known refusals counts as before, so that a fatal request is still found.

--- a/crates/ploverwick_gateway/src/controllers/crashes.rs
+++ b/crates/ploverwick_gateway/src/controllers/crashes.rs
@@ -78,6 +78,9 @@
     let started_at = Instant::now();
     let refusals = shared.state().refusals.count(&entry.id, shared.now());
     let diagnosis = diagnose(&shared, &entry).await;
+    // Other instances may have notified this one of refusals in the meantime.
+    let refusals = refusals.max(shared.state().refusals.count(&entry.id, shared.now()));
+    let diagnosis = diagnosis.after_refusals(refusals);
     let suspects = shared
         .state()
         .broken_connections
--- a/crates/ploverwick_gateway/tests/brittle/mod.rs
+++ b/crates/ploverwick_gateway/tests/brittle/mod.rs
@@ -53,6 +53,7 @@
     endpoints: 6,
     behaviour: Behaviour {
         slots: 4,
+        listed_slots: 4,
         run_time: Duration::from_millis(150),
         max_refusals: 5,
         crashes: true,
--- a/crates/ploverwick_gateway/tests/brittle_endpoints.rs
+++ b/crates/ploverwick_gateway/tests/brittle_endpoints.rs
@@ -29,6 +29,9 @@
 const CROWD: Duration = Duration::from_secs(4);
 const LEARNING: Duration = Duration::from_secs(1);
 
+/// The result code of requests that count as the cause of crashes.
+const CRASHES_ENDPOINTS: &str = "2014";
+
 /// Starts two instances of a failure domain that know the endpoints.
 async fn start(endpoints: &[&Endpoint]) -> Result<Vec<Instance>> {
     let store = Store::start().await?;
@@ -160,3 +163,25 @@
     assert_that!(got.crashes, le(got.max_crashes), "{got:?}");
     Ok(())
 }
+
+/// Guards against sound requests that are refused because they ran at endpoints that crashed under refusals.
+#[tokio::test(flavor = "multi_thread")]
+async fn crash_under_refusals_blames_no_request() -> Result<()> {
+    let crowd = Crowd {
+        instances: 2,
+        endpoints: 8,
+        behaviour: Behaviour {
+            slots: 1,
+            listed_slots: 8,
+            max_refusals: 1,
+            ..FULL.behaviour
+        },
+        clients: 64,
+        are_alike: true,
+        ..FULL
+    };
+    let got = brittle::run(crowd).await?;
+    assert_that!(got.crashes, ge(3), "{got:?}");
+    assert_that!(got.failures.get(CRASHES_ENDPOINTS), none(), "{got:?}");
+    Ok(())
+}
--- a/crates/ploverwick_quarantine/src/broken_connections.rs
+++ b/crates/ploverwick_quarantine/src/broken_connections.rs
@@ -42,14 +42,26 @@
     Leaves,
     /// Its machine does not answer, but it is still listed.
     Silent,
+    /// It crashed because it had to turn requests away, and not because of one that it ran.
+    Overloaded,
 }
 
 impl Diagnosis {
-    /// Returns whether the endpoint's process has crashed.
+    /// Returns whether the endpoint's process has crashed, so that one of the requests that it ran may be the cause.
     pub fn is_crash(self) -> bool {
         match self {
             Self::Refuses | Self::Delisted => true,
-            Self::Listens | Self::Leaves | Self::Silent => false,
+            Self::Listens | Self::Leaves | Self::Silent | Self::Overloaded => false,
+        }
+    }
+
+    /// Returns the diagnosis of a brittle endpoint that turned so many requests away shortly before.
+    #[must_use]
+    pub fn after_refusals(self, refusals: usize) -> Self {
+        if self.is_crash() && refusals > 0 {
+            Self::Overloaded
+        } else {
+            self
         }
     }
 
@@ -61,6 +73,7 @@
             Self::Listens => "listens",
             Self::Leaves => "leaves",
             Self::Silent => "silent",
+            Self::Overloaded => "overloaded",
         }
     }
 }
--- a/crates/ploverwick_quarantine/tests/refused_connections.rs
+++ b/crates/ploverwick_quarantine/tests/refused_connections.rs
@@ -26,6 +26,18 @@
     expect_that!(Observation::Unknown.diagnose_refusal(true, true), none());
 }
 
+/// Guards against counting the crash of an endpoint that had to turn requests away against those that it ran.
+#[gtest]
+fn refusals_explain_a_crash() {
+    for diagnosis in [Diagnosis::Refuses, Diagnosis::Delisted] {
+        let explained = diagnosis.after_refusals(1);
+        expect_that!(explained, eq(Diagnosis::Overloaded));
+        expect_that!(explained.is_crash(), eq(false));
+        expect_that!(diagnosis.after_refusals(0).is_crash(), eq(true));
+    }
+    expect_that!(Diagnosis::Leaves.after_refusals(1), eq(Diagnosis::Leaves));
+}
+
 #[gtest]
 fn single_instance_decides_alone() {
     let diagnosis = Observation::NoOther.diagnose_refusal(false, false);
