Keep slotless requests off ejected endpoints, and learn from peers that know

Cause: endpoints without a free slot were left out before health was looked at, so that with all healthy ones full, ejected ones counted as the only ones left. An instance that had just started took the empty reply of another one that had just started for knowledge. Owners were ranked anew for each endpoint at each tick. Change: the selection ranks as before and then takes the first endpoint with a slot; an instance that does not know yet does not reply; slots are divided again only if the instances or the slots change. An attempt that was not sent no longer counts as a send in endpoint_refusal.

--- a/crates/ploverwick_bench/src/slots/fleet.rs
+++ b/crates/ploverwick_bench/src/slots/fleet.rs
@@ -171,10 +171,7 @@
 
     fn divide(&mut self, instance: usize) {
         let all: Vec<&str> = self.names.iter().map(|name| &**name).collect();
-        let owners = Owners {
-            own: &self.names[instance],
-            all: &all,
-        };
+        let owners = Owners::new(&self.names[instance], &all);
         for endpoint in &self.endpoint_names {
             let ledger = &mut self.instances[instance].ledger;
             ledger.divide(endpoint, SLOTS, owners, 0, Moment(self.now));
--- a/crates/ploverwick_endpoints/src/slots.rs
+++ b/crates/ploverwick_endpoints/src/slots.rs
@@ -15,6 +15,8 @@
 use ploverwick_names::Moment;
 use ploverwick_placement::{choose, equally_weighted, rank};
 
+use xxhash_rust::xxh3::xxh3_64;
+
 use loan::{Ask, AskRate, Borrowed, Use};
 pub use loan::{LoanId, Notice, Outgoing};
 
@@ -35,6 +37,13 @@
 /// closes.
 const LINGER: Duration = Duration::from_millis(500);
 
+/// The number of instances that are asked for a slot at the same time, for each request that waits.
+const MAX_ASKED: usize = 2;
+/// The requests for loans that an instance sends in a second at most. Where all slots are in use, more would not help.
+const MAX_ASKS_PER_S: f64 = 40.0;
+/// The number of requests that wait for each own slot, as many as would wait at an endpoint that is not brittle.
+pub const MAX_WAITS_PER_SLOT: f64 = 1.5;
+
 /// The right to send one request to an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Permit {
@@ -44,14 +53,6 @@
     Borrowed(LoanId),
 }
 
-/// The number of instances that are asked for a slot at the same time, for each request that waits.
-const MAX_ASKED: usize = 2;
-/// The requests for loans that an instance sends in a second at most. Where all slots are in use, more would not help.
-const MAX_ASKS_PER_S: f64 = 40.0;
-
-/// The number of requests that wait for each own slot, as many as would wait at an endpoint that is not brittle.
-pub const MAX_WAITS_PER_SLOT: f64 = 1.5;
-
 /// Whether an endpoint no longer runs a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Ending {
@@ -64,13 +65,20 @@
 /// The instances among which the slots of an endpoint are divided.
 #[derive(Debug, Clone, Copy)]
 pub struct Owners<'a> {
-    /// This instance.
-    pub own: &'a str,
-    /// All of them, including this instance if slots may belong to it.
-    pub all: &'a [&'a str],
+    own: &'a str,
+    all: &'a [&'a str],
+    /// Changes with the set of instances.
+    digest: u64,
 }
 
 impl<'a> Owners<'a> {
+    /// Creates the set of the instances `all`, which includes this instance, `own`, if slots may belong to it.
+    pub fn new(own: &'a str, all: &'a [&'a str]) -> Self {
+        let digests = all.iter().map(|name| xxh3_64(name.as_bytes()));
+        let digest = digests.fold(0, u64::wrapping_add);
+        Self { own, all, digest }
+    }
+
     /// Returns how many of the `slots` of an endpoint belong to this instance, and the others to which slots belong.
     fn divide(self, endpoint: &str, slots: u32) -> (u32, Vec<&'a str>) {
         let candidates = equally_weighted(self.all.iter().copied());
@@ -116,6 +124,8 @@
 #[derive(Debug, Default)]
 struct Account {
     share: Share,
+    /// The slots and the digest of the owners by which they were divided.
+    divided_by: Option<(u32, u64)>,
     /// The other instances to which slots belong.
     lenders: Vec<Arc<str>>,
     /// The own slots in use by requests of this instance. May exceed the share after a change.
@@ -200,8 +210,11 @@
         in_progress: u32,
         now: Moment,
     ) {
-        let (share, others) = owners.divide(endpoint, slots);
-        let is_known = self.accounts.contains_key(endpoint);
+        let divided_by = Some((slots, owners.digest));
+        let is_known = match self.accounts.get(endpoint) {
+            Some(account) if account.divided_by == divided_by => return,
+            account => account.is_some(),
+        };
         let usable_at = if is_known {
             now + TRANSFER_DELAY
         } else {
@@ -211,12 +224,10 @@
         if !is_known {
             account.in_use = in_progress;
         }
+        let (share, others) = owners.divide(endpoint, slots);
         account.share.set(share, usable_at, now);
-        let lenders = account.lenders.iter().map(|name| &**name);
-        if !lenders.eq(others.iter().copied()) {
-            account.lenders = others.into_iter().map(Arc::from).collect();
-        }
-        account.sweep(now);
+        account.lenders = others.into_iter().map(Arc::from).collect();
+        account.divided_by = divided_by;
     }
 
     /// Stops dividing the slots of all endpoints but these.
@@ -224,11 +235,6 @@
         self.accounts.retain(|endpoint, _| is_divided(endpoint));
     }
 
-    /// Stops dividing the slots of an endpoint.
-    pub fn remove(&mut self, endpoint: &str) {
-        self.accounts.remove(endpoint);
-    }
-
     /// Returns whether no slots are divided.
     pub fn is_empty(&self) -> bool {
         self.accounts.is_empty()
@@ -258,34 +264,24 @@
         Some(Permit::Borrowed(id))
     }
 
-    /// Gives back the slot of a request that ended. A request from before the slots were divided has no permit. Returns the
-    /// message that returns a loan.
-    pub fn release(
-        &mut self,
-        endpoint: &Arc<str>,
-        permit: Option<Permit>,
-        ending: Ending,
-        now: Moment,
-    ) -> Option<Outgoing> {
-        let account = self.accounts.get_mut(endpoint)?;
-        match (permit, ending) {
-            (None | Some(Permit::Own), _) => {
-                account.in_use = account.in_use.saturating_sub(1);
-                if ending == Ending::Unknown {
-                    account.lingering.push(now + LINGER);
-                }
-                None
-            }
-            (Some(Permit::Borrowed(id)), Ending::Unknown) => {
-                account.borrowed.get_mut(&id)?.state = Use::Lingering {
-                    until: now + LINGER,
-                };
-                None
-            }
-            (Some(Permit::Borrowed(id)), Ending::Known) => {
-                account.borrowed.get_mut(&id)?.state = Use::Free;
-                None
+    /// Gives back the slot of a request that ended. A request from before the slots were divided has no permit.
+    pub fn release(&mut self, endpoint: &str, permit: Option<Permit>, ending: Ending, now: Moment) {
+        let Some(account) = self.accounts.get_mut(endpoint) else {
+            return;
+        };
+        let until = now + LINGER;
+        let Some(Permit::Borrowed(id)) = permit else {
+            account.in_use = account.in_use.saturating_sub(1);
+            if ending == Ending::Unknown {
+                account.lingering.push(until);
             }
+            return;
+        };
+        if let Some(loan) = account.borrowed.get_mut(&id) {
+            loan.state = match ending {
+                Ending::Known => Use::Free,
+                Ending::Unknown => Use::Lingering { until },
+            };
         }
     }
 
--- a/crates/ploverwick_endpoints/tests/slot_loans.rs
+++ b/crates/ploverwick_endpoints/tests/slot_loans.rs
@@ -23,7 +23,7 @@
 }
 
 fn divide(ledger: &mut Ledger, own: &str, all: &[&str], now: Moment) {
-    ledger.divide(&endpoint(), SLOTS, Owners { own, all }, 0, now);
+    ledger.divide(&endpoint(), SLOTS, Owners::new(own, all), 0, now);
 }
 
 fn acquire_all(ledger: &mut Ledger, now: Moment) -> usize {
@@ -70,11 +70,7 @@
 #[gtest]
 fn earlier_requests_use_slots() {
     let mut ledger = Ledger::new(1, true, Moment(0));
-    let owners = Owners {
-        own: "a",
-        all: &["a"],
-    };
-    ledger.divide(&endpoint(), SLOTS, owners, 6, Moment(0));
+    ledger.divide(&endpoint(), SLOTS, Owners::new("a", &["a"]), 6, Moment(0));
     for _ in 0..2 {
         ledger.release(&endpoint(), None, Ending::Known, Moment(10));
     }
--- a/crates/ploverwick_gateway/src/broadcast.rs
+++ b/crates/ploverwick_gateway/src/broadcast.rs
@@ -194,8 +194,11 @@
     !to.is_empty()
 }
 
-/// Sends the instance at `ip` the services that this instance knows to be brittle.
+/// Sends the instance at `ip` the services that this instance knows to be brittle, unless it does not know itself.
 pub(crate) fn reply_brittle_services(shared: &Shared, ip: IpAddr) {
+    if !*shared.brittleness_known.borrow() {
+        return;
+    }
     let now = shared.now();
     let services = shared.state().brittleness.messages(Duration::MAX, now);
     let message = Message::BrittleServices(services);
--- a/crates/ploverwick_gateway/src/controllers/brittleness.rs
+++ b/crates/ploverwick_gateway/src/controllers/brittleness.rs
@@ -95,6 +95,9 @@
 
 /// Waits until this instance knows which services are brittle.
 pub(crate) async fn wait_until_known(shared: &Shared) {
+    if *shared.brittleness_known.borrow() {
+        return;
+    }
     let mut known = shared.brittleness_known.subscribe();
     // The sender lives as long as the process.
     drop(known.wait_for(|is_known| *is_known).await);
--- a/crates/ploverwick_gateway/src/filters/in_flight.rs
+++ b/crates/ploverwick_gateway/src/filters/in_flight.rs
@@ -53,11 +53,7 @@
     ) -> Option<Self> {
         let now = shared.now();
         let mut state = shared.state();
-        let lacks_slot = state
-            .fleet
-            .entry(endpoint)
-            .is_some_and(|entry| state.lacks_slot(entry, now));
-        if lacks_slot {
+        if state.lacks_slot(endpoint, now) {
             return None;
         }
         let permit = state.slots.acquire(endpoint, now);
--- a/crates/ploverwick_gateway/src/filters/select.rs
+++ b/crates/ploverwick_gateway/src/filters/select.rs
@@ -295,14 +295,6 @@
     Cow::Owned([except, &closed].concat())
 }
 
-/// Returns `excluded` and the endpoints of which this instance lacks a slot.
-fn with_slotless<'a>(excluded: &'a [Arc<str>], slotless: &[Arc<str>]) -> Cow<'a, [Arc<str>]> {
-    if slotless.is_empty() {
-        return Cow::Borrowed(excluded);
-    }
-    Cow::Owned([excluded, slotless].concat())
-}
-
 /// Returns the builds at which a request had better not begin its stream: an instance that does not know one of them yet could
 /// continue the stream at another build.
 fn avoided_builds(state: &State, request: &AdmittedRequest, now: Moment) -> Vec<Build> {
@@ -339,9 +331,7 @@
 ) -> Choice {
     let now = shared.now();
     let state = shared.state();
-    let closed = excluded_endpoints(&state, except, now);
-    let slotless = state.without_slot(&request.service, now);
-    let excluded = with_slotless(&closed, &slotless);
+    let excluded = excluded_endpoints(&state, except, now);
     let avoided = avoided_builds(&state, request, now);
     let max_fill = max_fill(request).min(MAX_FILL);
     let query = query(shared, &state, request, (&avoided, max_fill), &excluded);
@@ -353,19 +343,14 @@
             entry.is_some_and(|e| e.held.is_empty() || e.held.iter().any(|h| h.model == *model))
         }
     };
-    let rank = |query| {
-        let ranked = state.fleet.rank(query, now).into_iter();
-        ranked.filter(|(_, id)| holds(id))
-    };
-    let Some((cost, id)) = rank(&query).next() else {
-        let query = Query {
-            except: &closed,
-            ..query
-        };
-        let lacking = rank(&query).map(|(_, id)| id).take(MAX_LACKING);
-        let lacking: Vec<Arc<str>> = lacking.collect();
-        if !slotless.is_empty() && !lacking.is_empty() {
-            return Choice::NoSlot(lacking);
+    let ranked = state.fleet.rank(&query, now).into_iter();
+    let (lacking, ranked): (Vec<_>, Vec<_>) = ranked
+        .filter(|(_, id)| holds(id))
+        .partition(|(_, id)| state.lacks_slot(id, now));
+    let Some((cost, id)) = ranked.into_iter().next() else {
+        if !lacking.is_empty() {
+            let lacking = lacking.into_iter().map(|(_, id)| id);
+            return Choice::NoSlot(lacking.take(MAX_LACKING).collect());
         }
         if is_build_gone(&state, request) {
             return Choice::BuildGone;
@@ -456,22 +441,16 @@
         key: key.clone(),
         version,
     };
-    let closed = excluded_endpoints(&state, except, now);
-    let slotless = state.without_slot(&request.service, now);
-    let excluded = with_slotless(&closed, &slotless);
+    let excluded = excluded_endpoints(&state, except, now);
     let avoided = avoided_builds(&state, request, now);
     let max_fill = max_fill(request);
     let query = query(shared, &state, request, (&avoided, max_fill), &excluded);
     let mut held = newest.clone();
     let mut best = cheapest_holder(&state, &query, &held, now);
-    if best.is_none() && !slotless.is_empty() {
-        let query = Query {
-            except: &closed,
-            ..query
-        };
-        if let Some((_, id)) = cheapest_holder(&state, &query, &held, now) {
-            return (Choice::NoSlot(vec![id]), newest);
-        }
+    if best.is_none()
+        && let Some(lacking) = holder_without_slot(&state, &query, &held, now)
+    {
+        return (Choice::NoSlot(vec![lacking]), newest);
     }
     if best.is_none()
         && let Some(older) = usable_older_version(shared, &state, &newest, now)
@@ -523,7 +502,20 @@
     (Choice::Selected(Box::new(target)), newest)
 }
 
-/// Returns the endpoint with the lowest cost among those that hold a copy.
+/// Returns the endpoint with the lowest cost among those that hold a copy and of which this instance lacks a slot.
+fn holder_without_slot(
+    state: &State,
+    query: &Query<'_>,
+    copy: &Copy,
+    now: Moment,
+) -> Option<Arc<str>> {
+    let holders = state.directory.holders(&copy.key, copy.version);
+    let lacking = holders.iter().filter(|id| state.lacks_slot(id, now));
+    let best = state.fleet.best(query, lacking, now);
+    best.map(|(_, id)| id)
+}
+
+/// Returns the endpoint with the lowest cost among those that hold a copy and to which this instance may send.
 fn cheapest_holder(
     state: &State,
     query: &Query<'_>,
@@ -531,7 +523,8 @@
     now: Moment,
 ) -> Option<(Cost, Arc<str>)> {
     let holders = state.directory.holders(&copy.key, copy.version);
-    state.fleet.best(query, holders.iter(), now)
+    let usable = holders.iter().filter(|id| !state.lacks_slot(id, now));
+    state.fleet.best(query, usable, now)
 }
 
 /// Returns an older version that may still be used while the newest is being loaded. Only the newest older
--- a/crates/ploverwick_gateway/src/filters/send.rs
+++ b/crates/ploverwick_gateway/src/filters/send.rs
@@ -114,6 +114,7 @@
     let Some(mut in_flight) = in_flight else {
         return SendOutcome::Unsent("this instance has no slot of it".to_owned());
     };
+    request.sends.fetch_add(1, Ordering::Relaxed);
     if let Some(charge) = &request.charge {
         charge.record_sent();
     }
@@ -199,7 +200,7 @@
         known: state.fleet.load(&entry.id, now).requests,
         age: state.fleet.peer_load_age(now),
         since_pause: state.pauses.since_end(&entry.id, now),
-        earlier_sends: request.sends.fetch_add(1, Ordering::Relaxed),
+        earlier_sends: request.sends.load(Ordering::Relaxed),
     }
 }
 
--- a/crates/ploverwick_gateway/src/state/slot_owners.rs
+++ b/crates/ploverwick_gateway/src/state/slot_owners.rs
@@ -1,7 +1,5 @@
 //! Which instances own the slots of the endpoints of brittle services.
 
-use std::sync::Arc;
-
 use ploverwick_endpoints::{Entry, sharers, slots};
 use ploverwick_names::Moment;
 use ploverwick_platform::settings::Settings;
@@ -63,11 +61,8 @@
             let owners = self.slot_owners(&entries[0].domain, settings, now);
             let owners: Vec<String> = owners.into_iter().map(str::to_owned).collect();
             let owners: Vec<&str> = owners.iter().map(|name| &**name).collect();
+            let owners = slots::Owners::new(&settings.instance, &owners);
             for entry in entries {
-                let owners = slots::Owners {
-                    own: &settings.instance,
-                    all: &owners,
-                };
                 let in_progress = self.fleet.own_load(&entry.id).requests;
                 self.slots
                     .divide(&entry.id, entry.slots, owners, in_progress, now);
@@ -75,21 +70,16 @@
         }
     }
 
-    /// Returns whether this instance has no slot for a request to an endpoint of a brittle service.
-    pub(crate) fn lacks_slot(&self, entry: &Entry, now: Moment) -> bool {
-        self.brittleness.is_brittle(&entry.service, now)
-            && (!self.slots.has_free(&entry.id, now) || self.is_filled(entry, now))
-    }
-
-    /// Returns the endpoints of a service to which this instance may not send for want of a slot.
-    pub(crate) fn without_slot(&self, service: &str, now: Moment) -> Vec<Arc<str>> {
-        if !self.brittleness.is_brittle(service, now) {
-            return Vec::new();
+    /// Returns whether an endpoint is brittle and this instance has no slot for a request to it.
+    pub(crate) fn lacks_slot(&self, endpoint: &str, now: Moment) -> bool {
+        if self.brittleness.is_empty() {
+            return false;
         }
-        let entries = self.fleet.entries();
-        let of_service = entries.filter(|entry| *entry.service == *service);
-        let lacking = of_service.filter(|entry| self.lacks_slot(entry, now));
-        lacking.map(|entry| Arc::clone(&entry.id)).collect()
+        let entry = self.fleet.entry(endpoint);
+        entry.is_some_and(|entry| {
+            self.brittleness.is_brittle(&entry.service, now)
+                && (!self.slots.has_free(endpoint, now) || self.is_filled(entry, now))
+        })
     }
 
     /// Returns whether this instance may lend a slot of an endpoint.
