Wait longer for answers of brittle endpoints

Callers: where a request runs for longer than its route's objective, most tries were refused while slots of brittle endpoints stayed unused. Cause: an answer that misses the objective is given up for another endpoint. Its slot is left for half a second, as the endpoint may still run the request, and the request takes a second one: each request used three times its slot. Change: the answer of a brittle endpoint is awaited for three objectives, the most that a long prompt may take anyway.

--- a/crates/ploverwick_endpoints/src/answer_timeout.rs
+++ b/crates/ploverwick_endpoints/src/answer_timeout.rs
@@ -10,6 +10,12 @@
 /// The longest timeout, as a multiple of the latency objective. Clients disconnect after four objectives.
 const MAX_OBJECTIVES: u32 = 3;
 
+/// Returns the timeout for an answer of a brittle endpoint. Whoever gives an answer up leaves a slot unused, since the
+/// endpoint may still run the request, and takes another one.
+pub fn brittle_answer_timeout(objective: Duration) -> Duration {
+    objective.max(MIN_TIMEOUT) * MAX_OBJECTIVES
+}
+
 /// Returns the timeout for an answer that is expected to begin after `expected`.
 ///
 /// A healthy endpoint that is reading long prompts answers within the timeout; retrying earlier would make
--- a/crates/ploverwick_endpoints/src/lib.rs
+++ b/crates/ploverwick_endpoints/src/lib.rs
@@ -39,7 +39,7 @@
 pub mod totals;
 
 pub use absences::Absences;
-pub use answer_timeout::answer_timeout;
+pub use answer_timeout::{answer_timeout, brittle_answer_timeout};
 pub use backpressure::Backpressure;
 pub use brittleness::{BrittleService, Brittleness};
 pub use budget::{Balance, Budget, RetryPolicy};
--- a/crates/ploverwick_endpoints/tests/answer_timeout.rs
+++ b/crates/ploverwick_endpoints/tests/answer_timeout.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use ploverwick_endpoints::answer_timeout;
+use ploverwick_endpoints::{answer_timeout, brittle_answer_timeout};
 
 const OBJECTIVE: Duration = Duration::from_millis(800);
 
@@ -26,3 +26,10 @@
     let shortest = answer_timeout(Duration::ZERO, Duration::ZERO);
     expect_that!(shortest, gt(Duration::ZERO));
 }
+
+/// Guards against slots of brittle endpoints that are left while their requests run.
+#[googletest::test]
+fn brittle_endpoint_is_awaited_longer() {
+    expect_that!(brittle_answer_timeout(OBJECTIVE), eq(OBJECTIVE * 3));
+    expect_that!(brittle_answer_timeout(Duration::ZERO), gt(Duration::ZERO));
+}
--- a/crates/ploverwick_gateway/src/filters/retry.rs
+++ b/crates/ploverwick_gateway/src/filters/retry.rs
@@ -6,7 +6,7 @@
 use http::{Response, StatusCode};
 use ploverwick_adapters::Since;
 use ploverwick_codes::Code;
-use ploverwick_endpoints::{Outcome, answer_timeout};
+use ploverwick_endpoints::{Outcome, answer_timeout, brittle_answer_timeout};
 use ploverwick_names::Moment;
 use ploverwick_platform::answer::Head;
 use ploverwick_platform::request::FirstAttempt;
@@ -286,7 +286,15 @@
     if !may_retry(request, history.runs + 1) {
         return wait;
     }
-    let late = Instant::now() + answer_timeout(request.route.objective, target.expected_wait);
+    let now = shared.now();
+    let is_brittle = shared.state().brittleness.is_brittle(&request.service, now);
+    let objective = request.route.objective;
+    let timeout = if is_brittle {
+        brittle_answer_timeout(objective)
+    } else {
+        answer_timeout(objective, target.expected_wait)
+    };
+    let late = Instant::now() + timeout;
     let mut tried = history.excluded.clone();
     tried.push(Arc::clone(&target.entry.id));
     wait.replaceable_from(late, shared, request, tried)
--- a/crates/ploverwick_gateway/tests/brittle_endpoints.rs
+++ b/crates/ploverwick_gateway/tests/brittle_endpoints.rs
@@ -147,6 +147,22 @@
     Ok(())
 }
 
+/// Guards against answers that take longer than the route's objective, are given up, and leave their slots unused.
+#[tokio::test(flavor = "multi_thread")]
+async fn slow_answers_waste_no_slots() -> Result<()> {
+    let crowd = Crowd {
+        behaviour: Behaviour {
+            run_time: Duration::from_millis(300),
+            ..FULL.behaviour
+        },
+        ..FULL
+    };
+    let got = brittle::run(crowd).await?;
+    assert_that!(got.crashes, le(got.max_crashes), "{got:?}");
+    assert_that!(got.slot_use, ge(0.9), "{got:?}");
+    Ok(())
+}
+
 /// Guards against instances that start, know nothing of the requests in progress, and fill endpoints that are in use.
 #[tokio::test(flavor = "multi_thread")]
 async fn restarted_instances_crash_no_endpoints() -> Result<()> {
