Test that full brittle engines refuse rarely, and word the harness in the field's terms

Cause: no test of brittle endpoints had engines, whose requests go to the holders of their adapters only. Change: full_engines_refuse_rarely, two instances before two engines; the load of full_endpoints_refuse_rarely is a function of both, with its bound, seconds and clients as they were. Crowd is Workload.

--- a/crates/ploverwick_gateway/tests/brittle/mod.rs
+++ b/crates/ploverwick_gateway/tests/brittle/mod.rs
@@ -1,4 +1,4 @@
-//! A crowd of clients before instances and brittle endpoints.
+//! Clients that send requests through several instances to brittle endpoints.
 
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -32,7 +32,7 @@
 
 /// Who sends, through what, to what.
 #[derive(Debug, Clone, Copy)]
-pub struct Crowd {
+pub struct Workload {
     pub instances: usize,
     pub endpoints: usize,
     pub behaviour: Behaviour,
@@ -48,7 +48,7 @@
 }
 
 /// More clients than the endpoints have slots, before endpoints that bear several refusals.
-pub const FULL: Crowd = Crowd {
+pub const FULL: Workload = Workload {
     instances: 6,
     endpoints: 6,
     behaviour: Behaviour {
@@ -66,7 +66,7 @@
 };
 
 /// Fewer clients than the endpoints have slots.
-pub const LIGHT: Crowd = Crowd {
+pub const LIGHT: Workload = Workload {
     endpoints: 8,
     behaviour: Behaviour {
         max_refusals: 3,
@@ -133,7 +133,7 @@
 }
 
 struct Run {
-    crowd: Crowd,
+    workload: Workload,
     fronts: Mutex<Vec<SocketAddr>>,
     tally: Mutex<Tally>,
 }
@@ -152,7 +152,7 @@
             let id = format!("r{client}-{number}");
             let failure = self.send(client, &id, &mut connection).await;
             let pause = match failure {
-                None => self.crowd.pause,
+                None => self.workload.pause,
                 Some(_) => RETRY_DELAY,
             };
             self.record(failure);
@@ -167,11 +167,11 @@
         id: &str,
         connection: &mut Option<Connection>,
     ) -> Option<String> {
-        let content = if self.crowd.are_alike { "same" } else { id };
+        let content = if self.workload.are_alike { "same" } else { id };
         let request = ClientRequest::new(id, HOST, "/safe/").body(content.to_owned());
         let mut open = match connection.take() {
             Some(open) => open,
-            None => match Connection::open(self.front(client % self.crowd.instances)).await {
+            None => match Connection::open(self.front(client % self.workload.instances)).await {
                 Ok(open) => open,
                 Err(_) => return Some("not connected".to_owned()),
             },
@@ -210,30 +210,30 @@
     Ok(settings)
 }
 
-/// Runs a crowd and counts what happens while endpoints are brittle.
-pub async fn run(crowd: Crowd) -> Result<Outcome> {
+/// Runs a workload and records what happens while endpoints are brittle.
+pub async fn run(workload: Workload) -> Result<Outcome> {
     let store = Store::start().await?;
     store.configure(&settings::config(1));
     let mut endpoints = Vec::new();
-    for number in 0..crowd.endpoints {
+    for number in 0..workload.endpoints {
         let name = format!("i-{number}");
-        endpoints.push(BrittleEndpoint::start(&name, crowd.behaviour, &store).await?);
+        endpoints.push(BrittleEndpoint::start(&name, workload.behaviour, &store).await?);
     }
     let port = free_port()?;
     let mut instances = Vec::new();
-    for number in 0..crowd.instances {
+    for number in 0..workload.instances {
         let settings = instance_settings(number, number + 1, port, &store)?;
         instances.push(Process::start(settings).await?);
     }
     let run = Arc::new(Run {
-        crowd,
+        workload,
         fronts: Mutex::new(instances.iter().map(|instance| instance.front).collect()),
         tally: Mutex::default(),
     });
     let brittle_at = Instant::now() + WARM_UP;
     let end = brittle_at + BRITTLE_TIME;
     let mut clients = JoinSet::new();
-    for client in 0..crowd.clients {
+    for client in 0..workload.clients {
         clients.spawn(Arc::clone(&run).send_until(client, end));
     }
     tokio::time::sleep_until(brittle_at.into()).await;
@@ -243,13 +243,13 @@
         endpoint.set_brittle();
     }
     tokio::time::sleep(CHANGE_AT).await;
-    for client in crowd.clients..crowd.clients + crowd.joining {
+    for client in workload.clients..workload.clients + workload.joining {
         clients.spawn(Arc::clone(&run).send_until(client, end));
     }
     restart_instances(&run, &mut instances, port, &store).await?;
     while clients.join_next().await.is_some() {}
     let busy = total_busy(&endpoints) - busy_before;
-    Ok(outcome(crowd, &endpoints, run.take_tally(), busy))
+    Ok(outcome(workload, &endpoints, run.take_tally(), busy))
 }
 
 /// Kills instances and starts them again at other addresses, as the platform does.
@@ -260,7 +260,7 @@
     store: &Store,
 ) -> Result<()> {
     let count = instances.len();
-    let restarted = &mut instances[..run.crowd.restarts];
+    let restarted = &mut instances[..run.workload.restarts];
     for instance in &mut *restarted {
         instance.kill();
     }
@@ -280,14 +280,14 @@
     busy.as_secs_f64()
 }
 
-fn outcome(crowd: Crowd, endpoints: &[BrittleEndpoint], tally: Tally, busy: f64) -> Outcome {
+fn outcome(workload: Workload, endpoints: &[BrittleEndpoint], tally: Tally, busy: f64) -> Outcome {
     let refusals: Vec<Vec<Refusal>> = endpoints.iter().map(BrittleEndpoint::refusals).collect();
     let worst = refusals.iter().map(|list| most_in_a_second(list)).max();
     let crashes = endpoints.iter().map(|endpoint| endpoint.crashes().len());
-    let slots = crowd.endpoints * crowd.behaviour.slots;
+    let slots = workload.endpoints * workload.behaviour.slots;
     Outcome {
         crashes: crashes.sum(),
-        max_crashes: MAX_CRASHES + crowd.endpoints / 10,
+        max_crashes: MAX_CRASHES + workload.endpoints / 10,
         worst_second: worst.unwrap_or(0),
         refusals: refusals.iter().map(Vec::len).sum(),
         tries: tally.tries,
--- a/crates/ploverwick_gateway/tests/brittle_endpoints.rs
+++ b/crates/ploverwick_gateway/tests/brittle_endpoints.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use anyhow::Result;
-use brittle::{Crowd, FULL, LIGHT};
+use brittle::{FULL, LIGHT, Workload};
 use common::{HOST, Instance, free_port};
 use googletest::prelude::*;
 use http::StatusCode;
@@ -26,14 +26,14 @@
 /// More than the requests that a test sends.
 const RUNS: usize = 1_000;
 /// How long clients send; the first second is for the instances to learn that the endpoints are brittle.
-const CROWD: Duration = Duration::from_secs(4);
+const LOAD_TIME: Duration = Duration::from_secs(4);
 const LEARNING: Duration = Duration::from_secs(1);
 
 /// The result code of requests that count as the cause of crashes.
 const CRASHES_ENDPOINTS: &str = "2014";
 
 /// Starts two instances of a failure domain that know the endpoints.
-async fn start(endpoints: &[&Endpoint]) -> Result<Vec<Instance>> {
+async fn start(endpoints: &[&Endpoint], warm_up: &ClientRequest) -> Result<Vec<Instance>> {
     let store = Store::start().await?;
     store.configure(&settings::config(1));
     for endpoint in endpoints {
@@ -53,8 +53,10 @@
             let mut number = 0;
             while endpoint.requests_received() == before {
                 number += 1;
-                let id = format!("warm-{}-{number}", endpoint.id());
-                let request = ClientRequest::new(&id, HOST, "/safe/warm");
+                let request = ClientRequest {
+                    id: format!("warm-{}-{number}", endpoint.id()),
+                    ..warm_up.clone()
+                };
                 client::send(instance.front, &request).await?;
                 tokio::time::sleep(Duration::from_millis(5)).await;
             }
@@ -73,13 +75,21 @@
     windows.max().unwrap_or(0)
 }
 
-/// Sends requests one after the other until `end`; returns how many were served.
-async fn send_until(front: SocketAddr, client: usize, end: Instant) -> Result<usize> {
+/// Sends requests like `request` one after the other until `end`; returns how many were served.
+async fn send_until(
+    front: SocketAddr,
+    client: usize,
+    request: ClientRequest,
+    end: Instant,
+) -> Result<usize> {
     let mut served = 0;
     let mut number = 0;
     while Instant::now() < end {
         number += 1;
-        let request = ClientRequest::new(&format!("r{client}-{number}"), HOST, "/safe/");
+        let request = ClientRequest {
+            id: format!("r{client}-{number}"),
+            ..request.clone()
+        };
         let got = client::send(front, &request).await?;
         if got.status == StatusCode::OK {
             served += 1;
@@ -90,13 +100,12 @@
     Ok(served)
 }
 
-/// Guards against endpoints that crash because all of them are full and instances keep offering them requests.
-#[tokio::test]
-async fn full_endpoints_refuse_rarely() -> Result<()> {
-    let one = Endpoint::start("i-a", "app", None, "d1").await?;
-    let other = Endpoint::start("i-b", "app", None, "d1").await?;
-    let endpoints = [&one, &other];
-    let instances = start(&endpoints).await?;
+/// Sends more requests than the endpoints have slots, and checks that they refuse rarely and are used.
+async fn check_full(
+    endpoints: [&Endpoint; 2],
+    instances: &[Instance],
+    request: &ClientRequest,
+) -> Result<()> {
     for endpoint in endpoints {
         endpoint.set_brittle(MAX_REFUSALS);
         endpoint.set_room(SLOTS);
@@ -105,7 +114,12 @@
     let start = Instant::now();
     let clients = (0..2 * CLIENTS).map(|client| {
         let front = instances[client % instances.len()].front;
-        tokio::spawn(send_until(front, client, start + CROWD))
+        tokio::spawn(send_until(
+            front,
+            client,
+            request.clone(),
+            start + LOAD_TIME,
+        ))
     });
     let clients: Vec<_> = clients.collect();
     let mut served = 0;
@@ -117,11 +131,37 @@
         assert_that!(most, le(MAX_REFUSALS as usize));
     }
     // Half of what the slots could serve.
-    let rounds = CROWD.as_millis() / DELAY.as_millis();
+    let rounds = LOAD_TIME.as_millis() / DELAY.as_millis();
     assert_that!(served, ge(SLOTS * endpoints.len() * rounds as usize / 2));
     Ok(())
 }
 
+/// Guards against endpoints that crash because all of them are full and instances keep offering them requests.
+#[tokio::test]
+async fn full_endpoints_refuse_rarely() -> Result<()> {
+    let one = Endpoint::start("i-a", "app", None, "d1").await?;
+    let other = Endpoint::start("i-b", "app", None, "d1").await?;
+    let endpoints = [&one, &other];
+    let instances = start(&endpoints, &ClientRequest::new("", HOST, "/safe/warm")).await?;
+    let request = ClientRequest::new("", HOST, "/safe/");
+    check_full(endpoints, &instances, &request).await
+}
+
+/// Guards against engines that crash because instances keep offering them requests for the adapters that they hold.
+#[tokio::test]
+async fn full_engines_refuse_rarely() -> Result<()> {
+    let one = Endpoint::start("i-a", "lm", Some("base"), "d1").await?;
+    let other = Endpoint::start("i-b", "lm", Some("base"), "d1").await?;
+    let endpoints = [&one, &other];
+    let request = ClientRequest::new("", HOST, "/live/").model("base/a1");
+    let instances = start(
+        &endpoints,
+        &ClientRequest::new("", HOST, "/live/").model("base"),
+    )
+    .await?;
+    check_full(endpoints, &instances, &request).await
+}
+
 /// Guards against endpoints that crash, and requests that are refused, although there is room for all.
 #[tokio::test(flavor = "multi_thread")]
 async fn room_for_all_is_used() -> Result<()> {
@@ -134,14 +174,14 @@
 /// Guards against endpoints that bear a single refusal and crash one after the other under more clients than they have slots.
 #[tokio::test(flavor = "multi_thread")]
 async fn full_endpoints_rarely_crash() -> Result<()> {
-    let crowd = Crowd {
+    let workload = Workload {
         behaviour: Behaviour {
             max_refusals: 1,
             ..FULL.behaviour
         },
         ..FULL
     };
-    let got = brittle::run(crowd).await?;
+    let got = brittle::run(workload).await?;
     assert_that!(got.crashes, le(got.max_crashes), "{got:?}");
     assert_that!(got.slot_use, ge(0.9), "{got:?}");
     Ok(())
@@ -150,14 +190,14 @@
 /// Guards against answers that take longer than the route's objective, are given up, and leave their slots unused.
 #[tokio::test(flavor = "multi_thread")]
 async fn slow_answers_waste_no_slots() -> Result<()> {
-    let crowd = Crowd {
+    let workload = Workload {
         behaviour: Behaviour {
             run_time: Duration::from_millis(300),
             ..FULL.behaviour
         },
         ..FULL
     };
-    let got = brittle::run(crowd).await?;
+    let got = brittle::run(workload).await?;
     assert_that!(got.crashes, le(got.max_crashes), "{got:?}");
     assert_that!(got.slot_use, ge(0.9), "{got:?}");
     Ok(())
@@ -166,7 +206,7 @@
 /// Guards against instances that start, know nothing of the requests in progress, and fill endpoints that are in use.
 #[tokio::test(flavor = "multi_thread")]
 async fn restarted_instances_crash_no_endpoints() -> Result<()> {
-    let crowd = Crowd {
+    let workload = Workload {
         behaviour: Behaviour {
             max_refusals: 3,
             ..FULL.behaviour
@@ -175,7 +215,7 @@
         restarts: 4,
         ..FULL
     };
-    let got = brittle::run(crowd).await?;
+    let got = brittle::run(workload).await?;
     assert_that!(got.crashes, le(got.max_crashes), "{got:?}");
     Ok(())
 }
@@ -183,7 +223,7 @@
 /// Guards against sound requests that are refused because they ran at endpoints that crashed under refusals.
 #[tokio::test(flavor = "multi_thread")]
 async fn crash_under_refusals_blames_no_request() -> Result<()> {
-    let crowd = Crowd {
+    let workload = Workload {
         instances: 2,
         endpoints: 8,
         behaviour: Behaviour {
@@ -196,7 +236,7 @@
         are_alike: true,
         ..FULL
     };
-    let got = brittle::run(crowd).await?;
+    let got = brittle::run(workload).await?;
     assert_that!(got.crashes, ge(3), "{got:?}");
     assert_that!(got.failures.get(CRASHES_ENDPOINTS), none(), "{got:?}");
     Ok(())
