Name loans of slots in the field's terms

Change: requests for loans are pending requests with a reply timeout, lenders instead of those that are asked, partitions instead of cuts. Renames and comments only.

--- a/crates/ploverwick_bench/src/slots/fleet.rs
+++ b/crates/ploverwick_bench/src/slots/fleet.rs
@@ -346,7 +346,7 @@
         };
         if self.way == Way::Loans {
             instance.waiting.push_back(request);
-            self.ask(request.instance);
+            self.borrow(request.instance);
         } else if has_place {
             instance.waiting.push_back(request);
         }
@@ -475,7 +475,7 @@
             return;
         }
         if !self.instances[instance].waiting.is_empty() {
-            self.ask(instance);
+            self.borrow(instance);
             return;
         }
         let ledger = &mut self.instances[instance].ledger;
@@ -487,8 +487,8 @@
         self.send(instance, outgoing);
     }
 
-    /// Asks other instances for a slot of some endpoints.
-    fn ask(&mut self, instance: usize) {
+    /// Requests loans of slots of some endpoints.
+    fn borrow(&mut self, instance: usize) {
         let now = Moment(self.now);
         let mut order: Vec<usize> = (0..self.size.endpoints).collect();
         let first = self.random.random_range(0..self.size.endpoints);
@@ -501,11 +501,11 @@
         let ledger = &mut self.instances[instance].ledger;
         let seed = self.now.to_string();
         let address = |name: &str| name[1..].parse().ok().map(address);
-        let asked = ledger.ask(&names, waiting, &seed, address, now);
+        let requests = ledger.request_loans(&names, waiting, &seed, address, now);
         if ledger.awaited_replies(now) == 0 {
             self.instances[instance].waiting.retain(|r| r.has_place);
         }
-        self.send(instance, asked);
+        self.send(instance, requests);
     }
 
     fn send(&mut self, from: usize, outgoing: Vec<Outgoing>) {
--- a/crates/ploverwick_endpoints/src/sharers.rs
+++ b/crates/ploverwick_endpoints/src/sharers.rs
@@ -1,7 +1,7 @@
 //! Selects the instances that share what an endpoint accepts from all of them together.
 //!
 //! Each instance selects by itself. An instance that is silent has probably ended, and the others take over its share. But an
-//! instance that hears few others may be cut off from them, and they may still use theirs.
+//! instance that receives messages from few others may be partitioned from them, and they may still use theirs.
 
 use std::time::Duration;
 
@@ -9,8 +9,8 @@
 const MISSING_MESSAGES: u32 = 4;
 /// The shortest silence after which an instance counts as silent.
 const MIN_SILENCE: Duration = Duration::from_millis(2_500);
-/// How long an instance that hears few others takes itself for cut off. Cuts last some seconds.
-const MAX_CUT: Duration = Duration::from_secs(10);
+/// How long an instance that receives messages from few others assumes that it is partitioned. Partitions last some seconds.
+const MAX_PARTITION: Duration = Duration::from_secs(10);
 
 /// Another instance of the failure domain.
 #[derive(Debug, Clone, Copy)]
@@ -30,7 +30,7 @@
     let limit = if is_majority {
         max_silence
     } else {
-        MAX_CUT.max(max_silence)
+        MAX_PARTITION.max(max_silence)
     };
     let sharing = listed.iter().filter(|peer| peer.silence <= limit);
     sharing.map(|peer| peer.name).collect()
--- a/crates/ploverwick_endpoints/src/slots.rs
+++ b/crates/ploverwick_endpoints/src/slots.rs
@@ -1,6 +1,6 @@
 //! The slots of endpoints, divided among instances so that together they never send more requests than an endpoint runs.
 //!
-//! Each slot belongs to one instance, by rendezvous hash among those that know each other. An instance sends a request with a
+//! Each slot belongs to one instance, by rendezvous hashing. An instance sends a request with a
 //! slot of its own or with one that another instance lent, so that no load needs to be known in time. Loans lapse: the
 //! borrower renews them while a request runs, and returns them afterwards. Nothing is stored, and an instance that starts
 //! learns of the loans of its predecessor from their renewals.
@@ -17,7 +17,7 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-use loan::{Ask, AskRate, Borrowed, Use};
+use loan::{Borrowed, PendingRequest, RequestRate, Use};
 pub use loan::{LoanId, Notice, Outgoing};
 
 /// How long a loan is valid after it was granted or renewed.
@@ -25,10 +25,10 @@
 /// How often the borrower renews a loan in use.
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(200);
 /// How long a borrower waits for the reply to its request.
-pub const ASK_TIMEOUT: Duration = Duration::from_millis(60);
+pub const REPLY_TIMEOUT: Duration = Duration::from_millis(60);
 /// How long a request for a loan waits for a slot of the lender.
 const QUEUE_TIMEOUT: Duration = Duration::from_millis(200);
-/// How long a lender that refused is not asked again.
+/// How long no loan is requested from a lender that refused.
 const REFUSAL_BACKOFF: Duration = Duration::from_millis(60);
 /// How long a slot that moved to this instance is not used: instances learn of each other at different times, and requests of
 /// its previous owner may still run.
@@ -37,10 +37,10 @@
 /// closes.
 const LINGER: Duration = Duration::from_millis(500);
 
-/// The number of instances that are asked for a slot at the same time, for each request that waits.
-const MAX_ASKED: usize = 2;
+/// The number of lenders from which a loan is requested at the same time, for each request that waits.
+const MAX_LENDERS: usize = 2;
 /// The requests for loans that an instance sends in a second at most. Where all slots are in use, more would not help.
-const MAX_ASKS_PER_S: f64 = 40.0;
+const MAX_REQUESTS_PER_S: f64 = 40.0;
 /// The number of requests that wait for each own slot, as many as would wait at an endpoint that is not brittle.
 pub const MAX_WAITS_PER_SLOT: f64 = 1.5;
 
@@ -137,7 +137,7 @@
     /// The requests for loans that wait for an own slot, and since when.
     queue: VecDeque<((IpAddr, LoanId), Moment)>,
     borrowed: HashMap<LoanId, Borrowed>,
-    /// The lenders that refused, and until when they are not asked again.
+    /// The lenders that refused, and until when no loan is requested from them.
     refused: HashMap<Arc<str>, Moment>,
 }
 
@@ -176,8 +176,8 @@
 pub struct Ledger {
     accounts: HashMap<Arc<str>, Account>,
     /// The requests for loans that wait for replies.
-    asks: HashMap<LoanId, Ask>,
-    ask_rate: AskRate,
+    pending: HashMap<LoanId, PendingRequest>,
+    request_rate: RequestRate,
     next_id: u64,
     /// When the slots of endpoints that are not known yet may be used.
     usable_at: Moment,
@@ -194,8 +194,8 @@
         };
         Self {
             accounts: HashMap::new(),
-            asks: HashMap::new(),
-            ask_rate: AskRate::default(),
+            pending: HashMap::new(),
+            request_rate: RequestRate::default(),
             next_id: first_id,
             usable_at: now + delay,
         }
@@ -297,11 +297,10 @@
             .collect()
     }
 
-    /// Asks other instances for a slot of one of these endpoints, on behalf of `waiting` requests. `seed` determines who is asked
-    /// first. `address` returns the address of an instance, if it is known.
+    /// Requests loans of a slot of one of these endpoints on behalf of `waiting` requests. `seed` determines the order of lenders. `address` returns the address of an instance, if it is known.
     ///
-    /// Those that refused lately, and those that were asked and have not replied, are left out.
-    pub fn ask(
+    /// Lenders that refused recently or have not replied yet are left out.
+    pub fn request_loans(
         &mut self,
         endpoints: &[Arc<str>],
         waiting: usize,
@@ -309,44 +308,46 @@
         address: impl Fn(&str) -> Option<IpAddr>,
         now: Moment,
     ) -> Vec<Outgoing> {
-        let max_asked = (MAX_ASKED * waiting).saturating_sub(self.awaited_replies(now));
-        let max_asked = max_asked.min(MAX_ASKED);
+        let max_requests = (MAX_LENDERS * waiting).saturating_sub(self.awaited_replies(now));
+        let max_requests = max_requests.min(MAX_LENDERS);
         let mut outgoing = Vec::new();
-        // Each endpoint is asked for one slot at first: the known loads are late, so that many instances prefer the same one.
+        // One lender of each endpoint comes first: the known loads are outdated, so that many instances prefer the same endpoint.
         let preferred = endpoints.iter().cycle().take(2 * endpoints.len());
         for endpoint in preferred {
-            if outgoing.len() == max_asked || !self.ask_rate.allows(now) {
+            if outgoing.len() == max_requests || !self.request_rate.allows(now) {
                 break;
             }
             let lender = self.lender(endpoint, seed, now);
             if let Some(lender) = lender
                 && let Some(address) = address(&lender)
             {
-                self.ask_rate.record();
-                outgoing.push(self.request(endpoint, lender, address, now));
+                self.request_rate.record();
+                outgoing.push(self.request_loan(endpoint, lender, address, now));
             }
         }
         outgoing
     }
 
-    /// Returns whom to ask for a slot of an endpoint.
+    /// Returns the next lender to request a slot of an endpoint from.
     fn lender(&self, endpoint: &str, seed: &str, now: Moment) -> Option<Arc<str>> {
         let account = self.accounts.get(endpoint)?;
         let refused = |name: &str| account.refused.get(name).is_some_and(|until| *until > now);
-        let asked = |name: &str| {
-            let mut asks = self.asks.values();
-            asks.any(|ask| *ask.lender == *name && *ask.endpoint == *endpoint && !ask.is_over(now))
+        let is_pending = |name: &str| {
+            let mut pending = self.pending.values();
+            pending.any(|request| {
+                *request.lender == *name && *request.endpoint == *endpoint && !request.is_over(now)
+            })
         };
         let lenders = account.lenders.iter().map(|name| &**name);
         let willing: Vec<&str> = lenders
-            .filter(|name| !refused(name) && !asked(name))
+            .filter(|name| !refused(name) && !is_pending(name))
             .collect();
         let candidates = equally_weighted(willing.iter().copied());
         let index = choose(seed, &candidates)?;
         Some(Arc::from(willing[index]))
     }
 
-    fn request(
+    fn request_loan(
         &mut self,
         endpoint: &Arc<str>,
         lender: Arc<str>,
@@ -355,19 +356,20 @@
     ) -> Outgoing {
         let id = LoanId(self.next_id);
         self.next_id = self.next_id.wrapping_add(1);
-        let ask = Ask {
+        let request = PendingRequest {
             endpoint: Arc::clone(endpoint),
             lender,
             at: now,
             is_queued: false,
         };
-        self.asks.insert(id, ask);
+        self.pending.insert(id, request);
         Outgoing::new(address, Notice::Request, endpoint, id)
     }
 
     /// Returns the number of requests for loans whose replies are awaited.
     pub fn awaited_replies(&self, now: Moment) -> usize {
-        self.asks.values().filter(|ask| !ask.is_over(now)).count()
+        let pending = self.pending.values();
+        pending.filter(|request| !request.is_over(now)).count()
     }
 
     /// Handles a notice from the instance at `from`, while `waiting` requests of this instance wait for a slot. Returns the
@@ -384,8 +386,8 @@
         match notice {
             Notice::Request => reply(self.handle_request(endpoint, (from, id), waiting, now)),
             Notice::Queued => {
-                if let Some(ask) = self.asks.get_mut(&id) {
-                    ask.is_queued = true;
+                if let Some(request) = self.pending.get_mut(&id) {
+                    request.is_queued = true;
                 }
                 None
             }
@@ -394,10 +396,12 @@
                 (!is_wanted).then(|| Outgoing::new(from, Notice::Return, endpoint, id))
             }
             Notice::Refusal => {
-                if let Some(ask) = self.asks.remove(&id)
+                if let Some(request) = self.pending.remove(&id)
                     && let Some(account) = self.accounts.get_mut(endpoint)
                 {
-                    account.refused.insert(ask.lender, now + REFUSAL_BACKOFF);
+                    account
+                        .refused
+                        .insert(request.lender, now + REFUSAL_BACKOFF);
                 }
                 None
             }
@@ -460,14 +464,14 @@
 
     /// Accepts a loan; returns `false` if it was not requested or came too late.
     fn accept(&mut self, endpoint: &str, (lender, id): (IpAddr, LoanId), now: Moment) -> bool {
-        let Some(ask) = self.asks.remove(&id) else {
+        let Some(request) = self.pending.remove(&id) else {
             let account = self.accounts.get(endpoint);
             return account.is_some_and(|account| account.borrowed.contains_key(&id));
         };
         let Some(account) = self.accounts.get_mut(endpoint) else {
             return false;
         };
-        let loan = Borrowed::new(lender, ask.at);
+        let loan = Borrowed::new(lender, request.at);
         let is_valid = loan.is_free(now);
         if is_valid {
             account.borrowed.insert(id, loan);
@@ -478,7 +482,8 @@
     /// Returns the messages that are due: renewals of loans in use, and returns of the others.
     pub fn tick(&mut self, now: Moment) -> Vec<Outgoing> {
         let mut due = Vec::new();
-        self.asks.retain(|_, ask| now.since(ask.at) < LOAN_TTL);
+        self.pending
+            .retain(|_, request| now.since(request.at) < LOAN_TTL);
         for (endpoint, account) in &mut self.accounts {
             account.sweep(now);
             account.borrowed.retain(|id, loan| {
--- a/crates/ploverwick_endpoints/src/slots/loan.rs
+++ b/crates/ploverwick_endpoints/src/slots/loan.rs
@@ -7,7 +7,7 @@
 use ploverwick_names::Moment;
 use serde::{Deserialize, Serialize};
 
-use super::{ASK_TIMEOUT, LOAN_TTL, MAX_ASKS_PER_S, QUEUE_TIMEOUT, RENEWAL_INTERVAL};
+use super::{LOAN_TTL, MAX_REQUESTS_PER_S, QUEUE_TIMEOUT, RENEWAL_INTERVAL, REPLY_TIMEOUT};
 
 /// How much earlier than for the lender a loan ends for the borrower, as their clocks may drift apart.
 const EXPIRY_MARGIN: Duration = Duration::from_millis(100);
@@ -68,7 +68,7 @@
 
 /// A request for a loan that waits for its reply.
 #[derive(Debug)]
-pub(super) struct Ask {
+pub(super) struct PendingRequest {
     pub(super) endpoint: Arc<str>,
     pub(super) lender: Arc<str>,
     pub(super) at: Moment,
@@ -76,13 +76,13 @@
     pub(super) is_queued: bool,
 }
 
-impl Ask {
+impl PendingRequest {
     /// Returns whether the reply is no longer awaited. A later grant is still accepted.
     pub(super) fn is_over(&self, now: Moment) -> bool {
         let timeout = if self.is_queued {
             QUEUE_TIMEOUT
         } else {
-            ASK_TIMEOUT
+            REPLY_TIMEOUT
         };
         now.since(self.at) >= timeout
     }
@@ -90,18 +90,18 @@
 
 /// Limits the rate of requests for loans.
 #[derive(Debug, Default)]
-pub(super) struct AskRate {
+pub(super) struct RequestRate {
     /// The requests sent since `since`.
     sent: f64,
     since: Moment,
 }
 
-impl AskRate {
+impl RequestRate {
     pub(super) fn allows(&mut self, now: Moment) -> bool {
-        let earned = now.since(self.since).as_secs_f64() * MAX_ASKS_PER_S;
+        let earned = now.since(self.since).as_secs_f64() * MAX_REQUESTS_PER_S;
         self.sent = (self.sent - earned).max(0.0);
         self.since = now;
-        self.sent < MAX_ASKS_PER_S
+        self.sent < MAX_REQUESTS_PER_S
     }
 
     pub(super) fn record(&mut self) {
@@ -130,13 +130,13 @@
 }
 
 impl Borrowed {
-    /// Creates a loan that was requested at `asked_at`; the lender counts from when it granted it, which is later.
-    pub(super) fn new(lender: IpAddr, asked_at: Moment) -> Self {
+    /// Creates a loan that was requested at `requested_at`; the lender counts from when it granted it, which is later.
+    pub(super) fn new(lender: IpAddr, requested_at: Moment) -> Self {
         Self {
             lender,
             state: Use::Free,
-            valid_until: asked_at + LOAN_TTL.saturating_sub(EXPIRY_MARGIN),
-            renewed_at: asked_at,
+            valid_until: requested_at + LOAN_TTL.saturating_sub(EXPIRY_MARGIN),
+            renewed_at: requested_at,
         }
     }
 
--- a/crates/ploverwick_endpoints/tests/slot_loans.rs
+++ b/crates/ploverwick_endpoints/tests/slot_loans.rs
@@ -89,10 +89,10 @@
     expect_that!(acquire_all(&mut ledger, Moment(600)), eq(1));
 }
 
-/// Asks the only other owner, `a`, for a slot.
-fn ask(borrower: &mut Ledger, now: Moment) -> Outgoing {
-    let asked = borrower.ask(&[endpoint()], 1, "seed", |_| Some(A), now);
-    asked.into_iter().next().expect("a request")
+/// Requests a loan from the only owner, `a`.
+fn request_one(borrower: &mut Ledger, now: Moment) -> Outgoing {
+    let requests = borrower.request_loans(&[endpoint()], 1, "seed", |_| Some(A), now);
+    requests.into_iter().next().expect("a request")
 }
 
 /// Creates the ledger of a borrower whose first loan has a number.
@@ -106,7 +106,7 @@
 fn lent() -> (Ledger, Ledger, Permit) {
     let mut lender = ledger("a", &["a"], true, Moment(0));
     let mut borrower = ledger("b", &["a"], true, Moment(0));
-    let request = ask(&mut borrower, Moment(0));
+    let request = request_one(&mut borrower, Moment(0));
     let grant = deliver(&mut lender, B, &request, Moment(1)).expect("a reply");
     expect_that!(grant.notice, eq(Notice::Grant));
     expect_that!(deliver(&mut borrower, A, &grant, Moment(2)), none());
@@ -163,7 +163,7 @@
 #[gtest]
 fn late_grants_are_returned() {
     let mut borrower = ledger("b", &["a"], true, Moment(0));
-    let request = ask(&mut borrower, Moment(0));
+    let request = request_one(&mut borrower, Moment(0));
     let grant = Outgoing {
         to: B,
         notice: Notice::Grant,
@@ -174,22 +174,22 @@
     expect_that!(borrower.has_free("i-a", Moment(1_500)), eq(false));
 }
 
-/// Guards against instances that ask a lender without a free slot again and again.
+/// Guards against instances that request loans from a lender without a free slot again and again.
 #[gtest]
 fn refusing_lender_is_spared() {
     let mut borrower = ledger("b", &["a"], true, Moment(0));
-    let request = ask(&mut borrower, Moment(0));
+    let request = request_one(&mut borrower, Moment(0));
     expect_that!(borrower.awaited_replies(Moment(1)), eq(1));
-    let ask_again = |borrower: &mut Ledger, at| {
-        let asked = borrower.ask(&[endpoint()], 1, "seed", |_| Some(A), Moment(at));
-        asked.len()
+    let request_again = |borrower: &mut Ledger, at| {
+        let requests = borrower.request_loans(&[endpoint()], 1, "seed", |_| Some(A), Moment(at));
+        requests.len()
     };
-    expect_that!(ask_again(&mut borrower, 1), eq(0));
+    expect_that!(request_again(&mut borrower, 1), eq(0));
     let refusal = Outgoing::refusal(B, &request.endpoint, request.id);
     deliver(&mut borrower, A, &refusal, Moment(2));
     expect_that!(borrower.awaited_replies(Moment(2)), eq(0));
-    expect_that!(ask_again(&mut borrower, 61), eq(0));
-    expect_that!(ask_again(&mut borrower, 62), eq(1));
+    expect_that!(request_again(&mut borrower, 61), eq(0));
+    expect_that!(request_again(&mut borrower, 62), eq(1));
 }
 
 /// Guards against requests for loans that take the network while all slots are in use.
@@ -199,15 +199,15 @@
     let all: Vec<&str> = names.iter().map(|name| &**name).collect();
     let mut borrower = ledger("b", &all, true, Moment(0));
     let endpoints = [endpoint()];
-    let mut asked = 0;
+    let mut sent_requests = 0;
     for at in (0..2_000).map(Moment) {
-        for sent in borrower.ask(&endpoints, 50, "seed", |_| Some(A), at) {
-            asked += 1;
+        for sent in borrower.request_loans(&endpoints, 50, "seed", |_| Some(A), at) {
+            sent_requests += 1;
             let refusal = Outgoing::refusal(B, &sent.endpoint, sent.id);
             deliver(&mut borrower, A, &refusal, at);
         }
     }
-    expect_that!(asked, all![ge(40), le(121)]);
+    expect_that!(sent_requests, all![ge(40), le(121)]);
 }
 
 /// Guards against slots that are lent although other requests use them, or twice to a borrower whose request was repeated.
@@ -215,12 +215,12 @@
 fn only_free_slots_are_lent() {
     let mut lender = ledger("a", &["a"], true, Moment(0));
     let mut borrower = ledger("b", &["a"], true, Moment(0));
-    let request = ask(&mut borrower, Moment(0));
+    let request = request_one(&mut borrower, Moment(0));
     for _ in 0..2 {
         deliver(&mut lender, B, &request, Moment(1));
     }
     expect_that!(acquire_all(&mut lender, Moment(1)), eq(3));
-    let other = ask(&mut numbered(2), Moment(1));
+    let other = request_one(&mut numbered(2), Moment(1));
     let reply = deliver(&mut lender, B, &other, Moment(2)).expect("a reply");
     expect_that!(reply.notice, eq(Notice::Queued));
     expect_that!(lender.grant_queued(&endpoint(), Moment(3)), is_empty());
@@ -237,7 +237,7 @@
     acquire_all(&mut lender, Moment(0));
     let mut notices = Vec::new();
     for number in 0..7 {
-        let request = ask(&mut numbered(number), Moment(0));
+        let request = request_one(&mut numbered(number), Moment(0));
         let reply = deliver(&mut lender, B, &request, Moment(1));
         notices.extend(reply.map(|reply| reply.notice));
     }
--- a/crates/ploverwick_gateway/src/controllers/brittleness.rs
+++ b/crates/ploverwick_gateway/src/controllers/brittleness.rs
@@ -18,8 +18,8 @@
 
 /// How long an instance that has just started waits for its peers to say which services are brittle.
 const LEARNING_TIMEOUT: Duration = Duration::from_millis(500);
-/// How often it asks them.
-const ASK_INTERVAL: Duration = Duration::from_millis(30);
+/// How often it sends the request to them.
+const REQUEST_INTERVAL: Duration = Duration::from_millis(30);
 
 /// Handles what the head of an answer says of its endpoint; the request was sent at `sent_at`.
 pub(crate) fn handle_answer(shared: &Shared, entry: &Entry, head: &Head, sent_at: Moment) {
@@ -88,7 +88,7 @@
         if is_listed && !has_peers {
             break;
         }
-        tokio::time::sleep(ASK_INTERVAL).await;
+        tokio::time::sleep(REQUEST_INTERVAL).await;
     }
     shared.brittleness_known.send_replace(true);
 }
--- a/crates/ploverwick_gateway/src/controllers/slots.rs
+++ b/crates/ploverwick_gateway/src/controllers/slots.rs
@@ -12,8 +12,8 @@
 use crate::shared::Shared;
 use crate::state::State;
 
-/// Asks other instances for a slot of one of these endpoints, the preferred ones first. `seed` spreads the requests of
-/// instances over lenders.
+/// Requests a slot of one of these endpoints, the preferred ones first, from other instances. `seed` spreads the requests over
+/// lenders.
 pub(crate) fn borrow(shared: &Shared, endpoints: &[Arc<str>], seed: &str) {
     let now = shared.now();
     let mut state = shared.state();
@@ -25,7 +25,7 @@
     } = &mut *state;
     let waiting = slot_waits.values().sum();
     let address = |name: &str| peers.get(name).map(|peer| peer.ip);
-    let outgoing = slots.ask(endpoints, waiting, seed, address, now);
+    let outgoing = slots.request_loans(endpoints, waiting, seed, address, now);
     drop(state);
     broadcast::send_slot_notices(shared, outgoing);
 }
--- a/crates/ploverwick_gateway/src/filters/slot_wait.rs
+++ b/crates/ploverwick_gateway/src/filters/slot_wait.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use ploverwick_codes::Code;
-use ploverwick_endpoints::slots::{ASK_TIMEOUT, MAX_WAITS_PER_SLOT};
+use ploverwick_endpoints::slots::{MAX_WAITS_PER_SLOT, REPLY_TIMEOUT};
 use tokio::time::Instant;
 
 use super::admitted_request::AdmittedRequest;
@@ -47,7 +47,7 @@
         }
     }
 
-    /// Asks other instances for a slot of one of these endpoints.
+    /// Requests a slot of one of these endpoints from other instances.
     pub(super) fn borrow(&self, lacking: &[Arc<str>]) {
         slots::borrow(self.shared, lacking, &self.request.info.id);
     }
@@ -61,7 +61,7 @@
 
     /// Returns when to look again at the latest.
     pub(super) fn recheck_at(&self) -> Instant {
-        self.until.min(Instant::now() + ASK_TIMEOUT)
+        self.until.min(Instant::now() + REPLY_TIMEOUT)
     }
 }
 
