Log and count ejected endpoints, and export the slots that are free

Nothing in the logs or metrics told why: no line and no counter names an ejected endpoint, and the gauges of slots did not tell whether own slots were in use.

--- a/crates/ploverwick_endpoints/src/fleet.rs
+++ b/crates/ploverwick_endpoints/src/fleet.rs
@@ -304,12 +304,13 @@
         }
     }
 
-    /// Records that a request ended at an endpoint.
-    pub fn record_ended(&mut self, id: &str, outcome: Outcome, now: Moment) {
-        if let Some(member) = self.members.get_mut(id) {
-            member.own.requests = member.own.requests.saturating_sub(1);
-            member.health.record(outcome, now);
-        }
+    /// Records that a request ended at an endpoint. Returns whether the endpoint is ejected because of it.
+    pub fn record_ended(&mut self, id: &str, outcome: Outcome, now: Moment) -> bool {
+        let Some(member) = self.members.get_mut(id) else {
+            return false;
+        };
+        member.own.requests = member.own.requests.saturating_sub(1);
+        member.health.record(outcome, now)
     }
 
     /// Forgets the failures of an endpoint, which turned out to be those of the link to it, and readmits it.
@@ -319,11 +320,10 @@
         }
     }
 
-    /// Records a failure that does not end a request, such as a refused connection.
-    pub fn record_failure(&mut self, id: &str, now: Moment) {
-        if let Some(member) = self.members.get_mut(id) {
-            member.health.record(Outcome::Broken, now);
-        }
+    /// Records a failure that does not end a request, such as a late answer. Returns whether the endpoint is ejected because of it.
+    pub fn record_failure(&mut self, id: &str, now: Moment) -> bool {
+        let member = self.members.get_mut(id);
+        member.is_some_and(|member| member.health.record(Outcome::Broken, now))
     }
 
     /// Records the time to the first byte of an answer.
--- a/crates/ploverwick_endpoints/src/health.rs
+++ b/crates/ploverwick_endpoints/src/health.rs
@@ -22,6 +22,19 @@
     Abandoned,
 }
 
+impl Outcome {
+    /// Returns the outcome's name, as used in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Success => "success",
+            Self::Error => "error",
+            Self::Refused => "refused",
+            Self::Broken => "broken",
+            Self::Abandoned => "abandoned",
+        }
+    }
+}
+
 /// Consecutive broken requests after which an endpoint is ejected. Two may be a coincidence.
 const MAX_BROKEN_STREAK: u32 = 3;
 /// The ratio of failures among recent outcomes above which an endpoint is ejected.
@@ -55,8 +68,8 @@
 }
 
 impl Health {
-    /// Records the outcome of a request.
-    pub fn record(&mut self, outcome: Outcome, now: Moment) {
+    /// Records the outcome of a request. Returns whether the endpoint is ejected because of it.
+    pub fn record(&mut self, outcome: Outcome, now: Moment) -> bool {
         let failed = match outcome {
             Outcome::Success => 0.0,
             Outcome::Error => ERROR_WEIGHT,
@@ -67,7 +80,7 @@
             }
             Outcome::Abandoned => {
                 self.on_trial = false;
-                return;
+                return false;
             }
         };
         self.total = self.total * OUTCOME_DECAY + 1.0;
@@ -77,14 +90,16 @@
             if self.on_trial {
                 self.readmit();
             }
-            return;
+            return false;
         }
         self.streak += u32::from(outcome == Outcome::Broken);
         let is_unhealthy = self.streak >= MAX_BROKEN_STREAK
             || (self.total >= MIN_OUTCOME_WEIGHT && self.failed / self.total > MAX_FAILED_RATIO);
-        if is_unhealthy || (self.on_trial && outcome == Outcome::Broken) {
+        let is_ejected = is_unhealthy || (self.on_trial && outcome == Outcome::Broken);
+        if is_ejected {
             self.eject(now);
         }
+        is_ejected
     }
 
     /// Records the time to the first byte of an answer.
--- a/crates/ploverwick_endpoints/src/slots.rs
+++ b/crates/ploverwick_endpoints/src/slots.rs
@@ -62,6 +62,19 @@
     Unknown,
 }
 
+/// Numbers of slots, as known to one instance.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Totals {
+    /// The usable slots that belong to the instance.
+    pub own: u32,
+    /// Those that are neither in use nor lent.
+    pub free: u32,
+    /// Those that other instances borrowed.
+    pub lent: usize,
+    /// The slots that the instance borrowed.
+    pub borrowed: usize,
+}
+
 /// The instances among which the slots of an endpoint are divided.
 #[derive(Debug, Clone, Copy)]
 pub struct Owners<'a> {
@@ -495,12 +508,15 @@
         due
     }
 
-    /// Returns the numbers of own slots, of those that are lent, and of slots that are borrowed.
-    pub fn totals(&self, now: Moment) -> (u32, usize, usize) {
-        let accounts = self.accounts.values();
-        let own = accounts.clone().map(|account| account.share.usable(now));
-        let lent = accounts.clone().map(|account| account.lent.len());
-        let borrowed = accounts.map(|account| account.borrowed.len());
-        (own.sum(), lent.sum(), borrowed.sum())
+    /// Returns the numbers of slots of all endpoints.
+    pub fn totals(&self, now: Moment) -> Totals {
+        let mut totals = Totals::default();
+        for account in self.accounts.values() {
+            totals.own += account.share.usable(now);
+            totals.free += account.available(now);
+            totals.lent += account.lent.len();
+            totals.borrowed += account.borrowed.len();
+        }
+        totals
     }
 }
--- a/crates/ploverwick_gateway/src/controllers.rs
+++ b/crates/ploverwick_gateway/src/controllers.rs
@@ -6,6 +6,7 @@
 pub(crate) mod brittleness;
 pub(crate) mod crashes;
 pub(crate) mod draining;
+pub(crate) mod ejections;
 pub(crate) mod endpoint_list;
 mod feed;
 pub(crate) mod freshness;
--- a/crates/ploverwick_gateway/src/controllers/slots.rs
+++ b/crates/ploverwick_gateway/src/controllers/slots.rs
@@ -93,11 +93,11 @@
 pub(crate) fn tick(shared: &Shared) {
     let now = shared.now();
     let mut state = shared.state();
-    let (own, lent, borrowed) = state.slots.totals(now);
+    let totals = state.slots.totals(now);
     let waiting = state.slot_waits.values().sum();
     let due = state.slots.tick(now);
     drop(state);
-    metrics::slots(own, lent, borrowed, waiting);
+    metrics::slots(totals, waiting);
     broadcast::send_slot_notices(shared, due);
     shared.slots_changed.notify_waiters();
 }
--- a/crates/ploverwick_gateway/src/filters/answer_wait.rs
+++ b/crates/ploverwick_gateway/src/filters/answer_wait.rs
@@ -9,6 +9,7 @@
 use super::admitted_request::AdmittedRequest;
 use super::quarantine;
 use super::select::{self, Target};
+use crate::controllers::ejections;
 use crate::metrics;
 use crate::shared::Shared;
 
@@ -104,7 +105,10 @@
             && let Some(endpoint) = self.tried.last()
         {
             let now = shared.now();
-            shared.state().fleet.record_failure(endpoint, now);
+            let is_ejected = shared.state().fleet.record_failure(endpoint, now);
+            if is_ejected {
+                ejections::report(shared, endpoint, "late");
+            }
         }
         let may_retry = quarantine::may_retry(shared, request);
         let target = may_retry
--- a/crates/ploverwick_gateway/src/filters/in_flight.rs
+++ b/crates/ploverwick_gateway/src/filters/in_flight.rs
@@ -8,7 +8,7 @@
 use ploverwick_endpoints::{Outcome, StepMeter};
 use tokio::time::Instant;
 
-use crate::controllers::slots;
+use crate::controllers::{ejections, slots};
 use crate::metrics;
 use crate::shared::Shared;
 use crate::state::State;
@@ -167,11 +167,14 @@
         state
             .fleet
             .record_released(&self.endpoint, self.held_tokens);
-        state.fleet.record_ended(&self.endpoint, self.outcome, now);
+        let is_ejected = state.fleet.record_ended(&self.endpoint, self.outcome, now);
         if let Some(copy) = &self.copy {
             state.record_use(&self.endpoint, copy, false);
         }
         drop(state);
+        if is_ejected {
+            ejections::report(&self.shared, &self.endpoint, self.outcome.name());
+        }
         slots::release(&self.shared, &self.endpoint, self.permit, self.ending);
     }
 }
--- a/crates/ploverwick_gateway/src/metrics.rs
+++ b/crates/ploverwick_gateway/src/metrics.rs
@@ -17,6 +17,7 @@
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use ploverwick_adapters::Demand;
 use ploverwick_codes::Code;
+use ploverwick_endpoints::slots::Totals;
 use ploverwick_names::Moment;
 use ploverwick_quarantine::Diagnosis;
 use ploverwick_topics::Reading;
@@ -237,12 +238,17 @@
     counter!("ploverwick_endpoint_refusals_total", "cause" => cause).increment(1);
 }
 
-/// Sets the numbers of slots of brittle endpoints that belong to this instance, that it lent and that it borrowed, and of the
-/// requests that wait for one.
-pub(crate) fn slots(own: u32, lent: usize, borrowed: usize, waiting: usize) {
-    gauge!("ploverwick_slots", "kind" => "own").set(f64::from(own));
-    gauge!("ploverwick_slots", "kind" => "lent").set(lent as f64);
-    gauge!("ploverwick_slots", "kind" => "borrowed").set(borrowed as f64);
+/// Counts an endpoint that this instance ejected, by the last outcome of a request there.
+pub(crate) fn endpoint_ejected(cause: &'static str) {
+    counter!("ploverwick_endpoint_ejections_total", "cause" => cause).increment(1);
+}
+
+/// Sets the numbers of slots of brittle endpoints, and of the requests that wait for one.
+pub(crate) fn slots(totals: Totals, waiting: usize) {
+    gauge!("ploverwick_slots", "kind" => "own").set(f64::from(totals.own));
+    gauge!("ploverwick_slots", "kind" => "free").set(f64::from(totals.free));
+    gauge!("ploverwick_slots", "kind" => "lent").set(totals.lent as f64);
+    gauge!("ploverwick_slots", "kind" => "borrowed").set(totals.borrowed as f64);
     gauge!("ploverwick_slot_waits").set(waiting as f64);
 }
 
