Add a failing test of slots that stay free after endpoints become brittle

Endpoints let requests queue before they are brittle, three late answers in a row eject an endpoint, for up to 4 s. The instance that owns one of its slots then doesn't use it, and doesn't lend it either, as requests of its own wait for some slot of the service. Ruled out: load of the machine (it happens alone on an idle one), clients that pause (seven to nine requests waited at each owner of a free slot), late returns of loans (no slot was lent). Change: the harness also counts the slots used in the first three seconds; slots_are_used_from_the_start sends more requests before endpoints are brittle, so that ejections are sure, and wants the same 0.9.

--- a/crates/ploverwick_gateway/tests/brittle/mod.rs
+++ b/crates/ploverwick_gateway/tests/brittle/mod.rs
@@ -90,6 +90,8 @@
     pub served: usize,
     /// The part of the time of all slots in which they were in use.
     pub slot_use: f64,
+    /// The same until further clients join and instances restart.
+    pub early_slot_use: f64,
     /// The tries that were not served, by result code.
     pub failures: BTreeMap<String, usize>,
 }
@@ -243,13 +245,16 @@
         endpoint.set_brittle();
     }
     tokio::time::sleep(CHANGE_AT).await;
+    let early_busy = total_busy(&endpoints) - busy_before;
     for client in workload.clients..workload.clients + workload.joining {
         clients.spawn(Arc::clone(&run).send_until(client, end));
     }
     restart_instances(&run, &mut instances, port, &store).await?;
     while clients.join_next().await.is_some() {}
     let busy = total_busy(&endpoints) - busy_before;
-    Ok(outcome(workload, &endpoints, run.take_tally(), busy))
+    let tally = run.take_tally();
+    Ok(outcome(workload, &endpoints, tally, [early_busy, busy]))
+    Ok(got)
 }
 
 /// Kills instances and starts them again at other addresses, as the platform does.
@@ -280,11 +285,17 @@
     busy.as_secs_f64()
 }
 
-fn outcome(workload: Workload, endpoints: &[BrittleEndpoint], tally: Tally, busy: f64) -> Outcome {
+/// `early_busy` is the part of `busy` until the change.
+fn outcome(
+    workload: Workload,
+    endpoints: &[BrittleEndpoint],
+    tally: Tally,
+    [early_busy, busy]: [f64; 2],
+) -> Outcome {
     let refusals: Vec<Vec<Refusal>> = endpoints.iter().map(BrittleEndpoint::refusals).collect();
     let worst = refusals.iter().map(|list| most_in_a_second(list)).max();
     let crashes = endpoints.iter().map(|endpoint| endpoint.crashes().len());
-    let slots = workload.endpoints * workload.behaviour.slots;
+    let slots = (workload.endpoints * workload.behaviour.slots) as f64;
     Outcome {
         crashes: crashes.sum(),
         max_crashes: MAX_CRASHES + workload.endpoints / 10,
@@ -292,7 +303,8 @@
         refusals: refusals.iter().map(Vec::len).sum(),
         tries: tally.tries,
         served: tally.served,
-        slot_use: busy / (slots as f64 * BRITTLE_TIME.as_secs_f64()),
+        slot_use: busy / (slots * BRITTLE_TIME.as_secs_f64()),
+        early_slot_use: early_busy / (slots * CHANGE_AT.as_secs_f64()),
         failures: tally.failures,
     }
 }
--- a/crates/ploverwick_gateway/tests/brittle_endpoints.rs
+++ b/crates/ploverwick_gateway/tests/brittle_endpoints.rs
@@ -187,6 +187,20 @@
     Ok(())
 }
 
+/// Guards against slots that stay free while requests wait, as instances have ejected endpoints whose answers were late under load.
+#[tokio::test(flavor = "multi_thread")]
+async fn slots_are_used_from_the_start() -> Result<()> {
+    // Before the endpoints become brittle, so many requests queue there that answers are late.
+    let workload = Workload {
+        clients: 144,
+        ..FULL
+    };
+    let got = brittle::run(workload).await?;
+    assert_that!(got.crashes, le(got.max_crashes), "{got:?}");
+    assert_that!(got.early_slot_use, ge(0.9), "{got:?}");
+    Ok(())
+}
+
 /// Guards against answers that take longer than the route's objective, are given up, and leave their slots unused.
 #[tokio::test(flavor = "multi_thread")]
 async fn slow_answers_waste_no_slots() -> Result<()> {
