--- a/crates/ploverwick_gateway/tests/brittle/mod.rs
+++ b/crates/ploverwick_gateway/tests/brittle/mod.rs
@@ -254,7 +254,6 @@
     let busy = total_busy(&endpoints) - busy_before;
     let tally = run.take_tally();
     Ok(outcome(workload, &endpoints, tally, [early_busy, busy]))
-    Ok(got)
 }
 
 /// Kills instances and starts them again at other addresses, as the platform does.
