Readmit the endpoints of a service that becomes brittle

Callers: requests were refused for up to three seconds while brittle endpoints had free slots. Cause: an overload was read as ill health. While requests may queue at endpoints, three late answers in a row eject one, for up to 4 s; the ejection outlived the queue. Change: an instance that learns that a service is brittle forgets the failures of its endpoints; one that is really out of order is ejected again after three requests.

--- a/crates/ploverwick_endpoints/src/fleet.rs
+++ b/crates/ploverwick_endpoints/src/fleet.rs
@@ -320,6 +320,15 @@
         }
     }
 
+    /// Forgets the failures of the endpoints of a service and readmits them.
+    pub fn forget_failures_of(&mut self, service: &str) {
+        for member in self.members.values_mut() {
+            if *member.entry.service == *service {
+                member.health.forget_failures();
+            }
+        }
+    }
+
     /// Records a failure that does not end a request, such as a late answer. Returns whether the endpoint is ejected because of it.
     pub fn record_failure(&mut self, id: &str, now: Moment) -> bool {
         let member = self.members.get_mut(id);
--- a/crates/ploverwick_gateway/src/controllers/brittleness.rs
+++ b/crates/ploverwick_gateway/src/controllers/brittleness.rs
@@ -38,7 +38,7 @@
     {
         return;
     }
-    state.divide_slots(&shared.settings, now);
+    state.handle_brittle(service, &shared.settings, now);
     let messages = state.brittleness.messages(Duration::ZERO, now);
     drop(state);
     log_brittle(
@@ -53,17 +53,13 @@
 pub(crate) fn handle_services(shared: &Shared, services: &[BrittleService], from: IpAddr) {
     let now = shared.now();
     let mut state = shared.state();
-    let mut is_new = false;
     for service in services {
         if state.brittleness.apply(service, now) {
-            is_new = true;
+            state.handle_brittle(&service.service, &shared.settings, now);
             let by = format_args!("instance from={from}");
             log_brittle(&service.service, Some(service.max_refusals), &by);
         }
     }
-    if is_new {
-        state.divide_slots(&shared.settings, now);
-    }
     drop(state);
     shared.brittleness_known.send_replace(true);
     shared.slots_changed.notify_waiters();
--- a/crates/ploverwick_gateway/src/state/slot_owners.rs
+++ b/crates/ploverwick_gateway/src/state/slot_owners.rs
@@ -37,6 +37,13 @@
         listed.into_iter().map(|peer| peer.name).collect()
     }
 
+    /// Handles that a service has become brittle.
+    pub(crate) fn handle_brittle(&mut self, service: &str, settings: &Settings, now: Moment) {
+        // Late answers of requests that queued at an endpoint say nothing of it once requests no longer queue there.
+        self.fleet.forget_failures_of(service);
+        self.divide_slots(settings, now);
+    }
+
     /// Divides the slots of the endpoints of brittle services among the instances.
     pub(crate) fn divide_slots(&mut self, settings: &Settings, now: Moment) {
         self.brittleness.sweep(now);
