Lend free slots of endpoints that their owner has ejected

Cause: an instance lends a slot only while no request of its own waits for one of the service. Requests never use an endpoint that the instance has ejected, but counted as waiting for its slots too, so that these stayed free at an instance that can't use them while others could. Change: no request counts as waiting for the slots of an ejected endpoint.

--- a/crates/ploverwick_gateway/src/controllers/slots.rs
+++ b/crates/ploverwick_gateway/src/controllers/slots.rs
@@ -45,7 +45,7 @@
             replies.push(Outgoing::refusal(from, &endpoint, id));
             continue;
         }
-        let waiting = state.slot_waits_at(&endpoint);
+        let waiting = state.slot_waits_at(&endpoint, now);
         let reply = state
             .slots
             .handle(from, notice, (&endpoint, id), waiting, now);
@@ -61,7 +61,7 @@
 
 /// Lends slots that no request of this instance waits for.
 fn grant_queued(state: &mut State, endpoint: &Arc<str>, now: Moment) -> Vec<Outgoing> {
-    if state.slot_waits_at(endpoint) > 0 || !state.may_lend(endpoint, now) {
+    if state.slot_waits_at(endpoint, now) > 0 || !state.may_lend(endpoint, now) {
         return Vec::new();
     }
     state.slots.grant_queued(endpoint, now)
@@ -81,7 +81,7 @@
     }
     state.slots.release(endpoint, permit, ending, now);
     let mut outgoing = grant_queued(&mut state, endpoint, now);
-    if state.slot_waits_at(endpoint) == 0 {
+    if state.slot_waits_at(endpoint, now) == 0 {
         outgoing.extend(state.slots.return_free(endpoint));
     }
     drop(state);
--- a/crates/ploverwick_gateway/src/state/slot_owners.rs
+++ b/crates/ploverwick_gateway/src/state/slot_owners.rs
@@ -95,8 +95,11 @@
         entry.is_some_and(|entry| self.fleet.is_ready(endpoint) && !self.is_filled(entry, now))
     }
 
-    /// Returns the number of requests of this instance that wait for a slot of an endpoint's service.
-    pub(crate) fn slot_waits_at(&self, endpoint: &str) -> usize {
+    /// Returns the number of requests of this instance that wait for a slot and may use one of an endpoint.
+    pub(crate) fn slot_waits_at(&self, endpoint: &str, now: Moment) -> usize {
+        if self.fleet.is_ejected(endpoint, now) {
+            return 0;
+        }
         let entry = self.fleet.entry(endpoint);
         let waits = entry.and_then(|entry| self.slot_waits.get(&entry.service));
         waits.copied().unwrap_or(0)
