Eject endpoints again whose trial request fails

Callers: an endpoint was not used by an instance any more although it was sound. Cause: after an ejection one request is the trial, and no other is sent while it is in progress. If it was refused or answered with an error, the trial never ended: the endpoint stayed ejected at that instance until all others of the service were ejected, too, or the instance restarted. Found by reading, while the free slots of brittle endpoints were traced. Change: a trial that fails in any way ejects again, as one that broke did. Result: failed_trial_is_repeated failed for both outcomes before (10 s later the endpoint was not chosen) and passes.

--- a/crates/ploverwick_endpoints/src/health.rs
+++ b/crates/ploverwick_endpoints/src/health.rs
@@ -95,7 +95,7 @@
         self.streak += u32::from(outcome == Outcome::Broken);
         let is_unhealthy = self.streak >= MAX_BROKEN_STREAK
             || (self.total >= MIN_OUTCOME_WEIGHT && self.failed / self.total > MAX_FAILED_RATIO);
-        let is_ejected = is_unhealthy || (self.on_trial && outcome == Outcome::Broken);
+        let is_ejected = is_unhealthy || self.on_trial;
         if is_ejected {
             self.eject(now);
         }
--- a/crates/ploverwick_endpoints/tests/endpoint_choice.rs
+++ b/crates/ploverwick_endpoints/tests/endpoint_choice.rs
@@ -109,6 +109,25 @@
     expect_that!(first(&fleet, Moment(2_002)).as_deref(), some(eq("a")));
 }
 
+/// Guards against endpoints that stay ejected for good because the trial request was refused or answered with an error.
+#[googletest::test]
+fn failed_trial_is_repeated() {
+    for outcome in [Outcome::Refused, Outcome::Error] {
+        let mut fleet = fleet();
+        for _ in 0..3 {
+            fleet.record_sent("a", 0);
+            fleet.record_ended("a", Outcome::Broken, Moment(0));
+        }
+        fleet.record_sent("a", 0);
+        fleet.record_ended("a", outcome, Moment(2_000));
+        expect_that!(
+            first(&fleet, Moment(10_000)).as_deref(),
+            some(eq("a")),
+            "{outcome:?}"
+        );
+    }
+}
+
 #[googletest::test]
 fn ejected_endpoints_serve_as_last_resort() {
     let mut fleet = fleet();
