Release a slot with the end of its request

Cause: when the slots of an endpoint are first divided, those in use are taken from the requests in progress. A request that ended left that number under one lock and gave its slot back under another; if the slots were divided in between, its slot was given back without having been counted, and the instance sent one request too many. Change: both under one lock.

--- a/crates/ploverwick_gateway/src/controllers/slots.rs
+++ b/crates/ploverwick_gateway/src/controllers/slots.rs
@@ -1,7 +1,7 @@
 //! Borrows and lends slots of the endpoints of brittle services.
 
 use std::net::IpAddr;
-use std::sync::Arc;
+use std::sync::{Arc, MutexGuard};
 
 use ploverwick_endpoints::slots::{Ending, Notice, Outgoing, Permit};
 use ploverwick_names::Moment;
@@ -67,15 +67,16 @@
     state.slots.grant_queued(endpoint, now)
 }
 
-/// Gives back the slot of a request that ended.
+/// Gives back the slot of a request that ended. `state` must be held since the request no longer counts in the endpoint's load,
+/// from which the slots in use are taken when the slots are first divided.
 pub(crate) fn release(
     shared: &Shared,
+    mut state: MutexGuard<'_, State>,
     endpoint: &Arc<str>,
     permit: Option<Permit>,
     ending: Ending,
 ) {
     let now = shared.now();
-    let mut state = shared.state();
     if state.slots.is_empty() {
         return;
     }
--- a/crates/ploverwick_gateway/src/filters/in_flight.rs
+++ b/crates/ploverwick_gateway/src/filters/in_flight.rs
@@ -171,10 +171,15 @@
         if let Some(copy) = &self.copy {
             state.record_use(&self.endpoint, copy, false);
         }
-        drop(state);
+        slots::release(
+            &self.shared,
+            state,
+            &self.endpoint,
+            self.permit,
+            self.ending,
+        );
         if is_ejected {
             ejections::report(&self.shared, &self.endpoint, self.outcome.name());
         }
-        slots::release(&self.shared, &self.endpoint, self.permit, self.ending);
     }
 }
