Release loans that a new division of the slots has dropped

Cause: a request that began with a loan and ran on while its service stopped being brittle and became so again counted as one with an own slot, but gave back the loan, which was no longer known. One own slot of the endpoint stayed unused at that instance until the service was no longer brittle. Change: a permit whose loan is unknown gives back an own slot. Result: loan_of_an_earlier_division_is_released failed before and passes.

--- a/crates/ploverwick_endpoints/src/slots.rs
+++ b/crates/ploverwick_endpoints/src/slots.rs
@@ -283,18 +283,20 @@
             return;
         };
         let until = now + LINGER;
-        let Some(Permit::Borrowed(id)) = permit else {
-            account.in_use = account.in_use.saturating_sub(1);
-            if ending == Ending::Unknown {
-                account.lingering.push(until);
-            }
-            return;
-        };
-        if let Some(loan) = account.borrowed.get_mut(&id) {
+        // The loan of a request from before the slots were divided anew is not known any more, and the request counts as one
+        // with an own slot.
+        if let Some(Permit::Borrowed(id)) = permit
+            && let Some(loan) = account.borrowed.get_mut(&id)
+        {
             loan.state = match ending {
                 Ending::Known => Use::Free,
                 Ending::Unknown => Use::Lingering { until },
             };
+            return;
+        }
+        account.in_use = account.in_use.saturating_sub(1);
+        if ending == Ending::Unknown {
+            account.lingering.push(until);
         }
     }
 
--- a/crates/ploverwick_endpoints/tests/slot_loans.rs
+++ b/crates/ploverwick_endpoints/tests/slot_loans.rs
@@ -79,6 +79,18 @@
     expect_that!(ledger.has_free("i-a", Moment(20)), eq(true));
 }
 
+/// Guards against a slot that counts as in use for good, as its request began with a loan before the slots were divided anew.
+#[gtest]
+fn loan_of_an_earlier_division_is_released() {
+    let (_, mut borrower, permit) = lent();
+    borrower.retain(|_| false);
+    let owners = Owners::new("b", &["b"]);
+    borrower.divide(&endpoint(), 1, owners, 1, Moment(10_000));
+    expect_that!(borrower.has_free("i-a", Moment(10_000)), eq(false));
+    borrower.release(&endpoint(), Some(permit), Ending::Known, Moment(10_010));
+    expect_that!(borrower.has_free("i-a", Moment(10_010)), eq(true));
+}
+
 /// Guards against a slot that is used again while the endpoint may still run the last request.
 #[gtest]
 fn slot_with_unknown_ending_lingers() {
