Test that other instances use an endpoint that one has ejected

Change: stand-in endpoints can fail for one instance; ejected_endpoint_serves_other_instances wants 0.9 of the slots used while one of two endpoints fails for one of two instances.

--- a/crates/ploverwick_gateway/tests/brittle/mod.rs
+++ b/crates/ploverwick_gateway/tests/brittle/mod.rs
@@ -43,6 +43,8 @@
     pub pause: Duration,
     /// Whether all requests are the same but for the attempt identifier.
     pub are_alike: bool,
+    /// The endpoints that fail for the first instance.
+    pub failing: usize,
     /// The instances that are killed and restarted while endpoints are brittle.
     pub restarts: usize,
 }
@@ -57,11 +59,13 @@
         run_time: Duration::from_millis(150),
         max_refusals: 5,
         crashes: true,
+        fails_for: None,
     },
     clients: 96,
     joining: 0,
     pause: Duration::ZERO,
     are_alike: false,
+    failing: 0,
     restarts: 0,
 };
 
@@ -205,8 +209,13 @@
     }
 }
 
+/// Returns the address of an instance. `host` counts the starts of all instances.
+fn instance_ip(host: usize) -> Result<Ipv4Addr> {
+    Ok(Ipv4Addr::new(127, 0, 0, u8::try_from(host + 1)?))
+}
+
 fn instance_settings(number: usize, host: usize, port: u16, store: &Store) -> Result<Settings> {
-    let ip = Ipv4Addr::new(127, 0, 0, u8::try_from(host)?);
+    let ip = instance_ip(host)?;
     let mut settings = settings::of(&format!("n{number}"), ip, port, store.address());
     settings.repeat_ratio = 1.0;
     Ok(settings)
@@ -219,12 +228,16 @@
     let mut endpoints = Vec::new();
     for number in 0..workload.endpoints {
         let name = format!("i-{number}");
-        endpoints.push(BrittleEndpoint::start(&name, workload.behaviour, &store).await?);
+        let behaviour = Behaviour {
+            fails_for: (number < workload.failing).then_some(instance_ip(0)?.into()),
+            ..workload.behaviour
+        };
+        endpoints.push(BrittleEndpoint::start(&name, behaviour, &store).await?);
     }
     let port = free_port()?;
     let mut instances = Vec::new();
     for number in 0..workload.instances {
-        let settings = instance_settings(number, number + 1, port, &store)?;
+        let settings = instance_settings(number, number, port, &store)?;
         instances.push(Process::start(settings).await?);
     }
     let run = Arc::new(Run {
@@ -270,7 +283,7 @@
     }
     tokio::time::sleep(RESTART_TIME).await;
     for (number, instance) in restarted.iter_mut().enumerate() {
-        let mut settings = instance_settings(number, count + number + 1, port, store)?;
+        let mut settings = instance_settings(number, count + number, port, store)?;
         settings.first_start = false;
         *instance = Process::start(settings).await?;
         run.set_front(number, instance.front);
--- a/crates/ploverwick_gateway/tests/brittle_endpoints.rs
+++ b/crates/ploverwick_gateway/tests/brittle_endpoints.rs
@@ -201,6 +201,22 @@
     Ok(())
 }
 
+/// Guards against free slots that an instance keeps although it has ejected their endpoint, while others need them.
+#[tokio::test(flavor = "multi_thread")]
+async fn ejected_endpoint_serves_other_instances() -> Result<()> {
+    let workload = Workload {
+        instances: 2,
+        endpoints: 2,
+        clients: 32,
+        failing: 1,
+        ..FULL
+    };
+    let got = brittle::run(workload).await?;
+    assert_that!(got.crashes, le(got.max_crashes), "{got:?}");
+    assert_that!(got.slot_use, ge(0.9), "{got:?}");
+    Ok(())
+}
+
 /// Guards against answers that take longer than the route's objective, are given up, and leave their slots unused.
 #[tokio::test(flavor = "multi_thread")]
 async fn slow_answers_waste_no_slots() -> Result<()> {
