Add failing tests of instances that do not hear each other before brittle endpoints

An instance that hears the majority takes over the slots of silent instances after 2.5 s, and any instance does after 10 s, though a silent one may be partitioned and use its slots. Slots then have two owners, and the sum is bounded by nothing again. Change: the harness has instances that send their messages to another port; two of six, or three of six, hear only each other.

--- a/crates/ploverwick_gateway/tests/brittle/mod.rs
+++ b/crates/ploverwick_gateway/tests/brittle/mod.rs
@@ -45,6 +45,8 @@
     pub are_alike: bool,
     /// The endpoints that fail for the first instance.
     pub failing: usize,
+    /// The instances that receive no messages from the others, and they none from these.
+    pub partitioned: usize,
     /// The instances that are killed and restarted while endpoints are brittle.
     pub restarts: usize,
 }
@@ -66,6 +68,7 @@
     pause: Duration::ZERO,
     are_alike: false,
     failing: 0,
+    partitioned: 0,
     restarts: 0,
 };
 
@@ -235,8 +238,11 @@
         endpoints.push(BrittleEndpoint::start(&name, behaviour, &store).await?);
     }
     let port = free_port()?;
+    let other_port = free_port()?;
     let mut instances = Vec::new();
     for number in 0..workload.instances {
+        let is_partitioned = number < workload.partitioned;
+        let port = if is_partitioned { other_port } else { port };
         let settings = instance_settings(number, number, port, &store)?;
         instances.push(Process::start(settings).await?);
     }
--- a/crates/ploverwick_gateway/tests/brittle_endpoints.rs
+++ b/crates/ploverwick_gateway/tests/brittle_endpoints.rs
@@ -217,6 +217,30 @@
     Ok(())
 }
 
+/// Guards against instances that hear few others and fill endpoints together with those that have taken over their slots.
+#[tokio::test(flavor = "multi_thread")]
+async fn partitioned_instances_crash_no_endpoints() -> Result<()> {
+    let workload = Workload {
+        partitioned: 2,
+        ..FULL
+    };
+    let got = brittle::run(workload).await?;
+    assert_that!(got.crashes, le(got.max_crashes), "{got:?}");
+    Ok(())
+}
+
+/// Guards against halves of the instances that do not hear each other and take over each other's slots.
+#[tokio::test(flavor = "multi_thread")]
+async fn partitioned_halves_crash_no_endpoints() -> Result<()> {
+    let workload = Workload {
+        partitioned: 3,
+        ..FULL
+    };
+    let got = brittle::run(workload).await?;
+    assert_that!(got.crashes, le(got.max_crashes), "{got:?}");
+    Ok(())
+}
+
 /// Guards against answers that take longer than the route's objective, are given up, and leave their slots unused.
 #[tokio::test(flavor = "multi_thread")]
 async fn slow_answers_waste_no_slots() -> Result<()> {
