Let only the side of a partition that has the lease take over slots

Callers: brittle endpoints crashed one after the other while some instances did not hear the others. Cause: silence was taken for the end of an instance. The majority took over the slots of silent instances after 2.5 s, and everyone after 10 s, while the silent ones still used them. Change: the platform grants the lease of a failure domain to one instance only. Those that hear its holder take over the slots of instances that have been silent for 8 s. Those that hear none request the lease, as they do already; if it is not granted, they stop using slots, which the others have by then. If neither is known, nothing moves. The test of a cut-off instance that takes over after 10 s is replaced by one for each size of both sides and one for an unknown holder. Cost: the slots of an instance that ends for good are unused for 8 s in place of 2.5 s. Ways not taken: a majority decides (halves never do, and a minority can't tell whether the majority has ended); nobody takes over before the list of instances changes (it has no lifetime).

--- a/crates/ploverwick_adapters/src/lease.rs
+++ b/crates/ploverwick_adapters/src/lease.rs
@@ -57,6 +57,8 @@
     fenced_token: Option<u64>,
     /// The last token of an earlier process of this instance.
     previous_token: Option<u64>,
+    /// When this instance last requested the lease without getting it.
+    denied_at: Option<Moment>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -80,6 +82,7 @@
             last_held: must_wait.then_some(now),
             fenced_token: None,
             previous_token: None,
+            denied_at: None,
         }
     }
 
@@ -100,9 +103,11 @@
     /// Applies the platform's answer to a request sent at `requested_at`.
     pub fn handle_grant(&mut self, grant: Grant, requested_at: Moment, now: Moment) {
         let Grant::Held(token) = grant else {
+            self.denied_at = Some(requested_at);
             self.release(now);
             return;
         };
+        self.denied_at = None;
         if self
             .fenced_token
             .is_some_and(|fenced_token| token <= fenced_token)
@@ -161,6 +166,12 @@
         self.held.is_some_and(|held| now < self.expiry(held))
     }
 
+    /// Returns whether the platform stated within the duration of a grant that this instance does not hold the lease.
+    pub fn is_denied(&self, now: Moment) -> bool {
+        self.denied_at
+            .is_some_and(|at| now.since(at) < self.policy.duration)
+    }
+
     fn expiry(&self, held: HeldLease) -> Moment {
         if self.policy.fenced {
             held.expires + self.policy.extension
--- a/crates/ploverwick_endpoints/src/sharers.rs
+++ b/crates/ploverwick_endpoints/src/sharers.rs
@@ -1,16 +1,16 @@
 //! Selects the instances that share what an endpoint accepts from all of them together.
 //!
-//! Each instance selects by itself. An instance that is silent has probably ended, and the others take over its share. But an
-//! instance that receives messages from few others may be partitioned from them, and they may still use theirs.
+//! Each instance selects by itself. An instance that is silent has ended, and the others may take over its share, or it is
+//! partitioned from them and still uses it. The platform grants the lease of the failure domain to one instance only, so that
+//! only those that hear its holder take over anything, and those on the other side of a partition stop.
 
 use std::time::Duration;
 
 /// The number of missing messages after which an instance counts as silent.
 const MISSING_MESSAGES: u32 = 4;
-/// The shortest silence after which an instance counts as silent.
-const MIN_SILENCE: Duration = Duration::from_millis(2_500);
-/// How long an instance that receives messages from few others assumes that it is partitioned. Partitions last some seconds.
-const MAX_PARTITION: Duration = Duration::from_secs(10);
+/// The shortest silence after which an instance counts as silent. By then, instances that do not hear the holder of the lease
+/// have requested the lease and know that another one holds it.
+const MIN_SILENCE: Duration = Duration::from_secs(8);
 
 /// Another instance of the failure domain.
 #[derive(Debug, Clone, Copy)]
@@ -21,17 +21,33 @@
     pub silence: Duration,
 }
 
-/// Returns the names of the other instances of a failure domain that have a share, out of those that are listed. Each of them
-/// sends a message every `interval`.
-pub fn select<'a>(listed: &[Peer<'a>], interval: Duration) -> Vec<&'a str> {
+/// What an instance knows of the holder of its failure domain's lease.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LeaseHolder {
+    /// It is this instance, or one whose messages it receives.
+    Heard,
+    /// The platform does not grant the lease to this instance, which hears no holder.
+    Silent,
+    /// Neither is known.
+    Unknown,
+}
+
+/// Returns the names of the instances of a failure domain that have a share, out of this one, `own`, if it may have one, and
+/// those that are listed. Each of them sends a message every `interval`.
+pub fn select<'a>(
+    own: Option<&'a str>,
+    listed: &[Peer<'a>],
+    interval: Duration,
+    holder: LeaseHolder,
+) -> Vec<&'a str> {
     let max_silence = interval.saturating_mul(MISSING_MESSAGES).max(MIN_SILENCE);
-    let heard = listed.iter().filter(|peer| peer.silence <= max_silence);
-    let is_majority = 2 * (heard.count() + 1) > listed.len() + 1;
-    let limit = if is_majority {
-        max_silence
-    } else {
-        MAX_PARTITION.max(max_silence)
+    let (silent, heard): (Vec<Peer<'a>>, Vec<Peer<'a>>) =
+        listed.iter().partition(|peer| peer.silence > max_silence);
+    let (sharing, own) = match holder {
+        LeaseHolder::Heard => (heard, own),
+        LeaseHolder::Silent if !silent.is_empty() => (silent, None),
+        LeaseHolder::Silent | LeaseHolder::Unknown => (listed.to_vec(), own),
     };
-    let sharing = listed.iter().filter(|peer| peer.silence <= limit);
-    sharing.map(|peer| peer.name).collect()
+    let names = sharing.into_iter().map(|peer| peer.name);
+    names.chain(own).collect()
 }
--- a/crates/ploverwick_endpoints/tests/slot_sharers.rs
+++ b/crates/ploverwick_endpoints/tests/slot_sharers.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use ploverwick_endpoints::sharers::{Peer, select};
+use ploverwick_endpoints::sharers::{LeaseHolder, Peer, select};
 
 const INTERVAL: Duration = Duration::from_millis(150);
 
@@ -14,25 +14,62 @@
     }
 }
 
+fn sharing<'a>(listed: &[Peer<'a>], holder: LeaseHolder) -> Vec<&'a str> {
+    select(Some("own"), listed, INTERVAL, holder)
+}
+
 #[gtest]
 fn silent_instances_have_no_share() {
-    let listed = [peer("a", 100), peer("b", 2_500), peer("c", 2_501)];
-    expect_that!(select(&listed, INTERVAL), elements_are![eq(&"a"), eq(&"b")]);
+    let listed = [peer("a", 100), peer("b", 8_000), peer("c", 8_001)];
+    let sharing = sharing(&listed, LeaseHolder::Heard);
+    expect_that!(sharing, elements_are![eq(&"a"), eq(&"b"), eq(&"own")]);
+}
+
+/// Guards against two sides of a partition that take over each other's shares, however many instances either has.
+#[gtest]
+fn one_side_of_a_partition_has_the_shares() {
+    for count in 1..6 {
+        let names = ["a", "b", "c", "d", "e", "f"];
+        let (left, right) = names.split_at(count);
+        let side = |own: &'static str, heard: &[&'static str], silent: &[&'static str], holder| {
+            let others = heard.iter().filter(|name| **name != own);
+            let heard = others.map(|name| peer(name, 100));
+            let silent = silent.iter().map(|name| peer(name, 9_000));
+            let listed: Vec<Peer<'_>> = heard.chain(silent).collect();
+            select(Some(own), &listed, INTERVAL, holder)
+        };
+        for own in left {
+            let mut got = side(own, left, right, LeaseHolder::Heard);
+            got.sort_unstable();
+            expect_that!(got, eq(left));
+        }
+        for own in right {
+            let mut got = side(own, right, left, LeaseHolder::Silent);
+            got.sort_unstable();
+            expect_that!(got, eq(left));
+        }
+    }
+}
+
+/// Guards against an instance that takes over shares while it does not know which side of a partition has them.
+#[gtest]
+fn unknown_holder_changes_nothing() {
+    let listed = [peer("a", 100), peer("b", 60_000), peer("c", 60_000)];
+    expect_that!(sharing(&listed, LeaseHolder::Unknown), len(eq(4)));
 }
 
-/// Guards against an instance that is cut off from all others and takes over their shares.
+/// Guards against an instance that stops although it hears all others, of which none holds the lease.
 #[gtest]
-fn cut_off_instance_takes_over_nothing() {
-    let listed = [peer("a", 100), peer("b", 6_000), peer("c", 6_000)];
-    expect_that!(select(&listed, INTERVAL), len(eq(3)));
-    let listed = [peer("a", 100), peer("b", 10_001), peer("c", 10_001)];
-    expect_that!(select(&listed, INTERVAL), elements_are![eq(&"a")]);
+fn silent_holder_is_not_a_partition() {
+    let listed = [peer("a", 100), peer("b", 7_000)];
+    expect_that!(sharing(&listed, LeaseHolder::Silent), len(eq(3)));
 }
 
 /// Guards against shares that move back and forth because instances of a large failure domain send to each other rarely.
 #[gtest]
 fn rare_messages_are_no_silence() {
-    let listed = [peer("a", 7_000), peer("b", 7_000)];
-    let interval = Duration::from_secs(2);
-    expect_that!(select(&listed, interval), len(eq(2)));
+    let listed = [peer("a", 8_001), peer("b", 12_000)];
+    let interval = Duration::from_secs(3);
+    let sharing = select(Some("own"), &listed, interval, LeaseHolder::Heard);
+    expect_that!(sharing, len(eq(3)));
 }
--- a/crates/ploverwick_gateway/src/state/slot_owners.rs
+++ b/crates/ploverwick_gateway/src/state/slot_owners.rs
@@ -1,6 +1,7 @@
 //! Which instances own the slots of the endpoints of brittle services.
 
-use ploverwick_endpoints::{Entry, sharers, slots};
+use ploverwick_endpoints::sharers::{self, LeaseHolder};
+use ploverwick_endpoints::{Entry, slots};
 use ploverwick_names::Moment;
 use ploverwick_platform::settings::Settings;
 
@@ -27,8 +28,7 @@
         let own = (self.instance_list != InstanceListState::Unread).then_some(&*settings.instance);
         if *domain == *settings.domain {
             let interval = broadcast::status_interval(listed.len());
-            let sharing = sharers::select(&listed, interval);
-            return sharing.into_iter().chain(own).collect();
+            return sharers::select(own, &listed, interval, self.lease_holder(settings, now));
         }
         if listed.is_empty() {
             return self.peers.keys().map(|name| &**name).chain(own).collect();
@@ -37,6 +37,16 @@
         listed.into_iter().map(|peer| peer.name).collect()
     }
 
+    fn lease_holder(&self, settings: &Settings, now: Moment) -> LeaseHolder {
+        if self.placer_lease.is_held(now) || self.placer_of(&settings.domain, now).is_some() {
+            LeaseHolder::Heard
+        } else if self.placer_lease.is_denied(now) {
+            LeaseHolder::Silent
+        } else {
+            LeaseHolder::Unknown
+        }
+    }
+
     /// Handles that a service has become brittle.
     pub(crate) fn handle_brittle(&mut self, service: &str, settings: &Settings, now: Moment) {
         // Late answers of requests that queued at an endpoint say nothing of it once requests no longer queue there.
