Name reachable lease holders in the usual terms

Cause: LeaseHolder::Heard and Silent, and comments about instances that hear each other. Change: Reachable and Unreachable; no behaviour. Result: lints and slot_sharers pass.

--- a/crates/ploverwick_endpoints/src/sharers.rs
+++ b/crates/ploverwick_endpoints/src/sharers.rs
@@ -2,14 +2,14 @@
 //!
 //! Each instance selects by itself. An instance that is silent has ended, and the others may take over its share, or it is
 //! partitioned from them and still uses it. The platform grants the lease of the failure domain to one instance only, so that
-//! only those that hear its holder take over anything, and those on the other side of a partition stop.
+//! only those that reach its holder take over anything, and those on the other side of a partition stop.
 
 use std::time::Duration;
 
 /// The number of missing messages after which an instance counts as silent.
 const MISSING_MESSAGES: u32 = 4;
-/// The shortest silence after which an instance counts as silent. By then, instances that do not hear the holder of the lease
-/// have requested the lease and know that another one holds it.
+/// The shortest silence after which an instance counts as silent. By then, instances that do not reach the holder of the lease
+/// have requested it and know that another one holds it.
 const MIN_SILENCE: Duration = Duration::from_secs(8);
 
 /// Another instance of the failure domain.
@@ -25,9 +25,9 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LeaseHolder {
     /// It is this instance, or one whose messages it receives.
-    Heard,
-    /// The platform does not grant the lease to this instance, which hears no holder.
-    Silent,
+    Reachable,
+    /// The platform does not grant the lease to this instance, which receives no messages from a holder.
+    Unreachable,
     /// Neither is known.
     Unknown,
 }
@@ -41,12 +41,12 @@
     holder: LeaseHolder,
 ) -> Vec<&'a str> {
     let max_silence = interval.saturating_mul(MISSING_MESSAGES).max(MIN_SILENCE);
-    let (silent, heard): (Vec<Peer<'a>>, Vec<Peer<'a>>) =
+    let (silent, others): (Vec<Peer<'a>>, Vec<Peer<'a>>) =
         listed.iter().partition(|peer| peer.silence > max_silence);
     let (sharing, own) = match holder {
-        LeaseHolder::Heard => (heard, own),
-        LeaseHolder::Silent if !silent.is_empty() => (silent, None),
-        LeaseHolder::Silent | LeaseHolder::Unknown => (listed.to_vec(), own),
+        LeaseHolder::Reachable => (others, own),
+        LeaseHolder::Unreachable if !silent.is_empty() => (silent, None),
+        LeaseHolder::Unreachable | LeaseHolder::Unknown => (listed.to_vec(), own),
     };
     let names = sharing.into_iter().map(|peer| peer.name);
     names.chain(own).collect()
--- a/crates/ploverwick_endpoints/tests/slot_sharers.rs
+++ b/crates/ploverwick_endpoints/tests/slot_sharers.rs
@@ -21,7 +21,7 @@
 #[gtest]
 fn silent_instances_have_no_share() {
     let listed = [peer("a", 100), peer("b", 8_000), peer("c", 8_001)];
-    let sharing = sharing(&listed, LeaseHolder::Heard);
+    let sharing = sharing(&listed, LeaseHolder::Reachable);
     expect_that!(sharing, elements_are![eq(&"a"), eq(&"b"), eq(&"own")]);
 }
 
@@ -31,20 +31,21 @@
     for count in 1..6 {
         let names = ["a", "b", "c", "d", "e", "f"];
         let (left, right) = names.split_at(count);
-        let side = |own: &'static str, heard: &[&'static str], silent: &[&'static str], holder| {
-            let others = heard.iter().filter(|name| **name != own);
-            let heard = others.map(|name| peer(name, 100));
-            let silent = silent.iter().map(|name| peer(name, 9_000));
-            let listed: Vec<Peer<'_>> = heard.chain(silent).collect();
-            select(Some(own), &listed, INTERVAL, holder)
-        };
+        let side =
+            |own: &'static str, reached: &[&'static str], silent: &[&'static str], holder| {
+                let others = reached.iter().filter(|name| **name != own);
+                let reached = others.map(|name| peer(name, 100));
+                let silent = silent.iter().map(|name| peer(name, 9_000));
+                let listed: Vec<Peer<'_>> = reached.chain(silent).collect();
+                select(Some(own), &listed, INTERVAL, holder)
+            };
         for own in left {
-            let mut got = side(own, left, right, LeaseHolder::Heard);
+            let mut got = side(own, left, right, LeaseHolder::Reachable);
             got.sort_unstable();
             expect_that!(got, eq(left));
         }
         for own in right {
-            let mut got = side(own, right, left, LeaseHolder::Silent);
+            let mut got = side(own, right, left, LeaseHolder::Unreachable);
             got.sort_unstable();
             expect_that!(got, eq(left));
         }
@@ -58,11 +59,11 @@
     expect_that!(sharing(&listed, LeaseHolder::Unknown), len(eq(4)));
 }
 
-/// Guards against an instance that stops although it hears all others, of which none holds the lease.
+/// Guards against an instance that stops although it reaches all others, of which none holds the lease.
 #[gtest]
-fn silent_holder_is_not_a_partition() {
+fn missing_holder_is_not_a_partition() {
     let listed = [peer("a", 100), peer("b", 7_000)];
-    expect_that!(sharing(&listed, LeaseHolder::Silent), len(eq(3)));
+    expect_that!(sharing(&listed, LeaseHolder::Unreachable), len(eq(3)));
 }
 
 /// Guards against shares that move back and forth because instances of a large failure domain send to each other rarely.
@@ -70,6 +71,6 @@
 fn rare_messages_are_no_silence() {
     let listed = [peer("a", 8_001), peer("b", 12_000)];
     let interval = Duration::from_secs(3);
-    let sharing = select(Some("own"), &listed, interval, LeaseHolder::Heard);
+    let sharing = select(Some("own"), &listed, interval, LeaseHolder::Reachable);
     expect_that!(sharing, len(eq(3)));
 }
--- a/crates/ploverwick_gateway/src/state/slot_owners.rs
+++ b/crates/ploverwick_gateway/src/state/slot_owners.rs
@@ -39,9 +39,9 @@
 
     fn lease_holder(&self, settings: &Settings, now: Moment) -> LeaseHolder {
         if self.placer_lease.is_held(now) || self.placer_of(&settings.domain, now).is_some() {
-            LeaseHolder::Heard
+            LeaseHolder::Reachable
         } else if self.placer_lease.is_denied(now) {
-            LeaseHolder::Silent
+            LeaseHolder::Unreachable
         } else {
             LeaseHolder::Unknown
         }
--- a/crates/ploverwick_gateway/tests/brittle_endpoints.rs
+++ b/crates/ploverwick_gateway/tests/brittle_endpoints.rs
@@ -217,7 +217,7 @@
     Ok(())
 }
 
-/// Guards against instances that hear few others and fill endpoints together with those that have taken over their slots.
+/// Guards against instances that reach few others and fill endpoints together with those that have taken over their slots.
 #[tokio::test(flavor = "multi_thread")]
 async fn partitioned_instances_crash_no_endpoints() -> Result<()> {
     let workload = Workload {
@@ -229,7 +229,7 @@
     Ok(())
 }
 
-/// Guards against halves of the instances that do not hear each other and take over each other's slots.
+/// Guards against halves of the instances that do not reach each other and take over each other's slots.
 #[tokio::test(flavor = "multi_thread")]
 async fn partitioned_halves_crash_no_endpoints() -> Result<()> {
     let workload = Workload {
