--- a/review/standin/src/crashed_service.rs
+++ b/review/standin/src/crashed_service.rs
@@ -12,13 +12,13 @@
 use crate::deployment::{Deployment, ZONES};
 use crate::record::{Random, Record};
 
-const TRAFFIC: Duration = Duration::from_secs(40);
+const TRAFFIC: Duration = Duration::from_secs(30);
 /// When the replicas crash, and how long they are down.
 const CRASH_AT: Duration = Duration::from_secs(8);
 const DOWN: Duration = Duration::from_secs(5);
 /// Requests count from so long after the replicas' return, which the list shows within a beat and a read.
 const SETTLED: Duration = Duration::from_secs(4);
-const CLIENTS_PER_GATEWAY: usize = 3;
+const CLIENTS_PER_GATEWAY: usize = 4;
 
 /// An answer, or its absence (0), and when its request was sent.
 struct Outcome {
@@ -34,7 +34,7 @@
     let mut deployment = Deployment::new(Arc::clone(&record)).await?;
     for (place, zone) in ZONES.iter().enumerate() {
         let settings = json!({
-            "service": "exam-app", "slots": 6, "queue": 24, "work_ms": 60, "events": 0, "seed": place,
+            "service": "exam-app", "slots": 6, "queue": 24, "work_ms": 120, "events": 0, "seed": place,
         });
         deployment.add_replica(&format!("i-{place:04x}"), zone, settings)?;
     }
@@ -103,7 +103,7 @@
     let mut outcomes = Vec::new();
     let mut connection = None;
     while Instant::now() < ends {
-        tokio::time::sleep(Duration::from_millis((random.next() * 120.0) as u64)).await;
+        tokio::time::sleep(Duration::from_millis(random.next_below(100))).await;
         let id = format!("{:016x}", number.fetch_add(1, Ordering::Relaxed));
         let request = ClientRequest::new(&id, "mino21.example", "/hugo494/open-papers")
             .timeout(Duration::from_secs(1));
--- a/review/standin/src/deployment.rs
+++ b/review/standin/src/deployment.rs
@@ -12,7 +12,7 @@
 use ploverwick_platform_standin::store::Store;
 use serde_json::{Value, json};
 
-use crate::record::{Record, now_ms};
+use crate::record::{Random, Record, now_ms};
 
 pub const ZONES: [&str; 3] = ["hall-charguia", "hall-ariana", "hall-lac"];
 /// Traffic starts so long after the machines do.
@@ -60,7 +60,7 @@
     pub async fn new(record: Arc<Record>) -> Result<Self> {
         let folder = std::env::temp_dir().join(format!("ploverwick-review-{}", std::process::id()));
         fs::create_dir_all(&folder)?;
-        let network = 20 + (std::process::id() % 200) as u8;
+        let network = free_network()?;
         Ok(Self {
             store: Store::start().await?,
             fronts: Vec::new(),
@@ -242,6 +242,7 @@
 
 /// Writes the replicas' entries as long as they run, and removes those of replicas that are silent.
 fn spawn_beats(replicas: Arc<Mutex<Vec<Replica>>>, store: Store) {
+    let mut random = Random::new(now_ms());
     tokio::spawn(async move {
         loop {
             {
@@ -250,7 +251,10 @@
                     if replica.has_ended() {
                         replica.process = None;
                     }
-                    let is_due = replica.last_beat.is_none_or(|at| at.elapsed() >= BEAT);
+                    // Between 1,100 and 1,300 ms, so that the replicas' entries don't expire at one moment.
+                    let pause = BEAT + Duration::from_millis(random.next_below(200))
+                        - Duration::from_millis(100);
+                    let is_due = replica.last_beat.is_none_or(|at| at.elapsed() >= pause);
                     if replica.process.is_some() && is_due {
                         let entry = replica.entry();
                         store.list(&replica.id, &entry);
@@ -269,6 +273,22 @@
     });
 }
 
+/// Finds a network 127.N.0.0 whose fixed ports are free: that of the metrics and that of the first replica.
+fn free_network() -> Result<u8> {
+    let first = std::process::id() % 200;
+    let mut candidates = (0..200).map(|n| 20 + ((first + n) % 200) as u8);
+    let is_free = |network: &u8| {
+        let fixed = [
+            format!("127.{network}.1.1:{METRICS}"),
+            format!("127.{network}.64.1:8082"),
+        ];
+        fixed
+            .iter()
+            .all(|address| TcpListener::bind(address).is_ok())
+    };
+    candidates.find(is_free).context("no network is free")
+}
+
 /// Finds a port that is free at all addresses, and the one after it too.
 fn free_port(network: u8) -> Result<u16> {
     static NEXT: Mutex<u16> = Mutex::new(0);
--- a/review/standin/src/record.rs
+++ b/review/standin/src/record.rs
@@ -59,4 +59,9 @@
         self.0 ^= self.0 << 17;
         (self.0 >> 11) as f64 / (1_u64 << 53) as f64
     }
+
+    /// Returns a whole number below `end`.
+    pub fn next_below(&mut self, end: u64) -> u64 {
+        (self.next() * end as f64) as u64
+    }
 }
--- a/review/standin/src/replica.rs
+++ b/review/standin/src/replica.rs
@@ -19,6 +19,9 @@
 
 use crate::record::{Random, now_ms};
 
+/// How long an answer may remain unread.
+const UNREAD: Duration = Duration::from_secs(5);
+
 /// The settings of a replica, handed over as JSON in its only argument.
 struct Settings {
     id: String,
@@ -202,7 +205,9 @@
             tokio::time::sleep(Duration::from_millis(self.settings.work_ms)).await;
             let body = format!("the bytes of {id}");
             let answer = format!("{head}Content-Length: {}\r\n\r\n{body}", body.len());
-            return write(stream, sent, &answer).await;
+            let sent = write(stream, sent, &answer).await?;
+            self.log(&format!("whole {id}"));
+            return Ok(sent);
         }
         let pause = Duration::from_millis(self.settings.work_ms / self.settings.events);
         let head = format!(
@@ -314,7 +319,8 @@
 }
 
 async fn write(stream: &mut TcpStream, mut sent: Vec<u8>, text: &str) -> Result<Vec<u8>> {
-    stream.write_all(text.as_bytes()).await?;
+    // A replica cuts off an answer that remains unread for some seconds.
+    tokio::time::timeout(UNREAD, stream.write_all(text.as_bytes())).await??;
     sent.extend_from_slice(text.as_bytes());
     Ok(sent)
 }
