--- a/review/standin/src/deployment.rs
+++ b/review/standin/src/deployment.rs
@@ -1,7 +1,8 @@
 //! A small deployment on loopback: the store, replicas and gateways, with the settings of DEPLOY.md.
 
 use std::fs::{self, File};
-use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
@@ -41,6 +42,7 @@
     settings: Value,
     process: Option<Process>,
     beats: u64,
+    models: Value,
     last_beat: Option<Instant>,
     /// Whether its entry is in the store.
     is_listed: bool,
@@ -84,6 +86,7 @@
             settings,
             process: None,
             beats: 0,
+            models: json!([]),
             last_beat: None,
             is_listed: false,
         };
@@ -115,9 +118,10 @@
                 id: format!("{}-again", old.id),
                 zone: old.zone.clone(),
                 address: old.address.clone(),
-                settings: old.settings.clone(),
+                settings: empty(&old.settings),
                 process: None,
                 beats: 0,
+                models: json!([]),
                 last_beat: None,
                 is_listed: false,
             };
@@ -223,12 +227,11 @@
 
     fn entry(&mut self) -> Value {
         self.beats += 1;
-        let models = match self.settings["model"].as_str() {
-            Some(model) => {
-                json!([{"name": model, "version": 1, "adapters": self.settings["adapters"]}])
-            }
-            None => json!([]),
-        };
+        // What it holds, as of its last report.
+        if let Ok(models) = reported_models(&self.address) {
+            self.models = models;
+        }
+        let models = &self.models;
         json!({
             "service": self.settings["service"], "address": self.address, "zone": self.zone, "version": "v1",
             "slots": self.settings["slots"], "state": "ready", "cold_left_ms": 0, "seq": self.beats, "models": models,
@@ -236,6 +239,37 @@
     }
 }
 
+/// Returns the settings of a replica that starts again, which is empty.
+fn empty(settings: &Value) -> Value {
+    let mut settings = settings.clone();
+    settings["is_empty"] = true.into();
+    settings["adapters"] = json!([]);
+    settings
+}
+
+/// Returns what a replica reports that it holds.
+fn reported_models(address: &str) -> Result<Value> {
+    let wait = Duration::from_millis(100);
+    let mut stream = TcpStream::connect_timeout(&address.parse()?, wait)?;
+    stream.set_read_timeout(Some(wait))?;
+    stream.write_all(b"GET /api/report HTTP/1.1\r\nHost: replica\r\nConnection: close\r\n\r\n")?;
+    let mut answer = Vec::new();
+    let mut buffer = [0; 4_096];
+    loop {
+        let count = stream.read(&mut buffer)?;
+        answer.extend_from_slice(&buffer[..count]);
+        let text = String::from_utf8_lossy(&answer);
+        if let Some((_, body)) = text.split_once("\r\n\r\n")
+            && let Ok(report) = serde_json::from_str::<Value>(body)
+        {
+            return Ok(report["models"].clone());
+        }
+        if count == 0 {
+            bail!("no report");
+        }
+    }
+}
+
 fn log_path(folder: &Path, id: &str) -> PathBuf {
     folder.join(format!("{id}.log"))
 }
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -5,6 +5,7 @@
 mod record;
 mod replica;
 mod second_answer;
+mod unframed;
 mod weights;
 
 use std::process::ExitCode;
@@ -22,6 +23,7 @@
             .map(|()| true),
         Some("second-answer") => runtime.block_on(second_answer::run(&arguments[1])),
         Some("crashed-service") => runtime.block_on(crashed_service::run(&arguments[1])),
+        Some("unframed") => runtime.block_on(unframed::run(&arguments[1])),
         Some("weights") => runtime.block_on(weights::run(&arguments[1])),
         _ => Err(anyhow::anyhow!("usage: review_standin CASE FOLDER")),
     };
--- a/review/standin/src/replica.rs
+++ b/review/standin/src/replica.rs
@@ -40,6 +40,8 @@
     /// The share of requests that are refused, and of answers that are followed by a copy, during a trouble.
     shed: f64,
     second: f64,
+    /// The share of streams that have neither a length nor chunks, and end with their channel.
+    unframed: f64,
     /// The troubles: spans of the time of day, in ms.
     trouble: Vec<(u64, u64)>,
 }
@@ -54,6 +56,8 @@
 struct State {
     waiting: usize,
     random: Random,
+    /// Whether it holds its model. A replica that starts again is empty.
+    has_model: bool,
     adapters: BTreeSet<String>,
     orders: u64,
     token: u64,
@@ -90,6 +94,7 @@
         adapter_mb: number("adapter_mb"),
         shed: wire["shed"].as_f64().unwrap_or_default(),
         second: wire["second"].as_f64().unwrap_or_default(),
+        unframed: wire["unframed"].as_f64().unwrap_or_default(),
         trouble: trouble.collect(),
     };
     let adapters = wire["adapters"].as_array().cloned().unwrap_or_default();
@@ -100,6 +105,7 @@
         state: Mutex::new(State {
             waiting: 0,
             random: Random::new(number("seed") + 1),
+            has_model: wire["is_empty"] != true,
             adapters: adapters.map(str::to_owned).collect(),
             orders: 0,
             token: 0,
@@ -210,14 +216,31 @@
             return Ok(sent);
         }
         let pause = Duration::from_millis(self.settings.work_ms / self.settings.events);
+        let is_unframed = self.draws(self.settings.unframed);
+        let framing = if is_unframed {
+            self.log(&format!("unframed {id}"));
+            "Connection: close"
+        } else {
+            "Transfer-Encoding: chunked"
+        };
         let head = format!(
-            "{head}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\nPloverwick-Weight-Versions: 1\r\n\r\n"
+            "{head}Content-Type: text/event-stream\r\n{framing}\r\nPloverwick-Weight-Versions: 1\r\n\r\n"
         );
         sent = write(stream, sent, &head).await?;
         for number in 0..self.settings.events {
             tokio::time::sleep(pause).await;
             let event = format!("id: {number}\ndata: piece {number} of {id}\n\n");
-            sent = write(stream, sent, &format!("{:x}\r\n{event}\r\n", event.len())).await?;
+            let piece = if is_unframed {
+                event
+            } else {
+                format!("{:x}\r\n{event}\r\n", event.len())
+            };
+            sent = write(stream, sent, &piece).await?;
+        }
+        self.log(&format!("whole {id}"));
+        if is_unframed {
+            // Closes the channel, which ends the answer.
+            anyhow::bail!("the answer ends with its channel");
         }
         write(stream, sent, "0\r\n\r\n").await
     }
@@ -231,7 +254,7 @@
     fn report(&self) -> Vec<u8> {
         let state = self.state.lock().expect("no holder of the lock panics");
         let adapters: Vec<&String> = state.adapters.iter().collect();
-        let models = self.settings.model.as_ref();
+        let models = self.settings.model.as_ref().filter(|_| state.has_model);
         let models = models.map(|name| json!({"name": name, "version": 1, "adapters": adapters}));
         let models: Vec<Value> = models.into_iter().collect();
         let body = json!({"stage": "colocated", "models": models, "busy": false, "seq": state.orders,
@@ -266,9 +289,12 @@
     /// Returns whether the replica holds the adapter that a request names.
     fn holds(&self, request: &Request) -> bool {
         let model = request.headers.get("ploverwick-model");
-        let Some((_, adapter)) = model.and_then(|model| model.split_once('/')) else {
+        let Some(model) = model else {
             return true;
         };
+        let Some((_, adapter)) = model.split_once('/') else {
+            return self.has_model;
+        };
         let version = request.headers.get("ploverwick-expect-version");
         let version = version.map_or("1", |version| version);
         self.adapters.contains(&format!("{adapter}@{version}"))
@@ -284,7 +310,9 @@
         }
         self.token = token;
         let Some(adapter) = call["adapter"].as_str() else {
-            return 200;
+            let is_new = !std::mem::replace(&mut self.has_model, true);
+            self.orders += u64::from(is_new);
+            return if is_new { 202 } else { 200 };
         };
         let version = call["version"].as_u64().unwrap_or(1);
         let name = format!("{adapter}@{version}");
