--- a/review/standin/src/crashed_service.rs
+++ b/review/standin/src/crashed_service.rs
@@ -12,11 +12,13 @@
 use crate::deployment::{Deployment, ZONES};
 use crate::record::{Random, Record};
 
-const TRAFFIC: Duration = Duration::from_secs(30);
-/// When the replicas crash, and how long they are down.
-const CRASH_AT: Duration = Duration::from_secs(8);
+const TRAFFIC: Duration = Duration::from_secs(55);
+/// The replicas crash so often, so long after the start or the last return, and are down so long.
+const CRASHES: usize = 3;
+const PAUSE: Duration = Duration::from_secs(8);
 const DOWN: Duration = Duration::from_secs(5);
-/// Requests count from so long after the replicas' return, which the list shows within a beat and a read.
+/// The statuses of requests are shown from so long after the replicas' last return, which the list shows within a beat and a
+/// read.
 const SETTLED: Duration = Duration::from_secs(4);
 const CLIENTS_PER_GATEWAY: usize = 4;
 
@@ -53,11 +55,16 @@
             clients.push(tokio::spawn(send(front, record, number, random, ends)));
         }
     }
-    tokio::time::sleep(CRASH_AT).await;
-    if is_troubled {
-        deployment.crash(&[0, 1, 2], DOWN).await?;
-    } else {
-        tokio::time::sleep(DOWN).await;
+    let mut places = vec![0, 1, 2];
+    for _ in 0..CRASHES {
+        tokio::time::sleep(PAUSE).await;
+        if is_troubled {
+            deployment.crash(&places, DOWN).await?;
+            // Replicas that start again are listed behind the others.
+            places = places.iter().map(|place| place + 3).collect();
+        } else {
+            tokio::time::sleep(DOWN).await;
+        }
     }
     let back = Instant::now();
     let mut outcomes = Vec::new();
@@ -83,7 +90,7 @@
     let bound = 5 + all / 500;
     let is_kept = count <= bound;
     record.result(&format!(
-        "statuses of requests sent {SETTLED:?} after the replicas' return or later: {statuses:?}"
+        "statuses of requests sent {SETTLED:?} after the replicas' last return or later: {statuses:?}"
     ));
     record.result(&format!(
         "{all} proper requests, {count} ended with a 3xx or 4xx of the system's own, {bound} allowed: {}",
--- a/review/standin/src/second_answer.rs
+++ b/review/standin/src/second_answer.rs
@@ -13,8 +13,8 @@
 use crate::record::{Random, Record};
 
 const TRAFFIC: Duration = Duration::from_secs(80);
-/// The troubles come every 10 s, each for 5 s.
-const PERIOD: Duration = Duration::from_secs(10);
+/// The troubles come every 7 s, each for 5 s.
+const PERIOD: Duration = Duration::from_secs(7);
 const TROUBLE: Duration = Duration::from_secs(5);
 /// The share of requests that the shedding replica refuses (`srv_grey`), and the share of answers that the faulty replicas
 /// follow with a second copy (`garble`).
@@ -22,7 +22,7 @@
 const SECOND: f64 = 0.03;
 const REPLICAS: usize = 6;
 const ADAPTERS: usize = 8;
-const CLIENTS_PER_GATEWAY: usize = 12;
+const CLIENTS_PER_GATEWAY: usize = 18;
 
 /// Runs the case; returns whether the rules held.
 pub async fn run(folder: &str) -> Result<bool> {
