Log which send an endpoint's answer was taken for

send_refused has the connection, the number of the exchange on it, the identifier that the answer names and the sends so far; answer_foreign does the same for answers that are not taken; ploverwick_answers_total counts answers by what they name, to requests and to calls (orders and reports).

--- a/crates/ploverwick_endpoints/src/lib.rs
+++ b/crates/ploverwick_endpoints/src/lib.rs
@@ -14,6 +14,7 @@
 mod draining_reports;
 mod entry;
 mod event_scanner;
+mod exchanges;
 mod fleet;
 mod health;
 mod heartbeats;
@@ -52,6 +53,7 @@
 pub use draining_reports::DrainingReports;
 pub use entry::{Entry, Held, State};
 pub use event_scanner::{EventScanner, Scan};
+pub use exchanges::{Echo, Exchanges};
 pub use fleet::{Cost, Fleet, Query};
 pub use health::{Health, Outcome};
 pub use heartbeats::{Heartbeat, Heartbeats};
--- a/crates/ploverwick_gateway/src/controllers/orders.rs
+++ b/crates/ploverwick_gateway/src/controllers/orders.rs
@@ -357,6 +357,7 @@
     request: Request<Full<Bytes>>,
     timeout: Duration,
 ) -> Option<Response<Bytes>> {
+    connection.exchanges.begin();
     let exchange = async {
         let response = connection.sender.send_request(request).await?;
         let (head, body) = response.into_parts();
@@ -367,6 +368,8 @@
     match response {
         Ok(Ok(response)) => {
             reachability::handle_answer(shared, entry, &mut connection);
+            let echo = answer::echo(response.headers(), "");
+            metrics::answer("call", echo, connection.exchanges);
             shared.pool.keep(&entry.id, connection);
             let reported = answer::state(response.headers());
             draining::handle_answer(shared, &entry.id, reported, &"call");
--- a/crates/ploverwick_gateway/src/filters/send.rs
+++ b/crates/ploverwick_gateway/src/filters/send.rs
@@ -9,7 +9,7 @@
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use ploverwick_endpoints::{Entry, Evidence, Outcome};
+use ploverwick_endpoints::{Echo, Entry, Evidence, Outcome};
 use ploverwick_names::Moment;
 use ploverwick_platform::answer::{self, Head, Statement};
 use ploverwick_platform::request::{self, Addition};
@@ -25,6 +25,7 @@
 use super::reuse;
 use super::select::{self, Target};
 use crate::controllers::{brittleness, crashes, draining, limits, pauses, reachability};
+use crate::metrics;
 use crate::pool::Connection;
 use crate::shared::Shared;
 
@@ -121,20 +122,19 @@
     let known = quarantine::known(shared, request);
     let begun = Instant::now();
     let message = build_message(request, target, &caller, after_event);
-    let (mut connection, result) = match exchange(shared, request, target, wait, message).await {
+    let (connection, result) = match exchange(shared, request, target, wait, message).await {
         Exchange::Unsent(cause, outcome) => {
             record_not_run(request);
             in_flight.set_outcome(outcome);
             return SendOutcome::Unsent(cause);
         }
         Exchange::TimedOut => {
-            in_flight.set_outcome(
-                if wait.is_late() || is_past_start_deadline(shared, target) {
-                    Outcome::Abandoned
-                } else {
-                    Outcome::Broken
-                },
-            );
+            let is_late = wait.is_late() || is_past_start_deadline(shared, target);
+            in_flight.set_outcome(if is_late {
+                Outcome::Abandoned
+            } else {
+                Outcome::Broken
+            });
             return SendOutcome::TimedOut;
         }
         Exchange::Withdrawn => {
@@ -143,39 +143,82 @@
         }
         Exchange::Done(connection, result) => (connection, result),
     };
-    let (parts, body) = match result {
-        Ok(response) => response.into_parts(),
+    match result {
+        Ok(response) => {
+            let sent = Sent {
+                in_flight,
+                at: sent,
+                begun,
+                evidence,
+            };
+            handle_response(shared, request, target, sent, connection, response)
+        }
         Err(error) => {
             reachability::handle_break(shared, &target.entry, &connection);
             in_flight.set_outcome(Outcome::Broken);
             crashes::handle_broken_connection(shared, endpoint, request.suspect(&known));
-            return SendOutcome::Lost(error.to_string());
+            SendOutcome::Lost(error.to_string())
         }
-    };
+    }
+}
+
+/// A request that was sent.
+struct Sent {
+    in_flight: InFlight,
+    at: Moment,
+    begun: Instant,
+    /// What this instance knew of the endpoint.
+    evidence: Evidence,
+}
+
+/// Handles the head of an answer.
+fn handle_response(
+    shared: &Arc<Shared>,
+    request: &AdmittedRequest,
+    target: &Target,
+    sent: Sent,
+    mut connection: Connection,
+    response: Response<Incoming>,
+) -> SendOutcome {
+    let Sent { mut in_flight, .. } = sent;
+    let endpoint = &target.entry.id;
+    let (parts, body) = response.into_parts();
     reachability::handle_answer(shared, &target.entry, &mut connection);
     let head = answer::read(parts.status, &parts.headers, &request.info.id);
+    metrics::answer("request", head.echo, connection.exchanges);
     if parts.status.is_success() {
         // Measure from the send, not from the client's request, which may have waited for an adapter load.
-        in_flight.record_latency(begun.elapsed());
+        in_flight.record_latency(sent.begun.elapsed());
     }
-    if head.is_for_other_attempt {
-        // This answers an earlier request on the connection, so the start of this one's answer is unknown.
+    if !connection.exchanges.owns(head.echo) {
+        // The start of this request's answer is unknown.
         in_flight.set_outcome(Outcome::Error);
+        log_foreign_answer(
+            shared,
+            request,
+            endpoint,
+            &connection,
+            parts.status,
+            head.echo,
+        );
         return SendOutcome::Lost("the answer is another request's".to_owned());
     }
-    handle_reports(shared, request, &target.entry, (parts.status, &head), sent);
+    handle_reports(
+        shared,
+        request,
+        &target.entry,
+        &connection,
+        (parts.status, &head),
+        sent.at,
+    );
     if head.statement == Statement::NotRun
         && let Some(max_refusals) = head.max_refusals
     {
-        brittleness::handle_refusal(shared, endpoint, &request.info.id, &evidence, max_refusals);
+        let id = &request.info.id;
+        brittleness::handle_refusal(shared, endpoint, id, &sent.evidence, max_refusals);
     }
     if head.statement != Statement::Nothing {
-        record_not_run(request);
-        let misdirected = head.statement == Statement::Misdirected;
-        if misdirected && let Some(copy) = &target.copy {
-            // The directory is wrong: the endpoint does not hold the adapter.
-            shared.state().directory.mark_unloaded(endpoint, copy);
-        }
+        let misdirected = handle_not_run(shared, request, target, &head);
         in_flight.set_not_run(misdirected);
         reuse::drain(shared, endpoint, connection, head, body);
         return SendOutcome::NotRun { misdirected };
@@ -191,6 +234,23 @@
     }))
 }
 
+/// Handles that an endpoint has not run a request. Returns whether the request was misdirected.
+fn handle_not_run(
+    shared: &Shared,
+    request: &AdmittedRequest,
+    target: &Target,
+    head: &Head,
+) -> bool {
+    record_not_run(request);
+    let misdirected = head.statement == Statement::Misdirected;
+    if misdirected && let Some(copy) = &target.copy {
+        // The directory is wrong: the endpoint does not hold the adapter.
+        let endpoint = &target.entry.id;
+        shared.state().directory.mark_unloaded(endpoint, copy);
+    }
+    misdirected
+}
+
 /// Returns what this instance knows of an endpoint to which it is about to send a request.
 fn evidence(shared: &Shared, request: &AdmittedRequest, entry: &Entry, now: Moment) -> Evidence {
     let state = shared.state();
@@ -209,6 +269,7 @@
     shared: &Shared,
     request: &AdmittedRequest,
     entry: &Entry,
+    connection: &Connection,
     (status, head): (StatusCode, &Head),
     sent: Moment,
 ) {
@@ -220,15 +281,42 @@
     brittleness::handle_answer(shared, entry, head, sent);
     if status == StatusCode::SERVICE_UNAVAILABLE && shared.log_limiter.allow(shared.now()) {
         spdlog::info!(
-            "send_refused id={} endpoint={} statement={:?} retry_after={:?}",
+            "send_refused id={} endpoint={} connection={} exchange={} echo={} sends={} statement={:?} retry_after={:?}",
             id,
             endpoint,
+            connection.id,
+            connection.exchanges.begun(),
+            head.echo.name(),
+            request.sends.load(Ordering::Relaxed),
             head.statement,
             head.retry_after
         );
     }
 }
 
+/// Logs an answer that is not taken for the answer to the request.
+fn log_foreign_answer(
+    shared: &Shared,
+    request: &AdmittedRequest,
+    endpoint: &str,
+    connection: &Connection,
+    status: StatusCode,
+    echo: Echo,
+) {
+    if shared.log_limiter.allow(shared.now()) {
+        spdlog::info!(
+            "answer_foreign id={} endpoint={} connection={} exchange={} echo={} sends={} status={}",
+            request.info.id,
+            endpoint,
+            connection.id,
+            connection.exchanges.begun(),
+            echo.name(),
+            request.sends.load(Ordering::Relaxed),
+            status.as_u16()
+        );
+    }
+}
+
 fn record_not_run(request: &AdmittedRequest) {
     if let Some(charge) = &request.charge {
         charge.record_not_run();
@@ -254,6 +342,7 @@
     let is_last = !request.route.kind.may_retry();
     let pool = reachability::pool(shared, &target.entry);
     while let Some(mut connection) = pool.take(&target.entry.id, is_last) {
+        connection.exchanges.begin();
         let send = connection.sender.try_send_request(message);
         let send = reachability::watch(shared, &target.entry, &connection, send);
         match wait_for_answer(shared, request, target, wait, send).await {
@@ -288,6 +377,7 @@
             return Exchange::Unsent("no time is left".to_owned(), outcome);
         }
     };
+    connection.exchanges.begin();
     let send = connection.sender.send_request(message);
     let send = reachability::watch(shared, &target.entry, &connection, send);
     match wait_for_answer(shared, request, target, wait, send).await {
--- a/crates/ploverwick_gateway/src/metrics.rs
+++ b/crates/ploverwick_gateway/src/metrics.rs
@@ -18,6 +18,7 @@
 use ploverwick_adapters::Demand;
 use ploverwick_codes::Code;
 use ploverwick_endpoints::slots::Totals;
+use ploverwick_endpoints::{Echo, Exchanges};
 use ploverwick_names::Moment;
 use ploverwick_quarantine::Diagnosis;
 use ploverwick_topics::Reading;
@@ -100,6 +101,17 @@
     counter!("ploverwick_sends_total", "ending" => outcome).increment(1);
 }
 
+/// Counts an answer of an endpoint by the attempt that it names, and by whether its connection brought another one before.
+pub(crate) fn answer(to: &'static str, echo: Echo, exchanges: Exchanges) {
+    let exchange = if exchanges.begun() > 1 {
+        "later"
+    } else {
+        "first"
+    };
+    counter!("ploverwick_answers_total", "to" => to, "echo" => echo.name(), "exchange" => exchange)
+        .increment(1);
+}
+
 /// Counts a new connection to an endpoint by its outcome.
 pub(crate) fn endpoint_connection(outcome: &'static str) {
     counter!("ploverwick_endpoint_connections_total", "outcome" => outcome).increment(1);
--- a/crates/ploverwick_gateway/src/pool.rs
+++ b/crates/ploverwick_gateway/src/pool.rs
@@ -1,8 +1,10 @@
 //! A pool of connections to endpoints.
 
 use std::collections::HashMap;
+use std::fmt;
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -10,6 +12,7 @@
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
+use ploverwick_endpoints::Exchanges;
 use ploverwick_names::Moment;
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpSocket, TcpStream};
@@ -27,10 +30,29 @@
 /// The margin before the end of an endpoint's idle timeout, so that a request does not race with the close.
 const IDLE_MARGIN: Duration = Duration::from_millis(900);
 
+/// Identifies a connection within this process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct ConnectionId(u64);
+
+impl ConnectionId {
+    fn next() -> Self {
+        static NEXT: AtomicU64 = AtomicU64::new(0);
+        Self(NEXT.fetch_add(1, Ordering::Relaxed))
+    }
+}
+
+impl fmt::Display for ConnectionId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
 /// A connection to an endpoint, ready for one request at a time.
 #[derive(Debug)]
 pub(crate) struct Connection {
+    pub(crate) id: ConnectionId,
     pub(crate) sender: SendRequest<Full<Bytes>>,
+    pub(crate) exchanges: Exchanges,
     /// Whether it has brought an answer.
     pub(crate) is_proven: bool,
     /// The instance that relays it, if it is not direct.
@@ -211,7 +233,9 @@
             on_close();
         });
         Ok(Self {
+            id: ConnectionId::next(),
             sender,
+            exchanges: Exchanges::default(),
             is_proven: false,
             relay,
             idle_timeout: None,
