Send an attempt only once on each connection

Cause: an answer is matched to its request by the identifier of the attempt and by its place on the connection. An endpoint that is full refuses the request; its connection returns to the pool, and 12 ms later the same attempt goes out on it again, as the connection used last comes first. A second copy of the refusal that arrives there names this very attempt, so that it is taken for the answer to the second send, while the endpoint runs that send.

Nothing in the second copy tells the two sends apart but their connections: a request now notes the connections on which it was sent and takes others. A copy that arrives on the old connection meets another attempt's request and is recognised by the identifier.

--- a/crates/ploverwick_gateway/src/controllers/orders.rs
+++ b/crates/ploverwick_gateway/src/controllers/orders.rs
@@ -182,7 +182,7 @@
     timeout: Duration,
 ) -> Option<Answer> {
     let request = order::encode(order, &entry.id, &shared.settings.instance, token);
-    let connection = match shared.pool.take(&entry.id, false) {
+    let connection = match shared.pool.take(&entry.id, false, &[]) {
         Some(connection) => Ok(connection),
         None => reachability::connect_directly(shared, entry).await,
     };
@@ -249,7 +249,7 @@
 }
 
 async fn fetch_report(shared: &Arc<Shared>, entry: &Entry) {
-    let connection = match shared.pool.take(&entry.id, false) {
+    let connection = match shared.pool.take(&entry.id, false, &[]) {
         Some(connection) => Some(connection),
         None => reachability::connect_directly(shared, entry).await.ok(),
     };
--- a/crates/ploverwick_gateway/src/filters/admit.rs
+++ b/crates/ploverwick_gateway/src/filters/admit.rs
@@ -1,7 +1,7 @@
 //! Reads and validates a request and finds its route.
 
 use std::sync::atomic::AtomicU32;
-use std::sync::{Arc, OnceLock};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -83,6 +83,7 @@
         origin_attempt: None,
         charge: None,
         sends: AtomicU32::new(0),
+        used_connections: Mutex::default(),
     };
     if let Some(refusal) = quarantine::refusal(shared, &admitted) {
         return Err(refusal);
--- a/crates/ploverwick_gateway/src/filters/admitted_request.rs
+++ b/crates/ploverwick_gateway/src/filters/admitted_request.rs
@@ -1,7 +1,7 @@
 //! A request that passed admission.
 
 use std::sync::atomic::AtomicU32;
-use std::sync::{Arc, OnceLock};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -17,6 +17,7 @@
 use super::authenticate::Caller;
 use super::quota::Charge;
 use crate::controllers::origins::Scope;
+use crate::pool::ConnectionId;
 
 /// The highest priority value, which is the most urgent in the table. The platform uses the reverse order, in
 /// which 0 is the most urgent.
@@ -76,6 +77,9 @@
     pub(crate) charge: Option<Charge>,
     /// How many times it was sent to endpoints.
     pub(crate) sends: AtomicU32,
+    /// The connections on which it was sent. It is not sent on one of them again: its answers all name this attempt, so that
+    /// a second answer to the earlier send would be taken for the answer to the later one.
+    pub(crate) used_connections: Mutex<Vec<ConnectionId>>,
 }
 
 impl AdmittedRequest {
@@ -84,6 +88,11 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    pub(super) fn lock_used_connections(&self) -> MutexGuard<'_, Vec<ConnectionId>> {
+        let used = self.used_connections.lock();
+        used.expect("no holder of the lock panics")
+    }
+
     /// Returns the services that may continue its stream.
     pub(super) fn scope(&self) -> Scope<'_> {
         Scope {
--- a/crates/ploverwick_gateway/src/filters/send.rs
+++ b/crates/ploverwick_gateway/src/filters/send.rs
@@ -26,7 +26,7 @@
 use super::select::{self, Target};
 use crate::controllers::{brittleness, crashes, draining, limits, pauses, reachability};
 use crate::metrics;
-use crate::pool::Connection;
+use crate::pool::{Connection, Pool};
 use crate::shared::Shared;
 
 /// The remaining time below which a request is not sent, as the endpoint's work would be wasted.
@@ -341,7 +341,7 @@
     // A pooled connection may have been closed by the endpoint; hyper then returns the request unsent.
     let is_last = !request.route.kind.may_retry();
     let pool = reachability::pool(shared, &target.entry);
-    while let Some(mut connection) = pool.take(&target.entry.id, is_last) {
+    while let Some(mut connection) = take_unused(request, pool, &target.entry.id, is_last) {
         connection.exchanges.begin();
         let send = connection.sender.try_send_request(message);
         let send = reachability::watch(shared, &target.entry, &connection, send);
@@ -377,6 +377,7 @@
             return Exchange::Unsent("no time is left".to_owned(), outcome);
         }
     };
+    request.lock_used_connections().push(connection.id);
     connection.exchanges.begin();
     let send = connection.sender.send_request(message);
     let send = reachability::watch(shared, &target.entry, &connection, send);
@@ -387,6 +388,19 @@
     }
 }
 
+/// Takes a connection on which the request was not sent yet from a pool.
+fn take_unused(
+    request: &AdmittedRequest,
+    pool: &Pool,
+    endpoint: &str,
+    is_final: bool,
+) -> Option<Connection> {
+    let mut used = request.lock_used_connections();
+    let connection = pool.take(endpoint, is_final, &used)?;
+    used.push(connection.id);
+    Some(connection)
+}
+
 /// Returns whether a request was cancelled because its version was or may have been replaced. This does not
 /// affect the health of the endpoint.
 fn is_past_start_deadline(shared: &Shared, target: &Target) -> bool {
--- a/crates/ploverwick_gateway/src/pool.rs
+++ b/crates/ploverwick_gateway/src/pool.rs
@@ -95,10 +95,15 @@
         }
     }
 
-    /// Takes the most recently used connection, which is the least likely to be closed.
+    /// Takes the most recently used connection, which is the least likely to be closed, except for those in `excluded`.
     ///
     /// `is_final` states that the request cannot be retried if the connection turns out to be dead.
-    pub(crate) fn take(&self, endpoint: &str, is_final: bool) -> Option<Connection> {
+    pub(crate) fn take(
+        &self,
+        endpoint: &str,
+        is_final: bool,
+        excluded: &[ConnectionId],
+    ) -> Option<Connection> {
         let max_idle = if is_final {
             MAX_IDLE_BEFORE_FINAL_SEND
         } else {
@@ -107,9 +112,11 @@
         let now = self.clock.now();
         let mut idle = self.idle.lock().expect("no holder of the lock panics");
         let list = idle.get_mut(endpoint)?;
-        while let Some(last) = list.pop() {
-            if last.is_usable(max_idle, now) {
-                return Some(last.connection);
+        for index in (0..list.len()).rev() {
+            if !list[index].is_usable(max_idle, now) {
+                list.remove(index);
+            } else if !excluded.contains(&list[index].connection.id) {
+                return Some(list.remove(index).connection);
             }
         }
         None
--- a/crates/ploverwick_gateway/tests/truncated_answers.rs
+++ b/crates/ploverwick_gateway/tests/truncated_answers.rs
@@ -211,6 +211,8 @@
             "200 OK"
         };
         RawAnswer {
+            before: Vec::new(),
+            names_attempt: true,
             head: status.to_owned(),
             body: vec![
                 Bytes::from_static(b"the endpoint's "),
