Send orders and requests for reports on connections of their own

Callers could get the second copy of an answer to an order in place of their own answer, and an order could count as carried out by the second copy of a request's answer: orders, reports and requests took their connections from one pool, and answers to calls name no attempt. An order that counts as accepted and isn't makes the number of accepted orders one too high, at which an order may be carried out without a free slot.

Calls now share no connection with requests or with other calls, except that an order in progress is polled on the connection that carried it: all earlier answers there say that it is in progress, so that a second copy of one costs another poll at worst. A report has a connection of its own.

Test: calls_share_no_connection (an endpoint that sends a second copy of each answer to a call).

--- a/crates/ploverwick_adapters/src/order.rs
+++ b/crates/ploverwick_adapters/src/order.rs
@@ -5,7 +5,7 @@
 use crate::Copy;
 
 /// The operation of an order.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum Op {
     /// Loads a base model or an adapter.
     Load,
--- a/crates/ploverwick_gateway/src/controllers.rs
+++ b/crates/ploverwick_gateway/src/controllers.rs
@@ -4,6 +4,7 @@
 mod bootstrap;
 
 pub(crate) mod brittleness;
+mod calls;
 pub(crate) mod crashes;
 pub(crate) mod draining;
 pub(crate) mod ejections;
@@ -14,6 +15,7 @@
 pub(crate) mod limits;
 pub(crate) mod load_requests;
 pub(crate) mod operator;
+mod order_connections;
 pub(crate) mod orders;
 pub(crate) mod origins;
 pub(crate) mod pauses;
--- a/crates/ploverwick_gateway/src/controllers/orders.rs
+++ b/crates/ploverwick_gateway/src/controllers/orders.rs
@@ -6,22 +6,19 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use bytes::Bytes;
-use http::{Request, Response};
-use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
 use ploverwick_adapters::{Answer, Event, LoadLimit, Order, Report, Step};
 use ploverwick_endpoints::{Entry, State as EndpointState};
 use ploverwick_names::Moment;
-use ploverwick_platform::{answer, endpoint_list, order};
+use ploverwick_platform::{endpoint_list, order};
 use tokio::time::Instant;
 
-use super::{draining, reachability};
+use super::order_connections::OrderConnections;
+use super::{calls, reachability};
 use crate::broadcast;
 use crate::metrics;
-use crate::pool::Connection;
 use crate::shared::Shared;
 use crate::state::State;
+
 /// The initial timeout of an order; endpoints of the same failure domain answer within about 3 ms. An
 /// unanswered order can safely be retried, so the timeout may be short.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(25);
@@ -99,6 +96,7 @@
 /// Sends orders to one endpoint until the endpoint is removed or the lease ends.
 async fn run_endpoint(shared: &Arc<Shared>, endpoint: &Arc<str>) {
     let mut unanswered = 0;
+    let mut connections = OrderConnections::default();
     loop {
         let notified = shared.orders_changed.notified();
         let Some((step, entry, token)) = next_step(shared, endpoint) else {
@@ -110,7 +108,9 @@
                 let timeout = ORDER_TIMEOUT
                     * 2_u32.pow((unanswered / UNANSWERED_PER_DOUBLING).min(MAX_TIMEOUT_DOUBLINGS));
                 let sent_at = Instant::now();
-                match send_order(shared, &entry, &order, token, timeout).await {
+                let answer =
+                    send_order(shared, &entry, &mut connections, &order, token, timeout).await;
+                match answer {
                     Some(Answer::Unknown) => {
                         unanswered += 1;
                         // A connection that breaks at once would otherwise be tried again at once.
@@ -177,12 +177,13 @@
 async fn send_order(
     shared: &Arc<Shared>,
     entry: &Entry,
+    connections: &mut OrderConnections,
     order: &Order,
     token: u64,
     timeout: Duration,
 ) -> Option<Answer> {
     let request = order::encode(order, &entry.id, &shared.settings.instance, token);
-    let connection = match shared.pool.take(&entry.id, false, &[]) {
+    let connection = match connections.take(order) {
         Some(connection) => Ok(connection),
         None => reachability::connect_directly(shared, entry).await,
     };
@@ -190,10 +191,14 @@
     let is_held = shared.state().placer_lease.token(shared.now()) == Some(token);
     let answer = match connection {
         Ok(_) if !is_held => return None,
-        Ok(connection) => match exchange(shared, entry, connection, request, timeout).await {
-            Some(response) => order::decode_answer(response.status()),
-            None => Answer::Unknown,
-        },
+        Ok(mut connection) => {
+            let response = calls::exchange(shared, entry, &mut connection, request, timeout).await;
+            let answer = response.map_or(Answer::Unknown, |response| {
+                order::decode_answer(response.status())
+            });
+            connections.keep(order, answer, connection);
+            answer
+        }
         Err(cause) => {
             spdlog::debug!("order_unsent endpoint={} cause=\"{}\"", entry.id, cause);
             Answer::Gone
@@ -249,17 +254,14 @@
 }
 
 async fn fetch_report(shared: &Arc<Shared>, entry: &Entry) {
-    let connection = match shared.pool.take(&entry.id, false, &[]) {
-        Some(connection) => Some(connection),
-        None => reachability::connect_directly(shared, entry).await.ok(),
-    };
-    let report = match connection {
-        Some(connection) => {
+    let report = match reachability::connect_directly(shared, entry).await {
+        Ok(mut connection) => {
             let request = order::report_request(&entry.id);
-            let response = exchange(shared, entry, connection, request, REPORT_TIMEOUT).await;
+            let response =
+                calls::exchange(shared, entry, &mut connection, request, REPORT_TIMEOUT).await;
             response.and_then(|response| parse_report(entry, response.body()))
         }
-        None => None,
+        Err(_) => None,
     };
     if let Some(event) = handle_report(shared, &entry.id, report) {
         apply_event(shared, &entry.id, &event);
@@ -348,38 +350,3 @@
         broadcast::send_event(shared, endpoint, event);
     }
 }
-
-/// Sends a request and reads the whole answer; returns `None` on an error or a timeout.
-async fn exchange(
-    shared: &Shared,
-    entry: &Entry,
-    mut connection: Connection,
-    request: Request<Full<Bytes>>,
-    timeout: Duration,
-) -> Option<Response<Bytes>> {
-    connection.exchanges.begin();
-    let exchange = async {
-        let response = connection.sender.send_request(request).await?;
-        let (head, body) = response.into_parts();
-        let body = Incoming::collect(body).await?.to_bytes();
-        Ok::<_, hyper::Error>(Response::from_parts(head, body))
-    };
-    let response = tokio::time::timeout(timeout, exchange).await;
-    match response {
-        Ok(Ok(response)) => {
-            reachability::handle_answer(shared, entry, &mut connection);
-            let echo = answer::echo(response.headers(), "");
-            metrics::answer("call", echo, connection.exchanges);
-            shared.pool.keep(&entry.id, connection);
-            let reported = answer::state(response.headers());
-            draining::handle_answer(shared, &entry.id, reported, &"call");
-            Some(response)
-        }
-        Ok(Err(error)) => {
-            reachability::handle_break(shared, entry, &connection);
-            spdlog::debug!("call_failed endpoint={} cause=\"{}\"", entry.id, error);
-            None
-        }
-        Err(_) => None,
-    }
-}
--- a/crates/ploverwick_gateway/tests/second_answers.rs
+++ b/crates/ploverwick_gateway/tests/second_answers.rs
@@ -4,7 +4,7 @@
 #[expect(dead_code, reason = "each test file uses only some of the helpers")]
 mod partitioned;
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -19,7 +19,7 @@
 use ploverwick_platform_standin::raw::{RawAnswer, RawEndpoint, RawRequest};
 use ploverwick_platform_standin::settings;
 use ploverwick_platform_standin::store::Store;
-use serde_json::Value;
+use serde_json::{Value, json};
 
 const REQUESTS: usize = 20;
 /// The path of a call that may run once, and the attempts at it that wait until the endpoint is in use.
@@ -69,8 +69,8 @@
     config
 }
 
-/// Refuses the first send of each attempt. If the next request on the connection is the same attempt, its answer follows
-/// the second copy of the refusal.
+/// Refuses the first send of each attempt. If the next request on the connection is the same attempt, a second copy of the
+/// refusal precedes its answer.
 fn refuse_first_sends(ledger: &Ledger, request: &RawRequest) -> RawAnswer {
     let id = &request.id;
     let is_first = ledger.record_send(id) == 0;
@@ -79,7 +79,7 @@
     }
     let answer = ledger.run(id);
     match &request.previous {
-        Some(previous) if previous == id => answer.after_second(&RawAnswer::refusal(), id),
+        Some(previous) if previous.id == *id => answer.after_copy(previous),
         Some(_) | None => answer,
     }
 }
@@ -146,3 +146,136 @@
     wait_until_served(front).await?;
     expect_single_runs(front, &ledger).await
 }
+
+/// An engine that loads adapters. On each connection, a second copy of the last answer to a call precedes the next answer.
+#[derive(Debug, Default)]
+struct Engine {
+    ledger: Ledger,
+    state: Mutex<EngineState>,
+}
+
+#[derive(Debug, Default)]
+struct EngineState {
+    loading: HashSet<String>,
+    loaded: HashSet<String>,
+    orders: u64,
+    /// How often a request followed a call on a connection, or a call followed a request.
+    mixed_exchanges: usize,
+}
+
+impl Engine {
+    fn answer(&self, request: &RawRequest) -> RawAnswer {
+        let mut state = self.state.lock().expect("no holder of the lock panics");
+        let answer = match &*request.path {
+            "/api/report" => state.report(),
+            "/api/order" => state.order(&request.body),
+            _ => {
+                self.ledger.record_send(&request.id);
+                if state.loaded.contains(&request.model) {
+                    self.ledger.run(&request.id)
+                } else {
+                    status("421 Misdirected Request")
+                }
+            }
+        };
+        let Some(previous) = &request.previous else {
+            return answer;
+        };
+        state.mixed_exchanges += usize::from(request.id.is_empty() != previous.id.is_empty());
+        if previous.id.is_empty() {
+            return answer.after_copy(previous);
+        }
+        answer
+    }
+
+    fn sends(&self, id: &str) -> usize {
+        let sends = self.ledger.sends.lock();
+        let sends = sends.expect("no holder of the lock panics");
+        sends.get(id).copied().unwrap_or_default()
+    }
+
+    fn mixed_exchanges(&self) -> usize {
+        let state = self.state.lock().expect("no holder of the lock panics");
+        state.mixed_exchanges
+    }
+}
+
+impl EngineState {
+    fn report(&self) -> RawAnswer {
+        let names = self.loaded.iter().filter_map(|model| model.split_once('/'));
+        let names: Vec<String> = names.map(|(_, adapter)| format!("{adapter}@1")).collect();
+        let report = json!({
+            "stage": "colocated",
+            "models": [{"name": "base", "version": 1, "adapters": names}],
+            "busy": false, "seq": self.orders, "queue_depth": 0, "in_flight": 0, "kv_used": 0,
+            "kv_total": 10_000, "handles": 0, "coming": [],
+        });
+        RawAnswer::framed("application/json", report.to_string().as_bytes()).unnamed()
+    }
+
+    /// Accepts a load at first, and has carried it out when it is polled.
+    fn order(&mut self, body: &[u8]) -> RawAnswer {
+        let order: Value = serde_json::from_slice(body).unwrap_or_default();
+        let text = |name: &str| order[name].as_str().unwrap_or_default();
+        let model = format!("{}/{}", text("model"), text("adapter"));
+        let is_current = order["precondition"].as_u64() == Some(self.orders);
+        let answer = match text("op_type") {
+            "unload" if self.loaded.contains(&model) && !is_current => "409 Conflict",
+            "unload" => {
+                self.orders += u64::from(self.loaded.remove(&model));
+                "200 OK"
+            }
+            _ if self.loaded.contains(&model) => "200 OK",
+            _ if self.loading.remove(&model) => {
+                self.loaded.insert(model);
+                "200 OK"
+            }
+            _ if !is_current => "409 Conflict",
+            _ => {
+                self.loading.insert(model);
+                self.orders += 1;
+                "202 Accepted"
+            }
+        };
+        status(answer).unnamed()
+    }
+}
+
+/// Returns an answer without a body.
+fn status(status: &str) -> RawAnswer {
+    let mut answer = RawAnswer::framed("text/plain", b"");
+    answer.head = answer.head.replacen("200 OK", status, 1);
+    answer
+}
+
+/// Guards against a request that gets the second copy of an answer to an order or a report, and an order that counts as
+/// carried out by the second copy of an answer to another one.
+#[gtest]
+#[tokio::test]
+async fn calls_share_no_connection() -> Result<()> {
+    let gateway = Gateway::with_settings(Store::start().await?, allow_retries).await?;
+    let engine = Arc::<Engine>::default();
+    let of_endpoint = Arc::clone(&engine);
+    let answer = move |request: &RawRequest| of_endpoint.answer(request);
+    let endpoint = RawEndpoint::start("i-lm", "lm", answer).await?;
+    let mut entry = endpoint.entry();
+    entry["models"] = json!([{"name": "base", "version": 1, "adapters": []}]);
+    gateway.store.list(endpoint.id(), &entry);
+    gateway.store.configure(&config());
+    gateway.wait_until_ready(true).await?;
+    // Its answer shows that the endpoint is listed, whether or not the adapter was loaded.
+    while engine.sends(WARM) == 0 {
+        gateway.stream(WARM, "/live/x", "a0").await?;
+    }
+    for number in 0..REQUESTS {
+        let id = format!("r{number}");
+        // More adapters than slots, so that they take turns.
+        let adapter = format!("a{}", number % 5);
+        let got = gateway.stream(&id, "/live/x", &adapter).await?;
+        expect_that!(got.status, eq(StatusCode::OK), "{id}");
+        expect_that!(got.body, eq("done"), "{id}");
+        expect_that!(engine.ledger.runs(&id), eq(1), "{id}");
+    }
+    expect_that!(engine.mixed_exchanges(), eq(0));
+    Ok(())
+}
