Take an answer that names no attempt only for the first request of a connection

Callers could get another request's answer or failure, and a request could run again after the second copy of a refusal: an answer without an attempt's identifier was taken for that to whichever request was last on the connection.

Such an answer now counts only if nothing was sent on the connection before, and the connection is closed after it. Elsewhere it counts as lost, like one that names another attempt. A request without an identifier goes out on a new connection. The time of a success counts for an endpoint's latency only once the answer is known to be the request's.

Test: unnamed_copies_are_ignored, with refusals (503, 429, 408, 421), 400, 500 and successes, framed by length and in chunks.

--- a/crates/ploverwick_endpoints/src/exchanges.rs
+++ b/crates/ploverwick_endpoints/src/exchanges.rs
@@ -29,6 +29,7 @@
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
 pub struct Exchanges {
     begun: u32,
+    has_unnamed_answer: bool,
 }
 
 impl Exchanges {
@@ -42,8 +43,24 @@
         self.begun
     }
 
-    /// Returns whether an answer belongs to the request that was sent last.
+    /// Returns whether an answer belongs to the request that was sent last. An answer that names no attempt does only if
+    /// there is no earlier request that it may belong to.
     pub fn owns(self, echo: Echo) -> bool {
-        echo != Echo::Other
+        match echo {
+            Echo::Own => true,
+            Echo::Other => false,
+            Echo::Absent => self.begun == 1,
+        }
+    }
+
+    /// Records an answer to the request that was sent last.
+    pub fn record_answer(&mut self, echo: Echo) {
+        self.has_unnamed_answer |= echo == Echo::Absent;
+    }
+
+    /// Returns whether another request may be sent. After an answer that names no attempt, a second one like it could not be
+    /// told from the next answer.
+    pub fn may_continue(self) -> bool {
+        !self.has_unnamed_answer
     }
 }
--- a/crates/ploverwick_gateway/src/filters/send.rs
+++ b/crates/ploverwick_gateway/src/filters/send.rs
@@ -186,10 +186,6 @@
     reachability::handle_answer(shared, &target.entry, &mut connection);
     let head = answer::read(parts.status, &parts.headers, &request.info.id);
     metrics::answer("request", head.echo, connection.exchanges);
-    if parts.status.is_success() {
-        // Measure from the send, not from the client's request, which may have waited for an adapter load.
-        in_flight.record_latency(sent.begun.elapsed());
-    }
     if !connection.exchanges.owns(head.echo) {
         // The start of this request's answer is unknown.
         in_flight.set_outcome(Outcome::Error);
@@ -201,7 +197,12 @@
             parts.status,
             head.echo,
         );
-        return SendOutcome::Lost("the answer is another request's".to_owned());
+        return SendOutcome::Lost("the answer may be another request's".to_owned());
+    }
+    connection.exchanges.record_answer(head.echo);
+    if parts.status.is_success() {
+        // Measure from the send, not from the client's request, which may have waited for an adapter load.
+        in_flight.record_latency(sent.begun.elapsed());
     }
     handle_reports(
         shared,
@@ -388,13 +389,17 @@
     }
 }
 
-/// Takes a connection on which the request was not sent yet from a pool.
+/// Takes a connection on which the request was not sent yet from a pool. A request without an identifier takes none, as its
+/// answer could not be told from those to earlier requests.
 fn take_unused(
     request: &AdmittedRequest,
     pool: &Pool,
     endpoint: &str,
     is_final: bool,
 ) -> Option<Connection> {
+    if request.info.id.is_empty() {
+        return None;
+    }
     let mut used = request.lock_used_connections();
     let connection = pool.take(endpoint, is_final, &used)?;
     used.push(connection.id);
--- a/crates/ploverwick_gateway/src/pool.rs
+++ b/crates/ploverwick_gateway/src/pool.rs
@@ -122,9 +122,9 @@
         None
     }
 
-    /// Returns a connection to the pool after its response is complete.
+    /// Returns a connection to the pool after its response is complete, if another request may be sent on it.
     pub(crate) fn keep(&self, endpoint: &Arc<str>, connection: Connection) {
-        if connection.sender.is_closed() {
+        if connection.sender.is_closed() || !connection.exchanges.may_continue() {
             return;
         }
         let mut idle = self.idle.lock().expect("no holder of the lock panics");
--- a/crates/ploverwick_gateway/tests/second_answers.rs
+++ b/crates/ploverwick_gateway/tests/second_answers.rs
@@ -22,6 +22,8 @@
 use serde_json::{Value, json};
 
 const REQUESTS: usize = 20;
+/// Few enough that the endpoint is not ejected for its failures.
+const REQUESTS_PER_KIND: usize = 3;
 /// The path of a call that may run once, and the attempts at it that wait until the endpoint is in use.
 const PATH: &str = "/raw/x";
 const WARM: &str = "warm";
@@ -147,6 +149,64 @@
     expect_single_runs(front, &ledger).await
 }
 
+/// Returns answers of each kind that do not name their attempts.
+fn unnamed_answers() -> Vec<RawAnswer> {
+    let answers = [
+        RawAnswer::refusal(),
+        status("429 Too Many Requests").header("Ploverwick-Not-Executed", "1"),
+        status("408 Request Timeout").header("Ploverwick-Not-Executed", "1"),
+        status("421 Misdirected Request"),
+        status("400 Bad Request"),
+        status("500 Internal Server Error"),
+        RawAnswer::framed("text/plain", b"another's"),
+        RawAnswer::chunked("text/plain", b"another's"),
+    ];
+    answers.map(RawAnswer::unnamed).into()
+}
+
+/// Answers an attempt whose identifier begins with the number of an unnamed answer with that one, and runs others. If the
+/// request before on the connection got an unnamed answer, a second copy of it precedes.
+fn answer_unnamed(ledger: &Ledger, request: &RawRequest) -> RawAnswer {
+    if let Some((kind, _)) = request.id.split_once("-unnamed") {
+        let kind: usize = kind.parse().expect("the number of an answer");
+        return unnamed_answers().swap_remove(kind);
+    }
+    let answer = ledger.run(&request.id);
+    match &request.previous {
+        Some(previous) if !previous.answer.names_attempt => answer.after_copy(previous),
+        Some(_) | None => answer,
+    }
+}
+
+/// Guards against a second run, a refusal of what has run, or another request's answer: an answer that names no attempt was
+/// taken for that to whichever request was last on the connection.
+#[gtest]
+#[tokio::test]
+async fn unnamed_copies_are_ignored() -> Result<()> {
+    let gateway = Gateway::with_settings(Store::start().await?, allow_retries).await?;
+    let (endpoint, ledger) = start_endpoint(answer_unnamed).await?;
+    gateway.store.list(endpoint.id(), &endpoint.entry());
+    gateway.store.configure(&config());
+    gateway.wait_until_ready(true).await?;
+    wait_until_served(gateway.front).await?;
+    for (kind, unnamed) in unnamed_answers().into_iter().enumerate() {
+        for number in 0..REQUESTS_PER_KIND {
+            send(gateway.front, &format!("{kind}-unnamed{number}")).await?;
+            let id = format!("r{kind}-{number}");
+            let got = client::send(gateway.front, &ClientRequest::new(&id, HOST, PATH)).await?;
+            expect_that!(
+                got.status,
+                eq(StatusCode::OK),
+                "{id} after {}",
+                unnamed.head
+            );
+            expect_that!(got.body, eq("done"), "{id} after {}", unnamed.head);
+            expect_that!(ledger.runs(&id), eq(1), "{id} after {}", unnamed.head);
+        }
+    }
+    Ok(())
+}
+
 /// An engine that loads adapters. On each connection, a second copy of the last answer to a call precedes the next answer.
 #[derive(Debug, Default)]
 struct Engine {
