Stop reading a refusal that does not end

Callers of an instance could lose their requests, as it exceeded its memory limit: an endpoint may send bytes without end, and the rest of a refusal was read into memory for 200 ms, so that its connection could be used again.

The rest of a refusal is read up to 16 KiB, and the connection is closed if there is more. The caller gets its refusal, or the request is sent elsewhere, as before: the head states that it has not run.

--- a/crates/ploverwick_gateway/src/filters/reuse.rs
+++ b/crates/ploverwick_gateway/src/filters/reuse.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use ploverwick_platform::answer::Head;
 
@@ -12,6 +12,8 @@
 
 /// The time within which the rest of a refusal must arrive for its connection to be reused.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(200);
+/// The size of the rest of a refusal, in bytes, up to which its connection is reused.
+const MAX_DRAINED_BYTES: usize = 16 * 1_024;
 
 /// Reads the rest of a refusal in the background, then returns its connection to the pool.
 pub(super) fn drain(
@@ -24,7 +26,8 @@
     let shared = Arc::clone(shared);
     let endpoint = Arc::clone(endpoint);
     tokio::spawn(async move {
-        if let Ok(Ok(_)) = tokio::time::timeout(DRAIN_TIMEOUT, body.collect()).await {
+        let rest = Limited::new(body, MAX_DRAINED_BYTES).collect();
+        if let Ok(Ok(_)) = tokio::time::timeout(DRAIN_TIMEOUT, rest).await {
             keep(&shared, &endpoint, connection, &head);
         }
     });
--- a/crates/ploverwick_gateway/tests/truncated_answers.rs
+++ b/crates/ploverwick_gateway/tests/truncated_answers.rs
@@ -213,6 +213,8 @@
         RawAnswer {
             before: Vec::new(),
             names_attempt: true,
+            is_signed: true,
+            head_end: "\r\n\r\n",
             head: status.to_owned(),
             body: vec![
                 Bytes::from_static(b"the endpoint's "),
