Bound the answer to a call

The instance that places adapters could exceed its memory limit: it read answers to orders and reports whole, for up to 450 ms.

They are read up to 64 KiB. A larger one counts as missing, as a late one does.

Test: reports_are_cut_off.

--- a/crates/ploverwick_gateway/src/controllers/calls.rs
+++ b/crates/ploverwick_gateway/src/controllers/calls.rs
@@ -7,8 +7,7 @@
 
 use bytes::Bytes;
 use http::{Request, Response};
-use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use http_body_util::{BodyExt, Full, Limited};
 use ploverwick_endpoints::Entry;
 use ploverwick_platform::answer;
 
@@ -16,6 +15,11 @@
 use crate::pool::Connection;
 use crate::shared::Shared;
 
+type BoxError = Box<dyn std::error::Error + Send + Sync>;
+
+/// The maximum size of an answer in bytes. A report lists the adapters and the requests of one endpoint.
+const MAX_ANSWER_BYTES: usize = 64 * 1_024;
+
 /// Sends a call and reads the whole answer; returns `None` on an error or a timeout, after which the connection is closed.
 pub(super) async fn exchange(
     shared: &Shared,
@@ -28,8 +32,8 @@
     let exchange = async {
         let response = connection.sender.send_request(call).await?;
         let (head, body) = response.into_parts();
-        let body = Incoming::collect(body).await?.to_bytes();
-        Ok::<_, hyper::Error>(Response::from_parts(head, body))
+        let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await?;
+        Ok::<_, BoxError>(Response::from_parts(head, body.to_bytes()))
     };
     match tokio::time::timeout(timeout, exchange).await {
         Ok(Ok(response)) => {
--- a/crates/ploverwick_gateway/tests/endless_answers.rs
+++ b/crates/ploverwick_gateway/tests/endless_answers.rs
@@ -150,6 +150,20 @@
     idle_connections_are_cut_off: "raw", "idle", 200;
 }
 
+/// Guards against a report that takes the memory of the placer's instance.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn reports_are_cut_off() -> Result<()> {
+    let gateway = Gateway::unconfigured().await?;
+    let report =
+        |_: &RawRequest| RawAnswer::unframed("application/json", b"", 1, Ending::Endless(b" "));
+    let endpoint = RawEndpoint::start("i-lm", "lm", report).await?;
+    gateway.store.list(endpoint.id(), &endpoint.entry());
+    gateway.store.configure(&config());
+    expect_few_bytes(&endpoint).await;
+    Ok(())
+}
+
 /// Guards against a relay that goes on reading what its requester no longer wants.
 #[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
