Bound an event that is held until it ends

An instance could exceed its memory limit: an event of a stream that may be resumed is held until it ends, and an endpoint may send bytes without end.

An event of more than 256 KiB breaks the stream: it is resumed at another endpoint or broken off, and counts against the endpoint.

Test: events_are_cut_off.

--- a/crates/ploverwick_gateway/src/filters/event_splitter.rs
+++ b/crates/ploverwick_gateway/src/filters/event_splitter.rs
@@ -2,6 +2,9 @@
 
 use bytes::{Bytes, BytesMut};
 
+/// The maximum size of an event in bytes. Events that may be forwarded from another endpoint are held until they end.
+const MAX_EVENT_BYTES: usize = 256 * 1_024;
+
 /// Splits a stream into complete events and keeps the identifier of the last one.
 #[derive(Debug, Default)]
 pub(crate) struct EventSplitter {
@@ -24,6 +27,11 @@
         self.last
     }
 
+    /// Returns whether the incomplete event is too large.
+    pub(crate) fn is_overfull(&self) -> bool {
+        self.pending.len() > MAX_EVENT_BYTES
+    }
+
     /// Discards an incomplete event.
     pub(crate) fn discard_partial(&mut self) {
         self.pending.clear();
--- a/crates/ploverwick_gateway/src/filters/forward.rs
+++ b/crates/ploverwick_gateway/src/filters/forward.rs
@@ -280,6 +280,13 @@
                         self.fix_build(scan);
                         return Ok(Some(bytes));
                     }
+                    if self
+                        .splitter
+                        .as_ref()
+                        .is_some_and(EventSplitter::is_overfull)
+                    {
+                        self.handle_break(&Break::EventTooLarge);
+                    }
                 }
                 Event::End => return Ok(self.finish()),
                 Event::Break(cause) if self.backpressure.explains_break() => {
--- a/crates/ploverwick_gateway/src/filters/source.rs
+++ b/crates/ploverwick_gateway/src/filters/source.rs
@@ -50,6 +50,9 @@
     /// The connection failed, or it ended before the end that the framing marks.
     #[error("{0}")]
     Connection(#[from] hyper::Error),
+    /// An event that must be read whole does not end.
+    #[error("an event is too large")]
+    EventTooLarge,
     /// The stream ended inside an event.
     #[error("the stream ended inside an event")]
     InsideEvent,
--- a/crates/ploverwick_gateway/tests/endless_answers.rs
+++ b/crates/ploverwick_gateway/tests/endless_answers.rs
@@ -147,6 +147,7 @@
     refusals_in_chunks_are_cut_off: "raw", "chunks", 503;
     unsigned_answers_are_cut_off: "raw", "unsigned", 502;
     foreign_answers_are_cut_off: "raw", "foreign", 502;
+    events_are_cut_off: "events", "event", 200;
     idle_connections_are_cut_off: "raw", "idle", 200;
 }
 
