Bound an answer that is read before it is forwarded

An instance whose settings name no memory limit read plain answers and failures of any size into memory, in the test 108 to 121 MB of one failure, until the caller's deadline.

They are read up to 4 MiB, whatever the memory limit. The rest of a success is forwarded as its client reads; a larger failure counts as lost.

Test: failures_are_cut_off.

--- a/crates/ploverwick_gateway/src/filters/forward.rs
+++ b/crates/ploverwick_gateway/src/filters/forward.rs
@@ -36,6 +36,9 @@
 /// How long the origin of a stream is kept beyond the client's time limit, for an attempt that was sent just before it.
 const RETRY_MARGIN: Duration = Duration::from_secs(1);
 
+/// The size of an answer in bytes up to which it is read before it is forwarded, whatever the memory limit.
+const MAX_COLLECTED_BYTES: usize = 4 * 1_024 * 1_024;
+
 /// Reads a complete answer and builds the response from it. What there is no room for is forwarded as the client reads it.
 ///
 /// # Errors
@@ -103,7 +106,7 @@
         let data = frame?.into_data().unwrap_or_default();
         held.extend(data.len() as u64);
         bytes.extend_from_slice(&data);
-        if !shared.memory.may_read(&answer) {
+        if bytes.len() >= MAX_COLLECTED_BYTES || !shared.memory.may_read(&answer) {
             return Ok(Collected::Part(held.attach(bytes.freeze())));
         }
     }
--- a/crates/ploverwick_gateway/tests/endless_answers.rs
+++ b/crates/ploverwick_gateway/tests/endless_answers.rs
@@ -145,6 +145,7 @@
     heads_are_cut_off: "raw", "head", 502;
     refusals_are_cut_off: "raw", "refusal", 503;
     refusals_in_chunks_are_cut_off: "raw", "chunks", 503;
+    failures_are_cut_off: "raw", "failure", 502;
     unsigned_answers_are_cut_off: "raw", "unsigned", 502;
     foreign_answers_are_cut_off: "raw", "foreign", 502;
     events_are_cut_off: "events", "event", 200;
