Bound informational answers and the head of an answer

A request that an endpoint answered with informational answers (1xx) without end was held until the caller's deadline (504), and the instance read 31 MB in 2 s meanwhile, for nothing.

More than 16 informational answers to a request are an error of the connection: the request counts as lost, and is sent elsewhere where that is safe. The HTTP library is given 64 KiB for a head, in place of some 400.

Test: informational_heads_are_cut_off.

--- a/crates/ploverwick_gateway/src/controllers/calls.rs
+++ b/crates/ploverwick_gateway/src/controllers/calls.rs
@@ -25,10 +25,10 @@
     shared: &Shared,
     entry: &Entry,
     connection: &mut Connection,
-    call: Request<Full<Bytes>>,
+    mut call: Request<Full<Bytes>>,
     timeout: Duration,
 ) -> Option<Response<Bytes>> {
-    connection.exchanges.begin();
+    connection.begin(&mut call);
     let exchange = async {
         let response = connection.sender.send_request(call).await?;
         let (head, body) = response.into_parts();
--- a/crates/ploverwick_gateway/src/controllers/reachability.rs
+++ b/crates/ploverwick_gateway/src/controllers/reachability.rs
@@ -427,7 +427,8 @@
 
 /// Sends a request that needs no slot, and returns whether it is answered with any status; `None` if it is not in time.
 async fn is_answered(connection: &mut Connection, entry: &Entry) -> Option<bool> {
-    let request = order::report_request(&entry.id);
+    let mut request = order::report_request(&entry.id);
+    connection.begin(&mut request);
     let answer = connection.sender.send_request(request);
     let answer = tokio::time::timeout(PROBE_TIMEOUT, answer).await.ok()?;
     Some(answer.is_ok())
--- a/crates/ploverwick_gateway/src/early_answer.rs
+++ b/crates/ploverwick_gateway/src/early_answer.rs
@@ -6,6 +6,8 @@
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
+use crate::informational;
+
 /// A stream to an endpoint that can still be read after a write has failed.
 ///
 /// An endpoint may answer and close the connection without reading the rest of the request. The rest is then discarded, and
@@ -16,13 +18,16 @@
     /// How the first write failed. Reads return it in place of the end of the stream, as the system reports a reset only
     /// once.
     write_error: Option<io::ErrorKind>,
+    informational: informational::Counter,
 }
 
 impl<T> Stream<T> {
-    pub(crate) fn new(inner: T) -> Self {
+    /// Creates a stream that fails once `informational` counts too many informational answers.
+    pub(crate) fn new(inner: T, informational: informational::Counter) -> Self {
         Self {
             inner,
             write_error: None,
+            informational,
         }
     }
 
@@ -41,6 +46,7 @@
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        self.informational.check()?;
         let filled = buffer.filled().len();
         ready!(Pin::new(&mut self.inner).poll_read(cx, buffer))?;
         let is_end = buffer.filled().len() == filled && buffer.remaining() > 0;
--- a/crates/ploverwick_gateway/src/filters/send.rs
+++ b/crates/ploverwick_gateway/src/filters/send.rs
@@ -343,7 +343,7 @@
     let is_last = !request.route.kind.may_retry();
     let pool = reachability::pool(shared, &target.entry);
     while let Some(mut connection) = take_unused(request, pool, &target.entry.id, is_last) {
-        connection.exchanges.begin();
+        connection.begin(&mut message);
         let send = connection.sender.try_send_request(message);
         let send = reachability::watch(shared, &target.entry, &connection, send);
         match wait_for_answer(shared, request, target, wait, send).await {
@@ -379,7 +379,7 @@
         }
     };
     request.lock_used_connections().push(connection.id);
-    connection.exchanges.begin();
+    connection.begin(&mut message);
     let send = connection.sender.send_request(message);
     let send = reachability::watch(shared, &target.entry, &connection, send);
     match wait_for_answer(shared, request, target, wait, send).await {
--- a/crates/ploverwick_gateway/src/lib.rs
+++ b/crates/ploverwick_gateway/src/lib.rs
@@ -12,6 +12,7 @@
 mod filters;
 mod front;
 mod incarnations;
+mod informational;
 mod listen;
 mod logging;
 mod memory;
--- a/crates/ploverwick_gateway/src/pool.rs
+++ b/crates/ploverwick_gateway/src/pool.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::Request;
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -18,7 +19,7 @@
 use tokio::net::{TcpSocket, TcpStream};
 
 use crate::clock::Clock;
-use crate::early_answer;
+use crate::{early_answer, informational};
 
 /// The timeout for a new connection; a reachable endpoint answers within milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -47,12 +48,16 @@
     }
 }
 
+/// The maximum size of the head of an answer in bytes.
+const MAX_HEAD_BYTES: usize = 64 * 1_024;
+
 /// A connection to an endpoint, ready for one request at a time.
 #[derive(Debug)]
 pub(crate) struct Connection {
     pub(crate) id: ConnectionId,
     pub(crate) sender: SendRequest<Full<Bytes>>,
     pub(crate) exchanges: Exchanges,
+    informational: informational::Counter,
     /// Whether it has brought an answer.
     pub(crate) is_proven: bool,
     /// The instance that relays it, if it is not direct.
@@ -217,6 +222,12 @@
 }
 
 impl Connection {
+    /// Begins an exchange with a request that is about to be sent.
+    pub(crate) fn begin<B>(&mut self, request: &mut Request<B>) {
+        self.exchanges.begin();
+        self.informational.watch(request);
+    }
+
     /// Prepares a stream to an endpoint for requests. `on_close` runs once the connection has ended.
     ///
     /// # Errors
@@ -229,10 +240,13 @@
     where
         T: AsyncRead + AsyncWrite + Send + Unpin + 'static,
     {
-        let (sender, connection) =
-            http1::handshake(TokioIo::new(early_answer::Stream::new(stream)))
-                .await
-                .map_err(|error| ConnectError::Other(error.to_string()))?;
+        let informational = informational::Counter::default();
+        let stream = early_answer::Stream::new(stream, informational.clone());
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(|error| ConnectError::Other(error.to_string()))?;
         // The task ends with the connection. The error is not handled here because the request that uses the
         // connection receives it too.
         tokio::spawn(async move {
@@ -243,6 +257,7 @@
             id: ConnectionId::next(),
             sender,
             exchanges: Exchanges::default(),
+            informational,
             is_proven: false,
             relay,
             idle_timeout: None,
--- a/crates/ploverwick_gateway/src/relay/server.rs
+++ b/crates/ploverwick_gateway/src/relay/server.rs
@@ -18,6 +18,7 @@
 use super::{MAX_FRAME_BYTES, Open, Reply, codec};
 use crate::controllers::reachability;
 use crate::early_answer;
+use crate::informational;
 use crate::metrics;
 use crate::pool::ConnectError;
 use crate::shared::Shared;
@@ -140,7 +141,10 @@
 ) -> Transferred {
     let parts = requester.into_parts();
     let (from_requester, to_requester) = parts.io.into_split();
-    let (from_endpoint, to_endpoint) = tokio::io::split(early_answer::Stream::new(endpoint));
+    let (from_endpoint, to_endpoint) = tokio::io::split(early_answer::Stream::new(
+        endpoint,
+        informational::Counter::default(),
+    ));
     let to_requester = FramedWrite::new(to_requester, parts.codec);
     let mut bytes = 0;
     let mut requester_closed = pin!(send_to_endpoint(
--- a/crates/ploverwick_gateway/tests/endless_answers.rs
+++ b/crates/ploverwick_gateway/tests/endless_answers.rs
@@ -143,6 +143,7 @@
 
 places! {
     heads_are_cut_off: "raw", "head", 502;
+    informational_heads_are_cut_off: "raw", "informational", 502;
     refusals_are_cut_off: "raw", "refusal", 503;
     refusals_in_chunks_are_cut_off: "raw", "chunks", 503;
     failures_are_cut_off: "raw", "failure", 502;
