Use a new connection for each request to an endpoint that names no attempts

A request on a used connection is lost when its answer names no attempt, as that may be a second answer. To an endpoint that never names them each refusal on a used connection cost a request that could have been sent elsewhere. Such an endpoint is now remembered while it is listed, and its connections are not used again, so that its answers count from then on.

--- a/crates/ploverwick_gateway/src/controllers/reachability.rs
+++ b/crates/ploverwick_gateway/src/controllers/reachability.rs
@@ -445,7 +445,10 @@
         peers,
         ..
     } = &mut *state;
-    reachability.retain(|endpoint| fleet.entry(endpoint).is_some());
+    let is_listed = |endpoint: &str| fleet.entry(endpoint).is_some();
+    reachability.retain(is_listed);
+    shared.pool.retain_unnamed(is_listed);
+    shared.relayed_pool.retain_unnamed(is_listed);
     for relays in relays.values_mut() {
         relays.retain(|name| peers.contains_key(name));
     }
--- a/crates/ploverwick_gateway/src/filters/send.rs
+++ b/crates/ploverwick_gateway/src/filters/send.rs
@@ -189,6 +189,10 @@
     if !connection.exchanges.owns(head.echo) {
         // The start of this request's answer is unknown.
         in_flight.set_outcome(Outcome::Error);
+        if head.echo == Echo::Absent {
+            shared.pool.mark_unnamed(endpoint);
+            shared.relayed_pool.mark_unnamed(endpoint);
+        }
         log_foreign_answer(
             shared,
             request,
--- a/crates/ploverwick_gateway/src/pool.rs
+++ b/crates/ploverwick_gateway/src/pool.rs
@@ -1,11 +1,11 @@
 //! A pool of connections to endpoints.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::fmt;
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -87,6 +87,8 @@
 #[derive(Debug)]
 pub(crate) struct Pool {
     idle: Mutex<HashMap<Arc<str>, Vec<Idle>>>,
+    /// The endpoints whose answers do not name their attempts. Each request to them gets a new connection.
+    unnamed: Mutex<HashSet<Arc<str>>>,
     /// This clock includes suspensions, because endpoints close idle connections also while this machine is
     /// suspended.
     clock: Clock,
@@ -96,6 +98,7 @@
     pub(crate) fn new(clock: Clock) -> Self {
         Self {
             idle: Mutex::default(),
+            unnamed: Mutex::default(),
             clock,
         }
     }
@@ -129,7 +132,8 @@
 
     /// Returns a connection to the pool after its response is complete, if another request may be sent on it.
     pub(crate) fn keep(&self, endpoint: &Arc<str>, connection: Connection) {
-        if connection.sender.is_closed() || !connection.exchanges.may_continue() {
+        let may_continue = connection.exchanges.may_continue() && !self.is_unnamed(endpoint);
+        if connection.sender.is_closed() || !may_continue {
             return;
         }
         let mut idle = self.idle.lock().expect("no holder of the lock panics");
@@ -139,6 +143,25 @@
         });
     }
 
+    /// Records that an endpoint does not name attempts in its answers, and closes the idle connections to it.
+    pub(crate) fn mark_unnamed(&self, endpoint: &Arc<str>) {
+        self.lock_unnamed().insert(Arc::clone(endpoint));
+        self.remove(endpoint);
+    }
+
+    /// Forgets which endpoints do not name attempts, except those that `is_listed` accepts.
+    pub(crate) fn retain_unnamed(&self, is_listed: impl Fn(&str) -> bool) {
+        self.lock_unnamed().retain(|endpoint| is_listed(endpoint));
+    }
+
+    fn is_unnamed(&self, endpoint: &str) -> bool {
+        self.lock_unnamed().contains(endpoint)
+    }
+
+    fn lock_unnamed(&self) -> MutexGuard<'_, HashSet<Arc<str>>> {
+        self.unnamed.lock().expect("no holder of the lock panics")
+    }
+
     /// Closes the idle connections to an endpoint that is gone, or one of whose connections was dead.
     pub(crate) fn remove(&self, endpoint: &str) {
         let mut idle = self.idle.lock().expect("no holder of the lock panics");
--- a/crates/ploverwick_gateway/tests/second_answers.rs
+++ b/crates/ploverwick_gateway/tests/second_answers.rs
@@ -16,7 +16,7 @@
 use partitioned::Deployment;
 use ploverwick_platform::settings::Settings;
 use ploverwick_platform_standin::client::{self, ClientRequest};
-use ploverwick_platform_standin::raw::{RawAnswer, RawEndpoint, RawRequest};
+use ploverwick_platform_standin::raw::{RawAnswer, RawEndpoint, RawExchange, RawRequest};
 use ploverwick_platform_standin::settings;
 use ploverwick_platform_standin::store::Store;
 use serde_json::{Value, json};
@@ -207,6 +207,44 @@
     Ok(())
 }
 
+/// Runs each request. If its identifier says so, a copy of the answer before it on the connection precedes, without an
+/// identifier.
+fn copy_without_name(ledger: &Ledger, request: &RawRequest) -> RawAnswer {
+    let answer = ledger.run(&request.id);
+    match &request.previous {
+        Some(previous) if request.id.starts_with("copy") => {
+            let answer_before = previous.answer.clone().unnamed();
+            answer.after_copy(&RawExchange {
+                answer: answer_before,
+                ..RawExchange::clone(previous)
+            })
+        }
+        Some(_) | None => answer,
+    }
+}
+
+/// Guards against a second answer that has lost the identifier of the first.
+#[gtest]
+#[tokio::test]
+async fn copies_that_lost_names_are_ignored() -> Result<()> {
+    let gateway = Gateway::with_settings(Store::start().await?, allow_retries).await?;
+    let (endpoint, ledger) = start_endpoint(copy_without_name).await?;
+    gateway.store.list(endpoint.id(), &endpoint.entry());
+    gateway.store.configure(&config());
+    gateway.wait_until_ready(true).await?;
+    wait_until_served(gateway.front).await?;
+    let status = send(gateway.front, "copy").await?;
+    expect_that!(status, eq(StatusCode::BAD_GATEWAY));
+    // The endpoint may leave the identifier out of other answers, too.
+    for number in 0..REQUESTS {
+        let id = format!("copy{number}");
+        let status = send(gateway.front, &id).await?;
+        expect_that!(status, eq(StatusCode::OK), "{id}");
+        expect_that!(ledger.runs(&id), eq(1), "{id}");
+    }
+    Ok(())
+}
+
 /// An engine that loads adapters. On each connection, a second copy of the last answer to a call precedes the next answer.
 #[derive(Debug, Default)]
 struct Engine {
