Load adapters only as far as an endpoint's memory holds them

The capacity of an endpoint is now a number of adapters and a memory. Each order to load needs both, beside what is held, is loading, or may be loading after an order without an answer, which counts as the largest adapter. A change of the configuration changes the capacity of known endpoints; an unanswered load is then not sent again before a report.

--- a/crates/ploverwick_adapters/src/lib.rs
+++ b/crates/ploverwick_adapters/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod announcements;
 mod budget;
+mod capacity;
 mod congestion;
 mod directory;
 mod domain;
@@ -23,6 +24,7 @@
 mod window;
 
 pub use budget::{Budget, Demand};
+pub use capacity::{Capacity, ModelSize};
 pub use directory::Directory;
 pub use domain::{Domain, choose_domain};
 pub use key::{Copy, Key};
--- a/crates/ploverwick_adapters/src/placer.rs
+++ b/crates/ploverwick_adapters/src/placer.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::congestion::Congestion;
-use crate::{Answer, Budget, Copy, Demand, Event, Order, Permit, Slots, Wanted, Window};
+use crate::{Answer, Budget, Capacity, Copy, Demand, Event, Order, Permit, Slots, Wanted, Window};
 
 /// The number of endpoints, by hash, among which an adapter is placed. It is small so that the
 /// adapter returns to an endpoint that has it cached, even after all instances were restarted.
@@ -126,11 +126,16 @@
 }
 
 impl Placer {
-    /// Adds an endpoint, unless it is already known.
-    pub fn add(&mut self, endpoint: &Arc<str>, capacity: usize, now: Moment) {
-        self.endpoints
-            .entry(Arc::clone(endpoint))
-            .or_insert_with(|| Slots::new(capacity, now));
+    /// Adds an endpoint, or changes the capacity of one that is known.
+    pub fn add(&mut self, endpoint: &Arc<str>, capacity: impl Into<Capacity>, now: Moment) {
+        let capacity = capacity.into();
+        match self.endpoints.get_mut(endpoint) {
+            Some(slots) => slots.set_capacity(&capacity, now),
+            None => {
+                let slots = Slots::new(capacity, now);
+                self.endpoints.insert(Arc::clone(endpoint), slots);
+            }
+        }
         self.window.start_for(self.endpoints.len());
     }
 
--- a/crates/ploverwick_adapters/src/slots.rs
+++ b/crates/ploverwick_adapters/src/slots.rs
@@ -18,7 +18,7 @@
 
 use ploverwick_names::Moment;
 
-use crate::{Copy, Op, Order};
+use crate::{Capacity, Copy, Op, Order};
 
 use pending::PendingLoad;
 pub use pending::Wanted;
@@ -146,7 +146,7 @@
 /// The adapter slots of one endpoint.
 #[derive(Debug)]
 pub struct Slots {
-    capacity: usize,
+    capacity: Capacity,
     /// The number of accepted orders; `None` until a report provides it.
     orders: Option<u64>,
     report_at: Moment,
@@ -177,9 +177,9 @@
 
 impl Slots {
     /// Creates the slots of an endpoint whose contents are unknown.
-    pub fn new(capacity: usize, now: Moment) -> Self {
+    pub fn new(capacity: impl Into<Capacity>, now: Moment) -> Self {
         Self {
-            capacity,
+            capacity: capacity.into(),
             orders: None,
             report_at: now,
             models: HashMap::new(),
@@ -196,6 +196,17 @@
         }
     }
 
+    /// Changes the capacity. An order without an answer is not sent again, as there may be no room for it any more.
+    pub fn set_capacity(&mut self, capacity: &Capacity, now: Moment) {
+        if self.capacity == *capacity {
+            return;
+        }
+        self.capacity = capacity.clone();
+        if self.unanswered.is_some() {
+            self.require_report(now + REPORT_LAG);
+        }
+    }
+
     /// Returns whether the endpoint's contents are known from a report.
     pub fn is_known(&self) -> bool {
         self.orders.is_some()
@@ -281,7 +292,8 @@
 
     /// Returns whether a pending load could start soon: a slot is free or its adapter is unused.
     pub fn has_room(&self, now: Moment) -> bool {
-        self.is_known() && (self.occupied() < self.capacity || self.victim(now).is_some())
+        let max_adapter_mb = self.capacity.max_adapter_mb();
+        self.is_known() && (self.fits(max_adapter_mb) || self.victim(now).is_some())
     }
 
     /// Returns the number of adapters waiting to be loaded.
--- a/crates/ploverwick_adapters/src/slots/answers.rs
+++ b/crates/ploverwick_adapters/src/slots/answers.rs
@@ -357,7 +357,7 @@
         self.pending.clear();
     }
 
-    fn require_report(&mut self, at: Moment) {
+    pub(super) fn require_report(&mut self, at: Moment) {
         self.unanswered = None;
         self.orders = None;
         self.report_at = at;
--- a/crates/ploverwick_adapters/src/slots/plan.rs
+++ b/crates/ploverwick_adapters/src/slots/plan.rs
@@ -63,7 +63,8 @@
         if self.models.values().any(|base| *base == BaseState::Held) {
             return None;
         }
-        match self.models.keys().next() {
+        let mut models = self.models.keys();
+        match models.find(|model| self.capacity.fits(self.capacity.size(model).base_mb)) {
             Some(model) => Some(Step::Send(Order::load_base(model, orders))),
             None => Some(Step::Idle),
         }
@@ -99,13 +100,19 @@
     /// an adapter that is missing, even seconds later when a delayed poll is carried out at its
     /// number.
     fn must_not_poll(&self, copy: &Copy) -> bool {
-        self.assumed.as_ref() == Some(copy) && self.occupied() > self.capacity
+        let is_over =
+            self.occupied() > self.capacity.adapters || !self.capacity.fits(self.used_mb());
+        self.assumed.as_ref() == Some(copy) && is_over
     }
 
     fn next_load(&mut self, orders: u64, now: Moment, permit: Permit) -> Option<Order> {
-        let slots = &self.by_copy;
+        let base_mb = self.base_mb();
+        let (slots, capacity) = (&self.by_copy, &self.capacity);
         self.pending.retain(|load| {
-            now.since(load.at) < PENDING_TTL && !slots.contains_key(&load.wanted.copy)
+            let copy = &load.wanted.copy;
+            now.since(load.at) < PENDING_TTL
+                && !slots.contains_key(copy)
+                && capacity.fits(base_mb + capacity.size(&copy.key.model).adapter_mb)
         });
         let permitted = self.pending.iter().rev();
         let permitted = permitted.filter(|load| load.wanted.permit() <= permit);
@@ -123,7 +130,7 @@
         if let Some((older, _)) = older {
             return Some(self.unload(older, orders));
         }
-        if self.occupied() < self.capacity {
+        if self.fits(self.capacity.size(&wanted.key.model).adapter_mb) {
             return Some(Order::load(&wanted, orders));
         }
         self.victim(now).map(|victim| self.unload(&victim, orders))
@@ -149,6 +156,33 @@
         self.by_copy.len() + usize::from(self.may_still_apply) + usize::from(self.assumed.is_some())
     }
 
+    /// Returns whether an adapter of this size may be loaded beside what is or may be held.
+    pub(super) fn fits(&self, adapter_mb: u64) -> bool {
+        self.occupied() < self.capacity.adapters && self.capacity.fits(self.used_mb() + adapter_mb)
+    }
+
+    /// Returns the memory in MB that the base models occupy.
+    fn base_mb(&self) -> u64 {
+        let present = self
+            .models
+            .iter()
+            .filter(|(_, state)| **state != BaseState::Missing);
+        present
+            .map(|(model, _)| self.capacity.size(model).base_mb)
+            .sum()
+    }
+
+    /// Returns the memory in MB that is or may be occupied. An adapter of which only the slot is known counts as the
+    /// largest one.
+    fn used_mb(&self) -> u64 {
+        let copies = self.by_copy.keys();
+        let known: u64 = copies
+            .map(|copy| self.capacity.size(&copy.key.model).adapter_mb)
+            .sum();
+        let unknown = (self.occupied() - self.by_copy.len()) as u64;
+        self.base_mb() + known + unknown * self.capacity.max_adapter_mb()
+    }
+
     fn should_verify(&self, now: Moment) -> bool {
         self.verify_at().is_some_and(|at| at <= now)
     }
--- a/crates/ploverwick_adapters/tests/slot_limit.rs
+++ b/crates/ploverwick_adapters/tests/slot_limit.rs
@@ -1,17 +1,26 @@
 //! However orders are lost, delayed and retried, an endpoint never holds and loads more adapters
-//! than it has slots.
+//! than it has slots and memory for.
 
 use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use googletest::prelude::*;
-use ploverwick_adapters::{Answer, Copy, Key, Op, Order, Permit, Report, Slots, Step};
+use ploverwick_adapters::{
+    Answer, Capacity, Copy, Key, ModelSize, Op, Order, Permit, Report, Slots, Step,
+};
 use ploverwick_names::Moment;
 use proptest::prelude::*;
 
 const CAPACITY: usize = 4;
 const MODEL: &str = "base";
+/// Another base model that the endpoint holds, with larger adapters.
+const LARGE_MODEL: &str = "large";
+/// The sizes of a base model and of the adapters of each model, and the memory of an endpoint, in MB.
+const BASE_MB: u64 = 1_000;
+const ADAPTER_MB: u64 = 30;
+const LARGE_ADAPTER_MB: u64 = 160;
+const MEMORY_MB: u64 = 2 * BASE_MB + 400;
 
 fn copy(number: u8, version: u64) -> Copy {
     Copy {
@@ -23,6 +32,40 @@
     }
 }
 
+/// Returns an adapter of the model with large adapters if the number is odd.
+fn sized_copy(number: u8, version: u64) -> Copy {
+    let mut copy = copy(number, version);
+    if number % 2 == 1 {
+        copy.key.model = Arc::from(LARGE_MODEL);
+    }
+    copy
+}
+
+fn adapter_mb(copy: &Copy) -> u64 {
+    if *copy.key.model == *LARGE_MODEL {
+        LARGE_ADAPTER_MB
+    } else {
+        ADAPTER_MB
+    }
+}
+
+/// Returns a capacity that the memory limits, where each adapter of `LARGE_MODEL` has this size.
+fn limited_memory(large_adapter_mb: u64) -> Capacity {
+    let size = |adapter_mb| ModelSize {
+        base_mb: BASE_MB,
+        adapter_mb,
+    };
+    Capacity {
+        adapters: 16,
+        memory_mb: Some(MEMORY_MB),
+        sizes: [
+            (Arc::from(MODEL), size(ADAPTER_MB)),
+            (Arc::from(LARGE_MODEL), size(large_adapter_mb)),
+        ]
+        .into(),
+    }
+}
+
 /// An endpoint as the platform's documentation describes it.
 #[derive(Debug, Default)]
 struct Endpoint {
@@ -31,6 +74,8 @@
     loading: Vec<(Copy, Moment)>,
     late: Vec<(Order, Moment)>,
     max_adapters: usize,
+    /// The greatest memory for adapters so far, in MB.
+    max_adapters_mb: u64,
     /// Adapters in use by requests; they are not unloaded.
     in_use: Vec<Copy>,
     /// Snapshots from earlier moments, as reports lag behind.
@@ -74,6 +119,9 @@
                 self.orders += 1;
                 self.loading.push((copy, now + Duration::from_millis(250)));
                 self.max_adapters = self.max_adapters.max(self.held.len() + self.loading.len());
+                let loading = self.loading.iter().map(|(copy, _)| copy);
+                let used_mb = self.held.iter().chain(loading).map(adapter_mb).sum();
+                self.max_adapters_mb = self.max_adapters_mb.max(used_mb);
                 Answer::Accepted
             }
             Op::Unload if self.in_use.contains(&copy) => Answer::Conflict,
@@ -96,7 +144,7 @@
         Report {
             orders: self.orders,
             busy: false,
-            models: vec![Arc::from(MODEL)],
+            models: vec![Arc::from(MODEL), Arc::from(LARGE_MODEL)],
             held: self.held.clone(),
             loading: self.loading.iter().map(|(copy, _)| copy.clone()).collect(),
         }
@@ -171,6 +219,110 @@
     }
 }
 
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 400,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(11),
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against loads for which there is a slot but no memory, also after another placer has taken over.
+    #[test]
+    fn memory_never_exceeded(
+        steps in prop::collection::vec((0_u8..24, 1_u64..3, delivery(), 5_u64..120), 200..500),
+        takeovers in prop::collection::vec(0_usize..500, 0..4),
+    ) {
+        let mut endpoint = Endpoint::default();
+        let new_slots = |now| Slots::new(limited_memory(LARGE_ADAPTER_MB), now);
+        let mut slots = new_slots(Moment(0));
+        let mut now = Moment(0);
+        for (index, (number, version, delivery, pause)) in steps.into_iter().enumerate() {
+            now = now + Duration::from_millis(pause);
+            endpoint.step(now);
+            endpoint.in_use = vec![sized_copy(version as u8, 1)];
+            if takeovers.contains(&index) {
+                slots = new_slots(now);
+            }
+            slots.request_load(sized_copy(number, version), now);
+            match slots.next_step(now, Permit::All) {
+                Step::Send(order) => {
+                    let answer = send(&mut endpoint, &order, delivery, now);
+                    slots.handle_answer(&order, answer, now);
+                }
+                Step::Report => {
+                    slots.handle_report(&endpoint.report(now), now);
+                }
+                Step::Wait(_) | Step::Idle => {}
+            }
+            let used_mb = 2 * BASE_MB + endpoint.max_adapters_mb;
+            prop_assert!(used_mb <= MEMORY_MB, "{used_mb} MB");
+        }
+    }
+}
+
+/// Returns slots that hold both base models and these adapters.
+fn slots_with(capacity: Capacity, held: Vec<Copy>) -> Slots {
+    let mut slots = Slots::new(capacity, Moment(0));
+    let report = Report {
+        models: vec![Arc::from(MODEL), Arc::from(LARGE_MODEL)],
+        held,
+        ..Report::default()
+    };
+    slots.handle_report(&report, Moment(0));
+    slots
+}
+
+/// Guards against an endpoint that does not use its memory: 400 MB hold two adapters of 160 MB and two of 30 MB.
+#[googletest::test]
+fn memory_is_used() {
+    let held = [0, 1, 3].map(|number| sized_copy(number, 1)).into();
+    let mut slots = slots_with(limited_memory(LARGE_ADAPTER_MB), held);
+    slots.request_load(sized_copy(2, 1), Moment(600));
+    let Step::Send(order) = slots.next_step(Moment(600), Permit::All) else {
+        panic!("a load was due");
+    };
+    expect_that!(order.op, eq(Op::Load));
+}
+
+/// Guards against a load that would fit beside the sizes of an earlier configuration only.
+#[googletest::test]
+fn grown_sizes_are_evicted_first() {
+    let held = [1, 3].map(|number| sized_copy(number, 1)).into();
+    let mut slots = slots_with(limited_memory(LARGE_ADAPTER_MB), held);
+    slots.set_capacity(&limited_memory(190), Moment(600));
+    slots.request_load(sized_copy(2, 1), Moment(600));
+    let Step::Send(order) = slots.next_step(Moment(600), Permit::All) else {
+        panic!("an unload was due");
+    };
+    expect_that!(order.op, eq(Op::Unload));
+}
+
+/// Guards against evictions for an adapter that can never fit.
+#[googletest::test]
+fn too_large_adapters_evict_none() {
+    let held = [0, 2].map(|number| sized_copy(number, 1)).into();
+    let mut slots = slots_with(limited_memory(401), held);
+    slots.request_load(sized_copy(1, 1), Moment(600));
+    expect_that!(slots.next_step(Moment(600), Permit::All), eq(&Step::Idle));
+}
+
+/// Guards against an unanswered load that is sent again although the sizes have grown meanwhile.
+#[googletest::test]
+fn unanswered_load_waits_for_report() {
+    let held = [1].map(|number| sized_copy(number, 1)).into();
+    let mut slots = slots_with(limited_memory(LARGE_ADAPTER_MB), held);
+    slots.request_load(sized_copy(3, 1), Moment(600));
+    let Step::Send(order) = slots.next_step(Moment(600), Permit::All) else {
+        panic!("a load was due");
+    };
+    slots.handle_answer(&order, Answer::Unknown, Moment(700));
+    slots.set_capacity(&limited_memory(300), Moment(701));
+    expect_that!(
+        slots.next_step(Moment(701), Permit::All),
+        matches_pattern!(Step::Wait(_))
+    );
+}
+
 fn empty_slots() -> Slots {
     let mut slots = Slots::new(CAPACITY, Moment(0));
     let report = Report {
--- a/crates/ploverwick_gateway/src/controllers/operator.rs
+++ b/crates/ploverwick_gateway/src/controllers/operator.rs
@@ -119,6 +119,7 @@
     for error in errors {
         spdlog::error!("organisation_malformed cause=\"{}\"", error);
     }
+    log_oversized_models(&config);
     state.fleet.set_token_capacities(token_capacities(&config));
     state.config = Some(Arc::clone(&config));
     drop(state);
@@ -126,6 +127,27 @@
     shared.orders_changed.notify_waiters();
 }
 
+/// Logs the models of which an endpoint cannot hold an adapter.
+fn log_oversized_models(config: &Config) {
+    for service in config.services() {
+        let Some(engine) = &service.engine else {
+            continue;
+        };
+        for model in &engine.models {
+            if !engine.fits_adapter(model) {
+                spdlog::error!(
+                    "model_too_large service={} model={} weights_mb={} adapter_mb={} memory_mb={}",
+                    service.name,
+                    model.name,
+                    model.weights_mb,
+                    model.adapter_mb,
+                    engine.memory_mb.unwrap_or_default()
+                );
+            }
+        }
+    }
+}
+
 /// Returns the declared memory of the endpoints of each service, in tokens.
 fn token_capacities(config: &Config) -> HashMap<Arc<str>, u64> {
     let services = config.services();
--- a/crates/ploverwick_gateway/src/controllers/orders.rs
+++ b/crates/ploverwick_gateway/src/controllers/orders.rs
@@ -6,10 +6,11 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use ploverwick_adapters::{Answer, Event, LoadLimit, Order, Report, Step};
+use ploverwick_adapters::{Answer, Capacity, Event, LoadLimit, ModelSize, Order, Report, Step};
 use ploverwick_endpoints::{Entry, State as EndpointState};
 use ploverwick_names::Moment;
 use ploverwick_platform::{endpoint_list, order};
+use ploverwick_routes::Engine;
 use tokio::time::Instant;
 
 use super::order_connections::OrderConnections;
@@ -76,14 +77,14 @@
         if entry.domain != shared.settings.domain || !is_ready {
             continue;
         }
-        state.placer.add(&entry.id, engine.adapter_slots, now);
+        state.placer.add(&entry.id, capacity(engine), now);
         // An endpoint without a base model gets the first one in the order of the configuration, until
         // several are in demand.
         if let Some(slots) = state.placer.slots(&entry.id)
             && slots.is_empty()
-            && let Some(model) = engine.models.first()
+            && let Some(model) = engine.models.iter().find(|model| engine.fits_base(model))
         {
-            slots.request_base(Arc::clone(model));
+            slots.request_base(Arc::clone(&model.name));
         }
         let mut running = running.lock().expect("no holder of the lock panics");
         if running.insert(Arc::clone(&entry.id)) {
@@ -93,6 +94,22 @@
     new
 }
 
+/// Returns what each endpoint of a service can hold.
+fn capacity(engine: &Engine) -> Capacity {
+    let sizes = engine.models.iter().map(|model| {
+        let size = ModelSize {
+            base_mb: model.weights_mb,
+            adapter_mb: model.adapter_mb,
+        };
+        (Arc::clone(&model.name), size)
+    });
+    Capacity {
+        adapters: engine.adapter_slots,
+        memory_mb: engine.memory_mb,
+        sizes: sizes.collect(),
+    }
+}
+
 /// Sends orders to one endpoint until the endpoint is removed or the lease ends.
 async fn run_endpoint(shared: &Arc<Shared>, endpoint: &Arc<str>) {
     let mut unanswered = 0;
--- a/crates/ploverwick_gateway/src/filters/missing_adapter.rs
+++ b/crates/ploverwick_gateway/src/filters/missing_adapter.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ploverwick_adapters::{Copy, Domain, Need, Request};
+use ploverwick_adapters::{Copy, Domain, Key, Need, Request};
 use ploverwick_endpoints::service_rate;
 use ploverwick_names::Moment;
 
@@ -34,6 +34,17 @@
     state.expected_load_wait(&domain, &shared.settings, now)
 }
 
+/// Returns whether an endpoint of the service has memory for an adapter.
+pub(super) fn fits(shared: &Shared, request: &AdmittedRequest, key: &Key) -> bool {
+    let config = shared.state().config.clone();
+    let service = config.as_ref().and_then(|c| c.service(&request.service));
+    let Some(engine) = service.and_then(|service| service.engine.as_ref()) else {
+        return true;
+    };
+    let model = engine.model(&key.model);
+    model.is_none_or(|model| engine.fits_adapter(model))
+}
+
 /// Returns the message that asks for a load on behalf of a request.
 pub(super) fn load_request(request: &AdmittedRequest, copy: &Copy, need: Need) -> Request {
     Request {
--- a/crates/ploverwick_gateway/src/filters/select.rs
+++ b/crates/ploverwick_gateway/src/filters/select.rs
@@ -191,6 +191,10 @@
                 return choice.into_selection();
             }
         }
+        if !missing_adapter::fits(shared, request, key) {
+            let detail = format!("adapter {key} does not fit into the memory of an endpoint");
+            return Err(Reply::new(Code::LoadFailed, detail));
+        }
         let now = Instant::now();
         if wait.is_over(started.elapsed(), is_coming) {
             let detail = format!("adapter {key}, asked {load_requests} times");
--- a/crates/ploverwick_routes/src/lib.rs
+++ b/crates/ploverwick_routes/src/lib.rs
@@ -8,7 +8,7 @@
 mod punctuality;
 mod route;
 
-pub use config::{Config, Engine, Limits, Service};
+pub use config::{Config, Engine, Limits, Model, Service};
 pub use organisation::{
     Declaration, DeclarationError, KeyDigest, Organisation, Organisations, Quota, Unit,
 };
