--- a/crates/ploverwick_endpoints/src/exchanges.rs
+++ b/crates/ploverwick_endpoints/src/exchanges.rs
@@ -1,7 +1,8 @@
 //! Attributes answers to the requests on a connection.
 //!
-//! An endpoint may send a second answer to a request, which arrives where the answer to the next request is expected. Most
-//! answers name the attempt that they belong to.
+//! An endpoint may send a second answer to a request, which arrives where the answer to the next request is expected. The
+//! attempt that an answer names tells whose it is, unless the next request is the same attempt. That is for the sender to
+//! avoid.
 
 /// The attempt that an answer names.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/ploverwick_gateway/src/filters/send.rs
+++ b/crates/ploverwick_gateway/src/filters/send.rs
@@ -185,7 +185,7 @@
     let (parts, body) = response.into_parts();
     reachability::handle_answer(shared, &target.entry, &mut connection);
     let head = answer::read(parts.status, &parts.headers, &request.info.id);
-    metrics::answer("request", head.echo, connection.exchanges);
+    metrics::answer(head.echo, connection.exchanges);
     if !connection.exchanges.owns(head.echo) {
         // The start of this request's answer is unknown.
         in_flight.set_outcome(Outcome::Error);
--- a/crates/ploverwick_gateway/src/metrics.rs
+++ b/crates/ploverwick_gateway/src/metrics.rs
@@ -101,14 +101,14 @@
     counter!("ploverwick_sends_total", "ending" => outcome).increment(1);
 }
 
-/// Counts an answer of an endpoint by the attempt that it names, and by whether its connection brought another one before.
-pub(crate) fn answer(to: &'static str, echo: Echo, exchanges: Exchanges) {
+/// Counts an answer to a request by the attempt that it names, and by whether it is the first on its connection.
+pub(crate) fn answer(echo: Echo, exchanges: Exchanges) {
     let exchange = if exchanges.begun() > 1 {
         "later"
     } else {
         "first"
     };
-    counter!("ploverwick_answers_total", "to" => to, "echo" => echo.name(), "exchange" => exchange)
+    counter!("ploverwick_answers_total", "echo" => echo.name(), "exchange" => exchange)
         .increment(1);
 }
 
