--- a/crates/ploverwick_adapters/src/capacity.rs
+++ b/crates/ploverwick_adapters/src/capacity.rs
@@ -3,13 +3,13 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-/// The sizes of a base model and of each of its adapters, in MB.
+/// The sizes of a base model and of each of its adapters, in kilobytes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct ModelSize {
     /// The base model.
-    pub base_mb: u64,
+    pub base_kb: u64,
     /// An adapter.
-    pub adapter_mb: u64,
+    pub adapter_kb: u64,
 }
 
 /// The limits on what an endpoint holds and loads.
@@ -17,8 +17,8 @@
 pub struct Capacity {
     /// The number of adapters.
     pub adapters: usize,
-    /// The memory for base models and adapters in MB; `None` if it is not limited.
-    pub memory_mb: Option<u64>,
+    /// The memory for base models and adapters in kilobytes; `None` if it is not limited.
+    pub memory_kb: Option<u64>,
     /// The sizes by base model. Those of other models are unknown and count as 0.
     pub sizes: HashMap<Arc<str>, ModelSize>,
 }
@@ -28,7 +28,7 @@
     fn from(adapters: usize) -> Self {
         Self {
             adapters,
-            memory_mb: None,
+            memory_kb: None,
             sizes: HashMap::new(),
         }
     }
@@ -40,13 +40,13 @@
     }
 
     /// Returns the size of the largest adapter of any model.
-    pub(crate) fn max_adapter_mb(&self) -> u64 {
-        let sizes = self.sizes.values().map(|size| size.adapter_mb);
+    pub(crate) fn max_adapter_kb(&self) -> u64 {
+        let sizes = self.sizes.values().map(|size| size.adapter_kb);
         sizes.max().unwrap_or(0)
     }
 
     /// Returns whether this much fits into the memory.
     pub(crate) fn fits(&self, mb: u64) -> bool {
-        self.memory_mb.is_none_or(|memory| mb <= memory)
+        self.memory_kb.is_none_or(|memory| mb <= memory)
     }
 }
--- a/crates/ploverwick_adapters/src/slots.rs
+++ b/crates/ploverwick_adapters/src/slots.rs
@@ -292,8 +292,8 @@
 
     /// Returns whether a pending load could start soon: a slot is free or its adapter is unused.
     pub fn has_room(&self, now: Moment) -> bool {
-        let max_adapter_mb = self.capacity.max_adapter_mb();
-        self.is_known() && (self.fits(max_adapter_mb) || self.victim(now).is_some())
+        let max_adapter_kb = self.capacity.max_adapter_kb();
+        self.is_known() && (self.fits(max_adapter_kb) || self.victim(now).is_some())
     }
 
     /// Returns the number of adapters waiting to be loaded.
--- a/crates/ploverwick_adapters/src/slots/plan.rs
+++ b/crates/ploverwick_adapters/src/slots/plan.rs
@@ -64,7 +64,7 @@
             return None;
         }
         let mut models = self.models.keys();
-        match models.find(|model| self.capacity.fits(self.capacity.size(model).base_mb)) {
+        match models.find(|model| self.capacity.fits(self.capacity.size(model).base_kb)) {
             Some(model) => Some(Step::Send(Order::load_base(model, orders))),
             None => Some(Step::Idle),
         }
@@ -101,18 +101,18 @@
     /// number.
     fn must_not_poll(&self, copy: &Copy) -> bool {
         let is_over =
-            self.occupied() > self.capacity.adapters || !self.capacity.fits(self.used_mb());
+            self.occupied() > self.capacity.adapters || !self.capacity.fits(self.used_kb());
         self.assumed.as_ref() == Some(copy) && is_over
     }
 
     fn next_load(&mut self, orders: u64, now: Moment, permit: Permit) -> Option<Order> {
-        let base_mb = self.base_mb();
+        let base_kb = self.base_kb();
         let (slots, capacity) = (&self.by_copy, &self.capacity);
         self.pending.retain(|load| {
             let copy = &load.wanted.copy;
             now.since(load.at) < PENDING_TTL
                 && !slots.contains_key(copy)
-                && capacity.fits(base_mb + capacity.size(&copy.key.model).adapter_mb)
+                && capacity.fits(base_kb + capacity.size(&copy.key.model).adapter_kb)
         });
         let permitted = self.pending.iter().rev();
         let permitted = permitted.filter(|load| load.wanted.permit() <= permit);
@@ -130,7 +130,7 @@
         if let Some((older, _)) = older {
             return Some(self.unload(older, orders));
         }
-        if self.fits(self.capacity.size(&wanted.key.model).adapter_mb) {
+        if self.fits(self.capacity.size(&wanted.key.model).adapter_kb) {
             return Some(Order::load(&wanted, orders));
         }
         self.victim(now).map(|victim| self.unload(&victim, orders))
@@ -157,30 +157,30 @@
     }
 
     /// Returns whether an adapter of this size may be loaded beside what is or may be held.
-    pub(super) fn fits(&self, adapter_mb: u64) -> bool {
-        self.occupied() < self.capacity.adapters && self.capacity.fits(self.used_mb() + adapter_mb)
+    pub(super) fn fits(&self, adapter_kb: u64) -> bool {
+        self.occupied() < self.capacity.adapters && self.capacity.fits(self.used_kb() + adapter_kb)
     }
 
-    /// Returns the memory in MB that the base models occupy.
-    fn base_mb(&self) -> u64 {
+    /// Returns the memory in kilobytes that the base models occupy.
+    fn base_kb(&self) -> u64 {
         let present = self
             .models
             .iter()
             .filter(|(_, state)| **state != BaseState::Missing);
         present
-            .map(|(model, _)| self.capacity.size(model).base_mb)
+            .map(|(model, _)| self.capacity.size(model).base_kb)
             .sum()
     }
 
-    /// Returns the memory in MB that is or may be occupied. An adapter of which only the slot is known counts as the
+    /// Returns the memory in kilobytes that is or may be occupied. An adapter of which only the slot is known counts as the
     /// largest one.
-    fn used_mb(&self) -> u64 {
+    fn used_kb(&self) -> u64 {
         let copies = self.by_copy.keys();
         let known: u64 = copies
-            .map(|copy| self.capacity.size(&copy.key.model).adapter_mb)
+            .map(|copy| self.capacity.size(&copy.key.model).adapter_kb)
             .sum();
         let unknown = (self.occupied() - self.by_copy.len()) as u64;
-        self.base_mb() + known + unknown * self.capacity.max_adapter_mb()
+        self.base_kb() + known + unknown * self.capacity.max_adapter_kb()
     }
 
     fn should_verify(&self, now: Moment) -> bool {
--- a/crates/ploverwick_adapters/tests/slot_limit.rs
+++ b/crates/ploverwick_adapters/tests/slot_limit.rs
@@ -16,11 +16,11 @@
 const MODEL: &str = "base";
 /// Another base model that the endpoint holds, with larger adapters.
 const LARGE_MODEL: &str = "large";
-/// The sizes of a base model and of the adapters of each model, and the memory of an endpoint, in MB.
-const BASE_MB: u64 = 1_000;
-const ADAPTER_MB: u64 = 30;
-const LARGE_ADAPTER_MB: u64 = 160;
-const MEMORY_MB: u64 = 2 * BASE_MB + 400;
+/// The sizes of a base model and of the adapters of each model, and the memory of an endpoint, in kilobytes.
+const BASE_KB: u64 = 1_000;
+const ADAPTER_KB: u64 = 30;
+const LARGE_ADAPTER_KB: u64 = 160;
+const MEMORY_KB: u64 = 2 * BASE_KB + 400;
 
 fn copy(number: u8, version: u64) -> Copy {
     Copy {
@@ -41,26 +41,26 @@
     copy
 }
 
-fn adapter_mb(copy: &Copy) -> u64 {
+fn adapter_kb(copy: &Copy) -> u64 {
     if *copy.key.model == *LARGE_MODEL {
-        LARGE_ADAPTER_MB
+        LARGE_ADAPTER_KB
     } else {
-        ADAPTER_MB
+        ADAPTER_KB
     }
 }
 
 /// Returns a capacity that the memory limits, where each adapter of `LARGE_MODEL` has this size.
-fn limited_memory(large_adapter_mb: u64) -> Capacity {
-    let size = |adapter_mb| ModelSize {
-        base_mb: BASE_MB,
-        adapter_mb,
+fn limited_memory(large_adapter_kb: u64) -> Capacity {
+    let size = |adapter_kb| ModelSize {
+        base_kb: BASE_KB,
+        adapter_kb,
     };
     Capacity {
         adapters: 16,
-        memory_mb: Some(MEMORY_MB),
+        memory_kb: Some(MEMORY_KB),
         sizes: [
-            (Arc::from(MODEL), size(ADAPTER_MB)),
-            (Arc::from(LARGE_MODEL), size(large_adapter_mb)),
+            (Arc::from(MODEL), size(ADAPTER_KB)),
+            (Arc::from(LARGE_MODEL), size(large_adapter_kb)),
         ]
         .into(),
     }
@@ -74,8 +74,8 @@
     loading: Vec<(Copy, Moment)>,
     late: Vec<(Order, Moment)>,
     max_adapters: usize,
-    /// The greatest memory for adapters so far, in MB.
-    max_adapters_mb: u64,
+    /// The greatest memory for adapters so far, in kilobytes.
+    max_adapters_kb: u64,
     /// Adapters in use by requests; they are not unloaded.
     in_use: Vec<Copy>,
     /// Snapshots from earlier moments, as reports lag behind.
@@ -120,8 +120,8 @@
                 self.loading.push((copy, now + Duration::from_millis(250)));
                 self.max_adapters = self.max_adapters.max(self.held.len() + self.loading.len());
                 let loading = self.loading.iter().map(|(copy, _)| copy);
-                let used_mb = self.held.iter().chain(loading).map(adapter_mb).sum();
-                self.max_adapters_mb = self.max_adapters_mb.max(used_mb);
+                let used_kb = self.held.iter().chain(loading).map(adapter_kb).sum();
+                self.max_adapters_kb = self.max_adapters_kb.max(used_kb);
                 Answer::Accepted
             }
             Op::Unload if self.in_use.contains(&copy) => Answer::Conflict,
@@ -233,7 +233,7 @@
         takeovers in prop::collection::vec(0_usize..500, 0..4),
     ) {
         let mut endpoint = Endpoint::default();
-        let new_slots = |now| Slots::new(limited_memory(LARGE_ADAPTER_MB), now);
+        let new_slots = |now| Slots::new(limited_memory(LARGE_ADAPTER_KB), now);
         let mut slots = new_slots(Moment(0));
         let mut now = Moment(0);
         for (index, (number, version, delivery, pause)) in steps.into_iter().enumerate() {
@@ -254,8 +254,8 @@
                 }
                 Step::Wait(_) | Step::Idle => {}
             }
-            let used_mb = 2 * BASE_MB + endpoint.max_adapters_mb;
-            prop_assert!(used_mb <= MEMORY_MB, "{used_mb} MB");
+            let used_kb = 2 * BASE_KB + endpoint.max_adapters_kb;
+            prop_assert!(used_kb <= MEMORY_KB, "{used_kb} KB");
         }
     }
 }
@@ -272,11 +272,11 @@
     slots
 }
 
-/// Guards against an endpoint that does not use its memory: 400 MB hold two adapters of 160 MB and two of 30 MB.
+/// Guards against an endpoint that does not use its memory: 400 KB hold two adapters of 160 KB and two of 30 KB.
 #[googletest::test]
 fn memory_is_used() {
     let held = [0, 1, 3].map(|number| sized_copy(number, 1)).into();
-    let mut slots = slots_with(limited_memory(LARGE_ADAPTER_MB), held);
+    let mut slots = slots_with(limited_memory(LARGE_ADAPTER_KB), held);
     slots.request_load(sized_copy(2, 1), Moment(600));
     let Step::Send(order) = slots.next_step(Moment(600), Permit::All) else {
         panic!("a load was due");
@@ -288,7 +288,7 @@
 #[googletest::test]
 fn grown_sizes_are_evicted_first() {
     let held = [1, 3].map(|number| sized_copy(number, 1)).into();
-    let mut slots = slots_with(limited_memory(LARGE_ADAPTER_MB), held);
+    let mut slots = slots_with(limited_memory(LARGE_ADAPTER_KB), held);
     slots.set_capacity(&limited_memory(190), Moment(600));
     slots.request_load(sized_copy(2, 1), Moment(600));
     let Step::Send(order) = slots.next_step(Moment(600), Permit::All) else {
@@ -310,7 +310,7 @@
 #[googletest::test]
 fn unanswered_load_waits_for_report() {
     let held = [1].map(|number| sized_copy(number, 1)).into();
-    let mut slots = slots_with(limited_memory(LARGE_ADAPTER_MB), held);
+    let mut slots = slots_with(limited_memory(LARGE_ADAPTER_KB), held);
     slots.request_load(sized_copy(3, 1), Moment(600));
     let Step::Send(order) = slots.next_step(Moment(600), Permit::All) else {
         panic!("a load was due");
--- a/crates/ploverwick_gateway/src/controllers/operator.rs
+++ b/crates/ploverwick_gateway/src/controllers/operator.rs
@@ -136,12 +136,12 @@
         for model in &engine.models {
             if !engine.fits_adapter(model) {
                 spdlog::error!(
-                    "model_too_large service={} model={} weights_mb={} adapter_mb={} memory_mb={}",
+                    "model_too_large service={} model={} weights_kb={} adapter_kb={} memory_kb={}",
                     service.name,
                     model.name,
-                    model.weights_mb,
-                    model.adapter_mb,
-                    engine.memory_mb.unwrap_or_default()
+                    model.weights_kb,
+                    model.adapter_kb,
+                    engine.memory_kb.unwrap_or_default()
                 );
             }
         }
--- a/crates/ploverwick_gateway/src/controllers/orders.rs
+++ b/crates/ploverwick_gateway/src/controllers/orders.rs
@@ -98,14 +98,14 @@
 fn capacity(engine: &Engine) -> Capacity {
     let sizes = engine.models.iter().map(|model| {
         let size = ModelSize {
-            base_mb: model.weights_mb,
-            adapter_mb: model.adapter_mb,
+            base_kb: model.weights_kb,
+            adapter_kb: model.adapter_kb,
         };
         (Arc::clone(&model.name), size)
     });
     Capacity {
         adapters: engine.adapter_slots,
-        memory_mb: engine.memory_mb,
+        memory_kb: engine.memory_kb,
         sizes: sizes.collect(),
     }
 }
--- a/crates/ploverwick_routes/src/config.rs
+++ b/crates/ploverwick_routes/src/config.rs
@@ -32,8 +32,8 @@
     pub adapter_slots: usize,
     /// The loads of base models per second that the weight store allows over all endpoints.
     pub loads_per_s: f64,
-    /// The memory of an endpoint for base models and adapters in MB; `None` if it is not limited.
-    pub memory_mb: Option<u64>,
+    /// The memory of an endpoint for base models and adapters in kilobytes; `None` if it is not limited.
+    pub memory_kb: Option<u64>,
     /// The base models.
     pub models: Vec<Model>,
 }
@@ -43,25 +43,25 @@
 pub struct Model {
     /// The name.
     pub name: Arc<str>,
-    /// The size of its weights in MB; 0 if unknown.
-    pub weights_mb: u64,
-    /// The size of each of its adapters in MB; 0 if unknown.
-    pub adapter_mb: u64,
+    /// The size of its weights in kilobytes; 0 if unknown.
+    pub weights_kb: u64,
+    /// The size of each of its adapters in kilobytes; 0 if unknown.
+    pub adapter_kb: u64,
 }
 
 impl Engine {
     /// Returns whether an endpoint can hold a base model.
     pub fn fits_base(&self, model: &Model) -> bool {
-        self.fits(model.weights_mb)
+        self.fits(model.weights_kb)
     }
 
     /// Returns whether an endpoint can hold a base model and one adapter of it.
     pub fn fits_adapter(&self, model: &Model) -> bool {
-        self.fits(model.weights_mb.saturating_add(model.adapter_mb))
+        self.fits(model.weights_kb.saturating_add(model.adapter_kb))
     }
 
     fn fits(&self, mb: u64) -> bool {
-        self.memory_mb.is_none_or(|memory| mb <= memory)
+        self.memory_kb.is_none_or(|memory| mb <= memory)
     }
 
     /// Returns a base model by its name.
