--- a/crates/ploverwick_gateway/src/filters/send.rs
+++ b/crates/ploverwick_gateway/src/filters/send.rs
@@ -141,7 +141,7 @@
             in_flight.set_outcome(Outcome::Abandoned);
             return SendOutcome::Withdrawn;
         }
-        Exchange::Done(connection, result) => (connection, result),
+        Exchange::Done(connection, result) => (*connection, result),
     };
     match result {
         Ok(response) => {
@@ -333,7 +333,7 @@
     Unsent(String, Outcome),
     TimedOut,
     Withdrawn,
-    Done(Connection, Result<Response<Incoming>, hyper::Error>),
+    Done(Box<Connection>, Result<Response<Incoming>, hyper::Error>),
 }
 
 async fn exchange(
@@ -359,10 +359,12 @@
                 }
                 return Exchange::TimedOut;
             }
-            Awaited::Answer(Ok(response)) => return Exchange::Done(connection, Ok(response)),
+            Awaited::Answer(Ok(response)) => {
+                return Exchange::Done(Box::new(connection), Ok(response));
+            }
             Awaited::Answer(Err(mut failed)) => match failed.take_message() {
                 Some(unsent) => message = unsent,
-                None => return Exchange::Done(connection, Err(failed.into_error())),
+                None => return Exchange::Done(Box::new(connection), Err(failed.into_error())),
             },
         }
     }
@@ -389,7 +391,7 @@
     match wait_for_answer(shared, request, target, wait, send).await {
         Awaited::Withdrawn => Exchange::Withdrawn,
         Awaited::Late => Exchange::TimedOut,
-        Awaited::Answer(result) => Exchange::Done(connection, result),
+        Awaited::Answer(result) => Exchange::Done(Box::new(connection), result),
     }
 }
 
