Keep the platform's names of the tests on second answers in the stand-ins

platform_names failed on second_answers and endless_answers: only the platform's folder may spell its headers, paths and fields. The engine of second_answers, the counts of sends and runs, and the answers' headers are stand-ins now; what the tests check is unchanged.

--- a/crates/ploverwick_gateway/tests/endless_answers.rs
+++ b/crates/ploverwick_gateway/tests/endless_answers.rs
@@ -34,7 +34,7 @@
     let routes = config["routes"].as_array_mut().expect("a list of routes");
     let resumable = routes.last_mut().expect("the route of the events");
     resumable["resumable"] = json!(true);
-    resumable["max_attempts"] = json!(2);
+    settings::set_attempts(&mut config, "/events/", 2);
     config
 }
 
@@ -66,9 +66,7 @@
             answer
         }
         "unsigned" => endless(PLAIN, b"x").unsigned(),
-        "foreign" => endless(PLAIN, b"x")
-            .unnamed()
-            .header("Ploverwick-Attempt-Id", "other"),
+        "foreign" => endless(PLAIN, b"x").names_other(),
         "event" => endless(EVENTS, b"data: x"),
         "idle" => RawAnswer {
             ending: Ending::Endless(b"x"),
--- a/crates/ploverwick_gateway/tests/second_answers.rs
+++ b/crates/ploverwick_gateway/tests/second_answers.rs
@@ -4,9 +4,8 @@
 #[expect(dead_code, reason = "each test file uses only some of the helpers")]
 mod partitioned;
 
-use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 
 use anyhow::Result;
@@ -16,6 +15,8 @@
 use partitioned::Deployment;
 use ploverwick_platform::settings::Settings;
 use ploverwick_platform_standin::client::{self, ClientRequest};
+use ploverwick_platform_standin::ledger::Ledger;
+use ploverwick_platform_standin::loader::Loader;
 use ploverwick_platform_standin::raw::{RawAnswer, RawEndpoint, RawExchange, RawRequest};
 use ploverwick_platform_standin::settings;
 use ploverwick_platform_standin::store::Store;
@@ -28,38 +29,6 @@
 const PATH: &str = "/raw/x";
 const WARM: &str = "warm";
 
-/// How often attempts were sent to an endpoint, and how often they ran.
-#[derive(Debug, Default)]
-struct Ledger {
-    sends: Mutex<HashMap<String, usize>>,
-    runs: Mutex<HashMap<String, usize>>,
-}
-
-impl Ledger {
-    /// Counts a send; returns how many there were before it.
-    fn record_send(&self, id: &str) -> usize {
-        increment(&self.sends, id)
-    }
-
-    fn run(&self, id: &str) -> RawAnswer {
-        increment(&self.runs, id);
-        RawAnswer::framed("text/plain", b"done")
-    }
-
-    fn runs(&self, id: &str) -> usize {
-        let runs = self.runs.lock().expect("no holder of the lock panics");
-        runs.get(id).copied().unwrap_or_default()
-    }
-}
-
-/// Increments the counter of an attempt; returns its value before.
-fn increment(counts: &Mutex<HashMap<String, usize>>, id: &str) -> usize {
-    let mut counts = counts.lock().expect("no holder of the lock panics");
-    let count = counts.entry(id.to_owned()).or_default();
-    *count += 1;
-    *count - 1
-}
-
 /// Lets each request earn enough retries for all its sends.
 fn allow_retries(settings: &mut Settings) {
     settings.repeat_ratio = 4.0;
@@ -79,7 +48,7 @@
     if is_first && !id.starts_with(WARM) {
         return RawAnswer::refusal();
     }
-    let answer = ledger.run(id);
+    let answer = ledger.record_run(id);
     match &request.previous {
         Some(previous) if previous.id == *id => answer.after_copy(previous),
         Some(_) | None => answer,
@@ -153,11 +122,11 @@
 fn unnamed_answers() -> Vec<RawAnswer> {
     let answers = [
         RawAnswer::refusal(),
-        status("429 Too Many Requests").header("Ploverwick-Not-Executed", "1"),
-        status("408 Request Timeout").header("Ploverwick-Not-Executed", "1"),
-        status("421 Misdirected Request"),
-        status("400 Bad Request"),
-        status("500 Internal Server Error"),
+        RawAnswer::status("429 Too Many Requests").not_executed(),
+        RawAnswer::status("408 Request Timeout").not_executed(),
+        RawAnswer::status("421 Misdirected Request"),
+        RawAnswer::status("400 Bad Request"),
+        RawAnswer::status("500 Internal Server Error"),
         RawAnswer::framed("text/plain", b"another's"),
         RawAnswer::chunked("text/plain", b"another's"),
     ];
@@ -171,7 +140,7 @@
         let kind: usize = kind.parse().expect("the number of an answer");
         return unnamed_answers().swap_remove(kind);
     }
-    let answer = ledger.run(&request.id);
+    let answer = ledger.record_run(&request.id);
     match &request.previous {
         Some(previous) if !previous.answer.names_attempt => answer.after_copy(previous),
         Some(_) | None => answer,
@@ -210,7 +179,7 @@
 /// Runs each request. If its identifier says so, a copy of the answer before it on the connection precedes, without an
 /// identifier.
 fn copy_without_name(ledger: &Ledger, request: &RawRequest) -> RawAnswer {
-    let answer = ledger.run(&request.id);
+    let answer = ledger.record_run(&request.id);
     match &request.previous {
         Some(previous) if request.id.starts_with("copy") => {
             let answer_before = previous.answer.clone().unnamed();
@@ -245,114 +214,13 @@
     Ok(())
 }
 
-/// An engine that loads adapters. On each connection, a second copy of the last answer to a call precedes the next answer.
-#[derive(Debug, Default)]
-struct Engine {
-    ledger: Ledger,
-    state: Mutex<EngineState>,
-}
-
-#[derive(Debug, Default)]
-struct EngineState {
-    loading: HashSet<String>,
-    loaded: HashSet<String>,
-    orders: u64,
-    /// How often a request followed a call on a connection, or a call followed a request.
-    mixed_exchanges: usize,
-}
-
-impl Engine {
-    fn answer(&self, request: &RawRequest) -> RawAnswer {
-        let mut state = self.state.lock().expect("no holder of the lock panics");
-        let answer = match &*request.path {
-            "/api/report" => state.report(),
-            "/api/order" => state.order(&request.body),
-            _ => {
-                self.ledger.record_send(&request.id);
-                if state.loaded.contains(&request.model) {
-                    self.ledger.run(&request.id)
-                } else {
-                    status("421 Misdirected Request")
-                }
-            }
-        };
-        let Some(previous) = &request.previous else {
-            return answer;
-        };
-        state.mixed_exchanges += usize::from(request.id.is_empty() != previous.id.is_empty());
-        if previous.id.is_empty() {
-            return answer.after_copy(previous);
-        }
-        answer
-    }
-
-    fn sends(&self, id: &str) -> usize {
-        let sends = self.ledger.sends.lock();
-        let sends = sends.expect("no holder of the lock panics");
-        sends.get(id).copied().unwrap_or_default()
-    }
-
-    fn mixed_exchanges(&self) -> usize {
-        let state = self.state.lock().expect("no holder of the lock panics");
-        state.mixed_exchanges
-    }
-}
-
-impl EngineState {
-    fn report(&self) -> RawAnswer {
-        let names = self.loaded.iter().filter_map(|model| model.split_once('/'));
-        let names: Vec<String> = names.map(|(_, adapter)| format!("{adapter}@1")).collect();
-        let report = json!({
-            "stage": "colocated",
-            "models": [{"name": "base", "version": 1, "adapters": names}],
-            "busy": false, "seq": self.orders, "queue_depth": 0, "in_flight": 0, "kv_used": 0,
-            "kv_total": 10_000, "handles": 0, "coming": [],
-        });
-        RawAnswer::framed("application/json", report.to_string().as_bytes()).unnamed()
-    }
-
-    /// Accepts a load at first, and has carried it out when it is polled.
-    fn order(&mut self, body: &[u8]) -> RawAnswer {
-        let order: Value = serde_json::from_slice(body).unwrap_or_default();
-        let text = |name: &str| order[name].as_str().unwrap_or_default();
-        let model = format!("{}/{}", text("model"), text("adapter"));
-        let is_current = order["precondition"].as_u64() == Some(self.orders);
-        let answer = match text("op_type") {
-            "unload" if self.loaded.contains(&model) && !is_current => "409 Conflict",
-            "unload" => {
-                self.orders += u64::from(self.loaded.remove(&model));
-                "200 OK"
-            }
-            _ if self.loaded.contains(&model) => "200 OK",
-            _ if self.loading.remove(&model) => {
-                self.loaded.insert(model);
-                "200 OK"
-            }
-            _ if !is_current => "409 Conflict",
-            _ => {
-                self.loading.insert(model);
-                self.orders += 1;
-                "202 Accepted"
-            }
-        };
-        status(answer).unnamed()
-    }
-}
-
-/// Returns an answer without a body.
-fn status(status: &str) -> RawAnswer {
-    let mut answer = RawAnswer::framed("text/plain", b"");
-    answer.head = answer.head.replacen("200 OK", status, 1);
-    answer
-}
-
 /// Guards against a request that gets the second copy of an answer to an order or a report, and an order that counts as
 /// carried out by the second copy of an answer to another one.
 #[gtest]
 #[tokio::test]
 async fn calls_share_no_connection() -> Result<()> {
     let gateway = Gateway::with_settings(Store::start().await?, allow_retries).await?;
-    let engine = Arc::<Engine>::default();
+    let engine = Arc::<Loader>::default();
     let of_endpoint = Arc::clone(&engine);
     let answer = move |request: &RawRequest| of_endpoint.answer(request);
     let endpoint = RawEndpoint::start("i-lm", "lm", answer).await?;
@@ -362,7 +230,7 @@
     gateway.store.configure(&config());
     gateway.wait_until_ready(true).await?;
     // Its answer shows that the endpoint is listed, whether or not the adapter was loaded.
-    while engine.sends(WARM) == 0 {
+    while engine.ledger().sends(WARM) == 0 {
         gateway.stream(WARM, "/live/x", "a0").await?;
     }
     for number in 0..REQUESTS {
@@ -372,7 +240,7 @@
         let got = gateway.stream(&id, "/live/x", &adapter).await?;
         expect_that!(got.status, eq(StatusCode::OK), "{id}");
         expect_that!(got.body, eq("done"), "{id}");
-        expect_that!(engine.ledger.runs(&id), eq(1), "{id}");
+        expect_that!(engine.ledger().runs(&id), eq(1), "{id}");
     }
     expect_that!(engine.mixed_exchanges(), eq(0));
     Ok(())
