Read an answer of exactly 4 MiB whole

direct_answers_arrive and relayed_answers_arrive failed since: a failure of 4 MiB counted as lost (502 in place of the endpoint's 500), since an answer that reaches the bound was taken for one that exceeds it.

--- a/crates/ploverwick_gateway/src/filters/forward.rs
+++ b/crates/ploverwick_gateway/src/filters/forward.rs
@@ -106,7 +106,7 @@
         let data = frame?.into_data().unwrap_or_default();
         held.extend(data.len() as u64);
         bytes.extend_from_slice(&data);
-        if bytes.len() >= MAX_COLLECTED_BYTES || !shared.memory.may_read(&answer) {
+        if bytes.len() > MAX_COLLECTED_BYTES || !shared.memory.may_read(&answer) {
             return Ok(Collected::Part(held.attach(bytes.freeze())));
         }
     }
