--- a/crates/ploverwick_endpoints/src/exchanges.rs
+++ b/crates/ploverwick_endpoints/src/exchanges.rs
@@ -1,8 +1,8 @@
 //! Attributes answers to the requests on a connection.
 //!
 //! An endpoint may send a second answer to a request, which arrives where the answer to the next request is expected. The
-//! attempt that an answer names tells whose it is, unless the next request is the same attempt. That is for the sender to
-//! avoid.
+//! attempt that an answer names identifies its request, unless the same attempt is sent twice on one connection, which the
+//! sender must not do.
 
 /// The attempt that an answer names.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -59,8 +59,8 @@
         self.has_unnamed_answer |= echo == Echo::Absent;
     }
 
-    /// Returns whether another request may be sent. After an answer that names no attempt, a second one like it could not be
-    /// told from the next answer.
+    /// Returns whether another request may be sent. After an answer that names no attempt, a second copy of it could not be
+    /// distinguished from the next answer.
     pub fn may_continue(self) -> bool {
         !self.has_unnamed_answer
     }
--- a/crates/ploverwick_gateway/src/filters/send.rs
+++ b/crates/ploverwick_gateway/src/filters/send.rs
@@ -396,7 +396,7 @@
 }
 
 /// Takes a connection on which the request was not sent yet from a pool. A request without an identifier takes none, as its
-/// answer could not be told from those to earlier requests.
+/// answer could not be distinguished from those to earlier requests.
 fn take_unused(
     request: &AdmittedRequest,
     pool: &Pool,
