Log what proves that a refused request has not run

From the id of a request that was refused and ran, on-call could not find why it was held not to have run: the lines on its sends share 120 a second with all others, and the record shows up to 271 dropped in a second. Each request that may run once and was refused by an endpoint now gets one line with all its sends: endpoint, connection, exchange, status, echo, statement and what it was taken for. It has a limit of its own; dropped lines are counted by kind. Not measured yet; no logic changes.

--- a/crates/ploverwick_gateway/src/filters.rs
+++ b/crates/ploverwick_gateway/src/filters.rs
@@ -24,6 +24,7 @@
 mod reuse;
 mod select;
 mod send;
+mod send_evidence;
 mod slot_wait;
 mod source;
 mod stream_timing;
--- a/crates/ploverwick_gateway/src/filters/admit.rs
+++ b/crates/ploverwick_gateway/src/filters/admit.rs
@@ -84,6 +84,7 @@
         charge: None,
         sends: AtomicU32::new(0),
         used_connections: Mutex::default(),
+        evidence: Mutex::default(),
     };
     if let Some(refusal) = quarantine::refusal(shared, &admitted) {
         return Err(refusal);
--- a/crates/ploverwick_gateway/src/filters/admitted_request.rs
+++ b/crates/ploverwick_gateway/src/filters/admitted_request.rs
@@ -16,6 +16,7 @@
 
 use super::authenticate::Caller;
 use super::quota::Charge;
+use super::send_evidence::SendEvidence;
 use crate::controllers::origins::Scope;
 use crate::pool::ConnectionId;
 
@@ -80,6 +81,8 @@
     /// The connections on which it was sent. It is not sent on one of them again: its answers all name this attempt, so that
     /// a second answer to the earlier send would be taken for the answer to the later one.
     pub(crate) used_connections: Mutex<Vec<ConnectionId>>,
+    /// What was seen of its sends.
+    pub(crate) evidence: Mutex<SendEvidence>,
 }
 
 impl AdmittedRequest {
@@ -93,6 +96,11 @@
         used.expect("no holder of the lock panics")
     }
 
+    pub(super) fn lock_evidence(&self) -> MutexGuard<'_, SendEvidence> {
+        let evidence = self.evidence.lock();
+        evidence.expect("no holder of the lock panics")
+    }
+
     /// Returns the services that may continue its stream.
     pub(super) fn scope(&self) -> Scope<'_> {
         Scope {
--- a/crates/ploverwick_gateway/src/filters/retry.rs
+++ b/crates/ploverwick_gateway/src/filters/retry.rs
@@ -19,6 +19,7 @@
 use super::reply::{Body, Reply};
 use super::select::{self, Target};
 use super::send::{self, Answered, SendOutcome};
+use super::send_evidence;
 use crate::metrics;
 use crate::shared::Shared;
 
@@ -333,9 +334,11 @@
             request.received.elapsed().as_millis()
         );
     }
-    history
+    let response = history
         .error_response
-        .unwrap_or_else(|| reply.into_response())
+        .unwrap_or_else(|| reply.into_response());
+    send_evidence::log(shared, request, response.status().as_u16());
+    response
 }
 
 fn format_adapter(request: &AdmittedRequest) -> String {
@@ -370,6 +373,7 @@
     status: StatusCode,
     head: &Head,
 ) {
+    send_evidence::log(shared, request, status.as_u16());
     if shared.log_limiter.allow(shared.now()) {
         spdlog::info!(
             "request_answered id={} resumes={} after_event={} route={} config={} adapter={} {} endpoint={} software={} domain={} cost={:.1} prompt={} load={} reading={} limit={:?} state={:?} framing={} sent={} status={} placing_ms={} in_vain_ms={} answering_ms={} ms={}",
--- a/crates/ploverwick_gateway/src/filters/send.rs
+++ b/crates/ploverwick_gateway/src/filters/send.rs
@@ -24,6 +24,7 @@
 use super::reply::Reply;
 use super::reuse;
 use super::select::{self, Target};
+use super::send_evidence::{SeenAnswer, SeenSend};
 use crate::controllers::{brittleness, crashes, draining, limits, pauses, reachability};
 use crate::metrics;
 use crate::pool::{Connection, Pool};
@@ -95,6 +96,27 @@
     target: &Target,
     wait: &mut AnswerWait<'_>,
     after_event: Option<u64>,
+) -> SendOutcome {
+    let mut answer = None;
+    let outcome = send(shared, request, target, wait, after_event, &mut answer).await;
+    let seen = SeenSend {
+        endpoint: Arc::clone(&target.entry.id),
+        answer,
+        outcome: outcome.name(),
+    };
+    let proves_not_run = matches!(outcome, SendOutcome::NotRun { .. });
+    request.lock_evidence().record(seen, proves_not_run);
+    outcome
+}
+
+/// Sends a request. `seen` is set to what was seen of its answer, if there is one.
+async fn send(
+    shared: &Arc<Shared>,
+    request: &AdmittedRequest,
+    target: &Target,
+    wait: &mut AnswerWait<'_>,
+    after_event: Option<u64>,
+    seen: &mut Option<SeenAnswer>,
 ) -> SendOutcome {
     if request.remaining() < MIN_REMAINING {
         return SendOutcome::Unsent("no time is left".to_owned());
@@ -151,7 +173,7 @@
                 begun,
                 evidence,
             };
-            handle_response(shared, request, target, sent, connection, response)
+            handle_response(shared, request, target, sent, (connection, response), seen)
         }
         Err(error) => {
             reachability::handle_break(shared, &target.entry, &connection);
@@ -177,8 +199,8 @@
     request: &AdmittedRequest,
     target: &Target,
     sent: Sent,
-    mut connection: Connection,
-    response: Response<Incoming>,
+    (mut connection, response): (Connection, Response<Incoming>),
+    seen: &mut Option<SeenAnswer>,
 ) -> SendOutcome {
     let Sent { mut in_flight, .. } = sent;
     let endpoint = &target.entry.id;
@@ -186,6 +208,8 @@
     reachability::handle_answer(shared, &target.entry, &mut connection);
     let head = answer::read(parts.status, &parts.headers, &request.info.id);
     metrics::answer(head.echo, connection.exchanges);
+    let status = parts.status.as_u16();
+    *seen = Some(SeenAnswer::new(&connection, status, &head));
     if !connection.exchanges.owns(head.echo) {
         // The start of this request's answer is unknown.
         in_flight.set_outcome(Outcome::Error);
--- a/crates/ploverwick_gateway/src/logging.rs
+++ b/crates/ploverwick_gateway/src/logging.rs
@@ -11,10 +11,14 @@
 use spdlog::sink::{AsyncPoolSink, OverflowPolicy, StdStreamSink};
 use spdlog::{LevelFilter, Logger, ThreadPool};
 
+use crate::metrics;
+
 /// The maximum number of lines that wait to be written.
 const QUEUE_LINES: usize = 4_096;
 /// The maximum number of lines per second about single requests. Lines beyond it are dropped and counted.
-const MAX_LINES_PER_S: u32 = 120;
+const MAX_REQUEST_LINES_PER_S: u32 = 120;
+/// The same for lines on what proves that requests have not run.
+const MAX_EVIDENCE_LINES_PER_S: u32 = 60;
 
 /// Installs the default logger, which writes to the standard output.
 ///
@@ -47,15 +51,37 @@
     Ok(())
 }
 
-/// Limits the rate of log lines about single requests.
-#[derive(Debug, Default)]
+/// Limits the rate of log lines of one kind.
+#[derive(Debug)]
 pub(crate) struct LogLimiter {
+    kind: &'static str,
+    max_per_s: u32,
     second: AtomicU64,
     written: AtomicU32,
     dropped: AtomicU32,
 }
 
 impl LogLimiter {
+    /// Creates a limiter of lines about single requests.
+    pub(crate) fn of_requests() -> Self {
+        Self::new("request", MAX_REQUEST_LINES_PER_S)
+    }
+
+    /// Creates a limiter of lines on what proves that requests have not run.
+    pub(crate) fn of_evidence() -> Self {
+        Self::new("evidence", MAX_EVIDENCE_LINES_PER_S)
+    }
+
+    fn new(kind: &'static str, max_per_s: u32) -> Self {
+        Self {
+            kind,
+            max_per_s,
+            second: AtomicU64::new(0),
+            written: AtomicU32::new(0),
+            dropped: AtomicU32::new(0),
+        }
+    }
+
     /// Returns whether another line may be written now, and counts it.
     pub(crate) fn allow(&self, now: Moment) -> bool {
         let second = now.0 / 1_000;
@@ -63,12 +89,13 @@
             self.written.store(0, Ordering::Relaxed);
             let dropped = self.dropped.swap(0, Ordering::Relaxed);
             if dropped > 0 {
-                spdlog::warn!("lines_dropped count={}", dropped);
+                spdlog::warn!("lines_dropped kind={} count={}", self.kind, dropped);
             }
         }
-        let is_allowed = self.written.fetch_add(1, Ordering::Relaxed) < MAX_LINES_PER_S;
+        let is_allowed = self.written.fetch_add(1, Ordering::Relaxed) < self.max_per_s;
         if !is_allowed {
             self.dropped.fetch_add(1, Ordering::Relaxed);
+            metrics::dropped_line(self.kind);
         }
         is_allowed
     }
--- a/crates/ploverwick_gateway/src/metrics.rs
+++ b/crates/ploverwick_gateway/src/metrics.rs
@@ -112,6 +112,16 @@
         .increment(1);
 }
 
+/// Counts a request that may run only once and was refused by an endpoint, by whether its end promises that it has not run.
+pub(crate) fn refused_request(ending: &'static str) {
+    counter!("ploverwick_refused_requests_total", "ending" => ending).increment(1);
+}
+
+/// Counts a log line that was dropped, by its kind.
+pub(crate) fn dropped_line(kind: &'static str) {
+    counter!("ploverwick_lines_dropped_total", "kind" => kind).increment(1);
+}
+
 /// Counts a new connection to an endpoint by its outcome.
 pub(crate) fn endpoint_connection(outcome: &'static str) {
     counter!("ploverwick_endpoint_connections_total", "outcome" => outcome).increment(1);
--- a/crates/ploverwick_gateway/src/shared.rs
+++ b/crates/ploverwick_gateway/src/shared.rs
@@ -68,6 +68,7 @@
     /// The quarantine entries whose changes have not been sent to peers yet.
     pub(crate) quarantine_updates: QuarantineUpdates,
     pub(crate) log_limiter: LogLimiter,
+    pub(crate) evidence_limiter: LogLimiter,
     /// The bytes held for clients.
     pub(crate) memory: Arc<Memory>,
     /// Whether client connections can be accepted.
@@ -131,7 +132,8 @@
             origin_lookups: OriginLookups::new(rand::random()),
             build_added: Notify::new(),
             quarantine_updates: QuarantineUpdates::default(),
-            log_limiter: LogLimiter::default(),
+            log_limiter: LogLimiter::of_requests(),
+            evidence_limiter: LogLimiter::of_evidence(),
             placement_changed: Notify::new(),
             inboxes: Inboxes::default(),
             store_unavailable: watch::Sender::new(false),
