Add a failing test of refusals that name no attempt on new connections

An endpoint that runs a request, and whose answer is preceded by a refusal without an identifier, sees the request four times, and the client gets 503: both TWICE and REFUSED. 421 gives 503 after one run.

--- a/crates/ploverwick_gateway/tests/second_answers.rs
+++ b/crates/ploverwick_gateway/tests/second_answers.rs
@@ -214,6 +214,56 @@
     Ok(())
 }
 
+/// Returns refusals of each status that promises "not run". None names its attempt.
+fn unnamed_refusals() -> Vec<RawAnswer> {
+    let refusals = [
+        RawAnswer::refusal(),
+        RawAnswer::status("429 Too Many Requests").not_executed(),
+        RawAnswer::status("408 Request Timeout").not_executed(),
+        RawAnswer::status("400 Bad Request").not_executed(),
+        RawAnswer::status("421 Misdirected Request"),
+    ];
+    refusals.map(RawAnswer::unnamed).into()
+}
+
+/// Runs each request. If its identifier begins with the number of an unnamed refusal, that one precedes the answer to the
+/// first request of each connection.
+fn precede_by_refusal(ledger: &Ledger, request: &RawRequest) -> RawAnswer {
+    let answer = ledger.record_run(&request.id);
+    let Some((kind, _)) = request.id.split_once("-first") else {
+        return answer;
+    };
+    let kind: usize = kind.parse().expect("the number of a refusal");
+    answer.after_copy(&RawExchange {
+        id: String::new(),
+        answer: unnamed_refusals().swap_remove(kind),
+    })
+}
+
+/// Guards against a second run, or a refusal of what has run: a refusal that names no attempt was taken for the answer to
+/// the first request of a connection.
+#[gtest]
+#[tokio::test]
+async fn unnamed_refusals_prove_nothing() -> Result<()> {
+    let gateway = Gateway::with_settings(Store::start().await?, allow_retries).await?;
+    let (endpoint, ledger) = start_endpoint(precede_by_refusal).await?;
+    gateway.store.list(endpoint.id(), &endpoint.entry());
+    gateway.store.configure(&config());
+    gateway.wait_until_ready(true).await?;
+    wait_until_served(gateway.front).await?;
+    for (kind, refusal) in unnamed_refusals().into_iter().enumerate() {
+        for number in 0..REQUESTS_PER_KIND {
+            let id = format!("{kind}-first{number}");
+            let status = send(gateway.front, &id).await?;
+            expect_that!(status, eq(StatusCode::BAD_GATEWAY), "{}", refusal.head);
+            expect_that!(ledger.runs(&id), eq(1), "{}", refusal.head);
+            // The endpoint stays in use.
+            wait_until_served(gateway.front).await?;
+        }
+    }
+    Ok(())
+}
+
 /// Guards against a request that gets the second copy of an answer to an order or a report, and an order that counts as
 /// carried out by the second copy of an answer to another one.
 #[gtest]
