Add a failing test of statements that contradict their status

An endpoint that runs a request and answers 500, 504 or 200, with the statement that it has not run it, sees the request four times, and the client gets 503. The platform's page names the statement beside 400, 421, 429 and 503 only, and says that 500 and 504 count as run.

--- a/crates/ploverwick_gateway/tests/second_answers.rs
+++ b/crates/ploverwick_gateway/tests/second_answers.rs
@@ -264,6 +264,56 @@
     Ok(())
 }
 
+/// Returns answers of endpoints that have run a request, which state nevertheless that it was not run.
+fn contradictory_answers() -> Vec<RawAnswer> {
+    let answers = [
+        RawAnswer::status("500 Internal Server Error"),
+        RawAnswer::status("504 Gateway Timeout"),
+        RawAnswer::framed("text/plain", b"done"),
+    ];
+    answers
+        .map(|answer| answer.header("Ploverwick-Not-Executed", "1"))
+        .into()
+}
+
+/// Runs each request, and gives the contradictory answer by whose number its identifier begins.
+fn contradict(ledger: &Ledger, request: &RawRequest) -> RawAnswer {
+    let answer = ledger.record_run(&request.id);
+    let Some((kind, _)) = request.id.split_once("-contradicted") else {
+        return answer;
+    };
+    let kind: usize = kind.parse().expect("the number of an answer");
+    contradictory_answers().swap_remove(kind)
+}
+
+/// Guards against a second run: a statement that the request was not run was believed beside a status that says that it was.
+#[gtest]
+#[tokio::test]
+async fn contradicted_statements_prove_nothing() -> Result<()> {
+    let gateway = Gateway::with_settings(Store::start().await?, allow_retries).await?;
+    let (endpoint, ledger) = start_endpoint(contradict).await?;
+    gateway.store.list(endpoint.id(), &endpoint.entry());
+    gateway.store.configure(&config());
+    gateway.wait_until_ready(true).await?;
+    wait_until_served(gateway.front).await?;
+    for (kind, answer) in contradictory_answers().into_iter().enumerate() {
+        for number in 0..REQUESTS_PER_KIND {
+            let id = format!("{kind}-contradicted{number}");
+            let status = send(gateway.front, &id).await?;
+            expect_that!(status, not(eq(StatusCode::OK)), "{}", answer.head);
+            expect_that!(
+                status,
+                not(eq(StatusCode::SERVICE_UNAVAILABLE)),
+                "{}",
+                answer.head
+            );
+            expect_that!(ledger.runs(&id), eq(1), "{}", answer.head);
+            wait_until_served(gateway.front).await?;
+        }
+    }
+    Ok(())
+}
+
 /// Guards against a request that gets the second copy of an answer to an order or a report, and an order that counts as
 /// carried out by the second copy of an answer to another one.
 #[gtest]
