Take no answer without an identifier for that to a request that has one

What callers saw: requests that may run once ran up to four times, or were refused with 503 though they ran. Cause: since the first answer on a new connection counted without an identifier. Endpoints name the attempt that they answer, and other bytes belong to no request, so that such an answer may precede the request's own on any connection. Change: it counts only for a request that has no identifier itself. Others are lost: retried if idempotent, else 502.

--- a/crates/ploverwick_endpoints/src/exchanges.rs
+++ b/crates/ploverwick_endpoints/src/exchanges.rs
@@ -44,13 +44,15 @@
         self.begun
     }
 
-    /// Returns whether an answer belongs to the request that was sent last. An answer that names no attempt does only if
-    /// there is no earlier request that it may belong to.
-    pub fn owns(self, echo: Echo) -> bool {
+    /// Returns whether an answer belongs to the request that was sent last.
+    ///
+    /// Endpoints name the attempt that they answer, so that an answer without a name belongs to no request that has one. It
+    /// belongs to a request without an identifier only if there is no earlier request that it may belong to.
+    pub fn owns(self, echo: Echo, is_named: bool) -> bool {
         match echo {
             Echo::Own => true,
             Echo::Other => false,
-            Echo::Absent => self.begun == 1,
+            Echo::Absent => !is_named && self.begun == 1,
         }
     }
 
--- a/crates/ploverwick_endpoints/tests/answer_attribution.rs
+++ b/crates/ploverwick_endpoints/tests/answer_attribution.rs
@@ -17,16 +17,19 @@
 #[googletest::test]
 fn named_answers_belong_to_attempt() {
     for earlier in [&[] as &[Echo], &[Echo::Own], &[Echo::Own, Echo::Own]] {
-        expect_that!(after(earlier).owns(Echo::Own), eq(true));
-        expect_that!(after(earlier).owns(Echo::Other), eq(false));
+        expect_that!(after(earlier).owns(Echo::Own, true), eq(true));
+        expect_that!(after(earlier).owns(Echo::Other, true), eq(false));
+        expect_that!(after(earlier).owns(Echo::Other, false), eq(false));
     }
 }
 
-/// Guards against an answer that names no attempt and belongs to an earlier request.
+/// Guards against an answer that names no attempt and belongs to an earlier request, or to none.
 #[googletest::test]
-fn unnamed_answers_belong_to_first() {
-    expect_that!(after(&[]).owns(Echo::Absent), eq(true));
-    expect_that!(after(&[Echo::Own]).owns(Echo::Absent), eq(false));
+fn unnamed_answers_belong_to_unnamed() {
+    expect_that!(after(&[]).owns(Echo::Absent, true), eq(false));
+    expect_that!(after(&[Echo::Own]).owns(Echo::Absent, true), eq(false));
+    expect_that!(after(&[]).owns(Echo::Absent, false), eq(true));
+    expect_that!(after(&[Echo::Own]).owns(Echo::Absent, false), eq(false));
 }
 
 #[googletest::test]
--- a/crates/ploverwick_gateway/src/filters/send.rs
+++ b/crates/ploverwick_gateway/src/filters/send.rs
@@ -210,7 +210,8 @@
     metrics::answer(head.echo, connection.exchanges);
     let status = parts.status.as_u16();
     *seen = Some(SeenAnswer::new(&connection, status, &head));
-    if !connection.exchanges.owns(head.echo) {
+    let is_named = !request.info.id.is_empty();
+    if !connection.exchanges.owns(head.echo, is_named) {
         // The start of this request's answer is unknown.
         in_flight.set_outcome(Outcome::Error);
         if head.echo == Echo::Absent {
