Decide in one place what proves that a request has not run

What callers saw: a request that an endpoint ran and answered with 500, 504 or 200, with the statement that it was not run, was sent up to four times and then refused with 503. Cause: the statement was believed beside any status, and whether a reply may promise "not run" was put together from counters that each branch of the retry filter kept by hand. Change: ploverwick_endpoints::execution decides from the echo, the status, the statement and the earlier sends on the connection; every send (first, repeated, resumed, relayed) counts as one that may run from its beginning until its end is a proof. A statement counts beside 400, 408, 429 and 503; 421 needs none; both need the attempt's identifier. The platform's crate only translates.

--- a/crates/ploverwick_endpoints/src/lib.rs
+++ b/crates/ploverwick_endpoints/src/lib.rs
@@ -15,6 +15,7 @@
 mod entry;
 mod event_scanner;
 mod exchanges;
+pub mod execution;
 mod fleet;
 mod health;
 mod heartbeats;
--- a/crates/ploverwick_gateway/src/controllers/brittleness.rs
+++ b/crates/ploverwick_gateway/src/controllers/brittleness.rs
@@ -7,7 +7,7 @@
 use ploverwick_endpoints::brittleness::Statement;
 use ploverwick_endpoints::{BrittleService, Brittleness, Entry, Evidence};
 use ploverwick_names::Moment;
-use ploverwick_platform::answer::{self, Head};
+use ploverwick_platform::answer::Head;
 use tokio::time::Instant;
 
 use crate::broadcast;
@@ -23,7 +23,7 @@
 
 /// Handles what the head of an answer says of its endpoint; the request was sent at `sent_at`.
 pub(crate) fn handle_answer(shared: &Shared, entry: &Entry, head: &Head, sent_at: Moment) {
-    let is_authentic = head.is_signed || head.statement != answer::Statement::Nothing;
+    let is_authentic = head.is_authentic();
     let statement = match head.max_refusals {
         Some(max_refusals) => Statement::Brittle { max_refusals },
         None if is_authentic => Statement::Sound,
--- a/crates/ploverwick_gateway/src/controllers/limits.rs
+++ b/crates/ploverwick_gateway/src/controllers/limits.rs
@@ -8,7 +8,7 @@
 
 use ploverwick_endpoints::{Change, Limit, LimitUpdate, Share};
 use ploverwick_names::Moment;
-use ploverwick_platform::answer::{self, Head, Statement};
+use ploverwick_platform::answer::{self, Head};
 
 use crate::broadcast;
 use crate::metrics;
@@ -22,7 +22,7 @@
     head: &Head,
     sent_at: Moment,
 ) {
-    let is_authentic = head.is_signed || head.statement != Statement::Nothing;
+    let is_authentic = head.is_authentic();
     let limit = match head.limit {
         // An answer that may not come from the endpoint itself does not lift a limit.
         answer::Limit::Absent if !is_authentic => return,
--- a/crates/ploverwick_gateway/src/filters/forward.rs
+++ b/crates/ploverwick_gateway/src/filters/forward.rs
@@ -12,7 +12,7 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 use ploverwick_endpoints::{Backpressure, Entry, Outcome, Resumption, Scan, Step};
-use ploverwick_platform::answer::{self, Head, Statement};
+use ploverwick_platform::answer;
 use tokio::time::Instant;
 
 use super::admitted_request::AdmittedRequest;
@@ -53,10 +53,10 @@
         Ok(Ok(Collected::Whole(bytes))) => bytes,
         Ok(Ok(Collected::Part(bytes))) if answered.parts.status.is_success() => {
             let resumption = Resumption::new(None, 1, 1);
-            let (parts, head) = (answered.parts.clone(), answered.head.clone());
+            let parts = answered.parts.clone();
             let mut forwarded = ForwardedStream::new(shared, request, answered, resumption);
             forwarded.collected = Some(bytes);
-            return Ok(forwarded.into_response(&parts, &head));
+            return Ok(forwarded.into_response(&parts));
         }
         Ok(Ok(Collected::Part(_))) => {
             answered.in_flight.set_outcome(Outcome::Error);
@@ -87,7 +87,7 @@
         Outcome::Success
     });
     keep(shared, &in_flight.endpoint, connection, &head);
-    Ok(build_response(&parts, &head, full_body(body)))
+    Ok(build_response(&parts, full_body(body)))
 }
 
 /// What was read of a plain answer.
@@ -115,38 +115,37 @@
 
 /// Forwards a stream of events as it arrives.
 ///
-/// `runs` is the number of sends that may have run, and `excluded` are the endpoints that are not tried again.
+/// `excluded` are the endpoints that are not tried again.
 pub(crate) fn event_stream(
     shared: &Arc<Shared>,
     request: &Arc<AdmittedRequest>,
     answered: Answered,
-    runs: u32,
     mut excluded: Vec<Arc<str>>,
 ) -> Response<Body> {
     excluded.push(Arc::clone(&answered.in_flight.endpoint));
-    let (parts, head) = (answered.parts.clone(), answered.head.clone());
+    let parts = answered.parts.clone();
     let route = &request.route;
     let may_resume = route.kind.may_retry();
     let max_runs = if may_resume { route.max_attempts } else { 1 };
+    let runs = request.lock_evidence().sends().runs();
     let resumption = Resumption::new(route.event_timeout, max_runs, runs);
     let mut forwarded = ForwardedStream::new(shared, request, answered, resumption);
     forwarded.splitter = may_resume.then(EventSplitter::default);
     forwarded.excluded = excluded;
-    forwarded.into_response(&parts, &head)
+    forwarded.into_response(&parts)
 }
 
-fn build_response(parts: &Parts, head: &Head, body: Body) -> Response<Body> {
+fn build_response(parts: &Parts, body: Body) -> Response<Body> {
     let mut response = Response::new(body);
-    *response.status_mut() = forwarded_status(parts.status, head);
+    *response.status_mut() = forwarded_status(parts.status);
     *response.headers_mut() = answer::forward(&parts.headers);
     response
 }
 
-/// Returns the status to forward. A status that implies "not run" is forwarded only if the endpoint stated that it
-/// has not run the request.
-fn forwarded_status(status: StatusCode, head: &Head) -> StatusCode {
-    let means_not_run = matches!(status.as_u16(), 408 | 421 | 429 | 503);
-    if means_not_run && head.statement == Statement::Nothing {
+/// Returns the status to forward. Answers that prove that their request has not run are not forwarded, so that the status of one
+/// that is must promise nothing.
+fn forwarded_status(status: StatusCode) -> StatusCode {
+    if answer::is_promise(status) {
         return StatusCode::BAD_GATEWAY;
     }
     status
@@ -210,14 +209,14 @@
         }
     }
 
-    fn into_response(self, parts: &Parts, head: &Head) -> Response<Body> {
+    fn into_response(self, parts: &Parts) -> Response<Body> {
         let deadline = self.request.deadline;
         let frames = stream::try_unfold(self, |mut forwarded| async move {
             let bytes = forwarded.next().await?;
             Ok::<_, BrokenAnswer>(bytes.map(|bytes| (Frame::data(bytes), forwarded)))
         });
         let body = UnsyncBoxBody::new(StreamBody::new(frames));
-        let mut response = build_response(parts, head, body);
+        let mut response = build_response(parts, body);
         response.extensions_mut().insert(ReadDeadline(deadline));
         response
     }
--- a/crates/ploverwick_gateway/src/filters/retry.rs
+++ b/crates/ploverwick_gateway/src/filters/retry.rs
@@ -33,10 +33,6 @@
 /// The previous attempts of a request.
 #[derive(Debug, Default)]
 struct History {
-    /// The number of sends that reached an endpoint.
-    sent: u32,
-    /// The number of sends that may have run.
-    runs: u32,
     /// The number of sends that certainly did not run, including those that were never sent.
     refusals: u32,
     /// The endpoints that are not tried again.
@@ -96,7 +92,8 @@
     let mut history = History::default();
     let mut replacement = None;
     loop {
-        if history.runs > 0 && !quarantine::may_retry(shared, &request) {
+        let may_have_run = !request.lock_evidence().sends().may_promise();
+        if may_have_run && !quarantine::may_retry(shared, &request) {
             let reply = Reply::new(Code::Interrupted, "Endpoints crashed under the request.");
             return give_up(shared, &request, history, reply);
         }
@@ -145,7 +142,8 @@
     let selected = select::run(shared, request, &history.excluded).await;
     history.timings.placing += begun.elapsed();
     let target = selected?;
-    if history.sent > 0 && !shared.may_retry(&request.info.id, &request.service) {
+    let was_written = request.lock_evidence().sends().written() > 0;
+    if was_written && !shared.may_retry(&request.info.id, &request.service) {
         let reply = Reply::new(Code::EndpointRefused, "No repeat is left in the budget.");
         return Err(reply.retry_after(REFUSED_RETRY_AFTER));
     }
@@ -175,7 +173,6 @@
             retry_refused(history, &cause, Duration::ZERO)
         }
         SendOutcome::NotRun { misdirected } => {
-            history.sent += 1;
             if misdirected {
                 // This corrects the directory, so it does not count as a refusal: after a crash,
                 // every entry for the adapter may be stale.
@@ -189,8 +186,6 @@
         }
         SendOutcome::Lost(cause) => retry_lost(request, target, history, &cause),
         SendOutcome::Withdrawn => {
-            history.sent += 1;
-            history.runs += 1;
             let detail = "Endpoints crashed under it elsewhere.";
             NextStep::GiveUp(Reply::new(Code::Interrupted, detail))
         }
@@ -222,7 +217,7 @@
     if status.is_success() && request.route.kind.is_stream() {
         log_answered(shared, request, target, history, status, &head);
         let excluded = std::mem::take(&mut history.excluded);
-        let response = forward::event_stream(shared, request, answered, history.runs + 1, excluded);
+        let response = forward::event_stream(shared, request, answered, excluded);
         return NextStep::Respond(response);
     }
     let response = match forward::whole(shared, request, answered).await {
@@ -233,9 +228,7 @@
         quarantine::handle_success(shared, request, &target.entry, head.framing);
     }
     let is_failure = status.is_server_error();
-    if is_failure && may_retry(request, history.runs + 1) {
-        history.sent += 1;
-        history.runs += 1;
+    if is_failure && may_retry(request) {
         history.excluded.push(Arc::clone(&target.entry.id));
         history.error_response = Some(response);
         return NextStep::Retry(Duration::ZERO);
@@ -258,16 +251,20 @@
     history: &mut History,
     cause: &str,
 ) -> NextStep {
-    history.sent += 1;
-    history.runs += 1;
     history.excluded.push(Arc::clone(&target.entry.id));
-    if may_retry(request, history.runs) {
+    if may_retry(request) {
         return NextStep::Retry(Duration::ZERO);
     }
     NextStep::GiveUp(Reply::new(Code::Interrupted, cause))
 }
 
-fn may_retry(request: &AdmittedRequest, runs: u32) -> bool {
+/// Returns whether a request may be sent again after its sends so far.
+fn may_retry(request: &AdmittedRequest) -> bool {
+    may_run_again(request, request.lock_evidence().sends().runs())
+}
+
+/// Returns whether a request that may have run this many times may run once more.
+fn may_run_again(request: &AdmittedRequest, runs: u32) -> bool {
     request.route.kind.may_retry() && runs < request.route.max_attempts
 }
 
@@ -284,7 +281,8 @@
         .unwrap_or(request.deadline)
         .min(request.deadline);
     let wait = AnswerWait::until(end);
-    if !may_retry(request, history.runs + 1) {
+    let runs_after = request.lock_evidence().sends().runs() + 1;
+    if !may_run_again(request, runs_after) {
         return wait;
     }
     let now = shared.now();
@@ -308,7 +306,8 @@
     reply: Reply,
 ) -> Response<Body> {
     // Once a send may have run, the reply must not state that the request did not run.
-    let reply = if history.runs == 0 || reply.code.class() != ploverwick_codes::Class::NotRun {
+    let sends = request.lock_evidence().sends();
+    let reply = if sends.may_promise() || reply.code.class() != ploverwick_codes::Class::NotRun {
         reply
     } else {
         Reply::new(Code::Interrupted, reply.detail)
@@ -321,8 +320,8 @@
             request.service,
             request.config_version,
             format_adapter(request),
-            history.sent,
-            history.runs,
+            sends.written(),
+            sends.runs(),
             history.refusals,
             history.excluded,
             format_last_send(&history),
@@ -337,7 +336,7 @@
     let response = history
         .error_response
         .unwrap_or_else(|| reply.into_response());
-    send_evidence::log(shared, request, response.status().as_u16());
+    send_evidence::log(shared, request, response.status());
     response
 }
 
@@ -373,7 +372,7 @@
     status: StatusCode,
     head: &Head,
 ) {
-    send_evidence::log(shared, request, status.as_u16());
+    send_evidence::log(shared, request, status);
     if shared.log_limiter.allow(shared.now()) {
         spdlog::info!(
             "request_answered id={} resumes={} after_event={} route={} config={} adapter={} {} endpoint={} software={} domain={} cost={:.1} prompt={} load={} reading={} limit={:?} state={:?} framing={} sent={} status={} placing_ms={} in_vain_ms={} answering_ms={} ms={}",
@@ -394,7 +393,7 @@
             shared.state().limits.get(&target.entry.id),
             head.state,
             head.framing.name(),
-            history.sent + 1,
+            request.lock_evidence().sends().written(),
             status.as_u16(),
             history.timings.placing.as_millis(),
             history.timings.failed_sends.as_millis(),
--- a/crates/ploverwick_gateway/src/filters/send.rs
+++ b/crates/ploverwick_gateway/src/filters/send.rs
@@ -9,9 +9,10 @@
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
+use ploverwick_endpoints::execution::{Execution, Sighting, Status};
 use ploverwick_endpoints::{Echo, Entry, Evidence, Outcome};
 use ploverwick_names::Moment;
-use ploverwick_platform::answer::{self, Head, Statement};
+use ploverwick_platform::answer::{self, Head};
 use ploverwick_platform::request::{self, Addition};
 use ploverwick_quarantine::prompt::Knowledge;
 use tokio::time::Instant;
@@ -97,15 +98,19 @@
     wait: &mut AnswerWait<'_>,
     after_event: Option<u64>,
 ) -> SendOutcome {
+    request.lock_evidence().begin();
     let mut answer = None;
     let outcome = send(shared, request, target, wait, after_event, &mut answer).await;
-    let seen = SeenSend {
+    request.lock_evidence().end(SeenSend {
         endpoint: Arc::clone(&target.entry.id),
+        sighting: match (&outcome, &answer) {
+            (SendOutcome::Unsent(_) | SendOutcome::Revoked(_), _) => Sighting::Unwritten,
+            (_, Some(seen)) => Sighting::Answered(seen.answer),
+            (_, None) => Sighting::Unanswered,
+        },
         answer,
         outcome: outcome.name(),
-    };
-    let proves_not_run = matches!(outcome, SendOutcome::NotRun { .. });
-    request.lock_evidence().record(seen, proves_not_run);
+    });
     outcome
 }
 
@@ -208,8 +213,8 @@
     reachability::handle_answer(shared, &target.entry, &mut connection);
     let head = answer::read(parts.status, &parts.headers, &request.info.id);
     metrics::answer(head.echo, connection.exchanges);
-    let status = parts.status.as_u16();
-    *seen = Some(SeenAnswer::new(&connection, status, &head));
+    let seen = seen.insert(SeenAnswer::new(request, &connection, parts.status, &head));
+    let execution = Execution::of(Sighting::Answered(seen.answer));
     let is_named = !request.info.id.is_empty();
     if !connection.exchanges.owns(head.echo, is_named) {
         // The start of this request's answer is unknown.
@@ -229,6 +234,10 @@
         return SendOutcome::Lost("the answer may be another request's".to_owned());
     }
     connection.exchanges.record_answer(head.echo);
+    if parts.status.is_success() && head.states_not_run {
+        in_flight.set_outcome(Outcome::Error);
+        return SendOutcome::Lost("a success states that the request was not run".to_owned());
+    }
     if parts.status.is_success() {
         // Measure from the send, not from the client's request, which may have waited for an adapter load.
         in_flight.record_latency(sent.begun.elapsed());
@@ -241,13 +250,14 @@
         (parts.status, &head),
         sent.at,
     );
-    if head.statement == Statement::NotRun
+    if execution == Execution::NotRun
+        && head.status == Status::Refusal
         && let Some(max_refusals) = head.max_refusals
     {
         let id = &request.info.id;
         brittleness::handle_refusal(shared, endpoint, id, &sent.evidence, max_refusals);
     }
-    if head.statement != Statement::Nothing {
+    if execution == Execution::NotRun {
         let misdirected = handle_not_run(shared, request, target, &head);
         in_flight.set_not_run(misdirected);
         reuse::drain(shared, endpoint, connection, head, body);
@@ -272,7 +282,7 @@
     head: &Head,
 ) -> bool {
     record_not_run(request);
-    let misdirected = head.statement == Statement::Misdirected;
+    let misdirected = head.status == Status::Misdirected;
     if misdirected && let Some(copy) = &target.copy {
         // The directory is wrong: the endpoint does not hold the adapter.
         let endpoint = &target.entry.id;
@@ -311,14 +321,14 @@
     brittleness::handle_answer(shared, entry, head, sent);
     if status == StatusCode::SERVICE_UNAVAILABLE && shared.log_limiter.allow(shared.now()) {
         spdlog::info!(
-            "send_refused id={} endpoint={} connection={} exchange={} echo={} sends={} statement={:?} retry_after={:?}",
+            "send_refused id={} endpoint={} connection={} exchange={} echo={} sends={} states_not_run={} retry_after={:?}",
             id,
             endpoint,
             connection.id,
             connection.exchanges.begun(),
             head.echo.name(),
             request.sends.load(Ordering::Relaxed),
-            head.statement,
+            head.states_not_run,
             head.retry_after
         );
     }
--- a/crates/ploverwick_gateway/src/filters/send_evidence.rs
+++ b/crates/ploverwick_gateway/src/filters/send_evidence.rs
@@ -1,65 +1,91 @@
-//! What was seen of the sends of a request, from which it follows whether the request has run.
+//! What was seen of the sends of a request, from which it follows whether the request may have run.
 
 use std::fmt;
 use std::sync::Arc;
 
-use ploverwick_endpoints::Echo;
-use ploverwick_platform::answer::Head;
+use http::StatusCode;
+use ploverwick_endpoints::execution::{Answer, Execution, Sends, Sighting};
+use ploverwick_platform::answer::{self, Head};
 
 use super::admitted_request::AdmittedRequest;
 use crate::metrics;
 use crate::pool::{Connection, ConnectionId};
 use crate::shared::Shared;
 
-/// The number of sends that are kept of a request; further ones are counted.
+/// The number of sends that are kept of a request for the log; further ones are counted.
 const MAX_SENDS: usize = 8;
 
 /// The sends of a request.
 #[derive(Debug, Default)]
 pub(crate) struct SendEvidence {
-    sends: Vec<SeenSend>,
+    sends: Sends,
+    seen: Vec<SeenSend>,
     omitted: u32,
     /// The number of answers that proved that the request has not run.
     refusals: u32,
 }
 
-/// A send of a request.
+/// A send that has ended.
 #[derive(Debug)]
 pub(crate) struct SeenSend {
     pub(crate) endpoint: Arc<str>,
-    /// What was answered; `None` if nothing was.
+    pub(crate) sighting: Sighting,
+    /// The head of the answer, if one arrived.
     pub(crate) answer: Option<SeenAnswer>,
     /// What the send was taken for.
     pub(crate) outcome: &'static str,
 }
 
 /// The head of an answer.
-#[derive(Debug)]
+#[derive(Debug, Clone, Copy)]
 pub(crate) struct SeenAnswer {
     connection: ConnectionId,
     exchange: u32,
-    status: u16,
-    echo: Echo,
-    statement: &'static str,
+    status: StatusCode,
+    pub(crate) answer: Answer,
 }
 
 impl SeenAnswer {
-    pub(crate) fn new(connection: &Connection, status: u16, head: &Head) -> Self {
+    pub(crate) fn new(
+        request: &AdmittedRequest,
+        connection: &Connection,
+        status: StatusCode,
+        head: &Head,
+    ) -> Self {
+        let used = request.lock_used_connections();
+        let sends = used.iter().filter(|id| **id == connection.id).count();
         Self {
             connection: connection.id,
             exchange: connection.exchanges.begun(),
             status,
-            echo: head.echo,
-            statement: head.statement.name(),
+            answer: Answer {
+                echo: head.echo,
+                status: head.status,
+                states_not_run: head.states_not_run,
+                is_resent: sends > 1,
+            },
         }
     }
 }
 
 impl SendEvidence {
-    pub(crate) fn record(&mut self, send: SeenSend, proves_not_run: bool) {
-        self.refusals += u32::from(proves_not_run && send.answer.is_some());
-        if self.sends.len() < MAX_SENDS {
-            self.sends.push(send);
+    /// Returns what the sends so far amount to.
+    pub(crate) fn sends(&self) -> Sends {
+        self.sends
+    }
+
+    /// Records that a send begins.
+    pub(crate) fn begin(&mut self) {
+        self.sends.begin();
+    }
+
+    /// Records a send that began before.
+    pub(crate) fn end(&mut self, send: SeenSend) {
+        self.sends.end(send.sighting);
+        let is_proof = Execution::of(send.sighting) == Execution::NotRun;
+        self.refusals += u32::from(is_proof && send.answer.is_some());
+        if self.seen.len() < MAX_SENDS {
+            self.seen.push(send);
         } else {
             self.omitted += 1;
         }
@@ -68,7 +94,7 @@
 
 impl fmt::Display for SendEvidence {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        for (index, send) in self.sends.iter().enumerate() {
+        for (index, send) in self.seen.iter().enumerate() {
             let separator = if index > 0 { " " } else { "" };
             write!(f, "{separator}{send}")?;
         }
@@ -83,29 +109,39 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}", self.endpoint)?;
         if let Some(answer) = &self.answer {
-            let SeenAnswer {
-                connection,
-                exchange,
-                status,
-                echo,
-                statement,
-            } = answer;
-            let echo = echo.name();
-            write!(f, "@{connection}/{exchange}:{status},{echo},{statement}")?;
+            write!(f, "@{answer}")?;
         }
         write!(f, "={}", self.outcome)
     }
 }
 
+impl fmt::Display for SeenAnswer {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let statement = if self.answer.states_not_run {
+            "not_run"
+        } else {
+            "nothing"
+        };
+        write!(
+            f,
+            "{}/{}:{},{},{statement}",
+            self.connection,
+            self.exchange,
+            self.status.as_u16(),
+            self.answer.echo.name()
+        )
+    }
+}
+
 /// Logs what was seen of a request that may run only once and was refused at least once, when it ends with `status`.
 ///
 /// The line has a limit of its own, as it is needed most under a load at which lines about other requests are dropped.
-pub(crate) fn log(shared: &Shared, request: &AdmittedRequest, status: u16) {
+pub(crate) fn log(shared: &Shared, request: &AdmittedRequest, status: StatusCode) {
     let evidence = request.lock_evidence();
     if evidence.refusals == 0 || request.route.kind.may_retry() {
         return;
     }
-    let ending = if is_promise(status) {
+    let ending = if answer::is_promise(status) {
         "promise"
     } else {
         "other"
@@ -116,13 +152,8 @@
             "not_run_evidence id={} route={} status={} sends=\"{}\"",
             request.info.id,
             request.route.name,
-            status,
+            status.as_u16(),
             evidence
         );
     }
 }
-
-/// Returns whether a status promises that the request has not run and will not run.
-fn is_promise(status: u16) -> bool {
-    matches!(status, 408 | 421 | 429 | 503)
-}
