--- a/crates/ploverwick_soak/src/deployment.rs
+++ b/crates/ploverwick_soak/src/deployment.rs
@@ -5,6 +5,7 @@
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -58,6 +59,9 @@
     behaviour: Behaviour,
     seed: u64,
     store: Store,
+    _network: Network,
+    /// The number of versions of the configuration that were published.
+    versions: AtomicU64,
     fronts: Arc<[SocketAddr]>,
     gateways: Vec<Mutex<Gateway>>,
     endpoints: Vec<Mutex<Endpoint>>,
@@ -99,10 +103,10 @@
         programs: Programs,
     ) -> Result<Arc<Self>> {
         fs::create_dir_all(&programs.folder).context("create the folder")?;
-        let network = free_network()?;
+        let reserved = Network::reserve()?;
+        let network = reserved.number;
         let ports = free_ports(network)?;
         let store = Store::start().await?;
-        store.configure(&config());
         let mut gateways = Vec::new();
         let mut fronts = Vec::new();
         for index in 0..scope.gateways {
@@ -142,12 +146,15 @@
             behaviour,
             seed: scope.seed,
             store,
+            _network: reserved,
+            versions: AtomicU64::new(0),
             fronts: fronts.into(),
             gateways,
             endpoints: endpoints?,
             runs: Arc::default(),
             readers: Mutex::default(),
         });
+        deployment.configure();
         for index in 0..scope.endpoints {
             deployment.start_endpoint(index)?;
         }
@@ -274,6 +281,12 @@
                     self.start_endpoint(index)?;
                 }
             }
+            Disruption::Configure => self.configure(),
+            Disruption::StoreOutage(duration) => {
+                self.store.set_unavailable(true);
+                tokio::time::sleep(duration).await;
+                self.store.set_unavailable(false);
+            }
             Disruption::Faults(index, faults, duration) => {
                 self.set_faults(index, faults);
                 tokio::time::sleep(duration).await;
@@ -310,6 +323,12 @@
         }
     }
 
+    /// Publishes the next version of the configuration, under which one route has another time limit.
+    fn configure(&self) {
+        let version = 1 + self.versions.fetch_add(1, Ordering::Relaxed);
+        self.store.configure(&config(version));
+    }
+
     fn set_faults(&self, index: usize, faults: Vec<Fault>) {
         if let Some(sender) = &lock(&self.endpoints[index]).faults {
             // The process may have ended.
@@ -383,8 +402,10 @@
     }
 }
 
-fn config() -> serde_json::Value {
-    let mut config = settings::config(1);
+fn config(version: u64) -> serde_json::Value {
+    let mut config = settings::config(version);
+    let timeout = Duration::from_millis(1_500 + version % 2 * 500);
+    settings::set_timeout(&mut config, "/once/", timeout);
     settings::add_stream_route(&mut config, STREAM_PATH, SERVICE);
     settings::set_max_body(&mut config, 1_000_000);
     config
@@ -394,15 +415,27 @@
     mutex.lock().expect("no holder of the lock panics")
 }
 
-/// Finds a network 127.N.0.0 in which the first endpoint's address is free.
-fn free_network() -> Result<u8> {
-    let first = std::process::id() % 200;
-    let mut networks = (0..200).map(|n| 20 + ((first + n) % 200) as u8);
-    let is_free = |network: &u8| {
-        let address = (Ipv4Addr::new(127, *network, 64, 1), ENDPOINT_PORT);
-        TcpListener::bind(address).is_ok()
-    };
-    networks.find(is_free).context("no network is free")
+/// A network 127.N.0.0 of which no other deployment uses an address.
+struct Network {
+    number: u8,
+    /// Keeps the network from other deployments.
+    _reservation: TcpListener,
+}
+
+impl Network {
+    fn reserve() -> Result<Self> {
+        let first = std::process::id() % 200;
+        let mut numbers = (0..200).map(|n| 20 + ((first + n) % 200) as u8);
+        let reserved = numbers.find_map(|number| {
+            let address = (Ipv4Addr::new(127, number, 255, 1), ENDPOINT_PORT);
+            let reservation = TcpListener::bind(address).ok()?;
+            Some(Self {
+                number,
+                _reservation: reservation,
+            })
+        });
+        reserved.context("no network is free")
+    }
 }
 
 /// Finds four consecutive ports below those that the system gives to connections, and returns the first.
--- a/crates/ploverwick_soak/src/plan.rs
+++ b/crates/ploverwick_soak/src/plan.rs
@@ -40,6 +40,10 @@
     Restart(usize),
     /// The answers of the endpoint have faults for this time.
     Faults(usize, Vec<Fault>, Duration),
+    /// The operator publishes the next version of the configuration.
+    Configure,
+    /// The store refuses all calls for this time.
+    StoreOutage(Duration),
 }
 
 /// Disruptions with the time from the start of the traffic, in order.
@@ -59,6 +63,7 @@
         let mut plan = Self::default();
         plan.draw_series(scope, &mut random, draw_pause);
         plan.draw_series(scope, &mut random, draw_end);
+        plan.draw_series(scope, &mut random, draw_platform_change);
         for endpoint in 0..scope.endpoints {
             plan.draw_series(scope, &mut random, |_, random| {
                 draw_faults(endpoint, random)
@@ -114,6 +119,14 @@
     }
 }
 
+fn draw_platform_change(_: Scope, random: &mut SmallRng) -> Disruption {
+    if random.random() {
+        Disruption::Configure
+    } else {
+        Disruption::StoreOutage(Duration::from_millis(random.random_range(DOWN_MS)))
+    }
+}
+
 fn draw_faults(endpoint: usize, random: &mut SmallRng) -> Disruption {
     let duration = Duration::from_millis(random.random_range(FAULTS_MS));
     let count = random.random_range(1..=3);
