--- a/crates/ploverwick_gateway/src/filters.rs
+++ b/crates/ploverwick_gateway/src/filters.rs
@@ -12,6 +12,7 @@
 mod authenticate;
 mod copy_demand;
 mod event_splitter;
+mod evidence_log;
 mod forward;
 mod in_flight;
 mod missing_adapter;
--- a/crates/ploverwick_gateway/src/filters/admitted_request.rs
+++ b/crates/ploverwick_gateway/src/filters/admitted_request.rs
@@ -96,6 +96,12 @@
         used.expect("no holder of the lock panics")
     }
 
+    /// Returns whether the request was sent on a connection more than once.
+    pub(super) fn is_resent_on(&self, connection: ConnectionId) -> bool {
+        let used = self.lock_used_connections();
+        used.iter().filter(|id| **id == connection).count() > 1
+    }
+
     pub(super) fn lock_evidence(&self) -> MutexGuard<'_, SendEvidence> {
         let evidence = self.evidence.lock();
         evidence.expect("no holder of the lock panics")
--- a/crates/ploverwick_gateway/src/filters/retry.rs
+++ b/crates/ploverwick_gateway/src/filters/retry.rs
@@ -14,12 +14,12 @@
 
 use super::admitted_request::AdmittedRequest;
 use super::answer_wait::AnswerWait;
+use super::evidence_log;
 use super::forward;
 use super::quarantine;
 use super::reply::{Body, Reply};
 use super::select::{self, Target};
 use super::send::{self, Answered, SendOutcome};
-use super::send_evidence;
 use crate::metrics;
 use crate::shared::Shared;
 
@@ -336,7 +336,7 @@
     let response = history
         .error_response
         .unwrap_or_else(|| reply.into_response());
-    send_evidence::log(shared, request, response.status());
+    evidence_log::log(shared, request, response.status());
     response
 }
 
@@ -372,7 +372,7 @@
     status: StatusCode,
     head: &Head,
 ) {
-    send_evidence::log(shared, request, status);
+    evidence_log::log(shared, request, status);
     if shared.log_limiter.allow(shared.now()) {
         spdlog::info!(
             "request_answered id={} resumes={} after_event={} route={} config={} adapter={} {} endpoint={} software={} domain={} cost={:.1} prompt={} load={} reading={} limit={:?} state={:?} framing={} sent={} status={} placing_ms={} in_vain_ms={} answering_ms={} ms={}",
--- a/crates/ploverwick_gateway/src/filters/send.rs
+++ b/crates/ploverwick_gateway/src/filters/send.rs
@@ -213,7 +213,8 @@
     reachability::handle_answer(shared, &target.entry, &mut connection);
     let head = answer::read(parts.status, &parts.headers, &request.info.id);
     metrics::answer(head.echo, connection.exchanges);
-    let seen = seen.insert(SeenAnswer::new(request, &connection, parts.status, &head));
+    let is_resent = request.is_resent_on(connection.id);
+    let seen = seen.insert(SeenAnswer::new(&connection, parts.status, &head, is_resent));
     let execution = Execution::of(Sighting::Answered(seen.answer));
     let is_named = !request.info.id.is_empty();
     if !connection.exchanges.owns(head.echo, is_named) {
--- a/crates/ploverwick_gateway/src/filters/send_evidence.rs
+++ b/crates/ploverwick_gateway/src/filters/send_evidence.rs
@@ -5,12 +5,9 @@
 
 use http::StatusCode;
 use ploverwick_endpoints::execution::{Answer, Execution, Sends, Sighting};
-use ploverwick_platform::answer::{self, Head};
+use ploverwick_platform::answer::Head;
 
-use super::admitted_request::AdmittedRequest;
-use crate::metrics;
 use crate::pool::{Connection, ConnectionId};
-use crate::shared::Shared;
 
 /// The number of sends that are kept of a request for the log; further ones are counted.
 const MAX_SENDS: usize = 8;
@@ -46,14 +43,13 @@
 }
 
 impl SeenAnswer {
+    /// Creates the head of an answer. `is_resent` is whether the request was sent on the connection before.
     pub(crate) fn new(
-        request: &AdmittedRequest,
         connection: &Connection,
         status: StatusCode,
         head: &Head,
+        is_resent: bool,
     ) -> Self {
-        let used = request.lock_used_connections();
-        let sends = used.iter().filter(|id| **id == connection.id).count();
         Self {
             connection: connection.id,
             exchange: connection.exchanges.begun(),
@@ -62,7 +58,7 @@
                 echo: head.echo,
                 status: head.status,
                 states_not_run: head.states_not_run,
-                is_resent: sends > 1,
+                is_resent,
             },
         }
     }
@@ -74,6 +70,11 @@
         self.sends
     }
 
+    /// Returns the number of answers that proved that the request has not run.
+    pub(crate) fn refusals(&self) -> u32 {
+        self.refusals
+    }
+
     /// Records that a send begins.
     pub(crate) fn begin(&mut self) {
         self.sends.begin();
@@ -132,28 +133,3 @@
         )
     }
 }
-
-/// Logs what was seen of a request that may run only once and was refused at least once, when it ends with `status`.
-///
-/// The line has a limit of its own, as it is needed most under a load at which lines about other requests are dropped.
-pub(crate) fn log(shared: &Shared, request: &AdmittedRequest, status: StatusCode) {
-    let evidence = request.lock_evidence();
-    if evidence.refusals == 0 || request.route.kind.may_retry() {
-        return;
-    }
-    let ending = if answer::is_promise(status) {
-        "promise"
-    } else {
-        "other"
-    };
-    metrics::refused_request(ending);
-    if shared.evidence_limiter.allow(shared.now()) {
-        spdlog::info!(
-            "not_run_evidence id={} route={} status={} sends=\"{}\"",
-            request.info.id,
-            request.route.name,
-            status.as_u16(),
-            evidence
-        );
-    }
-}
--- a/crates/ploverwick_soak/src/client.rs
+++ b/crates/ploverwick_soak/src/client.rs
@@ -14,27 +14,17 @@
 use tokio::time::Instant;
 
 use crate::deployment::{HOST, ONCE_PATH, SAFE_PATH};
-use crate::verdict::{self, Ending};
+use crate::verdict::{Attempt, Ending};
 
 /// The number of attempts at a request.
 const MAX_ATTEMPTS: u32 = 3;
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 const TIMEOUT: Duration = Duration::from_secs(2);
 const MAX_THINK_MS: u64 = 60;
+const MAX_BACKOFF_MS: u64 = 250;
 /// The largest body, which is longer than what is sent with the head.
 const MAX_BODY_BYTES: usize = 40_000;
 
-/// What a client saw of an attempt.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Attempt {
-    /// Its identifier.
-    pub id: String,
-    /// Whether it may run only once.
-    pub runs_once: bool,
-    /// How it ended.
-    pub ending: Ending,
-}
-
 /// Sends requests until `end`, one after the other.
 pub async fn run(
     seed: u64,
@@ -83,7 +73,7 @@
             if !may_retry {
                 break;
             }
-            let backoff = Duration::from_millis(random.random_range(0..verdict::MAX_BACKOFF_MS));
+            let backoff = Duration::from_millis(random.random_range(0..MAX_BACKOFF_MS));
             tokio::time::sleep(backoff).await;
         }
     }
--- a/crates/ploverwick_soak/src/verdict.rs
+++ b/crates/ploverwick_soak/src/verdict.rs
@@ -5,10 +5,16 @@
 
 use ploverwick_platform_standin::client::ClientResponse;
 
-use crate::client::Attempt;
-
-/// The longest time before a client sends a request again, in milliseconds.
-pub(crate) const MAX_BACKOFF_MS: u64 = 250;
+/// What a client saw of an attempt.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Attempt {
+    /// Its identifier.
+    pub id: String,
+    /// Whether it may run only once.
+    pub runs_once: bool,
+    /// How it ended.
+    pub ending: Ending,
+}
 
 /// How an attempt ended, as its client saw it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/ploverwick_soak/tests/verdicts.rs
+++ b/crates/ploverwick_soak/tests/verdicts.rs
@@ -3,8 +3,7 @@
 use std::collections::HashMap;
 
 use googletest::prelude::*;
-use ploverwick_soak::client::Attempt;
-use ploverwick_soak::verdict::{Ending, Verdict, Violation};
+use ploverwick_soak::verdict::{Attempt, Ending, Verdict, Violation};
 
 fn judge(runs_once: bool, ending: Ending, runs: usize) -> Vec<Violation> {
     let attempt = Attempt {
