--- a/crates/ploverwick_gateway/src/filters/evidence_log.rs
+++ b/crates/ploverwick_gateway/src/filters/evidence_log.rs
@@ -7,20 +7,18 @@
 use crate::metrics;
 use crate::shared::Shared;
 
-/// Logs what was seen of a request that may run only once and was refused at least once, when it ends with `status`.
+/// Logs what was seen of a request that may run only once, when it ends with `status`, if that or a further send rests on proof
+/// that it had not run.
 ///
 /// The line has a limit of its own, as it is needed most under a load at which lines about other requests are dropped.
 pub(super) fn log(shared: &Shared, request: &AdmittedRequest, status: StatusCode) {
     let evidence = request.lock_evidence();
-    if evidence.refusals() == 0 || request.route.kind.may_retry() {
+    let is_promise = answer::is_promise(status);
+    let rests_on_proof = evidence.has_proof() || (is_promise && evidence.has_ended());
+    if !rests_on_proof || request.route.kind.may_retry() {
         return;
     }
-    let ending = if answer::is_promise(status) {
-        "promise"
-    } else {
-        "other"
-    };
-    metrics::refused_request(ending);
+    metrics::refused_request(if is_promise { "promise" } else { "other" });
     if shared.evidence_limiter.allow(shared.now()) {
         spdlog::info!(
             "not_run_evidence id={} route={} status={} sends=\"{}\"",
--- a/crates/ploverwick_gateway/src/filters/send_evidence.rs
+++ b/crates/ploverwick_gateway/src/filters/send_evidence.rs
@@ -70,9 +70,14 @@
         self.sends
     }
 
-    /// Returns the number of answers that proved that the request has not run.
-    pub(crate) fn refusals(&self) -> u32 {
-        self.refusals
+    /// Returns whether an answer proved that the request has not run.
+    pub(crate) fn has_proof(&self) -> bool {
+        self.refusals > 0
+    }
+
+    /// Returns whether any send has ended.
+    pub(crate) fn has_ended(&self) -> bool {
+        !self.seen.is_empty()
     }
 
     /// Records that a send begins.
--- a/crates/ploverwick_gateway/src/logging.rs
+++ b/crates/ploverwick_gateway/src/logging.rs
@@ -18,7 +18,7 @@
 /// The maximum number of lines per second about single requests. Lines beyond it are dropped and counted.
 const MAX_REQUEST_LINES_PER_S: u32 = 120;
 /// The same for lines on what proves that requests have not run.
-const MAX_EVIDENCE_LINES_PER_S: u32 = 60;
+const MAX_EVIDENCE_LINES_PER_S: u32 = 240;
 
 /// Installs the default logger, which writes to the standard output.
 ///
