Simulate ways to blame a whole request for crashes

ploverwick-bench requests runs four ways on the same generated arrivals: three crashes, as today; three in two rounds; two rounds; three rounds, as prompt parts are blamed. Nothing in the gateway changes.

--- a/crates/ploverwick_bench/src/main.rs
+++ b/crates/ploverwick_bench/src/main.rs
@@ -65,6 +65,11 @@
                 /// How long origins are collected into one message, in milliseconds; 0 by default, as the gateway sends them at once.
                 optional --delay number: u64
             }
+            /// Simulates how many endpoints a fatal request crashes, and which sound ones are refused as endpoints are lost.
+            cmd requests {
+                /// The number of simulations in each cell; 20 by default.
+                optional --times times: u64
+            }
             /// Simulates how many endpoints a fatal part of prompts crashes, and what sound requests it costs.
             cmd prompts {
                 /// The number of simulations in each cell of the tables; 20 by default.
@@ -122,6 +127,10 @@
             origins::run(flags.times.unwrap_or(1_000), batch_delay);
             Ok(())
         }
+        PloverwickBenchCmd::Requests(flags) => {
+            prompts::run_requests(flags.times.unwrap_or(20));
+            Ok(())
+        }
         PloverwickBenchCmd::Prompts(flags) => {
             prompts::run(flags.times.unwrap_or(20));
             Ok(())
--- a/crates/ploverwick_bench/src/prompts.rs
+++ b/crates/ploverwick_bench/src/prompts.rs
@@ -8,7 +8,7 @@
 
 use fleet::{Fleet, Outcome};
 use tracker::Way;
-use workload::{SCENARIOS, Scenario};
+use workload::{SCENARIOS, Scenario, WHOLE_REQUESTS};
 
 /// The sizes of fleets: instances, endpoints, and requests a second of the whole fleet.
 const SIZES: [Size; 3] = [
@@ -26,6 +26,13 @@
     (Way::Cancelled, "the same, and cancelled"),
 ];
 
+const REQUEST_WAYS: [(Way, &str); 4] = [
+    (Way::Crashes, "3 crashes"),
+    (Way::CrashesInRounds, "3 crashes in 2 rounds"),
+    (Way::Rounds(2), "2 rounds"),
+    (Way::Rounds(3), "3 rounds"),
+];
+
 /// The size of a fleet.
 #[derive(Debug, Clone, Copy)]
 struct Size {
@@ -44,8 +51,18 @@
     }
 }
 
-/// Prints a table for each size of fleet; `seeds` is the number of simulations in each cell.
+/// Compares ways to blame a part of prompts; `seeds` is the number of simulations in each cell.
 pub(crate) fn run(seeds: u64) {
+    print_tables(&SCENARIOS, &WAYS, seeds);
+}
+
+/// Compares ways to blame a whole request.
+pub(crate) fn run_requests(seeds: u64) {
+    print_tables(&WHOLE_REQUESTS, &REQUEST_WAYS, seeds);
+}
+
+/// Prints a table for each size of fleet.
+fn print_tables(scenarios: &[Scenario], ways: &[(Way, &str)], seeds: u64) {
     for size in SIZES {
         println!(
             "{} instances, {} endpoints, {} requests a second, {seeds} seeds",
@@ -55,9 +72,9 @@
             "| scenario | way | endpoints ended: mean, most | fatal requests sent late: mean, most | sound refused of 10^6 | refused of those with the same first part, in % |"
         );
         println!("| --- | --- | --- | --- | --- | --- |");
-        for scenario in SCENARIOS {
-            for (way, label) in WAYS {
-                print_row(size, scenario, way, label, seeds);
+        for scenario in scenarios {
+            for (way, label) in ways {
+                print_row(size, *scenario, *way, label, seeds);
             }
         }
     }
--- a/crates/ploverwick_bench/src/prompts/fleet.rs
+++ b/crates/ploverwick_bench/src/prompts/fleet.rs
@@ -195,7 +195,7 @@
             Event::SoundArrives => {
                 let next = self.exponential(1_000.0 / self.size.requests_per_s);
                 self.schedule(self.now + next, Event::SoundArrives);
-                let prompt = workload::sound(&mut self.random);
+                let prompt = workload::sound(self.scenario.alike, &mut self.random);
                 self.send(prompt);
             }
             Event::FatalArrives => {
--- a/crates/ploverwick_bench/src/prompts/tracker.rs
+++ b/crates/ploverwick_bench/src/prompts/tracker.rs
@@ -4,7 +4,9 @@
 
 use ploverwick_names::Moment;
 use ploverwick_quarantine::prompt::{self, Caller, Knowledge, Part, Verdict};
-use ploverwick_quarantine::{Change, Crash, Entry, Fingerprint, Quarantine, Status};
+use ploverwick_quarantine::{
+    CRASH_THRESHOLD, Change, Crash, Entry, Fingerprint, Quarantine, Status,
+};
 
 /// A way to blame a part.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -13,6 +15,8 @@
     WholeRequests,
     /// Three crashes without a success, as whole requests are.
     Crashes,
+    /// Three crashes in two rounds or more without a success.
+    CrashesInRounds,
     /// So many rounds of crashes without a success.
     Rounds(usize),
     /// Three rounds, unless another refused part explains the crashes or they are another caller's.
@@ -79,6 +83,10 @@
             Way::Rounds(threshold) => {
                 each.any(|part| self.rounds.entry(part, now).round() >= threshold)
             }
+            Way::CrashesInRounds => each.any(|part| {
+                let entry = self.rounds.entry(part, now);
+                entry.round() >= 2 && entry.crashes.len() >= CRASH_THRESHOLD
+            }),
             Way::Explained | Way::Cancelled => {
                 let verdict = self.rounds.verdict(parts, caller, now);
                 matches!(verdict, Verdict::Refused(_))
--- a/crates/ploverwick_bench/src/prompts/workload.rs
+++ b/crates/ploverwick_bench/src/prompts/workload.rs
@@ -20,6 +20,8 @@
     Rare,
     /// Two parts, each in half of the requests.
     Two,
+    /// The whole request, which is sent again and again.
+    Whole,
     /// The last part, which is the request's own, of a caller that names another caller's part before it.
     Hostile,
 }
@@ -45,6 +47,8 @@
     /// The fatal requests a second.
     pub(super) rate: f64,
     pub(super) trouble: Trouble,
+    /// The share of sound requests that are all the same.
+    pub(super) alike: f64,
 }
 
 const fn scenario(name: &'static str, fatal: Fatal, rate: f64, trouble: Trouble) -> Scenario {
@@ -53,9 +57,47 @@
         fatal,
         rate,
         trouble,
+        alike: 0.0,
     }
 }
 
+const fn alike(name: &'static str, alike: f64, trouble: Trouble) -> Scenario {
+    Scenario {
+        alike,
+        ..scenario(name, Fatal::None, 0.0, trouble)
+    }
+}
+
+/// Losses of endpoints beside requests that are all the same, and requests that are fatal as a whole.
+pub(super) const WHOLE_REQUESTS: [Scenario; 12] = [
+    alike("0.001 alike, all lost", 0.001, Trouble::Loss(1.0)),
+    alike("0.01 alike, all lost", 0.01, Trouble::Loss(1.0)),
+    alike("0.1 alike, all lost", 0.1, Trouble::Loss(1.0)),
+    alike("all alike, all lost", 1.0, Trouble::Loss(1.0)),
+    alike("0.001 alike, a third lost", 0.001, Trouble::Loss(0.34)),
+    alike("0.1 alike, a third lost", 0.1, Trouble::Loss(0.34)),
+    alike(
+        "0.001 alike, a crash each 0.5 s",
+        0.001,
+        Trouble::Crashes(500),
+    ),
+    alike("0.1 alike, a crash each 0.5 s", 0.1, Trouble::Crashes(500)),
+    scenario("fatal, 2/s", Fatal::Whole, 2.0, Trouble::None),
+    scenario("fatal, 10/s", Fatal::Whole, 10.0, Trouble::None),
+    scenario(
+        "fatal, 2/s, a crash each 0.5 s",
+        Fatal::Whole,
+        2.0,
+        Trouble::Crashes(500),
+    ),
+    scenario(
+        "fatal, 2/s, instances lost",
+        Fatal::Whole,
+        2.0,
+        Trouble::Instances,
+    ),
+];
+
 pub(super) const SCENARIOS: [Scenario; 13] = [
     scenario(
         "a crash each 10 s",
@@ -115,8 +157,16 @@
 /// The part that the hostile caller names, which 1 of this many sound requests shares.
 const VICTIM_SHARE: f64 = 1.0 / 400.0;
 
+/// Draws a sound request; a share of them is all the same.
+pub(super) fn sound(alike: f64, random: &mut SmallRng) -> Prompt {
+    if alike > 0.0 && random.random_bool(alike) {
+        return prompt(&["a11e".to_owned()], SOUND_CALLER, false);
+    }
+    various(random)
+}
+
 /// Draws a sound request: most are of one route with three first parts and hundreds of second ones, some of two others.
-pub(super) fn sound(random: &mut SmallRng) -> Prompt {
+fn various(random: &mut SmallRng) -> Prompt {
     let kind = random.random::<f64>();
     let parts = if kind < VICTIM_SHARE {
         vec!["a1".to_owned(), "b0".to_owned()]
@@ -146,6 +196,7 @@
         Fatal::None => Vec::new(),
         Fatal::Middle => vec![first, part, subject],
         Fatal::First => vec![part, subject],
+        Fatal::Whole => vec![part],
         Fatal::Rare => vec!["c0".to_owned(), part],
         Fatal::Two if random.random_bool(0.5) => vec![first, "fa7a2".to_owned()],
         Fatal::Second | Fatal::Two => vec![first, part],
@@ -171,7 +222,7 @@
 /// Returns the first parts that fatal requests share with sound ones.
 pub(super) fn shared_first_parts(kind: Fatal) -> Vec<Part> {
     let ids: &[&str] = match kind {
-        Fatal::None | Fatal::First => &[],
+        Fatal::None | Fatal::First | Fatal::Whole => &[],
         Fatal::Second | Fatal::Middle | Fatal::Two => &["a0", "a1", "a2"],
         Fatal::Rare => &["c0"],
         Fatal::Hostile => &["b0"],
