--- a/crates/ploverwick_soak/tests/short_soak.rs
+++ b/crates/ploverwick_soak/tests/short_soak.rs
@@ -48,7 +48,7 @@
     Ok(())
 }
 
-/// Guards against refusals that belong to no request, and statements that contradict their status, in a crowd.
+/// Guards against trusting unattributed refusals, and statements that contradict their status, under overload.
 #[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn misleading_refusals() -> Result<()> {
