--- a/review/standin-2/src/cases.rs
+++ b/review/standin-2/src/cases.rs
@@ -3,6 +3,7 @@
 mod config;
 mod crash;
 mod drain;
+mod stop;
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -16,6 +17,7 @@
     match name {
         "drain" => drain::run(place).await,
         "config" => config::run(place).await,
+        "stop" => stop::run(place).await,
         "crash" => crash::run(place).await,
         _ => Err(format!("{name} is no case").into()),
     }
--- a/review/standin-2/src/http1.rs
+++ b/review/standin-2/src/http1.rs
@@ -2,17 +2,21 @@
 
 use std::future::Future;
 use std::net::{IpAddr, SocketAddr};
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
-use http_body_util::Full;
-use hyper::body::Incoming;
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Frame, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
 
-pub type Body = Full<Bytes>;
+pub type Body = UnsyncBoxBody<Bytes, std::io::Error>;
 
 /// Serves an address for as long as the process runs. The handler gets the address of the caller; an error closes the channel.
 pub async fn serve<F, R>(address: SocketAddr, handler: F) -> std::io::Result<()>
@@ -38,7 +42,36 @@
 }
 
 pub fn answer(status: u16, body: impl Into<Bytes>) -> Response<Body> {
-    let mut response = Response::new(Full::new(body.into()));
+    let body = Full::new(body.into()).map_err(|never| match never {});
+    let mut response = Response::new(UnsyncBoxBody::new(body));
     *response.status_mut() = StatusCode::from_u16(status).unwrap();
     response
 }
+
+/// A stream of events, one after each pause.
+pub struct Events {
+    next: u32,
+    count: u32,
+    interval: tokio::time::Interval,
+}
+
+impl Events {
+    pub fn body(count: u32, pause: Duration) -> Body {
+        UnsyncBoxBody::new(Self { next: 1, count, interval: tokio::time::interval(pause) })
+    }
+}
+
+impl hyper::body::Body for Events {
+    type Data = Bytes;
+    type Error = std::io::Error;
+
+    fn poll_frame(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<std::io::Result<Frame<Bytes>>>> {
+        if self.next > self.count {
+            return Poll::Ready(None);
+        }
+        ready!(self.interval.poll_tick(cx));
+        let event = format!("id: {}\ndata: words\n\n", self.next);
+        self.next += 1;
+        Poll::Ready(Some(Ok(Frame::data(Bytes::from(event)))))
+    }
+}
--- a/review/standin-2/src/replica.rs
+++ b/review/standin-2/src/replica.rs
@@ -10,12 +10,15 @@
 use serde_json::json;
 use tokio::sync::Semaphore;
 
-use crate::http1::{Body, answer, serve};
+use crate::http1::{Body, Events, answer, serve};
 use crate::record::Record;
 
 /// The requests that a replica runs at once, and those that it queues.
 const SLOTS: usize = 6;
 const QUEUE: usize = 24;
+/// The path of streams, and the number of their events.
+pub const STREAMS: &str = "/mensaje/";
+pub const EVENTS: u32 = 230;
 
 #[derive(Clone)]
 pub struct Replica {
@@ -105,8 +108,14 @@
                     return Ok(finish(not_executed(503)));
                 };
                 record.ran(&attempt, &replica.id);
-                tokio::time::sleep(replica.work).await;
-                let mut response = answer(200, vec![b'x'; 800]);
+                let mut response = if head.uri.path().starts_with(STREAMS) {
+                    let mut response = Response::new(Events::body(EVENTS, replica.work / EVENTS));
+                    response.headers_mut().insert("content-type", HeaderValue::from_static("text/event-stream"));
+                    response
+                } else {
+                    tokio::time::sleep(replica.work).await;
+                    answer(200, vec![b'x'; 800])
+                };
                 let seal = HeaderValue::from_str(&format!("{}.{attempt}", replica.id)).unwrap();
                 response.headers_mut().insert("ploverwick-server-seal", seal);
                 Ok(finish(response))
