--- a/review/standin-2/src/cases.rs
+++ b/review/standin-2/src/cases.rs
@@ -3,6 +3,7 @@
 mod config;
 mod crash;
 mod drain;
+mod grey;
 mod stop;
 
 use std::net::SocketAddr;
@@ -18,6 +19,7 @@
         "drain" => drain::run(place).await,
         "config" => config::run(place).await,
         "stop" => stop::run(place).await,
+        "grey" => grey::run(place).await,
         "crash" => crash::run(place).await,
         _ => Err(format!("{name} is no case").into()),
     }
