--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -22,7 +22,6 @@
     let words: Vec<&str> = arguments.iter().map(String::as_str).collect();
     let result = runtime.block_on(async {
         match words[..] {
-            ["replica", id, address, work_ms] => cases::run_replica(id, address, work_ms).await,
             [name, folder, scratch, gateway] => {
                 let place = setup::Place {
                     folder: PathBuf::from(folder),
