--- a/review/standin-2/src/cases/config.rs
+++ b/review/standin-2/src/cases/config.rs
@@ -18,10 +18,18 @@
     let record = deployment.record.clone();
     let services = ["app-familias", "app-nueva"];
     let routes = |service: &str| [route("/dahu134/", "non_idempotent", service, 1500, 300, 1)];
-    deployment.store.write("keyed.op", "config", &config(7, &routes("app-familias"), &services));
+    deployment.store.write(
+        "keyed.op",
+        "config",
+        &config(7, &routes("app-familias"), &services),
+    );
     let gone = Arc::new(AtomicBool::new(false));
     let mut old = Vec::new();
-    for (number, (service, zone)) in (0..).zip(services.iter().flat_map(|service| ZONES.map(|zone| (service, zone)))) {
+    for (number, (service, zone)) in (0..).zip(
+        services
+            .iter()
+            .flat_map(|service| ZONES.map(|zone| (service, zone))),
+    ) {
         let replica = deployment.replica(number, service, zone, Duration::from_millis(60));
         replica.start(record.clone()).await?;
         deployment.keep_listed(&replica, &gone);
@@ -30,7 +38,13 @@
         }
     }
     deployment.start_gateways().await?;
-    deployment.start_clients(2, "POST", "/dahu134/save", Duration::from_millis(150), Duration::from_millis(1500));
+    deployment.start_clients(
+        2,
+        "POST",
+        "/dahu134/save",
+        Duration::from_millis(150),
+        Duration::from_millis(1500),
+    );
     tokio::time::sleep(Duration::from_secs(6)).await;
     if place.has_trouble {
         let (silenced, spared) = deployment.link.silence(Duration::from_secs(1));
@@ -40,8 +54,13 @@
     }
     // All machines have been in touch again for a second when the change is acknowledged.
     tokio::time::sleep(Duration::from_secs(4)).await;
-    deployment.store.write("keyed.op", "config", &config(12, &routes("app-nueva"), &services));
-    let acked = record.note("the store acknowledged version 12, which moves the route to app-nueva");
+    deployment.store.write(
+        "keyed.op",
+        "config",
+        &config(12, &routes("app-nueva"), &services),
+    );
+    let acked =
+        record.note("the store acknowledged version 12, which moves the route to app-nueva");
     tokio::time::sleep(Duration::from_secs(35)).await;
     deployment.stop.store(true, Ordering::Relaxed);
     tokio::time::sleep(Duration::from_secs(2)).await;
@@ -52,7 +71,9 @@
     let mut gateways: HashMap<String, usize> = HashMap::new();
     for (at, happened) in record.lines() {
         match happened {
-            Happened::Sent { attempt, gateway, .. } => drop(sent.insert(attempt, (at, gateway))),
+            Happened::Sent {
+                attempt, gateway, ..
+            } => drop(sent.insert(attempt, (at, gateway))),
             Happened::Ran { attempt, replica } if old.contains(&replica) => {
                 if let Some((sent_at, gateway)) = sent.get(&attempt)
                     && *sent_at > bound
--- a/review/standin-2/src/cases/drain.rs
+++ b/review/standin-2/src/cases/drain.rs
@@ -17,8 +17,17 @@
 pub async fn run(place: &Place) -> Result<bool, Error> {
     let mut deployment = Deployment::start(place).await?;
     let record = deployment.record.clone();
-    let routes = [route("/dahu134/", "non_idempotent", "app-familias", 1500, 300, 1)];
-    deployment.store.write("keyed.op", "config", &config(1, &routes, &["app-familias"]));
+    let routes = [route(
+        "/dahu134/",
+        "non_idempotent",
+        "app-familias",
+        1500,
+        300,
+        1,
+    )];
+    deployment
+        .store
+        .write("keyed.op", "config", &config(1, &routes, &["app-familias"]));
     let mut replicas = Vec::new();
     for (number, zone) in (0..).zip(ZONES) {
         let replica = deployment.replica(number, "app-familias", zone, Duration::from_millis(60));
@@ -28,11 +37,19 @@
         replicas.push((replica, gone));
     }
     deployment.start_gateways().await?;
-    deployment.start_clients(2, "POST", "/dahu134/save", Duration::from_millis(150), Duration::from_millis(1500));
+    deployment.start_clients(
+        2,
+        "POST",
+        "/dahu134/save",
+        Duration::from_millis(150),
+        Duration::from_millis(1500),
+    );
     tokio::time::sleep(Duration::from_secs(8)).await;
     let silent_at = if place.has_trouble {
         let (silenced, _) = deployment.link.silence(Duration::ZERO);
-        Some(record.note(format!("{silenced} open channels to the store went silent; new ones work")))
+        Some(record.note(format!(
+            "{silenced} open channels to the store went silent; new ones work"
+        )))
     } else {
         None
     };
@@ -42,7 +59,10 @@
     gone.store(true, Ordering::Relaxed);
     leaving.is_draining.store(true, Ordering::Relaxed);
     deployment.store.write("keyed.servers", &leaving.id, b"");
-    let acked = record.note(format!("the store removed the entry of {}, which leaves", leaving.id));
+    let acked = record.note(format!(
+        "the store removed the entry of {}, which leaves",
+        leaving.id
+    ));
     tokio::time::sleep(Duration::from_secs(12)).await;
     deployment.stop.store(true, Ordering::Relaxed);
     tokio::time::sleep(Duration::from_secs(2)).await;
@@ -54,7 +74,9 @@
     for (at, happened) in record.lines() {
         match happened {
             Happened::Sent { attempt, .. } => drop(sent_at.insert(attempt, at)),
-            Happened::Reached { attempt, replica, .. } if replica == *leaving.id => {
+            Happened::Reached {
+                attempt, replica, ..
+            } if replica == *leaving.id => {
                 let is_in_touch = sent_at.get(&attempt).is_some_and(|sent| *sent >= in_touch);
                 if at > bound && is_in_touch {
                     late += 1;
--- a/review/standin-2/src/cases/stop.rs
+++ b/review/standin-2/src/cases/stop.rs
@@ -42,7 +42,11 @@
     let mut deployment = Deployment::start(place).await?;
     let record = deployment.record.clone();
     let routes = [route(STREAMS, "stream", "modelos-ceibo", 15_000, 600, 1)];
-    deployment.store.write("keyed.op", "config", &config(1, &routes, &["modelos-ceibo"]));
+    deployment.store.write(
+        "keyed.op",
+        "config",
+        &config(1, &routes, &["modelos-ceibo"]),
+    );
     let gone = Arc::new(AtomicBool::new(false));
     for (number, zone) in (0..).zip(ZONES) {
         let replica = deployment.replica(number, "modelos-ceibo", zone, WORK);
@@ -63,7 +67,9 @@
     let stopped = Instant::now();
     if place.has_trouble {
         let pid = gateway.process.as_ref().ok_or("no process")?.0.id();
-        let status = std::process::Command::new("kill").args(["-TERM", &pid.to_string()]).status()?;
+        let status = std::process::Command::new("kill")
+            .args(["-TERM", &pid.to_string()])
+            .status()?;
         if !status.success() {
             return Err("kill failed".into());
         }
@@ -74,13 +80,19 @@
     for second in 1..=2 {
         tokio::time::sleep_until((asked + Duration::from_secs(second)).into()).await;
         let is_ready = gateway.is_ready().await;
-        record.note(format!("asked whether it is ready, {} ms after the SIGTERM: {is_ready}", stopped.elapsed().as_millis()));
+        record.note(format!(
+            "asked whether it is ready, {} ms after the SIGTERM: {is_ready}",
+            stopped.elapsed().as_millis()
+        ));
     }
     let mut endings = Vec::new();
     for client in clients {
         endings.push(client.await??);
     }
-    let cut = endings.iter().filter(|ending| matches!(ending, Ending::Cut(_))).count();
+    let cut = endings
+        .iter()
+        .filter(|ending| matches!(ending, Ending::Cut(_)))
+        .count();
     record.note(format!("endings: {endings:?}"));
     record.note(format!(
         "requests sent later than 3 s after the SIGTERM, passed on to a replica, and ended with the channel without a complete \
@@ -96,7 +108,10 @@
     let stream = TcpStream::connect(front).await?;
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
     tokio::spawn(async move { drop(connection.await) });
-    record.note(format!("a client opened a channel {} ms after the SIGTERM", stopped.elapsed().as_millis()));
+    record.note(format!(
+        "a client opened a channel {} ms after the SIGTERM",
+        stopped.elapsed().as_millis()
+    ));
     tokio::time::sleep_until((stopped + SEND_AT).into()).await;
     let attempt = format!("{:016x}", scramble());
     let path = format!("{STREAMS}draft");
@@ -107,11 +122,18 @@
         .header("ploverwick-attempt-id", &attempt)
         .header("ploverwick-deadline-ms", "15000")
         .body(Empty::<Bytes>::new())?;
-    record.add(Happened::Sent { attempt: attempt.clone(), gateway: front.to_string(), path });
+    record.add(Happened::Sent {
+        attempt: attempt.clone(),
+        gateway: front.to_string(),
+        path,
+    });
     let response = match sender.send_request(request).await {
         Ok(response) => response,
         Err(error) => {
-            record.add(Happened::Failed { attempt, cause: error.to_string() });
+            record.add(Happened::Failed {
+                attempt,
+                cause: error.to_string(),
+            });
             return Ok(Ending::Closed(error.to_string()));
         }
     };
@@ -130,7 +152,15 @@
             None => break Ending::Complete,
         }
     };
-    record.add(Happened::Answered { attempt, status: head.status.as_u16(), is_sealed, code: "-".to_owned() });
-    record.note(format!("an answer ended {} ms after the SIGTERM: {ending:?}", stopped.elapsed().as_millis()));
+    record.add(Happened::Answered {
+        attempt,
+        status: head.status.as_u16(),
+        is_sealed,
+        code: "-".to_owned(),
+    });
+    record.note(format!(
+        "an answer ended {} ms after the SIGTERM: {ending:?}",
+        stopped.elapsed().as_millis()
+    ));
     Ok(ending)
 }
--- a/review/standin-2/src/client.rs
+++ b/review/standin-2/src/client.rs
@@ -18,7 +18,9 @@
 
 /// A number that looks random, different for each call.
 pub fn scramble() -> u64 {
-    let mut x = NEXT.fetch_add(1, Ordering::Relaxed).wrapping_mul(0x9E37_79B9_7F4A_7C15);
+    let mut x = NEXT
+        .fetch_add(1, Ordering::Relaxed)
+        .wrapping_mul(0x9E37_79B9_7F4A_7C15);
     x ^= u64::from(std::process::id()) << 32;
     x = (x ^ (x >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
     x = (x ^ (x >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
@@ -57,7 +59,10 @@
             *channel = self.connect().await;
         }
         let Some(sender) = channel else {
-            self.record.add(Happened::Failed { attempt, cause: "no channel".to_owned() });
+            self.record.add(Happened::Failed {
+                attempt,
+                cause: "no channel".to_owned(),
+            });
             return;
         };
         let request = Request::builder()
@@ -65,11 +70,18 @@
             .uri(self.path)
             .header("host", self.host)
             .header("ploverwick-attempt-id", &attempt)
-            .header("ploverwick-deadline-ms", self.deadline.as_millis().to_string())
+            .header(
+                "ploverwick-deadline-ms",
+                self.deadline.as_millis().to_string(),
+            )
             .body(Full::new(self.body.clone()))
             .expect("the request is valid");
         let (gateway, path) = (self.name.clone(), self.path.to_owned());
-        self.record.add(Happened::Sent { attempt: attempt.clone(), gateway, path });
+        self.record.add(Happened::Sent {
+            attempt: attempt.clone(),
+            gateway,
+            path,
+        });
         let exchange = async {
             sender.ready().await?;
             let response = sender.send_request(request).await?;
@@ -80,27 +92,48 @@
         match tokio::time::timeout(self.deadline, exchange).await {
             Ok(Ok(head)) => {
                 let is_sealed = head.headers.contains_key("ploverwick-server-seal");
-                let code = head.headers.get("ploverwick-code").and_then(|code| code.to_str().ok());
+                let code = head
+                    .headers
+                    .get("ploverwick-code")
+                    .and_then(|code| code.to_str().ok());
                 let code = code.unwrap_or("-").to_owned();
-                if head.headers.get("connection").is_some_and(|value| value == "close") {
+                if head
+                    .headers
+                    .get("connection")
+                    .is_some_and(|value| value == "close")
+                {
                     *channel = None;
                 }
-                self.record.add(Happened::Answered { attempt, status: head.status.as_u16(), is_sealed, code });
+                self.record.add(Happened::Answered {
+                    attempt,
+                    status: head.status.as_u16(),
+                    is_sealed,
+                    code,
+                });
             }
             Ok(Err(error)) => {
                 *channel = None;
-                self.record.add(Happened::Failed { attempt, cause: error.to_string() });
+                self.record.add(Happened::Failed {
+                    attempt,
+                    cause: error.to_string(),
+                });
             }
             Err(_) => {
                 *channel = None;
-                self.record.add(Happened::Failed { attempt, cause: "deadline".to_owned() });
+                self.record.add(Happened::Failed {
+                    attempt,
+                    cause: "deadline".to_owned(),
+                });
             }
         }
     }
 
     async fn connect(&self) -> Option<SendRequest<Full<Bytes>>> {
         let connect = TcpStream::connect(self.gateway);
-        let stream = tokio::time::timeout(Duration::from_secs(1), connect).await.ok()?.ok()?;
+        let stream = tokio::time::timeout(Duration::from_secs(1), connect)
+            .await
+            .ok()?
+            .ok()?;
         let _ = stream.set_nodelay(true);
         let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
         tokio::spawn(async move { drop(connection.await) });
--- a/review/standin-2/src/gateway.rs
+++ b/review/standin-2/src/gateway.rs
@@ -23,7 +23,10 @@
 
 /// Notes a process for `run.sh`, which ends those that are left.
 pub fn note_pid(folder: &Path, pid: u32) {
-    let file = std::fs::OpenOptions::new().create(true).append(true).open(folder.join("pids"));
+    let file = std::fs::OpenOptions::new()
+        .create(true)
+        .append(true)
+        .open(folder.join("pids"));
     let _ = file.and_then(|mut file| writeln!(file, "{pid}"));
 }
 
@@ -39,10 +42,20 @@
 
 impl Gateway {
     /// Writes the settings file. `store` is the address of the platform's store.
-    pub fn new(index: usize, zone: &'static str, ip: Ipv4Addr, store: SocketAddr, program: &Path, folder: &Path) -> Self {
+    pub fn new(
+        index: usize,
+        zone: &'static str,
+        ip: Ipv4Addr,
+        store: SocketAddr,
+        program: &Path,
+        folder: &Path,
+    ) -> Self {
         let name = format!("front-{zone}-{index}");
         let settings = folder.join(format!("{name}.conf"));
-        let zones: String = ZONES.iter().map(|zone| format!("zones.{zone}=uy-sur\n")).collect();
+        let zones: String = ZONES
+            .iter()
+            .map(|zone| format!("zones.{zone}=uy-sur\n"))
+            .collect();
         let text = format!(
             "node_name={name}\nrole=gateway\nmachine_class=front\nserves=front\nip={ip}\nzone={zone}\nregion=uy-sur\n{zones}\
              listen.front={ip}:8149\nlisten.ready={ip}:8141\ninner_port_range=7380,7395\nbootstrap=true\nfault_counted=false\n\
@@ -92,12 +105,16 @@
     pub async fn is_ready(&self) -> bool {
         let ask = async {
             let mut stream = TcpStream::connect(self.ready).await.ok()?;
-            let request = b"GET /api/readiness HTTP/1.1\r\nHost: ready\r\nConnection: close\r\n\r\n";
+            let request =
+                b"GET /api/readiness HTTP/1.1\r\nHost: ready\r\nConnection: close\r\n\r\n";
             stream.write_all(request).await.ok()?;
             let mut answer = String::new();
             stream.read_to_string(&mut answer).await.ok()?;
             answer.starts_with("HTTP/1.1 200").then_some(())
         };
-        matches!(tokio::time::timeout(Duration::from_secs(1), ask).await, Ok(Some(())))
+        matches!(
+            tokio::time::timeout(Duration::from_secs(1), ask).await,
+            Ok(Some(()))
+        )
     }
 }
--- a/review/standin-2/src/http1.rs
+++ b/review/standin-2/src/http1.rs
@@ -34,7 +34,9 @@
             let handler = handler.clone();
             tokio::spawn(async move {
                 let service = service_fn(|request| handler(from.ip(), request));
-                let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+                let _ = http1::Builder::new()
+                    .serve_connection(TokioIo::new(stream), service)
+                    .await;
             });
         }
     });
@@ -57,7 +59,11 @@
 
 impl Events {
     pub fn body(count: u32, pause: Duration) -> Body {
-        UnsyncBoxBody::new(Self { next: 1, count, interval: tokio::time::interval(pause) })
+        UnsyncBoxBody::new(Self {
+            next: 1,
+            count,
+            interval: tokio::time::interval(pause),
+        })
     }
 }
 
@@ -65,7 +71,10 @@
     type Data = Bytes;
     type Error = std::io::Error;
 
-    fn poll_frame(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<std::io::Result<Frame<Bytes>>>> {
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<std::io::Result<Frame<Bytes>>>> {
         if self.next > self.count {
             return Poll::Ready(None);
         }
--- a/review/standin-2/src/link.rs
+++ b/review/standin-2/src/link.rs
@@ -61,7 +61,9 @@
     /// their number and the number of the others.
     pub fn silence(&self, idle: Duration) -> (usize, usize) {
         let channels = self.channels.lock().unwrap();
-        let open = channels.iter().filter(|channel| !channel.is_closed.load(Ordering::Relaxed));
+        let open = channels
+            .iter()
+            .filter(|channel| !channel.is_closed.load(Ordering::Relaxed));
         let (mut silenced, mut spared) = (0, 0);
         for channel in open {
             let active = Duration::from_millis(channel.active_ms.load(Ordering::Relaxed));
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -17,7 +17,10 @@
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
-    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(3).enable_all().build();
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(3)
+        .enable_all()
+        .build();
     let runtime = runtime.expect("build the runtime");
     let words: Vec<&str> = arguments.iter().map(String::as_str).collect();
     let result = runtime.block_on(async {
--- a/review/standin-2/src/record.rs
+++ b/review/standin-2/src/record.rs
@@ -7,11 +7,30 @@
 
 #[derive(Debug, Clone)]
 pub enum Happened {
-    Sent { attempt: String, gateway: String, path: String },
-    Reached { attempt: String, replica: String, from: String },
-    Ran { attempt: String, replica: String },
-    Answered { attempt: String, status: u16, is_sealed: bool, code: String },
-    Failed { attempt: String, cause: String },
+    Sent {
+        attempt: String,
+        gateway: String,
+        path: String,
+    },
+    Reached {
+        attempt: String,
+        replica: String,
+        from: String,
+    },
+    Ran {
+        attempt: String,
+        replica: String,
+    },
+    Answered {
+        attempt: String,
+        status: u16,
+        is_sealed: bool,
+        code: String,
+    },
+    Failed {
+        attempt: String,
+        cause: String,
+    },
     Note(String),
 }
 
@@ -23,7 +42,10 @@
 
 impl Record {
     pub fn new() -> Self {
-        Self { start: Instant::now(), lines: Arc::default() }
+        Self {
+            start: Instant::now(),
+            lines: Arc::default(),
+        }
     }
 
     pub fn now(&self) -> u64 {
@@ -45,7 +67,11 @@
 
     pub fn reached(&self, attempt: &str, replica: &str, from: IpAddr) {
         let (attempt, replica, from) = (attempt.to_owned(), replica.to_owned(), from.to_string());
-        self.add(Happened::Reached { attempt, replica, from });
+        self.add(Happened::Reached {
+            attempt,
+            replica,
+            from,
+        });
     }
 
     pub fn ran(&self, attempt: &str, replica: &str) {
@@ -61,13 +87,33 @@
         let mut out = std::io::BufWriter::new(std::fs::File::create(path)?);
         for (at, happened) in self.lines() {
             match happened {
-                Happened::Sent { attempt, gateway, path } => writeln!(out, "{at} sent {attempt} to {gateway} {path}")?,
-                Happened::Reached { attempt, replica, from } => writeln!(out, "{at} reached {attempt} {replica} from {from}")?,
-                Happened::Ran { attempt, replica } => writeln!(out, "{at} ran {attempt} {replica}")?,
-                Happened::Answered { attempt, status, is_sealed, code } => {
-                    writeln!(out, "{at} answered {attempt} {status} sealed={is_sealed} code={code}")?;
+                Happened::Sent {
+                    attempt,
+                    gateway,
+                    path,
+                } => writeln!(out, "{at} sent {attempt} to {gateway} {path}")?,
+                Happened::Reached {
+                    attempt,
+                    replica,
+                    from,
+                } => writeln!(out, "{at} reached {attempt} {replica} from {from}")?,
+                Happened::Ran { attempt, replica } => {
+                    writeln!(out, "{at} ran {attempt} {replica}")?
+                }
+                Happened::Answered {
+                    attempt,
+                    status,
+                    is_sealed,
+                    code,
+                } => {
+                    writeln!(
+                        out,
+                        "{at} answered {attempt} {status} sealed={is_sealed} code={code}"
+                    )?;
+                }
+                Happened::Failed { attempt, cause } => {
+                    writeln!(out, "{at} failed {attempt} {cause}")?
                 }
-                Happened::Failed { attempt, cause } => writeln!(out, "{at} failed {attempt} {cause}")?,
                 Happened::Note(text) => writeln!(out, "{at} {text}")?,
             }
         }
--- a/review/standin-2/src/replica.rs
+++ b/review/standin-2/src/replica.rs
@@ -46,7 +46,11 @@
 
     /// Its entry in the list of replicas, with the next number.
     pub fn entry(&self) -> Vec<u8> {
-        let state = if self.is_draining.load(Ordering::Relaxed) { "draining" } else { "ready" };
+        let state = if self.is_draining.load(Ordering::Relaxed) {
+            "draining"
+        } else {
+            "ready"
+        };
         let entry = json!({
             "service": &*self.service, "address": self.address.to_string(), "zone": &*self.zone, "version": "v1",
             "slots": SLOTS, "state": state, "cold_left_ms": 0, "models": [],
--- a/review/standin-2/src/setup.rs
+++ b/review/standin-2/src/setup.rs
@@ -44,25 +44,52 @@
         let record = Record::new();
         let store = Store::default();
         let link = Link::default();
-        let address = |last: u8| -> SocketAddr { (Ipv4Addr::new(127, base[0], base[1], last), 8142).into() };
+        let address =
+            |last: u8| -> SocketAddr { (Ipv4Addr::new(127, base[0], base[1], last), 8142).into() };
         store.clone().start(address(250)).await?;
         link.start(address(249), address(250)).await?;
-        let zones = ["uy-sur-a", "uy-sur-a", "uy-sur-a", "uy-sur-b", "uy-sur-c", "uy-sur-c"];
+        let zones = [
+            "uy-sur-a", "uy-sur-a", "uy-sur-a", "uy-sur-b", "uy-sur-c", "uy-sur-c",
+        ];
         let gateways = zones.iter().enumerate().map(|(index, zone)| {
             let ip = Ipv4Addr::new(127, base[0], base[1], u8::try_from(index).unwrap() + 1);
-            Gateway::new(index + 1, zone, ip, address(249), &place.program, &place.scratch)
+            Gateway::new(
+                index + 1,
+                zone,
+                ip,
+                address(249),
+                &place.program,
+                &place.scratch,
+            )
         });
         let gateways = gateways.collect();
-        Ok(Self { store, link, gateways, record, stop: Arc::default(), base })
+        Ok(Self {
+            store,
+            link,
+            gateways,
+            record,
+            stop: Arc::default(),
+            base,
+        })
     }
 
     pub fn replica(&self, number: u8, service: &str, zone: &str, work: Duration) -> Replica {
         let address = self.replica_address(number);
-        Replica::new(&format!("i-{:010x}", crate::client::scramble() >> 24), service, zone, address, work)
+        Replica::new(
+            &format!("i-{:010x}", crate::client::scramble() >> 24),
+            service,
+            zone,
+            address,
+            work,
+        )
     }
 
     pub fn replica_address(&self, number: u8) -> SocketAddr {
-        (Ipv4Addr::new(127, self.base[0], self.base[1], 100 + number), 8369).into()
+        (
+            Ipv4Addr::new(127, self.base[0], self.base[1], 100 + number),
+            8369,
+        )
+            .into()
     }
 
     /// Lets a replica write its entry about every 1.2 s, until `gone` is set.
@@ -94,7 +121,14 @@
     }
 
     /// Starts clients of each gateway.
-    pub fn start_clients(&self, count: usize, method: &'static str, path: &'static str, pause: Duration, deadline: Duration) {
+    pub fn start_clients(
+        &self,
+        count: usize,
+        method: &'static str,
+        path: &'static str,
+        pause: Duration,
+        deadline: Duration,
+    ) {
         for gateway in &self.gateways {
             for _ in 0..count {
                 let client = Client {
@@ -103,7 +137,11 @@
                     method,
                     host: "wuka97.example",
                     path,
-                    body: if method == "POST" { vec![b'b'; 600].into() } else { bytes::Bytes::new() },
+                    body: if method == "POST" {
+                        vec![b'b'; 600].into()
+                    } else {
+                        bytes::Bytes::new()
+                    },
                     pause,
                     deadline,
                     record: self.record.clone(),
@@ -120,9 +158,19 @@
     for _ in 0..50 {
         let number = crate::client::scramble();
         let base = [64 + (number % 128) as u8, (number >> 8) as u8];
-        let is_free = |last: u8, port: u16| TcpListener::bind((Ipv4Addr::new(127, base[0], base[1], last), port)).is_ok();
-        let of_gateways = (1..=6).all(|last| [8149, 8141, 7380, 7381, 9464].iter().all(|port| is_free(last, *port)));
-        if of_gateways && is_free(249, 8142) && is_free(250, 8142) && (100..120).all(|last| is_free(last, 8369)) {
+        let is_free = |last: u8, port: u16| {
+            TcpListener::bind((Ipv4Addr::new(127, base[0], base[1], last), port)).is_ok()
+        };
+        let of_gateways = (1..=6).all(|last| {
+            [8149, 8141, 7380, 7381, 9464]
+                .iter()
+                .all(|port| is_free(last, *port))
+        });
+        if of_gateways
+            && is_free(249, 8142)
+            && is_free(250, 8142)
+            && (100..120).all(|last| is_free(last, 8369))
+        {
             return Ok(base);
         }
     }
@@ -130,7 +178,14 @@
 }
 
 /// A route of the configuration.
-pub fn route(path: &str, kind: &str, service: &str, timeout_ms: u64, objective_ms: u64, attempts: u64) -> Value {
+pub fn route(
+    path: &str,
+    kind: &str,
+    service: &str,
+    timeout_ms: u64,
+    objective_ms: u64,
+    attempts: u64,
+) -> Value {
     json!({
         "name": path, "host": "wuka97.example", "path_prefix": path, "kind": kind, "timeout_ms": timeout_ms,
         "target_latency_ms": objective_ms, "priority": 2, "service": service, "max_attempts": attempts,
--- a/review/standin-2/src/store.rs
+++ b/review/standin-2/src/store.rs
@@ -46,7 +46,10 @@
     }
 
     fn expire(&mut self, now: Instant) {
-        let expired = self.members.iter().filter(|m| m.expires.is_some_and(|at| at <= now));
+        let expired = self
+            .members
+            .iter()
+            .filter(|m| m.expires.is_some_and(|at| at <= now));
         let expired: Vec<String> = expired.map(|m| m.name.clone()).collect();
         for name in expired {
             self.remove(&name);
@@ -67,7 +70,10 @@
         match self.members.iter_mut().find(|member| member.name == name) {
             Some(member) => member.expires = Some(now + ttl),
             None => {
-                self.members.push(Member { name: name.to_owned(), expires: Some(now + ttl) });
+                self.members.push(Member {
+                    name: name.to_owned(),
+                    expires: Some(now + ttl),
+                });
                 self.generation += 1;
             }
         }
@@ -153,11 +159,16 @@
         for (offset, (key, value)) in topic.iter().enumerate() {
             newest.insert(key, (offset, value));
         }
-        let items = newest.into_iter().filter(|(_, (_, value))| !value.is_empty());
+        let items = newest
+            .into_iter()
+            .filter(|(_, (_, value))| !value.is_empty());
         let items: Vec<Value> = items
             .map(|(key, (offset, value))| json!({"key": key, "value": STANDARD.encode(value), "offset": offset}))
             .collect();
-        answer(200, json!({"items": items, "more_pages": false, "end": topic.len()}).to_string())
+        answer(
+            200,
+            json!({"items": items, "more_pages": false, "end": topic.len()}).to_string(),
+        )
     }
 
     async fn read(&self, query: &HashMap<String, String>) -> Response<Body> {
@@ -220,10 +231,20 @@
         let ttl = Duration::from_millis(call["ttl_ms"].as_u64().unwrap_or(1000).max(1000));
         let mut state = self.state.lock().unwrap();
         let group = state.groups.entry(text("group")).or_default();
-        let parts = group.join(&text("member"), ttl, call["generation"].as_u64().unwrap_or(0));
+        let parts = group.join(
+            &text("member"),
+            ttl,
+            call["generation"].as_u64().unwrap_or(0),
+        );
         let topic = call["topics"][0].as_str().unwrap_or("t");
-        let rows: Vec<Value> = parts.into_iter().map(|part| json!([topic, part, 0])).collect();
-        answer(200, json!({"generation": group.generation, "parts": rows}).to_string())
+        let rows: Vec<Value> = parts
+            .into_iter()
+            .map(|part| json!([topic, part, 0]))
+            .collect();
+        answer(
+            200,
+            json!({"generation": group.generation, "parts": rows}).to_string(),
+        )
     }
 
     fn leave(&self, body: &[u8]) -> Response<Body> {
