--- a/review/standin-2/src/cases/config.rs
+++ b/review/standin-2/src/cases/config.rs
@@ -47,7 +47,9 @@
     );
     tokio::time::sleep(Duration::from_secs(6)).await;
     if place.has_trouble {
-        let (silenced, spared) = deployment.link.silence(Duration::from_secs(1));
+        // With `ACKS=0` the silent channels acknowledge nothing at the level of TCP either.
+        let is_dead = std::env::var("ACKS").is_ok_and(|value| value == "0");
+        let (silenced, spared) = deployment.link.silence(Duration::from_secs(1), is_dead);
         record.note(format!(
             "{silenced} open channels to the store that had carried nothing for a second went silent; {spared} others and new ones work"
         ));
--- a/review/standin-2/src/cases/drain.rs
+++ b/review/standin-2/src/cases/drain.rs
@@ -46,7 +46,7 @@
     );
     tokio::time::sleep(Duration::from_secs(8)).await;
     let silent_at = if place.has_trouble {
-        let (silenced, _) = deployment.link.silence(Duration::ZERO);
+        let (silenced, _) = deployment.link.silence(Duration::ZERO, true);
         Some(record.note(format!(
             "{silenced} open channels to the store went silent; new ones work"
         )))
--- a/review/standin-2/src/link.rs
+++ b/review/standin-2/src/link.rs
@@ -1,10 +1,12 @@
 //! The way to the store: a proxy whose open channels can go silent for good, while new ones work.
 
 use std::net::SocketAddr;
+use std::os::fd::{AsFd, OwnedFd};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use socket2::{SockFilter, SockRef};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
@@ -15,6 +17,8 @@
     active_ms: AtomicU64,
     is_silent: AtomicBool,
     is_closed: AtomicBool,
+    /// The socket to the gateway.
+    socket: Mutex<Option<OwnedFd>>,
 }
 
 #[derive(Clone, Default)]
@@ -43,6 +47,7 @@
                         active_ms: AtomicU64::new(0),
                         is_silent: AtomicBool::new(false),
                         is_closed: AtomicBool::new(false),
+                        socket: Mutex::new(client.as_fd().try_clone_to_owned().ok()),
                     });
                     link.channels.lock().unwrap().push(Arc::clone(&channel));
                     let (client_read, client_write) = client.into_split();
@@ -51,15 +56,17 @@
                     let back = tokio::spawn(copy(server_read, client_write, Arc::clone(&channel)));
                     let _ = tokio::join!(there, back);
                     channel.is_closed.store(true, Ordering::Relaxed);
+                    *channel.socket.lock().unwrap() = None;
                 });
             }
         });
         Ok(())
     }
 
-    /// Stops forwarding, for good and without a reset, on the open channels that have carried nothing for `idle`. Returns
+    /// Stops forwarding, for good and without a reset, on the open channels that have carried nothing for `idle`. If `is_dead`,
+    /// nothing that arrives on them from a gateway is acknowledged either. Returns
     /// their number and the number of the others.
-    pub fn silence(&self, idle: Duration) -> (usize, usize) {
+    pub fn silence(&self, idle: Duration, is_dead: bool) -> (usize, usize) {
         let channels = self.channels.lock().unwrap();
         let open = channels
             .iter()
@@ -69,6 +76,13 @@
             let active = Duration::from_millis(channel.active_ms.load(Ordering::Relaxed));
             if channel.opened.elapsed().saturating_sub(active) >= idle {
                 channel.is_silent.store(true, Ordering::Relaxed);
+                if is_dead && let Some(socket) = &*channel.socket.lock().unwrap() {
+                    // `ret #0` drops each packet that arrives, so that nothing is acknowledged either.
+                    let filter = [SockFilter::new(0x06, 0, 0, 0)];
+                    SockRef::from(socket)
+                        .attach_filter(&filter)
+                        .expect("attach the filter");
+                }
                 silenced += 1;
             } else {
                 spared += 1;
