Count the bounds of a shutdown from the signal, and fit them into the grace period

Cause: each connection's task slept 2.6 s from when it first saw the signal, which for a connection accepted after the signal is its own start. The sum of constants also knew nothing of grace_s: with 3 s, requests were taken until the process ended, and the instance never left the list of instances (departure at 3 s, end at 2.6 s).

The phases are now moments, computed once at the signal by a state machine without clock (ploverwick_shutdown): the intake ends 2.6 s after the signal or after a third of the grace period, the departure comes after the intake and a lease, the end a sixth of the grace period, 0.4 s at most, before the kill. With grace_s = 8 they are 2.6, 3.0 and 7.6 s as before.

Ruled out: the accept loop, whose timer ran from the signal already; connections in the accept backlog, which the closed listener resets unread.

--- a/crates/ploverwick_gateway/src/controllers/placer_lease.rs
+++ b/crates/ploverwick_gateway/src/controllers/placer_lease.rs
@@ -35,7 +35,7 @@
     let mut stored_token = None;
     let mut is_member = false;
     let mut placer_seen_at = shared.now();
-    let mut stopping = shared.stopping.subscribe();
+    let mut stopping = shared.shutdown.subscribe();
     loop {
         if shared.is_stopping() {
             leave(&shared, &group).await;
--- a/crates/ploverwick_gateway/src/daemon.rs
+++ b/crates/ploverwick_gateway/src/daemon.rs
@@ -6,6 +6,7 @@
 
 use anyhow::{Context, Result};
 use ploverwick_platform::settings::{self, Settings};
+use ploverwick_shutdown::{Policy, Shutdown};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::JoinSet;
@@ -19,11 +20,6 @@
 use crate::shared::Shared;
 use crate::{broadcast, listen, ready, relay, snapshots};
 
-/// The margin between the end of the process and the time at which the platform kills it.
-const KILL_MARGIN: Duration = Duration::from_millis(400);
-/// The minimum duration of a shutdown, because new connections arrive until the platform has noticed that the
-/// instance is not ready.
-const MIN_STOP_DURATION: Duration = Duration::from_millis(2_700);
 /// How often a process that shuts down checks whether its connections are closed.
 const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// How often expired connections to endpoints and expired quarantine entries are removed, and gauges updated.
@@ -158,32 +154,37 @@
     listener.with_context(|| format!("listen for {what} on {address}"))
 }
 
-/// Shuts down: accepts new requests until the platform has noticed, then waits for requests in progress.
+/// Shuts down: takes requests until the platform has noticed, then waits for those in progress.
 async fn shut_down(shared: &Arc<Shared>, open: &OpenConnections) {
-    let stop_requested_at = shared.now();
+    let requested_at = shared.now();
+    let policy = Policy {
+        grace: shared.settings.grace,
+        lease: shared.settings.lease,
+    };
+    let shutdown = Shutdown::new(policy, requested_at);
     spdlog::info!("stop_asked open={}", open.count());
-    shared.stopping.send_replace(true);
-    // The next process of this instance may send orders immediately, so a full lease must have passed since
-    // the last order of this one.
-    let min_duration = MIN_STOP_DURATION.max(shared.settings.lease);
-    let max_duration = shared.settings.grace.saturating_sub(KILL_MARGIN);
-    let mut is_listed = true;
+    shared.shutdown.send_replace(Some(shutdown));
+    let departed = tokio::spawn(depart(Arc::clone(shared), shutdown));
     loop {
         tokio::time::sleep(STOP_CHECK_INTERVAL).await;
-        let elapsed = shared.now().since(stop_requested_at);
-        if is_listed && elapsed >= min_duration {
-            instances::deregister(shared).await;
-            is_listed = false;
-        }
+        let now = shared.now();
         let in_use = open.count() + shared.relayed_connections.count();
-        let is_done = elapsed >= min_duration && in_use == 0;
-        if is_done || elapsed >= max_duration {
+        let is_idle = departed.is_finished() && in_use == 0;
+        if is_idle || now >= shutdown.deadline() {
+            let elapsed = now.since(requested_at);
             spdlog::info!("stop open={} after={:?}", open.count(), elapsed);
             return;
         }
     }
 }
 
+/// Leaves the list of instances in time.
+async fn depart(shared: Arc<Shared>, shutdown: Shutdown) {
+    let departure = shared.clock.instant(shutdown.departure());
+    tokio::time::sleep_until(departure).await;
+    instances::deregister(&shared).await;
+}
+
 /// Adds this instance to the list of instances and joins its placer group, after reading the token that an
 /// earlier process stored, if it needs one.
 async fn join(shared: Arc<Shared>) {
--- a/crates/ploverwick_gateway/src/front.rs
+++ b/crates/ploverwick_gateway/src/front.rs
@@ -21,9 +21,6 @@
 
 /// The number of file descriptors reserved for files, the store, endpoints and peers.
 const RESERVED_DESCRIPTORS: usize = 1_200;
-/// How long new connections are still accepted after the signal to stop. The platform sends them until two
-/// readiness probes have failed, and it probes once a second.
-const ACCEPT_AFTER_STOP: Duration = Duration::from_millis(2_600);
 /// The delay after a connection could not be accepted, most likely because descriptors ran out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// How long a client may go on sending a request that was refused before its body was read. The connection counts as open
@@ -70,17 +67,11 @@
 /// While no more can be accepted, the instance reports that it is not ready, so that clients are directed
 /// elsewhere.
 pub(crate) async fn serve(shared: Arc<Shared>, listener: TcpListener, open: Arc<OpenConnections>) {
-    let mut stopping = shared.stopping.subscribe();
-    let stopped = async {
-        // An error means that the sender is gone, and with it the process.
-        drop(stopping.wait_for(|stopping| *stopping).await);
-        tokio::time::sleep(ACCEPT_AFTER_STOP).await;
-    };
-    let mut stopped = pin!(stopped);
+    let mut intake_ended = pin!(shared.intake_ended());
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            () = &mut stopped => return,
+            () = &mut intake_ended => return,
         };
         match accepted {
             Ok((stream, _)) if !open.is_full() => {
@@ -155,13 +146,9 @@
         .max_buf_size((limits.header_bytes * 4).max(64 * 1024))
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
-    let mut stopping = shared.stopping.subscribe();
-    let stopped = async {
-        drop(stopping.wait_for(|stopping| *stopping).await);
-        // Clients may use idle connections until then; each response closes its connection.
-        tokio::time::sleep(ACCEPT_AFTER_STOP).await;
-    };
-    let mut stopped = pin!(stopped);
+    // Clients may use idle connections until then; each response closes its connection.
+    let mut intake_ended = pin!(shared.intake_ended());
+    let mut has_intake_ended = false;
     let mut is_closing = false;
     loop {
         tokio::select! {
@@ -171,7 +158,8 @@
                 }
                 return;
             }
-            () = &mut stopped, if !is_closing => {
+            () = &mut intake_ended, if !has_intake_ended => {
+                has_intake_ended = true;
                 is_closing = true;
                 connection.as_mut().graceful_shutdown();
             }
--- a/crates/ploverwick_gateway/src/shared.rs
+++ b/crates/ploverwick_gateway/src/shared.rs
@@ -13,6 +13,7 @@
 use ploverwick_platform::settings::Settings;
 use ploverwick_platform::store::Store;
 use ploverwick_routes::Config;
+use ploverwick_shutdown::Shutdown;
 use ploverwick_topics::Role;
 use tokio::sync::{Notify, watch};
 
@@ -97,8 +98,8 @@
     pub(crate) quota_requested: Notify,
     /// Wakes requests that wait for their organisations' quotas.
     pub(crate) quota_decided: Notify,
-    /// Whether the process has been asked to stop.
-    pub(crate) stopping: watch::Sender<bool>,
+    /// The shutdown of the process, once it has been asked to stop.
+    pub(crate) shutdown: watch::Sender<Option<Shutdown>>,
     /// Distinguishes requests of this process from those of an earlier one at the same address.
     process_nonce: u64,
     state: Mutex<State>,
@@ -145,7 +146,7 @@
             orders_changed: Notify::new(),
             quota_requested: Notify::new(),
             quota_decided: Notify::new(),
-            stopping: watch::Sender::new(false),
+            shutdown: watch::Sender::new(None),
             process_nonce: rand::random(),
             state: Mutex::new(state),
         }
@@ -175,7 +176,20 @@
 
     /// Returns whether the process has been asked to stop.
     pub(crate) fn is_stopping(&self) -> bool {
-        *self.stopping.borrow()
+        self.shutdown.borrow().is_some()
+    }
+
+    /// Waits until requests are no longer read because the process stops.
+    pub(crate) async fn intake_ended(&self) {
+        let mut shutdown = self.shutdown.subscribe();
+        // An error means that the sender is gone, and with it the process.
+        let end = shutdown.wait_for(Option::is_some).await;
+        let end = end
+            .ok()
+            .and_then(|shutdown| Some(shutdown.as_ref()?.intake_end()));
+        if let Some(end) = end {
+            tokio::time::sleep_until(self.clock.instant(end)).await;
+        }
     }
 
     /// Returns whether this instance is ready for new connections.
