Close a connection that has sent a part of its first head when the intake ends

Cause: hyper's graceful_shutdown closes a connection only if nothing has been read from it, or if a request was answered on it and the next one has not begun. A first head that has arrived in part is read to its end.

The task of a connection that has brought no request ends with the intake. It is closed unread, so the client may try elsewhere.

Test, which failed before (200 and one run in place of a close): partial_heads.

--- a/crates/ploverwick_gateway/src/connection.rs
+++ b/crates/ploverwick_gateway/src/connection.rs
@@ -11,13 +11,14 @@
 /// Marks a connection without bytes that its client has to read by a deadline.
 const READ: u64 = u64::MAX;
 
-/// When a connection became idle, or that it is busy, by when its client has to read, and whether a request body was left
+/// Whether a connection has brought a request, when it became idle, or that it is busy, by when its client has to read, and whether a request body was left
 /// unread on it.
 #[derive(Debug, Clone)]
 pub(crate) struct Activity(Arc<State>);
 
 #[derive(Debug)]
 struct State {
+    has_begun: AtomicBool,
     idle_since: AtomicU64,
     read_deadline: AtomicU64,
     has_unread_body: AtomicBool,
@@ -26,6 +27,7 @@
 impl Activity {
     pub(crate) fn new(now: Moment) -> Self {
         Self(Arc::new(State {
+            has_begun: AtomicBool::new(false),
             idle_since: AtomicU64::new(now.0),
             read_deadline: AtomicU64::new(READ),
             has_unread_body: AtomicBool::new(false),
@@ -33,9 +35,15 @@
     }
 
     pub(crate) fn begin(&self) {
+        self.0.has_begun.store(true, Ordering::Relaxed);
         self.0.idle_since.store(BUSY, Ordering::Relaxed);
     }
 
+    /// Returns whether the head of a request has been read.
+    pub(crate) fn has_begun(&self) -> bool {
+        self.0.has_begun.load(Ordering::Relaxed)
+    }
+
     pub(crate) fn end(&self, now: Moment) {
         self.set_read();
         self.0.idle_since.store(now.0, Ordering::Relaxed);
--- a/crates/ploverwick_gateway/src/front.rs
+++ b/crates/ploverwick_gateway/src/front.rs
@@ -162,6 +162,10 @@
                 has_intake_ended = true;
                 is_closing = true;
                 connection.as_mut().graceful_shutdown();
+                // hyper would still read the first request if a part of its head has arrived.
+                if !activity.has_begun() {
+                    return;
+                }
             }
             () = tokio::time::sleep(IDLE_CHECK_INTERVAL) => {
                 if activity.is_read_overdue(shared.now()) {
--- a/crates/ploverwick_gateway/tests/graceful_stop.rs
+++ b/crates/ploverwick_gateway/tests/graceful_stop.rs
@@ -115,6 +115,23 @@
     Ok(())
 }
 
+/// Guards against a first request that is taken because a part of its head had arrived when the gateway stopped to take requests.
+#[gtest]
+#[tokio::test]
+async fn partial_heads() -> Result<()> {
+    let mut stopping = Stopping::start(Duration::from_secs(8)).await?;
+    let mut partial = stopping.connect().await?;
+    let head = partial_head("partial", 0);
+    partial.write_all(head.as_bytes()).await?;
+    tokio::time::sleep(SETTLE).await;
+    stopping.stop();
+    stopping.wait_until_closed().await?;
+    let response = exchange(&mut partial, "\r\n").await?;
+    expect_that!(response, eq(""));
+    expect_that!(count_runs(&[&stopping.app], "partial"), eq(0));
+    Ok(())
+}
+
 /// Guards against cutting off what a request began, in a deployment whose processes get less time to stop than new connections
 /// take to go elsewhere.
 #[gtest]
