Refuse requests that were not sent when a stopping instance takes no more

A request whose body was still arriving, or that waited for its adapter or its quota when the gateway stopped to take requests, was passed on afterwards, and cut off at the end of the process if its answer took longer; or it waited until the process ended, though it never ran.

Cause: the end of the intake closed connections only. Nothing stood between a request that had been read and its first send.

The steps before a send that may have run (admission with the body and the quota, and the selection of an endpoint) now end with the intake: 503 PW3000 (draining), Retry-After 0, connection closed. New connections reach other instances by then, so that the client need not wait. A request that may have run goes on as before.

--- a/crates/ploverwick_gateway/src/filters.rs
+++ b/crates/ploverwick_gateway/src/filters.rs
@@ -15,6 +15,7 @@
 mod evidence_log;
 mod forward;
 mod in_flight;
+mod intake;
 mod missing_adapter;
 mod origin;
 mod quarantine;
@@ -54,7 +55,8 @@
     // Yield once so that the connection is read again before any work is done for a disconnected client.
     tokio::task::yield_now().await;
     let started = Instant::now();
-    let mut response = match admit::run(&shared, &activity, request).await {
+    let admission = admit::run(&shared, &activity, request);
+    let mut response = match intake::bounded(&shared, admission).await {
         Ok(mut request) => match origin::run(&shared, &mut request).await {
             Ok(()) => retry::run(&shared, request).await,
             Err(reply) => reply.into_response(),
--- a/crates/ploverwick_gateway/src/filters/retry.rs
+++ b/crates/ploverwick_gateway/src/filters/retry.rs
@@ -16,6 +16,7 @@
 use super::answer_wait::AnswerWait;
 use super::evidence_log;
 use super::forward;
+use super::intake;
 use super::quarantine;
 use super::reply::{Body, Reply};
 use super::select::{self, Target};
@@ -139,7 +140,13 @@
     history: &mut History,
 ) -> Result<Target, Reply> {
     let begun = Instant::now();
-    let selected = select::run(shared, request, &history.excluded).await;
+    let selection = select::run(shared, request, &history.excluded);
+    let has_certainly_not_run = request.lock_evidence().sends().may_promise();
+    let selected = if has_certainly_not_run {
+        intake::bounded(shared, selection).await
+    } else {
+        selection.await
+    };
     history.timings.placing += begun.elapsed();
     let target = selected?;
     let was_written = request.lock_evidence().sends().written() > 0;
--- a/crates/ploverwick_gateway/tests/graceful_stop.rs
+++ b/crates/ploverwick_gateway/tests/graceful_stop.rs
@@ -8,6 +8,7 @@
 use anyhow::Result;
 use common::{Gateway, HOST, count_runs};
 use googletest::prelude::*;
+use http::StatusCode;
 use ploverwick_platform_standin::client::{self, ClientRequest};
 use ploverwick_platform_standin::endpoint::{Action, EVENTS, Endpoint};
 use ploverwick_platform_standin::settings;
@@ -24,6 +25,8 @@
 const SETTLE: Duration = Duration::from_millis(200);
 /// The time limit of requests that outlast the process.
 const TIMEOUT: Duration = Duration::from_secs(20);
+/// The result code for a request that an instance refuses because it stops.
+const DRAINING: &str = "3000";
 
 /// A gateway before an endpoint of each service, and a connection by which a test notices that it takes no more requests.
 struct Stopping {
@@ -132,6 +135,45 @@
     Ok(())
 }
 
+/// Guards against a request that is passed on and cut off because its body was still arriving when the gateway stopped to take
+/// requests.
+#[gtest]
+#[tokio::test]
+async fn slow_bodies() -> Result<()> {
+    let mut stopping = Stopping::start(Duration::from_secs(8)).await?;
+    let mut slow = stopping.connect().await?;
+    let head = format!("{}\r\nab", partial_head("slow", 4));
+    slow.write_all(head.as_bytes()).await?;
+    tokio::time::sleep(SETTLE).await;
+    stopping.stop();
+    stopping.wait_until_closed().await?;
+    let response = exchange(&mut slow, "cd").await?;
+    expect_that!(response, starts_with("HTTP/1.1 503"));
+    expect_that!(response, contains_substring(DRAINING));
+    expect_that!(count_runs(&[&stopping.app], "slow"), eq(0));
+    Ok(())
+}
+
+/// Guards against a request that waits for its adapter until the process ends, and is then cut off though it never ran.
+#[gtest]
+#[tokio::test]
+async fn waiting_requests() -> Result<()> {
+    let mut stopping = Stopping::start(Duration::from_secs(2)).await?;
+    stopping.engine.set_busy(true);
+    let request = ClientRequest::new("waiting", HOST, "/live/").model("base/a1");
+    let request = request.timeout(TIMEOUT);
+    let front = stopping.gateway.front;
+    let waiting = tokio::spawn(async move { client::send(front, &request).await });
+    tokio::time::sleep(SETTLE).await;
+    stopping.stop();
+    let got = tokio::time::timeout(HANG_LIMIT, waiting).await???;
+    expect_that!(got.status, eq(StatusCode::SERVICE_UNAVAILABLE));
+    expect_that!(got.code.as_deref(), some(eq(DRAINING)));
+    expect_that!(got.retry_after, some(anything()));
+    expect_that!(count_runs(&[&stopping.engine], "waiting"), eq(0));
+    Ok(())
+}
+
 /// Guards against cutting off what a request began, in a deployment whose processes get less time to stop than new connections
 /// take to go elsewhere.
 #[gtest]
