Record in the store which builds serve, and infer only a build that is proven to be the only one

Cause: an instance that starts knows of a build that left only from the history of a topic. It took "I know of one" (Serving::Unconfirmed) for "there was one" and inferred it. The same after a gap in the reads of the list.

The store records which builds of a service streams may begin at: written ahead, retired and deleted late and only if the topic has not changed, with the era of the store. A build is inferred only if the record, read since the instance started or had its gap, or a history without a gap proves that no other one served.

Ruled out: a listed build that is missed (nothing is joined while the old build is listed, or its records are kept), a wrong origin (each joined stream says outcome=inferred).

Two cases of origin_lookup and one of silence_confirms_nothing and nobody_is_awaited expected that an unconfirmed build is inferred: that was the fault. They now expect a refusal.

--- a/crates/ploverwick_bench/src/origins.rs
+++ b/crates/ploverwick_bench/src/origins.rs
@@ -53,12 +53,13 @@
     (Phase::OneBuild, "one build"),
 ];
 
-const LOSSES: [Loss; 5] = [
+const LOSSES: [Loss; 6] = [
     Loss::None,
     Loss::Origin,
     Loss::Third,
     Loss::Domain,
     Loss::NineTenths,
+    Loss::All,
 ];
 
 #[derive(Debug, Serialize)]
@@ -105,9 +106,9 @@
             "{label}: share known, of {count} streams a cell; then wrongly continued of all in the row, and a lookup's cost"
         );
         println!(
-            "| instances | messages lost | way | none lost | origin's instance | a third | its domain | nine tenths | wrong | messages a lookup | bytes a lookup |"
+            "| instances | messages lost | way | none lost | origin's instance | a third | its domain | nine tenths | all | wrong | messages a lookup | bytes a lookup |"
         );
-        println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+        println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
         for (instances, _) in FLEETS {
             for message_loss in MESSAGE_LOSSES {
                 print_rows(instances, message_loss, phase, count, batch_delay);
--- a/crates/ploverwick_bench/src/origins/scenario.rs
+++ b/crates/ploverwick_bench/src/origins/scenario.rs
@@ -8,7 +8,7 @@
 use ploverwick_endpoints::build_history::SETTLE_TIME;
 use ploverwick_endpoints::lookup::{Reply, Step, Verdict};
 use ploverwick_endpoints::origins::{self, Attempt};
-use ploverwick_endpoints::{Build, BuildHistory, Lookup, Origins};
+use ploverwick_endpoints::{Build, BuildHistory, Lookup, Origins, Serving};
 use ploverwick_names::Moment;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -20,6 +20,8 @@
 const DOWNTIME: Duration = Duration::from_secs(1);
 /// The longest time until an instance learns of a new build.
 const MAX_LIST_DELAY_MS: u64 = 2_000;
+/// The time from the moment at which an instance learns of a build until those that start read of it in the store.
+const REGISTRATION_DELAY: Duration = Duration::from_secs(2);
 /// When the new build is listed; the origins of streams that began before it expire later.
 const LISTED_AT: Moment = Moment(60_000);
 /// For how long after that streams begin: until all instances use the new build.
@@ -46,6 +48,7 @@
     /// The failure domain of that instance.
     Domain,
     NineTenths,
+    All,
 }
 
 #[derive(Debug, Default)]
@@ -111,6 +114,7 @@
                 Loss::Third => random.random_bool(1.0 / 3.0),
                 Loss::Domain => number % DOMAIN_COUNT == origin % DOMAIN_COUNT,
                 Loss::NineTenths => random.random_bool(0.9),
+                Loss::All => true,
             })
             .collect();
         let is_back = taken_up_at >= lost_at + DOWNTIME;
@@ -160,6 +164,16 @@
         history
     }
 
+    /// Returns what an instance knows of the builds, with what the store records.
+    fn serving(&self, number: usize, now: Moment) -> Serving {
+        let history = self.history(number, now);
+        let listed_at = self.learns_at.iter().flatten().min();
+        let registered_at = listed_at.map(|at| *at + REGISTRATION_DELAY);
+        let has_both = registered_at.is_some_and(|at| at <= now);
+        let registered = [build(false), build(has_both)];
+        history.serving(SERVICE, Some(&registered), now)
+    }
+
     /// Returns the instances that are sent the origin, or asked for it, by `number`.
     fn partners(&self, way: Way, number: usize) -> Vec<usize> {
         let all = || (0..self.is_lost.len()).collect();
@@ -183,8 +197,7 @@
             }
         };
         keep(self.origin, self.began_at);
-        let history = self.history(self.origin, self.began_at);
-        let queued_at = if history.serving(SERVICE, self.began_at).is_mixed() {
+        let queued_at = if self.serving(self.origin, self.began_at).is_mixed() {
             Some(self.began_at)
         } else {
             self.learns_at[self.origin]
@@ -214,7 +227,7 @@
             return;
         }
         let asked = self.asked(way);
-        let own = self.history(self.successor, now).serving(SERVICE, now);
+        let own = self.serving(self.successor, now);
         let mut lookup = Lookup::new(own, asked.len(), now);
         let query = Message::Query(u64::MAX / 2, Arc::from(SERVICE), Some(self.attempt));
         let mut ask = |lookup: &mut Lookup, now: Moment| {
@@ -226,7 +239,7 @@
                 }
                 let reply = match find(*number) {
                     Some(build) => Reply::Began(build),
-                    None => Reply::Unknown(self.history(*number, now).serving(SERVICE, now)),
+                    None => Reply::Unknown(self.serving(*number, now)),
                 };
                 tally.lookup_messages += 1;
                 tally.lookup_bytes += Message::Reply(u64::MAX / 2, reply).wire_bytes();
--- a/crates/ploverwick_endpoints/src/build.rs
+++ b/crates/ploverwick_endpoints/src/build.rs
@@ -1,6 +1,8 @@
 //! Software versions of endpoints.
 
 use std::fmt;
+use std::num::ParseIntError;
+use std::str::FromStr;
 
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
@@ -20,6 +22,15 @@
     }
 }
 
+/// Reads the form that [`Display`](fmt::Display) writes.
+impl FromStr for Build {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        u64::from_str_radix(text, 16).map(Self)
+    }
+}
+
 impl fmt::Display for Build {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:016x}", self.0)
--- a/crates/ploverwick_endpoints/src/build_history.rs
+++ b/crates/ploverwick_endpoints/src/build_history.rs
@@ -2,7 +2,7 @@
 //!
 //! While only one build served for as long as any stream may last, that build began every stream of the service.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -32,7 +32,8 @@
     Nothing,
     /// One build, and no other one over the whole retention.
     Only(Build),
-    /// One build as far as the instance knows, but it started, or could not read the list for a while, within the retention.
+    /// One build as far as the instance knows, but it started, or could not read the list for a while, within the retention, and
+    /// the store's record does not prove that no other one served.
     Unconfirmed(Build),
     /// One build in a list that is out of date. Others may serve by now.
     Outdated(Build),
@@ -58,7 +59,7 @@
         )
     }
 
-    /// Combines what is known from two sources; the order does not matter.
+    /// Combines what is known of a service from two sources; the order does not matter.
     #[must_use]
     pub fn merge(self, other: Self) -> Self {
         match (self, other) {
@@ -104,6 +105,8 @@
 pub struct BuildHistory {
     /// From when on the history covers the whole retention.
     complete_at: Moment,
+    /// Since when the list has been read without a gap.
+    unbroken_since: Moment,
     services: HashMap<Arc<str>, Vec<Listing>>,
 }
 
@@ -115,15 +118,27 @@
         let complete_at = if is_first_start { now } else { now + RETENTION };
         Self {
             complete_at,
+            unbroken_since: now,
             services: HashMap::new(),
         }
     }
 
+    /// Records that the endpoint list was read for the first time.
+    pub fn record_first_read(&mut self, at: Moment) {
+        self.unbroken_since = at;
+    }
+
     /// Records that the endpoint list could not be read for a while: a build may have come and left meanwhile.
     pub fn record_gap(&mut self, now: Moment) {
+        self.unbroken_since = now;
         self.complete_at = now + RETENTION;
     }
 
+    /// Returns since when the list has been read without a gap.
+    pub fn unbroken_since(&self) -> Moment {
+        self.unbroken_since
+    }
+
     /// Records that a build was listed lately, and may not be any more.
     pub fn record_earlier(&mut self, service: &Arc<str>, build: Build, now: Moment) {
         self.add(service, build, None);
@@ -180,17 +195,37 @@
     }
 
     /// Returns what is known of the builds of a service.
-    pub fn serving(&self, service: &str, now: Moment) -> Serving {
-        let listings = self.services.get(service).into_iter().flatten();
-        let mut remembered = listings.filter(|listing| listing.is_remembered(now));
-        match (remembered.next(), remembered.next()) {
+    ///
+    /// `earlier` are all builds at which streams may have begun before the list was read without a gap; `None` if they are not
+    /// known.
+    pub fn serving(&self, service: &str, earlier: Option<&[Build]>, now: Moment) -> Serving {
+        let is_complete = self.is_complete(now);
+        let earlier = earlier.filter(|_| !is_complete);
+        let others = earlier.unwrap_or_default().iter().copied();
+        let builds: HashSet<Build> = self.remembered(service, now).chain(others).collect();
+        let mut builds = builds.into_iter();
+        match (builds.next(), builds.next()) {
             (None, _) => Serving::Nothing,
             (Some(_), Some(_)) => Serving::Several,
-            (Some(only), None) if self.is_complete(now) => Serving::Only(only.build),
-            (Some(only), None) => Serving::Unconfirmed(only.build),
+            (Some(only), None) if is_complete || earlier.is_some() => Serving::Only(only),
+            (Some(only), None) => Serving::Unconfirmed(only),
         }
     }
 
+    /// Returns the builds of a service that are listed, or were within [`RETENTION`].
+    pub fn remembered(&self, service: &str, now: Moment) -> impl Iterator<Item = Build> {
+        let listings = self.services.get(service).into_iter().flatten();
+        let remembered = listings.filter(move |listing| listing.is_remembered(now));
+        remembered.map(|listing| listing.build)
+    }
+
+    /// Returns the builds of a service that are listed.
+    pub fn listed(&self, service: &str) -> impl Iterator<Item = Build> {
+        let listings = self.services.get(service).into_iter().flatten();
+        let listed = listings.filter(|listing| listing.endpoints > 0);
+        listed.map(|listing| listing.build)
+    }
+
     /// Returns the builds of a service that other instances may not know yet.
     pub fn unsettled(&self, service: &str, now: Moment) -> Vec<Build> {
         let listings = self.services.get(service).into_iter().flatten();
--- a/crates/ploverwick_endpoints/src/lib.rs
+++ b/crates/ploverwick_endpoints/src/lib.rs
@@ -10,6 +10,7 @@
 mod budget;
 mod build;
 pub mod build_history;
+pub mod build_registry;
 mod capacity;
 mod draining_reports;
 mod entry;
@@ -47,6 +48,7 @@
 pub use budget::{Balance, Budget, RetryPolicy};
 pub use build::Build;
 pub use build_history::{BuildHistory, Serving};
+pub use build_registry::BuildRegistry;
 pub use capacity::{
     Capacity, EndpointKey, EndpointObservations, Figure, LogByte, MAX_CHANGED_FIGURES,
     MAX_OBSERVED_ENDPOINTS, Observations, REFRESHED_FIGURES, StepMeter,
--- a/crates/ploverwick_endpoints/src/lookup.rs
+++ b/crates/ploverwick_endpoints/src/lookup.rs
@@ -92,6 +92,21 @@
         };
     }
 
+    /// Returns what this instance and those that replied know together of the builds of the service.
+    pub fn serving(&self) -> Serving {
+        self.serving
+    }
+
+    /// Returns the number of instances that were asked.
+    pub fn asked(&self) -> usize {
+        self.asked
+    }
+
+    /// Returns the number of instances that replied.
+    pub fn replies(&self) -> usize {
+        self.replied.len()
+    }
+
     /// Returns the next step. Asks again at most once.
     pub fn next_step(&mut self, now: Moment) -> Step {
         if let Some(verdict) = self.origin {
@@ -113,8 +128,11 @@
     /// Infers the build from those that served.
     fn infer(&self) -> Verdict {
         match self.serving {
-            Serving::Only(build) | Serving::Unconfirmed(build) => Verdict::Inferred(build),
-            Serving::Nothing | Serving::Outdated(_) | Serving::Several => Verdict::Unknown,
+            Serving::Only(build) => Verdict::Inferred(build),
+            Serving::Nothing
+            | Serving::Unconfirmed(_)
+            | Serving::Outdated(_)
+            | Serving::Several => Verdict::Unknown,
         }
     }
 }
--- a/crates/ploverwick_endpoints/tests/build_history.rs
+++ b/crates/ploverwick_endpoints/tests/build_history.rs
@@ -59,14 +59,18 @@
     ];
     for (changes, now, expected) in cases {
         let history = history(false, &changes);
-        expect_that!(history.serving("chat", now), eq(expected), "{changes:?}");
+        expect_that!(
+            history.serving("chat", None, now),
+            eq(expected),
+            "{changes:?}"
+        );
         let is_mixed = expected == Serving::Several;
         expect_that!(
-            history.serving("chat", now).is_mixed(),
+            history.serving("chat", None, now).is_mixed(),
             eq(is_mixed),
             "{changes:?}"
         );
-        expect_that!(history.serving("other", now), eq(Serving::Nothing));
+        expect_that!(history.serving("other", None, now), eq(Serving::Nothing));
     }
 }
 
@@ -82,12 +86,12 @@
     ];
     for (is_first_start, now, expected) in cases {
         let history = history(is_first_start, &[Add("a")]);
-        expect_that!(history.serving("chat", now), eq(expected));
+        expect_that!(history.serving("chat", None, now), eq(expected));
         let is_mixed = expected == Serving::Unconfirmed(a);
-        expect_that!(history.serving("chat", now).is_mixed(), eq(is_mixed));
+        expect_that!(history.serving("chat", None, now).is_mixed(), eq(is_mixed));
     }
     let history = history(false, &[Add("a"), Add("b")]);
-    expect_that!(history.serving("chat", START), eq(Serving::Several));
+    expect_that!(history.serving("chat", None, START), eq(Serving::Several));
 }
 
 /// Guards against a build that came and left while the list could not be read.
@@ -96,14 +100,17 @@
     let mut history = history(true, &[Add("a")]);
     let a = build("a");
     expect_that!(
-        history.serving("chat", START).outdated(),
+        history.serving("chat", None, START).outdated(),
         eq(Serving::Outdated(a))
     );
     history.record_gap(START + MILLISECOND);
     let last = START + RETENTION;
-    expect_that!(history.serving("chat", last), eq(Serving::Unconfirmed(a)));
     expect_that!(
-        history.serving("chat", last + MILLISECOND),
+        history.serving("chat", None, last),
+        eq(Serving::Unconfirmed(a))
+    );
+    expect_that!(
+        history.serving("chat", None, last + MILLISECOND),
         eq(Serving::Only(a))
     );
 }
@@ -114,13 +121,13 @@
     let mut history = history(false, &[Add("a")]);
     history.record_earlier(&Arc::from("chat"), build("a"), START);
     expect_that!(
-        history.serving("chat", START),
+        history.serving("chat", None, START),
         eq(Serving::Unconfirmed(build("a")))
     );
     history.record_earlier(&Arc::from("chat"), build("b"), START);
-    expect_that!(history.serving("chat", START), eq(Serving::Several));
+    expect_that!(history.serving("chat", None, START), eq(Serving::Several));
     expect_that!(
-        history.serving("chat", START + RETENTION),
+        history.serving("chat", None, START + RETENTION),
         eq(Serving::Only(build("a")))
     );
 }
@@ -172,7 +179,7 @@
         expect_that!(history.service_count(), le(11));
     }
     expect_that!(
-        history.serving("kept", now),
+        history.serving("kept", None, now),
         matches_pattern!(Serving::Only(_))
     );
 }
--- a/crates/ploverwick_endpoints/tests/origin_lookup.rs
+++ b/crates/ploverwick_endpoints/tests/origin_lookup.rs
@@ -85,15 +85,10 @@
         (nothing, only("a"), nothing, Some("a")),
         (unconfirmed("a"), unconfirmed("a"), only("a"), Some("a")),
         (unconfirmed("a"), only("a"), unconfirmed("a"), Some("a")),
-        // All have started lately, and their lists are up to date.
-        (
-            unconfirmed("a"),
-            unconfirmed("a"),
-            unconfirmed("a"),
-            Some("a"),
-        ),
-        (unconfirmed("a"), outdated("a"), nothing, Some("a")),
-        (outdated("a"), unconfirmed("a"), nothing, Some("a")),
+        // All have started lately, and nothing proves that no other build served.
+        (unconfirmed("a"), unconfirmed("a"), unconfirmed("a"), None),
+        (unconfirmed("a"), outdated("a"), nothing, None),
+        (outdated("a"), unconfirmed("a"), nothing, None),
         (outdated("a"), only("a"), outdated("a"), Some("a")),
         // Nobody has a list that is up to date.
         (nothing, nothing, nothing, None),
@@ -122,7 +117,7 @@
     let cases = [
         // All are silent.
         (only("a"), None, Some("a")),
-        (unconfirmed("a"), None, Some("a")),
+        (unconfirmed("a"), None, None),
         (outdated("a"), None, None),
         (Serving::Nothing, None, None),
         (Serving::Several, None, None),
@@ -149,7 +144,7 @@
 fn nobody_is_awaited_without_other_instances() {
     let cases = [
         (only("a"), Some("a")),
-        (unconfirmed("a"), Some("a")),
+        (unconfirmed("a"), None),
         (outdated("a"), None),
         (Serving::Several, None),
         (Serving::Nothing, None),
--- a/crates/ploverwick_gateway/src/controllers.rs
+++ b/crates/ploverwick_gateway/src/controllers.rs
@@ -4,6 +4,7 @@
 mod bootstrap;
 
 pub(crate) mod brittleness;
+pub(crate) mod build_registry;
 mod calls;
 pub(crate) mod crashes;
 pub(crate) mod draining;
--- a/crates/ploverwick_gateway/src/controllers/instances.rs
+++ b/crates/ploverwick_gateway/src/controllers/instances.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::feed::{Feed, Update};
-use super::{Backoff, topic};
+use super::{Backoff, build_registry, topic};
 use crate::shared::Shared;
 use crate::state::{InstanceListState, PEER_TIMEOUT, Peer};
 use crate::topics::{ReadStates, Topic};
@@ -65,19 +65,26 @@
     }
 }
 
-/// Loads the fencing token that an earlier process of this instance stored, before it is overwritten.
+/// Reads what was recorded before this process started: the builds that served, and the fencing token that an earlier process of
+/// this instance stored, before it is overwritten. Returns the token if this instance needs one.
+///
 /// Retries until the store answers, because the lease cannot be acquired without the store either.
-pub(crate) async fn load_previous_token(shared: &Shared) -> Option<u64> {
+pub(crate) async fn read_earlier_records(shared: &Shared) -> Option<u64> {
     let mut backoff = Backoff::new();
-    let snapshot = loop {
+    let (started_at, snapshot) = loop {
+        let started_at = shared.now();
         match shared.store.newest(INSTANCE_TOPIC).await {
-            Ok(snapshot) => break snapshot,
+            Ok(snapshot) => break (started_at, snapshot),
             Err(error) => {
                 spdlog::info!("recall_fails cause=\"{}\"", error);
                 backoff.pause(shared).await;
             }
         }
     };
+    build_registry::apply_snapshot(shared, &snapshot.records, started_at);
+    if !shared.persists_token {
+        return None;
+    }
     let mut records = snapshot.records.iter();
     let Some(own) = records.find(|record| record.key == *shared.settings.instance) else {
         // An earlier process that shut down cleanly removed its registration one lease duration after its
@@ -114,15 +121,20 @@
         reported_end: Some(&shared.inboxes.of(Topic::Instances).end),
     };
     let mut era = 0;
+    let mut read_started_at = shared.now();
     topic::follow(&shared, Topic::Instances, feed, |update| match update {
         Update::Snapshot { records } | Update::PeerSnapshot { records } => {
             let previous_era = std::mem::replace(&mut era, shared.store.era());
             apply_snapshot(&shared, records, previous_era != era);
+            if matches!(update, Update::Snapshot { .. }) {
+                build_registry::confirm(&shared, records, read_started_at);
+            }
         }
         Update::Records { records, .. } | Update::PeerRecords { records, .. } => {
             apply_records(&shared, records);
         }
-        Update::ReadStarted | Update::ReadFailed | Update::History { .. } => {}
+        Update::ReadStarted => read_started_at = shared.now(),
+        Update::ReadFailed | Update::History { .. } => {}
     })
     .await;
 }
@@ -159,6 +171,10 @@
             apply_placer(shared, record);
             continue;
         }
+        if build_registry::owns(record) {
+            build_registry::apply_record(shared, record);
+            continue;
+        }
         match &record.value {
             Some(_) if record.key == *shared.settings.instance => {
                 shared.state().instance_list = InstanceListState::Listed;
--- a/crates/ploverwick_gateway/src/controllers/origins.rs
+++ b/crates/ploverwick_gateway/src/controllers/origins.rs
@@ -46,7 +46,7 @@
     /// Returns the same for the list as it is, even if it is out of date.
     fn listed(self, state: &State, now: Moment) -> Serving {
         let services = self.route.services();
-        let serving = services.map(|service| state.builds.serving(service, now));
+        let serving = services.map(|service| state.listed_serving(service, now));
         serving.fold(Serving::Nothing, Serving::merge)
     }
 }
@@ -173,7 +173,10 @@
     shared.peer_socket.send(&query, &to);
     loop {
         match decision.next_step(shared.now()) {
-            Step::Decided(verdict) => return verdict,
+            Step::Decided(verdict) => {
+                log_unknown(shared, scope, &decision, verdict);
+                return verdict;
+            }
             Step::AskAgain => shared.peer_socket.send(&query, &to),
             Step::Wait(until) => {
                 let reply = tokio::time::timeout_at(shared.clock.instant(until), replies.recv());
@@ -187,6 +190,19 @@
     }
 }
 
+/// Logs why a lookup found nothing.
+fn log_unknown(shared: &Shared, scope: Scope<'_>, decision: &Lookup, verdict: Verdict) {
+    if verdict == Verdict::Unknown && shared.log_limiter.allow(shared.now()) {
+        spdlog::info!(
+            "stream_origin_unknown service={} builds={:?} replies={}/{}",
+            scope.service,
+            decision.serving(),
+            decision.replies(),
+            decision.asked()
+        );
+    }
+}
+
 /// Starts a lookup; returns it with the instances to ask.
 fn start_lookup(
     shared: &Shared,
@@ -195,7 +211,6 @@
 ) -> (Lookup, Vec<IpAddr>) {
     let now = shared.now();
     let state = shared.state();
-    let to = asked(shared, &state, attempt);
     let own = match attempt {
         // That nobody can be asked yet confirms nothing.
         Some(_) if state.instance_list == InstanceListState::Unread => {
@@ -204,6 +219,10 @@
         Some(_) => scope.serving(&state, now),
         None => scope.listed(&state, now),
     };
+    let mut to = asked(shared, &state, attempt);
+    if matches!(own, Serving::Unconfirmed(_)) {
+        add_placers(shared, &state, &mut to, now);
+    }
     (Lookup::new(own, to.len(), now), to)
 }
 
@@ -229,6 +248,16 @@
     }
 }
 
+/// Adds the placers, which read the store themselves and so are the first to know that only one build served.
+fn add_placers(shared: &Shared, state: &State, to: &mut Vec<IpAddr>, now: Moment) {
+    let domains = shared.settings.domains.iter();
+    for placer in domains.filter_map(|domain| state.placer_of(domain, now)) {
+        if !to.contains(&placer) {
+            to.push(placer);
+        }
+    }
+}
+
 /// Returns the other instances that keep the origin of an attempt.
 fn holders(shared: &Shared, state: &State, attempt: Attempt) -> Vec<IpAddr> {
     let own = Candidate {
--- a/crates/ploverwick_gateway/src/controllers/table.rs
+++ b/crates/ploverwick_gateway/src/controllers/table.rs
@@ -130,7 +130,7 @@
         tokio::spawn(async move {
             if let Err(error) = shared
                 .store
-                .append_if_unchanged(TABLE_TOPIC, &encode(&text), end)
+                .append(TABLE_TOPIC, &encode(&text), Some(end))
                 .await
             {
                 spdlog::info!("table_republish_failed cause=\"{}\"", error);
--- a/crates/ploverwick_gateway/src/daemon.rs
+++ b/crates/ploverwick_gateway/src/daemon.rs
@@ -12,8 +12,8 @@
 use tokio::task::JoinSet;
 
 use crate::controllers::{
-    brittleness, endpoint_list, freshness, instances, operator, orders, origins, placer_lease,
-    quarantine, quotas, reachability, table,
+    brittleness, build_registry, endpoint_list, freshness, instances, operator, orders, origins,
+    placer_lease, quarantine, quotas, reachability, table,
 };
 use crate::front::{self, OpenConnections};
 use crate::messages::PeerSocket;
@@ -108,6 +108,7 @@
         tasks.spawn(join(Arc::clone(&shared)));
         tasks.spawn(orders::run(Arc::clone(&shared)));
         tasks.spawn(origins::run(Arc::clone(&shared)));
+        tasks.spawn(build_registry::run(Arc::clone(&shared)));
         tasks.spawn(broadcast::run(Arc::clone(&shared)));
         tasks.spawn(broadcast::run_outbox(Arc::clone(&shared)));
         tasks.spawn(broadcast::quarantine::run(Arc::clone(&shared)));
@@ -185,13 +186,12 @@
     instances::deregister(&shared).await;
 }
 
-/// Adds this instance to the list of instances and joins its placer group, after reading the token that an
-/// earlier process stored, if it needs one.
+/// Adds this instance to the list of instances and joins its placer group, after reading what earlier processes stored there.
 async fn join(shared: Arc<Shared>) {
-    let token = if shared.persists_token && !shared.settings.first_start {
-        instances::load_previous_token(&shared).await
-    } else {
+    let token = if shared.settings.first_start {
         None
+    } else {
+        instances::read_earlier_records(&shared).await
     };
     instances::register(Arc::clone(&shared), token).await;
     placer_lease::run(shared).await;
--- a/crates/ploverwick_gateway/src/filters/select.rs
+++ b/crates/ploverwick_gateway/src/filters/select.rs
@@ -305,7 +305,11 @@
     if request.origin_attempt.is_none() || request.build.get().is_some() {
         return Vec::new();
     }
-    state.builds.unsettled(&request.service, now)
+    let service = &request.service;
+    let mut avoided = state.builds.unsettled(service, now);
+    let listed = state.builds.listed(service);
+    avoided.extend(state.build_registry.unregistered(service, listed));
+    avoided
 }
 
 /// Returns how long limits and pauses prevent this instance from sending to any ready endpoint that may serve the
--- a/crates/ploverwick_gateway/src/state.rs
+++ b/crates/ploverwick_gateway/src/state.rs
@@ -13,8 +13,8 @@
 use ploverwick_endpoints::build_history::MAX_LIST_AGE;
 use ploverwick_endpoints::origins::Origins;
 use ploverwick_endpoints::{
-    Balance, Brittleness, Budget, BuildHistory, DrainingReports, Entry, Fleet, Held, InstanceCount,
-    Limits, Links, Pauses, Reachability, Refusals, Relays, RetryPolicy, Serving,
+    Balance, Brittleness, Budget, BuildHistory, BuildRegistry, DrainingReports, Entry, Fleet, Held,
+    InstanceCount, Limits, Links, Pauses, Reachability, Refusals, Relays, RetryPolicy, Serving,
     State as EndpointState, relays, slots, totals,
 };
 use ploverwick_limits::{PriorUse, RateLimiter};
@@ -107,6 +107,8 @@
     endpoint_list_current_at: Option<Moment>,
     /// Which builds of each service serve, or lately did.
     pub(crate) builds: BuildHistory,
+    /// The builds that the store records for each service.
+    pub(crate) build_registry: BuildRegistry,
     /// The builds that began this instance's streams.
     pub(crate) own_origins: Origins,
     /// The builds that began streams of other instances, kept for them.
@@ -184,6 +186,7 @@
             endpoint_list_confirmed_at: None,
             endpoint_list_current_at: None,
             builds: BuildHistory::new(settings.first_start, now),
+            build_registry: BuildRegistry::default(),
             own_origins: Origins::default(),
             kept_origins: Origins::default(),
             has_table: false,
@@ -234,15 +237,17 @@
     /// Records that the list of endpoints was current at `at`, when its read started or a peer confirmed it.
     pub(crate) fn record_current_endpoint_list(&mut self, at: Moment, now: Moment) {
         let last = self.endpoint_list_current_at;
-        if last.is_some_and(|last| now.since(last) > MAX_LIST_AGE) {
-            self.builds.record_gap(now);
+        match last {
+            None => self.builds.record_first_read(at),
+            Some(last) if now.since(last) > MAX_LIST_AGE => self.builds.record_gap(now),
+            Some(_) => {}
         }
         self.endpoint_list_current_at = last.max(Some(at));
     }
 
     /// Returns what this instance knows of the builds of a service.
     pub(crate) fn serving(&self, service: &str, now: Moment) -> Serving {
-        let serving = self.builds.serving(service, now);
+        let serving = self.listed_serving(service, now);
         if self.is_endpoint_list_current(now) {
             serving
         } else {
@@ -250,6 +255,13 @@
         }
     }
 
+    /// Returns the same for the list as it is, even if it is out of date.
+    pub(crate) fn listed_serving(&self, service: &str, now: Moment) -> Serving {
+        let since = self.builds.unbroken_since();
+        let earlier = self.build_registry.proven(service, since);
+        self.builds.serving(service, earlier.as_deref(), now)
+    }
+
     /// Returns whether this instance knows all builds that serve or lately did.
     pub(crate) fn knows_builds(&self, now: Moment) -> bool {
         self.is_endpoint_list_current(now) && self.builds.is_complete(now)
--- a/crates/ploverwick_gateway/src/table.rs
+++ b/crates/ploverwick_gateway/src/table.rs
@@ -48,7 +48,7 @@
     }
     let records = encode(text);
     let store = Store::new(store, PARTITIONS);
-    match store.append_if_unchanged(TABLE_TOPIC, &records, base).await {
+    match store.append(TABLE_TOPIC, &records, Some(base)).await {
         Ok(()) => Ok(base + records.len() as u64),
         Err(Error::Conflict) => bail!(
             "another table was published since version {base}; \
--- a/crates/ploverwick_gateway/tests/builds/mod.rs
+++ b/crates/ploverwick_gateway/tests/builds/mod.rs
@@ -1,5 +1,7 @@
 //! Instances before endpoints of two builds.
 
+#![expect(dead_code, reason = "each test file uses only some of the helpers")]
+
 use std::collections::HashSet;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
@@ -24,6 +26,8 @@
 pub const HANG_LIMIT: Duration = Duration::from_secs(12);
 /// Long enough for instances to discover each other and the placers.
 pub const DISCOVERY: Duration = Duration::from_millis(2_500);
+/// The distance between the address of an instance and that of its next process.
+const RESTART_OFFSET: u32 = 10;
 /// So short that instances may use the allowance of retries once they have discovered each other.
 pub const RETRY_WINDOW: Duration = Duration::from_secs(1);
 
@@ -34,6 +38,7 @@
     pub fronts: Vec<SocketAddr>,
     pub old: Vec<Endpoint>,
     pub new: Vec<Endpoint>,
+    settings: Vec<Settings>,
     probes: usize,
 }
 
@@ -63,6 +68,7 @@
             fronts: Vec::new(),
             old: start_endpoints(["i-a", "i-b", "i-c"], "v1").await?,
             new: start_endpoints(["i-x", "i-y", "i-z"], "v1.1").await?,
+            settings: Vec::new(),
             probes: 0,
         };
         fleet.list(&fleet.old[0]);
@@ -73,6 +79,7 @@
             settings.domain = Arc::from(domain);
             settings.repeat_window = RETRY_WINDOW;
             change(&mut settings);
+            fleet.settings.push(settings.clone());
             let instance = Instance::start(settings).await?;
             fleet.fronts.push(instance.front);
             fleet.instances.push(Some(instance));
@@ -83,6 +90,41 @@
         Ok(fleet)
     }
 
+    /// Kills instances, as a loss of power does.
+    pub async fn kill(&mut self, numbers: &[usize]) {
+        for number in numbers {
+            let instance = self.instances[*number].take().expect("it is running");
+            instance.served.abort();
+            drop(instance.served.await);
+        }
+    }
+
+    /// Starts killed instances again, and waits until they have discovered each other.
+    pub async fn start_again(&mut self, numbers: &[usize]) -> Result<()> {
+        let starts = numbers.iter().map(|number| {
+            let mut settings = self.settings[*number].clone();
+            settings.first_start = false;
+            // Tasks of the killed instance may still hold its sockets.
+            settings.ip = Ipv4Addr::from_bits(settings.ip.to_bits() + RESTART_OFFSET);
+            settings.front = (settings.ip, 0).into();
+            settings.ready = (settings.ip, 0).into();
+            Instance::start(settings)
+        });
+        let instances = futures_util::future::try_join_all(starts).await?;
+        for (number, instance) in numbers.iter().zip(instances) {
+            self.fronts[*number] = instance.front;
+            self.instances[*number] = Some(instance);
+        }
+        tokio::time::sleep(DISCOVERY).await;
+        Ok(())
+    }
+
+    /// Kills instances and starts them again.
+    pub async fn restart(&mut self, numbers: &[usize]) -> Result<()> {
+        self.kill(numbers).await;
+        self.start_again(numbers).await
+    }
+
     pub fn list(&self, endpoint: &Endpoint) {
         self.store.list(endpoint.id(), &endpoint.entry("ready"));
     }
--- a/crates/ploverwick_routes/src/config.rs
+++ b/crates/ploverwick_routes/src/config.rs
@@ -156,6 +156,11 @@
         list.iter().find(|route| path.starts_with(&*route.prefix))
     }
 
+    /// Iterates over the routes in no particular order.
+    pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
+        self.routes.values().flatten()
+    }
+
     /// Returns whether any organisation has a quota.
     pub fn has_quotas(&self) -> bool {
         let organisations = self.organisations.as_ref();
--- a/crates/ploverwick_routes/src/route.rs
+++ b/crates/ploverwick_routes/src/route.rs
@@ -26,6 +26,11 @@
         }
     }
 
+    /// Returns whether the response is a stream that clients may take up again.
+    pub fn is_resumable(self) -> bool {
+        matches!(self, Self::Stream { resumable: true })
+    }
+
     /// Returns whether the response is a stream of events.
     pub fn is_stream(self) -> bool {
         matches!(self, Self::Stream { .. })
