Take no service's single build for that of the others on its route

Where a route shares its requests among services, a stream that had begun at one service went on at another build, with 200, if another service was known to have had one build for long: what is known of two services was combined like two reports of one service, where the more certain one counts.

Across services the less certain one counts now (Serving::across), also in the replies to other instances, which cover all services that share a route with the one in question.

Test, which failed before: services_that_share_a_route of restarted_fleet (two instances; each stream that began at the second service's earlier build was continued, 200 in place of 503).

--- a/crates/ploverwick_endpoints/src/build_history.rs
+++ b/crates/ploverwick_endpoints/src/build_history.rs
@@ -59,6 +59,20 @@
         )
     }
 
+    /// Combines what is known of two services; the order does not matter.
+    #[must_use]
+    pub fn across(self, other: Self) -> Self {
+        match (self, other) {
+            (Self::Nothing, known) | (known, Self::Nothing) => known,
+            (a, b) if a.single().is_none() || a.single() != b.single() => Self::Several,
+            (Self::Outdated(build), _) | (_, Self::Outdated(build)) => Self::Outdated(build),
+            (Self::Unconfirmed(build), _) | (_, Self::Unconfirmed(build)) => {
+                Self::Unconfirmed(build)
+            }
+            (only, _) => only,
+        }
+    }
+
     /// Combines what is known of a service from two sources; the order does not matter.
     #[must_use]
     pub fn merge(self, other: Self) -> Self {
--- a/crates/ploverwick_gateway/src/controllers/origins.rs
+++ b/crates/ploverwick_gateway/src/controllers/origins.rs
@@ -3,7 +3,7 @@
 //! Each instance keeps the origins of its own streams. While several builds may serve, it also sends them to a few other
 //! instances, which keep them in case it ends or cannot be reached. Any instance finds these by the attempt alone.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -40,14 +40,14 @@
     fn serving(self, state: &State, now: Moment) -> Serving {
         let services = self.route.services();
         let serving = services.map(|service| state.serving(service, now));
-        serving.fold(Serving::Nothing, Serving::merge)
+        serving.fold(Serving::Nothing, Serving::across)
     }
 
     /// Returns the same for the list as it is, even if it is out of date.
     fn listed(self, state: &State, now: Moment) -> Serving {
         let services = self.route.services();
         let serving = services.map(|service| state.listed_serving(service, now));
-        serving.fold(Serving::Nothing, Serving::merge)
+        serving.fold(Serving::Nothing, Serving::across)
     }
 }
 
@@ -136,13 +136,27 @@
     let state = shared.state();
     let reply = match attempt.and_then(|attempt| known_origin(&state, attempt, now)) {
         Some(build) => Reply::Began(build),
-        None => Reply::Unknown(state.serving(service, now)),
+        None => Reply::Unknown(route_serving(&state, service, now)),
     };
     drop(state);
     let message = Message::OriginReply { id, reply };
     shared.peer_socket.send(&message, &[from]);
 }
 
+/// Returns what this instance knows of the builds of a service and of those that share a route with it: a stream of the route
+/// may have begun at any of them.
+fn route_serving(state: &State, service: &str, now: Moment) -> Serving {
+    let routes = state.config.iter().flat_map(|config| config.routes());
+    let shared_by = routes.filter(|route| {
+        let mut services = route.services();
+        route.kind.is_resumable() && services.any(|other| **other == *service)
+    });
+    let sharers = shared_by.flat_map(|route| route.services());
+    let sharers: HashSet<&str> = sharers.map(AsRef::as_ref).chain([service]).collect();
+    let serving = sharers.into_iter().map(|name| state.serving(name, now));
+    serving.fold(Serving::Nothing, Serving::across)
+}
+
 /// Removes the origins of streams that can no longer be taken up.
 pub(crate) fn remove_expired(shared: &Shared) {
     let now = shared.now();
--- a/crates/ploverwick_gateway/tests/restarted_fleet.rs
+++ b/crates/ploverwick_gateway/tests/restarted_fleet.rs
@@ -7,11 +7,14 @@
 use std::time::Duration;
 
 use anyhow::Result;
-use builds::{Fleet, events, send, stream};
+use builds::{Fleet, config, events, send, stream};
+use common::count_runs;
 use googletest::prelude::*;
 use http::StatusCode;
+use ploverwick_endpoints::Build;
 use ploverwick_platform::INSTANCE_TOPIC;
 use ploverwick_platform_standin::endpoint::{Action, EVENTS, Endpoint};
+use ploverwick_platform_standin::settings;
 
 /// The number of streams that begin at each instance.
 const STREAMS: usize = 12;
@@ -190,6 +193,47 @@
     Ok(())
 }
 
+/// Guards against taking it for proof of all services of a route that one of them is known to have had one build.
+#[gtest]
+#[tokio::test]
+async fn services_that_share_a_route() -> Result<()> {
+    let mut fleet = Fleet::start(2, 1).await?;
+    let mut config = config(1);
+    config["version"] = 2.into();
+    settings::share_route(&mut config, "/resume/", "lm2");
+    fleet.store.configure(&config);
+    let endpoint = async |id, software| {
+        let endpoint = Endpoint::start(id, "lm2", Some("base"), "d1").await?;
+        endpoint.set_software(software);
+        anyhow::Ok(endpoint)
+    };
+    let newer = endpoint("i-n", "v1.1").await?;
+    let older = endpoint("i-o", "v1").await?;
+    fleet.list(&newer);
+    tokio::time::sleep(RECORDING).await;
+    let ids = begin_streams(&fleet, "r").await?;
+    let begun_at_newer: Vec<String> = ids
+        .into_iter()
+        .filter(|id| count_runs(&[&newer], id) > 0)
+        .collect();
+    expect_that!(begun_at_newer, not(is_empty()));
+    fleet.list(&older);
+    unlist_all(&fleet, &[newer]).await;
+    fleet.kill(&[0, 1]).await;
+    for software in ["v1", "v1.1"] {
+        let key = format!("builds/lm2/{}", Build::of(software));
+        fleet.store.write(INSTANCE_TOPIC, &key, b"");
+    }
+    fleet.store.compact();
+    fleet.start_again(&[0, 1]).await?;
+    for (id, front) in begun_at_newer.iter().zip(fleet.fronts.iter().cycle()) {
+        let next = stream(&format!("{id}-next")).resumes(id).after_event(0);
+        let got = send(*front, &next).await?;
+        expect_that!(got.status, eq(StatusCode::SERVICE_UNAVAILABLE), "{id}");
+    }
+    Ok(())
+}
+
 /// Guards against refusing the streams of a restarted instance that others still know.
 #[gtest]
 #[tokio::test]
