Let a record of a build that cannot be read prove nothing

A malformed record was ignored, so that an instance that started after it inferred a build although the record of another one could not be read. It now counts as a registration of no era, which makes the record of its service invalid until an instance with an unbroken history writes it anew.

Found by reading the diff, not seen. Test: unreadable_record_proves_nothing (the value it applies did not exist before).

--- a/crates/ploverwick_endpoints/src/build_registry.rs
+++ b/crates/ploverwick_endpoints/src/build_registry.rs
@@ -43,6 +43,14 @@
     pub era: u64,
 }
 
+impl Registration {
+    /// A registration that cannot be read. It belongs to no era, so that it proves nothing.
+    pub const UNKNOWN: Self = Self {
+        state: State::Serving,
+        era: u64::MAX,
+    };
+}
+
 /// The place of a record in the store: the era in which it was read, and its offset. Later records have higher places.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Place {
--- a/crates/ploverwick_endpoints/tests/build_registry.rs
+++ b/crates/ploverwick_endpoints/tests/build_registry.rs
@@ -118,6 +118,20 @@
     }
 }
 
+/// Guards against ignoring a record that cannot be read, and with it a build.
+#[gtest]
+fn unreadable_record_proves_nothing() {
+    let mut registry = registry(0, &[("a", State::Serving, 0)]);
+    registry.apply(
+        &Arc::from(SERVICE),
+        build("b"),
+        Some(Registration::UNKNOWN),
+        place(0, 1),
+        START,
+    );
+    expect_that!(registry.proven(SERVICE, START), none());
+}
+
 /// Guards against a record that was read before the list had a gap, in which builds may have been registered.
 #[gtest]
 fn gap_needs_another_read() {
--- a/crates/ploverwick_gateway/src/connection.rs
+++ b/crates/ploverwick_gateway/src/connection.rs
@@ -11,8 +11,8 @@
 /// Marks a connection without bytes that its client has to read by a deadline.
 const READ: u64 = u64::MAX;
 
-/// Whether a connection has brought a request, when it became idle, or that it is busy, by when its client has to read, and whether a request body was left
-/// unread on it.
+/// Whether a connection has brought a request, when it became idle, or that it is busy, by when its client has to read, and
+/// whether a request body was left unread on it.
 #[derive(Debug, Clone)]
 pub(crate) struct Activity(Arc<State>);
 
--- a/crates/ploverwick_gateway/src/controllers/build_registry.rs
+++ b/crates/ploverwick_gateway/src/controllers/build_registry.rs
@@ -56,7 +56,7 @@
     record.key.starts_with(KEY_PREFIX)
 }
 
-/// Applies a record of a build. A malformed one is ignored.
+/// Applies a record of a build. If its value is malformed, the builds of its service prove nothing.
 pub(super) fn apply_record(shared: &Shared, record: &Record) {
     let Some((service, build)) = parse_key(&record.key) else {
         return log_malformed(record);
@@ -65,7 +65,10 @@
         None => None,
         Some(value) => match serde_json::from_slice::<Value>(value) {
             Ok(Value { state, era }) => Some(Registration { state, era }),
-            Err(_) => return log_malformed(record),
+            Err(_) => {
+                log_malformed(record);
+                Some(Registration::UNKNOWN)
+            }
         },
     };
     let place = place(shared, record.offset);
@@ -178,12 +181,12 @@
     };
     let routes = config.routes().filter(|route| route.kind.is_resumable());
     let services: HashSet<&Arc<str>> = routes.flat_map(|route| route.services()).collect();
-    let knows = Knowledge {
+    let list = Knowledge {
         history: &state.builds,
         is_current: state.knows_builds(now),
     };
     let plans = services.into_iter().filter_map(|service| {
-        let change = state.build_registry.plan(service, knows, now)?;
+        let change = state.build_registry.plan(service, list, now)?;
         Some((Arc::clone(service), change))
     });
     plans.collect()
