Wait for the cut-off of an idle connection before the next request in endless_answers

Trace: idle-1 was answered and its connection kept; sound-1 was sent on it 3 ms later, before the endpoint's endless bytes arrived, which were then parsed as its answer ("invalid HTTP version parsed"). Nothing tells such bytes from an answer, and the request may have run, so that 502 is right; the test expected that they always arrive first.

The test now waits until the connection is cut off before it sends the next request. It checks as much, and besides that no request is needed for the cut-off. The gateway is unchanged.

--- a/crates/ploverwick_gateway/tests/endless_answers.rs
+++ b/crates/ploverwick_gateway/tests/endless_answers.rs
@@ -22,6 +22,8 @@
 const REQUESTS: usize = 4;
 /// More than the buffers of a connection hold.
 const MAX_BYTES: usize = 16 * 1_024 * 1_024;
+/// The place after a whole answer, before the next request on the connection.
+const IDLE: &str = "idle";
 const PLAIN: &str = "text/plain";
 const EVENTS: &str = "text/event-stream";
 /// The time limit of the routes.
@@ -68,7 +70,7 @@
         "unsigned" => endless(PLAIN, b"x").unsigned(),
         "foreign" => endless(PLAIN, b"x").names_other(),
         "event" => endless(EVENTS, b"data: x"),
-        "idle" => RawAnswer {
+        IDLE => RawAnswer {
             ending: Ending::Endless(b"x"),
             ..RawAnswer::framed(PLAIN, b"done")
         },
@@ -101,6 +103,12 @@
     for number in 0..REQUESTS {
         let got = send(front, &format!("{place}-{number}"), &path).await?;
         expect_that!(got.status.as_u16(), eq(status), "{place}");
+        if place == IDLE {
+            // Bytes that arrive once the next request was sent cannot be told from its answer.
+            while endpoint.disconnects() <= number {
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        }
         let sound = send(front, &format!("sound-{number}"), &path).await?;
         expect_that!(sound.status, eq(StatusCode::OK), "{place}");
     }
@@ -128,7 +136,7 @@
 }
 
 macro_rules! places {
-    ($($name:ident: $service:literal, $place:literal, $status:literal;)*) => {
+    ($($name:ident: $service:literal, $place:expr, $status:literal;)*) => {
         $(
             #[gtest]
             #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
@@ -148,7 +156,7 @@
     unsigned_answers_are_cut_off: "raw", "unsigned", 502;
     foreign_answers_are_cut_off: "raw", "foreign", 502;
     events_are_cut_off: "events", "event", 200;
-    idle_connections_are_cut_off: "raw", "idle", 200;
+    idle_connections_are_cut_off: "raw", IDLE, 200;
 }
 
 /// Guards against a report that takes the memory of the placer's instance.
