Leave the list of instances only once a lease has passed, also with a short grace period

Callers saw nothing of it; found while reading the diff. With a grace_s below 3.6 s, let a stopping instance leave the list up to a lease early (after 2.5 s with 3 s). The next process takes a missing entry for proof that no order was sent within a lease (confirm_no_recent_orders), so that two holders could order within lease_ms (ONE).

Cause: the departure was capped at five sixths of the grace period, and any_grace asserted that it comes before the end. With the grace_s of all deployments (8 s) nothing changes: 3.0 s before and after.

--- a/crates/ploverwick_shutdown/src/lib.rs
+++ b/crates/ploverwick_shutdown/src/lib.rs
@@ -46,7 +46,7 @@
         let final_part = grace / FINAL_PART;
         Self {
             intake_end: now + intake,
-            departure: now + intake.max(lease).min(grace.saturating_sub(final_part)),
+            departure: now + intake.max(lease),
             deadline: now + grace.saturating_sub(KILL_MARGIN.min(final_part)),
         }
     }
@@ -56,8 +56,8 @@
         self.intake_end
     }
 
-    /// Returns when the instance leaves the list of instances. The process runs until then at least, so that the next one may
-    /// send orders at once.
+    /// Returns when the instance leaves the list of instances: a lease after its last order at the earliest, so that the next
+    /// process may send orders at once. After [`Self::deadline`] if the grace period is too short; then it stays listed.
     pub fn departure(&self) -> Moment {
         self.departure
     }
