--- a/crates/ploverwick_gateway/tests/endless_answers.rs
+++ b/crates/ploverwick_gateway/tests/endless_answers.rs
@@ -104,7 +104,7 @@
         let got = send(front, &format!("{place}-{number}"), &path).await?;
         expect_that!(got.status.as_u16(), eq(status), "{place}");
         if place == IDLE {
-            // Bytes that arrive once the next request was sent cannot be told from its answer.
+            // Excess bytes that arrive after the next request was sent look like the start of its response.
             while endpoint.disconnects() <= number {
                 tokio::time::sleep(Duration::from_millis(10)).await;
             }
